--- /dev/null
+++ b/bluebellbench/main.go
@@ -0,0 +1,4 @@
+// Command bluebellbench is not wired yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/bluebellctl/main.go
@@ -0,0 +1,4 @@
+// Command bluebellctl is not wired yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/bluebelld/main.go
@@ -0,0 +1,4 @@
+// Command bluebelld is not wired yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/bluebellfake/main.go
@@ -0,0 +1,4 @@
+// Command bluebellfake is not wired yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/bbevent/catalogue.go
@@ -0,0 +1,148 @@
+package bbevent
+
+// Number identifies a kind of event. Numbers are never reused.
+type Number int
+
+// Severity tells how an operator should treat an event.
+type Severity string
+
+// The severities of events.
+const (
+	// SeverityInfo needs no attention.
+	SeverityInfo Severity = "info"
+	// SeverityWarning is worth a look when it repeats.
+	SeverityWarning Severity = "warning"
+	// SeverityError needs an operator.
+	SeverityError Severity = "error"
+)
+
+// Entry describes one kind of event. docs/EVENTS.md is made from the entries.
+type Entry struct {
+	// Number is unique in the catalogue.
+	Number Number
+	// Title is a short name in camel case, unique in the catalogue.
+	Title string
+	// Severity is the level that the event is logged at.
+	Severity Severity
+	// Text tells what happened and what an operator may do.
+	Text string
+}
+
+// The numbers of the catalogue. Hundreds group them: 1xx node, 2xx configuration,
+// 3xx membership and ownership, 4xx requests, 5xx endpoints, 6xx links, 7xx limits.
+const (
+	NodeStarted          Number = 101
+	NodeReady            Number = 102
+	NodeDraining         Number = 103
+	NodeStopped          Number = 104
+	NodePaused           Number = 105
+	RulesInForce         Number = 201
+	RulesRefused         Number = 202
+	RulesStale           Number = 203
+	PlatformDown         Number = 204
+	PlatformUp           Number = 205
+	ListAdopted          Number = 301
+	OwnershipGained      Number = 302
+	OwnershipLost        Number = 303
+	Confirmed            Number = 304
+	ConfirmationLost     Number = 305
+	PeerLost             Number = 306
+	PeerBack             Number = 307
+	RequestAccepted      Number = 401
+	RequestJoined        Number = 402
+	RequestForwarded     Number = 403
+	StageDispatched      Number = 404
+	StageAnswered        Number = 405
+	StageRetried         Number = 406
+	StageRefused         Number = 407
+	RequestAnswered      Number = 408
+	RequestRefused       Number = 409
+	RequestUnknown       Number = 410
+	RequestFailed        Number = 411
+	LateResultDropped    Number = 412
+	StreamResumed        Number = 413
+	RequestHedged        Number = 414
+	RequestCancelled     Number = 415
+	RecordsHandedOver    Number = 416
+	RecordsTakenOver     Number = 417
+	RequestSuspect       Number = 418
+	EndpointState        Number = 501
+	EndpointColdTurn     Number = 502
+	EndpointCalled       Number = 503
+	EndpointReplied      Number = 504
+	EndpointFailed       Number = 505
+	EndpointOrdered      Number = 506
+	EndpointOrderRefused Number = 507
+	DomainOut            Number = 508
+	DomainBack           Number = 509
+	LinkSilent           Number = 601
+	LinkReplaced         Number = 602
+	LinkOverflow         Number = 603
+	TableFull            Number = 701
+	QueueFull            Number = 702
+	BudgetSpent          Number = 703
+)
+
+// Catalogue lists every kind of event by number.
+var Catalogue = []Entry{
+	{Number: NodeStarted, Title: "nodeStarted", Severity: SeverityInfo, Text: "The process started with a new incarnation and no memory of an earlier one."},
+	{Number: NodeReady, Title: "nodeReady", Severity: SeverityInfo, Text: "The node has rules and a membership list and answers callers."},
+	{Number: NodeDraining, Title: "nodeDraining", Severity: SeverityInfo, Text: "The node hands out no more of its own address and finishes what it has."},
+	{Number: NodeStopped, Title: "nodeStopped", Severity: SeverityInfo, Text: "The node finished its drain and exits."},
+	{Number: NodePaused, Title: "nodePaused", Severity: SeverityWarning, Text: "The process did not run for a while; confirmations are void until heard again."},
+	{Number: RulesInForce, Title: "rulesInForce", Severity: SeverityInfo, Text: "A newer valid revision of the rules is in force on this node."},
+	{Number: RulesRefused, Title: "rulesRefused", Severity: SeverityError, Text: "A revision of the rules has findings and is refused whole; the one before stays in force."},
+	{Number: RulesStale, Title: "rulesStale", Severity: SeverityWarning, Text: "A source offered a revision older than the one in force; it was ignored."},
+	{Number: PlatformDown, Title: "platformDown", Severity: SeverityWarning, Text: "The configuration service does not answer; the node goes on with what it knows."},
+	{Number: PlatformUp, Title: "platformUp", Severity: SeverityInfo, Text: "The configuration service answers again."},
+	{Number: ListAdopted, Title: "listAdopted", Severity: SeverityInfo, Text: "A newer membership list was adopted; confirmations start anew."},
+	{Number: OwnershipGained, Title: "ownershipGained", Severity: SeverityInfo, Text: "This node became the owner of an endpoint."},
+	{Number: OwnershipLost, Title: "ownershipLost", Severity: SeverityInfo, Text: "This node is no longer the owner of an endpoint and sends it nothing new."},
+	{Number: Confirmed, Title: "confirmed", Severity: SeverityInfo, Text: "A majority of the group has confirmed the list for the settling time; cold endpoints may be used."},
+	{Number: ConfirmationLost, Title: "confirmationLost", Severity: SeverityWarning, Text: "The confirmation lapsed; cold endpoints wait, warm ones go on."},
+	{Number: PeerLost, Title: "peerLost", Severity: SeverityWarning, Text: "A peer has not answered probes for the peer timeout."},
+	{Number: PeerBack, Title: "peerBack", Severity: SeverityInfo, Text: "A lost peer answers probes again."},
+	{Number: RequestAccepted, Title: "requestAccepted", Severity: SeverityInfo, Text: "The home recorded a new request."},
+	{Number: RequestJoined, Title: "requestJoined", Severity: SeverityInfo, Text: "A repeat of a known request joined it or got its stored answer."},
+	{Number: RequestForwarded, Title: "requestForwarded", Severity: SeverityInfo, Text: "A request was passed on to its home."},
+	{Number: StageDispatched, Title: "stageDispatched", Severity: SeverityInfo, Text: "The home sent a stage to the owner of an endpoint."},
+	{Number: StageAnswered, Title: "stageAnswered", Severity: SeverityInfo, Text: "The result of a stage arrived and was matched."},
+	{Number: StageRetried, Title: "stageRetried", Severity: SeverityWarning, Text: "A stage is tried again, within the retry budget."},
+	{Number: StageRefused, Title: "stageRefused", Severity: SeverityInfo, Text: "An owner refused a stage without sending it to an endpoint."},
+	{Number: RequestAnswered, Title: "requestAnswered", Severity: SeverityInfo, Text: "The whole answer was stored and given to the caller."},
+	{Number: RequestRefused, Title: "requestRefused", Severity: SeverityInfo, Text: "The request was refused and will never run."},
+	{Number: RequestUnknown, Title: "requestUnknown", Severity: SeverityWarning, Text: "The outcome of a request cannot be known; it will not be run again."},
+	{Number: RequestFailed, Title: "requestFailed", Severity: SeverityWarning, Text: "The request ran and failed."},
+	{Number: LateResultDropped, Title: "lateResultDropped", Severity: SeverityInfo, Text: "A result of an attempt that is no longer awaited was dropped."},
+	{Number: StreamResumed, Title: "streamResumed", Severity: SeverityWarning, Text: "A token stream goes on at another endpoint from its offset."},
+	{Number: RequestHedged, Title: "requestHedged", Severity: SeverityInfo, Text: "A second attempt of an idempotent stage was started because the first is slow."},
+	{Number: RequestCancelled, Title: "requestCancelled", Severity: SeverityInfo, Text: "The work was cancelled because its deadline passed or its last caller left."},
+	{Number: RecordsHandedOver, Title: "recordsHandedOver", Severity: SeverityInfo, Text: "A leaving home gave its records to a successor."},
+	{Number: RecordsTakenOver, Title: "recordsTakenOver", Severity: SeverityInfo, Text: "This node answers for the records of a home that left."},
+	{Number: RequestSuspect, Title: "requestSuspect", Severity: SeverityError, Text: "A request saw two endpoints die and is refused or retried alone."},
+	{Number: EndpointState, Title: "endpointState", Severity: SeverityInfo, Text: "The state of an owned endpoint changed."},
+	{Number: EndpointColdTurn, Title: "endpointColdTurn", Severity: SeverityWarning, Text: "A warm endpoint shows signs of a cold turn; its window is closed to one probe."},
+	{Number: EndpointCalled, Title: "endpointCalled", Severity: SeverityInfo, Text: "The owner sent a request to an endpoint."},
+	{Number: EndpointReplied, Title: "endpointReplied", Severity: SeverityInfo, Text: "An endpoint finished a request."},
+	{Number: EndpointFailed, Title: "endpointFailed", Severity: SeverityWarning, Text: "An endpoint failed a request or its connection broke."},
+	{Number: EndpointOrdered, Title: "endpointOrdered", Severity: SeverityInfo, Text: "An order (load a model, change role) was sent with its fencing number."},
+	{Number: EndpointOrderRefused, Title: "endpointOrderRefused", Severity: SeverityWarning, Text: "An endpoint refused an order with an old fencing number."},
+	{Number: DomainOut, Title: "domainOut", Severity: SeverityInfo, Text: "A failure domain was taken out by the rules; it gets no new work."},
+	{Number: DomainBack, Title: "domainBack", Severity: SeverityInfo, Text: "A failure domain was brought back; its endpoints start as cold."},
+	{Number: LinkSilent, Title: "linkSilent", Severity: SeverityWarning, Text: "A connection to a peer made no progress in time."},
+	{Number: LinkReplaced, Title: "linkReplaced", Severity: SeverityInfo, Text: "A fresh connection to a peer took the place of a silent one."},
+	{Number: LinkOverflow, Title: "linkOverflow", Severity: SeverityError, Text: "The queue to a peer is full; the oldest messages were dropped and will be asked for."},
+	{Number: TableFull, Title: "tableFull", Severity: SeverityError, Text: "A bounded table is full; new entries are refused."},
+	{Number: QueueFull, Title: "queueFull", Severity: SeverityWarning, Text: "A bounded queue is full; new work is refused as not run."},
+	{Number: BudgetSpent, Title: "budgetSpent", Severity: SeverityWarning, Text: "The retry budget is spent; no retry or hedge was made."},
+}
+
+// Lookup returns the catalogue entry of a number, and false for an unknown one.
+func Lookup(number Number) (Entry, bool) {
+	for _, e := range Catalogue {
+		if e.Number == number {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
