--- /dev/null
+++ b/core/bbmsg/envelope.go
@@ -0,0 +1,303 @@
+package bbmsg
+
+import "bluebellhall/core/bbevent"
+
+// Batch is what one send on a link carries, in order.
+type Batch struct {
+	// From and Incarnation name the sending process.
+	From        string `json:"from"`
+	Incarnation uint64 `json:"incarnation"`
+	// First is the sequence number of the first envelope; the others follow by one.
+	First uint64 `json:"first"`
+	// Stamp is the sender's hybrid logical time.
+	Stamp bbevent.Stamp `json:"stamp"`
+	// Envelopes has at least one entry.
+	Envelopes []Envelope `json:"envelopes"`
+}
+
+// BatchAck tells the sender what has arrived.
+type BatchAck struct {
+	// Incarnation is the receiving process's.
+	Incarnation uint64 `json:"incarnation"`
+	// Received is the sequence number up to which all envelopes were taken in.
+	Received uint64 `json:"received"`
+	// Stamp is the receiver's hybrid logical time.
+	Stamp bbevent.Stamp `json:"stamp"`
+}
+
+// Envelope holds one message between entry VMs. Exactly one field is set.
+type Envelope struct {
+	Forward   *Forward   `json:"forward,omitempty"`
+	Answer    *Answer    `json:"answer,omitempty"`
+	Detach    *Detach    `json:"detach,omitempty"`
+	Dispatch  *Dispatch  `json:"dispatch,omitempty"`
+	Result    *Result    `json:"result,omitempty"`
+	Cancel    *Cancel    `json:"cancel,omitempty"`
+	Cancelled *Cancelled `json:"cancelled,omitempty"`
+	Handover  *Handover  `json:"handover,omitempty"`
+	Suspect   *Suspect   `json:"suspect,omitempty"`
+	Rules     *RulesText `json:"rules,omitempty"`
+	List      *ListText  `json:"list,omitempty"`
+	Fetch     *Fetch     `json:"fetch,omitempty"`
+}
+
+// CallerRequest is a request as a caller sent it.
+type CallerRequest struct {
+	// ID is the whole request id: ticket and nonce, or a key id made by the receiver.
+	ID string `json:"id"`
+	// Account is the client account's name.
+	Account string `json:"account"`
+	// Pipeline is set for pipeline requests, else Service and Path are.
+	Pipeline string `json:"pipeline,omitempty"`
+	Service  string `json:"service,omitempty"`
+	Path     string `json:"path,omitempty"`
+	// Session ties the requests of a conversation together; may be empty.
+	Session string `json:"session,omitempty"`
+	// Stream is true when the caller wants tokens as they come.
+	Stream bool `json:"stream,omitempty"`
+	// FromOffset is the first token wanted, for a resumed stream.
+	FromOffset int `json:"fromOffset,omitempty"`
+	// Body is the payload, JSON by convention.
+	Body []byte `json:"body,omitempty"`
+	// BudgetMillis is the caller's own deadline from now; 0 means the rule's.
+	BudgetMillis int64 `json:"budgetMillis,omitempty"`
+	// LookupOnly asks for the outcome and never starts a run.
+	LookupOnly bool `json:"lookupOnly,omitempty"`
+}
+
+// Forward passes a caller's request to its home.
+type Forward struct {
+	// Call is the receiver's own number for the waiting caller.
+	Call uint64 `json:"call"`
+	// Request is the caller's.
+	Request CallerRequest `json:"request"`
+}
+
+// Detach tells the home that a waiting caller went away.
+type Detach struct {
+	Call uint64 `json:"call"`
+	ID   string `json:"id"`
+}
+
+// Outcome tells how a request ended.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// OutcomePending is not an end; the answer holds a part of the stream.
+	OutcomePending Outcome = "pending"
+	// OutcomeAnswered carries the whole answer.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomeNotRun is a refusal: no part that may not be repeated has run or ever will.
+	OutcomeNotRun Outcome = "notRun"
+	// OutcomeUnknown says that nobody can tell; the request is never run again.
+	OutcomeUnknown Outcome = "unknown"
+	// OutcomeFailed says that the request ran and failed.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeRan says that the request was answered and the answer is no longer held.
+	OutcomeRan Outcome = "ran"
+	// OutcomeInvalid says that the message can't be accepted, and nothing about other sends of its id.
+	OutcomeInvalid Outcome = "invalid"
+)
+
+// Reason is the machine-readable cause of an outcome, in camel case.
+type Reason string
+
+// The reasons that a caller can see.
+const (
+	ReasonNone            Reason = ""
+	ReasonUnknownPipeline Reason = "unknownPipeline"
+	ReasonUnknownService  Reason = "unknownService"
+	ReasonUnknownCall     Reason = "unknownCall"
+	ReasonUnknownAccount  Reason = "unknownAccount"
+	ReasonBadTicket       Reason = "badTicket"
+	ReasonExpiredTicket   Reason = "expiredTicket"
+	ReasonBodyTooLarge    Reason = "bodyTooLarge"
+	ReasonBodyDiffers     Reason = "bodyDiffers"
+	ReasonOverload        Reason = "overload"
+	ReasonFairShare       Reason = "fairShare"
+	ReasonDeadline        Reason = "deadline"
+	ReasonNoEndpoint      Reason = "noEndpoint"
+	ReasonTableFull       Reason = "tableFull"
+	ReasonDraining        Reason = "draining"
+	ReasonNotReady        Reason = "notReady"
+	ReasonHomeGone        Reason = "homeGone"
+	ReasonOwnerGone       Reason = "ownerGone"
+	ReasonMoved           Reason = "moved"
+	ReasonColdWait        Reason = "coldWait"
+	ReasonEndpointFailed  Reason = "endpointFailed"
+	ReasonSuspect         Reason = "suspect"
+	ReasonCancelled       Reason = "cancelled"
+	ReasonRetention       Reason = "retention"
+	ReasonUnconfirmed     Reason = "unconfirmed"
+	ReasonSilent          Reason = "silent"
+	ReasonKeyTakenOver    Reason = "keyTakenOver"
+)
+
+// Answer carries a part or the end of a request's outcome to the receiver.
+type Answer struct {
+	// Call is the number in the Forward, or 0 at the home itself.
+	Call uint64 `json:"call"`
+	// ID is the request id.
+	ID string `json:"id"`
+	// Outcome is pending for parts of a stream.
+	Outcome Outcome `json:"outcome"`
+	// Reason is set for all outcomes but answered and pending.
+	Reason Reason `json:"reason,omitempty"`
+	// RetryAfterMillis tells when to come back, 0 if that makes no sense.
+	RetryAfterMillis int64 `json:"retryAfterMillis,omitempty"`
+	// Offset is the index of the first token in Tokens.
+	Offset int `json:"offset,omitempty"`
+	// Tokens is a part of the stream.
+	Tokens []string `json:"tokens,omitempty"`
+	// Body is the whole answer when Outcome is answered and the stage is no engine.
+	Body []byte `json:"body,omitempty"`
+}
+
+// Attempt names one try of one stage of a request.
+type Attempt struct {
+	// ID is the request id.
+	ID string `json:"id"`
+	// Stage is the index of the stage, from 0.
+	Stage int `json:"stage"`
+	// Number counts the tries of the stage, from 1.
+	Number int `json:"number"`
+}
+
+// Dispatch sends one attempt to the owner of an endpoint.
+type Dispatch struct {
+	Attempt Attempt `json:"attempt"`
+	// Home and HomeIncarnation name the sending home.
+	Home            string `json:"home"`
+	HomeIncarnation uint64 `json:"homeIncarnation"`
+	// Endpoint is the chosen endpoint.
+	Endpoint string `json:"endpoint"`
+	// ListRevision is the list by which the home found the owner.
+	ListRevision int64 `json:"listRevision"`
+	// BudgetMillis is what is left for this stage at the time of sending.
+	BudgetMillis int64 `json:"budgetMillis"`
+	// Once is true when the stage may not be repeated.
+	Once bool `json:"once,omitempty"`
+	// Alone is true when the attempt may only run with nothing else on the endpoint.
+	Alone bool `json:"alone,omitempty"`
+	// Account, Priority and Weight serve the fair queue at the owner.
+	Account  string `json:"account"`
+	Priority int    `json:"priority"`
+	Weight   int    `json:"weight"`
+	// Service, Path and Model say what to call.
+	Service string `json:"service"`
+	Path    string `json:"path,omitempty"`
+	Model   string `json:"model,omitempty"`
+	// Session ties prefix caches to conversations.
+	Session string `json:"session,omitempty"`
+	// FromOffset is the first token wanted, for a resumed stream.
+	FromOffset int `json:"fromOffset,omitempty"`
+	// Body is the input of the stage.
+	Body []byte `json:"body,omitempty"`
+}
+
+// ResultKind tells what a Result says of its attempt.
+type ResultKind string
+
+// The kinds of result.
+const (
+	// ResultTokens carries tokens; the attempt goes on.
+	ResultTokens ResultKind = "tokens"
+	// ResultDone ends the attempt with success.
+	ResultDone ResultKind = "done"
+	// ResultRefused ends the attempt; nothing was sent to the endpoint and nothing will be.
+	ResultRefused ResultKind = "refused"
+	// ResultFailed ends the attempt; the endpoint answered with an error.
+	ResultFailed ResultKind = "failed"
+	// ResultBroken ends the attempt; it was sent and no whole answer came.
+	ResultBroken ResultKind = "broken"
+)
+
+// Result carries news of one attempt from the owner to the home.
+type Result struct {
+	Attempt Attempt    `json:"attempt"`
+	Kind    ResultKind `json:"kind"`
+	// Reason is set for refused, failed and broken.
+	Reason Reason `json:"reason,omitempty"`
+	// ListRevision is the owner's, so that a home that is behind can catch up.
+	ListRevision int64 `json:"listRevision"`
+	// RetryAfterMillis is the owner's estimate for refused.
+	RetryAfterMillis int64 `json:"retryAfterMillis,omitempty"`
+	// EndpointDied is true when the endpoint crashed or reset under this attempt.
+	EndpointDied bool `json:"endpointDied,omitempty"`
+	// Others counts the attempts that were on the endpoint when it died.
+	Others int `json:"others,omitempty"`
+	// Offset is the index of the first token in Tokens.
+	Offset int      `json:"offset,omitempty"`
+	Tokens []string `json:"tokens,omitempty"`
+	// Body is the output of the stage for done.
+	Body []byte `json:"body,omitempty"`
+	// ServiceMillis is the time on the endpoint, QueueMillis the wait at the owner.
+	ServiceMillis int64 `json:"serviceMillis,omitempty"`
+	QueueMillis   int64 `json:"queueMillis,omitempty"`
+}
+
+// Cancel asks the owner to stop an attempt and to say whether it was ever sent.
+type Cancel struct {
+	Attempt Attempt `json:"attempt"`
+	// Endpoint is the endpoint of the attempt.
+	Endpoint string `json:"endpoint"`
+	// Home is the asking home.
+	Home string `json:"home"`
+}
+
+// Cancelled answers a Cancel. After it says NeverSent the owner never sends the attempt.
+type Cancelled struct {
+	Attempt Attempt `json:"attempt"`
+	// NeverSent is true when the owner recorded that it will not send the attempt.
+	NeverSent bool `json:"neverSent"`
+}
+
+// Handover gives records of a leaving home to its successor.
+type Handover struct {
+	Home        string   `json:"home"`
+	Incarnation uint64   `json:"incarnation"`
+	Records     []Record `json:"records"`
+	// Last is true on the final part.
+	Last bool `json:"last,omitempty"`
+}
+
+// Record is the end state of one request, as handed over.
+type Record struct {
+	ID      string  `json:"id"`
+	Outcome Outcome `json:"outcome"`
+	Reason  Reason  `json:"reason,omitempty"`
+	// Fingerprint is a hash of target and body, to tell repeats from other content.
+	Fingerprint uint64   `json:"fingerprint"`
+	Tokens      []string `json:"tokens,omitempty"`
+	Body        []byte   `json:"body,omitempty"`
+	// KeepMillis is how long the record is still to be kept.
+	KeepMillis int64 `json:"keepMillis"`
+}
+
+// Suspect tells peers of content that killed endpoints.
+type Suspect struct {
+	// Fingerprint is a hash of target and body.
+	Fingerprint uint64 `json:"fingerprint"`
+	// Deaths counts the endpoints that died under it.
+	Deaths int `json:"deaths"`
+	// KeepMillis is how long the suspicion lasts from now.
+	KeepMillis int64 `json:"keepMillis"`
+}
+
+// RulesText is one revision of the rules as published.
+type RulesText struct {
+	Revision int64  `json:"revision"`
+	Text     string `json:"text"`
+}
+
+// ListText is a member list passed between nodes.
+type ListText struct {
+	List MemberList `json:"list"`
+}
+
+// Fetch asks a peer for what it has newer than the given revisions.
+type Fetch struct {
+	RulesAfter int64 `json:"rulesAfter"`
+	ListAfter  int64 `json:"listAfter"`
+}
--- /dev/null
+++ b/core/bbmsg/list.go
@@ -0,0 +1,125 @@
+// Package bbmsg holds the typed messages of the system: what entry VMs send each
+// other, and the inputs and outputs of the core. All types are plain data; the
+// codec takes the field names from the json tags.
+package bbmsg
+
+// MemberList is one revision of the platform's list of VMs.
+type MemberList struct {
+	// Revision grows with every change of the list.
+	Revision int64 `json:"revision"`
+	// Members is sorted by name.
+	Members []Member `json:"members"`
+}
+
+// MemberRole tells what a VM is for.
+type MemberRole string
+
+// The roles of VMs.
+const (
+	// RoleEntry is an entry VM, which runs bluebelld.
+	RoleEntry MemberRole = "entry"
+	// RoleEndpoint is a VM that runs an endpoint.
+	RoleEndpoint MemberRole = "endpoint"
+)
+
+// Member is one VM of the list.
+type Member struct {
+	// Name is unique in the list.
+	Name string `json:"name"`
+	// Role tells entry VMs from endpoint VMs.
+	Role MemberRole `json:"role"`
+	// Address is host:port for callers (entry) or for requests (endpoint).
+	Address string `json:"address"`
+	// PeerAddress is host:port for other entry VMs; empty for endpoints.
+	PeerAddress string `json:"peerAddress,omitempty"`
+	// Domain is the failure domain.
+	Domain string `json:"domain"`
+	// Region is the region of the domain.
+	Region string `json:"region"`
+	// Leaving is true once the VM is on its way out.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Probe asks a peer to confirm the sender's list and carries what the sender knows.
+// Probes and replies are never stored or sent again.
+type Probe struct {
+	// From is the sender's name and Incarnation a random number drawn at its start.
+	From        string `json:"from"`
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence matches the reply to the probe; it grows by one per probe and peer.
+	Sequence uint64 `json:"sequence"`
+	// Knowledge is the sender's state at the time of sending.
+	Knowledge Knowledge `json:"knowledge"`
+}
+
+// ProbeReply answers a Probe.
+type ProbeReply struct {
+	// From and Incarnation are the replying node's.
+	From        string `json:"from"`
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence is the probe's.
+	Sequence uint64 `json:"sequence"`
+	// Ready is false while the replying node has not heard enough to confirm others.
+	Ready bool `json:"ready"`
+	// Knowledge is the replying node's state after it took in the probe's.
+	Knowledge Knowledge `json:"knowledge"`
+}
+
+// Knowledge is what nodes tell each other with probes and replies.
+type Knowledge struct {
+	// ListRevision is the newest list revision ever seen in this incarnation.
+	ListRevision int64 `json:"listRevision"`
+	// RulesRevision and RulesDigest name the rules in force.
+	RulesRevision int64  `json:"rulesRevision"`
+	RulesDigest   uint64 `json:"rulesDigest"`
+	// Draining is true once the node hands out no more of its own address.
+	Draining bool `json:"draining,omitempty"`
+	// Load is the number of requests at home here.
+	Load int `json:"load"`
+	// Heirs lists the homes whose records this node answers for.
+	Heirs []Heir `json:"heirs,omitempty"`
+	// Endpoints has a digest of each endpoint the node owns.
+	Endpoints []EndpointDigest `json:"endpoints,omitempty"`
+}
+
+// Heir names a home that left and gave its records to the node that tells of it.
+type Heir struct {
+	Home        string `json:"home"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// EndpointDigest is an owner's summary of an endpoint, for the choice at homes.
+type EndpointDigest struct {
+	// Name is the endpoint's.
+	Name string `json:"name"`
+	// State is the owner's view.
+	State EndpointState `json:"state"`
+	// Window is how many requests the owner lets it have now; InFlight how many it has.
+	Window   int `json:"window"`
+	InFlight int `json:"inFlight"`
+	// Queued is how many requests wait for it at the owner.
+	Queued int `json:"queued"`
+	// WaitMillis is the expected wait of a new request, in milliseconds.
+	WaitMillis int `json:"waitMillis"`
+	// Model is the model it has loaded, empty if none or unknown.
+	Model string `json:"model,omitempty"`
+}
+
+// EndpointState is the owner's view of an endpoint.
+type EndpointState string
+
+// The states of an endpoint.
+const (
+	// StateUnknown is treated as cold.
+	StateUnknown EndpointState = "unknown"
+	// StateCold carries a few requests at most.
+	StateCold EndpointState = "cold"
+	// StateWarming has a window that grows with completions.
+	StateWarming EndpointState = "warming"
+	// StateWarm carries its full window.
+	StateWarm EndpointState = "warm"
+	// StateLeaving finishes its work and gets none.
+	StateLeaving EndpointState = "leaving"
+	// StateOut belongs to a failure domain that was taken out.
+	StateOut EndpointState = "out"
+)
