Records at the home, with tombstones and handover

Cause: at most once needs one place that decides. The table records an id before it runs, joins repeats, keeps answers until the ticket of the id and a retention are over, and says notRun only after a tombstone or when the ticket has expired within the retention, in which case absence is proof. A handover carries the home's clock, because ids dropped before it prove nothing.

--- /dev/null
+++ b/core/bbhome/admit.go
@@ -0,0 +1,163 @@
+package bbhome
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellhall/core/bbmsg"
+)
+
+// Arrival is a request that reached a home, after its signature was verified.
+type Arrival struct {
+	Request bbmsg.CallerRequest
+	Waiter  Waiter
+	// Home and Incarnation are the ticket's; Expiry is by that home's clock.
+	Home        string
+	Incarnation uint64
+	Expiry      time.Duration
+	// Key is true for a plain idempotency key, which has no ticket. Home and
+	// Incarnation are then this node's and Expiry is unset.
+	Key bool
+	// KeySafe is true when no other node can have accepted the key.
+	KeySafe bool
+	// Once is true when the request may not be repeated.
+	Once bool
+	// Invalid is the reason why the request can't run, if any.
+	Invalid bbmsg.Reason
+}
+
+// Verdict tells what became of an arrival.
+type Verdict struct {
+	// Record is set when there is one, new or old.
+	Record *Record
+	// Fresh is true when the record was made by this arrival and has to be run.
+	Fresh bool
+	// Outcome, Reason and RetryAfterMillis are set when Record is nil.
+	Outcome          bbmsg.Outcome
+	Reason           bbmsg.Reason
+	RetryAfterMillis int64
+}
+
+// busyRetryMillis is when a caller may come back to a full table.
+const busyRetryMillis = 500
+
+// Fingerprint returns a hash of target and body of a request.
+func Fingerprint(q bbmsg.CallerRequest) uint64 {
+	d := xxhash.New()
+	for _, s := range []string{q.Pipeline, q.Service, q.Path} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(q.Body)
+	return d.Sum64()
+}
+
+// Admit decides on an arrival: it joins a known request, starts a new one or
+// refuses. A refusal that says notRun is recorded first.
+func (t *Table) Admit(now time.Duration, a Arrival) Verdict {
+	if a.Home != t.Settings.Home || a.Incarnation != t.Settings.Incarnation {
+		return t.admitInherited(now, a)
+	}
+	if r, ok := t.Records[a.Request.ID]; ok {
+		return t.join(r, a)
+	}
+	if s, ok := t.Tombstones[a.Request.ID]; ok {
+		return refusal(bbmsg.OutcomeNotRun, s.Reason)
+	}
+	if a.Key {
+		return t.admitKey(now, a)
+	}
+	if now >= a.Expiry+t.Settings.Retention {
+		return refusal(bbmsg.OutcomeUnknown, bbmsg.ReasonRetention)
+	}
+	if now >= a.Expiry {
+		return refusal(bbmsg.OutcomeNotRun, bbmsg.ReasonExpiredTicket)
+	}
+	return t.admitNew(now, a, a.Expiry, a.Expiry+t.Settings.Retention)
+}
+
+// admitKey decides on a plain idempotency key without a record. A key that may not
+// be repeated is accepted only when no other node can have accepted it.
+func (t *Table) admitKey(now time.Duration, a Arrival) Verdict {
+	if _, ok := t.inheritedKey(a.Request.ID); !ok && a.Once && !a.KeySafe && !a.Request.LookupOnly {
+		v := refusal(bbmsg.OutcomeUnknown, bbmsg.ReasonKeyTakenOver)
+		v.RetryAfterMillis = t.Settings.KeyRetention.Milliseconds()
+		return v
+	}
+	if r, ok := t.inheritedKey(a.Request.ID); ok {
+		return t.join(r, a)
+	}
+	until := now + t.Settings.KeyRetention
+	return t.admitNew(now, a, until, until)
+}
+
+// admitNew makes a record, or refuses for good.
+func (t *Table) admitNew(now time.Duration, a Arrival, acceptUntil, keepUntil time.Duration) Verdict {
+	if a.Request.LookupOnly {
+		return refusal(bbmsg.OutcomeUnknown, bbmsg.ReasonNotSeen)
+	}
+	if a.Invalid != bbmsg.ReasonNone {
+		return refusal(t.Refuse(a.Request.ID, a.Invalid, acceptUntil), a.Invalid)
+	}
+	if len(t.Records) >= t.Settings.MaxRecords {
+		v := refusal(t.Refuse(a.Request.ID, bbmsg.ReasonTableFull, acceptUntil), bbmsg.ReasonTableFull)
+		v.RetryAfterMillis = busyRetryMillis
+		return v
+	}
+	r := &Record{
+		ID:          a.Request.ID,
+		Request:     a.Request,
+		Fingerprint: Fingerprint(a.Request),
+		Outcome:     bbmsg.OutcomePending,
+		Waiters:     []Waiter{a.Waiter},
+		Accepted:    now,
+		KeepUntil:   keepUntil,
+	}
+	t.Records[r.ID] = r
+	t.expiry.Push(r.ID, keepUntil)
+	return Verdict{
+		Record: r,
+		Fresh:  true,
+	}
+}
+
+// join adds the arrival to a known request.
+func (t *Table) join(r *Record, a Arrival) Verdict {
+	if !a.Request.LookupOnly && Fingerprint(a.Request) != r.Fingerprint {
+		return refusal(bbmsg.OutcomeInvalid, bbmsg.ReasonBodyDiffers)
+	}
+	if !r.Ended && len(r.Waiters) >= maxWaiters {
+		v := refusal(bbmsg.OutcomeUnknown, bbmsg.ReasonTableFull)
+		v.RetryAfterMillis = busyRetryMillis
+		return v
+	}
+	if !r.Ended {
+		r.Waiters = append(r.Waiters, a.Waiter)
+	}
+	return Verdict{
+		Record: r,
+	}
+}
+
+// Leave takes a waiting connection out of a record. The request goes on.
+func (t *Table) Leave(id, receiver string, call uint64) {
+	r, ok := t.Records[id]
+	if !ok {
+		return
+	}
+	for i, w := range r.Waiters {
+		if w.Receiver == receiver && w.Call == call {
+			r.Waiters = append(r.Waiters[:i], r.Waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// refusal returns a verdict without a record.
+func refusal(outcome bbmsg.Outcome, reason bbmsg.Reason) Verdict {
+	return Verdict{
+		Outcome: outcome,
+		Reason:  reason,
+	}
+}
--- /dev/null
+++ b/core/bbhome/inherit.go
@@ -0,0 +1,170 @@
+package bbhome
+
+import (
+	"sort"
+	"time"
+
+	"bluebellhall/core/bbmsg"
+)
+
+// Inheritance holds the records of a home that left after a planned stop.
+type Inheritance struct {
+	// Records maps ids to their ends.
+	Records map[string]*Record
+	// Complete is true once the last part has arrived. Only then does the absence
+	// of an id prove that it never ran.
+	Complete bool
+	// HomeNow is the clock of the home at its handover. Records that the home had
+	// dropped by then are missing, so their absence proves nothing.
+	HomeNow time.Duration
+	// Until is when the records are dropped.
+	Until time.Duration
+}
+
+// maxInheritances bounds the homes whose records a node holds.
+const maxInheritances = 16
+
+// handoverPartRecords is the number of records in one part of a handover.
+const handoverPartRecords = 256
+
+// Handover returns the parts that give all ended records to a successor. The last
+// part is marked. It is called when no ticket of this incarnation is valid any more
+// and nothing runs.
+func (t *Table) Handover(now time.Duration) []bbmsg.Handover {
+	ids := make([]string, 0, len(t.Records))
+	for id := range t.Records {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	var parts []bbmsg.Handover
+	for len(ids) > 0 {
+		n := min(len(ids), handoverPartRecords)
+		parts = append(parts, t.part(now, ids[:n]))
+		ids = ids[n:]
+	}
+	if len(parts) == 0 {
+		parts = append(parts, t.part(now, nil))
+	}
+	parts[len(parts)-1].Last = true
+	return parts
+}
+
+// part packs the records of some ids.
+func (t *Table) part(now time.Duration, ids []string) bbmsg.Handover {
+	h := bbmsg.Handover{
+		Home:        t.Settings.Home,
+		Incarnation: t.Settings.Incarnation,
+		HomeMillis:  now.Milliseconds(),
+	}
+	for _, id := range ids {
+		r := t.Records[id]
+		h.Records = append(h.Records, bbmsg.Record{
+			ID:          r.ID,
+			Outcome:     r.Outcome,
+			Reason:      r.Reason,
+			Fingerprint: r.Fingerprint,
+			Tokens:      r.Tokens,
+			Body:        r.Body,
+			KeepMillis:  (r.KeepUntil - now).Milliseconds(),
+		})
+	}
+	return h
+}
+
+// Inherit takes in one part of a handover. It returns false when there is no room;
+// ids of that home are then answered as unknown.
+func (t *Table) Inherit(now time.Duration, h bbmsg.Handover) bool {
+	heir := bbmsg.Heir{
+		Home:        h.Home,
+		Incarnation: h.Incarnation,
+	}
+	in, ok := t.Inherited[heir]
+	if !ok && len(t.Inherited) >= maxInheritances {
+		return false
+	}
+	if !ok {
+		in = &Inheritance{
+			Records: make(map[string]*Record),
+			Until:   now + t.Settings.Retention,
+		}
+		t.Inherited[heir] = in
+	}
+	for _, r := range h.Records {
+		keep := now + time.Duration(r.KeepMillis)*time.Millisecond
+		in.Records[r.ID] = inheritedRecord(r, keep)
+		in.Until = max(in.Until, keep)
+	}
+	in.HomeNow = max(in.HomeNow, time.Duration(h.HomeMillis+1)*time.Millisecond)
+	in.Complete = in.Complete || h.Last
+	return true
+}
+
+// inheritedRecord unpacks a record of a handover.
+func inheritedRecord(r bbmsg.Record, keep time.Duration) *Record {
+	return &Record{
+		ID:          r.ID,
+		Fingerprint: r.Fingerprint,
+		Ended:       true,
+		Outcome:     r.Outcome,
+		Reason:      r.Reason,
+		Tokens:      r.Tokens,
+		Body:        r.Body,
+		KeepUntil:   keep,
+	}
+}
+
+// Heirs lists the homes that this node answers for, in a fixed order.
+func (t *Table) Heirs() []bbmsg.Heir {
+	var heirs []bbmsg.Heir
+	for h, in := range t.Inherited {
+		if in.Complete {
+			heirs = append(heirs, h)
+		}
+	}
+	sort.Slice(heirs, func(i, j int) bool {
+		if heirs[i].Home != heirs[j].Home {
+			return heirs[i].Home < heirs[j].Home
+		}
+		return heirs[i].Incarnation < heirs[j].Incarnation
+	})
+	return heirs
+}
+
+// admitInherited answers for a home that left. Nothing is ever run here. The leaving
+// home served until its last ticket had expired, so an id that is absent from a
+// complete handover never ran and never will.
+func (t *Table) admitInherited(now time.Duration, a Arrival) Verdict {
+	in, ok := t.Inherited[bbmsg.Heir{
+		Home:        a.Home,
+		Incarnation: a.Incarnation,
+	}]
+	if !ok {
+		return refusal(bbmsg.OutcomeUnknown, bbmsg.ReasonHomeGone)
+	}
+	if r, ok := in.Records[a.Request.ID]; ok {
+		return t.join(r, a)
+	}
+	if !in.Complete || a.Expiry+t.Settings.Retention <= in.HomeNow {
+		return refusal(bbmsg.OutcomeUnknown, bbmsg.ReasonHomeGone)
+	}
+	return refusal(bbmsg.OutcomeNotRun, bbmsg.ReasonExpiredTicket)
+}
+
+// dropInherited forgets homes whose records are past their time.
+func (t *Table) dropInherited(now time.Duration) {
+	for h, in := range t.Inherited {
+		if in.Until <= now {
+			delete(t.Inherited, h)
+		}
+	}
+}
+
+// inheritedKey returns the record of a plain idempotency key that a home handed over.
+func (t *Table) inheritedKey(id string) (*Record, bool) {
+	for _, in := range t.Inherited {
+		if r, ok := in.Records[id]; ok {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- a/core/bbmsg/envelope.go
+++ b/core/bbmsg/envelope.go
@@ -132,6 +132,7 @@
 	ReasonUnconfirmed     Reason = "unconfirmed"
 	ReasonSilent          Reason = "silent"
 	ReasonKeyTakenOver    Reason = "keyTakenOver"
+	ReasonNotSeen         Reason = "notSeen"
 )
 
 // Answer carries a part or the end of a request's outcome to the receiver.
@@ -227,11 +228,16 @@
 	EndpointDied bool `json:"endpointDied,omitempty"`
 	// Others counts the attempts that were on the endpoint when it died.
 	Others int `json:"others,omitempty"`
-	// Offset is the index of the first token in Tokens.
+	// Status is the HTTP status of the endpoint, 0 if none came.
+	Status int `json:"status,omitempty"`
+	// Offset is the index of the first token in Tokens. For done it is the number
+	// of tokens of the whole stream.
 	Offset int      `json:"offset,omitempty"`
 	Tokens []string `json:"tokens,omitempty"`
 	// Body is the output of the stage for done.
 	Body []byte `json:"body,omitempty"`
+	// Digest is the owner's view of the endpoint after the attempt, if it has one.
+	Digest *EndpointDigest `json:"digest,omitempty"`
 	// ServiceMillis is the time on the endpoint, QueueMillis the wait at the owner.
 	ServiceMillis int64 `json:"serviceMillis,omitempty"`
 	QueueMillis   int64 `json:"queueMillis,omitempty"`
@@ -255,9 +261,11 @@
 
 // Handover gives records of a leaving home to its successor.
 type Handover struct {
-	Home        string   `json:"home"`
-	Incarnation uint64   `json:"incarnation"`
-	Records     []Record `json:"records"`
+	Home        string `json:"home"`
+	Incarnation uint64 `json:"incarnation"`
+	// HomeMillis is the home's monotonic clock at the handover.
+	HomeMillis int64    `json:"homeMillis"`
+	Records    []Record `json:"records"`
 	// Last is true on the final part.
 	Last bool `json:"last,omitempty"`
 }
--- a/core/bbmsg/list.go
+++ b/core/bbmsg/list.go
@@ -74,6 +74,9 @@
 	RulesDigest   uint64 `json:"rulesDigest"`
 	// Draining is true once the node hands out no more of its own address.
 	Draining bool `json:"draining,omitempty"`
+	// ClockMillis is the sender's monotonic clock, from which others compute the
+	// expiry of tickets that name it.
+	ClockMillis int64 `json:"clockMillis"`
 	// Load is the number of requests at home here.
 	Load int `json:"load"`
 	// Heirs lists the homes whose records this node answers for.
