--- a/core/bbhome/admit.go
+++ b/core/bbhome/admit.go
@@ -57,7 +57,7 @@
 // refuses. A refusal that says notRun is recorded first.
 func (t *Table) Admit(now time.Duration, a Arrival) Verdict {
 	if a.Home != t.Settings.Home || a.Incarnation != t.Settings.Incarnation {
-		return t.admitInherited(now, a)
+		return t.admitInherited(a)
 	}
 	if r, ok := t.Records[a.Request.ID]; ok {
 		return t.join(r, a)
--- a/core/bbhome/inherit.go
+++ b/core/bbhome/inherit.go
@@ -133,7 +133,7 @@
 // admitInherited answers for a home that left. Nothing is ever run here. The leaving
 // home served until its last ticket had expired, so an id that is absent from a
 // complete handover never ran and never will.
-func (t *Table) admitInherited(now time.Duration, a Arrival) Verdict {
+func (t *Table) admitInherited(a Arrival) Verdict {
 	in, ok := t.Inherited[bbmsg.Heir{
 		Home:        a.Home,
 		Incarnation: a.Incarnation,
