Members: groups, owners, probes and the confirmation of a list

Cause: at most one entry VM may act for a cold endpoint, with no store and no votes. Of a former group so many must confirm that the others are no majority (half, rounded up), which is what the argument needs and does not stop a pair of which one member is replaced. An endpoint that came from a group of which this node was no member waits for FormerTime, because that group can't be asked.

Conclusion: exclusive under partition, pause, restart and replaced members in the tests; a group with one member confirms itself after FormerTime, which is exclusive only if the list is.

--- /dev/null
+++ b/core/bbmember/confirm.go
@@ -0,0 +1,189 @@
+package bbmember
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbmsg"
+)
+
+// Ready returns true once this node may confirm others: it has heard a majority of
+// ready others of its group, or all others. It stays true for this incarnation.
+func (t *Table) Ready() bool { return t.ready }
+
+// Confirmed returns true while this node may act as an owner towards cold endpoints
+// that belonged to its own group before. It is to be asked right before each send.
+func (t *Table) Confirmed(now time.Duration) bool {
+	if !t.ready || !t.covered || t.paused(now) || now >= t.coveredUntil {
+		return false
+	}
+	if now-t.coveredSince <= t.settings.SettleTime {
+		return false
+	}
+	return !t.held(now)
+}
+
+// ConfirmedFor is like Confirmed for one endpoint. An endpoint that another group was
+// responsible for is held back until the former list need not be asked any more.
+func (t *Table) ConfirmedFor(now time.Duration, endpoint, domain string) bool {
+	if !t.Confirmed(now) {
+		return false
+	}
+	for _, f := range t.formers {
+		if f.until <= now {
+			continue
+		}
+		_, group := f.layout.owner(endpoint, domain)
+		own, ok := f.layout.groupOf[t.settings.Self.Name]
+		if group >= 0 && (!ok || own != group) {
+			return false
+		}
+	}
+	return true
+}
+
+// held returns true while forgotten lists keep cold endpoints back.
+func (t *Table) held(now time.Duration) bool {
+	if now >= t.heldUntil {
+		return false
+	}
+	return len(t.Group()) == 1 || len(t.formers) > 0
+}
+
+// paused returns true when no call came for PauseGap.
+func (t *Table) paused(now time.Duration) bool {
+	return t.ticked && now-t.lastTick > t.settings.PauseGap
+}
+
+// notePause voids all confirmations when the process did not run for a while, probes
+// on the way included, so that only answers to later probes count.
+func (t *Table) notePause(now time.Duration) {
+	if t.paused(now) {
+		t.event(bbevent.NodePaused, "", (now - t.lastTick).String())
+		t.clearConfirmations()
+		for _, p := range t.Peers {
+			p.sent = [sentProbes]sentProbe{}
+			p.nextProbe = now
+			p.waiting = false
+		}
+	}
+	t.lastTick = now
+	t.ticked = true
+}
+
+func (t *Table) clearConfirmations() {
+	t.covered = false
+	t.coveredUntil = 0
+	for _, p := range t.Peers {
+		p.confirmedUntil = 0
+	}
+}
+
+// updateReady applies the rule for nodes that have just started.
+func (t *Table) updateReady() {
+	group := t.Group()
+	if t.ready || group == nil {
+		return
+	}
+	others := len(group) - 1
+	answered, ready := 0, 0
+	for _, name := range group {
+		p := t.Peers[name]
+		if p == nil || !p.answered {
+			continue
+		}
+		answered++
+		if p.ready {
+			ready++
+		}
+	}
+	if answered == others || ready > others/2 {
+		t.ready = true
+	}
+}
+
+// updateCover follows whether enough members confirm. It is called before and after
+// each change, so that a break is found also when it lies between two calls.
+func (t *Table) updateCover(now time.Duration) {
+	if now >= t.coveredUntil {
+		t.covered = false
+	}
+	t.coveredUntil = t.coverUntil(now)
+	if now >= t.coveredUntil {
+		t.covered = false
+		return
+	}
+	if !t.covered {
+		t.covered = true
+		t.coveredSince = now
+	}
+}
+
+// coverUntil returns how long the confirmations that are held now suffice: a majority
+// of the group, and of each former group so many that the others are no majority.
+// It returns 0 when the list held is not the newest seen or does not name this node.
+func (t *Table) coverUntil(now time.Duration) time.Duration {
+	group := t.Group()
+	if group == nil || t.seen != t.list.Revision {
+		return 0
+	}
+	until := t.reach(group, len(group)/2+1)
+	for _, f := range t.formers {
+		if f.until <= now {
+			continue
+		}
+		names := f.layout.groupNames(t.settings.Self.Name)
+		until = min(until, t.reach(names, (len(names)+1)/2))
+	}
+	return until
+}
+
+// reach returns until when at least count of the named nodes confirm.
+func (t *Table) reach(names []string, count int) time.Duration {
+	if count == 0 {
+		return maxTime
+	}
+	var buffer [2 * maxGroupMembers]time.Duration
+	untils := buffer[:0]
+	for _, name := range names {
+		switch p := t.Peers[name]; {
+		case name == t.settings.Self.Name:
+			untils = append(untils, maxTime)
+		case p == nil:
+			untils = append(untils, 0)
+		default:
+			untils = append(untils, p.confirmedUntil)
+		}
+	}
+	slices.Sort(untils)
+	return untils[len(untils)-count]
+}
+
+// maxTime is later than any time of the process.
+const maxTime = time.Duration(1<<63 - 1)
+
+// tellConfirmed queues an event when the answer of Confirmed has changed.
+func (t *Table) tellConfirmed(now time.Duration) {
+	confirmed := t.Confirmed(now)
+	if confirmed == t.told {
+		return
+	}
+	t.told = confirmed
+	number := bbevent.ConfirmationLost
+	if confirmed {
+		number = bbevent.Confirmed
+	}
+	t.event(number, "", revisionDetail(t.seen))
+}
+
+func revisionDetail(revision int64) string {
+	return "list revision " + strconv.FormatInt(revision, 10)
+}
+
+// knowledge returns what this node tells of itself.
+func (t *Table) knowledge(own bbmsg.Knowledge) bbmsg.Knowledge {
+	own.ListRevision = t.seen
+	return own
+}
--- /dev/null
+++ b/core/bbmember/probe.go
@@ -0,0 +1,182 @@
+package bbmember
+
+import (
+	"time"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbmsg"
+)
+
+// Tick returns due probes and queued events.
+func (t *Table) Tick(now time.Duration) []bbmsg.Output {
+	t.notePause(now)
+	t.dropFormers(now)
+	t.updateCover(now)
+	t.tellConfirmed(now)
+	t.tellPeers(now)
+	outputs := t.pending
+	t.pending = nil
+	return t.probeDue(now, outputs)
+}
+
+// NextWake returns when the next Tick is due.
+func (t *Table) NextWake(now time.Duration) time.Duration {
+	wake := now + t.settings.PauseGap/2
+	for _, p := range t.Peers {
+		if t.probedOften(p) {
+			wake = min(wake, p.nextProbe)
+		}
+	}
+	if len(t.Peers) >= maxGroupMembers {
+		wake = min(wake, t.nextOutside)
+	}
+	if t.covered && !t.told {
+		wake = min(wake, max(t.coveredSince+t.settings.SettleTime+1, now+1))
+	}
+	return max(wake, now)
+}
+
+// probedOften returns true for peers that get a probe each interval: the group, and
+// everybody in a fleet that is no larger than a group.
+func (t *Table) probedOften(p *Peer) bool {
+	return p.InGroup || len(t.Peers) < maxGroupMembers
+}
+
+func (t *Table) probeDue(now time.Duration, outputs []bbmsg.Output) []bbmsg.Output {
+	var own bbmsg.Knowledge
+	if t.settings.Knowledge != nil {
+		own = t.settings.Knowledge()
+	}
+	own = t.knowledge(own)
+	seldom := 0
+	for _, name := range t.order {
+		p := t.Peers[name]
+		if !t.probedOften(p) {
+			seldom++
+			continue
+		}
+		if now < p.nextProbe {
+			continue
+		}
+		outputs = append(outputs, t.probe(now, name, p, own))
+	}
+	if seldom == 0 || now < t.nextOutside {
+		return outputs
+	}
+	t.nextOutside = now + t.settings.ProbeInterval
+	name := t.nextSeldom()
+	return append(outputs, t.probe(now, name, t.Peers[name], own))
+}
+
+// nextSeldom returns the next peer of the rotation outside the group.
+func (t *Table) nextSeldom() string {
+	for {
+		t.outside = (t.outside + 1) % len(t.order)
+		name := t.order[t.outside]
+		if !t.probedOften(t.Peers[name]) {
+			return name
+		}
+	}
+}
+
+func (t *Table) probe(now time.Duration, name string, p *Peer, own bbmsg.Knowledge) bbmsg.Output {
+	t.sequence++
+	p.nextProbe = now + t.settings.ProbeInterval
+	copy(p.sent[1:], p.sent[:sentProbes-1])
+	p.sent[0] = sentProbe{sequence: t.sequence, at: now}
+	if !p.waiting {
+		p.waiting = true
+		p.firstUnanswered = now
+	}
+	return bbmsg.Output{Probe: &bbmsg.ProbeOut{
+		To: name,
+		Probe: bbmsg.Probe{
+			From:        t.settings.Self.Name,
+			Incarnation: t.settings.Incarnation,
+			Sequence:    t.sequence,
+			Knowledge:   own,
+		},
+	}}
+}
+
+// HandleProbe takes in what a probe tells and returns the reply. own is this node's
+// state; its list revision is filled in.
+func (t *Table) HandleProbe(now time.Duration, probe bbmsg.Probe, own bbmsg.Knowledge) bbmsg.ProbeReply {
+	t.notePause(now)
+	t.observe(probe.Knowledge.ListRevision)
+	if p := t.Peers[probe.From]; p != nil {
+		t.hear(now, probe.From, p, probe.Incarnation, probe.Knowledge)
+	}
+	return bbmsg.ProbeReply{
+		From:        t.settings.Self.Name,
+		Incarnation: t.settings.Incarnation,
+		Sequence:    probe.Sequence,
+		Ready:       t.ready,
+		Knowledge:   t.knowledge(own),
+	}
+}
+
+// HandleReply takes in the answer to a probe. Answers that match no probe are dropped.
+func (t *Table) HandleReply(now time.Duration, reply bbmsg.ProbeReply) []bbmsg.Output {
+	t.notePause(now)
+	t.observe(reply.Knowledge.ListRevision)
+	p := t.Peers[reply.From]
+	if p == nil {
+		return nil
+	}
+	sent, ok := p.take(reply.Sequence)
+	if !ok {
+		return nil
+	}
+	t.hear(now, reply.From, p, reply.Incarnation, reply.Knowledge)
+	p.answered = true
+	p.ready = reply.Ready
+	t.updateReady()
+	t.updateCover(now)
+	if reply.Ready && reply.Knowledge.ListRevision == t.seen {
+		p.confirmedUntil = max(p.confirmedUntil, sent.at+t.settings.ConfirmTime)
+	}
+	t.updateCover(now)
+	t.tellConfirmed(now)
+	outputs := t.pending
+	t.pending = nil
+	return outputs
+}
+
+// take returns the probe with a sequence number and forgets it.
+func (p *Peer) take(sequence uint64) (sentProbe, bool) {
+	for i, s := range p.sent {
+		if s.sequence == sequence && sequence != 0 {
+			p.sent[i] = sentProbe{}
+			return s, true
+		}
+	}
+	return sentProbe{}, false
+}
+
+func (t *Table) hear(now time.Duration, name string, p *Peer, incarnation uint64, k bbmsg.Knowledge) {
+	p.Heard = true
+	p.LastHeard = now
+	p.Incarnation = incarnation
+	p.Knowledge = k
+	p.waiting = false
+	if !p.Alive {
+		p.Alive = true
+		t.event(bbevent.PeerBack, name, "")
+	}
+}
+
+// tellPeers finds peers that have been silent for the peer timeout.
+func (t *Table) tellPeers(now time.Duration) {
+	for _, name := range t.order {
+		p := t.Peers[name]
+		if !p.Alive || !p.waiting {
+			continue
+		}
+		if now-max(p.LastHeard, p.firstUnanswered) < t.settings.PeerTimeout {
+			continue
+		}
+		p.Alive = false
+		t.event(bbevent.PeerLost, name, "")
+	}
+}
--- /dev/null
+++ b/core/bbmember/table.go
@@ -0,0 +1,322 @@
+// Package bbmember keeps what an entry VM knows of the other entry VMs: the newest
+// member list, the group that confirms it, the owner of each endpoint, and whether
+// this node may act as an owner towards cold endpoints.
+//
+// A node may do so while it is ready and while, in the newest list revision that it
+// has seen, enough of its group and of its former groups have confirmed that revision
+// without a break for longer than the settling time. A confirmation runs from the time
+// its probe was sent, by this node's own monotonic clock; clocks are never compared.
+//
+// A group with one member confirms itself. That is exclusive only while the platform's
+// list never names two sole members of a region to nodes that can't hear each other.
+package bbmember
+
+import (
+	"slices"
+	"time"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbmsg"
+)
+
+const (
+	// defaultFormerFactor times SettleTime is the default of FormerTime.
+	defaultFormerFactor = 5
+	// maxFormer bounds the number of former lists that are remembered. When more
+	// change within FormerTime, cold endpoints wait until the oldest has run out.
+	maxFormer = 8
+	// maxOwnerCache bounds the number of cached owners; the cache is cleared when full.
+	maxOwnerCache = 1 << 14
+)
+
+// Settings configures a Table.
+type Settings struct {
+	// Self is this node's own entry; Name, Domain and Region are set.
+	Self bbmsg.Member
+	// Incarnation is a random number drawn at the start of the process, not 0.
+	Incarnation uint64
+	// ProbeInterval is the time between probes to a member of the group.
+	ProbeInterval time.Duration
+	// ConfirmTime is how long a confirmation lasts from the sending of its probe.
+	// It exceeds ProbeInterval and the round trip to any member of the group.
+	ConfirmTime time.Duration
+	// SettleTime is how long confirmations must last without a break before cold
+	// endpoints may be used. It exceeds ConfirmTime.
+	SettleTime time.Duration
+	// PeerTimeout is the silence after which a peer counts as lost.
+	PeerTimeout time.Duration
+	// PauseGap is the time between ticks from which the process counts as paused. It
+	// exceeds ProbeInterval.
+	PauseGap time.Duration
+	// FormerTime is how long a former group must be asked as well; 0 means five
+	// times SettleTime.
+	FormerTime time.Duration
+	// Knowledge returns what probes tell of this node; ListRevision is filled in by
+	// the Table. It may be nil.
+	Knowledge func() bbmsg.Knowledge
+}
+
+// Peer is what is known of another entry VM.
+type Peer struct {
+	// Member is its entry in the newest list that named it.
+	Member bbmsg.Member
+	// Listed is false once the newest list names it no more; it is still probed while
+	// it belongs to a remembered former group.
+	Listed bool
+	// InGroup is true for members of this node's group and former groups.
+	InGroup bool
+	// Alive is false once it has been silent for PeerTimeout. Peers that are probed
+	// seldom stay alive until they are probed without an answer for that long.
+	Alive bool
+	// Heard is true once a probe or reply of it has arrived.
+	Heard bool
+	// LastHeard is when its last probe or reply arrived.
+	LastHeard time.Duration
+	// Incarnation is the newest that was heard, 0 if none.
+	Incarnation uint64
+	// Knowledge is the newest that was heard.
+	Knowledge bbmsg.Knowledge
+
+	// answered is true once it has answered a probe of this incarnation of ours, and
+	// ready is what it said of itself then.
+	answered bool
+	ready    bool
+	// confirmedUntil is when its confirmation of the newest revision ends, 0 if none.
+	confirmedUntil time.Duration
+	// nextProbe is when the next probe is due.
+	nextProbe time.Duration
+	// firstUnanswered is when the oldest probe without any later sign of life was sent.
+	firstUnanswered time.Duration
+	waiting         bool
+	// sent holds the last probes that may be answered, newest first.
+	sent [sentProbes]sentProbe
+}
+
+// sentProbes is how many unanswered probes to a peer are remembered.
+const sentProbes = 4
+
+// sentProbe is a probe that may be answered. The zero value is unused.
+type sentProbe struct {
+	sequence uint64
+	at       time.Duration
+}
+
+// former is a list that was in use until a newer one was adopted.
+type former struct {
+	layout *layout
+	// until is when it need not be asked any more.
+	until time.Duration
+}
+
+// Table holds the entry VMs, this node's confirmations and the owners of endpoints.
+// It is not safe for concurrent use.
+type Table struct {
+	settings Settings
+	// Peers holds the other entry VMs by name. Others only read it.
+	Peers map[string]*Peer
+	// order holds the names in Peers, sorted.
+	order []string
+	// current is nil before the first list.
+	current *layout
+	list    bbmsg.MemberList
+	formers []former
+	// heldUntil is set when formers overflowed; nothing is confirmed before it.
+	heldUntil time.Duration
+	// seen is the newest list revision ever seen, which may exceed the one held.
+	seen int64
+	// ready is true once this node may confirm others.
+	ready bool
+	// covered is true while enough members confirm; coveredSince is when that began
+	// and coveredUntil when it ends unless they confirm again.
+	covered      bool
+	coveredSince time.Duration
+	coveredUntil time.Duration
+	// sequence is that of the last probe. It starts at the incarnation, so that no
+	// answer to an earlier process of this name matches a probe.
+	sequence uint64
+	// told is the state last told by an event.
+	told bool
+	// lastTick is the time of the last call; ticked is false before the first.
+	lastTick time.Duration
+	ticked   bool
+	// nextOutside is when the next probe outside the group is due and outside the
+	// position in order where the rotation stands.
+	nextOutside time.Duration
+	outside     int
+	// owners caches owners by endpoint and domain for the current list.
+	owners map[ownerKey]string
+	// pending holds events until the next Tick.
+	pending []bbmsg.Output
+}
+
+type ownerKey struct {
+	endpoint string
+	domain   string
+}
+
+// New returns a table without a list.
+func New(settings Settings) *Table {
+	if settings.FormerTime == 0 {
+		settings.FormerTime = defaultFormerFactor * settings.SettleTime
+	}
+	return &Table{
+		settings: settings,
+		sequence: settings.Incarnation,
+		Peers:    map[string]*Peer{},
+		owners:   map[ownerKey]string{},
+	}
+}
+
+// List returns the newest list that is held. The caller does not change it.
+func (t *Table) List() bbmsg.MemberList { return t.list }
+
+// Revision returns the revision of the list that is held, 0 before the first.
+func (t *Table) Revision() int64 { return t.list.Revision }
+
+// Seen returns the newest list revision ever seen. The list itself must be fetched
+// while it exceeds Revision.
+func (t *Table) Seen() int64 { return t.seen }
+
+// Adopt takes a list in and returns true when it is newer than the one held.
+// All confirmations start anew.
+func (t *Table) Adopt(now time.Duration, list bbmsg.MemberList) bool {
+	t.notePause(now)
+	if list.Revision <= t.list.Revision {
+		return false
+	}
+	t.remember(now)
+	t.list = list
+	t.current = newLayout(list)
+	t.observe(list.Revision)
+	t.clearConfirmations()
+	clear(t.owners)
+	t.refreshPeers(now)
+	t.updateReady()
+	t.updateCover(now)
+	t.event(bbevent.ListAdopted, "", revisionDetail(list.Revision))
+	return true
+}
+
+// remember keeps the current layout as a former one. A process that starts has none:
+// when it is alone in its group, nobody could tell it of a former owner, so that it
+// waits as long as a former group would be asked.
+func (t *Table) remember(now time.Duration) {
+	until := now + t.settings.FormerTime
+	if t.current == nil {
+		t.heldUntil = until
+		return
+	}
+	t.dropFormers(now)
+	t.formers = append(t.formers, former{layout: t.current, until: until})
+	if len(t.formers) > maxFormer {
+		t.heldUntil = max(t.heldUntil, t.formers[0].until)
+		t.formers = t.formers[1:]
+	}
+}
+
+// dropFormers forgets former lists whose time has run out.
+func (t *Table) dropFormers(now time.Duration) {
+	n := 0
+	for n < len(t.formers) && t.formers[n].until <= now {
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	t.formers = t.formers[n:]
+	if t.current != nil {
+		t.refreshPeers(now)
+	}
+}
+
+// refreshPeers makes Peers match the current list and the former groups.
+func (t *Table) refreshPeers(now time.Duration) {
+	wanted := map[string]bbmsg.Member{}
+	for _, f := range t.formers {
+		for _, name := range f.layout.groupNames(t.settings.Self.Name) {
+			wanted[name] = f.layout.entries[name].member
+		}
+	}
+	inGroup := map[string]bool{}
+	for name := range wanted {
+		inGroup[name] = true
+	}
+	for _, name := range t.current.groupNames(t.settings.Self.Name) {
+		inGroup[name] = true
+	}
+	for name, e := range t.current.entries {
+		wanted[name] = e.member
+	}
+	delete(wanted, t.settings.Self.Name)
+	for name := range t.Peers {
+		if _, ok := wanted[name]; !ok {
+			delete(t.Peers, name)
+		}
+	}
+	t.order = t.order[:0]
+	for name := range wanted {
+		t.order = append(t.order, name)
+	}
+	slices.Sort(t.order)
+	for _, name := range t.order {
+		p := t.Peers[name]
+		if p == nil {
+			p = &Peer{Alive: true, LastHeard: now, nextProbe: now}
+			t.Peers[name] = p
+		}
+		p.Member = wanted[name]
+		p.InGroup = inGroup[name]
+		_, p.Listed = t.current.entries[name]
+	}
+}
+
+// groupNames returns the members of the group that a node belongs to, or nil.
+func (l *layout) groupNames(name string) []string {
+	i, ok := l.groupOf[name]
+	if !ok {
+		return nil
+	}
+	return l.groups[i].Members
+}
+
+// Group returns the names of this node's group, itself included, sorted; nil when
+// the list does not name this node.
+func (t *Table) Group() []string {
+	if t.current == nil {
+		return nil
+	}
+	return t.current.groupNames(t.settings.Self.Name)
+}
+
+// Owner returns the name of the entry VM that owns an endpoint by the list held, or
+// "" when there is none.
+func (t *Table) Owner(endpoint, domain string) string {
+	if t.current == nil {
+		return ""
+	}
+	key := ownerKey{endpoint: endpoint, domain: domain}
+	if owner, ok := t.owners[key]; ok {
+		return owner
+	}
+	if len(t.owners) >= maxOwnerCache {
+		clear(t.owners)
+	}
+	owner, _ := t.current.owner(endpoint, domain)
+	t.owners[key] = owner
+	return owner
+}
+
+// observe takes in a revision number. Seeing a newer one voids all confirmations.
+func (t *Table) observe(revision int64) {
+	if revision <= t.seen {
+		return
+	}
+	t.seen = revision
+	t.clearConfirmations()
+}
+
+// event queues an event for the next Tick.
+func (t *Table) event(number bbevent.Number, peer, detail string) {
+	e := &bbevent.Event{Number: number, Node: t.settings.Self.Name, Peer: peer, Detail: detail}
+	t.pending = append(t.pending, bbmsg.Output{Event: e})
+}
--- /dev/null
+++ b/core/bbmember/table_test.go
@@ -0,0 +1,377 @@
+package bbmember
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbmsg"
+)
+
+const (
+	testProbe   = 100 * time.Millisecond
+	testConfirm = 300 * time.Millisecond
+	testSettle  = 500 * time.Millisecond
+	testPause   = 250 * time.Millisecond
+	testStep    = 10 * time.Millisecond
+)
+
+// fleet runs tables under one clock with links that can be cut.
+type fleet struct {
+	now    time.Duration
+	tables map[string]*Table
+	names  []string
+	// cut holds pairs that can't hear each other; stopped holds paused or dead nodes.
+	cut     map[[2]string]bool
+	stopped map[string]bool
+	events  map[string][]bbevent.Number
+	lost    int
+}
+
+func newFleet(list bbmsg.MemberList, names ...string) *fleet {
+	f := &fleet{
+		tables:  map[string]*Table{},
+		cut:     map[[2]string]bool{},
+		stopped: map[string]bool{},
+		events:  map[string][]bbevent.Number{},
+	}
+	for _, name := range names {
+		f.start(name, list)
+	}
+	return f
+}
+
+func (f *fleet) start(name string, list bbmsg.MemberList) *Table {
+	if f.tables[name] == nil {
+		f.names = append(f.names, name)
+	}
+	f.lost++
+	t := New(Settings{
+		Self:          member(name),
+		Incarnation:   uint64(1000 * f.lost),
+		ProbeInterval: testProbe,
+		ConfirmTime:   testConfirm,
+		SettleTime:    testSettle,
+		PeerTimeout:   testConfirm,
+		PauseGap:      testPause,
+	})
+	t.Adopt(f.now, list)
+	f.tables[name] = t
+	f.stopped[name] = false
+	return t
+}
+
+func (f *fleet) adopt(list bbmsg.MemberList, names ...string) {
+	for _, name := range names {
+		f.tables[name].Adopt(f.now, list)
+	}
+}
+
+func (f *fleet) isolate(name string) {
+	for _, other := range f.names {
+		f.cut[[2]string{name, other}] = true
+		f.cut[[2]string{other, name}] = true
+	}
+}
+
+// run lets time pass and calls check after each step.
+func (f *fleet) run(d time.Duration, check func()) {
+	for end := f.now + d; f.now < end; f.now += testStep {
+		for _, name := range f.names {
+			if !f.stopped[name] {
+				f.take(name, f.tables[name].Tick(f.now))
+			}
+		}
+		if check != nil {
+			check()
+		}
+	}
+}
+
+func (f *fleet) take(name string, outputs []bbmsg.Output) {
+	for _, o := range outputs {
+		switch {
+		case o.Event != nil:
+			f.events[name] = append(f.events[name], o.Event.Number)
+		case o.Probe != nil:
+			f.deliver(name, *o.Probe)
+		}
+	}
+}
+
+func (f *fleet) deliver(from string, p bbmsg.ProbeOut) {
+	to := f.tables[p.To]
+	if to == nil || f.stopped[p.To] || f.cut[[2]string{from, p.To}] {
+		return
+	}
+	reply := to.HandleProbe(f.now, p.Probe, bbmsg.Knowledge{})
+	f.take(from, f.tables[from].HandleReply(f.now, reply))
+}
+
+func member(name string) bbmsg.Member {
+	region := name[:1]
+	return bbmsg.Member{
+		Name:   name,
+		Role:   bbmsg.RoleEntry,
+		Domain: region + "-domain",
+		Region: region,
+	}
+}
+
+func list(revision int64, names ...string) bbmsg.MemberList {
+	l := bbmsg.MemberList{Revision: revision}
+	for _, name := range names {
+		l.Members = append(l.Members, member(name))
+	}
+	return l
+}
+
+// ownedBy returns an endpoint that a list gives to a node.
+func ownedBy(t *testing.T, l bbmsg.MemberList, owner string) string {
+	t.Helper()
+	for i := range 1000 {
+		name := fmt.Sprintf("endpoint-%d", i)
+		if got, _ := newLayout(l).owner(name, "a-domain"); got == owner {
+			return name
+		}
+	}
+	t.Fatalf("no endpoint is owned by %s", owner)
+	return ""
+}
+
+// movedBetween returns an endpoint that changes its owner between two lists.
+func movedBetween(t *testing.T, before, after bbmsg.MemberList, from, to string) string {
+	t.Helper()
+	for i := range 10000 {
+		name := fmt.Sprintf("endpoint-%d", i)
+		first, _ := newLayout(before).owner(name, "a-domain")
+		second, _ := newLayout(after).owner(name, "a-domain")
+		if first == from && second == to {
+			return name
+		}
+	}
+	t.Fatalf("no endpoint moves from %s to %s", from, to)
+	return ""
+}
+
+func wantConfirmed(t *testing.T, f *fleet, name string, want bool) {
+	t.Helper()
+	if got := f.tables[name].Confirmed(f.now); got != want {
+		t.Errorf("Confirmed of %s at %v = %v, want %v", name, f.now, got, want)
+	}
+}
+
+// wantOneOwner returns a check that at most one of the fleet may act for an endpoint.
+func wantOneOwner(t *testing.T, f *fleet, endpoint string) func() {
+	return func() {
+		t.Helper()
+		var owners []string
+		for _, name := range f.names {
+			table := f.tables[name]
+			if f.stopped[name] {
+				continue
+			}
+			if table.Owner(endpoint, "a-domain") == name && table.ConfirmedFor(f.now, endpoint, "a-domain") {
+				owners = append(owners, name)
+			}
+		}
+		if len(owners) > 1 {
+			t.Fatalf("at %v %s is acted for by %v", f.now, endpoint, owners)
+		}
+	}
+}
+
+func TestConfirmation(t *testing.T) {
+	three := list(1, "a1", "a2", "a3")
+	t.Run("a fleet that starts together is confirmed after the settling time", func(t *testing.T) {
+		f := newFleet(three, "a1", "a2", "a3")
+		f.run(testSettle, func() { wantConfirmed(t, f, "a1", false) })
+		f.run(2*testProbe, nil)
+		wantConfirmed(t, f, "a1", true)
+	})
+	t.Run("a minority loses it within the confirmation time", func(t *testing.T) {
+		f := newFleet(three, "a1", "a2", "a3")
+		f.run(2*testSettle, nil)
+		f.isolate("a1")
+		f.run(testConfirm+testStep, nil)
+		wantConfirmed(t, f, "a1", false)
+		wantConfirmed(t, f, "a2", true)
+		want := []bbevent.Number{bbevent.ListAdopted, bbevent.Confirmed}
+		if diff := cmp.Diff(want, f.events["a2"][:2]); diff != "" {
+			t.Errorf("events (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("a number of a newer list voids it at once", func(t *testing.T) {
+		f := newFleet(three, "a1", "a2", "a3")
+		f.run(2*testSettle, nil)
+		f.tables["a1"].HandleProbe(f.now, bbmsg.Probe{From: "a2", Knowledge: bbmsg.Knowledge{ListRevision: 2}}, bbmsg.Knowledge{})
+		wantConfirmed(t, f, "a1", false)
+	})
+	t.Run("a paused node fences itself before its first tick", func(t *testing.T) {
+		f := newFleet(three, "a1", "a2", "a3")
+		f.run(2*testSettle, nil)
+		f.now += testPause + 1
+		wantConfirmed(t, f, "a1", false)
+		f.run(testSettle, func() { wantConfirmed(t, f, "a1", false) })
+	})
+	t.Run("it counts from the sending of the probe", func(t *testing.T) {
+		table := New(Settings{
+			Self:          member("a1"),
+			Incarnation:   7,
+			ProbeInterval: testProbe,
+			ConfirmTime:   testConfirm,
+			SettleTime:    testSettle,
+			PauseGap:      time.Hour,
+		})
+		table.Adopt(0, list(1, "a1", "a2"))
+		probe := table.Tick(0)[1].Probe.Probe
+		table.HandleReply(testConfirm, bbmsg.ProbeReply{
+			From:      "a2",
+			Sequence:  probe.Sequence,
+			Ready:     true,
+			Knowledge: bbmsg.Knowledge{ListRevision: 1},
+		})
+		if table.covered {
+			t.Errorf("an answer that came %v after the probe confirms", testConfirm)
+		}
+	})
+}
+
+func TestReady(t *testing.T) {
+	three := list(1, "a1", "a2", "a3")
+	t.Run("a restarted node waits for the others", func(t *testing.T) {
+		f := newFleet(three, "a1", "a2", "a3")
+		f.run(2*testSettle, nil)
+		f.isolate("a3")
+		f.start("a3", three)
+		f.run(2*testSettle, nil)
+		if f.tables["a3"].Ready() {
+			t.Errorf("a3 is ready and has heard nobody")
+		}
+		clear(f.cut)
+		f.run(2*testProbe, nil)
+		if !f.tables["a3"].Ready() {
+			t.Errorf("a3 has heard all others and is not ready")
+		}
+	})
+}
+
+func TestExclusion(t *testing.T) {
+	before, after := list(1, "a1", "a2", "a3"), list(2, "a2", "a3", "a4")
+	endpoint := movedBetween(t, before, after, "a1", "a4")
+	t.Run("partition of an owner with an old list", func(t *testing.T) {
+		f := newFleet(before, "a1", "a2", "a3")
+		f.run(2*testSettle, wantOneOwner(t, f, endpoint))
+		f.start("a4", after)
+		f.isolate("a1")
+		f.adopt(after, "a2", "a3", "a4")
+		f.run(4*testSettle, wantOneOwner(t, f, endpoint))
+		wantConfirmed(t, f, "a4", true)
+	})
+	t.Run("one of the confirmers follows the old list", func(t *testing.T) {
+		f := newFleet(before, "a1", "a2", "a3")
+		f.run(2*testSettle, nil)
+		f.start("a4", after)
+		f.cut[[2]string{"a1", "a4"}] = true
+		f.cut[[2]string{"a4", "a1"}] = true
+		f.adopt(after, "a3", "a4")
+		f.run(4*testSettle, wantOneOwner(t, f, endpoint))
+	})
+	t.Run("a pair of which one is replaced", func(t *testing.T) {
+		first, second := list(1, "a1", "a2"), list(2, "a2", "a4")
+		moved := movedBetween(t, first, second, "a1", "a4")
+		f := newFleet(first, "a1", "a2")
+		f.run(2*testSettle, nil)
+		f.start("a4", second)
+		f.isolate("a1")
+		f.adopt(second, "a2", "a4")
+		f.run(4*testSettle, wantOneOwner(t, f, moved))
+		wantConfirmed(t, f, "a4", true)
+	})
+	t.Run("several at once ask the former group", func(t *testing.T) {
+		second := list(2, "a1", "a4", "a5")
+		moved := movedBetween(t, before, second, "a2", "a1")
+		f := newFleet(before, "a1", "a2", "a3")
+		f.run(2*testSettle, nil)
+		f.start("a4", second)
+		f.start("a5", second)
+		for _, x := range []string{"a2", "a3"} {
+			for _, y := range []string{"a1", "a4", "a5"} {
+				f.cut[[2]string{x, y}] = true
+				f.cut[[2]string{y, x}] = true
+			}
+		}
+		f.adopt(second, "a1")
+		f.run(4*testSettle, wantOneOwner(t, f, moved))
+		wantConfirmed(t, f, "a2", true)
+		wantConfirmed(t, f, "a1", false)
+	})
+	t.Run("an endpoint of another group is held back", func(t *testing.T) {
+		second := list(2, "b1", "b2")
+		f := newFleet(list(1, "a1", "b1", "b2"), "a1", "b1", "b2")
+		f.run(8*testSettle, nil)
+		f.isolate("a1")
+		f.adopt(second, "b1", "b2")
+		owned := ownedBy(t, second, "b1")
+		f.run(4*testSettle, wantOneOwner(t, f, owned))
+		wantConfirmed(t, f, "b1", true)
+	})
+}
+
+func TestPeers(t *testing.T) {
+	f := newFleet(list(1, "a1", "a2"), "a1", "a2")
+	f.run(testSettle, nil)
+	f.stopped["a2"] = true
+	f.run(2*testConfirm, nil)
+	f.stopped["a2"] = false
+	f.run(2*testProbe, nil)
+	want := []bbevent.Number{
+		bbevent.ListAdopted,
+		bbevent.Confirmed,
+		bbevent.ConfirmationLost,
+		bbevent.PeerLost,
+		bbevent.PeerBack,
+	}
+	if diff := cmp.Diff(want, f.events["a1"]); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+}
+
+func TestOwner(t *testing.T) {
+	table := New(Settings{Self: member("a1"), Incarnation: 1, PauseGap: time.Second})
+	table.Adopt(0, list(1, "a1", "a2", "b1", "c1"))
+	t.Run("prefers the failure domain", func(t *testing.T) {
+		if got := table.Owner("e", "b-domain"); got != "b1" {
+			t.Errorf("owner = %s, want b1", got)
+		}
+	})
+	t.Run("leaving VMs own nothing", func(t *testing.T) {
+		l := list(2, "a1", "a2", "b1", "c1")
+		l.Members[2].Leaving = true
+		table.Adopt(0, l)
+		if got := table.Owner("e", "b-domain"); got == "b1" || got == "" {
+			t.Errorf("owner = %q, want one that is not leaving", got)
+		}
+	})
+	t.Run("groups of a large region are bounded and move little", func(t *testing.T) {
+		names := make([]string, 165)
+		for i := range names {
+			names[i] = fmt.Sprintf("a%03d", i)
+		}
+		whole, less := newLayout(list(1, names...)), newLayout(list(2, names[1:]...))
+		moved := 0
+		for _, name := range names[1:] {
+			size := len(whole.groupNames(name))
+			if size > maxGroupMembers {
+				t.Errorf("group of %s has %d members", name, size)
+			}
+			if whole.groups[whole.groupOf[name]].Bucket != less.groups[less.groupOf[name]].Bucket {
+				moved++
+			}
+		}
+		t.Logf("%d groups, %d of %d VMs moved", len(whole.groups), moved, len(names)-1)
+	})
+}
