Flow of a request through its stages at the home

Cause: retries, hedges, resumed streams and outcomes have to be decided in one place with one memory. A run that is given up ends at once: notRun when nothing can have reached an endpoint, unknown when something that may not be repeated can have, failed otherwise. Not yet wired, no measurement yet.

--- /dev/null
+++ b/core/bbflow/dispatch.go
@@ -0,0 +1,174 @@
+package bbflow
+
+import (
+	"time"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbhome"
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbrule"
+	"bluebellhall/core/bbtimer"
+)
+
+// Start runs a fresh record through its steps. Alone is true for content that is
+// suspected to kill endpoints.
+func (t *Table) Start(now time.Duration, record *bbhome.Record, steps []Step, account bbrule.Account, deadline time.Duration, alone bool) {
+	r := &Run{
+		Record:     record,
+		Steps:      steps,
+		Input:      record.Request.Body,
+		Deadline:   deadline,
+		StageStart: now,
+		Account:    account,
+		Alone:      alone,
+	}
+	t.Runs[record.ID] = r
+	if !t.Seams.CanMake(now, deadline-now, steps) {
+		r.LastReason = bbmsg.ReasonDeadline
+		t.giveUp(now, r)
+		return
+	}
+	t.wake(r, deadline)
+	t.try(now, r)
+}
+
+// try dispatches the current stage, or plans another try, or gives up.
+func (t *Table) try(now time.Duration, r *Run) {
+	r.Retry = 0
+	if len(r.Attempts) >= t.Settings.MaxAttempts || r.Refusals >= t.Settings.MaxRefusals {
+		t.giveUp(now, r)
+		return
+	}
+	choice, ok := t.choose(now, r)
+	if !ok {
+		t.later(now, r, bbmsg.ReasonNoEndpoint, t.Settings.RefusedWait)
+		return
+	}
+	t.dispatch(now, r, choice, false)
+}
+
+// choose asks for an endpoint that was not tried yet, and failing that for any.
+func (t *Table) choose(now time.Duration, r *Run) (Choice, bool) {
+	q := Query{
+		Step:      r.step(),
+		Session:   r.Record.Request.Session,
+		Account:   r.Record.Request.Account,
+		BodyBytes: len(r.Input),
+		Alone:     r.Alone,
+	}
+	for _, a := range r.Attempts {
+		q.Exclude = append(q.Exclude, a.Endpoint)
+	}
+	choice, ok := t.Seams.Choose(now, q)
+	if ok || len(q.Exclude) == 0 || r.open() > 0 {
+		return choice, ok
+	}
+	q.Exclude = nil
+	return t.Seams.Choose(now, q)
+}
+
+// later plans another try after a wait, or gives up when the wait leaves no time.
+func (t *Table) later(now time.Duration, r *Run, reason bbmsg.Reason, wait time.Duration) {
+	if reason != bbmsg.ReasonNone {
+		r.LastReason = reason
+	}
+	r.Refusals++
+	retry := now + max(wait, t.Settings.RefusedWait)
+	if r.Refusals >= t.Settings.MaxRefusals || !t.Seams.CanMake(now, r.Deadline-retry, r.Steps[r.Stage:]) {
+		r.RetryHint = max(r.RetryHint, wait)
+		t.giveUp(now, r)
+		return
+	}
+	r.Retry = retry
+	t.wake(r, retry)
+}
+
+// dispatch sends an attempt to the owner of the chosen endpoint.
+func (t *Table) dispatch(now time.Duration, r *Run, c Choice, hedge bool) {
+	budget := t.Seams.Split(r.Deadline-now-t.Settings.AnswerMargin, r.Steps[r.Stage:])
+	a := Attempt{
+		Number:           len(r.Attempts) + 1,
+		Endpoint:         c.Endpoint,
+		Owner:            c.Owner,
+		OwnerIncarnation: c.OwnerIncarnation,
+		Sent:             now,
+		Expires:          now + budget,
+		Hedge:            hedge,
+	}
+	r.Attempts = append(r.Attempts, a)
+	t.wake(r, a.Expires)
+	if delay := t.Seams.HedgeDelay(r.step().Service); delay != bbtimer.Never && !r.step().Once {
+		t.wake(r, now+delay)
+	}
+	t.emit(r, bbevent.StageDispatched, a, r.step().Service)
+	t.Seams.Send(now, c.Owner, bbmsg.Envelope{
+		Dispatch: t.message(r, a, c, budget),
+	})
+}
+
+// message builds the dispatch of an attempt.
+func (t *Table) message(r *Run, a Attempt, c Choice, budget time.Duration) *bbmsg.Dispatch {
+	s := r.step()
+	return &bbmsg.Dispatch{
+		Attempt:         t.name(r, a),
+		Home:            t.Settings.Self,
+		HomeIncarnation: t.Settings.Incarnation,
+		Endpoint:        c.Endpoint,
+		ListRevision:    c.ListRevision,
+		BudgetMillis:    budget.Milliseconds(),
+		Once:            s.Once,
+		Alone:           r.Alone,
+		Account:         r.Account.Name,
+		Priority:        r.Account.Priority,
+		Weight:          r.Account.Weight,
+		Service:         s.Service,
+		Path:            s.Path,
+		Model:           s.Model,
+		Session:         r.Record.Request.Session,
+		FromOffset:      r.have(),
+		Body:            r.Input,
+	}
+}
+
+// name returns the name of an attempt on the wire.
+func (t *Table) name(r *Run, a Attempt) bbmsg.Attempt {
+	return bbmsg.Attempt{
+		ID:     r.Record.ID,
+		Stage:  r.Stage,
+		Number: a.Number,
+	}
+}
+
+// cancel asks the owner of an open attempt to stop.
+func (t *Table) cancel(now time.Duration, r *Run, a *Attempt) {
+	if a.CancelSent {
+		return
+	}
+	a.CancelSent = true
+	t.Seams.Send(now, a.Owner, bbmsg.Envelope{
+		Cancel: &bbmsg.Cancel{
+			Attempt:  t.name(r, *a),
+			Endpoint: a.Endpoint,
+			Home:     t.Settings.Self,
+		},
+	})
+}
+
+// closeOthers cancels all open attempts but one.
+func (t *Table) closeOthers(now time.Duration, r *Run, number int) {
+	for i := range r.Attempts {
+		a := &r.Attempts[i]
+		if a.State != AttemptOpen || a.Number == number {
+			continue
+		}
+		t.cancel(now, r, a)
+		t.markRan(r, a)
+	}
+}
+
+// markRan closes an attempt that may have reached the endpoint.
+func (t *Table) markRan(r *Run, a *Attempt) {
+	a.State = AttemptRan
+	r.Ran = true
+	r.OnceRan = r.OnceRan || r.step().Once
+}
--- /dev/null
+++ b/core/bbflow/finish.go
@@ -0,0 +1,66 @@
+package bbflow
+
+import (
+	"sort"
+	"time"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbmsg"
+)
+
+// giveUp ends a run at once with the outcome that is true: notRun when nothing can
+// have reached an endpoint, unknown when something that may not be repeated can
+// have, failed otherwise.
+func (t *Table) giveUp(now time.Duration, r *Run) {
+	for i := range r.Attempts {
+		a := &r.Attempts[i]
+		if a.State == AttemptOpen {
+			t.cancel(now, r, a)
+			t.markRan(r, a)
+		}
+	}
+	r.Record.RetryAfterMillis = r.RetryHint.Milliseconds()
+	switch {
+	case r.OnceRan:
+		t.end(r, bbmsg.OutcomeUnknown, r.LastReason)
+	case r.Ran:
+		t.end(r, bbmsg.OutcomeFailed, r.LastReason)
+	default:
+		t.end(r, bbmsg.OutcomeNotRun, r.LastReason)
+	}
+}
+
+// end fixes the outcome of the record and forgets the run.
+func (t *Table) end(r *Run, outcome bbmsg.Outcome, reason bbmsg.Reason) {
+	delete(t.Runs, r.Record.ID)
+	t.Seams.Emit(bbevent.Event{
+		Number:  endEvents[outcome],
+		Request: r.Record.ID,
+		Stage:   r.Stage,
+		Detail:  string(reason),
+	})
+	t.Seams.End(r.Record, outcome, reason)
+}
+
+// endEvents maps outcomes to their events.
+var endEvents = map[bbmsg.Outcome]bbevent.Number{
+	bbmsg.OutcomeAnswered: bbevent.RequestAnswered,
+	bbmsg.OutcomeNotRun:   bbevent.RequestRefused,
+	bbmsg.OutcomeUnknown:  bbevent.RequestUnknown,
+	bbmsg.OutcomeFailed:   bbevent.RequestFailed,
+}
+
+// waitingFor lists the runs with an open attempt at an owner, sorted by id.
+func (t *Table) waitingFor(owner string) []string {
+	var ids []string
+	for id, r := range t.Runs {
+		for _, a := range r.Attempts {
+			if a.State == AttemptOpen && a.Owner == owner {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
