Incarnations on dispatches and cancels, counted parts of a handover

Cause: by hand, a cancel that reaches a restarted owner would be answered neverSent by a process with no memory, and a handover of which the heir lost the first parts would count as complete; both make a false notRun. Dispatches and cancels now name the owner's process, and a handover is complete only when every part has arrived.

--- a/core/bbflow/dispatch.go
+++ b/core/bbflow/dispatch.go
@@ -110,23 +110,24 @@
 func (t *Table) message(r *Run, a Attempt, c Choice, budget time.Duration) *bbmsg.Dispatch {
 	s := r.step()
 	return &bbmsg.Dispatch{
-		Attempt:         t.name(r, a),
-		Home:            t.Settings.Self,
-		HomeIncarnation: t.Settings.Incarnation,
-		Endpoint:        c.Endpoint,
-		ListRevision:    c.ListRevision,
-		BudgetMillis:    budget.Milliseconds(),
-		Once:            s.Once,
-		Alone:           r.Alone,
-		Account:         r.Account.Name,
-		Priority:        r.Account.Priority,
-		Weight:          r.Account.Weight,
-		Service:         s.Service,
-		Path:            s.Path,
-		Model:           s.Model,
-		Session:         r.Record.Request.Session,
-		FromOffset:      r.have(),
-		Body:            r.Input,
+		Attempt:          t.name(r, a),
+		Home:             t.Settings.Self,
+		HomeIncarnation:  t.Settings.Incarnation,
+		OwnerIncarnation: c.OwnerIncarnation,
+		Endpoint:         c.Endpoint,
+		ListRevision:     c.ListRevision,
+		BudgetMillis:     budget.Milliseconds(),
+		Once:             s.Once,
+		Alone:            r.Alone,
+		Account:          r.Account.Name,
+		Priority:         r.Account.Priority,
+		Weight:           r.Account.Weight,
+		Service:          s.Service,
+		Path:             s.Path,
+		Model:            s.Model,
+		Session:          r.Record.Request.Session,
+		FromOffset:       r.have(),
+		Body:             r.Input,
 	}
 }
 
@@ -147,9 +148,10 @@
 	a.CancelSent = true
 	t.Seams.Send(now, a.Owner, bbmsg.Envelope{
 		Cancel: &bbmsg.Cancel{
-			Attempt:  t.name(r, *a),
-			Endpoint: a.Endpoint,
-			Home:     t.Settings.Self,
+			Attempt:          t.name(r, *a),
+			Endpoint:         a.Endpoint,
+			Home:             t.Settings.Self,
+			OwnerIncarnation: a.OwnerIncarnation,
 		},
 	})
 }
--- a/core/bbflow/finish.go
+++ b/core/bbflow/finish.go
@@ -19,6 +19,7 @@
 			t.markRan(r, a)
 		}
 	}
+	r.Record.Repeatable = !r.OnceRan
 	r.Record.RetryAfterMillis = r.RetryHint.Milliseconds()
 	switch {
 	case r.OnceRan:
--- a/core/bbhome/inherit.go
+++ b/core/bbhome/inherit.go
@@ -11,8 +11,10 @@
 type Inheritance struct {
 	// Records maps ids to their ends.
 	Records map[string]*Record
-	// Complete is true once the last part has arrived. Only then does the absence
-	// of an id prove that it never ran.
+	// Parts has the numbers of the parts that have arrived.
+	Parts map[int]bool
+	// Complete is true once every part has arrived. Only then does the absence of
+	// an id prove that it never ran.
 	Complete bool
 	// HomeNow is the clock of the home at its handover. Records that the home had
 	// dropped by then are missing, so their absence proves nothing.
@@ -27,8 +29,8 @@
 // handoverPartRecords is the number of records in one part of a handover.
 const handoverPartRecords = 256
 
-// Handover returns the parts that give all ended records to a successor. The last
-// part is marked. It is called when no ticket of this incarnation is valid any more
+// Handover returns the parts that give all ended records to a successor, at least
+// one. It is called when no ticket of this incarnation is valid any more
 // and nothing runs.
 func (t *Table) Handover(now time.Duration) []bbmsg.Handover {
 	ids := make([]string, 0, len(t.Records))
@@ -45,7 +47,10 @@
 	if len(parts) == 0 {
 		parts = append(parts, t.part(now, nil))
 	}
-	parts[len(parts)-1].Last = true
+	for i := range parts {
+		parts[i].Part = i
+		parts[i].Parts = len(parts)
+	}
 	return parts
 }
 
@@ -85,6 +90,7 @@
 	if !ok {
 		in = &Inheritance{
 			Records: make(map[string]*Record),
+			Parts:   make(map[int]bool),
 			Until:   now + t.Settings.Retention,
 		}
 		t.Inherited[heir] = in
@@ -95,7 +101,8 @@
 		in.Until = max(in.Until, keep)
 	}
 	in.HomeNow = max(in.HomeNow, time.Duration(h.HomeMillis+1)*time.Millisecond)
-	in.Complete = in.Complete || h.Last
+	in.Parts[h.Part] = true
+	in.Complete = len(in.Parts) >= h.Parts
 	return true
 }
 
--- a/core/bbhome/table.go
+++ b/core/bbhome/table.go
@@ -59,6 +59,9 @@
 	Tokens []string
 	// Body is the whole answer of a request without tokens.
 	Body []byte
+	// Repeatable is true when the record ended and nothing that may not be repeated
+	// has run or ever will.
+	Repeatable bool
 	// Waiters lists the connections that wait, at most maxWaiters.
 	Waiters []Waiter
 	// Accepted and KeepUntil are times of the home's own clock.
--- a/core/bbmsg/envelope.go
+++ b/core/bbmsg/envelope.go
@@ -147,6 +147,9 @@
 	Reason Reason `json:"reason,omitempty"`
 	// RetryAfterMillis tells when to come back, 0 if that makes no sense.
 	RetryAfterMillis int64 `json:"retryAfterMillis,omitempty"`
+	// Repeatable is true when nothing that may not be repeated has run or ever will,
+	// so that the caller may send the same content under a new id.
+	Repeatable bool `json:"repeatable,omitempty"`
 	// Offset is the index of the first token in Tokens.
 	Offset int `json:"offset,omitempty"`
 	// Tokens is a part of the stream.
@@ -171,6 +174,9 @@
 	// Home and HomeIncarnation name the sending home.
 	Home            string `json:"home"`
 	HomeIncarnation uint64 `json:"homeIncarnation"`
+	// OwnerIncarnation is the owner's process as the home knows it. Another process
+	// can't tell whether the attempt was sent, so it must not send it.
+	OwnerIncarnation uint64 `json:"ownerIncarnation"`
 	// Endpoint is the chosen endpoint.
 	Endpoint string `json:"endpoint"`
 	// ListRevision is the list by which the home found the owner.
@@ -250,6 +256,9 @@
 	Endpoint string `json:"endpoint"`
 	// Home is the asking home.
 	Home string `json:"home"`
+	// OwnerIncarnation is the process that got the attempt. Another one has no
+	// memory of it and does not answer.
+	OwnerIncarnation uint64 `json:"ownerIncarnation"`
 }
 
 // Cancelled answers a Cancel. After it says NeverSent the owner never sends the attempt.
@@ -266,8 +275,9 @@
 	// HomeMillis is the home's monotonic clock at the handover.
 	HomeMillis int64    `json:"homeMillis"`
 	Records    []Record `json:"records"`
-	// Last is true on the final part.
-	Last bool `json:"last,omitempty"`
+	// Part counts the parts from 0, and Parts is their number.
+	Part  int `json:"part"`
+	Parts int `json:"parts"`
 }
 
 // Record is the end state of one request, as handed over.
--- a/core/bbmsg/inout.go
+++ b/core/bbmsg/inout.go
@@ -139,6 +139,8 @@
 	Addresses *AddressAnswer
 	// Order goes to an endpoint.
 	Order *Order
+	// Poll asks the driver to fetch a load report.
+	Poll *EndpointPoll
 	// Event goes to the time line.
 	Event *bbevent.Event
 	// Stopped tells the driver that the drain is done and the process may end.
@@ -171,6 +173,8 @@
 	Endpoint string
 	// Kind selects the protocol: engine, pool or plain.
 	Kind string
+	// Once is true when the call may not be repeated.
+	Once bool
 	// Request and Attempt travel as headers so that the endpoint's log can be matched.
 	Attempt Attempt
 	Path    string
@@ -185,6 +189,12 @@
 	SilenceMillis int64
 }
 
+// EndpointPoll asks for the load report of an endpoint.
+type EndpointPoll struct {
+	Endpoint string
+	Address  string
+}
+
 // EndpointStop cancels a call.
 type EndpointStop struct {
 	Call uint64
