Links between entry VMs over grpc-go with a CBOR codec

Cause: messages must arrive once and in order although connections go silent. Probes are unary calls and are never repeated.

--- /dev/null
+++ b/bluebelld/bblink/codec.go
@@ -0,0 +1,37 @@
+// Package bblink carries messages between entry VMs over grpc-go: a stream of
+// acknowledged batches for messages that must arrive once and in order, and a unary
+// call for probes, which are never repeated.
+package bblink
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"google.golang.org/grpc/encoding"
+)
+
+// codecName is the content subtype of our calls.
+const codecName = "cbor"
+
+// codec encodes plain structs as CBOR. The field names are those of the json tags.
+type codec struct{}
+
+// Marshal encodes a message.
+func (codec) Marshal(v any) ([]byte, error) {
+	data, err := cbor.Marshal(v)
+	return data, errors.Wrap(err, "encode message")
+}
+
+// Unmarshal decodes a message. Unknown fields are ignored, so that versions mix.
+func (codec) Unmarshal(data []byte, v any) error {
+	return errors.Wrap(cbor.Unmarshal(data, v), "decode message")
+}
+
+// Name returns the content subtype.
+func (codec) Name() string {
+	return codecName
+}
+
+// register makes the codec known to grpc once per process.
+func init() {
+	encoding.RegisterCodec(codec{})
+}
