--- a/bluebelld/bblink/sender.go
+++ b/bluebelld/bblink/sender.go
@@ -72,9 +72,9 @@
 	maxBatch = 128
 	// silenceTime is how long a batch may wait for its acknowledgement.
 	silenceTime = 800 * time.Millisecond
-	// reconnectMin and reconnectMax bound the wait between two connections.
-	reconnectMin = 20 * time.Millisecond
-	reconnectMax = 500 * time.Millisecond
+	// shortestReconnect and longestReconnect bound the wait between two connections.
+	shortestReconnect = 20 * time.Millisecond
+	longestReconnect  = 500 * time.Millisecond
 	// silentProbes is how many probes may fail before the connection is replaced.
 	silentProbes = 3
 )
@@ -149,18 +149,18 @@
 // run keeps a stream to the peer until the sender is closed.
 func (s *Sender) run(ctx context.Context) {
 	defer close(s.done)
-	wait := reconnectMin
+	wait := shortestReconnect
 	for ctx.Err() == nil {
 		began := time.Now()
 		s.session(ctx)
-		if time.Since(began) > reconnectMax {
-			wait = reconnectMin
+		if time.Since(began) > longestReconnect {
+			wait = shortestReconnect
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
 		}
-		wait = min(2*wait, reconnectMax)
+		wait = min(2*wait, longestReconnect)
 	}
 }
 
--- a/bluebelld/bblink/service.go
+++ b/bluebelld/bblink/service.go
@@ -36,7 +36,13 @@
 	Methods: []grpc.MethodDesc{
 		{
 			MethodName: "Probe",
-			Handler:    handleProbe,
+			Handler: func(server any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+				p := new(bbmsg.Probe)
+				if err := decode(p); err != nil {
+					return nil, err
+				}
+				return server.(peerService).probe(ctx, p)
+			},
 		},
 	},
 	Streams: []grpc.StreamDesc{
@@ -49,15 +55,6 @@
 	},
 }
 
-// handleProbe decodes a probe and passes it to the server.
-func handleProbe(server any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
-	p := new(bbmsg.Probe)
-	if err := decode(p); err != nil {
-		return nil, err
-	}
-	return server.(peerService).probe(ctx, p)
-}
-
 // handleLink passes a stream to the server.
 func handleLink(server any, stream grpc.ServerStream) error {
 	return server.(peerService).link(stream)
