--- a/core/bbrule/model.go
+++ b/core/bbrule/model.go
@@ -33,6 +33,10 @@
 	Region string
 	// Out is true while operators have taken the domain out.
 	Out bool
+	// AskedBy is the comment of the domain's line, OutAskedBy that of the line
+	// that takes it out.
+	AskedBy    string
+	OutAskedBy string
 }
 
 // Service is a set of endpoints that do the same work.
@@ -43,6 +47,8 @@
 	Kind ServiceKind
 	// ReportsLoad is true when the endpoints publish load reports.
 	ReportsLoad bool
+	// AskedBy is the comment of the rule.
+	AskedBy string
 }
 
 // ServiceKind tells how the endpoints of a service are spoken to.
@@ -68,6 +74,8 @@
 	Idempotent bool
 	// Deadline bounds the call from acceptance to answer.
 	Deadline time.Duration
+	// AskedBy is the comment of the rule.
+	AskedBy string
 }
 
 // Model is a set of weights that engines may load.
@@ -76,6 +84,8 @@
 	Name string
 	// WeightBytes is what the weight store transfers to load it.
 	WeightBytes int64
+	// AskedBy is the comment of the rule.
+	AskedBy string
 }
 
 // Endpoint is one back end of a service.
@@ -96,6 +106,8 @@
 	ColdSlots int
 	// ChecksFencing is true when it refuses orders with an old fencing number.
 	ChecksFencing bool
+	// AskedBy is the comment of the rule.
+	AskedBy string
 }
 
 // Pipeline is an ordered list of stages under one deadline.
@@ -106,6 +118,8 @@
 	Stages []Stage
 	// Deadline bounds the request from acceptance to the last byte.
 	Deadline time.Duration
+	// AskedBy is the comment of the rule.
+	AskedBy string
 }
 
 // Stage is one step of a pipeline.
@@ -114,7 +128,8 @@
 	Service string
 	// Model is the model that an engine must have loaded; empty for others.
 	Model string
-	// Path is the call of a plain service; empty for others.
+	// Path is the call of a plain service or the path of a pool's requests,
+	// without a leading slash; empty for engines.
 	Path string
 }
 
@@ -126,6 +141,8 @@
 	Weight int
 	// Priority orders accounts before weights do; 0 is the highest, 3 the lowest.
 	Priority int
+	// AskedBy is the comment of the rule.
+	AskedBy string
 }
 
 // Limits holds the bounds that operators set.
@@ -140,6 +157,18 @@
 	AnswerTTL time.Duration
 	// BodyBytes bounds the body of a request.
 	BodyBytes int64
+	// AskedBy holds the comments of the lines that set the bounds.
+	AskedBy LimitsAskedBy
+}
+
+// LimitsAskedBy holds the comment of each line that sets a bound, empty where the
+// default holds.
+type LimitsAskedBy struct {
+	RetryShare      string
+	CrossRegionCost string
+	WeightStoreRate string
+	AnswerTTL       string
+	BodyBytes       string
 }
 
 // Finding is one thing wrong with a rules text.
