Owner: windows, fair queue and calls of the endpoints of one entry VM

Cause: no endpoint may get more than it can carry, and a refusal must be true.

A cold turn closes it to one request. Every attempt that ended is remembered, refused ones too, so that a copy is never sent later; when that memory is full an attempt ends as broken, since a refusal could not be kept true.

Calls carry SendWithinMillis: a driver that was paused between the output and the send gives NewsUnsent instead of sending on old knowledge.

--- a/core/bbmsg/inout.go
+++ b/core/bbmsg/inout.go
@@ -187,6 +187,10 @@
 	// TimeoutMillis bounds the whole call; SilenceMillis the time without progress.
 	TimeoutMillis int64
 	SilenceMillis int64
+	// SendWithinMillis is the time from the output within which the first byte must
+	// leave, else the driver gives NewsUnsent; 0 means no bound. A process that was
+	// paused in between must not send on old knowledge.
+	SendWithinMillis int64
 }
 
 // EndpointPoll asks for the load report of an endpoint.
--- /dev/null
+++ b/core/bbowner/table.go
@@ -0,0 +1,481 @@
+// Package bbowner is the work of an owner: all requests for an endpoint pass through
+// the one entry VM that owns it, which counts what is in flight, keeps the window of
+// a cold or warming endpoint, queues a little and refuses the rest.
+//
+// Requests are sent only by Tick, right after the caller has looked at the
+// confirmation, and at most one per Tick goes to a cold endpoint. After a change of
+// owner a cold endpoint waits for the settling time, and then until the calls of the
+// former owner are known or must have ended; a warm one gets half its window.
+package bbowner
+
+import (
+	"slices"
+	"time"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbfair"
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbrule"
+)
+
+const (
+	// queuePerSlot is how many requests may wait per slot of an endpoint, besides those
+	// that arrive together and find the slots free.
+	queuePerSlot = 2
+	// aloneLimit bounds the attempts that wait to run alone on an endpoint.
+	aloneLimit = 2
+	// alonePause is the time between two attempts that run alone on an endpoint.
+	alonePause = time.Second
+	// stopLinger is how long a stopped call counts when no news of its end comes.
+	stopLinger = time.Second
+	// lostKeep is how long the digest of an endpoint that was lost is still told.
+	lostKeep = 10 * time.Second
+)
+
+// Settings configures a Table. Zero times and counts take the defaults named.
+type Settings struct {
+	// Self is this node's name and Incarnation its process's random number.
+	Self        string
+	Incarnation uint64
+	// SettleTime is how long a new owner gives a cold endpoint nothing; 2 s by default.
+	SettleTime time.Duration
+	// SilenceTime is the time between tokens after which a call is stopped; the first
+	// token may take twice as long; 2 s by default.
+	SilenceTime time.Duration
+	// ReportInterval is the time between polls of load reports; 500 ms by default.
+	ReportInterval time.Duration
+	// FreshReport is the lag up to which a report of a warm endpoint opens half the
+	// window at once; 1 s by default.
+	FreshReport time.Duration
+	// BreakGrace is how long a broken call waits for the fate of the other calls on
+	// the endpoint; 100 ms by default.
+	BreakGrace time.Duration
+	// RememberTime is how long attempts that ended are recognised; 2 min by default.
+	// No copy of a dispatch and no cancel arrives later than that.
+	RememberTime time.Duration
+	// RememberLimit bounds the attempts that are known; 65536 by default. When it is
+	// reached new ones end as broken, since a refusal could not be remembered.
+	RememberLimit int
+	// WarmCompletions is how many requests an endpoint without reports must complete
+	// before its window grows; 12 by default.
+	WarmCompletions int
+	// ConfirmedFor tells whether a cold endpoint may be used; it is asked right before
+	// each send, besides the answer given to Tick. It may be nil.
+	ConfirmedFor func(now time.Duration, endpoint, domain string) bool
+}
+
+// Endpoint is an endpoint as its owner sees it.
+type Endpoint struct {
+	// Rule is the endpoint's rule, Kind and Reports are those of its service.
+	Rule    bbrule.Endpoint
+	Kind    bbrule.ServiceKind
+	Reports bool
+	// Owned is true while this node owns it, since OwnedSince.
+	Owned      bool
+	OwnedSince time.Duration
+	// Lost is when it was lost.
+	Lost time.Duration
+	// Removed, Out and Leaving tell that the rules lack it, that its failure domain
+	// was taken out, and that the list has it as leaving or not at all.
+	Removed bool
+	Out     bool
+	Leaving bool
+	// State is unknown, cold, warming or warm; Digests tells of leaving and out.
+	State bbmsg.EndpointState
+	// Window is how many requests it may have while warming or warm, at most WarmSlots.
+	Window int
+	// Probing is true while a cold endpoint gets one request only.
+	Probing bool
+	// Suspected is true when the cold turn was concluded from slowness alone.
+	Suspected bool
+	// ColdSince is when the latest sign of a cold turn was seen.
+	ColdSince time.Duration
+	// Completions counts the requests that were sent after ColdSince and completed.
+	Completions int
+	// Boot is the newest boot number reported, 0 if none; FormerBoot the one before.
+	Boot       uint64
+	FormerBoot uint64
+	// Model is the loaded model as reported.
+	Model string
+	// Running holds the calls that count as in flight, in the order of sending.
+	Running []*Work
+	// Broken holds calls that broke and whose result waits for the fate of others.
+	Broken []*Work
+	// Alone holds attempts that wait for the endpoint to be empty, at most aloneLimit.
+	Alone []*Work
+	// SettledAt is when a new owner may use it cold; CarryUntil when all calls of a
+	// former owner have ended.
+	SettledAt  time.Duration
+	CarryUntil time.Duration
+	// Foreign is the number of calls of a former owner; Known is true when it was
+	// learned from after SettledAt. Both matter until CarryUntil.
+	Foreign int
+	Known   bool
+	// RetryAt is when it may be tried again after it could not be reached.
+	RetryAt  time.Duration
+	failures int
+	// FirstTime is the moving average of the time to the first token (engines) or to
+	// the answer, and ServiceTime that of the whole call; Samples counts them.
+	FirstTime   time.Duration
+	ServiceTime time.Duration
+	Samples     int
+
+	queue *bbfair.Queue
+	// aloneUntil is when the next attempt may run alone.
+	aloneUntil time.Duration
+	nextPoll   time.Duration
+	// due is when Tick must look at it again; dirty asks for a look at once.
+	due   time.Duration
+	dirty bool
+}
+
+// WorkState tells where an attempt stands.
+type WorkState int
+
+// The states of an attempt.
+const (
+	// WorkQueued has not been sent.
+	WorkQueued WorkState = iota
+	// WorkRunning has been sent and counts as in flight.
+	WorkRunning
+	// WorkStopped was stopped by the owner; its result has been given.
+	WorkStopped
+	// WorkBroken broke and waits for its result to be given.
+	WorkBroken
+)
+
+// Work is one attempt at its owner.
+type Work struct {
+	// Number is the number of the call, unique in the process.
+	Number uint64
+	// Key identifies the attempt.
+	Key      uint64
+	Dispatch bbmsg.Dispatch
+	State    WorkState
+	// Queued, Sent and Progress are when it came, was sent and last showed a token.
+	Queued   time.Duration
+	Sent     time.Duration
+	Progress time.Duration
+	// Deadline is when its budget ends.
+	Deadline time.Duration
+	// Linger is when a stopped call no longer counts.
+	Linger time.Duration
+	// Started is true once a token has come.
+	Started bool
+	// Next is the offset of the next token to pass on.
+	Next int
+	// Others is how many other calls ran when it broke.
+	Others int
+}
+
+// Table holds the endpoints of one owner. It is not safe for concurrent use.
+type Table struct {
+	settings Settings
+	// Endpoints holds all endpoints of the rules by name. Others only read it.
+	Endpoints map[string]*Endpoint
+	// order holds the names of Endpoints, sorted; busy has those that are owned, have
+	// calls or were lost of late, by name.
+	order []string
+	busy  []*Endpoint
+	// active holds the attempts that have not ended by key, calls by number.
+	active map[uint64]*Work
+	calls  map[uint64]*Work
+	ended  *memory
+	// lastCall is the number of the last call.
+	lastCall uint64
+	// revision is that of the member list.
+	revision int64
+	list     map[string]bool
+	// carry bounds the time that a call of any owner may run.
+	carry     time.Duration
+	confirmed bool
+	outputs   []bbmsg.Output
+}
+
+// New returns a table without endpoints.
+func New(settings Settings) *Table {
+	s := &settings
+	setDefault(&s.SettleTime, 2*time.Second)
+	setDefault(&s.SilenceTime, 2*time.Second)
+	setDefault(&s.ReportInterval, 500*time.Millisecond)
+	setDefault(&s.FreshReport, time.Second)
+	setDefault(&s.BreakGrace, 100*time.Millisecond)
+	setDefault(&s.RememberTime, 2*time.Minute)
+	setDefault(&s.RememberLimit, 65536)
+	setDefault(&s.WarmCompletions, 12)
+	return &Table{
+		settings:  settings,
+		Endpoints: map[string]*Endpoint{},
+		active:    map[uint64]*Work{},
+		calls:     map[uint64]*Work{},
+		ended:     newMemory(settings.RememberTime),
+	}
+}
+
+func setDefault[T time.Duration | int](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+// TakeOutputs returns what is to be done since the last call.
+func (t *Table) TakeOutputs() []bbmsg.Output {
+	outputs := t.outputs
+	t.outputs = nil
+	return outputs
+}
+
+// SetRules takes in a revision of the rules. Endpoints that are new start
+// as unknown, those that moved or are back from a failure domain that was out as cold.
+func (t *Table) SetRules(now time.Duration, rules *bbrule.RuleSet) {
+	t.carry = longestDeadline(rules)
+	services := map[string]bbrule.Service{}
+	for _, s := range rules.Services {
+		services[s.Name] = s
+	}
+	out := map[string]bool{}
+	for _, d := range rules.Domains {
+		out[d.Name] = d.Out
+	}
+	present := map[string]bool{}
+	for _, rule := range rules.Endpoints {
+		present[rule.Name] = true
+		s := services[rule.Service]
+		t.setRule(now, rule, s, out[rule.Domain])
+	}
+	for _, name := range t.order {
+		e := t.Endpoints[name]
+		if present[name] {
+			continue
+		}
+		e.Removed = true
+		if len(e.Running) == 0 && len(e.Broken) == 0 {
+			t.refuseQueued(now, e, bbmsg.ReasonNoEndpoint)
+			delete(t.Endpoints, name)
+		}
+	}
+	t.index(now)
+	t.refuseUnusable(now)
+}
+
+func longestDeadline(rules *bbrule.RuleSet) time.Duration {
+	longest := time.Duration(0)
+	for _, p := range rules.Pipelines {
+		longest = max(longest, p.Deadline)
+	}
+	for _, c := range rules.Calls {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
+func (t *Table) setRule(now time.Duration, rule bbrule.Endpoint, s bbrule.Service, out bool) {
+	e := t.Endpoints[rule.Name]
+	if e == nil {
+		e = &Endpoint{
+			State: bbmsg.StateUnknown,
+			queue: bbfair.New((queuePerSlot + 1) * rule.WarmSlots),
+		}
+		t.Endpoints[rule.Name] = e
+	}
+	moved := e.Rule.Address != "" && e.Rule.Address != rule.Address
+	if moved || e.Out && !out || e.Removed {
+		t.forget(now, e)
+		t.setState(e, bbmsg.StateCold, "")
+	}
+	e.Rule = rule
+	e.Kind = s.Kind
+	e.Reports = s.ReportsLoad || s.Kind == bbrule.KindEngine
+	e.Removed = false
+	e.Out = out
+	e.Window = min(e.Window, rule.WarmSlots)
+	e.dirty = true
+}
+
+// forget makes an endpoint unknown.
+func (t *Table) forget(now time.Duration, e *Endpoint) {
+	e.State = bbmsg.StateUnknown
+	e.ColdSince = now
+	e.Probing = false
+	e.Completions = 0
+	e.Boot = 0
+	e.Samples = 0
+	e.Known = false
+}
+
+// SetMembers takes in a member list: its revision and which endpoints are leaving.
+// Endpoints that it does not name get nothing new, unless it names no endpoint at all.
+func (t *Table) SetMembers(now time.Duration, list bbmsg.MemberList) {
+	t.revision = list.Revision
+	t.list = map[string]bool{}
+	for _, m := range list.Members {
+		if m.Role == bbmsg.RoleEndpoint {
+			t.list[m.Name] = m.Leaving
+		}
+	}
+	t.index(now)
+	t.refuseUnusable(now)
+}
+
+// index rebuilds the orders of the table.
+func (t *Table) index(now time.Duration) {
+	t.order = t.order[:0]
+	for name, e := range t.Endpoints {
+		t.order = append(t.order, name)
+		leaving, listed := t.list[name]
+		e.Leaving = leaving || !listed && len(t.list) > 0
+		e.dirty = true
+	}
+	slices.Sort(t.order)
+	t.busy = t.busy[:0]
+	for _, name := range t.order {
+		e := t.Endpoints[name]
+		if e.Owned || len(e.Running)+len(e.Broken) > 0 || e.lately(now) {
+			t.busy = append(t.busy, e)
+		}
+	}
+}
+
+// SetOwned takes in which endpoints this node owns and returns the changes. What is
+// queued at an endpoint that was lost is refused; what runs there goes on.
+func (t *Table) SetOwned(now time.Duration, owned func(name string) bool) (gained, lost []string) {
+	for _, name := range t.order {
+		e := t.Endpoints[name]
+		is := owned(name)
+		if is == e.Owned {
+			continue
+		}
+		e.Owned = is
+		if is {
+			t.gain(now, e)
+			gained = append(gained, name)
+			continue
+		}
+		e.Lost = now
+		t.refuseQueued(now, e, bbmsg.ReasonMoved)
+		t.event(e, bbevent.OwnershipLost, nil, "")
+		lost = append(lost, name)
+	}
+	t.index(now)
+	return gained, lost
+}
+
+func (t *Table) gain(now time.Duration, e *Endpoint) {
+	t.forget(now, e)
+	e.OwnedSince = now
+	e.SettledAt = now + t.settings.SettleTime
+	e.CarryUntil = e.SettledAt + t.carry
+	e.RetryAt = 0
+	e.failures = 0
+	e.nextPoll = now
+	t.event(e, bbevent.OwnershipGained, nil, "")
+}
+
+// NoFormer tells that the endpoints owned now had no former owner whose calls could
+// still run, because the whole group has just started.
+func (t *Table) NoFormer() {
+	for _, e := range t.busy {
+		if e.Owned {
+			e.CarryUntil = e.SettledAt
+			e.dirty = true
+		}
+	}
+}
+
+// Hint takes in what the former owner of an endpoint tells of it after it has adopted
+// a list by which this node is the owner.
+func (t *Table) Hint(now time.Duration, d bbmsg.EndpointDigest) {
+	e := t.Endpoints[d.Name]
+	if e == nil || !e.Owned || now >= e.CarryUntil {
+		return
+	}
+	e.Foreign = d.InFlight
+	e.Known = now >= e.SettledAt
+	if e.State == bbmsg.StateUnknown && d.State == bbmsg.StateWarm {
+		t.warmAgain(e, true)
+	}
+	e.dirty = true
+}
+
+// usable returns true when an endpoint may get new work at all.
+func (e *Endpoint) usable() bool {
+	return e.Owned && !e.Removed && !e.Out && !e.Leaving
+}
+
+// refuseUnusable refuses what is queued at endpoints that may get nothing more.
+func (t *Table) refuseUnusable(now time.Duration) {
+	for _, e := range t.busy {
+		if e.Owned && !e.usable() {
+			t.refuseQueued(now, e, bbmsg.ReasonNoEndpoint)
+		}
+	}
+}
+
+// Digests tells of the endpoints that are owned, and for a while of those that were
+// lost, sorted by name. The window of one that was lost is 0.
+func (t *Table) Digests(now time.Duration) []bbmsg.EndpointDigest {
+	digests := make([]bbmsg.EndpointDigest, 0, len(t.busy))
+	for _, e := range t.busy {
+		if !e.Owned && len(e.Running) == 0 && !e.lately(now) {
+			continue
+		}
+		digests = append(digests, t.digest(now, e))
+	}
+	return digests
+}
+
+func (t *Table) digest(now time.Duration, e *Endpoint) bbmsg.EndpointDigest {
+	limit := t.limit(now, e)
+	return bbmsg.EndpointDigest{
+		Name:       e.Rule.Name,
+		State:      e.shownState(),
+		Window:     limit,
+		InFlight:   len(e.Running),
+		Queued:     e.waiting(),
+		WaitMillis: int(e.wait(limit) / time.Millisecond),
+		Model:      e.Model,
+	}
+}
+
+// lately returns true for a while after an endpoint was lost.
+func (e *Endpoint) lately(now time.Duration) bool {
+	return e.Lost > 0 && now-e.Lost <= lostKeep
+}
+
+func (e *Endpoint) shownState() bbmsg.EndpointState {
+	switch {
+	case e.Out:
+		return bbmsg.StateOut
+	case e.Leaving || e.Removed:
+		return bbmsg.StateLeaving
+	}
+	return e.State
+}
+
+// waiting returns the number of attempts that wait.
+func (e *Endpoint) waiting() int { return e.queue.Len() + len(e.Alone) }
+
+// wait returns the expected wait of a new attempt.
+func (e *Endpoint) wait(limit int) time.Duration {
+	ahead := e.waiting() + len(e.Running) + 1 - limit
+	if ahead <= 0 {
+		return 0
+	}
+	return e.ServiceTime * time.Duration(ahead) / time.Duration(max(limit, 1))
+}
+
+// event adds an event to the outputs.
+func (t *Table) event(e *Endpoint, number bbevent.Number, w *Work, detail string) {
+	event := &bbevent.Event{
+		Number:   number,
+		Node:     t.settings.Self,
+		Endpoint: e.Rule.Name,
+		Detail:   detail,
+	}
+	if w != nil {
+		event.Request = w.Dispatch.Attempt.ID
+		event.Stage = w.Dispatch.Attempt.Stage
+		event.Attempt = w.Dispatch.Attempt.Number
+	}
+	t.outputs = append(t.outputs, bbmsg.Output{Event: event})
+}
--- /dev/null
+++ b/core/bbowner/table_test.go
@@ -0,0 +1,605 @@
+package bbowner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbrule"
+)
+
+const (
+	testSettle   = time.Second
+	testDeadline = 6 * time.Second
+	testProcess  = 42
+)
+
+// rig drives a table by hand.
+type rig struct {
+	*testing.T
+	table     *Table
+	now       time.Duration
+	confirmed bool
+	results   []bbmsg.Result
+	calls     []bbmsg.EndpointCall
+	stops     []uint64
+	offered   int
+}
+
+func rules(out bool) *bbrule.RuleSet {
+	return &bbrule.RuleSet{
+		Domains: []bbrule.Domain{{Name: "east", Region: "r", Out: out}},
+		Services: []bbrule.Service{
+			{Name: "engines", Kind: bbrule.KindEngine},
+			{Name: "ledger", Kind: bbrule.KindPlain},
+		},
+		Endpoints: []bbrule.Endpoint{
+			{Name: "engine", Service: "engines", Address: "1", Domain: "east", WarmSlots: 4, ColdSlots: 2},
+			{Name: "plain", Service: "ledger", Address: "2", Domain: "east", WarmSlots: 4, ColdSlots: 2},
+		},
+		Pipelines: []bbrule.Pipeline{{Name: "p", Deadline: testDeadline}},
+	}
+}
+
+// newRig returns a table that owns all endpoints since time 1.
+func newRig(t *testing.T) *rig {
+	r := &rig{
+		T:         t,
+		confirmed: true,
+		now:       1,
+		table: New(Settings{
+			Self:        "a1",
+			Incarnation: testProcess,
+			SettleTime:  testSettle,
+			SilenceTime: 2 * time.Second,
+			BreakGrace:  100 * time.Millisecond,
+		}),
+	}
+	r.table.SetRules(r.now, rules(false))
+	r.members(5)
+	r.own(true)
+	return r
+}
+
+// settledRig returns a rig in which no former owner is left.
+func settledRig(t *testing.T) *rig {
+	r := newRig(t)
+	r.advance(testSettle + testDeadline)
+	return r
+}
+
+// warmRig returns a rig whose engine is warm.
+func warmRig(t *testing.T) *rig {
+	r := settledRig(t)
+	r.report(bbmsg.LoadReport{Boot: 1})
+	return r
+}
+
+func (r *rig) members(revision int64, leaving ...string) {
+	list := bbmsg.MemberList{Revision: revision}
+	for _, name := range []string{"engine", "plain"} {
+		m := bbmsg.Member{Name: name, Role: bbmsg.RoleEndpoint}
+		for _, l := range leaving {
+			m.Leaving = m.Leaving || l == name
+		}
+		list.Members = append(list.Members, m)
+	}
+	r.table.SetMembers(r.now, list)
+	r.tick()
+}
+
+func (r *rig) own(owned bool) {
+	r.table.SetOwned(r.now, func(string) bool { return owned })
+	r.tick()
+}
+
+func (r *rig) tick() {
+	r.table.Tick(r.now, r.confirmed)
+	for _, o := range r.table.TakeOutputs() {
+		switch {
+		case o.Send != nil:
+			r.results = append(r.results, *o.Send.Envelope.Result)
+		case o.Call != nil:
+			r.calls = append(r.calls, *o.Call)
+		case o.Stop != nil:
+			r.stops = append(r.stops, o.Stop.Call)
+		}
+	}
+}
+
+// settle ticks until nothing more is due now.
+func (r *rig) settle() {
+	r.tick()
+	for r.table.NextWake(r.now) <= r.now {
+		r.tick()
+	}
+}
+
+func (r *rig) advance(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.now = min(end, max(r.table.NextWake(r.now), r.now+1))
+		r.settle()
+	}
+}
+
+func (r *rig) dispatch(endpoint string) bbmsg.Dispatch {
+	r.offered++
+	return bbmsg.Dispatch{
+		Attempt:          bbmsg.Attempt{ID: fmt.Sprintf("id-%d", r.offered), Number: 1},
+		OwnerIncarnation: testProcess,
+		Endpoint:         endpoint,
+		ListRevision:     5,
+		BudgetMillis:     int64(testDeadline / time.Millisecond),
+		Account:          "account",
+		Weight:           1,
+	}
+}
+
+func (r *rig) offer(endpoint string, count int) {
+	for range count {
+		r.table.Offer(r.now, r.dispatch(endpoint), "home")
+	}
+	r.settle()
+}
+
+func (r *rig) offerAlone() {
+	d := r.dispatch("engine")
+	d.Alone = true
+	r.table.Offer(r.now, d, "home")
+	r.settle()
+}
+
+func (r *rig) news(call uint64, kind bbmsg.NewsKind) {
+	r.table.News(r.now, bbmsg.EndpointNews{Call: call, Kind: kind})
+	r.settle()
+}
+
+func (r *rig) tokens(call uint64, offset int, tokens ...string) {
+	r.table.News(r.now, bbmsg.EndpointNews{
+		Call:   call,
+		Kind:   bbmsg.NewsTokens,
+		Offset: offset,
+		Tokens: tokens,
+	})
+	r.settle()
+}
+
+func (r *rig) report(report bbmsg.LoadReport) {
+	report.Endpoint = "engine"
+	r.table.Report(r.now, report)
+	r.settle()
+}
+
+func (r *rig) wantCalls(want int) {
+	r.Helper()
+	if len(r.calls) != want {
+		r.Fatalf("%d calls were made, want %d; results %+v", len(r.calls), want, r.results)
+	}
+}
+
+func (r *rig) wantState(want bbmsg.EndpointState) {
+	r.Helper()
+	if got := r.table.Endpoints["engine"].State; got != want {
+		r.Fatalf("state = %s, want %s", got, want)
+	}
+}
+
+// wantEnds compares the kinds and reasons of all results.
+func (r *rig) wantEnds(want ...string) {
+	r.Helper()
+	var got []string
+	for _, result := range r.results {
+		got = append(got, string(result.Kind)+" "+string(result.Reason))
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		r.Fatalf("results (-want +got):\n%s", diff)
+	}
+}
+
+func TestColdEndpoint(t *testing.T) {
+	t.Run("nothing before the settling time", func(t *testing.T) {
+		r := newRig(t)
+		r.advance(testSettle - 2)
+		r.offer("plain", 1)
+		r.wantCalls(0)
+		r.wantEnds("refused coldWait")
+	})
+	t.Run("nothing while the calls of a former owner may run", func(t *testing.T) {
+		r := newRig(t)
+		r.advance(testSettle + testDeadline - 2)
+		r.offer("plain", 1)
+		r.wantCalls(0)
+	})
+	t.Run("earlier when a report accounts for them, with a slot left free", func(t *testing.T) {
+		r := newRig(t)
+		r.advance(testSettle)
+		r.report(bbmsg.LoadReport{Boot: 1, Cold: true})
+		r.offer("engine", 2)
+		r.wantCalls(1)
+		r.report(bbmsg.LoadReport{Boot: 1, Cold: true, Running: 2})
+		r.news(1, bbmsg.NewsDone)
+		r.wantCalls(1)
+	})
+	t.Run("earlier when the group has just started", func(t *testing.T) {
+		r := newRig(t)
+		r.table.NoFormer()
+		r.advance(testSettle)
+		r.offer("plain", 1)
+		r.wantCalls(1)
+	})
+	t.Run("nothing while unconfirmed, and what waits is refused", func(t *testing.T) {
+		r := settledRig(t)
+		r.offer("plain", 3)
+		r.wantCalls(2)
+		r.confirmed = false
+		r.settle()
+		r.news(1, bbmsg.NewsDone)
+		r.offer("plain", 1)
+		r.wantCalls(2)
+		r.wantEnds("refused unconfirmed", "done ", "refused unconfirmed")
+	})
+	t.Run("one send for each look", func(t *testing.T) {
+		r := settledRig(t)
+		r.table.Offer(r.now, r.dispatch("plain"), "home")
+		r.table.Offer(r.now, r.dispatch("plain"), "home")
+		r.tick()
+		r.wantCalls(1)
+		r.confirmed = false
+		r.tick()
+		r.wantCalls(1)
+	})
+	t.Run("never over its cold slots until it has warmed", func(t *testing.T) {
+		r := settledRig(t)
+		for done := range uint64(12) {
+			r.offer("plain", 3)
+			r.wantCalls(int(done) + 2)
+			r.news(done+1, bbmsg.NewsDone)
+		}
+		r.offer("plain", 4)
+		r.news(13, bbmsg.NewsDone)
+		r.wantCalls(12 + 4)
+	})
+}
+
+func TestColdTurn(t *testing.T) {
+	signs := []struct {
+		name string
+		sign func(r *rig)
+	}{
+		{"report", func(r *rig) { r.report(bbmsg.LoadReport{Boot: 1, Cold: true}) }},
+		{"boot", func(r *rig) { r.report(bbmsg.LoadReport{Boot: 2, Cold: true}) }},
+		{"boot that claims to be warm", func(r *rig) { r.report(bbmsg.LoadReport{Boot: 2, LagMillis: 100}) }},
+		{"rejected", func(r *rig) {
+			r.table.News(r.now, bbmsg.EndpointNews{Call: 1, Kind: bbmsg.NewsRejected, Cold: true})
+			r.settle()
+		}},
+		{"broken", func(r *rig) { r.news(1, bbmsg.NewsBroken) }},
+		{"unreachable", func(r *rig) { r.news(1, bbmsg.NewsUnsent) }},
+		{"waiting at the endpoint", func(r *rig) { r.report(bbmsg.LoadReport{Boot: 1, Waiting: 4}) }},
+		{"silent", func(r *rig) { r.advance(4 * time.Second) }},
+	}
+	for _, s := range signs {
+		t.Run(s.name, func(t *testing.T) {
+			r := warmRig(t)
+			r.offer("engine", 2)
+			r.wantState(bbmsg.StateWarm)
+			s.sign(r)
+			r.wantState(bbmsg.StateCold)
+			calls := len(r.calls)
+			r.offer("engine", 2)
+			r.wantCalls(calls)
+		})
+	}
+	t.Run("late first token", func(t *testing.T) {
+		r := warmRig(t)
+		for i := range uint64(8) {
+			r.offer("engine", 1)
+			r.advance(100 * time.Millisecond)
+			r.news(i+1, bbmsg.NewsDone)
+		}
+		r.offer("engine", 1)
+		r.advance(time.Second)
+		r.wantState(bbmsg.StateCold)
+		r.news(9, bbmsg.NewsDone)
+		r.offer("engine", 3)
+		r.wantCalls(10)
+		r.advance(100 * time.Millisecond)
+		r.news(10, bbmsg.NewsDone)
+		r.wantState(bbmsg.StateWarming)
+	})
+	t.Run("a report of before the turn doesn't open the window", func(t *testing.T) {
+		r := warmRig(t)
+		r.advance(time.Second)
+		r.offer("engine", 1)
+		r.news(1, bbmsg.NewsBroken)
+		r.advance(100 * time.Millisecond)
+		r.report(bbmsg.LoadReport{Boot: 1, LagMillis: 500})
+		r.wantState(bbmsg.StateCold)
+		r.advance(time.Second)
+		r.report(bbmsg.LoadReport{Boot: 1, LagMillis: 500})
+		r.wantState(bbmsg.StateWarming)
+	})
+	t.Run("a report of the former boot is ignored", func(t *testing.T) {
+		r := warmRig(t)
+		r.report(bbmsg.LoadReport{Boot: 2, Cold: true})
+		r.advance(time.Second)
+		r.report(bbmsg.LoadReport{Boot: 1})
+		r.wantState(bbmsg.StateCold)
+	})
+}
+
+func TestWarmEndpoint(t *testing.T) {
+	t.Run("half the window until settled", func(t *testing.T) {
+		r := newRig(t)
+		r.report(bbmsg.LoadReport{Boot: 1})
+		r.offer("engine", 4)
+		r.wantCalls(2)
+		r.advance(testSettle)
+		r.wantCalls(4)
+	})
+	t.Run("known from the former owner", func(t *testing.T) {
+		r := newRig(t)
+		r.table.Hint(r.now, bbmsg.EndpointDigest{Name: "engine", State: bbmsg.StateWarm, InFlight: 1})
+		r.offer("engine", 4)
+		r.wantCalls(1)
+	})
+	t.Run("from its cold slots when the report is old", func(t *testing.T) {
+		r := settledRig(t)
+		r.report(bbmsg.LoadReport{Boot: 1, LagMillis: 3000})
+		r.offer("engine", 4)
+		r.wantCalls(2)
+		r.news(1, bbmsg.NewsDone)
+		r.wantCalls(4)
+	})
+	t.Run("goes on without confirmation", func(t *testing.T) {
+		r := warmRig(t)
+		r.confirmed = false
+		r.offer("engine", 1)
+		r.wantCalls(1)
+	})
+	t.Run("a full queue refuses", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 4)
+		r.offer("engine", 3*4+1)
+		r.wantCalls(4)
+		r.wantEnds("refused overload")
+	})
+	t.Run("what would end too late is refused", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 1)
+		r.advance(time.Second)
+		r.news(1, bbmsg.NewsDone)
+		r.offer("engine", 4)
+		d := r.dispatch("engine")
+		d.BudgetMillis = 900
+		r.table.Offer(r.now, d, "home")
+		r.settle()
+		r.wantEnds("done ", "refused overload")
+	})
+}
+
+func TestOwnership(t *testing.T) {
+	t.Run("lost: nothing new, running ones finish", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 5)
+		r.own(false)
+		r.offer("engine", 1)
+		r.wantCalls(4)
+		r.news(1, bbmsg.NewsDone)
+		r.wantCalls(4)
+		r.wantEnds("refused moved", "refused moved", "done ")
+		if got := r.table.Digests(r.now)[0]; got.InFlight != 3 || got.Window != 0 {
+			t.Errorf("digest = %+v, want 3 in flight and no window", got)
+		}
+	})
+	t.Run("an owner that is behind catches up first", func(t *testing.T) {
+		r := warmRig(t)
+		d := r.dispatch("engine")
+		d.ListRevision = 6
+		r.table.Offer(r.now, d, "home")
+		r.settle()
+		r.wantCalls(0)
+		r.wantEnds("refused notReady")
+	})
+	t.Run("a leaving endpoint gets nothing new", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 5)
+		r.members(6, "engine")
+		r.offer("engine", 1)
+		r.news(1, bbmsg.NewsDone)
+		r.wantCalls(4)
+		r.wantEnds("refused noEndpoint", "refused noEndpoint", "done ")
+	})
+	t.Run("a domain that is out gets nothing new and comes back cold", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 5)
+		r.table.SetRules(r.now, rules(true))
+		r.settle()
+		r.offer("engine", 1)
+		r.news(1, bbmsg.NewsDone)
+		r.wantCalls(4)
+		r.wantEnds("refused noEndpoint", "refused noEndpoint", "done ")
+		r.table.SetRules(r.now, rules(false))
+		r.wantState(bbmsg.StateCold)
+	})
+}
+
+func TestOnce(t *testing.T) {
+	t.Run("a copy of a dispatch is dropped, also after its end", func(t *testing.T) {
+		r := warmRig(t)
+		d := r.dispatch("engine")
+		for range 2 {
+			r.table.Offer(r.now, d, "home")
+			r.settle()
+		}
+		r.news(1, bbmsg.NewsDone)
+		r.table.Offer(r.now, d, "home")
+		r.settle()
+		r.wantCalls(1)
+		r.wantEnds("done ")
+	})
+	t.Run("a copy of a refused dispatch is not sent later", func(t *testing.T) {
+		r := settledRig(t)
+		r.confirmed = false
+		r.tick()
+		d := r.dispatch("plain")
+		r.table.Offer(r.now, d, "home")
+		r.confirmed = true
+		r.tick()
+		r.table.Offer(r.now, d, "home")
+		r.settle()
+		r.wantCalls(0)
+	})
+	t.Run("a dispatch to an earlier process is dropped", func(t *testing.T) {
+		r := warmRig(t)
+		d := r.dispatch("engine")
+		d.OwnerIncarnation = testProcess - 1
+		r.table.Offer(r.now, d, "home")
+		r.settle()
+		r.wantCalls(0)
+		r.wantEnds()
+	})
+	t.Run("more than can be remembered ends as broken", func(t *testing.T) {
+		r := warmRig(t)
+		r.table.settings.RememberLimit = 2
+		r.offer("engine", 3)
+		r.wantCalls(2)
+		r.wantEnds("broken tableFull")
+	})
+}
+
+func TestCancel(t *testing.T) {
+	cancel := func(r *rig, d bbmsg.Dispatch, process uint64) (bool, bool) {
+		answer, ok := r.table.Cancel(r.now, bbmsg.Cancel{
+			Attempt:          d.Attempt,
+			Endpoint:         d.Endpoint,
+			OwnerIncarnation: process,
+		})
+		r.settle()
+		return answer.NeverSent, ok
+	}
+	check := func(t *testing.T, gotSent, gotOK, wantNever, wantOK bool) {
+		t.Helper()
+		if diff := cmp.Diff([]bool{wantNever, wantOK}, []bool{gotSent, gotOK}); diff != "" {
+			t.Errorf("never sent, answered (-want +got):\n%s", diff)
+		}
+	}
+	t.Run("queued", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 4)
+		d := r.dispatch("engine")
+		r.table.Offer(r.now, d, "home")
+		never, ok := cancel(r, d, testProcess)
+		check(t, never, ok, true, true)
+		r.news(1, bbmsg.NewsDone)
+		r.wantCalls(4)
+	})
+	t.Run("running, then its end counts", func(t *testing.T) {
+		r := warmRig(t)
+		d := r.dispatch("engine")
+		r.table.Offer(r.now, d, "home")
+		r.settle()
+		never, ok := cancel(r, d, testProcess)
+		check(t, never, ok, false, true)
+		never, ok = cancel(r, d, testProcess)
+		check(t, never, ok, false, true)
+		if diff := cmp.Diff([]uint64{1}, r.stops); diff != "" {
+			t.Errorf("stops (-want +got):\n%s", diff)
+		}
+		r.offer("engine", 4)
+		r.wantCalls(4)
+		r.news(1, bbmsg.NewsBroken)
+		r.wantCalls(5)
+	})
+	t.Run("not known: never sent later", func(t *testing.T) {
+		r := warmRig(t)
+		d := r.dispatch("engine")
+		never, ok := cancel(r, d, testProcess)
+		check(t, never, ok, true, true)
+		r.table.Offer(r.now, d, "home")
+		r.settle()
+		r.wantCalls(0)
+	})
+	t.Run("not known and no room to remember", func(t *testing.T) {
+		r := warmRig(t)
+		r.table.settings.RememberLimit = 0
+		never, ok := cancel(r, r.dispatch("engine"), testProcess)
+		check(t, never, ok, false, true)
+	})
+	t.Run("of another process", func(t *testing.T) {
+		r := warmRig(t)
+		never, ok := cancel(r, r.dispatch("engine"), testProcess-1)
+		check(t, never, ok, false, false)
+	})
+}
+
+func TestCalls(t *testing.T) {
+	t.Run("each token once and in order", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 1)
+		r.tokens(1, 0, "a", "b")
+		r.tokens(1, 1, "b", "c")
+		r.tokens(1, 0, "a")
+		r.tokens(1, 5, "f")
+		got := ""
+		for _, result := range r.results {
+			for i, token := range result.Tokens {
+				got += fmt.Sprint(result.Offset+i, token, " ")
+			}
+		}
+		if diff := cmp.Diff("0a 1b 2c ", got); diff != "" {
+			t.Errorf("tokens (-want +got):\n%s", diff)
+		}
+		last := r.results[len(r.results)-1]
+		if last.Kind != bbmsg.ResultBroken || last.Offset != 3 {
+			t.Errorf("last result = %+v, want broken at 3", last)
+		}
+	})
+	t.Run("a silent connection is given up, the endpoint is not blamed", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 2)
+		for offset := range 5 {
+			r.advance(time.Second)
+			r.tokens(2, offset, "t")
+		}
+		r.wantState(bbmsg.StateWarm)
+		token := "tokens "
+		r.wantEnds(token, token, token, "broken silent", token, token)
+	})
+	t.Run("an endpoint died when all its calls broke", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 2)
+		r.news(1, bbmsg.NewsBroken)
+		r.wantEnds()
+		r.news(2, bbmsg.NewsBroken)
+		r.wantEnds("broken endpointFailed", "broken endpointFailed")
+		for _, result := range r.results {
+			if !result.EndpointDied || result.Others != 1 {
+				t.Errorf("result = %+v, want died with one other", result)
+			}
+		}
+	})
+	t.Run("one broken connection beside a working one", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 2)
+		r.news(1, bbmsg.NewsBroken)
+		r.tokens(2, 0, "t")
+		if r.results[0].Kind != bbmsg.ResultBroken || r.results[0].EndpointDied {
+			t.Errorf("result = %+v, want broken and not died", r.results[0])
+		}
+	})
+	t.Run("alone on an empty endpoint", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 1)
+		r.offerAlone()
+		r.offer("engine", 1)
+		r.wantCalls(1)
+		r.news(1, bbmsg.NewsDone)
+		r.wantCalls(2)
+		r.news(2, bbmsg.NewsDone)
+		r.wantCalls(3)
+	})
+}
