--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -41,6 +41,7 @@
 	RulesStale           Number = 203
 	PlatformDown         Number = 204
 	PlatformUp           Number = 205
+	RulesConflict        Number = 206
 	ListAdopted          Number = 301
 	OwnershipGained      Number = 302
 	OwnershipLost        Number = 303
@@ -48,6 +49,8 @@
 	ConfirmationLost     Number = 305
 	PeerLost             Number = 306
 	PeerBack             Number = 307
+	ListRefused          Number = 308
+	ListConflict         Number = 309
 	RequestAccepted      Number = 401
 	RequestJoined        Number = 402
 	RequestForwarded     Number = 403
@@ -95,6 +98,7 @@
 	{Number: RulesStale, Title: "rulesStale", Severity: SeverityWarning, Text: "A source offered a revision older than the one in force; it was ignored."},
 	{Number: PlatformDown, Title: "platformDown", Severity: SeverityWarning, Text: "The configuration service does not answer; the node goes on with what it knows."},
 	{Number: PlatformUp, Title: "platformUp", Severity: SeverityInfo, Text: "The configuration service answers again."},
+	{Number: RulesConflict, Title: "rulesConflict", Severity: SeverityError, Text: "Two texts have one revision; the one with the higher digest is kept where it is valid. Publish a newer revision."},
 	{Number: ListAdopted, Title: "listAdopted", Severity: SeverityInfo, Text: "A newer membership list was adopted; confirmations start anew."},
 	{Number: OwnershipGained, Title: "ownershipGained", Severity: SeverityInfo, Text: "This node became the owner of an endpoint."},
 	{Number: OwnershipLost, Title: "ownershipLost", Severity: SeverityInfo, Text: "This node is no longer the owner of an endpoint and sends it nothing new."},
@@ -102,6 +106,8 @@
 	{Number: ConfirmationLost, Title: "confirmationLost", Severity: SeverityWarning, Text: "The confirmation lapsed; cold endpoints wait, warm ones go on."},
 	{Number: PeerLost, Title: "peerLost", Severity: SeverityWarning, Text: "A peer has not answered probes for the peer timeout."},
 	{Number: PeerBack, Title: "peerBack", Severity: SeverityInfo, Text: "A lost peer answers probes again."},
+	{Number: ListRefused, Title: "listRefused", Severity: SeverityError, Text: "A membership list is malformed and is refused whole; the one before stays in use."},
+	{Number: ListConflict, Title: "listConflict", Severity: SeverityError, Text: "Two membership lists have one revision; the one adopted first is kept. The platform must publish a newer one."},
 	{Number: RequestAccepted, Title: "requestAccepted", Severity: SeverityInfo, Text: "The home recorded a new request."},
 	{Number: RequestJoined, Title: "requestJoined", Severity: SeverityInfo, Text: "A repeat of a known request joined it or got its stored answer."},
 	{Number: RequestForwarded, Title: "requestForwarded", Severity: SeverityInfo, Text: "A request was passed on to its home."},
--- a/core/bbrule/parse.go
+++ b/core/bbrule/parse.go
@@ -236,7 +236,7 @@
 
 // referIfGiven is refer for a key that stands in the line.
 func (p *parser) referIfGiven(l *line, key string, w word, kind string, check int) {
-	if _, ok := l.values[key]; ok {
+	if _, ok := l.given(key); ok {
 		p.refer(l, w, kind, check)
 	}
 }
@@ -295,7 +295,7 @@
 
 // sets tells whether the line sets a key, and reports a setting that stands already.
 func (p *parser) sets(l *line, key string) bool {
-	w, ok := l.values[key]
+	w, ok := l.given(key)
 	if !ok {
 		return false
 	}
--- a/core/bbrule/pipeline.go
+++ b/core/bbrule/pipeline.go
@@ -28,7 +28,7 @@
 
 // stages reads the list of stages. Stages that can't be read are left out of the places.
 func (p *parser) stages(l *line) ([]Stage, []stagePlace) {
-	list, given := l.values["stages"]
+	list, given := l.given("stages")
 	if !given {
 		return nil, nil
 	}
--- a/core/bbrule/resolve.go
+++ b/core/bbrule/resolve.go
@@ -46,10 +46,11 @@
 			p.find(l.number, l.subject.column, CheckUnknownService, "service %s is no plain service and has no calls", service)
 		}
 	case "endpoint":
-		model, given := l.values["model"]
-		kind, ok := kinds[l.values["service"].text]
+		model, given := l.given("model")
+		service, _ := l.given("service")
+		kind, ok := kinds[service.text]
 		if given && ok && kind != KindEngine {
-			p.find(l.number, model.column, CheckModelMisplaced, "service %s is no engine and has no model", l.values["service"].text)
+			p.find(l.number, model.column, CheckModelMisplaced, "service %s is no engine and has no model", service.text)
 		}
 	}
 }
--- a/core/bbrule/scan.go
+++ b/core/bbrule/scan.go
@@ -40,12 +40,28 @@
 	subject word
 	// choice is one of the kind's choices, if it has any.
 	choice string
-	// values holds the values by key; only keys of the kind are in it.
-	values map[string]word
+	// values holds the keys given, each once and only keys of the kind.
+	values []keyValue
 	// askedBy is the comment without the number sign and outer spaces.
 	askedBy string
 }
 
+// keyValue is a key of a line with its value.
+type keyValue struct {
+	key   string
+	value word
+}
+
+// given returns the value of a key, and false when the line doesn't have it.
+func (l *line) given(key string) (word, bool) {
+	for _, v := range l.values {
+		if v.key == key {
+			return v.value, true
+		}
+	}
+	return word{}, false
+}
+
 // scan splits the text into lines and the lines into words. Lines that can't be
 // taken apart have findings and are left out.
 func (p *parser) scan(text string) []line {
@@ -74,7 +90,6 @@
 		number:  number,
 		kind:    LookupKind(words[0].text),
 		start:   words[0],
-		values:  map[string]word{},
 		askedBy: strings.TrimSpace(comment),
 	}
 	if !hasComment || l.askedBy == "" {
@@ -157,14 +172,17 @@
 		p.find(l.number, w.column, CheckUnknownKey, "%s has no key %q", l.kind.Name, key)
 		return
 	}
-	if _, ok := l.values[key]; ok {
+	if _, ok := l.given(key); ok {
 		p.find(l.number, w.column, CheckRepeatedKey, "key %q stands twice", key)
 		return
 	}
-	l.values[key] = word{
-		column: w.column + len(key) + 1,
-		text:   value,
-	}
+	l.values = append(l.values, keyValue{
+		key: key,
+		value: word{
+			column: w.column + len(key) + 1,
+			text:   value,
+		},
+	})
 }
 
 // scanChoice takes in the word that the kind asks for.
@@ -198,7 +216,7 @@
 // checkKeys reports required keys that are missing.
 func (p *parser) checkKeys(l *line) {
 	for _, k := range l.kind.Keys {
-		if _, ok := l.values[k.Name]; !ok && k.Required {
+		if _, ok := l.given(k.Name); !ok && k.Required {
 			p.find(l.number, l.start.column, CheckMissingKey, "%s needs %s=, %s", l.kind.Name, k.Name, k.Form)
 		}
 	}
--- a/core/bbrule/value.go
+++ b/core/bbrule/value.go
@@ -35,7 +35,7 @@
 
 // value returns the value of a key or its default, and false when it has neither.
 func (l *line) value(key string) (word, bool) {
-	if w, ok := l.values[key]; ok {
+	if w, ok := l.given(key); ok {
 		return w, true
 	}
 	w := word{
@@ -60,7 +60,7 @@
 
 // name returns the value of a key that holds a name, without text if it is left out.
 func (p *parser) name(l *line, key string) word {
-	w, given := l.values[key]
+	w, given := l.given(key)
 	if given && !isName(w.text) {
 		p.find(l.number, w.column, CheckName, "%s=%q is not a name", key, w.text)
 	}
@@ -148,7 +148,7 @@
 // address returns the value of a key that holds an IP number and port in its
 // usual form, and false for anything else.
 func (p *parser) address(l *line, key string) (word, bool) {
-	w, given := l.values[key]
+	w, given := l.given(key)
 	if !given {
 		return w, false
 	}
