Choice of the endpoint for a stage

The home chooses from digests that are old by a heartbeat. Sessions go to the winner of their rendezvous hash while it has room, other requests to the better of two random choices by free slots; failure domain first, then region, then another region if its delay and the price of its bytes cost less than the wait.

Now a session moves on while any endpoint has room to spare; the bound holds only when none has.

--- /dev/null
+++ b/core/bbroute/choose.go
@@ -0,0 +1,349 @@
+package bbroute
+
+import (
+	"bluebellhall/core/bbhash"
+	"bluebellhall/core/bbmsg"
+)
+
+// Router chooses endpoints. It is not safe for concurrent use.
+type Router struct {
+	// Settings holds the costs in force.
+	Settings Settings
+	// Random returns uniformly distributed numbers.
+	Random func() uint64
+	// assessments is memory for one choice, kept to save allocations.
+	assessments []assessment
+}
+
+// Why tells what decided a choice.
+type Why uint8
+
+// The causes of a choice.
+const (
+	// WhyNone means that no endpoint may be chosen.
+	WhyNone Why = iota
+	WhySession
+	WhySessionSpill
+	WhyColdTrial
+	WhyDomain
+	WhyRegion
+	WhyOtherRegion
+	WhySaturated
+	WhyAllCold
+	WhyAlone
+	whys
+)
+
+// String returns a short text for people.
+func (w Why) String() string {
+	texts := [whys]string{
+		WhyNone:         "no endpoint may take it",
+		WhySession:      "the session's own endpoint",
+		WhySessionSpill: "the session's own endpoint is busy or gone; next in its order",
+		WhyColdTrial:    "the session's own endpoint is cold and gets a few requests to warm up",
+		WhyDomain:       "better of two with room in the failure domain",
+		WhyRegion:       "better of two with room in the region",
+		WhyOtherRegion:  "the region is full; another region costs less than the wait",
+		WhySaturated:    "no room to spare anywhere near; shortest expected delay",
+		WhyAllCold:      "all endpoints near are cold",
+		WhyAlone:        "idle endpoint for a request that has to run alone",
+	}
+	return texts[w]
+}
+
+// Choice is the endpoint chosen and why.
+type Choice struct {
+	// Index is into the candidates, -1 without an endpoint.
+	Index int
+	Why   Why
+	// Reason is why there is no endpoint, for the refusal.
+	Reason bbmsg.Reason
+}
+
+// pool selects candidates to draw from.
+type pool uint8
+
+const (
+	// poolDomain, poolRegion and poolOther have endpoints with room to spare in the
+	// home's failure domain, in its region and in other regions.
+	poolDomain pool = iota
+	poolRegion
+	poolOther
+	// poolNear has all eligible endpoints of the region, poolAny those of all regions.
+	poolNear
+	poolAny
+)
+
+// has tells whether a candidate belongs to the pool.
+func (p pool) has(a *assessment) bool {
+	if !a.eligible() {
+		return false
+	}
+	switch p {
+	case poolDomain:
+		return a.nearness == 2 && a.roomy()
+	case poolRegion:
+		return a.nearness >= 1 && a.roomy()
+	case poolOther:
+		return a.nearness == 0 && a.roomy()
+	case poolNear:
+		return a.nearness >= 1
+	default:
+		return true
+	}
+}
+
+// slots returns how many slots a member of the pool offers: the free ones where
+// there is room to spare, else all.
+func (p pool) slots(a *assessment) int {
+	if p <= poolOther {
+		return a.window - a.load
+	}
+	return a.window
+}
+
+// Choose returns the endpoint for a stage.
+func (r *Router) Choose(q *Query, candidates []Candidate) Choice {
+	r.assessments = r.assessments[:0]
+	for i := range candidates {
+		r.assessments = append(r.assessments, r.assess(q, &candidates[i]))
+	}
+	choice := r.choose(q, candidates)
+	if choice.Index < 0 {
+		choice.Reason = r.refusal()
+	}
+	return choice
+}
+
+func (r *Router) choose(q *Query, candidates []Candidate) Choice {
+	if q.Alone {
+		return r.chooseAlone()
+	}
+	if q.Session != 0 {
+		if choice := r.chooseSession(q, candidates); choice.Index >= 0 {
+			return choice
+		}
+	}
+	if r.hasWarm(poolDomain) {
+		return Choice{Index: r.betterOfTwo(poolDomain), Why: WhyDomain}
+	}
+	if r.hasWarm(poolRegion) {
+		return Choice{Index: r.betterOfTwo(poolRegion), Why: WhyRegion}
+	}
+	near := r.betterOfTwo(poolNear)
+	if near < 0 {
+		return r.chooseFar()
+	}
+	why := WhySaturated
+	if !r.hasWarm(poolNear) {
+		why = WhyAllCold
+	}
+	return r.orOtherRegion(Choice{Index: near, Why: why})
+}
+
+// chooseFar chooses among all regions when the home's own has no endpoint.
+func (r *Router) chooseFar() Choice {
+	if r.hasWarm(poolOther) {
+		return Choice{Index: r.betterOfTwo(poolOther), Why: WhyOtherRegion}
+	}
+	far := r.betterOfTwo(poolAny)
+	if far < 0 {
+		return Choice{Index: -1}
+	}
+	return Choice{Index: far, Why: WhySaturated}
+}
+
+// orOtherRegion replaces a choice in a region without room when an endpoint of
+// another region has room and a lower score.
+func (r *Router) orOtherRegion(near Choice) Choice {
+	if !r.hasWarm(poolOther) {
+		return near
+	}
+	other := r.betterOfTwo(poolOther)
+	if r.assessments[other].scoreMillis < r.assessments[near.Index].scoreMillis {
+		return Choice{Index: other, Why: WhyOtherRegion}
+	}
+	return near
+}
+
+// chooseAlone returns the idle endpoint whose loss would cost least: a cold one if
+// there is one, then the nearest.
+func (r *Router) chooseAlone() Choice {
+	best := -1
+	for i := range r.assessments {
+		a := &r.assessments[i]
+		if !a.eligible() {
+			continue
+		}
+		if best < 0 || r.cheaperLoss(a, &r.assessments[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Choice{Index: -1}
+	}
+	return Choice{Index: best, Why: WhyAlone}
+}
+
+func (r *Router) cheaperLoss(a, b *assessment) bool {
+	if a.verdict != b.verdict {
+		return a.verdict == VerdictCold
+	}
+	return a.scoreMillis < b.scoreMillis
+}
+
+// chooseSession returns the first endpoint of the region, in the session's rendezvous
+// order, that has room to spare, or when none has, whose load is within the bound.
+func (r *Router) chooseSession(q *Query, candidates []Candidate) Choice {
+	base := VerdictWarm
+	if !r.hasWarm(poolNear) {
+		base = VerdictCold
+	}
+	load, window := r.totals(base)
+	if window == 0 {
+		return Choice{Index: -1}
+	}
+	var first, spare, bounded leader
+	for i := range r.assessments {
+		a := &r.assessments[i]
+		if !poolNear.has(a) {
+			continue
+		}
+		score := bbhash.Score(candidates[i].Hash, q.Session)
+		first.offer(i, score)
+		if a.verdict == base && a.roomy() {
+			spare.offer(i, score)
+		}
+		if a.verdict == base && withinBound(a, load, window) {
+			bounded.offer(i, score)
+		}
+	}
+	top := &r.assessments[first.index]
+	if top.verdict != base && top.roomy() && r.Random()%coldShare == 0 {
+		return Choice{Index: first.index, Why: WhyColdTrial}
+	}
+	best := bounded
+	if spare.set {
+		best = spare
+	}
+	choice := Choice{Index: best.index, Why: WhySession}
+	if best.index != first.index {
+		choice.Why = WhySessionSpill
+	}
+	if a := &r.assessments[best.index]; a.load >= a.window {
+		return r.orOtherRegion(choice)
+	}
+	return choice
+}
+
+// leader is the candidate with the highest rendezvous score so far.
+type leader struct {
+	index int
+	score uint64
+	// set is false before the first offer.
+	set bool
+}
+
+func (l *leader) offer(index int, score uint64) {
+	if !l.set || score > l.score {
+		*l = leader{
+			index: index,
+			score: score,
+			set:   true,
+		}
+	}
+}
+
+// totals returns load and window of the region's endpoints with a verdict together.
+func (r *Router) totals(v Verdict) (load, window int) {
+	for i := range r.assessments {
+		a := &r.assessments[i]
+		if a.verdict == v && poolNear.has(a) {
+			load += a.load
+			window += a.window
+		}
+	}
+	return load, window
+}
+
+// withinBound tells whether the load of an endpoint by its window is near the mean
+// with one more request. Of the endpoints that load and window were added up over, at
+// least one is.
+func withinBound(a *assessment, load, window int) bool {
+	return a.load*window*boundDenominator < boundNumerator*(load+1)*a.window
+}
+
+// hasWarm tells whether a pool has a warm endpoint. A pool with cold ones only is not
+// used before pools further away, because it would give them all the work.
+func (r *Router) hasWarm(p pool) bool {
+	for i := range r.assessments {
+		a := &r.assessments[i]
+		if a.verdict == VerdictWarm && p.has(a) {
+			return true
+		}
+	}
+	return false
+}
+
+// betterOfTwo draws two members of a pool by weight and returns the one with the
+// lower score, or -1 for an empty pool.
+func (r *Router) betterOfTwo(p pool) int {
+	total := r.totalWeight(p)
+	if total == 0 {
+		return -1
+	}
+	first := r.draw(p, total, -1)
+	a := &r.assessments[first]
+	rest := total - a.weight(p.slots(a))
+	if rest == 0 {
+		return first
+	}
+	second := r.draw(p, rest, first)
+	if r.assessments[second].scoreMillis < a.scoreMillis {
+		return second
+	}
+	return first
+}
+
+func (r *Router) totalWeight(p pool) int {
+	total := 0
+	for i := range r.assessments {
+		if a := &r.assessments[i]; p.has(a) {
+			total += a.weight(p.slots(a))
+		}
+	}
+	return total
+}
+
+// draw returns a member of the pool other than skip, with a chance by weight. The
+// weights of all but skip add up to total.
+func (r *Router) draw(p pool, total, skip int) int {
+	left := int(r.Random() % uint64(total))
+	for i := range r.assessments {
+		a := &r.assessments[i]
+		if i == skip || !p.has(a) {
+			continue
+		}
+		left -= a.weight(p.slots(a))
+		if left < 0 {
+			return i
+		}
+	}
+	return skip
+}
+
+// refusal returns the reason to give when no endpoint may be chosen.
+func (r *Router) refusal() bbmsg.Reason {
+	var counts [verdicts]int
+	for i := range r.assessments {
+		counts[r.assessments[i].verdict]++
+	}
+	switch {
+	case counts[VerdictClosed]+counts[VerdictNotIdle] > 0:
+		return bbmsg.ReasonColdWait
+	case counts[VerdictOwnerLost]+counts[VerdictUnheard] > 0:
+		return bbmsg.ReasonOwnerGone
+	default:
+		return bbmsg.ReasonNoEndpoint
+	}
+}
