--- a/core/bbowner/offer.go
+++ b/core/bbowner/offer.go
@@ -1,11 +1,11 @@
 package bbowner
 
 import (
-	"slices"
 	"time"
 
+	"bluebellhall/core/bbattempt"
+	"bluebellhall/core/bbbacklog"
 	"bluebellhall/core/bbevent"
-	"bluebellhall/core/bbfair"
 	"bluebellhall/core/bbmsg"
 )
 
@@ -14,8 +14,6 @@
 	behindRetry = 50 * time.Millisecond
 	// coldRetry is when to come back to a cold endpoint that may not be used yet.
 	coldRetry = 250 * time.Millisecond
-	// unitCost is the cost of an attempt in the fair queue.
-	unitCost = 1
 )
 
 // Offer takes in an attempt from a home. A copy of a known attempt is dropped. The
@@ -24,12 +22,12 @@
 	if d.OwnerIncarnation != 0 && d.OwnerIncarnation != t.settings.Incarnation {
 		return
 	}
-	t.ended.expire(now)
-	key := attemptKey(d.Attempt)
-	if _, known := t.ended.entries[key]; known || t.active[key] != nil {
+	t.ended.Expire(now)
+	key := bbattempt.Key(d.Attempt)
+	if _, known := t.ended.Find(key); known || t.active[key] != nil {
 		return
 	}
-	w := &Work{
+	w := &bbbacklog.Work{
 		Key:      key,
 		Dispatch: d,
 		Queued:   now,
@@ -37,7 +35,7 @@
 		Next:     d.FromOffset,
 	}
 	w.Dispatch.Home = from
-	if len(t.ended.entries)+len(t.active) >= t.settings.RememberLimit {
+	if t.ended.Len()+len(t.active) >= t.settings.RememberLimit {
 		t.result(now, w, bbmsg.Result{Kind: bbmsg.ResultBroken, Reason: bbmsg.ReasonTableFull})
 		t.outputs = append(t.outputs, bbmsg.Output{Event: &bbevent.Event{
 			Number: bbevent.TableFull,
@@ -59,7 +57,7 @@
 // splits (elastickv PR 945): a sender that is ahead waits until the owner has caught
 // up, and one that is behind learns the owner's revision. When both are behind, the
 // confirmation protects cold endpoints.
-func (t *Table) whyNot(now time.Duration, e *Endpoint, w *Work) (bbmsg.Reason, time.Duration) {
+func (t *Table) whyNot(now time.Duration, e *Endpoint, w *bbbacklog.Work) (bbmsg.Reason, time.Duration) {
 	switch {
 	case w.Dispatch.ListRevision > t.revision:
 		return bbmsg.ReasonNotReady, behindRetry
@@ -75,18 +73,15 @@
 		return bbmsg.ReasonEndpointFailed, e.RetryAt - now
 	}
 	limit := t.limit(now, e)
-	if limit == 0 && e.cold() {
+	if limit == 0 && e.Cold() {
 		return t.whyCold(now, e)
 	}
-	if e.cold() && e.waiting() >= queuePerSlot*limit {
+	if e.Cold() && e.QueueFull(limit) {
 		return bbmsg.ReasonColdWait, max(e.wait(limit), coldRetry)
 	}
 	if wait := e.wait(limit); now+wait+e.ServiceTime > w.Deadline {
 		return bbmsg.ReasonOverload, wait
 	}
-	if w.Dispatch.Alone && len(e.Alone) >= aloneLimit {
-		return bbmsg.ReasonOverload, alonePause
-	}
 	return bbmsg.ReasonNone, 0
 }
 
@@ -101,30 +96,17 @@
 	return bbmsg.ReasonColdWait, coldRetry
 }
 
-func (t *Table) enqueue(now time.Duration, e *Endpoint, w *Work) {
+func (t *Table) enqueue(now time.Duration, e *Endpoint, w *bbbacklog.Work) {
 	t.lastCall++
 	w.Number = t.lastCall
 	e.dirty = true
-	if w.Dispatch.Alone {
-		e.Alone = append(e.Alone, w)
-		t.active[w.Key] = w
-		t.calls[w.Number] = w
-		return
-	}
-	evicted, ok := e.queue.Push(now, bbfair.Item{
-		Key:      w.Number,
-		Account:  w.Dispatch.Account,
-		Priority: w.Dispatch.Priority,
-		Weight:   w.Dispatch.Weight,
-		Cost:     unitCost,
-		Deadline: w.Deadline - min(e.ServiceTime, (w.Deadline-now)/2),
-	})
-	for _, item := range evicted {
-		t.refuse(now, t.calls[item.Key], bbmsg.ReasonFairShare, e.wait(t.limit(now, e)))
+	evicted, ok := e.Push(now, w, w.Deadline-min(e.ServiceTime, (w.Deadline-now)/2))
+	for _, v := range evicted {
+		t.refuse(now, v, bbmsg.ReasonFairShare, e.wait(t.limit(now, e)))
 	}
 	if !ok {
 		t.event(e, bbevent.QueueFull, w, "")
-		t.refuse(now, w, bbmsg.ReasonOverload, e.wait(t.limit(now, e)))
+		t.refuse(now, w, bbmsg.ReasonOverload, max(e.wait(t.limit(now, e)), coldRetry))
 		return
 	}
 	t.active[w.Key] = w
@@ -140,52 +122,47 @@
 	if c.OwnerIncarnation != 0 && c.OwnerIncarnation != t.settings.Incarnation {
 		return answer, false
 	}
-	t.ended.expire(now)
-	key := attemptKey(c.Attempt)
+	t.ended.Expire(now)
+	key := bbattempt.Key(c.Attempt)
 	if w := t.active[key]; w != nil {
-		answer.NeverSent = w.State == WorkQueued
+		answer.NeverSent = w.State == bbbacklog.Queued
 		t.cancel(now, w)
 		return answer, true
 	}
-	if known, found := t.ended.entries[key]; found {
-		answer.NeverSent = known.neverSent
+	if neverSent, known := t.ended.Find(key); known {
+		answer.NeverSent = neverSent
 		return answer, true
 	}
-	if len(t.ended.entries)+len(t.active) < t.settings.RememberLimit {
+	if t.ended.Len()+len(t.active) < t.settings.RememberLimit {
 		answer.NeverSent = c.OwnerIncarnation != 0
-		t.ended.add(now, key, answer.NeverSent)
+		t.ended.Add(now, key, answer.NeverSent)
 	}
 	return answer, true
 }
 
-func (t *Table) cancel(now time.Duration, w *Work) {
+func (t *Table) cancel(now time.Duration, w *bbbacklog.Work) {
 	e := t.Endpoints[w.Dispatch.Endpoint]
 	switch w.State {
-	case WorkQueued:
-		t.unqueue(e, w)
+	case bbbacklog.Queued:
+		e.Remove(w)
 		t.drop(now, w, true)
-	case WorkRunning:
+	case bbbacklog.Running:
 		t.stop(now, e, w)
-	case WorkBroken:
-		e.Broken = slices.DeleteFunc(e.Broken, func(b *Work) bool { return b == w })
+	case bbbacklog.Broken:
+		e.Finish(now, w)
 		t.drop(now, w, false)
 	}
 }
 
-func (t *Table) unqueue(e *Endpoint, w *Work) {
-	e.queue.Remove(w.Number)
-	e.Alone = slices.DeleteFunc(e.Alone, func(a *Work) bool { return a == w })
-}
-
 // drop ends an attempt without a result.
-func (t *Table) drop(now time.Duration, w *Work, neverSent bool) {
+func (t *Table) drop(now time.Duration, w *bbbacklog.Work, neverSent bool) {
 	delete(t.active, w.Key)
 	delete(t.calls, w.Number)
-	t.ended.add(now, w.Key, neverSent)
+	t.ended.Add(now, w.Key, neverSent)
 }
 
 // refuse ends an attempt that was not sent.
-func (t *Table) refuse(now time.Duration, w *Work, reason bbmsg.Reason, retry time.Duration) {
+func (t *Table) refuse(now time.Duration, w *bbbacklog.Work, reason bbmsg.Reason, retry time.Duration) {
 	t.drop(now, w, true)
 	t.result(now, w, bbmsg.Result{
 		Kind:             bbmsg.ResultRefused,
@@ -197,20 +174,13 @@
 
 // refuseQueued refuses all attempts that wait at an endpoint.
 func (t *Table) refuseQueued(now time.Duration, e *Endpoint, reason bbmsg.Reason) {
-	for _, item := range e.queue.Expire(now) {
-		t.refuse(now, t.calls[item.Key], bbmsg.ReasonDeadline, 0)
-	}
-	for item, ok := e.queue.Pop(now); ok; item, ok = e.queue.Pop(now) {
-		t.refuse(now, t.calls[item.Key], reason, 0)
-	}
-	for _, w := range e.Alone {
+	for _, w := range e.Clear(now) {
 		t.refuse(now, w, reason, 0)
 	}
-	e.Alone = nil
 }
 
 // result sends a result to the home of an attempt. The last one has a digest.
-func (t *Table) result(now time.Duration, w *Work, r bbmsg.Result) {
+func (t *Table) result(now time.Duration, w *bbbacklog.Work, r bbmsg.Result) {
 	r.Attempt = w.Dispatch.Attempt
 	r.ListRevision = t.revision
 	if e := t.Endpoints[w.Dispatch.Endpoint]; e != nil && e.Owned && r.Kind != bbmsg.ResultTokens {
--- a/core/bbowner/table.go
+++ b/core/bbowner/table.go
@@ -12,20 +12,15 @@
 	"slices"
 	"time"
 
+	"bluebellhall/core/bbattempt"
+	"bluebellhall/core/bbbacklog"
 	"bluebellhall/core/bbevent"
-	"bluebellhall/core/bbfair"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbrule"
+	"bluebellhall/core/bbwindow"
 )
 
 const (
-	// queuePerSlot is how many requests may wait per slot of an endpoint, besides those
-	// that arrive together and find the slots free.
-	queuePerSlot = 2
-	// aloneLimit bounds the attempts that wait to run alone on an endpoint.
-	aloneLimit = 2
-	// alonePause is the time between two attempts that run alone on an endpoint.
-	alonePause = time.Second
 	// stopLinger is how long a stopped call counts when no news of its end comes.
 	stopLinger = time.Second
 	// lostKeep is how long the digest of an endpoint that was lost is still told.
@@ -66,111 +61,32 @@
 
 // Endpoint is an endpoint as its owner sees it.
 type Endpoint struct {
-	// Rule is the endpoint's rule, Kind and Reports are those of its service.
-	Rule    bbrule.Endpoint
-	Kind    bbrule.ServiceKind
-	Reports bool
-	// Owned is true while this node owns it, since OwnedSince.
-	Owned      bool
-	OwnedSince time.Duration
-	// Lost is when it was lost.
-	Lost time.Duration
+	// Rule is the endpoint's rule and Kind that of its service.
+	Rule bbrule.Endpoint
+	Kind bbrule.ServiceKind
+	// Owned is true while this node owns it, and Lost is when it was lost.
+	Owned bool
+	Lost  time.Duration
 	// Removed, Out and Leaving tell that the rules lack it, that its failure domain
 	// was taken out, and that the list has it as leaving or not at all.
 	Removed bool
 	Out     bool
 	Leaving bool
-	// State is unknown, cold, warming or warm; Digests tells of leaving and out.
-	State bbmsg.EndpointState
-	// Window is how many requests it may have while warming or warm, at most WarmSlots.
-	Window int
-	// Probing is true while a cold endpoint gets one request only.
-	Probing bool
-	// Suspected is true when the cold turn was concluded from slowness alone.
-	Suspected bool
-	// ColdSince is when the latest sign of a cold turn was seen.
-	ColdSince time.Duration
-	// Completions counts the requests that were sent after ColdSince and completed.
-	Completions int
-	// Boot is the newest boot number reported, 0 if none; FormerBoot the one before.
-	Boot       uint64
-	FormerBoot uint64
-	// Model is the loaded model as reported.
-	Model string
-	// Running holds the calls that count as in flight, in the order of sending.
-	Running []*Work
-	// Broken holds calls that broke and whose result waits for the fate of others.
-	Broken []*Work
-	// Alone holds attempts that wait for the endpoint to be empty, at most aloneLimit.
-	Alone []*Work
-	// SettledAt is when a new owner may use it cold; CarryUntil when all calls of a
-	// former owner have ended.
-	SettledAt  time.Duration
-	CarryUntil time.Duration
-	// Foreign is the number of calls of a former owner; Known is true when it was
-	// learned from after SettledAt. Both matter until CarryUntil.
-	Foreign int
-	Known   bool
-	// RetryAt is when it may be tried again after it could not be reached.
-	RetryAt  time.Duration
-	failures int
-	// FirstTime is the moving average of the time to the first token (engines) or to
-	// the answer, and ServiceTime that of the whole call; Samples counts them.
-	FirstTime   time.Duration
-	ServiceTime time.Duration
-	Samples     int
+	// Window is the state of the endpoint; Digests tells of leaving and out besides.
+	bbwindow.Window
+	// Backlog holds its attempts.
+	bbbacklog.Backlog
 
-	queue *bbfair.Queue
-	// aloneUntil is when the next attempt may run alone.
-	aloneUntil time.Duration
-	nextPoll   time.Duration
+	nextPoll time.Duration
 	// due is when Tick must look at it again; dirty asks for a look at once.
 	due   time.Duration
 	dirty bool
 }
 
-// WorkState tells where an attempt stands.
-type WorkState int
-
-// The states of an attempt.
-const (
-	// WorkQueued has not been sent.
-	WorkQueued WorkState = iota
-	// WorkRunning has been sent and counts as in flight.
-	WorkRunning
-	// WorkStopped was stopped by the owner; its result has been given.
-	WorkStopped
-	// WorkBroken broke and waits for its result to be given.
-	WorkBroken
-)
-
-// Work is one attempt at its owner.
-type Work struct {
-	// Number is the number of the call, unique in the process.
-	Number uint64
-	// Key identifies the attempt.
-	Key      uint64
-	Dispatch bbmsg.Dispatch
-	State    WorkState
-	// Queued, Sent and Progress are when it came, was sent and last showed a token.
-	Queued   time.Duration
-	Sent     time.Duration
-	Progress time.Duration
-	// Deadline is when its budget ends.
-	Deadline time.Duration
-	// Linger is when a stopped call no longer counts.
-	Linger time.Duration
-	// Started is true once a token has come.
-	Started bool
-	// Next is the offset of the next token to pass on.
-	Next int
-	// Others is how many other calls ran when it broke.
-	Others int
-}
-
 // Table holds the endpoints of one owner. It is not safe for concurrent use.
 type Table struct {
 	settings Settings
+	windows  bbwindow.Settings
 	// Endpoints holds all endpoints of the rules by name. Others only read it.
 	Endpoints map[string]*Endpoint
 	// order holds the names of Endpoints, sorted; busy has those that are owned, have
@@ -178,9 +94,9 @@
 	order []string
 	busy  []*Endpoint
 	// active holds the attempts that have not ended by key, calls by number.
-	active map[uint64]*Work
-	calls  map[uint64]*Work
-	ended  *memory
+	active map[uint64]*bbbacklog.Work
+	calls  map[uint64]*bbbacklog.Work
+	ended  *bbattempt.Memory
 	// lastCall is the number of the last call.
 	lastCall uint64
 	// revision is that of the member list.
@@ -204,11 +120,16 @@
 	setDefault(&s.RememberLimit, 65536)
 	setDefault(&s.WarmCompletions, 12)
 	return &Table{
-		settings:  settings,
+		settings: settings,
+		windows: bbwindow.Settings{
+			SettleTime:      settings.SettleTime,
+			FreshReport:     settings.FreshReport,
+			WarmCompletions: settings.WarmCompletions,
+		},
 		Endpoints: map[string]*Endpoint{},
-		active:    map[uint64]*Work{},
-		calls:     map[uint64]*Work{},
-		ended:     newMemory(settings.RememberTime),
+		active:    map[uint64]*bbbacklog.Work{},
+		calls:     map[uint64]*bbbacklog.Work{},
+		ended:     bbattempt.NewMemory(settings.RememberTime),
 	}
 }
 
@@ -272,35 +193,32 @@
 func (t *Table) setRule(now time.Duration, rule bbrule.Endpoint, s bbrule.Service, out bool) {
 	e := t.Endpoints[rule.Name]
 	if e == nil {
-		e = &Endpoint{
-			State: bbmsg.StateUnknown,
-			queue: bbfair.New((queuePerSlot + 1) * rule.WarmSlots),
-		}
+		e = t.newEndpoint(rule)
 		t.Endpoints[rule.Name] = e
 	}
 	moved := e.Rule.Address != "" && e.Rule.Address != rule.Address
 	if moved || e.Out && !out || e.Removed {
-		t.forget(now, e)
-		t.setState(e, bbmsg.StateCold, "")
+		e.Restart(now)
 	}
 	e.Rule = rule
 	e.Kind = s.Kind
 	e.Reports = s.ReportsLoad || s.Kind == bbrule.KindEngine
 	e.Removed = false
 	e.Out = out
-	e.Window = min(e.Window, rule.WarmSlots)
+	e.WarmSlots = rule.WarmSlots
+	e.ColdSlots = rule.ColdSlots
+	e.Size = min(e.Size, rule.WarmSlots)
 	e.dirty = true
 }
 
-// forget makes an endpoint unknown.
-func (t *Table) forget(now time.Duration, e *Endpoint) {
+func (t *Table) newEndpoint(rule bbrule.Endpoint) *Endpoint {
+	e := &Endpoint{Backlog: bbbacklog.New(rule.WarmSlots)}
 	e.State = bbmsg.StateUnknown
-	e.ColdSince = now
-	e.Probing = false
-	e.Completions = 0
-	e.Boot = 0
-	e.Samples = 0
-	e.Known = false
+	e.Tell = func(number bbevent.Number, detail string) {
+		e.dirty = true
+		t.event(e, number, nil, detail)
+	}
+	return e
 }
 
 // SetMembers takes in a member list: its revision and which endpoints are leaving.
@@ -361,12 +279,7 @@
 }
 
 func (t *Table) gain(now time.Duration, e *Endpoint) {
-	t.forget(now, e)
-	e.OwnedSince = now
-	e.SettledAt = now + t.settings.SettleTime
-	e.CarryUntil = e.SettledAt + t.carry
-	e.RetryAt = 0
-	e.failures = 0
+	e.Gain(now, t.windows, t.carry)
 	e.nextPoll = now
 	t.event(e, bbevent.OwnershipGained, nil, "")
 }
@@ -386,15 +299,21 @@
 // a list by which this node is the owner.
 func (t *Table) Hint(now time.Duration, d bbmsg.EndpointDigest) {
 	e := t.Endpoints[d.Name]
-	if e == nil || !e.Owned || now >= e.CarryUntil {
+	if e == nil || !e.Owned {
 		return
 	}
-	e.Foreign = d.InFlight
-	e.Known = now >= e.SettledAt
-	if e.State == bbmsg.StateUnknown && d.State == bbmsg.StateWarm {
-		t.warmAgain(e, true)
+	e.Window.Hint(now, d)
+	e.dirty = true
+}
+
+// Report takes in a load report of an endpoint that is owned.
+func (t *Table) Report(now time.Duration, r bbmsg.LoadReport) {
+	e := t.Endpoints[r.Endpoint]
+	if e == nil || !e.Owned {
+		return
 	}
 	e.dirty = true
+	e.Window.Report(now, t.windows, r, e.SentUpTo)
 }
 
 // usable returns true when an endpoint may get new work at all.
@@ -431,7 +350,7 @@
 		State:      e.shownState(),
 		Window:     limit,
 		InFlight:   len(e.Running),
-		Queued:     e.waiting(),
+		Queued:     e.Waiting(),
 		WaitMillis: int(e.wait(limit) / time.Millisecond),
 		Model:      e.Model,
 	}
@@ -452,20 +371,13 @@
 	return e.State
 }
 
-// waiting returns the number of attempts that wait.
-func (e *Endpoint) waiting() int { return e.queue.Len() + len(e.Alone) }
-
 // wait returns the expected wait of a new attempt.
 func (e *Endpoint) wait(limit int) time.Duration {
-	ahead := e.waiting() + len(e.Running) + 1 - limit
-	if ahead <= 0 {
-		return 0
-	}
-	return e.ServiceTime * time.Duration(ahead) / time.Duration(max(limit, 1))
+	return e.ServiceTime * time.Duration(e.Ahead(limit)) / time.Duration(max(limit, 1))
 }
 
 // event adds an event to the outputs.
-func (t *Table) event(e *Endpoint, number bbevent.Number, w *Work, detail string) {
+func (t *Table) event(e *Endpoint, number bbevent.Number, w *bbbacklog.Work, detail string) {
 	event := &bbevent.Event{
 		Number:   number,
 		Node:     t.settings.Self,
