Stand-ins of the platform, model engines, stage pools and plain services

Each starts on a loopback port with a clean-up function, takes faults by method or admin call, and counts what the promises are judged by: runs by request, requests over the cold capacity, exchanges with their bytes.

--- /dev/null
+++ b/bluebellfake/bbendpoint/endpoint.go
@@ -0,0 +1,362 @@
+package bbendpoint
+
+import (
+	"encoding/json"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"bluebellhall/core/bbmsg"
+
+	"github.com/gorilla/mux"
+)
+
+// Endpoint is the shared part of a running stand-in. Its methods may be called
+// from any goroutine.
+type Endpoint struct {
+	// Settings are those in use, with defaults filled in. They don't change.
+	Settings Settings
+
+	listener *listener
+	random   func() float64
+
+	mu sync.Mutex
+	// slow, failShare and killOn are the faults in force.
+	slow      float64
+	failShare float64
+	killOn    string
+	// pausedUntil is the end of the last pause.
+	pausedUntil time.Time
+	cold        bool
+	// coldShown is true once a peer could have seen that the endpoint is cold.
+	coldShown bool
+	// bootAt is the time of the last start of the process.
+	bootAt time.Time
+	// ended is closed when the running process ends.
+	ended chan struct{}
+	// warmth counts the completions since the last cold turn.
+	warmth int
+	// inFlight counts the requests taken and not ended in this boot.
+	inFlight int
+	model    string
+	counts   Counts
+	states   []state
+	// exchanges has at most MaxExchanges entries.
+	exchanges []Exchange
+	// onCrash runs after each crash.
+	onCrash []func()
+}
+
+// Start opens the endpoint's port and serves the handlers that mount adds.
+// The clean-up function resets all connections and closes the port.
+func Start(s Settings, mount func(*Endpoint, *mux.Router)) (*Endpoint, func(), error) {
+	if err := s.Validate(); err != nil {
+		return nil, nil, err
+	}
+	s = s.withDefaults()
+	l, err := listen(s.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	e := newEndpoint(s, l)
+	router := mux.NewRouter()
+	e.mountShared(router)
+	mount(e, router)
+	server := &http.Server{
+		Handler:  router,
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+	go server.Serve(l)
+	cleanup := func() {
+		server.Close()
+		l.Close()
+		e.end()
+	}
+	return e, cleanup, nil
+}
+
+func newEndpoint(s Settings, l *listener) *Endpoint {
+	random := rand.New(rand.NewPCG(s.Seed, 1))
+	e := &Endpoint{
+		Settings: s,
+		listener: l,
+		random:   random.Float64,
+		slow:     1,
+		cold:     !s.StartWarm,
+		// A peer expects a started endpoint to be cold.
+		coldShown: true,
+		bootAt:    time.Now(),
+		ended:     make(chan struct{}),
+	}
+	e.counts.Boot = uint64(time.Now().UnixMilli())
+	e.pushState()
+	return e
+}
+
+func (e *Endpoint) mountShared(router *mux.Router) {
+	router.HandleFunc("/admin/faults", e.serveFaults).Methods(http.MethodPost)
+	router.HandleFunc("/admin/counts", e.serveCounts).Methods(http.MethodGet)
+	router.HandleFunc("/admin/exchanges", e.serveExchanges).Methods(http.MethodGet)
+	if !e.Settings.HidesLoad {
+		router.HandleFunc("/v1/load", e.serveLoad).Methods(http.MethodGet)
+	}
+}
+
+// Address returns host:port of the endpoint.
+func (e *Endpoint) Address() string {
+	return e.listener.address
+}
+
+// OnCrash adds a function that runs after each crash.
+func (e *Endpoint) OnCrash(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onCrash = append(e.onCrash, f)
+}
+
+// Apply changes the endpoint's behaviour.
+func (e *Endpoint) Apply(f Faults) {
+	e.mu.Lock()
+	if f.SlowFactor != nil {
+		e.slow = max(*f.SlowFactor, 0)
+	}
+	if f.FailShare != nil {
+		e.failShare = *f.FailShare
+	}
+	if f.KillOn != nil {
+		e.killOn = *f.KillOn
+	}
+	if f.PauseMillis > 0 {
+		e.pausedUntil = time.Now().Add(time.Duration(f.PauseMillis) * time.Millisecond)
+	}
+	e.mu.Unlock()
+	if f.Silent {
+		e.listener.silenceAll()
+	}
+	if f.Cold {
+		e.TurnCold()
+	}
+	if f.Crash {
+		e.Crash()
+	}
+}
+
+// TurnCold makes the endpoint cold without any sign.
+func (e *Endpoint) TurnCold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cold = true
+	e.coldShown = false
+	e.warmth = 0
+	e.pushState()
+}
+
+// Crash resets all connections and starts the process anew, cold.
+func (e *Endpoint) Crash() {
+	e.mu.Lock()
+	e.counts.Crashes++
+	e.counts.Boot++
+	e.cold = true
+	e.warmth = 0
+	e.inFlight = 0
+	e.bootAt = time.Now()
+	close(e.ended)
+	e.ended = make(chan struct{})
+	e.pushState()
+	hooks := e.onCrash
+	e.mu.Unlock()
+	reset := e.listener.restart(e.Settings.RestartTime)
+	e.mu.Lock()
+	e.coldShown = reset > 0
+	e.mu.Unlock()
+	for _, f := range hooks {
+		f()
+	}
+}
+
+// end stops the work of the running process for good.
+func (e *Endpoint) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.ended)
+	e.ended = make(chan struct{})
+}
+
+// Cold tells whether the endpoint is cold.
+func (e *Endpoint) Cold() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.warmByTime()
+	return e.cold
+}
+
+// SetModel states the loaded model for the load reports.
+func (e *Endpoint) SetModel(model string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model = model
+	e.pushState()
+}
+
+// Model returns the loaded model, empty if none.
+func (e *Endpoint) Model() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model
+}
+
+// Counts returns what was counted since Start.
+func (e *Endpoint) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts
+}
+
+// CountPrefix adds one look-up in a prefix cache to the counts.
+func (e *Endpoint) CountPrefix(hit bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.PrefixLookups++
+	if hit {
+		e.counts.PrefixHits++
+	}
+}
+
+// Exchanges returns a copy of the list of requests taken.
+func (e *Endpoint) Exchanges() []Exchange {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Exchange(nil), e.exchanges...)
+}
+
+// Factor returns by how much working times are stretched now.
+func (e *Endpoint) Factor() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.warmByTime()
+	if e.cold {
+		return e.slow * ColdFactor
+	}
+	return e.slow
+}
+
+// PauseLeft returns how long the running pause still lasts.
+func (e *Endpoint) PauseLeft() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(time.Until(e.pausedUntil), 0)
+}
+
+// warmByTime ends a cold start whose time is over. The caller holds the lock.
+func (e *Endpoint) warmByTime() {
+	if !e.cold || e.Settings.WarmTime == 0 {
+		return
+	}
+	if time.Since(e.bootAt) < e.Settings.WarmTime {
+		return
+	}
+	e.cold = false
+	e.pushState()
+}
+
+func (e *Endpoint) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	// Answered first, since some faults end the connection.
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusOK)
+	http.NewResponseController(w).Flush()
+	e.Apply(f)
+}
+
+func (e *Endpoint) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	WriteJSON(w, http.StatusOK, e.Counts())
+}
+
+func (e *Endpoint) serveExchanges(w http.ResponseWriter, _ *http.Request) {
+	WriteJSON(w, http.StatusOK, e.Exchanges())
+}
+
+func (e *Endpoint) serveLoad(w http.ResponseWriter, r *http.Request) {
+	if !e.waitPause(r) {
+		return
+	}
+	WriteJSON(w, http.StatusOK, e.Report())
+}
+
+// WriteJSON writes a value as an answer with the given status.
+func WriteJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(value)
+}
+
+// state is the endpoint's load from a point in time on.
+type state struct {
+	at       time.Time
+	boot     uint64
+	cold     bool
+	inFlight int
+	model    string
+}
+
+// pushState notes the load of now. The caller holds the lock.
+func (e *Endpoint) pushState() {
+	e.trimStates()
+	e.states = append(e.states, state{
+		at:       time.Now(),
+		boot:     e.counts.Boot,
+		cold:     e.cold,
+		inFlight: e.inFlight,
+		model:    e.model,
+	})
+}
+
+// trimStates drops states that no report needs any more. The caller holds the lock.
+func (e *Endpoint) trimStates() {
+	shown := time.Now().Add(-e.Settings.ReportLag)
+	first := 0
+	for first+1 < len(e.states) && !e.states[first+1].at.After(shown) {
+		first++
+	}
+	first = max(first, len(e.states)-maxStates+1)
+	e.states = append(e.states[:0], e.states[first:]...)
+}
+
+// Report returns the load report that the endpoint publishes now.
+func (e *Endpoint) Report() bbmsg.LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.warmByTime()
+	e.trimStates()
+	s := e.states[0]
+	if s.cold && s.boot == e.counts.Boot {
+		e.coldShown = true
+	}
+	running := min(s.inFlight, e.Settings.WarmSlots)
+	return bbmsg.LoadReport{
+		Endpoint:  e.Settings.Name,
+		Boot:      s.boot,
+		Cold:      s.cold,
+		Running:   running,
+		Waiting:   s.inFlight - running,
+		Model:     s.model,
+		LagMillis: e.Settings.ReportLag.Milliseconds(),
+	}
+}
+
+// holdsKill tells whether a body crashes the endpoint.
+func (e *Endpoint) holdsKill(body []byte) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.killOn != "" && strings.Contains(string(body), e.killOn)
+}
