--- a/core/bbmember/confirm.go
+++ b/core/bbmember/confirm.go
@@ -13,6 +13,10 @@
 // ready others of its group, or all others. It stays true for this incarnation.
 func (t *Table) Ready() bool { return t.ready }
 
+// Fresh returns true when this node got ready because its whole group, of more than
+// one, had just started. The endpoints that it owned then have no former owner.
+func (t *Table) Fresh() bool { return t.fresh }
+
 // Confirmed returns true while this node may act as an owner towards cold endpoints
 // that belonged to its own group before. It is to be asked right before each send.
 func (t *Table) Confirmed(now time.Duration) bool {
@@ -101,6 +105,7 @@
 	}
 	if answered == others || ready > others/2 {
 		t.ready = true
+		t.fresh = others > 0 && answered == others && ready == 0
 	}
 }
 
--- a/core/bbmember/layout.go
+++ b/core/bbmember/layout.go
@@ -5,8 +5,7 @@
 	"math/bits"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
+	"bluebellhall/core/bbhash"
 	"bluebellhall/core/bbmsg"
 )
 
@@ -72,7 +71,7 @@
 		if m.Role != bbmsg.RoleEntry {
 			continue
 		}
-		e := entry{member: m, hash: xxhash.Sum64String(m.Name)}
+		e := entry{member: m, hash: bbhash.Name(m.Name)}
 		l.entries[m.Name] = e
 		l.names = append(l.names, m.Name)
 		regions[m.Region] = append(regions[m.Region], e)
@@ -99,7 +98,7 @@
 	for i := range rows {
 		rows[i].Region = region
 		rows[i].Bucket = i
-		rows[i].hash = mix(xxhash.Sum64String(region), uint64(i))
+		rows[i].hash = bbhash.Score(bbhash.Name(region), uint64(i))
 	}
 	slices.SortFunc(entries, func(a, b entry) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.member.Name, b.member.Name))
@@ -143,7 +142,7 @@
 		if len(rows[i].Members) >= room {
 			continue
 		}
-		s := mix(rows[i].hash, e.hash)
+		s := bbhash.Score(rows[i].hash, e.hash)
 		if best < 0 || s > score {
 			best = i
 			score = s
@@ -172,7 +171,7 @@
 				rank = 3
 			}
 		}
-		score := mix(g.hash, endpoint)
+		score := bbhash.Score(g.hash, endpoint)
 		if rank > bestRank || rank == bestRank && score > bestScore {
 			best = i
 			bestRank = rank
@@ -193,7 +192,7 @@
 
 // owner returns the owner of an endpoint and the index of its group, or "" and -1.
 func (l *layout) owner(endpoint, domain string) (string, int) {
-	hash := xxhash.Sum64String(endpoint)
+	hash := bbhash.Name(endpoint)
 	group := l.groupFor(hash, domain)
 	if group < 0 {
 		return "", -1
@@ -206,7 +205,7 @@
 		if local && active[i].member.Domain != domain {
 			continue
 		}
-		score := mix(active[i].hash, hash)
+		score := bbhash.Score(active[i].hash, hash)
 		if best == "" || score > bestScore {
 			best = active[i].member.Name
 			bestScore = score
@@ -214,13 +213,3 @@
 	}
 	return best, group
 }
-
-// mix combines two hashes; the result depends on their order.
-func mix(a, b uint64) uint64 {
-	h := a*0x9e3779b97f4a7c15 + b
-	h ^= h >> 30
-	h *= 0xbf58476d1ce4e5b9
-	h ^= h >> 27
-	h *= 0x94d049bb133111eb
-	return h ^ h>>31
-}
--- a/core/bbmember/table.go
+++ b/core/bbmember/table.go
@@ -124,8 +124,10 @@
 	heldUntil time.Duration
 	// seen is the newest list revision ever seen, which may exceed the one held.
 	seen int64
-	// ready is true once this node may confirm others.
+	// ready is true once this node may confirm others, and fresh when the whole group
+	// had just started then.
 	ready bool
+	fresh bool
 	// covered is true while enough members confirm; coveredSince is when that began
 	// and coveredUntil when it ends unless they confirm again.
 	covered      bool
--- a/core/bbmsg/inout.go
+++ b/core/bbmsg/inout.go
@@ -237,4 +237,8 @@
 	Fence int64 `json:"fence"`
 	// Argument is the model or the role.
 	Argument string `json:"argument"`
+	// SendWithinMillis bounds the time from the output to the first byte, as in
+	// EndpointCall; an order that is late is not sent and has no result but a status
+	// of 0.
+	SendWithinMillis int64 `json:"-"`
 }
