Test that a request alone takes the endpoint whose loss costs least

The differential test seldom draws two idle endpoints of different state: turning the comparison round went unnoticed. The new test fails with it.

--- a/core/bbroute/choose_test.go
+++ b/core/bbroute/choose_test.go
@@ -334,6 +334,19 @@
 	checkSame(t, "most on one is within the bound", true, most <= 13)
 }
 
+func TestAloneTakesTheCheapestLoss(t *testing.T) {
+	r := testRouter()
+	candidates := fleet(6, 8)
+	candidates[0].Digest.InFlight = 1
+	candidates[5].Digest.State = bbmsg.StateCold
+	q := Query{Domain: "domain0", Region: "north", Alone: true}
+	checkSame(t, "cold before warm", Choice{Index: 5, Why: WhyAlone}, r.Choose(&q, candidates))
+	candidates[5].InFlight = 1
+	checkSame(t, "idle and near", Choice{Index: 3, Why: WhyAlone}, r.Choose(&q, candidates))
+	candidates = candidates[:1]
+	checkSame(t, "none idle", Choice{Index: -1, Reason: bbmsg.ReasonColdWait}, r.Choose(&q, candidates))
+}
+
 func TestExplain(t *testing.T) {
 	r := testRouter()
 	candidates := fleet(2, 8)
