--- /dev/null
+++ b/core/bbbudget/quantiles.go
@@ -0,0 +1,116 @@
+// Package bbbudget decides how the deadline of a request is spent: how long each
+// stage may take, whether a request can still make it, when a second attempt of a
+// slow stage pays, and how many retries and hedges a service may add to its traffic.
+package bbbudget
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// perOctave is the number of buckets for each doubling of the time.
+	perOctave = 8
+	// octaves covers leastTime to leastTime * 2^octaves, about 137 s.
+	octaves = 20
+	buckets = perOctave * octaves
+	// leastTime is the lower edge of the first bucket.
+	leastTime = 131072 * time.Nanosecond
+	// halfLife is the age at which an observation counts half.
+	halfLife = 5 * time.Second
+	// maxWeight bounds what earlier observations count together, so that the
+	// estimate follows a change within a few times as many observations.
+	maxWeight = 256
+	// minWeight is what observations must count together for an estimate.
+	minWeight = 4
+	// maxUnit bounds the numbers that weights are kept in.
+	maxUnit = 1e12
+)
+
+// Quantiles estimates the distribution of the time that a service takes, queue
+// included, from recent observations. The zero value is empty and ready. Its size is
+// fixed; an estimate is within a factor of 2^(1/perOctave) of the exact quantile for
+// times in the range of the buckets.
+type Quantiles struct {
+	// weights has what the observations in each bucket count, in any unit.
+	weights [buckets]float64
+	// total is the sum of weights.
+	total float64
+	// unit is what one observation at time at counts; it grows with time instead of
+	// the weights shrinking. It is 0 before the first observation.
+	unit float64
+	// at is the time of the last observation.
+	at time.Duration
+}
+
+// Observe adds the time that one attempt took.
+func (q *Quantiles) Observe(now, took time.Duration) {
+	q.advance(now)
+	q.unit = max(q.unit, q.total/(maxWeight-1))
+	q.weights[bucketOf(took)] += q.unit
+	q.total += q.unit
+}
+
+// At returns the quantile of a share from 0 to 1, and false while too few recent
+// observations are known.
+func (q *Quantiles) At(now time.Duration, share float64) (time.Duration, bool) {
+	if q.unit == 0 || q.total*fade(now-q.at) < minWeight*q.unit {
+		return 0, false
+	}
+	wanted := min(max(share, 0), 1) * q.total
+	below := 0.0
+	last := 0
+	for i, w := range q.weights {
+		if w == 0 {
+			continue
+		}
+		last = i
+		if below+w >= wanted {
+			return edge(float64(i) + (wanted-below)/w), true
+		}
+		below += w
+	}
+	return edge(float64(last + 1)), true
+}
+
+// advance grows the unit up to now, and brings all weights back to small numbers
+// before they get too large.
+func (q *Quantiles) advance(now time.Duration) {
+	if q.unit == 0 {
+		q.unit = 1
+		q.at = now
+	}
+	if now <= q.at {
+		return
+	}
+	q.unit /= max(fade(now-q.at), 1/maxUnit)
+	q.at = now
+	if q.unit < maxUnit {
+		return
+	}
+	q.total = 0
+	for i := range q.weights {
+		q.weights[i] /= q.unit
+		q.total += q.weights[i]
+	}
+	q.unit = 1
+}
+
+// fade returns what an observation of an age counts.
+func fade(age time.Duration) float64 {
+	return math.Exp2(-float64(max(age, 0)) / float64(halfLife))
+}
+
+// bucketOf returns the bucket of a time; times out of range go to the nearest.
+func bucketOf(took time.Duration) int {
+	if took <= leastTime {
+		return 0
+	}
+	i := int(math.Log2(float64(took)/float64(leastTime)) * perOctave)
+	return min(max(i, 0), buckets-1)
+}
+
+// edge returns the time at a place between buckets.
+func edge(place float64) time.Duration {
+	return time.Duration(float64(leastTime) * math.Exp2(place/perOctave))
+}
