--- a/core/bbbudget/budget_test.go
+++ b/core/bbbudget/budget_test.go
@@ -155,7 +155,7 @@
 }
 
 func TestRetryBudget(t *testing.T) {
-	spend := func(b *RetryBudget, now time.Duration, take func(time.Duration) bool) int {
+	spend := func(now time.Duration, take func(time.Duration) bool) int {
 		taken := 0
 		for take(now) {
 			taken++
@@ -167,7 +167,7 @@
 		taken := 0
 		for range 10_000 {
 			b.Attempt(0)
-			taken += spend(b, 0, b.TakeRetry)
+			taken += spend(0, b.TakeRetry)
 		}
 		checkSame(t, "a tenth and the start", true, taken >= 1000+startTokens-1 && taken <= 1000+startTokens)
 	})
@@ -176,26 +176,26 @@
 		for range 10_000 {
 			b.Attempt(0)
 		}
-		checkSame(t, "retries", burstTokens, spend(b, 0, b.TakeRetry))
+		checkSame(t, "retries", burstTokens, spend(0, b.TakeRetry))
 	})
 	t.Run("comes back for a service with little traffic, up to the start", func(t *testing.T) {
 		b := &RetryBudget{Share: 0.1}
-		checkSame(t, "start", startTokens, spend(b, 0, b.TakeRetry))
-		checkSame(t, "after 2 s", 2, spend(b, 2*time.Second, b.TakeRetry))
-		checkSame(t, "after an hour", startTokens, spend(b, time.Hour, b.TakeRetry))
+		checkSame(t, "start", startTokens, spend(0, b.TakeRetry))
+		checkSame(t, "after 2 s", 2, spend(2*time.Second, b.TakeRetry))
+		checkSame(t, "after an hour", startTokens, spend(time.Hour, b.TakeRetry))
 	})
 	t.Run("keeps a reserve from hedges", func(t *testing.T) {
 		b := &RetryBudget{Share: 0.5}
 		for range 20 {
 			b.Attempt(0)
 		}
-		checkSame(t, "hedges", 10, spend(b, 0, b.TakeHedge))
-		checkSame(t, "retries", startTokens, spend(b, 0, b.TakeRetry))
+		checkSame(t, "hedges", 10, spend(0, b.TakeHedge))
+		checkSame(t, "retries", startTokens, spend(0, b.TakeRetry))
 	})
 	t.Run("allows nothing with no share", func(t *testing.T) {
 		b := &RetryBudget{}
 		b.Attempt(0)
-		checkSame(t, "retries", 0, spend(b, time.Hour, b.TakeRetry))
+		checkSame(t, "retries", 0, spend(time.Hour, b.TakeRetry))
 	})
 }
 
