Configuration: a starting node counts the peers that the list names

It counted those that could be reached, so that a node that had heard nobody yet was ready at once. Seen to fail with the old count, and with each of the three conditions of the new one left out.

--- a/core/bbconfig/config.go
+++ b/core/bbconfig/config.go
@@ -28,7 +28,7 @@
 const (
 	// maxRefused is how many refused texts are remembered.
 	maxRefused = 16
-	// startPeers is how many peers a starting node hears, if there are so many,
+	// startPeers is how many peers a starting node hears, if the list names so many,
 	// before it serves.
 	startPeers = 3
 	// never is later than every time.
@@ -37,6 +37,8 @@
 
 // Settings configures a Config.
 type Settings struct {
+	// Self is this node's name.
+	Self string
 	// FetchInterval is the least time between two questions to peers.
 	FetchInterval time.Duration
 	// StartWait is how long a starting node waits for peers before it serves with
--- a/core/bbconfig/config_test.go
+++ b/core/bbconfig/config_test.go
@@ -25,6 +25,7 @@
 }
 
 var settings = Settings{
+	Self:          "self",
 	FetchInterval: 100 * time.Millisecond,
 	StartWait:     2 * time.Second,
 }
@@ -177,7 +178,7 @@
 	started := func() *Config {
 		c := New(settings)
 		c.OfferRules(SourcePlatform, rules(5, text("x")))
-		c.OfferList(SourcePlatform, list(5, "a"))
+		c.OfferList(SourcePlatform, list(5, "a", "b"))
 		c.Tick(0, peers)
 		return c
 	}
@@ -227,7 +228,7 @@
 	t.Run("the answer holds only what is newer", func(t *testing.T) {
 		c := started()
 		rulesAnswer := send("b", bbmsg.Envelope{Rules: &bbmsg.RulesText{Revision: 5, Text: text("x")}})
-		listAnswer := send("b", bbmsg.Envelope{List: &bbmsg.ListText{List: list(5, "a")}})
+		listAnswer := send("b", bbmsg.Envelope{List: &bbmsg.ListText{List: list(5, "a", "b")}})
 		checkEqual(t, []bbmsg.Output{rulesAnswer, listAnswer}, c.HandleFetch("b", bbmsg.Fetch{RulesAfter: 4, ListAfter: 4}))
 		checkEqual(t, nil, c.HandleFetch("b", bbmsg.Fetch{RulesAfter: 5, ListAfter: 5}))
 	})
@@ -245,6 +246,12 @@
 		{name: "no peer heard for the wait", change: func(*Config) {}, now: settings.StartWait, want: true},
 		{name: "three heard", change: func(c *Config) { hear(c, 5, "a", "b", "c") }, want: true},
 		{name: "two heard", change: func(c *Config) { hear(c, 5, "a", "b") }, want: false},
+		{name: "none can be reached yet", change: func(c *Config) { c.Tick(0, nil) }, want: false},
+		{name: "two heard, none else stays", change: func(c *Config) {
+			hear(c, 5, "a", "b")
+			c.list.Members[2].Leaving = true
+			c.list.Members[3].Role = bbmsg.RoleEndpoint
+		}, want: true},
 		{name: "one of them is ahead", change: func(c *Config) { hear(c, 5, "a", "b"); hear(c, 6, "c") }, want: false},
 		{name: "caught up", change: func(c *Config) { hear(c, 5, "a", "b"); hear(c, 6, "c"); c.OfferRules("c", rules(6, text("y"))) }, want: true},
 		{name: "no list", change: func(c *Config) { c.list = bbmsg.MemberList{} }, now: time.Hour, want: false},
@@ -255,7 +262,7 @@
 			c := New(settings)
 			c.Tick(0, peers)
 			c.OfferRules(SourcePlatform, rules(5, text("x")))
-			c.OfferList(SourcePlatform, list(5, "a"))
+			c.OfferList(SourcePlatform, list(5, "a", "b", "c", "d", "self"))
 			test.change(c)
 			c.Tick(test.now, peers)
 			checkEqual(t, test.want, c.Ready())
--- a/core/bbconfig/fetch.go
+++ b/core/bbconfig/fetch.go
@@ -51,7 +51,7 @@
 		c.hasTicked = true
 		c.startUntil = now + c.settings.StartWait
 	}
-	c.updateReady(now, peers)
+	c.updateReady(now)
 	outputs := c.outputs
 	c.outputs = nil
 	if now < c.nextFetch {
@@ -97,7 +97,7 @@
 }
 
 // updateReady sets ready once the node may serve.
-func (c *Config) updateReady(now time.Duration, peers []string) {
+func (c *Config) updateReady(now time.Duration) {
 	if c.ready || !c.hasAll() {
 		return
 	}
@@ -109,10 +109,21 @@
 		}
 		behind = behind || c.wantsRules(p)
 	}
-	enough := heard >= min(startPeers, len(peers)) && !behind
+	enough := heard >= min(startPeers, c.listedPeers()) && !behind
 	c.ready = enough || now >= c.startUntil
 }
 
+// listedPeers returns how many other entry VMs the list names that are to stay.
+func (c *Config) listedPeers() int {
+	count := 0
+	for _, m := range c.list.Members {
+		if m.Role == bbmsg.RoleEntry && !m.Leaving && m.Name != c.settings.Self {
+			count++
+		}
+	}
+	return count
+}
+
 // hasAll returns true when there are rules and a list.
 func (c *Config) hasAll() bool {
 	return c.rules != nil && c.list.Revision > 0
