--- a/core/bbmsg/envelope.go
+++ b/core/bbmsg/envelope.go
@@ -297,8 +297,13 @@
 type Suspect struct {
 	// Fingerprint is a hash of target and body.
 	Fingerprint uint64 `json:"fingerprint"`
-	// Deaths counts the endpoints that died under it.
+	// Deaths counts the deaths of endpoints under it, Sole those with nothing else on
+	// the endpoint.
 	Deaths int `json:"deaths"`
+	Sole   int `json:"sole,omitempty"`
+	// Endpoint is the endpoint that died last, with Others attempts of other content.
+	Endpoint string `json:"endpoint,omitempty"`
+	Others   int    `json:"others,omitempty"`
 	// KeepMillis is how long the suspicion lasts from now.
 	KeepMillis int64 `json:"keepMillis"`
 }
