bluebellfake: platform and endpoints of a rules file as one process, faults by command

Settings and rules are checked whole. The connection that carries a fault is left alone by it, so that a crash by command is confirmed; before, the command could see its own reset.

--- a/bluebellfake/bbendpoint/endpoint.go
+++ b/bluebellfake/bbendpoint/endpoint.go
@@ -1,10 +1,12 @@
 package bbendpoint
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"log"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -69,6 +71,9 @@
 	server := &http.Server{
 		Handler:  router,
 		ErrorLog: log.New(io.Discard, "", 0),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	go server.Serve(l)
 	cleanup := func() {
@@ -271,10 +276,10 @@
 		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	// Answered first, since some faults end the connection.
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.spared.Store(true)
+	}
 	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusOK)
-	http.NewResponseController(w).Flush()
 	e.Apply(f)
 }
 
--- a/bluebellfake/bbendpoint/listener.go
+++ b/bluebellfake/bbendpoint/listener.go
@@ -113,13 +113,15 @@
 	return c
 }
 
-// all returns the open connections.
+// all returns the open connections that are not spared.
 func (l *listener) all() []*conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	open := make([]*conn, 0, len(l.conns))
 	for c := range l.conns {
-		open = append(open, c)
+		if !c.spared.Load() {
+			open = append(open, c)
+		}
 	}
 	return open
 }
@@ -179,11 +181,16 @@
 	close(l.reopened)
 }
 
+// connKey is the key of a request context for the connection.
+type connKey struct{}
+
 // conn is a connection that can be silenced and reset.
 type conn struct {
 	net.Conn
 	owner  *listener
 	silent atomic.Bool
+	// spared is true for a connection that carries a command, which faults leave alone.
+	spared atomic.Bool
 }
 
 // Read drops what arrives once the connection is silent.
--- /dev/null
+++ b/bluebellfake/bbfleet/settings.go
@@ -0,0 +1,239 @@
+// Package bbfleet starts a platform and all endpoints of a rules text as one process,
+// as tests, the demo and the command bluebellfake do.
+package bbfleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"bluebellhall/core/bbrule"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Settings describe the stand-ins.
+type Settings struct {
+	// Rules is the path of the rules file, relative to the settings file.
+	Rules string `json:"rules"`
+	// Platform describes the platform.
+	Platform PlatformSettings `json:"platform"`
+	// EntryVMs are listed as members beside the endpoints.
+	EntryVMs []EntryVM `json:"entryVMs"`
+	// Endpoints describes the behaviour of all endpoints.
+	Endpoints EndpointSettings `json:"endpoints"`
+	// FreePorts starts all endpoints on free ports and publishes the rules with those.
+	FreePorts bool `json:"freePorts,omitempty"`
+	// Seed feeds the random choices.
+	Seed uint64 `json:"seed,omitempty"`
+}
+
+// PlatformSettings describe the platform.
+type PlatformSettings struct {
+	// Address is host:port on loopback; empty picks a free port.
+	Address string `json:"address"`
+	// CallsPerSecond is the quota over all readers; 0 means the platform's default.
+	CallsPerSecond int `json:"callsPerSecond,omitempty"`
+	// MemberLagMillis is how late changes of the member list show.
+	MemberLagMillis int64 `json:"memberLagMillis,omitempty"`
+}
+
+// EntryVM is an entry VM for the member list.
+type EntryVM struct {
+	// Name is unique among the members.
+	Name string `json:"name"`
+	// Address and PeerAddress are host:port for callers and for other entry VMs.
+	Address     string `json:"address"`
+	PeerAddress string `json:"peerAddress"`
+	// Domain is a failure domain of the rules.
+	Domain string `json:"domain"`
+}
+
+// EndpointSettings describe the behaviour of all endpoints; 0 means the default.
+type EndpointSettings struct {
+	// WarmAfter is the number of completions that end a cold start, WarmMillis the
+	// time that does so.
+	WarmAfter  int   `json:"warmAfter,omitempty"`
+	WarmMillis int64 `json:"warmMillis,omitempty"`
+	// StartWarm skips the first cold start.
+	StartWarm bool `json:"startWarm,omitempty"`
+	// LoadingMillis is how long a started process refuses work.
+	LoadingMillis int64 `json:"loadingMillis,omitempty"`
+	// RestartMillis is how long connections are refused after a crash.
+	RestartMillis int64 `json:"restartMillis,omitempty"`
+	// ReportLagMillis and EventLagMillis are the lags of load reports and cache events.
+	ReportLagMillis int64 `json:"reportLagMillis,omitempty"`
+	EventLagMillis  int64 `json:"eventLagMillis,omitempty"`
+	// BaseStepMicros and StreamStepMicros are the times of an engine's step and of
+	// each stream in it, PrefillMicros that of a kilobyte of prompt.
+	BaseStepMicros   int64 `json:"baseStepMicros,omitempty"`
+	StreamStepMicros int64 `json:"streamStepMicros,omitempty"`
+	PrefillMicros    int64 `json:"prefillMicros,omitempty"`
+	// CacheBytes is the memory of an engine for prompt prefixes.
+	CacheBytes int `json:"cacheBytes,omitempty"`
+	// ServiceMillis is the time of one run of a pool or plain service.
+	ServiceMillis int64 `json:"serviceMillis,omitempty"`
+}
+
+// Finding is one thing wrong with the settings.
+type Finding struct {
+	// Line and Column are set for errors of syntax, from 1.
+	Line   int
+	Column int
+	// Field is the JSON name of the field, if one is concerned.
+	Field string
+	// Text is the message for the operator.
+	Text string
+}
+
+// String returns the finding in the form place: text.
+func (f Finding) String() string {
+	if f.Line > 0 {
+		return fmt.Sprintf("%d:%d: %s", f.Line, f.Column, f.Text)
+	}
+	return f.Field + ": " + f.Text
+}
+
+// Parse decodes settings. A text that can't be decoded has one finding.
+func Parse(data []byte) (Settings, []Finding) {
+	var s Settings
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return s, []Finding{syntaxFinding(data, decoder.InputOffset(), err)}
+	}
+	return s, nil
+}
+
+// syntaxFinding places an error of the decoder.
+func syntaxFinding(data []byte, offset int64, err error) Finding {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &syntax) {
+		offset = syntax.Offset
+	}
+	if errors.As(err, &kind) {
+		offset = kind.Offset
+	}
+	before := data[:min(int64(len(data)), offset)]
+	return Finding{
+		Line:   1 + bytes.Count(before, []byte("\n")),
+		Column: len(before) - bytes.LastIndexByte(before, '\n'),
+		Text:   err.Error(),
+	}
+}
+
+// checker collects findings.
+type checker struct {
+	findings []Finding
+	// names and addresses map what was seen to the place that has it.
+	names     map[string]string
+	addresses map[string]string
+}
+
+// Check returns all that is wrong with settings for a set of rules.
+func Check(s Settings, rules *bbrule.RuleSet) []Finding {
+	c := &checker{
+		names:     map[string]string{},
+		addresses: map[string]string{},
+	}
+	for _, e := range rules.Endpoints {
+		c.names[e.Name] = "the rules"
+		if !s.FreePorts {
+			c.addresses[e.Address] = "the rules"
+			c.checkLoopback("rules", e.Address)
+		}
+	}
+	if s.Platform.Address != "" {
+		c.checkAddress("platform.address", s.Platform.Address)
+	}
+	c.checkCount("platform.callsPerSecond", int64(s.Platform.CallsPerSecond))
+	c.checkCount("platform.memberLagMillis", s.Platform.MemberLagMillis)
+	domains := map[string]bool{}
+	for _, d := range rules.Domains {
+		domains[d.Name] = true
+	}
+	for i, v := range s.EntryVMs {
+		c.checkEntryVM(fmt.Sprintf("entryVMs[%d]", i), v, domains)
+	}
+	c.checkEndpoints(s.Endpoints)
+	return c.findings
+}
+
+func (c *checker) add(field, format string, arguments ...any) {
+	c.findings = append(c.findings, Finding{
+		Field: field,
+		Text:  fmt.Sprintf(format, arguments...),
+	})
+}
+
+func (c *checker) checkEntryVM(field string, v EntryVM, domains map[string]bool) {
+	if v.Name == "" {
+		c.add(field+".name", "is empty")
+	} else if place, seen := c.names[v.Name]; seen {
+		c.add(field+".name", "%q stands already in %s", v.Name, place)
+	}
+	c.names[v.Name] = field
+	c.checkAddress(field+".address", v.Address)
+	c.checkAddress(field+".peerAddress", v.PeerAddress)
+	if !domains[v.Domain] {
+		c.add(field+".domain", "domain %q is not in the rules", v.Domain)
+	}
+}
+
+// checkAddress checks that an address is on loopback and unique.
+func (c *checker) checkAddress(field, address string) {
+	if !c.checkLoopback(field, address) {
+		return
+	}
+	if place, seen := c.addresses[address]; seen {
+		c.add(field, "%s stands already in %s", address, place)
+		return
+	}
+	c.addresses[address] = field
+}
+
+func (c *checker) checkLoopback(field, address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || port == "" {
+		c.add(field, "%q is not host:port", address)
+		return false
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		c.add(field, "%q is not on loopback", address)
+		return false
+	}
+	return true
+}
+
+func (c *checker) checkCount(field string, count int64) {
+	if count < 0 {
+		c.add(field, "%d is below 0", count)
+	}
+}
+
+func (c *checker) checkEndpoints(e EndpointSettings) {
+	c.checkCount("endpoints.warmAfter", int64(e.WarmAfter))
+	c.checkCount("endpoints.warmMillis", e.WarmMillis)
+	c.checkCount("endpoints.loadingMillis", e.LoadingMillis)
+	c.checkCount("endpoints.restartMillis", e.RestartMillis)
+	c.checkCount("endpoints.reportLagMillis", e.ReportLagMillis)
+	c.checkCount("endpoints.eventLagMillis", e.EventLagMillis)
+	c.checkCount("endpoints.baseStepMicros", e.BaseStepMicros)
+	c.checkCount("endpoints.streamStepMicros", e.StreamStepMicros)
+	c.checkCount("endpoints.prefillMicros", e.PrefillMicros)
+	c.checkCount("endpoints.cacheBytes", int64(e.CacheBytes))
+	c.checkCount("endpoints.serviceMillis", e.ServiceMillis)
+}
+
+// millis converts a setting to a duration.
+func millis(n int64) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+// micros converts a setting to a duration.
+func micros(n int64) time.Duration {
+	return time.Duration(n) * time.Microsecond
+}
--- a/bluebellfake/main.go
+++ b/bluebellfake/main.go
@@ -1,4 +1,49 @@
-// Command bluebellfake is not wired yet.
+// Command bluebellfake runs stand-ins of the platform and of all endpoints of a rules
+// file, and sends them faults.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitFindings = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command().Run(ctx, os.Args)
+	stop()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "bluebellfake:", err)
+	if exit, ok := err.(cli.ExitCoder); ok {
+		os.Exit(exit.ExitCode())
+	}
+	os.Exit(exitFailed)
+}
+
+// command returns the command line.
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "bluebellfake",
+		Usage: "stand-ins of the platform, model engines, stage pools and plain services",
+		// Errors are printed and turned into exit codes by main.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			runCommand(),
+			faultCommand(),
+			outageCommand(),
+			publishCommand(),
+		},
+	}
+}
