Flow: hedges and retries by the budgets of each service

Cause: one budget for all services would let a failing one use up the retries of the others. The flow asks per service, computes the time of a hedge once per attempt and tells when an attempt is closed, so that the home can count what it has on each endpoint.

--- a/core/bbflow/dispatch.go
+++ b/core/bbflow/dispatch.go
@@ -23,11 +23,6 @@
 		Alone:      alone,
 	}
 	t.Runs[record.ID] = r
-	if !t.Seams.CanMake(now, deadline-now, steps) {
-		r.LastReason = bbmsg.ReasonDeadline
-		t.giveUp(now, r)
-		return
-	}
 	t.wake(r, deadline)
 	t.try(now, r)
 }
@@ -85,7 +80,7 @@
 
 // dispatch sends an attempt to the owner of the chosen endpoint.
 func (t *Table) dispatch(now time.Duration, r *Run, c Choice, hedge bool) {
-	budget := t.Seams.Split(r.Deadline-now-t.Settings.AnswerMargin, r.Steps[r.Stage:])
+	budget := t.Seams.Split(now, r.Deadline-now-t.Settings.AnswerMargin, r.Steps[r.Stage:])
 	a := Attempt{
 		Number:           len(r.Attempts) + 1,
 		Endpoint:         c.Endpoint,
@@ -94,18 +89,31 @@
 		Sent:             now,
 		Expires:          now + budget,
 		Hedge:            hedge,
+		HedgeAt:          t.hedgeTime(now, r),
 	}
-	r.Attempts = append(r.Attempts, a)
-	t.wake(r, a.Expires)
-	if delay := t.Seams.HedgeDelay(r.step().Service); delay != bbtimer.Never && !r.step().Once {
-		t.wake(r, now+delay)
+	if len(r.Attempts) == 0 {
+		t.Seams.First(now, r.step().Service)
 	}
+	r.Attempts = append(r.Attempts, a)
+	t.wake(r, min(a.Expires, a.HedgeAt))
 	t.emit(r, bbevent.StageDispatched, a, r.step().Service)
 	t.Seams.Send(now, c.Owner, bbmsg.Envelope{
 		Dispatch: t.message(r, a, c, budget),
 	})
 }
 
+// hedgeTime returns when an attempt that is made now counts as slow.
+func (t *Table) hedgeTime(now time.Duration, r *Run) time.Duration {
+	if r.step().Once || r.Alone {
+		return bbtimer.Never
+	}
+	delay, ok := t.Seams.HedgeDelay(now, r.Deadline-now, r.step().Service)
+	if !ok {
+		return bbtimer.Never
+	}
+	return now + delay
+}
+
 // message builds the dispatch of an attempt.
 func (t *Table) message(r *Run, a Attempt, c Choice, budget time.Duration) *bbmsg.Dispatch {
 	s := r.step()
@@ -171,6 +179,7 @@
 // markRan closes an attempt that may have reached the endpoint.
 func (t *Table) markRan(r *Run, a *Attempt) {
 	a.State = AttemptRan
+	t.Seams.Closed(a.Endpoint)
 	r.Ran = true
 	r.OnceRan = r.OnceRan || r.step().Once
 }
--- a/core/bbflow/flow.go
+++ b/core/bbflow/flow.go
@@ -74,6 +74,8 @@
 	CancelSent bool
 	// Hedge is true for a second attempt beside an open one.
 	Hedge bool
+	// HedgeAt is when a second attempt may be made beside this one.
+	HedgeAt time.Duration
 }
 
 // Run is a request on its way through its stages.
@@ -149,6 +151,8 @@
 	Peer func(now time.Duration, name string) PeerState
 	// Send passes a message on, to this node itself as well.
 	Send func(now time.Duration, to string, e bbmsg.Envelope)
+	// Closed is called once for each attempt that is no longer open.
+	Closed func(endpoint string)
 	// Progress is called when a record has new tokens for its waiters.
 	Progress func(r *bbhome.Record)
 	// End fixes the outcome of a record and tells its waiters.
@@ -158,11 +162,14 @@
 	// CanMake tells whether the stages still fit into the remaining time.
 	CanMake func(now, remaining time.Duration, steps []Step) bool
 	// Split returns the share of the remaining time for the first of the steps.
-	Split func(remaining time.Duration, steps []Step) time.Duration
-	// AllowRetry draws one retry or hedge from the budget.
-	AllowRetry func(now time.Duration) bool
-	// HedgeDelay is how long to wait for first news before a hedge, Never for none.
-	HedgeDelay func(service string) time.Duration
+	Split func(now, remaining time.Duration, steps []Step) time.Duration
+	// First counts the first attempt of a stage for the retry budget.
+	First func(now time.Duration, service string)
+	// AllowRetry draws one retry or hedge from the budget of a service.
+	AllowRetry func(now time.Duration, service string, hedge bool) bool
+	// HedgeDelay is how long to wait for first news before a hedge, and false for
+	// none.
+	HedgeDelay func(now, remaining time.Duration, service string) (time.Duration, bool)
 	// Observe takes in the duration of a finished stage.
 	Observe func(now time.Duration, service string, took time.Duration)
 	// Died is called when an endpoint died under an attempt, with the number of
--- a/core/bbflow/result.go
+++ b/core/bbflow/result.go
@@ -121,6 +121,7 @@
 // takeRefused closes an attempt that was never sent and tries elsewhere.
 func (t *Table) takeRefused(now time.Duration, r *Run, a *Attempt, m bbmsg.Result) {
 	a.State = AttemptUnsent
+	t.Seams.Closed(a.Endpoint)
 	t.emit(r, bbevent.StageRefused, *a, string(m.Reason))
 	r.LastReason = m.Reason
 	r.RetryHint = time.Duration(m.RetryAfterMillis) * time.Millisecond
@@ -176,7 +177,7 @@
 		t.giveUp(now, r)
 		return
 	}
-	if !t.Seams.AllowRetry(now) {
+	if !t.Seams.AllowRetry(now, r.step().Service, false) {
 		t.emit(r, bbevent.BudgetSpent, a, "retry")
 		t.giveUp(now, r)
 		return
--- a/core/bbflow/tick.go
+++ b/core/bbflow/tick.go
@@ -5,7 +5,6 @@
 
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbmsg"
-	"bluebellhall/core/bbtimer"
 )
 
 // Tick looks at the runs whose time has come.
@@ -114,7 +113,7 @@
 		return
 	}
 	for _, a := range r.Attempts {
-		if a.State == AttemptOpen && (a.Hedge || now < t.hedgeTime(r, a)) {
+		if a.State == AttemptOpen && (a.Hedge || now < a.HedgeAt) {
 			return
 		}
 	}
@@ -122,22 +121,13 @@
 		return
 	}
 	choice, ok := t.choose(now, r)
-	if !ok || !t.Seams.AllowRetry(now) {
+	if !ok || !t.Seams.AllowRetry(now, r.step().Service, true) {
 		return
 	}
 	t.dispatch(now, r, choice, true)
 	t.emit(r, bbevent.RequestHedged, r.Attempts[len(r.Attempts)-1], r.step().Service)
 }
 
-// hedgeTime returns when an attempt counts as slow.
-func (t *Table) hedgeTime(r *Run, a Attempt) time.Duration {
-	delay := t.Seams.HedgeDelay(r.step().Service)
-	if delay == bbtimer.Never {
-		return bbtimer.Never
-	}
-	return a.Sent + delay
-}
-
 // nextLook returns the earliest time at which a timer of the run is due.
 func (t *Table) nextLook(now time.Duration, r *Run) time.Duration {
 	next := r.Deadline
@@ -148,7 +138,7 @@
 		if a.State != AttemptOpen {
 			continue
 		}
-		for _, due := range []time.Duration{a.Expires, t.hedgeTime(r, a), a.Lost + t.Settings.OwnerPatience} {
+		for _, due := range []time.Duration{a.Expires, a.HedgeAt, a.Lost + t.Settings.OwnerPatience} {
 			if due > now {
 				next = min(next, due)
 			}
--- a/core/bbmsg/envelope.go
+++ b/core/bbmsg/envelope.go
@@ -133,6 +133,11 @@
 	ReasonSilent          Reason = "silent"
 	ReasonKeyTakenOver    Reason = "keyTakenOver"
 	ReasonNotSeen         Reason = "notSeen"
+	ReasonDomainOut       Reason = "domainOut"
+	ReasonUnknownPath     Reason = "unknownPath"
+	ReasonBadQuery        Reason = "badQuery"
+	ReasonBadHeader       Reason = "badHeader"
+	ReasonNoID            Reason = "noId"
 )
 
 // Answer carries a part or the end of a request's outcome to the receiver.
--- a/core/bbmsg/inout.go
+++ b/core/bbmsg/inout.go
@@ -143,10 +143,17 @@
 	Poll *EndpointPoll
 	// Event goes to the time line.
 	Event *bbevent.Event
+	// Links replaces the set of entry VMs that messages can go to.
+	Links *LinkSet
 	// Stopped tells the driver that the drain is done and the process may end.
 	Stopped bool
 }
 
+// LinkSet lists the entry VMs that messages can go to.
+type LinkSet struct {
+	Members []Member
+}
+
 // ToPeer is a message with its destination.
 type ToPeer struct {
 	To       string
@@ -161,8 +168,10 @@
 
 // ReplyOut is a probe reply with its destination.
 type ReplyOut struct {
-	To    string
-	Reply ProbeReply
+	// To and Incarnation name the process that sent the probe.
+	To          string
+	Incarnation uint64
+	Reply       ProbeReply
 }
 
 // EndpointCall is a request to send to an endpoint.
