The core of an entry VM as one deterministic node

Cause: members, records, flow and owners have to act on one memory, each tick. Inputs and the time come in, outputs go out; messages to the node itself never leave it.

--- /dev/null
+++ b/core/bbnode/choose.go
@@ -0,0 +1,144 @@
+package bbnode
+
+import (
+	"slices"
+	"time"
+
+	"bluebellhall/core/bbflow"
+	"bluebellhall/core/bbhash"
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbroute"
+	"bluebellhall/core/bbrule"
+)
+
+// view is what this home knows of an endpoint.
+type view struct {
+	digest bbmsg.EndpointDigest
+	// owner is the node that made the digest, at the time seen.
+	owner string
+	seen  time.Duration
+	// inFlight counts this home's open attempts, and since those after the digest.
+	inFlight int
+	since    int
+}
+
+// see keeps a digest that an owner sent. Only the owner by the list held is believed.
+func (n *Node) see(from string, d bbmsg.EndpointDigest) {
+	if n.Index == nil {
+		return
+	}
+	e := n.Index.Endpoints[d.Name]
+	if e == nil || n.Members.Owner(d.Name, e.Domain) != from {
+		return
+	}
+	v := n.view(d.Name)
+	v.digest = d
+	v.owner = from
+	v.seen = n.now
+	v.since = 0
+}
+
+// view returns the view of an endpoint of the rules.
+func (n *Node) view(name string) *view {
+	v, ok := n.views[name]
+	if !ok {
+		v = &view{}
+		n.views[name] = v
+	}
+	return v
+}
+
+// dropViews forgets the endpoints that the rules no longer name.
+func (n *Node) dropViews() {
+	for name := range n.views {
+		if n.Index.Endpoints[name] == nil {
+			delete(n.views, name)
+		}
+	}
+}
+
+// sent counts an attempt of this home.
+func (n *Node) sent(d *bbmsg.Dispatch) {
+	v := n.view(d.Endpoint)
+	v.inFlight++
+	v.since++
+}
+
+// ended counts the end of an attempt of this home.
+func (n *Node) ended(endpoint string) {
+	if v, ok := n.views[endpoint]; ok && v.inFlight > 0 {
+		v.inFlight--
+	}
+}
+
+// choose picks an endpoint for a stage.
+func (n *Node) choose(_ time.Duration, q bbflow.Query) (bbflow.Choice, bool) {
+	if n.Index == nil {
+		return bbflow.Choice{}, false
+	}
+	endpoints := n.Index.ServiceEndpoints[q.Step.Service]
+	candidates := n.candidates(endpoints, q)
+	query := n.routeQuery(q)
+	choice := n.policy.router.Choose(&query, candidates)
+	if choice.Index < 0 {
+		return bbflow.Choice{}, false
+	}
+	c := candidates[choice.Index]
+	return bbflow.Choice{
+		Endpoint:         c.Name,
+		Owner:            c.Owner,
+		OwnerIncarnation: n.incarnationOf(c.Owner),
+		ListRevision:     n.Members.Revision(),
+	}, true
+}
+
+// routeQuery describes a stage to the router.
+func (n *Node) routeQuery(q bbflow.Query) bbroute.Query {
+	r := bbroute.Query{
+		Domain:        n.Settings.Self.Domain,
+		Region:        n.Settings.Self.Region,
+		Model:         q.Step.Model,
+		Bytes:         int64(q.BodyBytes),
+		ServiceMillis: n.policy.serviceMillis(n.now, q.Step.Service),
+		Alone:         q.Alone,
+	}
+	if q.Session != "" && q.Step.Kind == bbrule.KindEngine {
+		r.Session = bbhash.Name(q.Session)
+	}
+	return r
+}
+
+// candidates lists the endpoints of a service as this home sees them. The memory is
+// used again by the next call.
+func (n *Node) candidates(endpoints []*bbrule.Endpoint, q bbflow.Query) []bbroute.Candidate {
+	list := n.policy.candidates[:0]
+	for _, e := range endpoints {
+		list = append(list, n.candidate(e, slices.Contains(q.Exclude, e.Name)))
+	}
+	n.policy.candidates = list
+	return list
+}
+
+// candidate describes one endpoint to the router.
+func (n *Node) candidate(e *bbrule.Endpoint, excluded bool) bbroute.Candidate {
+	owner := n.Members.Owner(e.Name, e.Domain)
+	c := bbroute.Candidate{
+		Name:       e.Name,
+		Hash:       n.policy.hashOf(e.Name),
+		Domain:     e.Domain,
+		Region:     n.Index.Region(e.Domain),
+		Owner:      owner,
+		OwnerAlive: owner != "" && n.alive(owner) && n.incarnationOf(owner) != 0,
+		Excluded:   excluded || n.Index.IsOut(e),
+	}
+	v, ok := n.views[e.Name]
+	if !ok {
+		return c
+	}
+	c.InFlight = v.inFlight
+	c.Since = v.since
+	c.Known = v.owner == owner
+	c.Digest = v.digest
+	c.DigestAge = n.now - v.seen
+	return c
+}
--- /dev/null
+++ b/core/bbnode/peers.go
@@ -0,0 +1,147 @@
+package bbnode
+
+import (
+	"time"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbflow"
+	"bluebellhall/core/bbmsg"
+)
+
+// knowledge returns what probes tell of this node.
+func (n *Node) knowledge() bbmsg.Knowledge {
+	return n.Config.Knowledge(bbmsg.Knowledge{
+		ClockMillis: n.now.Milliseconds(),
+		Draining:    n.drain.started,
+		Load:        n.Home.Running(),
+		Heirs:       n.Home.Heirs(),
+		Endpoints:   n.Owner.Digests(n.now),
+	})
+}
+
+// takeProbe answers a probe and learns from it.
+func (n *Node) takeProbe(p bbmsg.Probe) {
+	before := n.incarnationOf(p.From)
+	reply := n.Members.HandleProbe(n.now, p, n.knowledge())
+	n.out = append(n.out, bbmsg.Output{
+		Reply: &bbmsg.ReplyOut{
+			To:          p.From,
+			Incarnation: p.Incarnation,
+			Reply:       reply,
+		},
+	})
+	n.learn(p.From, before, p.Knowledge)
+}
+
+// takeReply learns from the answer to a probe.
+func (n *Node) takeReply(r bbmsg.ProbeReply) {
+	before := n.incarnationOf(r.From)
+	n.emit(n.Members.HandleReply(n.now, r))
+	n.learn(r.From, before, r.Knowledge)
+}
+
+// learn takes in what a peer knows.
+func (n *Node) learn(from string, before uint64, k bbmsg.Knowledge) {
+	for _, d := range k.Endpoints {
+		n.see(from, d)
+	}
+	if after := n.incarnationOf(from); before != 0 && after != before {
+		n.peerChanged(from)
+	}
+	n.Config.HearPeer(from, k)
+}
+
+// incarnationOf returns the process of a node as last heard, 0 if never.
+func (n *Node) incarnationOf(name string) uint64 {
+	if name == n.Settings.Self.Name {
+		return n.Settings.Incarnation
+	}
+	if p, ok := n.Members.Peers[name]; ok {
+		return p.Incarnation
+	}
+	return 0
+}
+
+// alive tells whether a node answers probes. The node itself does.
+func (n *Node) alive(name string) bool {
+	if name == n.Settings.Self.Name {
+		return true
+	}
+	p, ok := n.Members.Peers[name]
+	return ok && p.Heard && p.Alive
+}
+
+// peerState tells the flow about an owner.
+func (n *Node) peerState(_ time.Duration, name string) bbflow.PeerState {
+	return bbflow.PeerState{
+		Alive:       n.alive(name),
+		Incarnation: n.incarnationOf(name),
+	}
+}
+
+// peerChanged acts on a peer that was lost, came back or started anew.
+func (n *Node) peerChanged(name string) {
+	n.Flow.PeerChanged(n.now, name)
+	n.receiverPeerChanged(name)
+	n.drainPeerChanged(name)
+}
+
+// takeDispatch offers an attempt to the owner's table. An attempt that was meant for
+// an earlier process of this node may have been sent by it, so it is not run.
+func (n *Node) takeDispatch(from string, d bbmsg.Dispatch) {
+	if d.OwnerIncarnation != n.Settings.Incarnation {
+		n.send(from, bbmsg.Envelope{
+			Result: &bbmsg.Result{
+				Attempt:      d.Attempt,
+				Kind:         bbmsg.ResultBroken,
+				Reason:       bbmsg.ReasonOwnerGone,
+				ListRevision: n.Members.Revision(),
+			},
+		})
+		return
+	}
+	n.Owner.Offer(n.now, d, from)
+	n.emit(n.Owner.TakeOutputs())
+}
+
+// takeCancel stops an attempt. Only the process that got the attempt can answer.
+func (n *Node) takeCancel(from string, c bbmsg.Cancel) {
+	if c.OwnerIncarnation != n.Settings.Incarnation {
+		return
+	}
+	answer, ok := n.Owner.Cancel(n.now, c)
+	n.emit(n.Owner.TakeOutputs())
+	if !ok {
+		return
+	}
+	n.send(from, bbmsg.Envelope{
+		Cancelled: &answer,
+	})
+}
+
+// takeResult passes news of an attempt to the flow.
+func (n *Node) takeResult(from string, r bbmsg.Result) {
+	if r.Digest != nil {
+		n.see(from, *r.Digest)
+	}
+	n.Flow.HandleResult(n.now, from, r)
+}
+
+// takePlatform notes whether the configuration service answers.
+func (n *Node) takePlatform(up bool) {
+	if n.platform.known && n.platform.up == up {
+		return
+	}
+	n.platform = platformState{
+		up:    up,
+		known: true,
+		since: n.now,
+	}
+	number := bbevent.PlatformDown
+	if up {
+		number = bbevent.PlatformUp
+	}
+	n.event(bbevent.Event{
+		Number: number,
+	})
+}
--- /dev/null
+++ b/core/bbnode/rules.go
@@ -0,0 +1,170 @@
+package bbnode
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"bluebellhall/core/bbconfig"
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbrule"
+)
+
+// fetchInterval is the least time between two questions to peers for configuration.
+const fetchInterval = 100 * time.Millisecond
+
+// offerRules takes in a revision of the rules and puts it in force if it is newer
+// and valid.
+func (n *Node) offerRules(text bbmsg.RulesText, source string) {
+	if !n.Config.OfferRules(source, text) {
+		return
+	}
+	before := n.Index
+	n.Index = n.Config.Rules().Index
+	n.Owner.SetRules(n.now, n.Index.Set)
+	n.policy.setLimits(n.Index.Set.Limits)
+	n.dropViews()
+	n.setOwned()
+	n.tellDomains(before)
+}
+
+// offerList takes in a list of VMs and adopts it if it is newer.
+func (n *Node) offerList(list bbmsg.MemberList, source string) {
+	if !n.Config.OfferList(source, list) {
+		return
+	}
+	before := n.Members.List()
+	adopted := n.Config.List()
+	if !n.Members.Adopt(n.now, adopted) {
+		return
+	}
+	n.Owner.SetMembers(n.now, adopted)
+	n.setOwned()
+	if !sameEntries(before, adopted) {
+		n.keySafeAt = n.now + n.Settings.Times.KeyRetention
+	}
+	n.receiverListChanged()
+	n.setLinks()
+}
+
+// setLinks tells the driver which VMs messages can go to: those listed and those of
+// former groups that are still asked.
+func (n *Node) setLinks() {
+	links := &bbmsg.LinkSet{}
+	for _, name := range n.sortedNames() {
+		links.Members = append(links.Members, n.Members.Peers[name].Member)
+	}
+	n.out = append(n.out, bbmsg.Output{
+		Links: links,
+	})
+}
+
+// setOwned tells the owner's table which endpoints it has now.
+func (n *Node) setOwned() {
+	if n.Index == nil {
+		return
+	}
+	self := n.Settings.Self.Name
+	gained, lost := n.Owner.SetOwned(n.now, func(name string) bool {
+		e := n.Index.Endpoints[name]
+		return e != nil && n.Members.Owner(name, e.Domain) == self
+	})
+	n.tellEndpoints(bbevent.OwnershipGained, gained)
+	n.tellEndpoints(bbevent.OwnershipLost, lost)
+	for _, name := range gained {
+		if v, ok := n.views[name]; ok {
+			n.Owner.Hint(n.now, v.digest)
+		}
+	}
+	n.emit(n.Owner.TakeOutputs())
+}
+
+// tellEndpoints adds an event for each endpoint.
+func (n *Node) tellEndpoints(number bbevent.Number, names []string) {
+	for _, name := range names {
+		n.event(bbevent.Event{
+			Number:   number,
+			Endpoint: name,
+			Detail:   fmt.Sprintf("list %d", n.Members.Revision()),
+		})
+	}
+}
+
+// tellDomains adds events for failure domains that were taken out or brought back.
+func (n *Node) tellDomains(before *bbrule.Index) {
+	for _, d := range n.Index.Set.Domains {
+		was := false
+		if before != nil && before.Domains[d.Name] != nil {
+			was = before.Domains[d.Name].Out
+		}
+		if d.Out == was {
+			continue
+		}
+		number := bbevent.DomainBack
+		if d.Out {
+			number = bbevent.DomainOut
+		}
+		n.event(bbevent.Event{
+			Number: number,
+			Detail: d.Name,
+		})
+	}
+}
+
+// tickConfiguration asks peers for what they have newer and decides on readiness.
+func (n *Node) tickConfiguration() {
+	n.emit(n.Config.Tick(n.now, n.alivePeers()))
+	if n.ready || !n.Config.Ready() {
+		return
+	}
+	n.ready = true
+	n.event(bbevent.Event{
+		Number: bbevent.NodeReady,
+	})
+}
+
+// alivePeers returns the names of the nodes that answer probes, sorted.
+func (n *Node) alivePeers() []string {
+	var names []string
+	for name, p := range n.Members.Peers {
+		if p.Heard && p.Alive {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// newConfig returns an empty configuration.
+func newConfig(t Times) *bbconfig.Config {
+	return bbconfig.New(bbconfig.Settings{
+		FetchInterval: fetchInterval,
+		StartWait:     t.StartPatience,
+	})
+}
+
+// sameEntries tells whether two lists have the same entry VMs in the same state.
+func sameEntries(a, b bbmsg.MemberList) bool {
+	x, y := entries(a), entries(b)
+	if len(x) != len(y) {
+		return false
+	}
+	for i := range x {
+		if x[i] != y[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// entries returns the entry VMs of a list.
+func entries(l bbmsg.MemberList) []bbmsg.Member {
+	var found []bbmsg.Member
+	for _, m := range l.Members {
+		if m.Role == bbmsg.RoleEntry {
+			found = append(found, m)
+		}
+	}
+	return found
+}
