Daemon: loop, callers' interface, calls to endpoints, watch, graceful stop

Cause: the core needs a driver. A call that may not be repeated gets a fresh connection, because a kept one may be dead without a sign; a call counts as unsent only when no connection was made for it. Settings are checked whole.

--- /dev/null
+++ b/bluebelld/bbbackend/call.go
@@ -0,0 +1,194 @@
+package bbbackend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bluebellhall/core/bbmsg"
+)
+
+// coldHeader is set by an endpoint that refuses because it is cold.
+const coldHeader = "Bluebell-Cold"
+
+// run makes one call and reports its end exactly once.
+func (c *Client) run(ctx context.Context, cancel context.CancelFunc, e bbmsg.EndpointCall) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	watch := newWatch(time.Duration(e.SilenceMillis)*time.Millisecond, cancel)
+	defer watch.stop()
+	request, err := c.request(httptrace.WithClientTrace(ctx, trace), e)
+	if err != nil {
+		c.end(e, bbmsg.NewsUnsent, 0)
+		return
+	}
+	response, err := c.transport(e).RoundTrip(request)
+	if err != nil {
+		c.failed(e, connected.Load(), watch.silent())
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	watch.progress()
+	if response.StatusCode != http.StatusOK {
+		c.refused(e, response)
+		return
+	}
+	if e.Kind == kindEngine {
+		c.stream(e, response.Body, watch)
+		return
+	}
+	c.whole(e, response.Body, watch)
+}
+
+// kindEngine is the kind of call that is answered with a token stream.
+const kindEngine = "engine"
+
+// transport returns the connections to use. A call that may not be repeated gets a
+// fresh one, because a kept one may be dead without a sign, which would leave the
+// outcome unknown.
+func (c *Client) transport(e bbmsg.EndpointCall) http.RoundTripper {
+	if !e.Once {
+		return c.pool(e.Address)
+	}
+	t := newTransport()
+	t.DisableKeepAlives = true
+	return t
+}
+
+// failed reports a call without an answer.
+func (c *Client) failed(e bbmsg.EndpointCall, connected, silent bool) {
+	if silent {
+		c.replacePool(e.Address)
+	}
+	if !connected {
+		c.end(e, bbmsg.NewsUnsent, 0)
+		return
+	}
+	c.end(e, bbmsg.NewsBroken, 0)
+}
+
+// refused reports an answer with an error status. Only statuses that mean that the
+// endpoint did not take the request count as a rejection.
+func (c *Client) refused(e bbmsg.EndpointCall, response *http.Response) {
+	cold := response.Header.Get(coldHeader) != ""
+	n := bbmsg.EndpointNews{
+		Call:   e.Call,
+		Kind:   bbmsg.NewsFailed,
+		Status: response.StatusCode,
+		Cold:   cold,
+	}
+	unloaded := e.Kind == kindEngine && response.StatusCode == http.StatusNotFound
+	if cold || unloaded || response.StatusCode == http.StatusTooManyRequests {
+		n.Kind = bbmsg.NewsRejected
+	}
+	n.Body, _ = io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	c.handlers.News(n)
+}
+
+// whole reads a plain answer.
+func (c *Client) whole(e bbmsg.EndpointCall, body io.Reader, watch *watch) {
+	data, err := io.ReadAll(io.LimitReader(body, maxBodyBytes+1))
+	if err != nil || len(data) > maxBodyBytes {
+		c.failed(e, true, watch.silent())
+		return
+	}
+	c.handlers.News(bbmsg.EndpointNews{
+		Call:   e.Call,
+		Kind:   bbmsg.NewsDone,
+		Status: http.StatusOK,
+		Body:   data,
+	})
+}
+
+// end reports the end of a call without an answer.
+func (c *Client) end(e bbmsg.EndpointCall, kind bbmsg.NewsKind, status int) {
+	c.handlers.News(bbmsg.EndpointNews{
+		Call:   e.Call,
+		Kind:   kind,
+		Status: status,
+	})
+}
+
+// request builds the HTTP request of a call.
+func (c *Client) request(ctx context.Context, e bbmsg.EndpointCall) (*http.Request, error) {
+	url := "http://" + e.Address + "/" + e.Path
+	body := e.Body
+	if e.Kind == kindEngine {
+		url = "http://" + e.Address + "/v1/completions"
+		encoded, err := encodeJSON(completionOf(e))
+		if err != nil {
+			return nil, err
+		}
+		body = encoded
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build endpoint request")
+	}
+	request.GetBody = nil
+	setHeaders(request.Header, e)
+	return request, nil
+}
+
+// watch cancels a call that makes no progress.
+type watch struct {
+	limit time.Duration
+	timer *time.Timer
+	fired atomic.Bool
+}
+
+// newWatch starts a watch; a limit of 0 means none.
+func newWatch(limit time.Duration, cancel context.CancelFunc) *watch {
+	w := &watch{
+		limit: limit,
+	}
+	if limit > 0 {
+		w.timer = time.AfterFunc(limit, func() {
+			w.fired.Store(true)
+			cancel()
+		})
+	}
+	return w
+}
+
+// progress starts the time anew.
+func (w *watch) progress() {
+	if w.timer != nil && !w.fired.Load() {
+		w.timer.Reset(w.limit)
+	}
+}
+
+// silent tells whether the call was cancelled for lack of progress.
+func (w *watch) silent() bool {
+	return w.fired.Load()
+}
+
+// stop ends the watch.
+func (w *watch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// encodeJSON encodes a message.
+func encodeJSON(v any) ([]byte, error) {
+	data, err := json.Marshal(v)
+	return data, errors.Wrap(err, "encode JSON")
+}
+
+// decodeJSON decodes the body of an answer with status 200.
+func decodeJSON(response *http.Response, v any) error {
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("status %d", response.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxBodyBytes)).Decode(v), "decode JSON")
+}
--- /dev/null
+++ b/bluebelld/bbbackend/client.go
@@ -0,0 +1,236 @@
+// Package bbbackend calls endpoints over HTTP: model engines with server-sent
+// events, stage pools and plain services with JSON. It reports what happened to each
+// call precisely enough to tell what was never sent.
+package bbbackend
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bluebellhall/core/bbmsg"
+)
+
+// Handlers take in what a client learns. They may be called at the same time.
+type Handlers struct {
+	// News takes in what happens to calls.
+	News func(n bbmsg.EndpointNews)
+	// Report takes in load reports.
+	Report func(r bbmsg.LoadReport)
+	// Ordered takes in answers to orders.
+	Ordered func(r bbmsg.OrderResult)
+}
+
+// Client makes the calls of one node.
+type Client struct {
+	handlers Handlers
+
+	mu sync.Mutex
+	// calls has the cancel functions of running calls.
+	calls map[uint64]context.CancelFunc
+	// pools has a connection pool for each endpoint address.
+	pools map[string]*http.Transport
+	// polls has the endpoints whose load report is being fetched.
+	polls map[string]bool
+	// ctx ends all calls when the client is closed.
+	ctx context.Context
+}
+
+const (
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = time.Second
+	// pollTimeout bounds the fetch of a load report.
+	pollTimeout = time.Second
+	// orderTimeout bounds an order.
+	orderTimeout = 5 * time.Second
+	// idleTimeout closes connections that are not used.
+	idleTimeout = 10 * time.Second
+	// maxBodyBytes bounds the answer of an endpoint.
+	maxBodyBytes = 8 << 20
+	// maxIdleConns bounds idle connections per endpoint.
+	maxIdleConns = 64
+)
+
+// New returns a client. The clean-up function ends its calls.
+func New(h Handlers) (*Client, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Client{
+		handlers: h,
+		calls:    make(map[uint64]context.CancelFunc),
+		pools:    make(map[string]*http.Transport),
+		polls:    make(map[string]bool),
+		ctx:      ctx,
+	}
+	return c, func() {
+		cancel()
+		c.closeIdle()
+	}
+}
+
+// closeIdle closes all idle connections.
+func (c *Client) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.CloseIdleConnections()
+	}
+}
+
+// pool returns the connection pool of an address.
+func (c *Client) pool(address string) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[address]
+	if !ok {
+		p = newTransport()
+		c.pools[address] = p
+	}
+	return p
+}
+
+// newTransport returns an empty connection pool.
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+	}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// replacePool drops the idle connections of an address, because one went silent.
+func (c *Client) replacePool(address string) {
+	c.mu.Lock()
+	p := c.pools[address]
+	delete(c.pools, address)
+	c.mu.Unlock()
+	if p != nil {
+		p.CloseIdleConnections()
+	}
+}
+
+// Start begins a call and returns at once.
+func (c *Client) Start(e bbmsg.EndpointCall) {
+	ctx, cancel := context.WithTimeout(c.ctx, time.Duration(e.TimeoutMillis)*time.Millisecond)
+	c.mu.Lock()
+	c.calls[e.Call] = cancel
+	c.mu.Unlock()
+	go func() {
+		defer c.finish(e.Call, cancel)
+		c.run(ctx, cancel, e)
+	}()
+}
+
+// finish forgets a call.
+func (c *Client) finish(call uint64, cancel context.CancelFunc) {
+	cancel()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.calls, call)
+}
+
+// Stop cancels a call if it still runs.
+func (c *Client) Stop(s bbmsg.EndpointStop) {
+	c.mu.Lock()
+	cancel := c.calls[s.Call]
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// Poll fetches a load report unless one is being fetched.
+func (c *Client) Poll(p bbmsg.EndpointPoll) {
+	c.mu.Lock()
+	busy := c.polls[p.Endpoint]
+	c.polls[p.Endpoint] = true
+	c.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		r, err := c.fetchReport(p)
+		c.mu.Lock()
+		delete(c.polls, p.Endpoint)
+		c.mu.Unlock()
+		if err == nil {
+			c.handlers.Report(r)
+		}
+	}()
+}
+
+// fetchReport fetches one load report.
+func (c *Client) fetchReport(p bbmsg.EndpointPoll) (bbmsg.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, pollTimeout)
+	defer cancel()
+	var r bbmsg.LoadReport
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+"/v1/load", nil)
+	if err != nil {
+		return r, errors.Wrap(err, "build load request")
+	}
+	response, err := c.pool(p.Address).RoundTrip(request)
+	if err != nil {
+		c.replacePool(p.Address)
+		return r, errors.Wrap(err, "fetch load report")
+	}
+	defer func() { _ = response.Body.Close() }()
+	err = decodeJSON(response, &r)
+	r.Endpoint = p.Endpoint
+	return r, err
+}
+
+// Order sends an order and reports its answer.
+func (c *Client) Order(o bbmsg.Order) {
+	go func() {
+		status := c.sendOrder(o)
+		c.handlers.Ordered(bbmsg.OrderResult{
+			Endpoint: o.Endpoint,
+			Fence:    o.Fence,
+			Accepted: status == http.StatusOK,
+			Status:   status,
+		})
+	}()
+}
+
+// sendOrder returns the status of the answer, 0 if none came.
+func (c *Client) sendOrder(o bbmsg.Order) int {
+	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
+	defer cancel()
+	body, err := encodeJSON(o)
+	if err != nil {
+		return 0
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Address+"/v1/orders", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	response, err := c.pool(o.Address).RoundTrip(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// setHeaders marks a request so that the endpoint's log can be matched with ours.
+func setHeaders(h http.Header, e bbmsg.EndpointCall) {
+	h.Set("Content-Type", "application/json")
+	h.Set("Bluebell-Request", e.Attempt.ID)
+	h.Set("Bluebell-Stage", strconv.Itoa(e.Attempt.Stage))
+	h.Set("Bluebell-Attempt", strconv.Itoa(e.Attempt.Number))
+	if e.Session != "" {
+		h.Set("Bluebell-Session", e.Session)
+	}
+	if e.FromOffset > 0 {
+		h.Set("Bluebell-From-Offset", strconv.Itoa(e.FromOffset))
+	}
+}
--- /dev/null
+++ b/bluebelld/bbcaller/write.go
@@ -0,0 +1,151 @@
+package bbcaller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"bluebellhall/core/bbmsg"
+)
+
+// tokensEvent is an event of a token stream.
+type tokensEvent struct {
+	Tokens []string `json:"tokens"`
+	// Offset is the index of the first token.
+	Offset int `json:"offset"`
+}
+
+// tokensBody is the whole answer of a pipeline that ends in an engine.
+type tokensBody struct {
+	Tokens []string `json:"tokens"`
+	Text   string   `json:"text"`
+}
+
+// endEvent closes a token stream.
+type endEvent struct {
+	Refusal
+	// Tokens is the number of tokens of the whole answer.
+	Tokens int `json:"tokens"`
+	// Body is the answer of a pipeline that does not end in an engine.
+	Body json.RawMessage `json:"body,omitempty"`
+}
+
+// write writes the answers of the core until the last, and returns false when the
+// caller went away before.
+func (a *API) write(w http.ResponseWriter, r *http.Request, k *call, q bbmsg.CallerRequest) bool {
+	timer := time.NewTimer(a.settings.AnswerTimeout)
+	defer timer.Stop()
+	s := &stream{
+		writer: w,
+		next:   q.FromOffset,
+	}
+	for {
+		select {
+		case <-k.more:
+		case <-r.Context().Done():
+			return false
+		case <-timer.C:
+			s.finish(bbmsg.Answer{
+				ID:      q.ID,
+				Outcome: bbmsg.OutcomeUnknown,
+				Reason:  bbmsg.ReasonSilent,
+			}, q.Stream)
+			return false
+		}
+		for _, m := range k.take() {
+			if m.Outcome != bbmsg.OutcomePending {
+				s.finish(m, q.Stream)
+				return true
+			}
+			s.tokens(m.Offset, m.Tokens)
+		}
+	}
+}
+
+// stream writes a token stream.
+type stream struct {
+	writer http.ResponseWriter
+	// next is the index of the next token to write; each is written once.
+	next int
+	// begun is true once the head was written.
+	begun bool
+}
+
+// begin writes the head of a stream.
+func (s *stream) begin() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.writer.Header().Set("Content-Type", "text/event-stream")
+	s.writer.Header().Set("Cache-Control", "no-store")
+	s.writer.WriteHeader(http.StatusOK)
+}
+
+// tokens writes the tokens that the caller does not have. The id of the event is the
+// index of the next token, with which a caller resumes.
+func (s *stream) tokens(offset int, tokens []string) {
+	if offset > s.next || offset+len(tokens) <= s.next {
+		return
+	}
+	e := tokensEvent{
+		Tokens: tokens[s.next-offset:],
+		Offset: s.next,
+	}
+	s.begin()
+	s.next += len(e.Tokens)
+	data, _ := json.Marshal(e)
+	_, _ = fmt.Fprintf(s.writer, "id: %d\ndata: %s\n\n", s.next, data)
+	s.flush()
+}
+
+// flush sends what was written.
+func (s *stream) flush() {
+	_ = http.NewResponseController(s.writer).Flush()
+}
+
+// finish writes the end of an answer.
+func (s *stream) finish(m bbmsg.Answer, streaming bool) {
+	if !streaming {
+		s.whole(m)
+		return
+	}
+	if m.Outcome != bbmsg.OutcomeAnswered && !s.begun {
+		writeRefusal(s.writer, m)
+		return
+	}
+	s.tokens(m.Offset, m.Tokens)
+	s.begin()
+	e := endEvent{
+		Refusal: refusalOf(m),
+		Tokens:  s.next,
+	}
+	if m.Outcome == bbmsg.OutcomeAnswered && json.Valid(m.Body) {
+		e.Body = m.Body
+		e.Detail = ""
+	}
+	data, _ := json.Marshal(e)
+	_, _ = fmt.Fprintf(s.writer, "event: end\ndata: %s\n\n", data)
+	s.flush()
+}
+
+// whole writes a plain answer.
+func (s *stream) whole(m bbmsg.Answer) {
+	if m.Outcome != bbmsg.OutcomeAnswered {
+		writeRefusal(s.writer, m)
+		return
+	}
+	s.writer.Header().Set(HeaderOutcome, string(m.Outcome))
+	if len(m.Tokens) > 0 {
+		writeJSON(s.writer, http.StatusOK, tokensBody{
+			Tokens: m.Tokens,
+			Text:   strings.Join(m.Tokens, ""),
+		})
+		return
+	}
+	s.writer.Header().Set("Content-Type", "application/json")
+	s.writer.WriteHeader(http.StatusOK)
+	_, _ = s.writer.Write(m.Body)
+}
--- /dev/null
+++ b/bluebelld/bbsettings/settings.go
@@ -0,0 +1,179 @@
+// Package bbsettings reads the JSON settings of an entry VM and checks them as a
+// whole, so that all findings are reported together.
+package bbsettings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// Settings are what a process must know before it can read the rules.
+type Settings struct {
+	// Name is the VM's name in the list of VMs.
+	Name string `json:"name"`
+	// Domain is its failure domain and Region the domain's region.
+	Domain string `json:"domain"`
+	Region string `json:"region"`
+	// CallerAddress and PeerAddress are host:port to listen on.
+	CallerAddress string `json:"callerAddress"`
+	PeerAddress   string `json:"peerAddress"`
+	// PlatformAddresses are host:port of the platform's configuration service.
+	PlatformAddresses []string `json:"platformAddresses"`
+	// KeyFile holds the fleet's signing key, and PreviousKeyFile the one before
+	// while keys are being changed.
+	KeyFile         string `json:"keyFile"`
+	PreviousKeyFile string `json:"previousKeyFile,omitempty"`
+	// LogLevel is debug, info, warn or error; empty means info.
+	LogLevel string `json:"logLevel,omitempty"`
+	// Key and PreviousKey are the contents of the files.
+	Key         []byte `json:"-"`
+	PreviousKey []byte `json:"-"`
+}
+
+// Finding is one thing wrong with the settings.
+type Finding struct {
+	// Line and Column are set for errors of syntax, from 1.
+	Line   int
+	Column int
+	// Field is the JSON name of the field, if one is concerned.
+	Field string
+	// Text is the message for the operator.
+	Text string
+}
+
+// String returns the finding in the form place: text.
+func (f Finding) String() string {
+	if f.Line > 0 {
+		return fmt.Sprintf("%d:%d: %s", f.Line, f.Column, f.Text)
+	}
+	return f.Field + ": " + f.Text
+}
+
+// minKeyBytes is the least length of a signing key.
+const minKeyBytes = 16
+
+// Load reads settings and the key files that they name.
+func Load(path string) (Settings, []Finding, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, nil, errors.Wrap(err, "read settings")
+	}
+	s, findings := Parse(data)
+	if len(findings) > 0 {
+		return s, findings, nil
+	}
+	s.Key, findings = loadKey(findings, "keyFile", s.KeyFile)
+	if s.PreviousKeyFile != "" {
+		s.PreviousKey, findings = loadKey(findings, "previousKeyFile", s.PreviousKeyFile)
+	}
+	return s, findings, nil
+}
+
+// loadKey reads one key file.
+func loadKey(findings []Finding, field, path string) ([]byte, []Finding) {
+	key, err := os.ReadFile(path)
+	if err != nil {
+		return nil, add(findings, field, err.Error())
+	}
+	key = bytes.TrimSpace(key)
+	if len(key) < minKeyBytes {
+		return nil, add(findings, field, fmt.Sprintf("the key has %d bytes and needs %d", len(key), minKeyBytes))
+	}
+	return key, findings
+}
+
+// Parse decodes settings and returns all findings.
+func Parse(data []byte) (Settings, []Finding) {
+	var s Settings
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return s, []Finding{syntaxFinding(data, decoder.InputOffset(), err)}
+	}
+	return s, Check(s)
+}
+
+// syntaxFinding places an error of the decoder.
+func syntaxFinding(data []byte, offset int64, err error) Finding {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &syntax) {
+		offset = syntax.Offset
+	}
+	if errors.As(err, &kind) {
+		offset = kind.Offset
+	}
+	before := data[:min(int64(len(data)), offset)]
+	return Finding{
+		Line:   1 + bytes.Count(before, []byte("\n")),
+		Column: len(before) - bytes.LastIndexByte(before, '\n'),
+		Text:   err.Error(),
+	}
+}
+
+// Check returns what is wrong with the fields of settings.
+func Check(s Settings) []Finding {
+	var f []Finding
+	f = checkName(f, "name", s.Name)
+	f = checkName(f, "domain", s.Domain)
+	f = checkName(f, "region", s.Region)
+	f = checkAddress(f, "callerAddress", s.CallerAddress)
+	f = checkAddress(f, "peerAddress", s.PeerAddress)
+	if s.CallerAddress != "" && s.CallerAddress == s.PeerAddress {
+		f = add(f, "peerAddress", "is the same as callerAddress")
+	}
+	if len(s.PlatformAddresses) == 0 {
+		f = add(f, "platformAddresses", "is empty")
+	}
+	for i, a := range s.PlatformAddresses {
+		f = checkAddress(f, fmt.Sprintf("platformAddresses[%d]", i), a)
+	}
+	if s.KeyFile == "" {
+		f = add(f, "keyFile", "is empty")
+	}
+	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
+		f = add(f, "logLevel", fmt.Sprintf("%q is not a level", s.LogLevel))
+	}
+	return f
+}
+
+// checkName checks a name that becomes part of request ids.
+func checkName(f []Finding, field, value string) []Finding {
+	if value == "" {
+		return add(f, field, "is empty")
+	}
+	if strings.ContainsAny(value, ". \t\n") {
+		return add(f, field, "has a dot or a space")
+	}
+	return f
+}
+
+// checkAddress checks a host:port with an IP number.
+func checkAddress(f []Finding, field, value string) []Finding {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil {
+		return add(f, field, fmt.Sprintf("%q is not host:port", value))
+	}
+	if net.ParseIP(host) == nil {
+		return add(f, field, fmt.Sprintf("%q is not an IP number", host))
+	}
+	if port == "" {
+		return add(f, field, "has no port")
+	}
+	return f
+}
+
+// add appends a finding about a field.
+func add(f []Finding, field, text string) []Finding {
+	return append(f, Finding{
+		Field: field,
+		Text:  text,
+	})
+}
