Cluster of stand-ins and entry VMs in one process

Cause: the demo and the measurements need to kill, pause, cut, drain and restart nodes. Links are cut by a seam of the daemon, both for batches and probes.

--- /dev/null
+++ b/bluebellbench/bbcluster/cluster.go
@@ -0,0 +1,334 @@
+// Package bbcluster runs a fleet of stand-ins and the entry VMs before it in one
+// process over loopback, and causes failures: it kills, pauses, drains and restarts
+// nodes and cuts the links between them.
+package bbcluster
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bluebellhall/bluebelld/bbserver"
+	"bluebellhall/bluebelld/bbsettings"
+	"bluebellhall/bluebellfake/bbfleet"
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbnode"
+)
+
+// Settings describe a cluster.
+type Settings struct {
+	// Rules is the text that the platform publishes.
+	Rules string
+	// Fleet describes the stand-ins; its entry VMs are filled in.
+	Fleet bbfleet.Settings
+	// Domains has the failure domain of each entry VM, in order.
+	Domains []string
+	// Times replaces the defaults of the nodes when set.
+	Times *bbnode.Times
+	// Log takes the logs of all nodes; nil drops them.
+	Log io.Writer
+}
+
+// Cluster is a running cluster. Its methods may be called at the same time.
+type Cluster struct {
+	// Fleet has the stand-ins.
+	Fleet *bbfleet.Fleet
+
+	settings Settings
+	mu       sync.Mutex
+	// nodes has every entry VM ever started, by name.
+	nodes map[string]*node
+	// cuts has the cut pairs of names, both ways.
+	cuts map[cut]bool
+}
+
+// cut names the two ends of a link.
+type cut struct {
+	from string
+	to   string
+}
+
+// node is an entry VM.
+type node struct {
+	settings bbsettings.Settings
+	server   *bbserver.Server
+	cleanup  func()
+	// running is false between a kill and a restart.
+	running bool
+	// pause is closed when a pause ends, nil without one.
+	pause chan struct{}
+	// history has the events of processes that ended.
+	history []bbevent.Event
+}
+
+// fleetKey signs the tickets of the cluster; it is worth nothing elsewhere.
+const fleetKey = "loopback cluster, no secret"
+
+// Start runs a cluster. The clean-up function ends everything at once.
+func Start(s Settings) (*Cluster, func(), error) {
+	c := &Cluster{
+		settings: s,
+		nodes:    make(map[string]*node),
+		cuts:     make(map[cut]bool),
+	}
+	if err := c.plan(); err != nil {
+		return nil, nil, err
+	}
+	fleet, closeFleet, err := bbfleet.Start(c.settings.Fleet, s.Rules)
+	if err != nil {
+		return nil, nil, err
+	}
+	c.Fleet = fleet
+	cleanup := func() {
+		c.killAll()
+		closeFleet()
+	}
+	for _, name := range c.Names() {
+		if err := c.Restart(name); err != nil {
+			cleanup()
+			return nil, nil, err
+		}
+	}
+	return c, cleanup, nil
+}
+
+// plan gives every entry VM its name and ports.
+func (c *Cluster) plan() error {
+	regions, err := regionsOf(c.settings.Rules)
+	if err != nil {
+		return err
+	}
+	for i, domain := range c.settings.Domains {
+		name := fmt.Sprintf("entry-%d", i+1)
+		ports, err := freePorts(2)
+		if err != nil {
+			return err
+		}
+		c.nodes[name] = &node{
+			settings: bbsettings.Settings{
+				Name:          name,
+				Domain:        domain,
+				Region:        regions[domain],
+				CallerAddress: ports[0],
+				PeerAddress:   ports[1],
+				Key:           []byte(fleetKey),
+			},
+		}
+		c.settings.Fleet.EntryVMs = append(c.settings.Fleet.EntryVMs, bbfleet.EntryVM{
+			Name:        name,
+			Address:     ports[0],
+			PeerAddress: ports[1],
+			Domain:      domain,
+		})
+	}
+	return nil
+}
+
+// freePorts returns loopback addresses that nothing listens on.
+func freePorts(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+// Names returns the names of all entry VMs, sorted.
+func (c *Cluster) Names() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := make([]string, 0, len(c.nodes))
+	for name := range c.nodes {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Restart starts an entry VM with no memory of an earlier process.
+func (c *Cluster) Restart(name string) error {
+	c.mu.Lock()
+	n := c.nodes[name]
+	n.settings.PlatformAddresses = []string{c.Fleet.Platform.Address()}
+	c.mu.Unlock()
+	server, cleanup, err := bbserver.Start(n.settings, bbserver.Seams{
+		Log:     c.settings.Log,
+		Times:   c.settings.Times,
+		Blocked: func(peer string) bool { return c.isCut(name, peer) },
+		Paused:  func() <-chan struct{} { return c.pauseOf(name) },
+	})
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n.server = server
+	n.cleanup = cleanup
+	n.running = true
+	return nil
+}
+
+// Kill ends an entry VM at once; its memory is lost.
+func (c *Cluster) Kill(name string) {
+	c.mu.Lock()
+	n := c.nodes[name]
+	if !n.running {
+		c.mu.Unlock()
+		return
+	}
+	n.running = false
+	n.history = append(n.history, n.server.Events(0)...)
+	if n.pause != nil {
+		close(n.pause)
+		n.pause = nil
+	}
+	c.mu.Unlock()
+	n.cleanup()
+}
+
+// killAll ends all entry VMs.
+func (c *Cluster) killAll() {
+	for _, name := range c.Names() {
+		c.Kill(name)
+	}
+}
+
+// Drain stops an entry VM gracefully and waits for its end, or for the timeout.
+func (c *Cluster) Drain(name string, timeout time.Duration) error {
+	server := c.Server(name)
+	server.Drain()
+	select {
+	case <-server.Stopped:
+		c.Kill(name)
+		return nil
+	case <-time.After(timeout):
+		return errors.Newf("%s did not stop within %s", name, timeout)
+	}
+}
+
+// Pause makes an entry VM stand still for a time; its sockets stay open.
+func (c *Cluster) Pause(name string, d time.Duration) {
+	pause := make(chan struct{})
+	c.mu.Lock()
+	c.nodes[name].pause = pause
+	c.mu.Unlock()
+	time.AfterFunc(d, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.nodes[name].pause == pause {
+			close(pause)
+			c.nodes[name].pause = nil
+		}
+	})
+}
+
+// pauseOf returns the channel of a running pause, or nil.
+func (c *Cluster) pauseOf(name string) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.nodes[name].pause; p != nil {
+		return p
+	}
+	return nil
+}
+
+// Cut cuts or mends the link between two nodes, or between a node and the platform
+// under the name bbserver.PlatformName.
+func (c *Cluster) Cut(a, b string, broken bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range []cut{{from: a, to: b}, {from: b, to: a}} {
+		if broken {
+			c.cuts[k] = true
+			continue
+		}
+		delete(c.cuts, k)
+	}
+}
+
+// isCut tells whether a link is cut.
+func (c *Cluster) isCut(from, to string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cuts[cut{
+		from: from,
+		to:   to,
+	}]
+}
+
+// Server returns the running process of an entry VM, or the last one.
+func (c *Cluster) Server(name string) *bbserver.Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[name].server
+}
+
+// Running returns the names of the entry VMs that run, sorted.
+func (c *Cluster) Running() []string {
+	var names []string
+	for _, name := range c.Names() {
+		c.mu.Lock()
+		if c.nodes[name].running {
+			names = append(names, name)
+		}
+		c.mu.Unlock()
+	}
+	return names
+}
+
+// Address returns the callers' address of an entry VM.
+func (c *Cluster) Address(name string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[name].settings.CallerAddress
+}
+
+// Events returns the events of all processes, ended ones included, in one order.
+func (c *Cluster) Events() []bbevent.Event {
+	var all []bbevent.Event
+	for _, name := range c.Names() {
+		c.mu.Lock()
+		n := c.nodes[name]
+		all = append(all, n.history...)
+		running := n.running
+		c.mu.Unlock()
+		if running {
+			all = append(all, n.server.Events(0)...)
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].Stamp < all[j].Stamp })
+	return all
+}
+
+// WaitReady waits until a condition holds on all running nodes, or for the timeout.
+func (c *Cluster) WaitReady(timeout time.Duration, ok func(*bbserver.Server) bool) error {
+	deadline := time.Now().Add(timeout)
+	for {
+		waiting := ""
+		for _, name := range c.Running() {
+			if !ok(c.Server(name)) {
+				waiting = name
+			}
+		}
+		if waiting == "" {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Newf("%s is not ready after %s", waiting, timeout)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// pollInterval is the time between two looks at a condition.
+const pollInterval = 20 * time.Millisecond
