Suspects at the home: content that kills endpoints runs alone or not at all

Cause: a request that crashes its endpoint is sent again, also under a new id. The home notes each death under the fingerprint of the content, tells its peers and treats the content by the verdict. Survival of an early stage must not clear content that kills a later one: Succeeded is called for every stage, which is still open.

--- a/bluebellbench/bbcluster/cluster.go
+++ b/bluebellbench/bbcluster/cluster.go
@@ -88,13 +88,21 @@
 		c.killAll()
 		closeFleet()
 	}
+	if err := c.startAll(); err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	return c, cleanup, nil
+}
+
+// startAll starts every entry VM.
+func (c *Cluster) startAll() error {
 	for _, name := range c.Names() {
 		if err := c.Restart(name); err != nil {
-			cleanup()
-			return nil, nil, err
+			return err
 		}
 	}
-	return c, cleanup, nil
+	return nil
 }
 
 // plan gives every entry VM its name and ports.
@@ -236,10 +244,7 @@
 func (c *Cluster) pauseOf(name string) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p := c.nodes[name].pause; p != nil {
-		return p
-	}
-	return nil
+	return c.nodes[name].pause
 }
 
 // Cut cuts or mends the link between two nodes, or between a node and the platform
--- a/core/bbflow/flow.go
+++ b/core/bbflow/flow.go
@@ -10,6 +10,7 @@
 	"bluebellhall/core/bbhome"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbrule"
+	"bluebellhall/core/bbsuspect"
 	"bluebellhall/core/bbtimer"
 )
 
@@ -173,8 +174,8 @@
 	// Observe takes in the duration of a finished stage.
 	Observe func(now time.Duration, service string, took time.Duration)
 	// Died is called when an endpoint died under an attempt, with the number of
-	// other attempts on it. It returns true when the content is now a suspect.
-	Died func(now time.Duration, r *bbhome.Record, endpoint string, others int) bool
+	// other attempts on it. It tells how the content is to be treated from now on.
+	Died func(now time.Duration, r *bbhome.Record, endpoint string, others int) bbsuspect.Verdict
 	// Survived is called when a stage has succeeded.
 	Survived func(r *bbhome.Record)
 }
--- a/core/bbflow/result.go
+++ b/core/bbflow/result.go
@@ -7,6 +7,7 @@
 
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbsuspect"
 )
 
 // HandleResult takes in news of an attempt. News of an attempt that is not open is
@@ -156,8 +157,7 @@
 	if r.LastReason == bbmsg.ReasonNone {
 		r.LastReason = bbmsg.ReasonEndpointFailed
 	}
-	if m.EndpointDied && t.Seams.Died(now, r.Record, a.Endpoint, m.Others) {
-		t.emit(r, bbevent.RequestSuspect, *a, "two endpoints died")
+	if m.EndpointDied && t.suspected(now, r, a, m.Others) {
 		r.LastReason = bbmsg.ReasonSuspect
 		t.giveUp(now, r)
 		return
@@ -165,6 +165,17 @@
 	t.again(now, r, *a)
 }
 
+// suspected notes the death of an endpoint and tells whether the run must end.
+func (t *Table) suspected(now time.Duration, r *Run, a *Attempt, others int) bool {
+	verdict := t.Seams.Died(now, r.Record, a.Endpoint, others)
+	if verdict == bbsuspect.Clear {
+		return false
+	}
+	r.Alone = true
+	t.emit(r, bbevent.RequestSuspect, *a, verdict.String())
+	return verdict == bbsuspect.Refused
+}
+
 // again repeats a stage if it may be repeated and the budget allows it.
 func (t *Table) again(now time.Duration, r *Run, a Attempt) {
 	if r.Stream == a.Number {
--- a/core/bbnode/homes.go
+++ b/core/bbnode/homes.go
@@ -10,6 +10,7 @@
 	"bluebellhall/core/bbhome"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbrule"
+	"bluebellhall/core/bbsuspect"
 	"bluebellhall/core/bbticket"
 )
 
@@ -194,8 +195,8 @@
 		Request: r.ID,
 		Detail:  r.Request.Pipeline + r.Request.Service,
 	})
-	treatment := n.policy.treat(n.now, r.Fingerprint)
-	if treatment == treatRefuse {
+	suspicion := n.policy.suspects.Verdict(n.now, r.Fingerprint)
+	if suspicion == bbsuspect.Refused {
 		r.Repeatable = true
 		n.endRecord(r, bbmsg.OutcomeNotRun, bbmsg.ReasonSuspect)
 		return
@@ -205,7 +206,7 @@
 		n.endRecord(r, bbmsg.OutcomeNotRun, bbmsg.ReasonDeadline)
 		return
 	}
-	n.Flow.Start(n.now, r, t.steps, t.account, n.now+t.deadline, treatment == treatAlone)
+	n.Flow.Start(n.now, r, t.steps, t.account, n.now+t.deadline, suspicion == bbsuspect.Alone)
 }
 
 // joined answers a repeat of a known request with what there is.
--- a/core/bbnode/policy.go
+++ b/core/bbnode/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"bluebellhall/core/bbbudget"
@@ -12,6 +11,7 @@
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbroute"
 	"bluebellhall/core/bbrule"
+	"bluebellhall/core/bbsuspect"
 )
 
 // policy holds what the decisions at the home have learned.
@@ -30,6 +30,7 @@
 	trials map[string]*bbbudget.Gate
 	// retryShare is the part of the traffic that retries may add.
 	retryShare float64
+	suspects   *bbsuspect.Table
 	// longestTicket is the longest life of any ticket in this incarnation.
 	longestTicket time.Duration
 }
@@ -196,14 +197,3 @@
 	}
 	n.send(to, e)
 }
-
-// tellSuspect tells all peers that answer of content that kills endpoints.
-func (n *Node) tellSuspect(s bbmsg.Suspect) {
-	names := n.alivePeers()
-	sort.Strings(names)
-	for _, name := range names {
-		n.send(name, bbmsg.Envelope{
-			Suspect: &s,
-		})
-	}
-}
--- a/core/bbnode/suspects.go
+++ b/core/bbnode/suspects.go
@@ -5,25 +5,43 @@
 
 	"bluebellhall/core/bbhome"
 	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbsuspect"
 )
 
-// treatment tells how a request is run.
-type treatment int
-
-const (
-	treatNormal treatment = iota
-	// treatAlone runs it only on an otherwise empty endpoint.
-	treatAlone
-	// treatRefuse does not run it.
-	treatRefuse
-)
-
-func (p *policy) treat(_ time.Duration, _ uint64) treatment { return treatNormal }
-
-func (n *Node) takeSuspect(_ bbmsg.Suspect) {}
-
-func (n *Node) endpointDied(_ time.Duration, _ *bbhome.Record, _ string, _ int) bool { return false }
-
-func (n *Node) survived(_ *bbhome.Record) {}
-
+// maxSuspects bounds the contents that are watched.
+const maxSuspects = 4096
+
+// endpointDied notes that an endpoint died under a request and tells the peers.
+func (n *Node) endpointDied(now time.Duration, r *bbhome.Record, endpoint string, others int) bbsuspect.Verdict {
+	verdict, _, _ := n.policy.suspects.Died(now, bbsuspect.Death{
+		Fingerprint: r.Fingerprint,
+		Endpoint:    endpoint,
+		Others:      others,
+	})
+	for _, s := range n.policy.suspects.Outbox() {
+		n.tellSuspect(s)
+	}
+	return verdict
+}
+
+// survived clears content that went through a stage.
+func (n *Node) survived(r *bbhome.Record) {
+	n.policy.suspects.Succeeded(n.now, r.Fingerprint)
+}
+
+// tellSuspect tells all peers that answer of content that kills endpoints.
+func (n *Node) tellSuspect(s bbmsg.Suspect) {
+	for _, name := range n.alivePeers() {
+		n.send(name, bbmsg.Envelope{
+			Suspect: &s,
+		})
+	}
+}
+
+// takeSuspect takes in what a peer tells of such content.
+func (n *Node) takeSuspect(s bbmsg.Suspect) {
+	n.policy.suspects.Merge(n.now, s)
+}
+
+// takeOrderResult takes in the answer of an endpoint to an order.
 func (n *Node) takeOrderResult(_ bbmsg.OrderResult) {}
