--- a/core/bbflow/flow.go
+++ b/core/bbflow/flow.go
@@ -176,7 +176,7 @@
 	// Died is called when an endpoint died under an attempt, with the number of
 	// other attempts on it. It tells how the content is to be treated from now on.
 	Died func(now time.Duration, r *bbhome.Record, endpoint string, others int) bbsuspect.Verdict
-	// Survived is called when a stage has succeeded.
+	// Survived is called when the last stage has succeeded.
 	Survived func(r *bbhome.Record)
 }
 
--- a/core/bbflow/result.go
+++ b/core/bbflow/result.go
@@ -93,8 +93,8 @@
 	t.markRan(r, a)
 	t.emit(r, bbevent.StageAnswered, *a, r.step().Service)
 	t.Seams.Observe(now, r.step().Service, now-a.Sent)
-	t.Seams.Survived(r.Record)
 	if r.last() {
+		t.Seams.Survived(r.Record)
 		r.Record.Body = m.Body
 		t.end(r, bbmsg.OutcomeAnswered, bbmsg.ReasonNone)
 		return
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -341,7 +341,9 @@
 
 // event adds an event to the time line.
 func (n *Node) event(e bbevent.Event) {
-	e.Request = bbticket.Public(e.Request)
+	if e.Request != "" {
+		e.Request = bbticket.Public(e.Request)
+	}
 	n.out = append(n.out, bbmsg.Output{
 		Event: &e,
 	})
--- a/core/bbnode/policy.go
+++ b/core/bbnode/policy.go
@@ -56,11 +56,12 @@
 				RegionMillis: regionMillis,
 			},
 		},
-		hashes:  make(map[string]uint64),
-		times:   make(map[string]*bbbudget.Quantiles),
-		budgets: make(map[string]*bbbudget.RetryBudget),
-		gates:   make(map[string]*bbbudget.Gate),
-		trials:  make(map[string]*bbbudget.Gate),
+		hashes:   make(map[string]uint64),
+		times:    make(map[string]*bbbudget.Quantiles),
+		budgets:  make(map[string]*bbbudget.RetryBudget),
+		gates:    make(map[string]*bbbudget.Gate),
+		trials:   make(map[string]*bbbudget.Gate),
+		suspects: bbsuspect.New(maxSuspects),
 	}
 }
 
