--- a/core/bbaddress/rank_test.go
+++ b/core/bbaddress/rank_test.go
@@ -167,6 +167,16 @@
 	checkSame(t, "another region at thrice the mean", true, inSouth("north"))
 }
 
+func TestOwnAnswersCountForAllNodes(t *testing.T) {
+	nodes := fleet(2)
+	nodes[0].Load, nodes[0].Handed = 10, 1
+	nodes[1].Load = 11
+	r := newRanker(1)
+	for range 100 {
+		checkSame(t, "first", 1, r.Rank(0, Query{}, nodes)[0])
+	}
+}
+
 func TestStaleLoadIsNotTrusted(t *testing.T) {
 	nodes := fleet(2)
 	nodes[0].Load = 100
