--- a/bluebellbench/main.go
+++ b/bluebellbench/main.go
@@ -1,4 +1,38 @@
-// Command bluebellbench is not wired yet.
+// Command bluebellbench measures a fleet: it sends load, and compares the system with
+// a naive baseline.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// exitFailed is the exit code of all errors.
+const exitFailed = 1
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command().Run(ctx, os.Args)
+	stop()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "bluebellbench:", err)
+	os.Exit(exitFailed)
+}
+
+// command returns the command line.
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "bluebellbench",
+		Usage: "load, demo and measurements",
+		Commands: []*cli.Command{
+			loadCommand(),
+		},
+	}
+}
--- a/bluebellfake/bbpool/pool.go
+++ b/bluebellfake/bbpool/pool.go
@@ -3,6 +3,7 @@
 package bbpool
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -60,6 +61,9 @@
 	Path  string `json:"path"`
 	// Tag is the mark in what came in, empty if there is none.
 	Tag string `json:"tag,omitempty"`
+	// Prompt and MaxTokens are passed on from what came in, for an engine after it.
+	Prompt    string `json:"prompt,omitempty"`
+	MaxTokens int    `json:"max_tokens,omitempty"`
 }
 
 // PlainAnswer is the answer of a plain service.
@@ -117,8 +121,8 @@
 	router.HandleFunc("/{path:.*}", endpoint.Handler(work)).Methods(http.MethodPost)
 }
 
-// hash names a content.
-func hash(body []byte) string {
+// ContentHash names a content in the records of runs.
+func ContentHash(body []byte) string {
 	return fmt.Sprintf("%016x", xxhash.Sum64(body))
 }
 
@@ -164,10 +168,14 @@
 	if !p.work(r, j, true) {
 		return false
 	}
+	var passed PoolAnswer
+	json.Unmarshal(j.Body, &passed)
 	bbendpoint.WriteJSON(w, http.StatusOK, PoolAnswer{
-		Input: hash(j.Body),
-		Path:  mux.Vars(r)["path"],
-		Tag:   bbendpoint.Tag(j.Body),
+		Input:     ContentHash(j.Body),
+		Path:      mux.Vars(r)["path"],
+		Tag:       bbendpoint.Tag(j.Body),
+		Prompt:    passed.Prompt,
+		MaxTokens: passed.MaxTokens,
 	})
 	return true
 }
@@ -205,7 +213,7 @@
 	key := runKey{
 		request: j.Request,
 		path:    path,
-		content: hash(j.Body),
+		content: ContentHash(j.Body),
 	}
 	p.runs[key]++
 	return p.runs[key]
--- a/bluebellfake/bbpool/pool_test.go
+++ b/bluebellfake/bbpool/pool_test.go
@@ -101,8 +101,8 @@
 		counted[r.Request+r.Path+r.Content] = r.Count
 	}
 	wantRuns := map[string]int{
-		"r1book/seat" + hash([]byte("two seats tag-7 ")): 2,
-		"r1book/seat" + hash([]byte("other")):            1,
+		"r1book/seat" + ContentHash([]byte("two seats tag-7 ")): 2,
+		"r1book/seat" + ContentHash([]byte("other")):            1,
 	}
 	if diff := cmp.Diff(wantRuns, counted); diff != "" {
 		t.Errorf("runs (-want +got):\n%s", diff)
@@ -112,10 +112,12 @@
 func TestPoolAnswersAlike(t *testing.T) {
 	p := start(t, Settings{Kind: bbrule.KindPool})
 	client := newClient(t)
-	_, first := send(client, p, "x")
-	_, second := send(client, p, "x")
-	if first != second || !strings.Contains(first, hash([]byte("x"))) {
-		t.Errorf("answers %s and %s", first, second)
+	body := `{"prompt":"tag-5 x","max_tokens":3}`
+	_, first := send(client, p, body)
+	_, second := send(client, p, body)
+	want := `{"input":"` + ContentHash([]byte(body)) + `","path":"book/seat","tag":"tag-5","prompt":"tag-5 x","max_tokens":3}`
+	if diff := cmp.Diff([]string{want, want}, []string{first, second}); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
 	}
 }
 
