--- a/bluebellbench/bbload/plan.go
+++ b/bluebellbench/bbload/plan.go
@@ -13,9 +13,10 @@
 const (
 	// MaxRequests bounds a load.
 	MaxRequests = 200_000
-	// DefaultPromptBytes and DefaultMaxTokens size the completions of DefaultKinds.
+	// DefaultPromptBytes is the size of a prompt of DefaultKinds.
 	DefaultPromptBytes = 512
-	DefaultMaxTokens   = 24
+	// DefaultMaxTokens is the length of a completion of DefaultKinds.
+	DefaultMaxTokens = 24
 	// defaultSessions is the number of conversations of each kind in DefaultKinds.
 	defaultSessions = 8
 	// pipelineFactor is how much more often pipelines are asked for than calls.
