Addresses that spread the load, orders, and a bound on late sends

Cause: a node that names only itself leaves the spread to chance. Calls and orders that the driver holds longer than the core allows are not sent: a process that was paused after the decision acts on old knowledge otherwise.

--- a/bluebelld/bbbackend/call.go
+++ b/bluebelld/bbbackend/call.go
@@ -19,7 +19,7 @@
 const coldHeader = "Bluebell-Cold"
 
 // run makes one call and reports its end exactly once.
-func (c *Client) run(ctx context.Context, cancel context.CancelFunc, e bbmsg.EndpointCall) {
+func (c *Client) run(ctx context.Context, cancel context.CancelFunc, e bbmsg.EndpointCall, by time.Time) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -27,7 +27,7 @@
 	watch := newWatch(time.Duration(e.SilenceMillis)*time.Millisecond, cancel)
 	defer watch.stop()
 	request, err := c.request(httptrace.WithClientTrace(ctx, trace), e)
-	if err != nil {
+	if err != nil || late(by) {
 		c.end(e, bbmsg.NewsUnsent, 0)
 		return
 	}
--- a/bluebelld/bbbackend/client.go
+++ b/bluebelld/bbbackend/client.go
@@ -118,15 +118,15 @@
 	}
 }
 
-// Start begins a call and returns at once.
-func (c *Client) Start(e bbmsg.EndpointCall) {
+// Start begins a call and returns at once. began is when the core decided on it.
+func (c *Client) Start(e bbmsg.EndpointCall, began time.Time) {
 	ctx, cancel := context.WithTimeout(c.ctx, time.Duration(e.TimeoutMillis)*time.Millisecond)
 	c.mu.Lock()
 	c.calls[e.Call] = cancel
 	c.mu.Unlock()
 	go func() {
 		defer c.finish(e.Call, cancel)
-		c.run(ctx, cancel, e)
+		c.run(ctx, cancel, e, sendBy(began, e.SendWithinMillis))
 	}()
 }
 
@@ -188,10 +188,10 @@
 	return r, err
 }
 
-// Order sends an order and reports its answer.
-func (c *Client) Order(o bbmsg.Order) {
+// Order sends an order and reports its answer. began is when the core decided on it.
+func (c *Client) Order(o bbmsg.Order, began time.Time) {
 	go func() {
-		status := c.sendOrder(o)
+		status := c.sendOrder(o, sendBy(began, o.SendWithinMillis))
 		c.handlers.Ordered(bbmsg.OrderResult{
 			Endpoint: o.Endpoint,
 			Fence:    o.Fence,
@@ -202,7 +202,7 @@
 }
 
 // sendOrder returns the status of the answer, 0 if none came.
-func (c *Client) sendOrder(o bbmsg.Order) int {
+func (c *Client) sendOrder(o bbmsg.Order, by time.Time) int {
 	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 	defer cancel()
 	body, err := encodeJSON(o)
@@ -213,6 +213,9 @@
 	if err != nil {
 		return 0
 	}
+	if late(by) {
+		return 0
+	}
 	response, err := c.pool(o.Address).RoundTrip(request)
 	if err != nil {
 		return 0
@@ -221,6 +224,20 @@
 	return response.StatusCode
 }
 
+// sendBy returns the latest time for the first byte, zero for no bound.
+func sendBy(began time.Time, withinMillis int64) time.Time {
+	if withinMillis == 0 {
+		return time.Time{}
+	}
+	return began.Add(time.Duration(withinMillis) * time.Millisecond)
+}
+
+// late tells whether it is too late to send. A process that was paused since the
+// decision must not send on old knowledge.
+func late(by time.Time) bool {
+	return !by.IsZero() && time.Now().After(by)
+}
+
 // setHeaders marks a request so that the endpoint's log can be matched with ours.
 func setHeaders(h http.Header, e bbmsg.EndpointCall) {
 	h.Set("Content-Type", "application/json")
--- a/bluebelld/bbserver/loop.go
+++ b/bluebelld/bbserver/loop.go
@@ -16,8 +16,9 @@
 	start time.Time
 	// inputs waits for the core; producers wait when it is full.
 	inputs chan bbmsg.Input
-	// perform carries out an output and never waits.
-	perform func(o bbmsg.Output)
+	// perform carries out an output of a tick that began at a given time. It never
+	// waits.
+	perform func(o bbmsg.Output, began time.Time)
 	// observed is called after each tick with its duration and number of inputs.
 	observed func(took time.Duration, inputs int)
 	// paused, when set, holds the loop; it serves tests of a paused process.
@@ -83,11 +84,11 @@
 			return
 		}
 		l.hold()
-		now := time.Since(l.start)
 		began := time.Now()
+		now := began.Sub(l.start)
 		outputs := l.node.Tick(now, batch)
 		for _, o := range outputs {
-			l.perform(o)
+			l.perform(o, began)
 		}
 		l.observed(time.Since(began), len(batch))
 		if now >= statusAt {
--- a/bluebelld/bbserver/server.go
+++ b/bluebelld/bbserver/server.go
@@ -298,13 +298,13 @@
 	v.inputs.Mark(int64(inputs))
 }
 
-// perform carries out an output of the core.
-func (v *Server) perform(o bbmsg.Output) {
+// perform carries out an output of the core that was decided at a given time.
+func (v *Server) perform(o bbmsg.Output, began time.Time) {
 	switch {
 	case o.Send != nil:
 		v.peers.send(o.Send.To, o.Send.Envelope)
 	case o.Call != nil:
-		v.backend.Start(*o.Call)
+		v.backend.Start(*o.Call, began)
 	case o.Stop != nil:
 		v.backend.Stop(*o.Stop)
 	case o.Answer != nil:
@@ -320,7 +320,7 @@
 	case o.Poll != nil:
 		v.backend.Poll(*o.Poll)
 	case o.Order != nil:
-		v.backend.Order(*o.Order)
+		v.backend.Order(*o.Order, began)
 	case o.Links != nil:
 		v.peers.setLinks(*o.Links)
 	case o.Stopped:
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -13,6 +13,7 @@
 	"bluebellhall/core/bbhome"
 	"bluebellhall/core/bbmember"
 	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bborder"
 	"bluebellhall/core/bbowner"
 	"bluebellhall/core/bbrule"
 	"bluebellhall/core/bbticket"
@@ -109,7 +110,10 @@
 	policy   policy
 	platform platformState
 	// views has the newest digest of each endpoint and what this home sent since.
-	views map[string]*view
+	views  map[string]*view
+	orders *bborder.Table
+	// nextOrders is when the orders are looked at again.
+	nextOrders time.Duration
 	// keySafeAt is when plain idempotency keys may be trusted after a change of VMs.
 	keySafeAt time.Duration
 	// ready is true once the node serves callers, and never false again.
@@ -138,6 +142,9 @@
 	n.receiver.calls = make(map[uint64]*call)
 	n.receiver.peerCalls = make(map[string]map[uint64]bool)
 	n.policy = newPolicy(s.Random)
+	n.orders = bborder.New(bborder.Settings{
+		Self: s.Self.Name,
+	})
 	n.Members = bbmember.New(bbmember.Settings{
 		Self:          s.Self,
 		Incarnation:   s.Incarnation,
@@ -206,6 +213,7 @@
 	n.drainLocal()
 	n.runOwner()
 	n.drainLocal()
+	n.tickOrders()
 	n.tickDrain()
 	out := n.out
 	n.out = nil
--- /dev/null
+++ b/core/bbnode/orders.go
@@ -0,0 +1,95 @@
+package bbnode
+
+import (
+	"sort"
+	"time"
+
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bborder"
+	"bluebellhall/core/bbrule"
+)
+
+// orderInterval is the time between two looks at what the endpoints have loaded.
+const orderInterval = time.Second
+
+// tickOrders gives the orders that are due.
+func (n *Node) tickOrders() {
+	if n.Index == nil || n.now < n.nextOrders {
+		return
+	}
+	n.nextOrders = n.now + orderInterval
+	n.emit(n.orders.Tick(n.now, n.orderView()))
+}
+
+// takeOrderResult takes in the answer of an endpoint to an order.
+func (n *Node) takeOrderResult(r bbmsg.OrderResult) {
+	n.emit(n.orders.Result(r))
+}
+
+// orderView gathers what the decision on orders is made from.
+func (n *Node) orderView() bborder.View {
+	v := bborder.View{
+		Revision:  n.Members.Revision(),
+		Confirmed: n.Members.Confirmed(n.now),
+		Owners:    max(1, n.activeEntries()),
+		Rate:      n.Index.Set.Limits.WeightStoreRate,
+		Models:    n.Index.Set.Models,
+		Wanted:    wantedModels(n.Index.Set),
+	}
+	for i := range n.Index.Set.Endpoints {
+		e := &n.Index.Set.Endpoints[i]
+		if n.Index.Services[e.Service].Kind == bbrule.KindEngine {
+			v.Rows = append(v.Rows, n.orderRow(e))
+		}
+	}
+	sort.Slice(v.Rows, func(i, j int) bool { return v.Rows[i].Rule.Name < v.Rows[j].Rule.Name })
+	return v
+}
+
+// orderRow describes one engine endpoint.
+func (n *Node) orderRow(e *bbrule.Endpoint) bborder.Row {
+	row := bborder.Row{
+		Rule: *e,
+	}
+	if v, ok := n.views[e.Name]; ok {
+		row.Digest = v.digest
+	}
+	own := n.Owner.Endpoints[e.Name]
+	if own == nil || !own.Owned {
+		return row
+	}
+	row.Owned = true
+	row.OwnedSince = own.SettledAt - n.Settings.Times.SettleTime
+	row.SettledAt = own.SettledAt
+	row.Reported = own.Boot != 0
+	return row
+}
+
+// activeEntries counts the entry VMs of the list that are not leaving.
+func (n *Node) activeEntries() int {
+	count := 0
+	for _, m := range n.Members.List().Members {
+		if m.Role == bbmsg.RoleEntry && !m.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// wantedModels lists the models that a pipeline asks for, sorted.
+func wantedModels(set *bbrule.RuleSet) []string {
+	seen := make(map[string]bool)
+	for _, p := range set.Pipelines {
+		for _, s := range p.Stages {
+			if s.Model != "" {
+				seen[s.Model] = true
+			}
+		}
+	}
+	names := make([]string, 0, len(seen))
+	for name := range seen {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- a/core/bbnode/peers.go
+++ b/core/bbnode/peers.go
@@ -42,6 +42,7 @@
 
 // learn takes in what a peer knows.
 func (n *Node) learn(from string, before uint64, k bbmsg.Knowledge) {
+	n.policy.handed[from] = 0
 	for _, d := range k.Endpoints {
 		n.see(from, d)
 	}
--- a/core/bbnode/policy.go
+++ b/core/bbnode/policy.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bluebellhall/core/bbaddress"
 	"bluebellhall/core/bbbudget"
 	"bluebellhall/core/bbflow"
 	"bluebellhall/core/bbhash"
@@ -31,6 +32,9 @@
 	// retryShare is the part of the traffic that retries may add.
 	retryShare float64
 	suspects   *bbsuspect.Table
+	ranker     *bbaddress.Ranker
+	// handed counts the answers that named each node first since it was heard.
+	handed map[string]int
 	// longestTicket is the longest life of any ticket in this incarnation.
 	longestTicket time.Duration
 }
@@ -62,6 +66,10 @@
 		gates:    make(map[string]*bbbudget.Gate),
 		trials:   make(map[string]*bbbudget.Gate),
 		suspects: bbsuspect.New(maxSuspects),
+		ranker: &bbaddress.Ranker{
+			Random: random.Uint64,
+		},
+		handed: make(map[string]int),
 	}
 }
 
@@ -69,7 +77,7 @@
 func (p *policy) setLimits(l bbrule.Limits) {
 	p.retryShare = l.RetryShare
 	p.router.Settings.GigabyteMillis = l.CrossRegionCost * gigabyteMillisPerCost
-	p.longestTicket = max(p.longestTicket, l.AnswerTTL)
+	p.longestTicket = max(p.longestTicket, l.AnswerTTL+ticketMargin)
 	for _, b := range p.budgets {
 		b.Share = l.RetryShare
 	}
--- a/core/bbnode/suspects.go
+++ b/core/bbnode/suspects.go
@@ -42,6 +42,3 @@
 func (n *Node) takeSuspect(s bbmsg.Suspect) {
 	n.policy.suspects.Merge(n.now, s)
 }
-
-// takeOrderResult takes in the answer of an endpoint to an order.
-func (n *Node) takeOrderResult(_ bbmsg.OrderResult) {}
