--- /dev/null
+++ b/bluebellbench/bbaudit/audit.go
@@ -0,0 +1,140 @@
+// Package bbaudit holds the ends that callers saw against what the stand-ins
+// recorded, and counts broken promises.
+package bbaudit
+
+import (
+	"fmt"
+	"time"
+
+	"bluebellhall/bluebellbench/bbload"
+	"bluebellhall/bluebellfake/bbfleet"
+	"bluebellhall/core/bbmsg"
+)
+
+// Audit counts what came of a load. All counts but the first three are broken
+// promises.
+type Audit struct {
+	// Requests counts the requests sent, Answered those answered whole and NotRun
+	// those refused as not run.
+	Requests int
+	Answered int
+	NotRun   int
+	// Lost counts answers to calls that may not be repeated whose run nobody
+	// recorded, and requests that ended without any outcome.
+	Lost int
+	// Doubled counts calls that may not be repeated and ran more than once.
+	Doubled int
+	// FalseNotRun counts refusals as not run of calls that ran.
+	FalseNotRun int
+	// Wrong counts answers that were not whole or belonged to another request.
+	Wrong int
+	// OverCold counts requests that an endpoint took over its cold capacity after it
+	// had shown any sign of being cold.
+	OverCold int
+	// Details describes the first broken promises, at most maxDetails.
+	Details []string
+}
+
+// maxDetails bounds the descriptions.
+const maxDetails = 20
+
+// Broken counts all broken promises.
+func (a Audit) Broken() int {
+	return a.Lost + a.Doubled + a.FalseNotRun + a.Wrong + a.OverCold
+}
+
+// Check audits the results of a load that was sent to a fleet.
+func Check(fleet *bbfleet.Fleet, results []bbload.Result) Audit {
+	a := Audit{}
+	runs := countRuns(fleet)
+	for _, r := range results {
+		if r.Unsent {
+			continue
+		}
+		a.Requests++
+		a.checkReply(r)
+		if r.Request.Once {
+			a.checkOnce(r, runs)
+		}
+	}
+	for name, e := range fleet.Endpoints {
+		c := e.Counts()
+		if warned := int(c.OverCold - c.OverColdUnwarned); warned > 0 {
+			a.OverCold += warned
+			a.tell("%s took %d requests over its cold capacity", name, warned)
+		}
+	}
+	return a
+}
+
+// countRuns counts the runs of each request id over all plain services.
+func countRuns(fleet *bbfleet.Fleet) map[string]int {
+	runs := make(map[string]int)
+	for _, p := range fleet.Pools {
+		for _, r := range p.Runs() {
+			runs[r.Request] += r.Count
+		}
+	}
+	return runs
+}
+
+// checkReply checks what the caller saw.
+func (a *Audit) checkReply(r bbload.Result) {
+	switch r.Reply.Outcome {
+	case bbmsg.OutcomeAnswered:
+		a.Answered++
+	case bbmsg.OutcomeNotRun:
+		a.NotRun++
+	case "":
+		a.Lost++
+		a.tell("request %d ended without an outcome: %s", r.Request.Number, r.Reply.Reason)
+	}
+	if r.Reply.Wrong != "" {
+		a.Wrong++
+		a.tell("request %d: %s", r.Request.Number, r.Reply.Wrong)
+	}
+}
+
+// checkOnce holds a call that may not be repeated against the recorded runs.
+func (a *Audit) checkOnce(r bbload.Result, runs map[string]int) {
+	count := 0
+	for _, id := range r.Reply.IDs {
+		count += runs[id]
+	}
+	if count > 1 {
+		a.Doubled++
+		a.tell("request %d ran %d times: %v", r.Request.Number, count, r.Reply.IDs)
+	}
+	if r.Reply.Outcome == bbmsg.OutcomeAnswered && count == 0 {
+		a.Lost++
+		a.tell("request %d was answered and never ran: %v", r.Request.Number, r.Reply.IDs)
+	}
+	if r.Reply.Outcome == bbmsg.OutcomeNotRun && count > 0 {
+		a.FalseNotRun++
+		a.tell("request %d ran and was refused as not run: %v", r.Request.Number, r.Reply.IDs)
+	}
+}
+
+// tell keeps a description.
+func (a *Audit) tell(format string, arguments ...any) {
+	if len(a.Details) < maxDetails {
+		a.Details = append(a.Details, fmt.Sprintf(format, arguments...))
+	}
+}
+
+// LastStart returns when the endpoints of a failure domain last took a request, and
+// false when they took none after a time.
+func LastStart(fleet *bbfleet.Fleet, domain string, after time.Time) (time.Time, bool) {
+	var last time.Time
+	for _, e := range fleet.Rules.Endpoints {
+		if e.Domain != domain {
+			continue
+		}
+		for _, x := range fleet.Endpoints[e.Name].Exchanges() {
+			if x.At.After(after) && x.At.After(last) {
+				last = x.At
+			}
+		}
+	}
+	return last, !last.IsZero()
+}
--- /dev/null
+++ b/bluebellbench/bbdemo/demo.go
@@ -0,0 +1,294 @@
+// Package bbdemo runs the whole system in one process over loopback and causes
+// failures while callers send pipelines and confirmations: a node is killed, a failure
+// domain is taken out and brought back, an endpoint turns cold, a node stops
+// gracefully. It tells whether a promise was broken.
+package bbdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bluebellhall/bluebellbench/bbaudit"
+	"bluebellhall/bluebellbench/bbclient"
+	"bluebellhall/bluebellbench/bbcluster"
+	"bluebellhall/bluebellbench/bbload"
+	"bluebellhall/bluebelld/bbserver"
+	"bluebellhall/bluebellfake/bbfleet"
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbrule"
+)
+
+// Settings describe a demo.
+type Settings struct {
+	// Rules is the text of a rules file.
+	Rules string
+	// Rate is the number of requests a second and Duration the length of the load.
+	Rate     float64
+	Duration time.Duration
+	// Seed makes the load the same each time.
+	Seed uint64
+	// Out takes the report.
+	Out io.Writer
+	// Log takes the logs of the nodes; nil drops them.
+	Log io.Writer
+}
+
+// ErrBroken says that a promise was broken.
+var ErrBroken = errors.New("a promise was broken")
+
+const (
+	// startTimeout bounds the start of the cluster.
+	startTimeout = 15 * time.Second
+	// drainTimeout bounds a graceful stop: tickets of answerTime, their margin and
+	// the hand-over.
+	drainTimeout = 20 * time.Second
+	// quietTarget is the time after which a failure domain that was taken out gets no
+	// new work; the users' page says a few seconds.
+	quietTarget = 4 * time.Second
+	// warmRate is the rate of the load that warms the endpoints, in requests a second.
+	warmRate = 60
+	// warmTime is the length of that load.
+	warmTime = 4 * time.Second
+	// answerTime is how long address answers are kept in the demo, short so that a
+	// graceful stop fits into it.
+	answerTime = "2s"
+)
+
+// demo is a running demo.
+type demo struct {
+	settings Settings
+	cluster  *bbcluster.Cluster
+	rules    *bbrule.RuleSet
+	text     string
+	client   *bbclient.Client
+	// outAt is when the failure domain was taken out, and backAt when it was back.
+	outAt  time.Time
+	backAt time.Time
+	// domain is the one that is taken out.
+	domain string
+	// drained is the error of the graceful stop.
+	drained error
+	started time.Time
+}
+
+// Run runs a demo and writes its report. The error is ErrBroken when a promise was
+// broken.
+func Run(ctx context.Context, s Settings) error {
+	d := &demo{
+		settings: s,
+		text:     withAnswerTime(s.Rules),
+		started:  time.Now(),
+	}
+	cleanup, err := d.start()
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	d.say("cluster of %d entry VMs is ready", len(d.cluster.Names()))
+	if err := d.load(ctx, warmRate, warmTime, nil); err != nil {
+		return err
+	}
+	d.say("endpoints were warmed")
+	return d.load(ctx, s.Rate, s.Duration, d.steps())
+}
+
+// withAnswerTime returns rules in which address answers are kept for another time.
+func withAnswerTime(rules string) string {
+	return answerSetting.ReplaceAllString(rules, "answer="+answerTime)
+}
+
+// answerSetting finds how long address answers are kept.
+var answerSetting = regexp.MustCompile(`\banswer=\S+`)
+
+// start starts the cluster and the client.
+func (d *demo) start() (func(), error) {
+	rules, findings := bbrule.Parse(d.text)
+	if len(findings) > 0 {
+		return nil, errors.Newf("rules: %s", findings[0])
+	}
+	d.rules = rules
+	d.domain = rules.Domains[1].Name
+	var domains []string
+	for i := range 7 {
+		domains = append(domains, rules.Domains[i%len(rules.Domains)].Name)
+	}
+	cluster, cleanup, err := bbcluster.Start(bbcluster.Settings{
+		Rules: d.text,
+		Fleet: bbfleet.Settings{
+			FreePorts: true,
+			Seed:      d.settings.Seed,
+		},
+		Domains: domains,
+		Log:     d.settings.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.cluster = cluster
+	d.text = cluster.Fleet.Text
+	if err := cluster.WaitReady(startTimeout, settled); err != nil {
+		cleanup()
+		return nil, err
+	}
+	client, closeClient := bbclient.New(d.nodes())
+	d.client = client
+	return func() {
+		closeClient()
+		cleanup()
+	}, nil
+}
+
+// settled tells whether a node may use all the endpoints it owns.
+func settled(v *bbserver.Server) bool {
+	s := v.Status()
+	if !s.Ready || !s.Confirmed {
+		return false
+	}
+	for _, e := range s.Endpoints {
+		if e.Window == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// nodes lists the entry VMs for the client.
+func (d *demo) nodes() []bbclient.Node {
+	var nodes []bbclient.Node
+	for _, name := range d.cluster.Names() {
+		nodes = append(nodes, bbclient.Node{
+			Address: d.cluster.Address(name),
+			Region:  d.cluster.Server(name).Status().Region,
+		})
+	}
+	return nodes
+}
+
+// load sends a load, causes failures meanwhile and reports. Without steps nothing is
+// reported.
+func (d *demo) load(ctx context.Context, rate float64, length time.Duration, steps []step) error {
+	plan, err := bbload.Plan(bbload.PlanSettings{
+		Seed:     d.settings.Seed,
+		Rate:     rate,
+		Duration: length,
+		Kinds:    bbload.DefaultKinds(d.rules),
+	})
+	if err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.cause(ctx, steps)
+	}()
+	results := bbload.Run(ctx, bbload.RunSettings{}, plan, d.client.Send)
+	<-done
+	if steps == nil {
+		return nil
+	}
+	return d.report(results)
+}
+
+// say writes a line with the time since the start.
+func (d *demo) say(format string, arguments ...any) {
+	line := fmt.Sprintf(format, arguments...)
+	_, _ = fmt.Fprintf(d.settings.Out, "%6.1f s  %s\n", time.Since(d.started).Seconds(), line)
+}
+
+// report writes what came of the load and tells whether a promise was broken.
+func (d *demo) report(results []bbload.Result) error {
+	summary := bbload.Summarize(results)
+	audit := bbaudit.Check(d.cluster.Fleet, results)
+	out := d.settings.Out
+	share := 100 * summary.Attainment().Share()
+	_, _ = fmt.Fprintf(out, "\nrequests %d, answered whole %d, in time %.1f %%\n", audit.Requests, audit.Answered, share)
+	for _, line := range outcomeLines(summary) {
+		_, _ = fmt.Fprintln(out, "  "+line)
+	}
+	_, _ = fmt.Fprintf(out, "lost %d, doubled %d, notRun %d of which false %d, wrong answers %d, over cold capacity %d\n",
+		audit.Lost, audit.Doubled, audit.NotRun, audit.FalseNotRun, audit.Wrong, audit.OverCold)
+	for _, line := range audit.Details {
+		_, _ = fmt.Fprintln(out, "  broken: "+line)
+	}
+	quiet := d.quiet()
+	_, _ = fmt.Fprintf(out, "failure domain %s quiet %.2f s after it was taken out (target %s)\n", d.domain, quiet.Seconds(), quietTarget)
+	if d.drained != nil {
+		_, _ = fmt.Fprintln(out, "graceful stop:", d.drained)
+	}
+	d.timeline(results)
+	if audit.Broken() > 0 || quiet > quietTarget || d.drained != nil {
+		return ErrBroken
+	}
+	return nil
+}
+
+// outcomeLines lists the outcomes, sorted.
+func outcomeLines(s bbload.Summary) []string {
+	var lines []string
+	for _, name := range sortedKeys(s.Outcomes) {
+		lines = append(lines, fmt.Sprintf("%s: %d", name, s.Outcomes[name]))
+	}
+	return lines
+}
+
+// quiet returns how long after it was taken out the failure domain still got work.
+func (d *demo) quiet() time.Duration {
+	last := d.outAt
+	for _, e := range d.rules.Endpoints {
+		if e.Domain != d.domain {
+			continue
+		}
+		for _, x := range d.cluster.Fleet.Endpoints[e.Name].Exchanges() {
+			if x.At.After(last) && x.At.Before(d.backAt) {
+				last = x.At
+			}
+		}
+	}
+	return last.Sub(d.outAt)
+}
+
+// timeline writes the merged events of the request with the most attempts.
+func (d *demo) timeline(results []bbload.Result) {
+	events := d.cluster.Events()
+	id := busiest(events, results)
+	_, _ = fmt.Fprintf(d.settings.Out, "\ntime line of %s\n", id)
+	var first time.Time
+	for _, e := range events {
+		if e.Request != id {
+			continue
+		}
+		if first.IsZero() {
+			first = e.Stamp.Wall()
+		}
+		entry, _ := bbevent.Lookup(e.Number)
+		_, _ = fmt.Fprintf(d.settings.Out, "  +%5d ms  %-8s %-18s stage %d attempt %d %s\n",
+			e.Stamp.Wall().Sub(first).Milliseconds(), e.Node, entry.Title, e.Stage, e.Attempt,
+			strings.TrimSpace(e.Endpoint+" "+e.Peer+" "+e.Detail))
+	}
+}
+
+// busiest returns the id of an answered request with the most events.
+func busiest(events []bbevent.Event, results []bbload.Result) string {
+	counts := make(map[string]int)
+	for _, e := range events {
+		counts[e.Request]++
+	}
+	best := ""
+	for _, r := range results {
+		if r.Reply.Outcome != bbmsg.OutcomeAnswered || len(r.Reply.IDs) == 0 {
+			continue
+		}
+		id := publicID(r.Reply.IDs[len(r.Reply.IDs)-1])
+		if counts[id] > counts[best] || best == "" {
+			best = id
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/bluebellbench/bbdemo/steps.go
@@ -0,0 +1,112 @@
+package bbdemo
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"bluebellhall/core/bbticket"
+)
+
+// step is a failure that is caused at a time of the load.
+type step struct {
+	at  time.Duration
+	run func()
+}
+
+// steps lists the failures of the demo, in order, spread over the load.
+func (d *demo) steps() []step {
+	unit := d.settings.Duration / 10
+	return []step{
+		{at: 1 * unit, run: d.kill},
+		{at: 2 * unit, run: d.takeOut},
+		{at: 4 * unit, run: d.restart},
+		{at: 5 * unit, run: d.bringBack},
+		{at: 6 * unit, run: d.turnCold},
+		{at: 7 * unit, run: d.drain},
+	}
+}
+
+// cause runs the steps at their times.
+func (d *demo) cause(ctx context.Context, steps []step) {
+	began := time.Now()
+	for _, s := range steps {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(s.at - time.Since(began)):
+			s.run()
+		}
+	}
+}
+
+// The entry VMs that are killed and stopped.
+const (
+	killedNode  = "entry-3"
+	drainedNode = "entry-4"
+)
+
+// kill ends a node at once.
+func (d *demo) kill() {
+	d.cluster.Kill(killedNode)
+	d.say("%s was killed", killedNode)
+}
+
+// restart starts it again without memory.
+func (d *demo) restart() {
+	err := d.cluster.Restart(killedNode)
+	d.say("%s was started again (error: %v)", killedNode, err)
+}
+
+// takeOut takes a failure domain out by a new revision of the rules.
+func (d *demo) takeOut() {
+	d.outAt = time.Now()
+	d.cluster.Fleet.Platform.PublishRules(d.text + "\nout " + d.domain + " # demo: power work\n")
+	d.say("failure domain %s was taken out", d.domain)
+}
+
+// bringBack brings it back by another one.
+func (d *demo) bringBack() {
+	d.backAt = time.Now()
+	d.cluster.Fleet.Platform.PublishRules(d.text)
+	d.say("failure domain %s was brought back", d.domain)
+}
+
+// turnCold turns an engine cold without a sign.
+func (d *demo) turnCold() {
+	name := d.engine()
+	d.cluster.Fleet.Endpoints[name].TurnCold()
+	d.say("%s turned cold", name)
+}
+
+// engine returns the name of the first engine.
+func (d *demo) engine() string {
+	names := make([]string, 0, len(d.cluster.Fleet.Engines))
+	for name := range d.cluster.Fleet.Engines {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names[0]
+}
+
+// drain stops a node gracefully.
+func (d *demo) drain() {
+	d.say("%s is asked to stop", drainedNode)
+	d.drained = d.cluster.Drain(drainedNode, drainTimeout)
+	d.say("%s has stopped (error: %v)", drainedNode, d.drained)
+}
+
+// publicID returns an id as events show it.
+func publicID(id string) string {
+	return bbticket.Public(id)
+}
+
+// sortedKeys returns the keys of counts in order.
+func sortedKeys(counts map[string]int) []string {
+	keys := make([]string, 0, len(counts))
+	for k := range counts {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
