--- a/bluebellbench/bbnaive/balancer_test.go
+++ b/bluebellbench/bbnaive/balancer_test.go
@@ -102,7 +102,17 @@
 	if diff := cmp.Diff([]string{"ledger-2", "ledger-2"}, picked); diff != "" {
 		t.Errorf("picked (-want +got):\n%s", diff)
 	}
-	if e := b.pick(target{service: "generators", model: "contract-13b"}); e != nil {
+	engines := target{service: "generators", model: "contract-13b"}
+	var enginesPicked []string
+	for range 3 {
+		enginesPicked = append(enginesPicked, b.pick(engines).Name)
+	}
+	if diff := cmp.Diff([]string{"engine-5", "engine-7", "engine-5"}, enginesPicked); diff != "" {
+		t.Errorf("picked (-want +got):\n%s", diff)
+	}
+	f.SetOut("arkhangai", true)
+	f.SetOut("ulaanbaatar", true)
+	if e := startBalancer(t, f).pick(engines); e != nil {
 		t.Errorf("picked %s in a domain that is out", e.Name)
 	}
 }
--- a/core/bbevent/event.go
+++ b/core/bbevent/event.go
@@ -38,6 +38,11 @@
 	return time.UnixMilli(int64(s >> stampCounterBits))
 }
 
+// StampAt returns the smallest stamp of a wall clock time.
+func StampAt(wall time.Time) Stamp {
+	return Stamp(wall.UnixMilli()) << stampCounterBits
+}
+
 // Clock produces stamps that never decrease and that exceed every stamp observed.
 // The zero value is ready. A Clock is not safe for concurrent use.
 type Clock struct {
@@ -47,7 +52,7 @@
 
 // Next returns a stamp greater than all before it, no earlier than wall.
 func (c *Clock) Next(wall time.Time) Stamp {
-	physical := Stamp(wall.UnixMilli()) << stampCounterBits
+	physical := StampAt(wall)
 	if physical > c.last {
 		c.last = physical
 	} else {
--- a/core/bbrule/format.go
+++ b/core/bbrule/format.go
@@ -109,7 +109,7 @@
 func formatStages(stages []Stage) string {
 	texts := make([]string, 0, len(stages))
 	for _, s := range stages {
-		texts = append(texts, formatStage(s))
+		texts = append(texts, s.String())
 	}
 	return strings.Join(texts, ",")
 }
--- a/core/bbrule/pipeline.go
+++ b/core/bbrule/pipeline.go
@@ -72,8 +72,8 @@
 	}, ok
 }
 
-// formatStage writes what parseStage reads.
-func formatStage(s Stage) string {
+// String returns service[/path][@model], as the stage stands in the rules.
+func (s Stage) String() string {
 	text := s.Service
 	if s.Path != "" {
 		text += "/" + s.Path
