Owner: waits also when list revisions were skipped; endpoint's domain from the list

By reading: nodes with one list and different rules could name two owners when a rule moved an endpoint to another failure domain; the list's domain now goes first.

--- a/core/bbmember/layout.go
+++ b/core/bbmember/layout.go
@@ -54,8 +54,10 @@
 	groups []groupRow
 	// groupOf maps the name of an entry VM to its index in groups.
 	groupOf map[string]int
-	// regionOf maps a failure domain to its region.
+	// regionOf maps a failure domain to its region, and domainOf an endpoint to its
+	// failure domain.
 	regionOf map[string]string
+	domainOf map[string]string
 }
 
 func newLayout(list bbmsg.MemberList) *layout {
@@ -64,11 +66,13 @@
 		entries:  map[string]entry{},
 		groupOf:  map[string]int{},
 		regionOf: map[string]string{},
+		domainOf: map[string]string{},
 	}
 	regions := map[string][]entry{}
 	for _, m := range list.Members {
 		l.regionOf[m.Domain] = m.Region
 		if m.Role != bbmsg.RoleEntry {
+			l.domainOf[m.Name] = m.Domain
 			continue
 		}
 		e := entry{member: m, hash: bbhash.Name(m.Name)}
@@ -190,8 +194,13 @@
 	return false
 }
 
-// owner returns the owner of an endpoint and the index of its group, or "" and -1.
+// owner returns the owner of an endpoint and the index of its group, or "" and -1. The
+// domain that the list names goes before the one given: nodes with one list and
+// different rules must agree.
 func (l *layout) owner(endpoint, domain string) (string, int) {
+	if listed, ok := l.domainOf[endpoint]; ok {
+		domain = listed
+	}
 	hash := bbhash.Name(endpoint)
 	group := l.groupFor(hash, domain)
 	if group < 0 {
--- a/core/bbmember/table.go
+++ b/core/bbmember/table.go
@@ -179,8 +179,8 @@
 // while it exceeds Revision.
 func (t *Table) Seen() int64 { return t.seen }
 
-// Adopt takes a list in and returns true when it is newer than the one held.
-// All confirmations start anew.
+// Adopt takes a list in and returns true when it is newer than the one held. All
+// confirmations start anew, but for those that named its revision before it came.
 func (t *Table) Adopt(now time.Duration, list bbmsg.MemberList) bool {
 	t.notePause(now)
 	if list.Revision <= t.list.Revision {
@@ -190,7 +190,6 @@
 	t.list = list
 	t.current = newLayout(list)
 	t.observe(list.Revision)
-	t.clearConfirmations()
 	clear(t.owners)
 	t.refreshPeers(now)
 	t.updateReady()
@@ -291,7 +290,7 @@
 }
 
 // Owner returns the name of the entry VM that owns an endpoint by the list held, or
-// "" when there is none.
+// "" when there is none. domain is used for endpoints that the list does not name.
 func (t *Table) Owner(endpoint, domain string) string {
 	if t.current == nil {
 		return ""
--- /dev/null
+++ b/core/bbowner/fleet_test.go
@@ -0,0 +1,352 @@
+package bbowner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"bluebellhall/core/bbmember"
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbrule"
+)
+
+const (
+	fleetStep     = 10 * time.Millisecond
+	fleetDeadline = time.Second
+	fleetSlots    = 2
+	fleetPause    = 250 * time.Millisecond
+)
+
+// fleet is a set of owners around endpoints that stay cold. Whatever fails, no endpoint
+// may have more calls than its cold slots.
+type fleet struct {
+	*rand.Rand
+	now   time.Duration
+	lists []bbmsg.MemberList
+	nodes []*fleetNode
+	// running has the owner of each call that an endpoint has.
+	running map[string]map[uint64]*fleetNode
+	// cut is the side of a partition that each node is on.
+	cut       map[string]int
+	mail      []fleetMail
+	processes uint64
+	calls     int
+	over      []string
+}
+
+// fleetMail is something that happens later.
+type fleetMail struct {
+	at  time.Duration
+	act func()
+}
+
+// fleetNode is one process.
+type fleetNode struct {
+	name    string
+	process uint64
+	member  *bbmember.Table
+	owner   *Table
+	// held is how many of the newest lists the platform does not show it.
+	held    int
+	wakeAt  time.Duration
+	stopped bool
+}
+
+func fleetRules() *bbrule.RuleSet {
+	r := &bbrule.RuleSet{
+		Domains:   []bbrule.Domain{{Name: "east", Region: "r"}},
+		Services:  []bbrule.Service{{Name: "s", Kind: bbrule.KindPlain}},
+		Pipelines: []bbrule.Pipeline{{Name: "p", Deadline: fleetDeadline}},
+	}
+	for i := range 4 {
+		r.Endpoints = append(r.Endpoints, bbrule.Endpoint{
+			Name:      fmt.Sprintf("e%d", i),
+			Service:   "s",
+			Domain:    "east",
+			WarmSlots: 4,
+			ColdSlots: fleetSlots,
+		})
+	}
+	return r
+}
+
+func fleetList(revision int64, names ...string) bbmsg.MemberList {
+	l := bbmsg.MemberList{Revision: revision}
+	for _, name := range names {
+		l.Members = append(l.Members, bbmsg.Member{
+			Name:   name,
+			Role:   bbmsg.RoleEntry,
+			Domain: "east",
+			Region: "r",
+		})
+	}
+	return l
+}
+
+func newFleet(seed uint64, size int) *fleet {
+	f := &fleet{
+		Rand:    rand.New(rand.NewPCG(seed, 1)),
+		running: map[string]map[uint64]*fleetNode{},
+		cut:     map[string]int{},
+	}
+	var names []string
+	for i := range size {
+		names = append(names, fmt.Sprintf("n%d", i))
+	}
+	f.lists = append(f.lists, fleetList(1, names...))
+	for _, name := range names {
+		f.start(name)
+	}
+	return f
+}
+
+// start starts a process that has the newest or an older list.
+func (f *fleet) start(name string) {
+	f.processes++
+	n := &fleetNode{name: name, process: f.processes << 32}
+	n.member = bbmember.New(bbmember.Settings{
+		Self:          bbmsg.Member{Name: name},
+		Incarnation:   n.process,
+		ProbeInterval: 100 * time.Millisecond,
+		ConfirmTime:   300 * time.Millisecond,
+		SettleTime:    500 * time.Millisecond,
+		PeerTimeout:   300 * time.Millisecond,
+		PauseGap:      fleetPause,
+	})
+	n.owner = New(Settings{
+		Self:            name,
+		Incarnation:     n.process,
+		SettleTime:      500 * time.Millisecond,
+		WarmCompletions: 1 << 30,
+		ConfirmedFor:    n.member.ConfirmedFor,
+	})
+	n.owner.SetRules(f.now, fleetRules())
+	n.held = f.IntN(min(2, len(f.lists)))
+	f.nodes = append(f.nodes, n)
+}
+
+// stop ends a process; its calls end with it.
+func (f *fleet) stop(n *fleetNode) {
+	n.stopped = true
+	f.nodes = slices.DeleteFunc(f.nodes, func(o *fleetNode) bool { return o == n })
+	for _, calls := range f.running {
+		for call, owner := range calls {
+			if owner == n {
+				delete(calls, call)
+			}
+		}
+	}
+}
+
+func (f *fleet) later(d time.Duration, act func()) {
+	f.mail = append(f.mail, fleetMail{at: f.now + d, act: act})
+}
+
+// reach runs act at a node after a delay, when both run and hear each other then.
+func (f *fleet) reach(from, to *fleetNode, act func()) {
+	f.later(time.Duration(f.IntN(40))*time.Millisecond, func() {
+		if f.cut[from.name] != f.cut[to.name] || to.stopped {
+			return
+		}
+		if f.now < to.wakeAt {
+			f.later(to.wakeAt-f.now, act)
+			return
+		}
+		act()
+	})
+}
+
+func (f *fleet) node(name string) *fleetNode {
+	for _, n := range f.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+func (f *fleet) step() {
+	f.now += fleetStep
+	due := f.mail
+	f.mail = nil
+	for _, m := range due {
+		if m.at > f.now {
+			f.mail = append(f.mail, m)
+			continue
+		}
+		m.act()
+	}
+	for _, n := range f.nodes {
+		if f.now >= n.wakeAt {
+			f.run(n)
+		}
+	}
+}
+
+func (f *fleet) run(n *fleetNode) {
+	f.take(n, n.member.Tick(f.now))
+	if n.member.Adopt(f.now, f.lists[len(f.lists)-1-n.held]) {
+		n.owner.SetMembers(f.now, n.member.List())
+		n.owner.SetOwned(f.now, func(e string) bool { return n.member.Owner(e, "east") == n.name })
+	}
+	if n.member.Revision() > 0 {
+		f.send(n)
+	}
+	for looks := 0; looks < 3; looks++ {
+		n.owner.Tick(f.now, n.member.Confirmed(f.now))
+		f.take(n, n.owner.TakeOutputs())
+	}
+}
+
+// send gives work to the owner that a node believes in.
+func (f *fleet) send(n *fleetNode) {
+	e := fmt.Sprintf("e%d", f.IntN(4))
+	to := f.node(n.member.Owner(e, "east"))
+	if to == nil {
+		return
+	}
+	d := bbmsg.Dispatch{
+		Attempt:      bbmsg.Attempt{ID: fmt.Sprint(n.process, f.now)},
+		Endpoint:     e,
+		ListRevision: n.member.Revision(),
+		BudgetMillis: int64(100 + f.IntN(900)),
+		Weight:       1,
+	}
+	f.reach(n, to, func() { to.owner.Offer(f.now, d, n.name) })
+}
+
+func (f *fleet) take(n *fleetNode, outputs []bbmsg.Output) {
+	for _, o := range outputs {
+		switch {
+		case o.Probe != nil:
+			f.probe(n, *o.Probe)
+		case o.Call != nil:
+			f.call(n, *o.Call)
+		case o.Stop != nil:
+			for _, calls := range f.running {
+				delete(calls, o.Stop.Call+n.process)
+			}
+		}
+	}
+}
+
+func (f *fleet) probe(n *fleetNode, p bbmsg.ProbeOut) {
+	to := f.node(p.To)
+	if to == nil {
+		return
+	}
+	f.reach(n, to, func() {
+		reply := to.member.HandleProbe(f.now, p.Probe, bbmsg.Knowledge{})
+		f.reach(to, n, func() { f.take(n, n.member.HandleReply(f.now, reply)) })
+	})
+}
+
+// call sends a call. A process that is paused with the call in its hands sends it when
+// it wakes, unless that is too late.
+func (f *fleet) call(n *fleetNode, c bbmsg.EndpointCall) {
+	if f.IntN(50) == 0 {
+		n.wakeAt = f.now + time.Duration(f.IntN(6000))*time.Millisecond
+	}
+	wait := max(n.wakeAt-f.now, 0)
+	if wait > time.Duration(c.SendWithinMillis)*time.Millisecond {
+		f.later(wait, func() {
+			n.owner.News(f.now, bbmsg.EndpointNews{Call: c.Call, Kind: bbmsg.NewsUnsent})
+		})
+		return
+	}
+	f.later(wait, func() {
+		if !n.stopped {
+			f.bring(n, c)
+		}
+	})
+}
+
+// bring lets a call arrive at its endpoint.
+func (f *fleet) bring(n *fleetNode, c bbmsg.EndpointCall) {
+	f.calls++
+	calls := f.running[c.Endpoint]
+	if calls == nil {
+		calls = map[uint64]*fleetNode{}
+		f.running[c.Endpoint] = calls
+	}
+	id := c.Call + n.process
+	calls[id] = n
+	if len(calls) > fleetSlots {
+		f.over = append(f.over, fmt.Sprintf("%v: %s has %d calls, the last from %s", f.now, c.Endpoint, len(calls), n.name))
+	}
+	took := min(time.Duration(f.IntN(1200)), time.Duration(c.TimeoutMillis)) * time.Millisecond
+	f.later(took, func() {
+		delete(calls, id)
+		if f.now >= n.wakeAt {
+			n.owner.News(f.now, bbmsg.EndpointNews{Call: c.Call, Kind: bbmsg.NewsDone})
+		}
+	})
+}
+
+// fail makes one thing go wrong, or heals. Lists change by one entry VM at a time;
+// nodes may skip some.
+func (f *fleet) fail() {
+	n := f.nodes[f.IntN(len(f.nodes))]
+	newest := f.lists[len(f.lists)-1]
+	switch f.IntN(7) {
+	case 0:
+		n.wakeAt = f.now + time.Duration(f.IntN(3000))*time.Millisecond
+	case 1:
+		f.cut[n.name] = f.IntN(2)
+	case 2:
+		clear(f.cut)
+	case 3:
+		f.stop(n)
+		f.start(n.name)
+	case 4:
+		n.held = f.IntN(min(3, len(f.lists)))
+	case 5:
+		n.held = 0
+	case 6:
+		f.replace(newest)
+	}
+}
+
+// replace publishes a list with one entry VM more, or one less when there are many.
+func (f *fleet) replace(newest bbmsg.MemberList) {
+	var names []string
+	for _, m := range newest.Members {
+		names = append(names, m.Name)
+	}
+	if len(names) > 3 {
+		gone := f.IntN(len(names))
+		names = append(names[:gone:gone], names[gone+1:]...)
+	} else {
+		name := fmt.Sprintf("x%d", len(f.lists))
+		names = append(names, name)
+		f.start(name)
+	}
+	f.lists = append(f.lists, fleetList(newest.Revision+1, names...))
+	for _, n := range f.nodes {
+		n.held = min(n.held+f.IntN(2), 2)
+	}
+}
+
+func TestFleetOfColdEndpoints(t *testing.T) {
+	calls := 0
+	for i := range uint64(12) {
+		seed := 10 + i
+		f := newFleet(seed, 3)
+		for f.now < time.Minute {
+			f.step()
+			if f.IntN(150) == 0 {
+				f.fail()
+			}
+		}
+		calls += f.calls
+		if len(f.over) > 0 {
+			t.Errorf("seed %d: over the cold slots %d times, first at %s", seed, len(f.over), f.over[0])
+		}
+	}
+	t.Logf("%d calls", calls)
+	if calls == 0 {
+		t.Error("no call was ever sent")
+	}
+}
--- a/core/bbowner/table.go
+++ b/core/bbowner/table.go
@@ -223,7 +223,12 @@
 
 // SetMembers takes in a member list: its revision and which endpoints are leaving.
 // Endpoints that it does not name get nothing new, unless it names no endpoint at all.
+// When revisions were skipped, another node may have been the owner in between of
+// what this node owned before and after, so that its calls are waited for.
 func (t *Table) SetMembers(now time.Duration, list bbmsg.MemberList) {
+	if list.Revision > t.revision+1 {
+		t.wait(now)
+	}
 	t.revision = list.Revision
 	t.list = map[string]bool{}
 	for _, m := range list.Members {
@@ -235,6 +240,14 @@
 	t.refuseUnusable(now)
 }
 
+func (t *Table) wait(now time.Duration) {
+	for _, e := range t.busy {
+		if e.Owned {
+			e.Wait(now, t.windows, t.carry)
+		}
+	}
+}
+
 // index rebuilds the orders of the table.
 func (t *Table) index(now time.Duration) {
 	t.order = t.order[:0]
--- a/core/bbowner/table_test.go
+++ b/core/bbowner/table_test.go
@@ -202,6 +202,7 @@
 func TestColdEndpoint(t *testing.T) {
 	t.Run("nothing before the settling time", func(t *testing.T) {
 		r := newRig(t)
+		r.table.NoFormer()
 		r.advance(testSettle - 2)
 		r.offer("plain", 1)
 		r.wantCalls(0)
@@ -241,6 +242,15 @@
 		r.wantCalls(2)
 		r.wantEnds("refused unconfirmed", "done ", "refused unconfirmed")
 	})
+	t.Run("nothing for a while after lists were skipped", func(t *testing.T) {
+		r := settledRig(t)
+		r.members(6)
+		r.offer("plain", 1)
+		r.wantCalls(1)
+		r.members(8)
+		r.offer("plain", 1)
+		r.wantCalls(1)
+	})
 	t.Run("one send for each look", func(t *testing.T) {
 		r := settledRig(t)
 		r.table.Offer(r.now, r.dispatch("plain"), "home")
--- a/core/bbwindow/window.go
+++ b/core/bbwindow/window.go
@@ -85,12 +85,19 @@
 // former owner may still run after the settling time.
 func (w *Window) Gain(now time.Duration, s Settings, carry time.Duration) {
 	w.forget(now)
-	w.SettledAt = now + s.SettleTime
-	w.CarryUntil = w.SettledAt + carry
+	w.Wait(now, s, carry)
 	w.RetryAt = 0
 	w.Failures = 0
 }
 
+// Wait starts the time for the calls of a former owner anew.
+func (w *Window) Wait(now time.Duration, s Settings, carry time.Duration) {
+	w.SettledAt = now + s.SettleTime
+	w.CarryUntil = w.SettledAt + carry
+	w.Known = false
+	w.Foreign = 0
+}
+
 func (w *Window) forget(now time.Duration) {
 	w.State = bbmsg.StateUnknown
 	w.ColdSince = now
@@ -100,7 +107,6 @@
 	w.Boot = 0
 	w.FormerBoot = 0
 	w.Samples = 0
-	w.Known = false
 }
 
 // Restart makes the endpoint cold, as after a time in which it got no work.
