Failure domains out and back are reported once

The node and its configuration both reported them. The configuration does it now, with who asked, also for domains that are out when a node starts (seen to fail without). The node's name is given to the configuration, so that it doesn't wait for itself at the start of a small fleet.

--- a/core/bbconfig/config_test.go
+++ b/core/bbconfig/config_test.go
@@ -72,6 +72,8 @@
 		{name: "two texts of one revision, higher first", offers: []bbmsg.RulesText{rules(3, high), rules(3, low)}, want: rules(3, high),
 			events: []bbevent.Number{bbevent.RulesInForce, bbevent.RulesConflict}},
 		{name: "revision zero", offers: []bbmsg.RulesText{rules(0, low)}, events: []bbevent.Number{bbevent.RulesStale}},
+		{name: "a domain out at the start", offers: []bbmsg.RulesText{rules(1, low+"out "+low[7:8]+" # x\n")}, want: rules(1, low+"out "+low[7:8]+" # x\n"),
+			events: []bbevent.Number{bbevent.RulesInForce, bbevent.DomainOut}},
 		{name: "a domain out and back", offers: []bbmsg.RulesText{rules(1, low), rules(2, low+"out a # x\nout b # x\n"), rules(3, low+high+"out a # x\nout b # x\n"), rules(4, low+high+"out a # x\n"), rules(5, low+high)}, want: rules(5, low+high),
 			events: []bbevent.Number{bbevent.RulesInForce, bbevent.RulesRefused, bbevent.RulesInForce, bbevent.DomainOut, bbevent.DomainOut, bbevent.RulesInForce, bbevent.DomainBack, bbevent.RulesInForce, bbevent.DomainBack}},
 	}
--- a/core/bbconfig/rules.go
+++ b/core/bbconfig/rules.go
@@ -67,16 +67,14 @@
 		return !refusedVersion(r).isOver(c.version())
 	})
 	c.event(bbevent.RulesInForce, source, fmt.Sprintf("revision %d, digest %x", rules.Revision, rules.Digest))
-	if former != nil {
-		c.reportDomains(source, former)
-	}
+	c.reportDomains(source, former)
 }
 
-// reportDomains reports the failure domains that came or went with the new rules.
+// reportDomains reports the failure domains that came or went with the new rules;
+// former is nil for the first ones.
 func (c *Config) reportDomains(source string, former *Rules) {
 	for _, d := range c.rules.Index.Set.Domains {
-		old := former.Index.Domains[d.Name]
-		wasOut := old != nil && old.Out
+		wasOut := former != nil && isOut(former.Index, d.Name)
 		if d.Out && !wasOut {
 			c.event(bbevent.DomainOut, source, d.Name+": "+d.OutAskedBy)
 		}
@@ -135,3 +133,9 @@
 		digest:   r.Digest,
 	}
 }
+
+// isOut tells whether rules take a failure domain out.
+func isOut(x *bbrule.Index, domain string) bool {
+	d := x.Domains[domain]
+	return d != nil && d.Out
+}
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -136,7 +136,7 @@
 func New(s Settings) *Node {
 	n := &Node{
 		Settings: s,
-		Config:   newConfig(s.Times),
+		Config:   newConfig(s),
 		views:    make(map[string]*view),
 	}
 	n.receiver.calls = make(map[uint64]*call)
--- a/core/bbnode/rules.go
+++ b/core/bbnode/rules.go
@@ -8,7 +8,6 @@
 	"bluebellhall/core/bbconfig"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbmsg"
-	"bluebellhall/core/bbrule"
 )
 
 // fetchInterval is the least time between two questions to peers for configuration.
@@ -20,13 +19,11 @@
 	if !n.Config.OfferRules(source, text) {
 		return
 	}
-	before := n.Index
 	n.Index = n.Config.Rules().Index
 	n.Owner.SetRules(n.now, n.Index.Set)
 	n.policy.setLimits(n.Index.Set.Limits)
 	n.dropViews()
 	n.setOwned()
-	n.tellDomains(before)
 }
 
 // offerList takes in a list of VMs and adopts it if it is newer.
@@ -91,27 +88,6 @@
 	}
 }
 
-// tellDomains adds events for failure domains that were taken out or brought back.
-func (n *Node) tellDomains(before *bbrule.Index) {
-	for _, d := range n.Index.Set.Domains {
-		was := false
-		if before != nil && before.Domains[d.Name] != nil {
-			was = before.Domains[d.Name].Out
-		}
-		if d.Out == was {
-			continue
-		}
-		number := bbevent.DomainBack
-		if d.Out {
-			number = bbevent.DomainOut
-		}
-		n.event(bbevent.Event{
-			Number: number,
-			Detail: d.Name,
-		})
-	}
-}
-
 // tickConfiguration asks peers for what they have newer and decides on readiness.
 func (n *Node) tickConfiguration() {
 	n.emit(n.Config.Tick(n.now, n.alivePeers()))
@@ -137,10 +113,11 @@
 }
 
 // newConfig returns an empty configuration.
-func newConfig(t Times) *bbconfig.Config {
+func newConfig(s Settings) *bbconfig.Config {
 	return bbconfig.New(bbconfig.Settings{
+		Self:          s.Self.Name,
 		FetchInterval: fetchInterval,
-		StartWait:     t.StartPatience,
+		StartWait:     s.Times.StartPatience,
 	})
 }
 
