A stage waits longer for an endpoint, and the demo's platform notices dead VMs

Cause: a stage gave up after six refusals in 150 ms although its deadline is 6 s. The pause now doubles from 25 to 400 ms, 16 times at the most. The demo's list loses a killed VM after a second, as the platform's does.

--- a/bluebellbench/bbcluster/cluster.go
+++ b/bluebellbench/bbcluster/cluster.go
@@ -17,6 +17,7 @@
 	"bluebellhall/bluebelld/bbsettings"
 	"bluebellhall/bluebellfake/bbfleet"
 	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbnode"
 )
 
@@ -43,6 +44,8 @@
 	mu       sync.Mutex
 	// nodes has every entry VM ever started, by name.
 	nodes map[string]*node
+	// members has the entry VMs as first listed, by name.
+	members map[string]bbmsg.Member
 	// cuts has the cut pairs of names, both ways.
 	cuts map[cut]bool
 }
@@ -74,6 +77,7 @@
 	c := &Cluster{
 		settings: s,
 		nodes:    make(map[string]*node),
+		members:  make(map[string]bbmsg.Member),
 		cuts:     make(map[cut]bool),
 	}
 	if err := c.plan(); err != nil {
@@ -84,6 +88,9 @@
 		return nil, nil, err
 	}
 	c.Fleet = fleet
+	for _, m := range fleet.Platform.Members() {
+		c.members[m.Name] = m
+	}
 	cleanup := func() {
 		c.killAll()
 		closeFleet()
@@ -211,6 +218,23 @@
 	}
 }
 
+// SetListed publishes a list with or without an entry VM, as the platform does when
+// it notices that a VM has come or gone.
+func (c *Cluster) SetListed(name string, listed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var members []bbmsg.Member
+	for _, m := range c.Fleet.Platform.Members() {
+		if m.Name != name {
+			members = append(members, m)
+		}
+	}
+	if listed {
+		members = append(members, c.members[name])
+	}
+	c.Fleet.Platform.PublishMembers(members)
+}
+
 // Drain stops an entry VM gracefully and waits for its end, or for the timeout.
 func (c *Cluster) Drain(name string, timeout time.Duration) error {
 	server := c.Server(name)
--- a/bluebellbench/bbdemo/demo.go
+++ b/bluebellbench/bbdemo/demo.go
@@ -54,6 +54,8 @@
 	quietTarget = 4 * time.Second
 	// warmRate is the rate of the load that warms the endpoints, in requests a second.
 	warmRate = 60
+	// memberLag is how late changes of the list of VMs show.
+	memberLag = 300 * time.Millisecond
 	// warmTime is the length of that load.
 	warmTime = 4 * time.Second
 	// answerTime is how long address answers are kept in the demo, short so that a
@@ -124,6 +126,9 @@
 		Fleet: bbfleet.Settings{
 			FreePorts: true,
 			Seed:      d.settings.Seed,
+			Platform: bbfleet.PlatformSettings{
+				MemberLagMillis: memberLag.Milliseconds(),
+			},
 		},
 		Domains: domains,
 		Log:     d.settings.Log,
--- a/bluebellbench/bbdemo/steps.go
+++ b/bluebellbench/bbdemo/steps.go
@@ -46,15 +46,20 @@
 	drainedNode = "entry-4"
 )
 
-// kill ends a node at once.
+// noticeTime is how long the platform takes to notice that a VM is gone.
+const noticeTime = time.Second
+
+// kill ends a node at once. The platform notices it later.
 func (d *demo) kill() {
 	d.cluster.Kill(killedNode)
 	d.say("%s was killed", killedNode)
+	time.AfterFunc(noticeTime, func() { d.cluster.SetListed(killedNode, false) })
 }
 
 // restart starts it again without memory.
 func (d *demo) restart() {
 	err := d.cluster.Restart(killedNode)
+	d.cluster.SetListed(killedNode, true)
 	d.say("%s was started again (error: %v)", killedNode, err)
 }
 
@@ -92,7 +97,9 @@
 // drain stops a node gracefully.
 func (d *demo) drain() {
 	d.say("%s is asked to stop", drainedNode)
+	d.cluster.Fleet.SetLeaving(drainedNode, true)
 	d.drained = d.cluster.Drain(drainedNode, drainTimeout)
+	d.cluster.SetListed(drainedNode, false)
 	d.say("%s has stopped (error: %v)", drainedNode, d.drained)
 }
 
--- a/core/bbflow/dispatch.go
+++ b/core/bbflow/dispatch.go
@@ -67,8 +67,8 @@
 	if reason != bbmsg.ReasonNone {
 		r.LastReason = reason
 	}
+	retry := now + max(wait, t.backoff(r.Refusals))
 	r.Refusals++
-	retry := now + max(wait, t.Settings.RefusedWait)
 	if r.Refusals >= t.Settings.MaxRefusals || !t.Seams.CanMake(now, r.Deadline-retry, r.Steps[r.Stage:]) {
 		r.RetryHint = max(r.RetryHint, wait)
 		t.giveUp(now, r)
@@ -78,6 +78,16 @@
 	t.wake(r, retry)
 }
 
+// backoff returns the pause after a number of refusals: it doubles from RefusedWait
+// up to RefusedCeiling.
+func (t *Table) backoff(refusals int) time.Duration {
+	wait := t.Settings.RefusedWait
+	for range refusals {
+		wait = min(2*wait, t.Settings.RefusedCeiling)
+	}
+	return wait
+}
+
 // dispatch sends an attempt to the owner of the chosen endpoint.
 func (t *Table) dispatch(now time.Duration, r *Run, c Choice, hedge bool) {
 	budget := t.Seams.Split(now, r.Deadline-now-t.Settings.AnswerMargin, r.Steps[r.Stage:])
--- a/core/bbflow/flow.go
+++ b/core/bbflow/flow.go
@@ -22,8 +22,10 @@
 	// OwnerPatience is how long an attempt that may not be repeated waits for an
 	// owner that does not answer probes.
 	OwnerPatience time.Duration
-	// RefusedWait is the pause after a refusal without a hint of the owner.
-	RefusedWait time.Duration
+	// RefusedWait is the pause after the first refusal without a hint of the owner. It
+	// doubles with each further one, up to RefusedCeiling.
+	RefusedWait    time.Duration
+	RefusedCeiling time.Duration
 	// MaxRefusals bounds the refused attempts of one stage.
 	MaxRefusals int
 	// MaxAttempts bounds all attempts of one stage.
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -173,13 +173,14 @@
 		ConfirmedFor:   n.Members.ConfirmedFor,
 	})
 	n.Flow = bbflow.New(bbflow.Settings{
-		Self:          s.Self.Name,
-		Incarnation:   s.Incarnation,
-		OwnerPatience: s.Times.OwnerPatience,
-		RefusedWait:   refusedWait,
-		MaxRefusals:   maxRefusals,
-		MaxAttempts:   maxAttempts,
-		AnswerMargin:  answerMargin,
+		Self:           s.Self.Name,
+		Incarnation:    s.Incarnation,
+		OwnerPatience:  s.Times.OwnerPatience,
+		RefusedWait:    refusedWait,
+		RefusedCeiling: refusedCeiling,
+		MaxRefusals:    maxRefusals,
+		MaxAttempts:    maxAttempts,
+		AnswerMargin:   answerMargin,
 	}, n.flowSeams())
 	n.event(bbevent.Event{
 		Number: bbevent.NodeStarted,
@@ -188,12 +189,14 @@
 }
 
 const (
-	// refusedWait is the pause of a stage after a refusal without a hint.
+	// refusedWait is the pause of a stage after its first refusal without a hint.
 	refusedWait = 25 * time.Millisecond
+	// refusedCeiling is the longest pause of a stage between two tries.
+	refusedCeiling = 400 * time.Millisecond
 	// maxRefusals bounds the refusals of one stage.
-	maxRefusals = 6
+	maxRefusals = 16
 	// maxAttempts bounds all attempts of one stage.
-	maxAttempts = 10
+	maxAttempts = 20
 	// answerMargin is kept of a deadline for the way back.
 	answerMargin = 60 * time.Millisecond
 )
