A home sees the endpoints that it owns itself

Cause: digests were taken from peers only, so that a home held its own endpoints for unheard of and never chose them; with a domain out and an owner dead nothing was left to choose. Ownership is told once, by the owner's table.

--- a/core/bbnode/choose.go
+++ b/core/bbnode/choose.go
@@ -22,13 +22,22 @@
 	since    int
 }
 
-// see keeps a digest that an owner sent. Only the owner by the list held is believed.
+// see keeps a digest that an owner sent. Only the owner by the list held is believed;
+// what a former owner tells of an endpoint that is now owned here is a hint.
 func (n *Node) see(from string, d bbmsg.EndpointDigest) {
 	if n.Index == nil {
 		return
 	}
 	e := n.Index.Endpoints[d.Name]
-	if e == nil || n.Members.Owner(d.Name, e.Domain) != from {
+	if e == nil {
+		return
+	}
+	owner := n.Members.Owner(d.Name, e.Domain)
+	if owner == n.Settings.Self.Name {
+		n.Owner.Hint(n.now, d)
+		return
+	}
+	if owner != from {
 		return
 	}
 	v := n.view(d.Name)
@@ -131,6 +140,10 @@
 		OwnerAlive: owner != "" && n.alive(owner) && n.incarnationOf(owner) != 0,
 		Excluded:   excluded || n.Index.IsOut(e),
 	}
+	if owner == n.Settings.Self.Name {
+		c.Digest, c.Known = n.Owner.Digest(n.now, e.Name)
+		return c
+	}
 	v, ok := n.views[e.Name]
 	if !ok {
 		return c
--- a/core/bbnode/rules.go
+++ b/core/bbnode/rules.go
@@ -1,7 +1,6 @@
 package bbnode
 
 import (
-	"fmt"
 	"sort"
 	"time"
 
@@ -63,12 +62,10 @@
 		return
 	}
 	self := n.Settings.Self.Name
-	gained, lost := n.Owner.SetOwned(n.now, func(name string) bool {
+	gained, _ := n.Owner.SetOwned(n.now, func(name string) bool {
 		e := n.Index.Endpoints[name]
 		return e != nil && n.Members.Owner(name, e.Domain) == self
 	})
-	n.tellEndpoints(bbevent.OwnershipGained, gained)
-	n.tellEndpoints(bbevent.OwnershipLost, lost)
 	for _, name := range gained {
 		if v, ok := n.views[name]; ok {
 			n.Owner.Hint(n.now, v.digest)
@@ -77,17 +74,6 @@
 	n.emit(n.Owner.TakeOutputs())
 }
 
-// tellEndpoints adds an event for each endpoint.
-func (n *Node) tellEndpoints(number bbevent.Number, names []string) {
-	for _, name := range names {
-		n.event(bbevent.Event{
-			Number:   number,
-			Endpoint: name,
-			Detail:   fmt.Sprintf("list %d", n.Members.Revision()),
-		})
-	}
-}
-
 // tickConfiguration asks peers for what they have newer and decides on readiness.
 func (n *Node) tickConfiguration() {
 	n.emit(n.Config.Tick(n.now, n.alivePeers()))
--- a/core/bbowner/table.go
+++ b/core/bbowner/table.go
@@ -356,6 +356,15 @@
 	return digests
 }
 
+// Digest returns the digest of one endpoint, and false when it is not owned.
+func (t *Table) Digest(now time.Duration, name string) (bbmsg.EndpointDigest, bool) {
+	e := t.Endpoints[name]
+	if e == nil || !e.Owned {
+		return bbmsg.EndpointDigest{}, false
+	}
+	return t.digest(now, e), true
+}
+
 func (t *Table) digest(now time.Duration, e *Endpoint) bbmsg.EndpointDigest {
 	limit := t.limit(now, e)
 	return bbmsg.EndpointDigest{
