A session stays at its home while little is going on

Own answers count as many times as there are VMs, and one answer put a VM without load over the bound for sessions: against a running fleet the second question of a conversation named another home. For sessions they count once. The new test fails with the old count.

--- a/core/bbaddress/rank.go
+++ b/core/bbaddress/rank.go
@@ -88,8 +88,7 @@
 	Random func() uint64
 	// eligible and near are memory for one choice.
 	eligible, near []int
-	// loads has the expected load of each node. All VMs answer callers, so the answers
-	// of this one count as often as there are VMs.
+	// loads has the expected load of each node.
 	loads []float64
 }
 
@@ -109,9 +108,15 @@
 	r.eligible = r.eligible[:0]
 	r.near = r.near[:0]
 	r.loads = r.loads[:0]
+	// All VMs answer callers, so the answers of this one stand for as many. A session
+	// is placed by its hash alone; its own answers must not drive it away.
+	answers := len(nodes)
+	if q.Session != 0 {
+		answers = 1
+	}
 	for i := range nodes {
 		n := &nodes[i]
-		r.loads = append(r.loads, float64(n.Load+n.Handed*len(nodes)))
+		r.loads = append(r.loads, float64(n.Load+n.Handed*answers))
 		if !n.Alive || n.Leaving || n.Draining {
 			continue
 		}
--- a/core/bbaddress/rank_test.go
+++ b/core/bbaddress/rank_test.go
@@ -91,6 +91,16 @@
 			}
 		}
 	})
+	t.Run("stay while their own answers are the only load", func(t *testing.T) {
+		idle := fleet(7)
+		rank := first(1, idle)
+		session := SessionHash("account", "chat")
+		home := rank(session)
+		for range loadSlack {
+			checkSame(t, "home", home, rank(session))
+			idle[home].Handed++
+		}
+	})
 	t.Run("leave a home over the bound", func(t *testing.T) {
 		loaded := fleet(7)
 		for i := range loaded {
