Fresh groups don't wait for calls of former owners; the wait is by service

Cause: a new owner waits the settling time and then as long as a call of a former owner may run, before it uses a cold endpoint without reports. When a whole group has just started there are no such calls; nodes now tell each other (Probe.Ready, ProbeReply.Fresh). The longest call is taken by service instead of over all rules.

What a former owner tells is a hint for warm endpoints only: by reading, its count of calls in flight leaves out those of the owners before it.

--- a/core/bbmember/confirm.go
+++ b/core/bbmember/confirm.go
@@ -13,9 +13,36 @@
 // ready others of its group, or all others. It stays true for this incarnation.
 func (t *Table) Ready() bool { return t.ready }
 
-// Fresh returns true when this node got ready because its whole group, of more than
-// one, had just started. The endpoints that it owned then have no former owner.
-func (t *Table) Fresh() bool { return t.fresh }
+// Fresh returns true while this node holds its first list and its whole group, of more
+// than one, had just started with it. The endpoints that it owns then have had no other
+// owner whose calls could still run.
+func (t *Table) Fresh() bool { return t.ready && t.fresh && t.adopted == 1 }
+
+// updateFresh looks whether each other member either is not ready, or was seen so by
+// this process and got ready in the same way.
+func (t *Table) updateFresh() {
+	group := t.Group()
+	if t.adopted != 1 || len(group) < 2 {
+		return
+	}
+	for _, name := range group {
+		p := t.Peers[name]
+		if p == nil {
+			continue
+		}
+		if !p.answered || p.ready && !(p.fresh && t.unready[name]) {
+			return
+		}
+	}
+	t.fresh = true
+}
+
+// noteUnready keeps that a peer was not ready during the life of this process.
+func (t *Table) noteUnready(name string, ready bool) {
+	if !ready && len(t.unready) < maxUnready {
+		t.unready[name] = true
+	}
+}
 
 // Confirmed returns true while this node may act as an owner towards cold endpoints
 // that belonged to its own group before. It is to be asked right before each send.
@@ -105,7 +132,6 @@
 	}
 	if answered == others || ready > others/2 {
 		t.ready = true
-		t.fresh = others > 0 && answered == others && ready == 0
 	}
 }
 
--- a/core/bbmember/probe.go
+++ b/core/bbmember/probe.go
@@ -94,6 +94,7 @@
 			From:        t.settings.Self.Name,
 			Incarnation: t.settings.Incarnation,
 			Sequence:    t.sequence,
+			Ready:       t.ready,
 			Knowledge:   own,
 		},
 	}}
@@ -104,6 +105,7 @@
 func (t *Table) HandleProbe(now time.Duration, probe bbmsg.Probe, own bbmsg.Knowledge) bbmsg.ProbeReply {
 	t.notePause(now)
 	t.observe(probe.Knowledge.ListRevision)
+	t.noteUnready(probe.From, probe.Ready)
 	if p := t.Peers[probe.From]; p != nil {
 		t.hear(now, probe.From, p, probe.Incarnation, probe.Knowledge)
 	}
@@ -112,6 +114,7 @@
 		Incarnation: t.settings.Incarnation,
 		Sequence:    probe.Sequence,
 		Ready:       t.ready,
+		Fresh:       t.Fresh(),
 		Knowledge:   t.knowledge(own),
 	}
 }
@@ -131,7 +134,10 @@
 	t.hear(now, reply.From, p, reply.Incarnation, reply.Knowledge)
 	p.answered = true
 	p.ready = reply.Ready
+	p.fresh = reply.Fresh
+	t.noteUnready(reply.From, reply.Ready)
 	t.updateReady()
+	t.updateFresh()
 	t.updateCover(now)
 	if reply.Ready && reply.Knowledge.ListRevision == t.seen {
 		p.confirmedUntil = max(p.confirmedUntil, sent.at+t.settings.ConfirmTime)
--- a/core/bbmember/table.go
+++ b/core/bbmember/table.go
@@ -25,6 +25,8 @@
 	// maxFormer bounds the number of former lists that are remembered. When more
 	// change within FormerTime, cold endpoints wait until the oldest has run out.
 	maxFormer = 8
+	// maxUnready bounds the peers that are remembered as just started.
+	maxUnready = 64
 	// maxOwnerCache bounds the number of cached owners; the cache is cleared when full.
 	maxOwnerCache = 1 << 14
 )
@@ -77,10 +79,11 @@
 	// Knowledge is the newest that was heard.
 	Knowledge bbmsg.Knowledge
 
-	// answered is true once it has answered a probe of this incarnation of ours, and
-	// ready is what it said of itself then.
+	// answered is true once it has answered a probe of this incarnation of ours; ready
+	// and fresh are what it said of itself last.
 	answered bool
 	ready    bool
+	fresh    bool
 	// confirmedUntil is when its confirmation of the newest revision ends, 0 if none.
 	confirmedUntil time.Duration
 	// nextProbe is when the next probe is due.
@@ -124,10 +127,13 @@
 	heldUntil time.Duration
 	// seen is the newest list revision ever seen, which may exceed the one held.
 	seen int64
-	// ready is true once this node may confirm others, and fresh when the whole group
-	// had just started then.
+	// ready is true once this node may confirm others.
 	ready bool
-	fresh bool
+	// fresh is true once the whole group was seen to have just started, unready holds
+	// the peers that this process has seen so, and adopted counts the lists.
+	fresh   bool
+	unready map[string]bool
+	adopted int
 	// covered is true while enough members confirm; coveredSince is when that began
 	// and coveredUntil when it ends unless they confirm again.
 	covered      bool
@@ -166,6 +172,7 @@
 		sequence: settings.Incarnation,
 		Peers:    map[string]*Peer{},
 		owners:   map[ownerKey]string{},
+		unready:  map[string]bool{},
 	}
 }
 
@@ -187,6 +194,7 @@
 		return false
 	}
 	t.remember(now)
+	t.adopted++
 	t.list = list
 	t.current = newLayout(list)
 	t.observe(list.Revision)
--- a/core/bbmember/table_test.go
+++ b/core/bbmember/table_test.go
@@ -375,3 +375,31 @@
 		t.Logf("%d groups, %d of %d VMs moved", len(whole.groups), moved, len(names)-1)
 	})
 }
+
+func TestFresh(t *testing.T) {
+	three := list(1, "a1", "a2", "a3")
+	check := func(t *testing.T, f *fleet, name string, want bool) {
+		t.Helper()
+		if got := f.tables[name].Fresh(); got != want {
+			t.Errorf("Fresh of %s = %v, want %v", name, got, want)
+		}
+	}
+	t.Run("all that start within a moment", func(t *testing.T) {
+		f := newFleet(three, "a1", "a2")
+		f.run(testProbe, nil)
+		f.start("a3", three)
+		f.run(2*testProbe, nil)
+		for _, name := range f.names {
+			check(t, f, name, true)
+		}
+	})
+	t.Run("not one that restarts later, and none after another list", func(t *testing.T) {
+		f := newFleet(three, "a1", "a2", "a3")
+		f.run(2*testProbe, nil)
+		f.start("a3", three)
+		f.run(2*testProbe, nil)
+		check(t, f, "a3", false)
+		f.adopt(list(2, "a1", "a2", "a3"), "a1")
+		check(t, f, "a1", false)
+	})
+}
--- a/core/bbmsg/list.go
+++ b/core/bbmsg/list.go
@@ -48,6 +48,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Sequence matches the reply to the probe; it grows by one per probe and peer.
 	Sequence uint64 `json:"sequence"`
+	// Ready is false while the sender has not heard enough to confirm others.
+	Ready bool `json:"ready,omitempty"`
 	// Knowledge is the sender's state at the time of sending.
 	Knowledge Knowledge `json:"knowledge"`
 }
@@ -61,6 +63,9 @@
 	Sequence uint64 `json:"sequence"`
 	// Ready is false while the replying node has not heard enough to confirm others.
 	Ready bool `json:"ready"`
+	// Fresh is true when the replying node got ready because its whole group had just
+	// started, and has had no other list since.
+	Fresh bool `json:"fresh,omitempty"`
 	// Knowledge is the replying node's state after it took in the probe's.
 	Knowledge Knowledge `json:"knowledge"`
 }
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -171,6 +171,7 @@
 		SilenceTime:    s.Times.SilenceTime,
 		ReportInterval: s.Times.ReportInterval,
 		ConfirmedFor:   n.Members.ConfirmedFor,
+		Fresh:          n.Members.Fresh,
 	})
 	n.Flow = bbflow.New(bbflow.Settings{
 		Self:           s.Self.Name,
--- a/core/bbowner/fleet_test.go
+++ b/core/bbowner/fleet_test.go
@@ -56,9 +56,9 @@
 
 func fleetRules() *bbrule.RuleSet {
 	r := &bbrule.RuleSet{
-		Domains:   []bbrule.Domain{{Name: "east", Region: "r"}},
-		Services:  []bbrule.Service{{Name: "s", Kind: bbrule.KindPlain}},
-		Pipelines: []bbrule.Pipeline{{Name: "p", Deadline: fleetDeadline}},
+		Domains:  []bbrule.Domain{{Name: "east", Region: "r"}},
+		Services: []bbrule.Service{{Name: "s", Kind: bbrule.KindPlain}},
+		Calls:    []bbrule.Call{{Service: "s", Deadline: fleetDeadline}},
 	}
 	for i := range 4 {
 		r.Endpoints = append(r.Endpoints, bbrule.Endpoint{
@@ -121,6 +121,7 @@
 		SettleTime:      500 * time.Millisecond,
 		WarmCompletions: 1 << 30,
 		ConfirmedFor:    n.member.ConfirmedFor,
+		Fresh:           n.member.Fresh,
 	})
 	n.owner.SetRules(f.now, fleetRules())
 	n.held = f.IntN(min(2, len(f.lists)))
--- a/core/bbowner/send.go
+++ b/core/bbowner/send.go
@@ -20,6 +20,7 @@
 func (t *Table) Tick(now time.Duration, confirmed bool) {
 	changed := confirmed != t.confirmed
 	t.confirmed = confirmed
+	t.noteFresh()
 	for _, e := range t.busy {
 		if !e.dirty && !changed && now < e.due {
 			continue
--- a/core/bbowner/table.go
+++ b/core/bbowner/table.go
@@ -57,6 +57,9 @@
 	// ConfirmedFor tells whether a cold endpoint may be used; it is asked right before
 	// each send, besides the answer given to Tick. It may be nil.
 	ConfirmedFor func(now time.Duration, endpoint, domain string) bool
+	// Fresh tells whether this node's endpoints have had no other owner yet, because
+	// its whole group has just started. It may be nil.
+	Fresh func() bool
 }
 
 // Endpoint is an endpoint as its owner sees it.
@@ -102,9 +105,11 @@
 	// revision is that of the member list.
 	revision int64
 	list     map[string]bool
-	// carry bounds the time that a call of any owner may run.
-	carry     time.Duration
+	// carry bounds the time that a call of any owner may run, by service.
+	carry map[string]time.Duration
+	// confirmed and fresh are what was told at the last Tick.
 	confirmed bool
+	fresh     bool
 	outputs   []bbmsg.Output
 }
 
@@ -149,7 +154,7 @@
 // SetRules takes in a revision of the rules. Endpoints that are new start
 // as unknown, those that moved or are back from a failure domain that was out as cold.
 func (t *Table) SetRules(now time.Duration, rules *bbrule.RuleSet) {
-	t.carry = longestDeadline(rules)
+	t.carry = longestCalls(rules)
 	services := map[string]bbrule.Service{}
 	for _, s := range rules.Services {
 		services[s.Name] = s
@@ -179,13 +184,16 @@
 	t.refuseUnusable(now)
 }
 
-func longestDeadline(rules *bbrule.RuleSet) time.Duration {
-	longest := time.Duration(0)
+// longestCalls returns how long a call may run at most, by service.
+func longestCalls(rules *bbrule.RuleSet) map[string]time.Duration {
+	longest := map[string]time.Duration{}
 	for _, p := range rules.Pipelines {
-		longest = max(longest, p.Deadline)
+		for _, stage := range p.Stages {
+			longest[stage.Service] = max(longest[stage.Service], p.Deadline)
+		}
 	}
 	for _, c := range rules.Calls {
-		longest = max(longest, c.Deadline)
+		longest[c.Service] = max(longest[c.Service], c.Deadline)
 	}
 	return longest
 }
@@ -243,7 +251,7 @@
 func (t *Table) wait(now time.Duration) {
 	for _, e := range t.busy {
 		if e.Owned {
-			e.Wait(now, t.windows, t.carry)
+			e.Wait(now, t.windows, t.carry[e.Rule.Service])
 		}
 	}
 }
@@ -292,31 +300,32 @@
 }
 
 func (t *Table) gain(now time.Duration, e *Endpoint) {
-	e.Gain(now, t.windows, t.carry)
+	e.Gain(now, t.windows, t.carry[e.Rule.Service])
+	if t.fresh {
+		e.CarryUntil = e.SettledAt
+	}
 	e.nextPoll = now
 	t.event(e, bbevent.OwnershipGained, nil, "")
 }
 
-// NoFormer tells that the endpoints owned now had no former owner whose calls could
-// still run, because the whole group has just started.
-func (t *Table) NoFormer() {
-	for _, e := range t.busy {
-		if e.Owned {
-			e.CarryUntil = e.SettledAt
+// noteFresh stops waiting for calls of former owners when there were none.
+func (t *Table) noteFresh() {
+	fresh := t.settings.Fresh != nil && t.settings.Fresh()
+	if fresh && !t.fresh {
+		for _, e := range t.busy {
+			e.CarryUntil = min(e.CarryUntil, e.SettledAt)
 			e.dirty = true
 		}
 	}
+	t.fresh = fresh
 }
 
-// Hint takes in what the former owner of an endpoint tells of it after it has adopted
-// a list by which this node is the owner.
+// Hint takes in what the former owner of an endpoint told of it last.
 func (t *Table) Hint(now time.Duration, d bbmsg.EndpointDigest) {
-	e := t.Endpoints[d.Name]
-	if e == nil || !e.Owned {
-		return
+	if e := t.Endpoints[d.Name]; e != nil && e.Owned {
+		e.Hint(now, d)
+		e.dirty = true
 	}
-	e.Window.Hint(now, d)
-	e.dirty = true
 }
 
 // Report takes in a load report of an endpoint that is owned.
--- a/core/bbowner/table_test.go
+++ b/core/bbowner/table_test.go
@@ -40,7 +40,11 @@
 			{Name: "engine", Service: "engines", Address: "1", Domain: "east", WarmSlots: 4, ColdSlots: 2},
 			{Name: "plain", Service: "ledger", Address: "2", Domain: "east", WarmSlots: 4, ColdSlots: 2},
 		},
-		Pipelines: []bbrule.Pipeline{{Name: "p", Deadline: testDeadline}},
+		Pipelines: []bbrule.Pipeline{{
+			Name:     "p",
+			Stages:   []bbrule.Stage{{Service: "ledger"}, {Service: "engines"}},
+			Deadline: testDeadline,
+		}},
 	}
 }
 
@@ -202,7 +206,7 @@
 func TestColdEndpoint(t *testing.T) {
 	t.Run("nothing before the settling time", func(t *testing.T) {
 		r := newRig(t)
-		r.table.NoFormer()
+		r.table.settings.Fresh = func() bool { return true }
 		r.advance(testSettle - 2)
 		r.offer("plain", 1)
 		r.wantCalls(0)
@@ -226,7 +230,7 @@
 	})
 	t.Run("earlier when the group has just started", func(t *testing.T) {
 		r := newRig(t)
-		r.table.NoFormer()
+		r.table.settings.Fresh = func() bool { return true }
 		r.advance(testSettle)
 		r.offer("plain", 1)
 		r.wantCalls(1)
--- a/core/bbwindow/window.go
+++ b/core/bbwindow/window.go
@@ -159,13 +159,15 @@
 	return max(slots, 0)
 }
 
-// Hint takes in what the former owner tells of the endpoint.
+// Hint takes in what the former owner told of the endpoint. It opens a warm endpoint
+// only: there may be calls of owners before it, or of a later moment.
 func (w *Window) Hint(now time.Duration, d bbmsg.EndpointDigest) {
 	if now >= w.CarryUntil {
 		return
 	}
-	w.Foreign = d.InFlight
-	w.Known = now >= w.SettledAt
+	if !w.Known {
+		w.Foreign = d.InFlight
+	}
 	if w.State == bbmsg.StateUnknown && d.State == bbmsg.StateWarm {
 		w.open(true)
 	}
