--- a/bluebelld/bbcaller/write.go
+++ b/bluebelld/bbcaller/write.go
@@ -118,6 +118,9 @@
 	}
 	s.tokens(m.Offset, m.Tokens)
 	s.begin()
+	if m.Offset+len(m.Tokens) > s.next {
+		m = incomplete(m)
+	}
 	e := endEvent{
 		Refusal: refusalOf(m),
 		Tokens:  s.next,
@@ -131,6 +134,16 @@
 	s.flush()
 }
 
+// incomplete turns the end of a stream with a gap into an outcome that makes the
+// caller ask again from where it is.
+func incomplete(m bbmsg.Answer) bbmsg.Answer {
+	return bbmsg.Answer{
+		ID:      m.ID,
+		Outcome: bbmsg.OutcomeUnknown,
+		Reason:  bbmsg.ReasonSilent,
+	}
+}
+
 // whole writes a plain answer.
 func (s *stream) whole(m bbmsg.Answer) {
 	if m.Outcome != bbmsg.OutcomeAnswered {
--- a/bluebelld/bbsettings/settings.go
+++ b/bluebelld/bbsettings/settings.go
@@ -110,6 +110,9 @@
 	if errors.As(err, &kind) {
 		offset = kind.Offset
 	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		offset = int64(bytes.Index(data, []byte(name)))
+	}
 	before := data[:min(int64(len(data)), offset)]
 	return Finding{
 		Line:   1 + bytes.Count(before, []byte("\n")),
