Refusals hide the signature of ids whatever the name of the home

Cause: the interface cut the id by counting dots, so for a home whose name has dots the refusal showed the signature and left out the incarnation; the core has the right split already. The new test failed before.

--- a/bluebelld/bbcaller/request.go
+++ b/bluebelld/bbcaller/request.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbticket"
 )
 
 // Refusal is the body of every answer that is not the caller's result.
@@ -79,13 +80,12 @@
 	}
 }
 
-// publicID returns an id without the signature of its ticket.
+// publicID returns an id without the signature of its ticket, and nothing for none.
 func publicID(id string) string {
-	parts := strings.Split(id, ".")
-	if len(parts) < 6 {
-		return id
+	if id == "" {
+		return ""
 	}
-	return strings.Join(append(parts[:4:4], parts[5:]...), ".")
+	return bbticket.Public(id)
 }
 
 // pipeline takes in a request for a pipeline.
