--- a/core/bbconfig/config.go
+++ b/core/bbconfig/config.go
@@ -7,6 +7,9 @@
 // have the same one in force, whatever the order of arrival, and no node ever goes
 // back. A node never takes an invalid text in part.
 //
+// A node that starts while the platform is down knows no peer that it could ask.
+// Peers that hear from it that it has no rules send it theirs and their list unasked.
+//
 // For one revision the platform is assumed to publish one member list. Where it
 // does not, each node keeps the list that it adopted first and reports the other.
 package bbconfig
@@ -28,6 +31,8 @@
 const (
 	// maxRefused is how many refused texts are remembered.
 	maxRefused = 16
+	// pushIntervals is how many fetch intervals lie between two pushes to a peer.
+	pushIntervals = 10
 	// startPeers is how many peers a starting node hears, if the list names so many,
 	// before it serves.
 	startPeers = 3
@@ -111,6 +116,8 @@
 	list int64
 	// isHeard is true once it said anything.
 	isHeard bool
+	// nextPush is the earliest time to send it the configuration unasked.
+	nextPush time.Duration
 }
 
 // New returns a configuration without rules and list.
--- a/core/bbconfig/config_test.go
+++ b/core/bbconfig/config_test.go
@@ -227,6 +227,26 @@
 		c.Tick(0, []string{"a", "c"})
 		checkEqual(t, nil, fetches(c.Tick(time.Second, peers)))
 	})
+	t.Run("a peer without rules gets them unasked, now and then", func(t *testing.T) {
+		c := started()
+		c.HearPeer("a", bbmsg.Knowledge{RulesRevision: 1, ListRevision: 5})
+		c.HearPeer("b", bbmsg.Knowledge{ListRevision: 5})
+		checkEqual(t, time.Second, c.NextWake(time.Second, peers))
+		checkEqual(t, []string{"b rules 5", "b list 5"}, pushes(c.Tick(time.Second, peers)))
+		again := time.Second + pushIntervals*settings.FetchInterval
+		checkEqual(t, nil, pushes(c.Tick(again-1, peers)))
+		checkEqual(t, again, c.NextWake(again-1, peers))
+		checkEqual(t, 2, len(pushes(c.Tick(again, peers))))
+		c.HearPeer("b", bbmsg.Knowledge{RulesRevision: 5, RulesDigest: c.rules.Digest, ListRevision: 5})
+		checkEqual(t, nil, pushes(c.Tick(time.Hour, peers)))
+	})
+	t.Run("nothing is sent unasked by a node without rules", func(t *testing.T) {
+		c := New(settings)
+		c.OfferList(SourcePlatform, list(5, "a"))
+		c.Tick(0, peers)
+		c.HearPeer("b", bbmsg.Knowledge{ListRevision: 5})
+		checkEqual(t, nil, pushes(c.Tick(time.Second, peers)))
+	})
 	t.Run("the answer holds only what is newer", func(t *testing.T) {
 		c := started()
 		rulesAnswer := send("b", bbmsg.Envelope{Rules: &bbmsg.RulesText{Revision: 5, Text: text("x")}})
@@ -328,7 +348,7 @@
 			nodes[n].HearPeer(other, nodes[other].Knowledge(bbmsg.Knowledge{ListRevision: 1}))
 		}
 		for _, o := range nodes[n].Tick(now, others) {
-			if o.Send == nil {
+			if o.Send == nil || o.Send.Envelope.Fetch == nil {
 				continue
 			}
 			for _, answer := range nodes[o.Send.To].HandleFetch(n, *o.Send.Envelope.Fetch) {
@@ -366,7 +386,7 @@
 func fetches(outputs []bbmsg.Output) []string {
 	var texts []string
 	for _, o := range outputs {
-		if o.Send != nil {
+		if o.Send != nil && o.Send.Envelope.Fetch != nil {
 			f := o.Send.Envelope.Fetch
 			texts = append(texts, fmt.Sprintf("%s %d %d", o.Send.To, f.RulesAfter, f.ListAfter))
 		}
@@ -374,6 +394,21 @@
 	return texts
 }
 
+// pushes returns what is sent to whom.
+func pushes(outputs []bbmsg.Output) []string {
+	var texts []string
+	for _, o := range outputs {
+		switch {
+		case o.Send == nil:
+		case o.Send.Envelope.Rules != nil:
+			texts = append(texts, fmt.Sprintf("%s rules %d", o.Send.To, o.Send.Envelope.Rules.Revision))
+		case o.Send.Envelope.List != nil:
+			texts = append(texts, fmt.Sprintf("%s list %d", o.Send.To, o.Send.Envelope.List.List.Revision))
+		}
+	}
+	return texts
+}
+
 func checkEqual[T any](t *testing.T, want, got T) {
 	t.Helper()
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/core/bbconfig/fetch.go
+++ b/core/bbconfig/fetch.go
@@ -52,7 +52,7 @@
 		c.startUntil = now + c.settings.StartWait
 	}
 	c.updateReady(now)
-	outputs := c.outputs
+	outputs := append(c.outputs, c.push(now, peers)...)
 	c.outputs = nil
 	if now < c.nextFetch {
 		return outputs
@@ -79,9 +79,33 @@
 	if c.nextPeer(peers) != "" {
 		wake = min(wake, max(now, c.nextFetch))
 	}
+	for _, name := range peers {
+		if p := c.peers[name]; p != nil && c.isEmpty(p) {
+			wake = min(wake, max(now, p.nextPush))
+		}
+	}
 	return wake
 }
 
+// push sends rules and list to the peers that have no rules.
+func (c *Config) push(now time.Duration, peers []string) []bbmsg.Output {
+	var outputs []bbmsg.Output
+	for _, name := range peers {
+		p := c.peers[name]
+		if !c.isEmpty(p) || now < p.nextPush {
+			continue
+		}
+		p.nextPush = now + pushIntervals*c.settings.FetchInterval
+		outputs = append(outputs, c.HandleFetch(name, bbmsg.Fetch{})...)
+	}
+	return outputs
+}
+
+// isEmpty returns true for a peer that said that it has no rules while there are some here.
+func (c *Config) isEmpty(p *peer) bool {
+	return p.isHeard && p.rules.revision == 0 && c.rules != nil
+}
+
 // keepPeers makes the table of peers match the names.
 func (c *Config) keepPeers(names []string) {
 	for name := range c.peers {
