bluebellbench compare: the system beside the naive baseline in eleven scenarios

Both sides get the same load at the same time with stand-ins of their own. The cancel test of the engine looks at the batch itself; the one before had passed with the removal of cancelled streams left out.

--- a/bluebellbench/bbcluster/cluster.go
+++ b/bluebellbench/bbcluster/cluster.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"sort"
 	"sync"
 	"time"
@@ -144,20 +143,6 @@
 	return nil
 }
 
-// freePorts returns loopback addresses that nothing listens on.
-func freePorts(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, nil
-}
-
 // Names returns the names of all entry VMs, sorted.
 func (c *Cluster) Names() []string {
 	c.mu.Lock()
--- /dev/null
+++ b/bluebellbench/bbcompare/run.go
@@ -0,0 +1,141 @@
+package bbcompare
+
+import (
+	"context"
+	"time"
+
+	"bluebellhall/bluebellbench/bbload"
+	"bluebellhall/bluebellfake/bbfleet"
+	"bluebellhall/core/bbrule"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// warmUpLoad and warmUpTime describe the load before a measurement.
+	warmUpLoad = 0.3
+	warmUpTime = 2 * time.Second
+	// grace is how long callers wait past their deadlines.
+	grace = time.Second
+	// settleTimeout bounds the wait for work that goes on without its callers.
+	settleTimeout = 3 * time.Second
+	settleLook    = 5 * time.Millisecond
+)
+
+// Pair is what both sides came to in a scenario.
+type Pair struct {
+	Scenario Scenario
+	System   Measures
+	Baseline Measures
+}
+
+// Run measures both sides in a scenario. They run at the same time, each with its own
+// stand-ins, so that both meet the same state of the machine.
+func Run(ctx context.Context, rules *bbrule.RuleSet, scenario Scenario, seed uint64) (Pair, error) {
+	rules = shrink(rules, scenario.Deadline)
+	pair := Pair{Scenario: scenario}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		var err error
+		pair.System, err = runSide(ctx, rules, scenario, seed, startSystem)
+		return err
+	})
+	group.Go(func() error {
+		var err error
+		pair.Baseline, err = runSide(ctx, rules, scenario, seed, startBaseline)
+		return err
+	})
+	return pair, group.Wait()
+}
+
+// runSide starts a side, warms it up and measures it.
+func runSide(ctx context.Context, rules *bbrule.RuleSet, scenario Scenario, seed uint64, start func(*bbrule.RuleSet, uint64) (*side, error)) (Measures, error) {
+	plans, err := plan(rules, scenario, seed)
+	if err != nil {
+		return Measures{}, err
+	}
+	s, err := start(rules, seed)
+	if err != nil {
+		return Measures{}, err
+	}
+	defer s.cleanup()
+	settings := bbload.RunSettings{Grace: grace}
+	bbload.Run(ctx, settings, plans.warmUp, s.send)
+	settle(ctx, s)
+	before := countsOf(s)
+	begin := time.Now()
+	stopSteps := schedule(s.fleet, scenario)
+	results := bbload.Run(ctx, settings, plans.load, s.send)
+	stopSteps()
+	settle(ctx, s)
+	return measure(s, scenario, before, begin, results), ctx.Err()
+}
+
+// plans holds the loads of a scenario.
+type plans struct {
+	warmUp []bbload.Request
+	load   []bbload.Request
+}
+
+func plan(rules *bbrule.RuleSet, scenario Scenario, seed uint64) (plans, error) {
+	kinds := bbload.DefaultKinds(rules)
+	warmUp, err := bbload.Plan(bbload.PlanSettings{
+		Seed:     seed + 1,
+		Rate:     warmUpLoad * Capacity(rules, kinds),
+		Duration: warmUpTime,
+		Kinds:    kinds,
+	})
+	if err != nil {
+		return plans{}, err
+	}
+	if scenario.Kinds != nil {
+		kinds = scenario.Kinds(rules)
+	}
+	load, err := bbload.Plan(bbload.PlanSettings{
+		Seed:     seed,
+		Rate:     scenario.Load * Capacity(rules, kinds),
+		Duration: scenario.Duration,
+		Kinds:    kinds,
+	})
+	return plans{
+		warmUp: warmUp,
+		load:   load,
+	}, err
+}
+
+// schedule starts the faults of a scenario; the returned function stops those to come.
+func schedule(f *bbfleet.Fleet, scenario Scenario) func() {
+	var timers []*time.Timer
+	for _, step := range scenario.Steps {
+		timers = append(timers, time.AfterFunc(step.At, func() { step.Do(f) }))
+	}
+	if o := scenario.Outage; o != nil {
+		domain := f.Rules.Domains[outageDomain].Name
+		timers = append(timers,
+			time.AfterFunc(o.Out, func() { f.SetOut(domain, true) }),
+			time.AfterFunc(o.Back, func() { f.SetOut(domain, false) }))
+	}
+	return func() {
+		for _, t := range timers {
+			t.Stop()
+		}
+	}
+}
+
+// settle waits until no endpoint has work, within bounds.
+func settle(ctx context.Context, s *side) {
+	for end := time.Now().Add(settleTimeout); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(settleLook) {
+		if idle(s.fleet) {
+			return
+		}
+	}
+}
+
+func idle(f *bbfleet.Fleet) bool {
+	for _, e := range f.Endpoints {
+		if e.InFlight() > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/bluebellbench/bbcompare/scenario.go
@@ -0,0 +1,151 @@
+package bbcompare
+
+import (
+	"time"
+
+	"bluebellhall/bluebellbench/bbload"
+	"bluebellhall/bluebellfake/bbendpoint"
+	"bluebellhall/bluebellfake/bbfleet"
+	"bluebellhall/core/bbrule"
+)
+
+// Scenario is a load with faults.
+type Scenario struct {
+	// Name selects it on the command line and Title stands in reports.
+	Name  string
+	Title string
+	// Load is the rate relative to the capacity of the engines.
+	Load float64
+	// Duration is the time in which requests are due.
+	Duration time.Duration
+	// Deadline replaces that of all pipelines; 0 means the rules' own.
+	Deadline time.Duration
+	// Kinds makes the mix of the load; nil means bbload.DefaultKinds.
+	Kinds func(*bbrule.RuleSet) []bbload.Kind
+	// Steps are the faults, in the order of their times.
+	Steps []Step
+	// Outage is set when a failure domain goes out and comes back.
+	Outage *Outage
+}
+
+// Step is a fault at a time from the start of the load.
+type Step struct {
+	At time.Duration
+	Do func(*bbfleet.Fleet)
+}
+
+// Outage takes the second failure domain of the rules out and back.
+type Outage struct {
+	Out  time.Duration
+	Back time.Duration
+}
+
+const (
+	// usualDuration is that of most scenarios.
+	usualDuration = 3 * time.Second
+	// faultTime is when most faults happen.
+	faultTime = time.Second
+	// poison is the text that crashes engines.
+	poison = "poison-7"
+)
+
+// Scenarios returns all scenarios in the order of the report.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "steady", Title: "Steady load", Load: 0.4, Duration: usualDuration},
+		{Name: "overload0.5", Title: "Load of 0.5 times the capacity", Load: 0.5, Duration: usualDuration, Kinds: pipelines, Deadline: overloadDeadline},
+		{Name: "overload1", Title: "Load of the capacity", Load: 1, Duration: usualDuration, Kinds: pipelines, Deadline: overloadDeadline},
+		{Name: "overload2", Title: "Load of 2 times the capacity", Load: 2, Duration: usualDuration, Kinds: pipelines, Deadline: overloadDeadline},
+		{Name: "overload4", Title: "Load of 4 times the capacity", Load: 4, Duration: usualDuration, Kinds: pipelines, Deadline: overloadDeadline},
+		{Name: "accounts", Title: "One large account beside small ones, 2 times the capacity", Load: 2, Duration: usualDuration, Kinds: oneLarge, Deadline: overloadDeadline},
+		{Name: "cold", Title: "Everything turns cold at once", Load: 0.4, Duration: usualDuration, Steps: []Step{
+			{At: faultTime, Do: allCold},
+		}},
+		{Name: "domain", Title: "A failure domain goes out and comes back", Load: 0.4, Duration: 5 * time.Second, Outage: &Outage{
+			Out:  faultTime,
+			Back: 3500 * time.Millisecond,
+		}},
+		{Name: "killed", Title: "Endpoints are killed", Load: 0.4, Duration: usualDuration, Steps: []Step{
+			{At: faultTime, Do: killSome},
+		}},
+		{Name: "silent", Title: "All open connections to endpoints go silent", Load: 0.4, Duration: usualDuration, Steps: []Step{
+			{At: faultTime, Do: allSilent},
+		}},
+		{Name: "poison", Title: "A request that crashes endpoints is sent again and again", Load: 0.4, Duration: usualDuration, Kinds: withPoison, Steps: []Step{
+			{At: 0, Do: killOnPoison},
+		}},
+	}
+}
+
+// pipelines returns the pipelines of the usual mix.
+func pipelines(rules *bbrule.RuleSet) []bbload.Kind {
+	var kinds []bbload.Kind
+	for _, k := range bbload.DefaultKinds(rules) {
+		if k.Pipeline != "" {
+			kinds = append(kinds, k)
+		}
+	}
+	return kinds
+}
+
+// The shares of the accounts in the mix of oneLarge.
+const (
+	largeShare = 40
+	smallShare = 1
+)
+
+// oneLarge returns pipelines, most of them of the first account.
+func oneLarge(rules *bbrule.RuleSet) []bbload.Kind {
+	kinds := pipelines(rules)
+	for i := range kinds {
+		kinds[i].Weight = smallShare
+		if kinds[i].Account == rules.Accounts[0].Name {
+			kinds[i].Weight = largeShare
+		}
+	}
+	return kinds
+}
+
+// poisonShare is the weight of the requests that crash engines.
+const poisonShare = 10
+
+// withPoison returns the usual mix with some requests that crash engines.
+func withPoison(rules *bbrule.RuleSet) []bbload.Kind {
+	kinds := bbload.DefaultKinds(rules)
+	bad := pipelines(rules)[0]
+	bad.Name = "poison"
+	bad.Weight = poisonShare
+	bad.Mark = poison
+	bad.Repeated = true
+	return append(kinds, bad)
+}
+
+func allCold(f *bbfleet.Fleet) {
+	for _, e := range f.Endpoints {
+		e.TurnCold()
+	}
+}
+
+func allSilent(f *bbfleet.Fleet) {
+	for _, e := range f.Endpoints {
+		e.Apply(bbendpoint.Faults{Silent: true})
+	}
+}
+
+// killSome crashes the first endpoint of each service.
+func killSome(f *bbfleet.Fleet) {
+	seen := map[string]bool{}
+	for _, e := range f.Rules.Endpoints {
+		if !seen[e.Service] {
+			f.Endpoints[e.Name].Crash()
+		}
+		seen[e.Service] = true
+	}
+}
+
+func killOnPoison(f *bbfleet.Fleet) {
+	text := poison
+	for _, e := range f.Engines {
+		e.Apply(bbendpoint.Faults{KillOn: &text})
+	}
+}
--- a/bluebellbench/bbload/plan.go
+++ b/bluebellbench/bbload/plan.go
@@ -75,6 +75,9 @@
 		pick -= kind.Weight
 	}
 	tag := fmt.Sprintf("tag-%dn%d", s.Seed, number)
+	if k.Repeated {
+		tag = fmt.Sprintf("tag-%dr", s.Seed)
+	}
 	q := Request{
 		Kind:   k,
 		Number: number,
--- a/bluebellbench/bbload/request.go
+++ b/bluebellbench/bbload/request.go
@@ -41,6 +41,9 @@
 	Sessions int
 	// Mark is put into the body as it is.
 	Mark string
+	// Repeated is true when all requests of the kind have one content, as when a caller
+	// sends a failed request again and again under new ids.
+	Repeated bool
 }
 
 // Request is one request of a load.
@@ -50,7 +53,7 @@
 	Number int
 	// Due is when it is to be sent, from the start of the load.
 	Due time.Duration
-	// Tag is unique in a load and comes back in the answer.
+	// Tag is unique in a load, but for repeated kinds, and comes back in the answer.
 	Tag string
 	// Session is one of the kind's conversations.
 	Session string
--- a/bluebellbench/main.go
+++ b/bluebellbench/main.go
@@ -32,6 +32,7 @@
 		Name:  "bluebellbench",
 		Usage: "load, demo and measurements",
 		Commands: []*cli.Command{
+			compareCommand(),
 			demoCommand(),
 			loadCommand(),
 		},
--- a/bluebellfake/bbendpoint/endpoint.go
+++ b/bluebellfake/bbendpoint/endpoint.go
@@ -231,6 +231,13 @@
 	}
 }
 
+// InFlight returns the number of requests at work now.
+func (e *Endpoint) InFlight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.inFlight
+}
+
 // Exchanges returns a copy of the list of requests taken.
 func (e *Endpoint) Exchanges() []Exchange {
 	e.mu.Lock()
--- a/bluebellfake/bbengine/engine_test.go
+++ b/bluebellfake/bbengine/engine_test.go
@@ -113,11 +113,11 @@
 }
 
 func TestCancelFreesTheBatch(t *testing.T) {
-	e := start(t, Settings{BaseStep: time.Millisecond})
+	e := start(t, Settings{BaseStep: 20 * time.Millisecond})
 	r := post(t, e, "/v1/completions", 0, CompletionRequest{Model: "m", Prompt: "hello", MaxTokens: MaxTokens})
 	bufio.NewReader(r.Body).ReadString('\n')
 	r.Body.Close()
-	for limit := time.Now().Add(20 * time.Second); e.Report().Running > 0; time.Sleep(time.Millisecond) {
+	for limit := time.Now().Add(20 * time.Second); e.scheduler.batch() > 0 || e.InFlight() > 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(limit) {
 			t.Fatal("the cancelled stream still runs")
 		}
--- a/bluebellfake/bbengine/scheduler.go
+++ b/bluebellfake/bbengine/scheduler.go
@@ -125,6 +125,13 @@
 	return max(time.Duration(float64(step)*c.endpoint.Factor()), 1)
 }
 
+// batch returns the number of streams that run or wait.
+func (c *scheduler) batch() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.running) + len(c.waiting)
+}
+
 // sleep lasts for a step and all pauses that fall into it.
 func (c *scheduler) sleep(d time.Duration) bool {
 	for d > 0 {
