--- a/bluebelld/bblink/link_test.go
+++ b/bluebelld/bblink/link_test.go
@@ -51,20 +51,30 @@
 	return b
 }
 
-// connect starts a sender.
-func connect(t *testing.T, address string) *Sender {
+// connect starts a sender whose events are counted by number.
+func connect(t *testing.T, address string) (*Sender, func(bbevent.Number) int) {
 	t.Helper()
+	var mu sync.Mutex
+	counts := make(map[bbevent.Number]int)
 	s, cleanup := NewSender(SenderSettings{
 		From:        "a",
 		Incarnation: 7,
 		To:          "b",
 		Address:     address,
 		Stamp:       func() bbevent.Stamp { return 1 },
-		Event:       func(bbevent.Event) {},
-		Reply:       func(bbmsg.ProbeReply) {},
+		Event: func(e bbevent.Event) {
+			mu.Lock()
+			defer mu.Unlock()
+			counts[e.Number]++
+		},
+		Reply: func(bbmsg.ProbeReply) {},
 	})
 	t.Cleanup(cleanup)
-	return s
+	return s, func(number bbevent.Number) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return counts[number]
+	}
 }
 
 // send enqueues messages numbered from first to last and returns their ids.
@@ -104,18 +114,21 @@
 	t.Run("delivers each message once and in order", func(t *testing.T) {
 		r := newRelay(t)
 		b := listen(t, r.target, 1)
-		s := connect(t, r.address)
+		s, _ := connect(t, r.address)
 		checkDelivered(t, s, b, send(s, 1, 500))
 	})
 	t.Run("replaces a connection that went silent", func(t *testing.T) {
 		r := newRelay(t)
 		b := listen(t, r.target, 1)
-		s := connect(t, r.address)
+		s, events := connect(t, r.address)
 		want := send(s, 1, 50)
 		waitFor(t, func() bool { return len(b.list()) > 0 })
 		r.silence()
 		want = append(want, send(s, 51, 100)...)
 		checkDelivered(t, s, b, want)
+		if events(bbevent.LinkSilent) == 0 {
+			t.Error("the link did not notice the silence by itself")
+		}
 	})
 	t.Run("does not give a new process what went to the old one", func(t *testing.T) {
 		s := &Sender{
