Keys: kept for ten minutes, held back by key after a change of home

A call that may not be repeated ran twice when its plain idempotency key was sent again after 35 s, because records of keys were kept for 30 s. They are now kept for ten minutes from the latest send; the answer is dropped after one.

After a change of the list only keys whose home changed are held back, in place of all: a home accepts a new key if it was its home by every list that can have been in force within the retention.

Stored answers are evicted from a queue of their own: the end of a record no longer goes through the list of all ended ones.

--- a/core/bbhome/admit.go
+++ b/core/bbhome/admit.go
@@ -19,7 +19,8 @@
 	// Key is true for a plain idempotency key, which has no ticket. Home and
 	// Incarnation are then this node's and Expiry is unset.
 	Key bool
-	// KeySafe is true when no other node can have accepted the key.
+	// KeySafe is true when no other process can have accepted the key within
+	// KeyRetention.
 	KeySafe bool
 	// Once is true when the request may not be repeated.
 	Once bool
@@ -60,10 +61,17 @@
 		return t.admitInherited(a)
 	}
 	if r, ok := t.Records[a.Request.ID]; ok {
+		if r.Key && !a.Request.LookupOnly {
+			r.KeepUntil = max(r.KeepUntil, now+t.Settings.KeyRetention)
+		}
 		return t.join(r, a)
 	}
 	if s, ok := t.Tombstones[a.Request.ID]; ok {
-		return refusal(bbmsg.OutcomeNotRun, s.Reason)
+		if a.Key && a.Once {
+			s.Until = max(s.Until, now+t.Settings.KeyRetention)
+			t.Tombstones[a.Request.ID] = s
+		}
+		return refusal(s.Outcome, s.Reason)
 	}
 	if a.Key {
 		return t.admitKey(now, a)
@@ -78,18 +86,41 @@
 }
 
 // admitKey decides on a plain idempotency key without a record. A key that may not
-// be repeated is accepted only when no other node can have accepted it.
+// be repeated is accepted only when no other process can have accepted it; else it is
+// recorded that it never runs here, so that no repeat of it does either.
 func (t *Table) admitKey(now time.Duration, a Arrival) Verdict {
-	if _, ok := t.inheritedKey(a.Request.ID); !ok && a.Once && !a.KeySafe && !a.Request.LookupOnly {
-		v := refusal(bbmsg.OutcomeUnknown, bbmsg.ReasonKeyTakenOver)
-		v.RetryAfterMillis = t.Settings.KeyRetention.Milliseconds()
-		return v
-	}
-	if r, ok := t.inheritedKey(a.Request.ID); ok {
+	if in, r := t.inheritedKey(a.Request.ID); r != nil {
+		in.Until = max(in.Until, now+t.Settings.KeyRetention)
 		return t.join(r, a)
 	}
+	if a.Invalid != bbmsg.ReasonNone && !a.KeySafe {
+		return refusal(bbmsg.OutcomeUnknown, a.Invalid)
+	}
+	keep := t.Settings.Retention
+	if a.Once {
+		keep = t.Settings.KeyRetention
+	}
+	if a.Once && !a.Request.LookupOnly && (!a.KeySafe || now < t.keysHeldUntil) {
+		t.buryKey(now, a.Request.ID)
+		return refusal(bbmsg.OutcomeUnknown, bbmsg.ReasonKeyTakenOver)
+	}
+	v := t.admitNew(now, a, now+keep, now+keep)
+	if v.Fresh && a.Once {
+		v.Record.Key = true
+		v.Record.AnswerUntil = now + t.Settings.Retention
+		t.keys++
+		t.expiry.Push(v.Record.ID, v.Record.AnswerUntil)
+	}
+	return v
+}
+
+// buryKey records that a key never runs here. Without room no new key that may not be
+// repeated is accepted until this one could be forgotten.
+func (t *Table) buryKey(now time.Duration, id string) {
 	until := now + t.Settings.KeyRetention
-	return t.admitNew(now, a, until, until)
+	if !t.bury(id, bbmsg.OutcomeUnknown, bbmsg.ReasonKeyTakenOver, until) {
+		t.keysHeldUntil = until
+	}
 }
 
 // admitNew makes a record, or refuses for good.
@@ -98,10 +129,10 @@
 		return refusal(bbmsg.OutcomeUnknown, bbmsg.ReasonNotSeen)
 	}
 	if a.Invalid != bbmsg.ReasonNone {
-		return refusal(t.Refuse(a.Request.ID, a.Invalid, acceptUntil), a.Invalid)
+		return refusal(t.refuse(now, a, a.Invalid, acceptUntil), a.Invalid)
 	}
-	if len(t.Records) >= t.Settings.MaxRecords {
-		v := refusal(t.Refuse(a.Request.ID, bbmsg.ReasonTableFull, acceptUntil), bbmsg.ReasonTableFull)
+	if t.full(a) {
+		v := refusal(t.refuse(now, a, bbmsg.ReasonTableFull, acceptUntil), bbmsg.ReasonTableFull)
 		v.RetryAfterMillis = busyRetryMillis
 		return v
 	}
@@ -113,6 +144,7 @@
 		Waiters:     []Waiter{a.Waiter},
 		Accepted:    now,
 		KeepUntil:   keepUntil,
+		AnswerUntil: keepUntil,
 	}
 	t.Records[r.ID] = r
 	t.expiry.Push(r.ID, keepUntil)
@@ -122,6 +154,24 @@
 	}
 }
 
+// refuse records that an arrival never runs and returns the outcome to tell.
+func (t *Table) refuse(now time.Duration, a Arrival, reason bbmsg.Reason, until time.Duration) bbmsg.Outcome {
+	outcome := t.Refuse(a.Request.ID, reason, until)
+	if a.Key && a.Once && outcome == bbmsg.OutcomeUnknown {
+		t.keysHeldUntil = now + t.Settings.KeyRetention
+	}
+	return outcome
+}
+
+// full tells whether there is no room for another record. Keys that may not be repeated
+// are kept for long and get half of the room.
+func (t *Table) full(a Arrival) bool {
+	if a.Key && a.Once && t.keys >= t.Settings.MaxRecords/2 {
+		return true
+	}
+	return len(t.Records) >= t.Settings.MaxRecords
+}
+
 // join adds the arrival to a known request.
 func (t *Table) join(r *Record, a Arrival) Verdict {
 	if !a.Request.LookupOnly && Fingerprint(a.Request) != r.Fingerprint {
--- a/core/bbhome/inherit.go
+++ b/core/bbhome/inherit.go
@@ -166,12 +166,13 @@
 	}
 }
 
-// inheritedKey returns the record of a plain idempotency key that a home handed over.
-func (t *Table) inheritedKey(id string) (*Record, bool) {
+// inheritedKey returns the record of a plain idempotency key that a home handed over,
+// nil if there is none.
+func (t *Table) inheritedKey(id string) (*Inheritance, *Record) {
 	for _, in := range t.Inherited {
 		if r, ok := in.Records[id]; ok {
-			return r, true
+			return in, r
 		}
 	}
-	return nil, false
+	return nil, nil
 }
--- a/core/bbhome/table.go
+++ b/core/bbhome/table.go
@@ -19,12 +19,13 @@
 	MaxRecords int
 	// MaxTombstones bounds the ids that were refused for good.
 	MaxTombstones int
-	// MaxAnswerBytes bounds the stored answers of ended records.
+	// MaxAnswerBytes bounds the stored answers of ended records, but for the last.
 	MaxAnswerBytes int
 	// Retention is how long an ended record outlives the ticket of its id.
 	Retention time.Duration
-	// KeyRetention is how long the record of a plain idempotency key is kept
-	// after its acceptance.
+	// KeyRetention is how long the record of a plain idempotency key that may not be
+	// repeated is kept after the latest arrival of the key. Its answer and the records
+	// of other keys are kept for Retention.
 	KeyRetention time.Duration
 }
 
@@ -64,9 +65,13 @@
 	Repeatable bool
 	// Waiters lists the connections that wait, at most maxWaiters.
 	Waiters []Waiter
-	// Accepted and KeepUntil are times of the home's own clock.
+	// Accepted and KeepUntil are times of the home's own clock; KeepUntil only grows.
 	Accepted  time.Duration
 	KeepUntil time.Duration
+	// AnswerUntil is when the stored answer is dropped.
+	AnswerUntil time.Duration
+	// Key is true for a plain idempotency key that may not be repeated.
+	Key bool
 }
 
 // Table is the record table of one node. It is not safe for concurrent use.
@@ -78,18 +83,29 @@
 	Tombstones map[string]Tombstone
 	// Inherited has the homes whose records were taken over.
 	Inherited map[bbmsg.Heir]*Inheritance
+	// ended counts the ended records, and keys those with Key, at most half of
+	// MaxRecords.
+	ended int
+	keys  int
 	// answerBytes is the size of the stored answers of ended records.
 	answerBytes int
-	// ended lists ended records in the order of their end, for eviction.
-	ended []*Record
+	// answers lists the ended records with a stored answer in the order of their end,
+	// for eviction. Records whose answer was dropped since may stand in it.
+	answers []*Record
+	// keysHeldUntil is set when a refused key could not be recorded; before it no new
+	// key is accepted for a call that may not be repeated.
+	keysHeldUntil time.Duration
 	// expiry has every id, to be looked at when it may be dropped.
 	expiry bbtimer.Queue
 }
 
-// Tombstone is the end of a request that never ran and never will.
+// Tombstone is the end of a request that never runs here.
 type Tombstone struct {
-	Reason bbmsg.Reason
-	// Until is when the id can no longer be accepted anyway.
+	// Outcome is notRun, or unknown when another process may have run it.
+	Outcome bbmsg.Outcome
+	Reason  bbmsg.Reason
+	// Until is when the id can no longer be accepted anyway, or for a plain idempotency
+	// key, when it is forgotten. It only grows.
 	Until time.Duration
 }
 
@@ -108,25 +124,34 @@
 
 // Running counts the records that have not ended.
 func (t *Table) Running() int {
-	return len(t.Records) - len(t.ended)
+	return len(t.Records) - t.ended
 }
 
 // Refuse records that the id never runs and returns the outcome to tell. Without
 // room for the record, and for an id that could still be accepted later, the
 // outcome is unknown, because notRun could become false.
 func (t *Table) Refuse(id string, reason bbmsg.Reason, until time.Duration) bbmsg.Outcome {
-	if _, ok := t.Tombstones[id]; ok {
-		return bbmsg.OutcomeNotRun
+	if s, ok := t.Tombstones[id]; ok {
+		return s.Outcome
 	}
-	if len(t.Tombstones) >= t.Settings.MaxTombstones {
+	if !t.bury(id, bbmsg.OutcomeNotRun, reason, until) {
 		return bbmsg.OutcomeUnknown
 	}
+	return bbmsg.OutcomeNotRun
+}
+
+// bury makes a tombstone and returns false when there is no room.
+func (t *Table) bury(id string, outcome bbmsg.Outcome, reason bbmsg.Reason, until time.Duration) bool {
+	if len(t.Tombstones) >= t.Settings.MaxTombstones {
+		return false
+	}
 	t.Tombstones[id] = Tombstone{
-		Reason: reason,
-		Until:  until,
+		Outcome: outcome,
+		Reason:  reason,
+		Until:   until,
 	}
 	t.expiry.Push(id, until)
-	return bbmsg.OutcomeNotRun
+	return true
 }
 
 // Append adds tokens at an offset and returns how many were new. Tokens that are
@@ -150,27 +175,33 @@
 	r.Outcome = outcome
 	r.Reason = reason
 	r.Request.Body = nil
-	t.ended = append(t.ended, r)
-	t.answerBytes += answerSize(r)
+	t.ended++
 	t.trimAnswers()
+	t.answerBytes += answerSize(r)
+	t.answers = append(t.answers, r)
 	return true
 }
 
 // trimAnswers drops the oldest stored answers while they exceed their bound. The
 // records stay, so that repeats are still recognised.
 func (t *Table) trimAnswers() {
-	for _, r := range t.ended {
-		if t.answerBytes <= t.Settings.MaxAnswerBytes {
-			return
-		}
-		if r.Outcome != bbmsg.OutcomeAnswered || len(r.Waiters) > 0 {
-			continue
-		}
-		t.answerBytes -= answerSize(r)
+	n := 0
+	for n < len(t.answers) && (t.answerBytes > t.Settings.MaxAnswerBytes || answerSize(t.answers[n]) == 0) {
+		t.dropAnswer(t.answers[n])
+		n++
+	}
+	t.answers = t.answers[n:]
+}
+
+// dropAnswer drops what is stored of the answer of an ended record. A repeat of one
+// that was answered is told that it ran.
+func (t *Table) dropAnswer(r *Record) {
+	t.answerBytes -= answerSize(r)
+	r.Tokens = nil
+	r.Body = nil
+	if r.Outcome == bbmsg.OutcomeAnswered {
 		r.Outcome = bbmsg.OutcomeRan
 		r.Reason = bbmsg.ReasonRetention
-		r.Tokens = nil
-		r.Body = nil
 	}
 }
 
@@ -192,33 +223,42 @@
 		}
 		t.expire(now, id)
 	}
+	t.trimAnswers()
 	t.dropInherited(now)
 }
 
 // expire drops one id if its time is over. A running record is looked at again later.
 func (t *Table) expire(now time.Duration, id string) {
-	if s, ok := t.Tombstones[id]; ok && s.Until <= now {
-		delete(t.Tombstones, id)
+	if s, ok := t.Tombstones[id]; ok {
+		t.expireTombstone(now, id, s)
 	}
 	r, ok := t.Records[id]
 	if !ok {
 		return
 	}
-	if !r.Ended || len(r.Waiters) > 0 || r.KeepUntil > now {
-		t.expiry.Push(id, max(r.KeepUntil, now+time.Second))
+	if !r.Ended || len(r.Waiters) > 0 {
+		t.expiry.Push(id, now+time.Second)
+		return
+	}
+	if r.AnswerUntil <= now {
+		t.dropAnswer(r)
+	}
+	if r.KeepUntil > now {
+		t.expiry.Push(id, r.KeepUntil)
 		return
 	}
 	delete(t.Records, id)
-	t.forgetEnded(r)
+	t.ended--
+	if r.Key {
+		t.keys--
+	}
 }
 
-// forgetEnded takes a record out of the list of ended ones.
-func (t *Table) forgetEnded(r *Record) {
-	for i, e := range t.ended {
-		if e == r {
-			t.ended = append(t.ended[:i], t.ended[i+1:]...)
-			break
-		}
+// expireTombstone drops a tombstone if its time is over, and looks again later if not.
+func (t *Table) expireTombstone(now time.Duration, id string, s Tombstone) {
+	if s.Until <= now {
+		delete(t.Tombstones, id)
+		return
 	}
-	t.answerBytes -= answerSize(r)
+	t.expiry.Push(id, s.Until)
 }
--- a/core/bbmember/confirm.go
+++ b/core/bbmember/confirm.go
@@ -149,6 +149,7 @@
 	if !t.covered {
 		t.covered = true
 		t.coveredSince = now
+		t.closePast(now)
 	}
 }
 
--- /dev/null
+++ b/core/bbmember/past.go
@@ -0,0 +1,113 @@
+package bbmember
+
+import (
+	"maps"
+	"time"
+
+	"bluebellhall/core/bbmsg"
+)
+
+// maxPast bounds the earlier sets of entry VMs that are remembered.
+const maxPast = 32
+
+// past remembers the sets of entry VMs that may have been in force of late.
+type past struct {
+	// lists has the former sets, oldest first, at most maxPast.
+	lists []pastList
+	// knownFrom is when the knowledge begins: sets that were in force before it, or
+	// that this process never held, are not in lists.
+	knownFrom time.Duration
+}
+
+// pastList is a set of entry VMs that was held.
+type pastList struct {
+	layout *layout
+	// until is when it was last in force anywhere, unset while open.
+	until time.Duration
+	// open is true until a majority has confirmed a later list: before that others may
+	// still act by this one.
+	open bool
+}
+
+// notePast is called before a list replaces the current one. After a list that was
+// never seen, whose revision was skipped, nothing is known of the time before.
+func (t *Table) notePast(now time.Duration, list bbmsg.MemberList) {
+	p := &t.past
+	if t.current == nil || list.Revision != t.list.Revision+1 {
+		p.lists = nil
+		p.knownFrom = maxTime
+		return
+	}
+	p.drop(now - t.settings.PastTime)
+	held := newLayout(entriesOnly(t.list))
+	if maps.Equal(held.entries, newLayout(entriesOnly(list)).entries) {
+		return
+	}
+	p.lists = append(p.lists, pastList{
+		layout: held,
+		open:   true,
+	})
+	if len(p.lists) <= maxPast {
+		return
+	}
+	if oldest := p.lists[0]; !oldest.open {
+		p.knownFrom = max(p.knownFrom, oldest.until)
+	} else {
+		p.knownFrom = maxTime
+	}
+	p.lists = p.lists[1:]
+}
+
+// closePast is called when a majority begins to confirm the list held.
+func (t *Table) closePast(now time.Duration) {
+	p := &t.past
+	if p.knownFrom == maxTime {
+		p.knownFrom = now
+	}
+	for i := range p.lists {
+		if p.lists[i].open {
+			p.lists[i].open = false
+			p.lists[i].until = now
+		}
+	}
+}
+
+// drop forgets the sets that were no longer in force at a time.
+func (p *past) drop(before time.Duration) {
+	for len(p.lists) > 0 && !p.lists[0].open && p.lists[0].until < before {
+		p.lists = p.lists[1:]
+	}
+}
+
+// OwnedSince tells whether this node is the owner of a name by the list held and by
+// every list that can have been in force anywhere since a time. It is false when this
+// process can't know all of them. The name must not be that of a listed endpoint, and
+// domain is as for Owner.
+func (t *Table) OwnedSince(since time.Duration, name, domain string) bool {
+	if t.past.knownFrom > since || t.Owner(name, domain) != t.settings.Self.Name {
+		return false
+	}
+	for i := range t.past.lists {
+		p := &t.past.lists[i]
+		if !p.open && p.until < since {
+			continue
+		}
+		if owner, _ := p.layout.owner(name, domain); owner != t.settings.Self.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// entriesOnly returns a list with its entry VMs alone.
+func entriesOnly(list bbmsg.MemberList) bbmsg.MemberList {
+	entries := bbmsg.MemberList{
+		Revision: list.Revision,
+	}
+	for _, m := range list.Members {
+		if m.Role == bbmsg.RoleEntry {
+			entries.Members = append(entries.Members, m)
+		}
+	}
+	return entries
+}
--- /dev/null
+++ b/core/bbmember/past_test.go
@@ -0,0 +1,142 @@
+package bbmember
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbmsg"
+)
+
+// testPast is how long the tests remember earlier lists.
+const testPast = time.Minute
+
+// seven returns a list of entry VMs without a number: "2 3 4" names a2, a3 and a4.
+func seven(revision int64, numbers ...int) bbmsg.MemberList {
+	var names []string
+	for _, n := range numbers {
+		names = append(names, fmt.Sprintf("a%d", n))
+	}
+	return list(revision, names...)
+}
+
+// wantSafe compares whether a node is the only one to have owned a key for a while.
+func wantSafe(t *testing.T, f *fleet, name, key string, want bool) {
+	t.Helper()
+	if got := f.tables[name].OwnedSince(f.now-testPast, key, ""); got != want {
+		t.Errorf("OwnedSince of %s at %v = %v, want %v", name, f.now, got, want)
+	}
+}
+
+// keyThat returns a key with the given owners under lists, one each.
+func keyThat(t *testing.T, lists []bbmsg.MemberList, owners ...string) string {
+	t.Helper()
+	for i := range 10000 {
+		key := fmt.Sprintf("key:%d", i)
+		var got []string
+		for _, l := range lists {
+			owner, _ := newLayout(l).owner(key, "")
+			got = append(got, owner)
+		}
+		if cmp.Equal(owners, got) {
+			return key
+		}
+	}
+	t.Fatalf("no key has the owners %v", owners)
+	return ""
+}
+
+// pastFleet returns a fleet that has held a list for longer than lists are remembered.
+func pastFleet(first bbmsg.MemberList, names ...string) *fleet {
+	f := newFleet(first, names...)
+	f.run(testPast+time.Second, nil)
+	return f
+}
+
+func TestOwnedSince(t *testing.T) {
+	lists := []bbmsg.MemberList{seven(1, 1, 2, 3), seven(2, 1, 2, 3, 4), seven(3, 1, 2, 3)}
+	kept := keyThat(t, lists, "a1", "a1", "a1")
+	lent := keyThat(t, lists, "a1", "a4", "a1")
+	t.Run("a young process knows nothing of the time before it", func(t *testing.T) {
+		f := newFleet(lists[0], "a1", "a2", "a3")
+		f.run(testPast, nil)
+		wantSafe(t, f, "a1", kept, false)
+		f.run(time.Second, nil)
+		wantSafe(t, f, "a1", kept, true)
+		wantSafe(t, f, "a2", kept, false)
+	})
+	t.Run("only the keys that moved are held back", func(t *testing.T) {
+		f := pastFleet(lists[0], "a1", "a2", "a3")
+		for _, l := range lists[1:] {
+			f.adopt(l, "a1", "a2", "a3")
+			f.run(time.Second, nil)
+		}
+		wantSafe(t, f, "a1", kept, true)
+		wantSafe(t, f, "a1", lent, false)
+		f.run(testPast, nil)
+		wantSafe(t, f, "a1", lent, true)
+	})
+	t.Run("a former list counts until a majority has left it", func(t *testing.T) {
+		f := pastFleet(lists[0], "a1", "a2", "a3")
+		f.adopt(lists[1], "a1", "a2", "a3")
+		f.run(time.Second, nil)
+		f.isolate("a1")
+		f.adopt(lists[2], "a1")
+		f.run(2*testPast, func() { wantSafe(t, f, "a1", lent, false) })
+		f.adopt(lists[2], "a2", "a3")
+		clear(f.cut)
+		f.run(testPast-time.Second, func() { wantSafe(t, f, "a1", lent, false) })
+	})
+	t.Run("after a list that was never seen nothing is known", func(t *testing.T) {
+		f := pastFleet(lists[0], "a1", "a2", "a3")
+		f.adopt(lists[2], "a1", "a2", "a3")
+		f.run(testPast/2, func() { wantSafe(t, f, "a1", kept, false) })
+	})
+	t.Run("the lists remembered are bounded", func(t *testing.T) {
+		f := pastFleet(lists[0], "a1", "a2", "a3")
+		for i := range int64(maxPast + 1) {
+			l := lists[(i+1)%2]
+			l.Revision = i + 2
+			f.adopt(l, "a1", "a2", "a3")
+			f.run(100*time.Millisecond, nil)
+		}
+		wantSafe(t, f, "a1", kept, false)
+		if got := len(f.tables["a1"].past.lists); got != maxPast {
+			t.Errorf("%d lists remembered, want %d", got, maxPast)
+		}
+	})
+}
+
+// TestShareHeldBack reports the share of keys that are held back when one VM of seven
+// is replaced, and checks that exactly those are whose home changed.
+func TestShareHeldBack(t *testing.T) {
+	lists := []bbmsg.MemberList{
+		seven(1, 1, 2, 3, 4, 5, 6, 7),
+		seven(2, 1, 2, 3, 4, 5, 6),
+		seven(3, 1, 2, 3, 4, 5, 6, 8),
+	}
+	f := pastFleet(lists[0], "a1", "a2", "a3", "a4", "a5", "a6", "a7")
+	f.stopped["a7"] = true
+	f.adopt(lists[1], "a1", "a2", "a3", "a4", "a5", "a6")
+	f.run(2*time.Second, nil)
+	f.start("a8", lists[2])
+	f.adopt(lists[2], "a1", "a2", "a3", "a4", "a5", "a6")
+	f.run(2*time.Second, nil)
+	held := 0
+	const keys = 10000
+	for i := range keys {
+		key := fmt.Sprintf("key:%d", i)
+		before, _ := newLayout(lists[0]).owner(key, "")
+		after, _ := newLayout(lists[2]).owner(key, "")
+		safe := f.tables[after].OwnedSince(f.now-testPast, key, "")
+		if safe != (before == after) {
+			t.Fatalf("%s of %s, then %s: safe is %v", key, before, after, safe)
+		}
+		if !safe {
+			held++
+		}
+	}
+	t.Logf("%d of %d keys held back", held, keys)
+}
--- a/core/bbmember/table.go
+++ b/core/bbmember/table.go
@@ -53,6 +53,8 @@
 	// FormerTime is how long a former group must be asked as well; 0 means five
 	// times SettleTime.
 	FormerTime time.Duration
+	// PastTime is how long earlier lists are remembered for OwnedSince.
+	PastTime time.Duration
 	// Knowledge returns what probes tell of this node; ListRevision is filled in by
 	// the Table. It may be nil.
 	Knowledge func() bbmsg.Knowledge
@@ -123,6 +125,7 @@
 	current *layout
 	list    bbmsg.MemberList
 	formers []former
+	past    past
 	// heldUntil is set when formers overflowed; nothing is confirmed before it.
 	heldUntil time.Duration
 	// seen is the newest list revision ever seen, which may exceed the one held.
@@ -173,6 +176,9 @@
 		Peers:    map[string]*Peer{},
 		owners:   map[ownerKey]string{},
 		unready:  map[string]bool{},
+		past: past{
+			knownFrom: maxTime,
+		},
 	}
 }
 
@@ -194,6 +200,7 @@
 		return false
 	}
 	t.remember(now)
+	t.notePast(now, list)
 	t.adopted++
 	t.list = list
 	t.current = newLayout(list)
--- a/core/bbmember/table_test.go
+++ b/core/bbmember/table_test.go
@@ -58,6 +58,7 @@
 		SettleTime:    testSettle,
 		PeerTimeout:   testConfirm,
 		PauseGap:      testPause,
+		PastTime:      testPast,
 	})
 	t.Adopt(f.now, list)
 	f.tables[name] = t
--- a/core/bbnode/homes.go
+++ b/core/bbnode/homes.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbflow"
 	"bluebellhall/core/bbhome"
@@ -72,29 +70,20 @@
 // keyPrefix keeps the names of keys apart from those of endpoints.
 const keyPrefix = "key:"
 
-// keyHome returns the home of a plain idempotency key by the list held. Keys are
-// spread over the failure domains of the rules and then like endpoints.
+// keyHome returns the home of a plain idempotency key. It depends on the list alone:
+// nodes with one list and different rules must agree.
 func (n *Node) keyHome(id string) string {
-	return n.Members.Owner(keyPrefix+id, n.keyDomain(id))
+	return n.Members.Owner(keyPrefix+id, "")
 }
 
-// keyDomain returns the failure domain that a key belongs to.
-func (n *Node) keyDomain(id string) string {
-	if n.Index == nil || len(n.Index.Set.Domains) == 0 {
-		return n.Settings.Self.Domain
-	}
-	domains := n.Index.Set.Domains
-	return domains[xxhash.Sum64String(id)%uint64(len(domains))].Name
-}
-
-// keySafe tells whether no other node can have accepted a key that is not recorded
-// here: this node is its home by a confirmed list, and has been for as long as keys
-// are kept.
+// keySafe tells whether no other process can have accepted a key within the time that
+// keys are kept: this node is its home by a confirmed list, was so by every list that
+// can have been in force within that time, and its process has seen all of them. The
+// settling time covers a former home whose confirmation was still running out.
 func (n *Node) keySafe(id string) bool {
-	if n.keyHome(id) != n.Settings.Self.Name || n.now < n.keySafeAt {
-		return false
-	}
-	return n.Members.ConfirmedFor(n.now, keyPrefix+id, n.keyDomain(id))
+	since := n.now - n.Settings.Times.KeyRetention - n.Settings.Times.SettleTime
+	return n.Members.OwnedSince(since, keyPrefix+id, "") &&
+		n.Members.ConfirmedFor(n.now, keyPrefix+id, "")
 }
 
 // target is what a request asks for, by the rules in force.
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -45,7 +45,8 @@
 	PeerTimeout   time.Duration
 	PauseGap      time.Duration
 	// Retention is how long records outlive their tickets, and KeyRetention how long
-	// those of plain idempotency keys are kept from their acceptance.
+	// those of plain idempotency keys that may not be repeated are kept from the latest
+	// arrival of the key.
 	Retention    time.Duration
 	KeyRetention time.Duration
 	// OwnerPatience is that of bbflow.Settings.
@@ -77,7 +78,7 @@
 	PeerTimeout:    900 * time.Millisecond,
 	PauseGap:       600 * time.Millisecond,
 	Retention:      60 * time.Second,
-	KeyRetention:   30 * time.Second,
+	KeyRetention:   10 * time.Minute,
 	OwnerPatience:  2 * time.Second,
 	ReportInterval: 250 * time.Millisecond,
 	SilenceTime:    1500 * time.Millisecond,
@@ -114,8 +115,6 @@
 	orders *bborder.Table
 	// nextOrders is when the orders are looked at again.
 	nextOrders time.Duration
-	// keySafeAt is when plain idempotency keys may be trusted after a change of VMs.
-	keySafeAt time.Duration
 	// ready is true once the node serves callers, and never false again.
 	ready bool
 	// local has messages of the node to itself.
@@ -153,6 +152,7 @@
 		SettleTime:    s.Times.SettleTime,
 		PeerTimeout:   s.Times.PeerTimeout,
 		PauseGap:      s.Times.PauseGap,
+		PastTime:      s.Times.KeyRetention + s.Times.SettleTime,
 		Knowledge:     n.knowledge,
 	})
 	n.Home = bbhome.New(bbhome.Settings{
--- a/core/bbnode/rules.go
+++ b/core/bbnode/rules.go
@@ -30,16 +30,12 @@
 	if !n.Config.OfferList(source, list) {
 		return
 	}
-	before := n.Members.List()
 	adopted := n.Config.List()
 	if !n.Members.Adopt(n.now, adopted) {
 		return
 	}
 	n.Owner.SetMembers(n.now, adopted)
 	n.setOwned()
-	if !sameEntries(before, adopted) {
-		n.keySafeAt = n.now + n.Settings.Times.KeyRetention
-	}
 	n.receiverListChanged()
 	n.setLinks()
 }
@@ -106,28 +102,3 @@
 		StartWait:     s.Times.StartPatience,
 	})
 }
-
-// sameEntries tells whether two lists have the same entry VMs in the same state.
-func sameEntries(a, b bbmsg.MemberList) bool {
-	x, y := entries(a), entries(b)
-	if len(x) != len(y) {
-		return false
-	}
-	for i := range x {
-		if x[i] != y[i] {
-			return false
-		}
-	}
-	return true
-}
-
-// entries returns the entry VMs of a list.
-func entries(l bbmsg.MemberList) []bbmsg.Member {
-	var found []bbmsg.Member
-	for _, m := range l.Members {
-		if m.Role == bbmsg.RoleEntry {
-			found = append(found, m)
-		}
-	}
-	return found
-}
