Members: a Tick with nothing due looks at no peer; replies leave digests out

Cause: a node ticks with each input, and an idle Tick at 330 nodes built the knowledge for probes and went over all peers. Replies repeated the digests that the next probe carries anyway.

--- a/core/bbmember/confirm.go
+++ b/core/bbmember/confirm.go
@@ -94,6 +94,7 @@
 	if t.paused(now) {
 		t.event(bbevent.NodePaused, "", (now - t.lastTick).String())
 		t.clearConfirmations()
+		t.lookAt = now
 		for _, p := range t.Peers {
 			p.sent = [sentProbes]sentProbe{}
 			p.nextProbe = now
--- a/core/bbmember/probe.go
+++ b/core/bbmember/probe.go
@@ -13,29 +13,46 @@
 	t.dropFormers(now)
 	t.updateCover(now)
 	t.tellConfirmed(now)
+	if now < t.lookAt {
+		return t.takePending()
+	}
 	t.tellPeers(now)
+	outputs := t.probeDue(now, t.takePending())
+	t.lookAt = t.nextLook()
+	return outputs
+}
+
+// takePending returns the queued events.
+func (t *Table) takePending() []bbmsg.Output {
 	outputs := t.pending
 	t.pending = nil
-	return t.probeDue(now, outputs)
+	return outputs
 }
 
 // NextWake returns when the next Tick is due.
 func (t *Table) NextWake(now time.Duration) time.Duration {
-	wake := now + t.settings.PauseGap/2
-	for _, p := range t.Peers {
-		if t.probedOften(p) {
-			wake = min(wake, p.nextProbe)
-		}
-	}
-	if len(t.Peers) >= maxGroupMembers {
-		wake = min(wake, t.nextOutside)
-	}
+	wake := min(now+t.settings.PauseGap/2, t.lookAt)
 	if t.covered && !t.told {
 		wake = min(wake, max(t.coveredSince+t.settings.SettleTime+1, now+1))
 	}
 	return max(wake, now)
 }
 
+// nextLook returns when a probe is due or a peer may be lost.
+func (t *Table) nextLook() time.Duration {
+	look := maxTime
+	if len(t.near) < len(t.order) {
+		look = t.nextOutside
+	}
+	for _, p := range t.near {
+		look = min(look, p.nextProbe)
+		if p.Alive && p.waiting {
+			look = min(look, t.lostAt(p))
+		}
+	}
+	return look
+}
+
 // probedOften returns true for peers that get a probe each interval: the group, and
 // everybody in a fleet that is no larger than a group.
 func (t *Table) probedOften(p *Peer) bool {
@@ -48,38 +65,30 @@
 		own = t.settings.Knowledge()
 	}
 	own = t.knowledge(own)
-	seldom := 0
-	for _, name := range t.order {
-		p := t.Peers[name]
-		if !t.probedOften(p) {
-			seldom++
-			continue
-		}
-		if now < p.nextProbe {
-			continue
+	for _, p := range t.near {
+		if now >= p.nextProbe {
+			outputs = append(outputs, t.probe(now, p, own))
 		}
-		outputs = append(outputs, t.probe(now, name, p, own))
 	}
-	if seldom == 0 || now < t.nextOutside {
+	if len(t.near) == len(t.order) || now < t.nextOutside {
 		return outputs
 	}
 	t.nextOutside = now + t.settings.ProbeInterval
-	name := t.nextSeldom()
-	return append(outputs, t.probe(now, name, t.Peers[name], own))
+	return append(outputs, t.probe(now, t.nextSeldom(), own))
 }
 
 // nextSeldom returns the next peer of the rotation outside the group.
-func (t *Table) nextSeldom() string {
+func (t *Table) nextSeldom() *Peer {
 	for {
 		t.outside = (t.outside + 1) % len(t.order)
-		name := t.order[t.outside]
-		if !t.probedOften(t.Peers[name]) {
-			return name
+		p := t.Peers[t.order[t.outside]]
+		if !t.probedOften(p) {
+			return p
 		}
 	}
 }
 
-func (t *Table) probe(now time.Duration, name string, p *Peer, own bbmsg.Knowledge) bbmsg.Output {
+func (t *Table) probe(now time.Duration, p *Peer, own bbmsg.Knowledge) bbmsg.Output {
 	t.sequence++
 	p.nextProbe = now + t.settings.ProbeInterval
 	copy(p.sent[1:], p.sent[:sentProbes-1])
@@ -89,7 +98,7 @@
 		p.firstUnanswered = now
 	}
 	return bbmsg.Output{Probe: &bbmsg.ProbeOut{
-		To: name,
+		To: p.Member.Name,
 		Probe: bbmsg.Probe{
 			From:        t.settings.Self.Name,
 			Incarnation: t.settings.Incarnation,
@@ -101,13 +110,17 @@
 }
 
 // HandleProbe takes in what a probe tells and returns the reply. own is this node's
-// state; its list revision is filled in.
+// state; its list revision is filled in. A peer that gets probes each interval has the
+// digests of the endpoints from these, so that its reply leaves them out.
 func (t *Table) HandleProbe(now time.Duration, probe bbmsg.Probe, own bbmsg.Knowledge) bbmsg.ProbeReply {
 	t.notePause(now)
 	t.observe(probe.Knowledge.ListRevision)
 	t.noteUnready(probe.From, probe.Ready)
 	if p := t.Peers[probe.From]; p != nil {
-		t.hear(now, probe.From, p, probe.Incarnation, probe.Knowledge)
+		t.hear(now, p, probe.Incarnation, probe.Knowledge)
+		if t.probedOften(p) {
+			own.Endpoints = nil
+		}
 	}
 	return bbmsg.ProbeReply{
 		From:        t.settings.Self.Name,
@@ -131,7 +144,10 @@
 	if !ok {
 		return nil
 	}
-	t.hear(now, reply.From, p, reply.Incarnation, reply.Knowledge)
+	if reply.Knowledge.Endpoints == nil {
+		reply.Knowledge.Endpoints = p.Knowledge.Endpoints
+	}
+	t.hear(now, p, reply.Incarnation, reply.Knowledge)
 	p.answered = true
 	p.ready = reply.Ready
 	p.fresh = reply.Fresh
@@ -144,9 +160,7 @@
 	}
 	t.updateCover(now)
 	t.tellConfirmed(now)
-	outputs := t.pending
-	t.pending = nil
-	return outputs
+	return t.takePending()
 }
 
 // take returns the probe with a sequence number and forgets it.
@@ -160,7 +174,7 @@
 	return sentProbe{}, false
 }
 
-func (t *Table) hear(now time.Duration, name string, p *Peer, incarnation uint64, k bbmsg.Knowledge) {
+func (t *Table) hear(now time.Duration, p *Peer, incarnation uint64, k bbmsg.Knowledge) {
 	p.Heard = true
 	p.LastHeard = now
 	p.Incarnation = incarnation
@@ -168,7 +182,7 @@
 	p.waiting = false
 	if !p.Alive {
 		p.Alive = true
-		t.event(bbevent.PeerBack, name, "")
+		t.event(bbevent.PeerBack, p.Member.Name, "")
 	}
 }
 
@@ -176,13 +190,15 @@
 func (t *Table) tellPeers(now time.Duration) {
 	for _, name := range t.order {
 		p := t.Peers[name]
-		if !p.Alive || !p.waiting {
-			continue
-		}
-		if now-max(p.LastHeard, p.firstUnanswered) < t.settings.PeerTimeout {
+		if !p.Alive || !p.waiting || now < t.lostAt(p) {
 			continue
 		}
 		p.Alive = false
 		t.event(bbevent.PeerLost, name, "")
 	}
 }
+
+// lostAt returns when a peer counts as lost unless it is heard.
+func (t *Table) lostAt(p *Peer) time.Duration {
+	return max(p.LastHeard, p.firstUnanswered) + t.settings.PeerTimeout
+}
--- a/core/bbmember/table.go
+++ b/core/bbmember/table.go
@@ -119,8 +119,12 @@
 	settings Settings
 	// Peers holds the other entry VMs by name. Others only read it.
 	Peers map[string]*Peer
-	// order holds the names in Peers, sorted.
+	// order holds the names in Peers, sorted, and near the peers that are probed each
+	// interval.
 	order []string
+	near  []*Peer
+	// lookAt is when a probe is due or a peer may be lost.
+	lookAt time.Duration
 	// current is nil before the first list.
 	current *layout
 	list    bbmsg.MemberList
@@ -284,6 +288,13 @@
 		p.InGroup = inGroup[name]
 		_, p.Listed = t.current.entries[name]
 	}
+	t.near = t.near[:0]
+	for _, name := range t.order {
+		if p := t.Peers[name]; t.probedOften(p) {
+			t.near = append(t.near, p)
+		}
+	}
+	t.lookAt = now
 }
 
 // groupNames returns the members of the group that a node belongs to, or nil.
