Stand-ins: work begun warm is no sign of a cold turn

An answer to a request that ran partly warm can't tell an owner that the endpoint has turned cold; counting it as a sign blamed the system for requests that nothing had warned of. Proved by leaving the condition out: the new test fails.

--- a/bluebellfake/bbendpoint/endpoint.go
+++ b/bluebellfake/bbendpoint/endpoint.go
@@ -40,6 +40,8 @@
 	bootAt time.Time
 	// ended is closed when the running process ends.
 	ended chan struct{}
+	// turns counts the cold turns and the starts of the process.
+	turns int
 	// warmth counts the completions since the last cold turn.
 	warmth int
 	// inFlight counts the requests taken and not ended in this boot.
@@ -156,6 +158,7 @@
 	defer e.mu.Unlock()
 	e.cold = true
 	e.coldShown = false
+	e.turns++
 	e.warmth = 0
 	e.pushState()
 }
@@ -165,6 +168,7 @@
 	e.mu.Lock()
 	e.counts.Crashes++
 	e.counts.Boot++
+	e.turns++
 	e.cold = true
 	e.warmth = 0
 	e.inFlight = 0
--- a/bluebellfake/bbendpoint/settings.go
+++ b/bluebellfake/bbendpoint/settings.go
@@ -115,8 +115,8 @@
 	Rejected int64 `json:"rejected"`
 	// OverCold counts the requests taken over the cold capacity.
 	OverCold int64 `json:"overCold"`
-	// OverColdUnwarned is the part of OverCold from before the endpoint had
-	// answered, reported or reset anything since it turned cold.
+	// OverColdUnwarned is the part of OverCold from before the endpoint had ended work
+	// that was begun cold, reported that it is cold or reset connections.
 	OverColdUnwarned int64 `json:"overColdUnwarned"`
 	// Crashes counts the ends of its process.
 	Crashes int64 `json:"crashes"`
--- a/bluebellfake/bbendpoint/work.go
+++ b/bluebellfake/bbendpoint/work.go
@@ -21,7 +21,9 @@
 	// Ended is closed when the process that runs the job ends.
 	Ended <-chan struct{}
 
-	boot     uint64
+	boot uint64
+	// turn is the number of cold turns at acceptance.
+	turn     int
 	exchange int
 }
 
@@ -122,6 +124,7 @@
 	}
 	e.inFlight++
 	j.boot = e.counts.Boot
+	j.turn = e.turns
 	j.Ended = e.ended
 	e.pushState()
 	return verdictTaken
@@ -154,7 +157,8 @@
 		return
 	}
 	e.inFlight--
-	e.coldShown = e.coldShown || e.cold
+	// Only work that ran cold from its start tells by its time that the endpoint is cold.
+	e.coldShown = e.coldShown || e.cold && j.turn == e.turns
 	if done {
 		e.counts.Completed++
 		e.warmth++
--- a/bluebellfake/bbpool/pool_test.go
+++ b/bluebellfake/bbpool/pool_test.go
@@ -239,6 +239,42 @@
 		checkStatus(t, p, "b", broken)
 		checkCounts(t, p, bbendpoint.Counts{Requests: 2, OverCold: 1, OverColdUnwarned: 1, Crashes: 1})
 	})
+	t.Run("work begun warm is no sign of a cold turn, work begun cold is", func(t *testing.T) {
+		for _, c := range []struct {
+			name     string
+			cold     bool
+			unwarned int64
+		}{{"begun warm", false, 1}, {"begun cold", true, 0}} {
+			t.Run(c.name, func(t *testing.T) { checkSign(t, c.cold, c.unwarned) })
+		}
+	})
+}
+
+// checkSign ends one request around a cold turn, then sends two over the capacity.
+func checkSign(t *testing.T, cold bool, unwarned int64) {
+	t.Helper()
+	p := start(t, Settings{Kind: bbrule.KindPlain, Endpoint: bbendpoint.Settings{StartWarm: true}})
+	if cold {
+		p.TurnCold()
+	}
+	done := make(chan bool)
+	p.Apply(bbendpoint.Faults{SlowFactor: pointer(20.0)})
+	go func() {
+		send(newClient(t), p, "a")
+		close(done)
+	}()
+	waitFor(t, "the request runs", func() bool { return p.InFlight() == 1 })
+	if !cold {
+		p.TurnCold()
+	}
+	<-done
+	p.Apply(bbendpoint.Faults{SlowFactor: pointer(1e9)})
+	go send(newClient(t), p, "b")
+	waitFor(t, "the next request runs", func() bool { return p.InFlight() == 1 })
+	checkStatus(t, p, "c", broken)
+	if got := p.Counts(); got.OverCold != 1 || got.OverColdUnwarned != unwarned {
+		t.Errorf("counts %+v", got)
+	}
 }
 
 func TestStartChecksSettings(t *testing.T) {
