--- a/bluebellbench/bbcompare/plot.go
+++ b/bluebellbench/bbcompare/plot.go
@@ -17,6 +17,8 @@
 	barWidth   = 0.35 * vg.Centimeter
 	// labelAngle turns the labels of the bars, in radians.
 	labelAngle = 0.6
+	// attainmentTop leaves room for the legend above 100%.
+	attainmentTop = 120
 	// overloadPrefix starts the names of the scenarios in the plot of goodput by load.
 	overloadPrefix = "overload"
 )
@@ -46,6 +48,8 @@
 	canvas.Title.Text = "Goodput by load"
 	canvas.X.Label.Text = "load, relative to the capacity of the engines"
 	canvas.Y.Label.Text = "whole answers in time per second"
+	canvas.Legend.Top = true
+	canvas.Legend.Left = true
 	canvas.Y.Min = 0
 	if err := plotutil.AddLinePoints(canvas, "system", system, "baseline", baseline); err != nil {
 		return errors.Wrap(err, "plot goodput")
@@ -68,6 +72,7 @@
 	canvas.Y.Min = 0
 	canvas.X.Tick.Label.Rotation = labelAngle
 	canvas.Legend.Top = true
+	canvas.Y.Max = attainmentTop
 	for i, values := range []plotter.Values{system, baseline} {
 		bars, err := plotter.NewBarChart(values, barWidth)
 		if err != nil {
--- a/bluebellbench/main.go
+++ b/bluebellbench/main.go
@@ -35,6 +35,7 @@
 			compareCommand(),
 			demoCommand(),
 			loadCommand(),
+			slopesCommand(),
 		},
 	}
 }
