--- /dev/null
+++ b/bluebellbench/bbcluster/cluster_test.go
@@ -0,0 +1,193 @@
+package bbcluster
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"bluebellhall/bluebellbench/bbaudit"
+	"bluebellhall/bluebellbench/bbclient"
+	"bluebellhall/bluebellbench/bbload"
+	"bluebellhall/bluebelld/bbserver"
+	"bluebellhall/bluebellfake/bbendpoint"
+	"bluebellhall/bluebellfake/bbfleet"
+	"bluebellhall/bluebellfake/bbplatform"
+	"bluebellhall/core/bbmsg"
+)
+
+// testWait bounds the waits of the tests.
+const testWait = 60 * time.Second
+
+// failure is caused while a load runs; mend puts things right again.
+type failure struct {
+	name  string
+	cause func(t *testing.T, c *Cluster)
+	mend  func(t *testing.T, c *Cluster)
+}
+
+// failures lists what fails, as the users' page has it, and some of it twice.
+var failures = []failure{
+	{name: "a node dies and comes back", cause: killNode, mend: restartNode},
+	{name: "a node is paused and wakes late", cause: func(_ *testing.T, c *Cluster) { c.Pause("entry-2", 1500*time.Millisecond) }},
+	{name: "the platform is down", cause: platformDown, mend: platformUp},
+	{name: "a node is cut off from its peers and the platform", cause: cutOff, mend: mendCut},
+	{name: "connections to an endpoint go silent", cause: silentEndpoints},
+	{name: "endpoints turn cold without a sign", cause: coldEndpoints},
+	{name: "an endpoint crashes", cause: crashEndpoint},
+	{name: "a failure domain goes out and comes back", cause: domainOut, mend: domainBack},
+	{name: "a node dies while another is cut off", cause: func(t *testing.T, c *Cluster) { cutOff(t, c); killNode(t, c) },
+		mend: func(t *testing.T, c *Cluster) { restartNode(t, c); mendCut(t, c) }},
+	{name: "everything turns cold while the platform is down", cause: func(t *testing.T, c *Cluster) { platformDown(t, c); coldEndpoints(t, c) },
+		mend: platformUp},
+}
+
+func killNode(_ *testing.T, c *Cluster) { c.Kill("entry-3") }
+
+func restartNode(t *testing.T, c *Cluster) {
+	if err := c.Restart("entry-3"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func platformDown(_ *testing.T, c *Cluster) {
+	c.Fleet.Platform.SetFaults(bbplatform.Faults{Down: true})
+}
+
+func platformUp(_ *testing.T, c *Cluster) { c.Fleet.Platform.SetFaults(bbplatform.Faults{}) }
+
+func cutOff(_ *testing.T, c *Cluster)  { cutNode(c, true) }
+func mendCut(_ *testing.T, c *Cluster) { cutNode(c, false) }
+
+// cutNode cuts or mends all links of one node but those to callers and endpoints.
+func cutNode(c *Cluster, broken bool) {
+	for _, other := range append(c.Names(), bbserver.PlatformName) {
+		if other != "entry-4" {
+			c.Cut("entry-4", other, broken)
+		}
+	}
+}
+
+func silentEndpoints(_ *testing.T, c *Cluster) {
+	for _, e := range c.Fleet.Endpoints {
+		e.Apply(bbendpoint.Faults{Silent: true})
+	}
+}
+
+func coldEndpoints(_ *testing.T, c *Cluster) {
+	for _, e := range c.Fleet.Endpoints {
+		e.TurnCold()
+	}
+}
+
+func crashEndpoint(_ *testing.T, c *Cluster) { c.Fleet.Endpoints["ledger-1"].Crash() }
+
+func domainOut(_ *testing.T, c *Cluster)  { c.Fleet.SetOut("khovd", true) }
+func domainBack(_ *testing.T, c *Cluster) { c.Fleet.SetOut("khovd", false) }
+
+// startCluster runs the Khangai example.
+func startCluster(t *testing.T) *Cluster {
+	t.Helper()
+	rules, err := os.ReadFile("../../examples/khangai/rules.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, cleanup, err := Start(Settings{
+		Rules:   string(rules),
+		Fleet:   bbfleet.Settings{FreePorts: true, Seed: 1},
+		Domains: []string{"ulaanbaatar", "arkhangai", "khovd", "ulaanbaatar", "arkhangai", "khovd", "ulaanbaatar"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanup)
+	waitSettled(t, c)
+	return c
+}
+
+// waitSettled waits until all nodes may use what they own.
+func waitSettled(t *testing.T, c *Cluster) {
+	t.Helper()
+	waitStatus(t, c, func(s bbmsg.Status) bool {
+		ok := s.Ready && s.Confirmed
+		for _, e := range s.Endpoints {
+			ok = ok && (e.Window > 0 || e.State == bbmsg.StateOut)
+		}
+		return ok
+	})
+}
+
+// checkLoad sends a load, causes a failure in its midst and audits what came of it.
+func checkLoad(t *testing.T, c *Cluster, client *bbclient.Client, seed uint64, f failure) {
+	t.Helper()
+	plan, err := bbload.Plan(bbload.PlanSettings{
+		Seed:     seed,
+		Rate:     40,
+		Duration: 3 * time.Second,
+		Kinds:    bbload.DefaultKinds(c.Fleet.Rules),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	caused := make(chan struct{})
+	time.AfterFunc(time.Second, func() {
+		defer close(caused)
+		f.cause(t, c)
+	})
+	results := bbload.Run(context.Background(), bbload.RunSettings{}, plan, client.Send)
+	<-caused
+	audit := bbaudit.Check(c.Fleet, results)
+	if audit.Broken() > 0 {
+		t.Errorf("broken promises: %+v", audit)
+	}
+	if audit.Answered == 0 {
+		t.Errorf("nothing was answered: %+v", audit)
+	}
+	if f.mend != nil {
+		f.mend(t, c)
+	}
+	waitSettled(t, c)
+}
+
+// refused tells whether a revision of the rules was reported as refused.
+func refused(s bbmsg.Status, revision int64) bool {
+	for _, r := range s.Rules.Refused {
+		if r.Revision == revision {
+			return true
+		}
+	}
+	return false
+}
+
+// waitStatus waits until a condition holds on the status of all running nodes.
+func waitStatus(t *testing.T, c *Cluster, ok func(bbmsg.Status) bool) {
+	t.Helper()
+	err := c.WaitReady(testWait, func(v *bbserver.Server) bool { return ok(v.Status()) })
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestPromisesOverSockets causes failures, alone and in pairs, on one cluster and
+// holds what callers saw against what the stand-ins recorded.
+func TestPromisesOverSockets(t *testing.T) {
+	c := startCluster(t)
+	var nodes []bbclient.Node
+	for _, name := range c.Names() {
+		nodes = append(nodes, bbclient.Node{
+			Address: c.Address(name),
+			Region:  c.Server(name).Status().Region,
+		})
+	}
+	client, cleanup := bbclient.New(nodes)
+	defer cleanup()
+	for i, f := range failures {
+		t.Run(f.name, func(t *testing.T) { checkLoad(t, c, client, uint64(i+1), f) })
+	}
+	t.Run("an invalid revision is refused everywhere and an older one changes nothing", func(t *testing.T) {
+		bad := c.Fleet.Platform.PublishRules("domain\n")
+		waitStatus(t, c, func(s bbmsg.Status) bool { return refused(s, bad) && s.Rules.Revision < bad })
+		good := c.Fleet.Platform.PublishRules(c.Fleet.Text)
+		waitStatus(t, c, func(s bbmsg.Status) bool { return s.Rules.Revision == good })
+	})
+}
