Refusals tell why there was no endpoint; endpoints get ids without their code

The flow refused with noEndpoint and 25 ms whatever the router had found. It now passes on the router's reason (coldWait, ownerGone, domainOut, noEndpoint) with a time to come back that fits it.

An entry VM did not count the answers that named itself, so that it named itself too often between two looks at its load. They count until the next heartbeat.

Endpoints were given the signed request id, with which anybody can read its answer.

--- a/bluebellbench/bbaudit/audit.go
+++ b/bluebellbench/bbaudit/audit.go
@@ -9,6 +9,7 @@
 	"bluebellhall/bluebellbench/bbload"
 	"bluebellhall/bluebellfake/bbfleet"
 	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbticket"
 )
 
 // Audit counts what came of a load. All counts but the first three are broken
@@ -78,6 +79,18 @@
 	return runs
 }
 
+// EndpointID returns a request id as endpoints are told it: without the authentication
+// code. Ids of other systems, which have none, stay as they are.
+func EndpointID(id string) string {
+	if public := bbticket.Public(id); public != malformed {
+		return public
+	}
+	return id
+}
+
+// malformed is what bbticket.Public returns for a text that is no id of ours.
+const malformed = "malformed"
+
 // checkReply checks what the caller saw.
 func (a *Audit) checkReply(r bbload.Result) {
 	switch r.Reply.Outcome {
@@ -99,7 +112,7 @@
 func (a *Audit) checkOnce(r bbload.Result, runs map[string]int) {
 	count := 0
 	for _, id := range r.Reply.IDs {
-		count += runs[id]
+		count += runs[EndpointID(id)]
 	}
 	if count > 1 {
 		a.Doubled++
--- a/bluebellbench/bbcompare/measure.go
+++ b/bluebellbench/bbcompare/measure.go
@@ -116,7 +116,7 @@
 	for _, r := range results {
 		for _, id := range r.Reply.IDs {
 			home := s.home(id, r.Request.Region)
-			homes[id] = home
+			homes[bbaudit.EndpointID(id)] = home
 			if home != r.Request.Region {
 				m.CrossBytes += int64(len(r.Request.Body)) + answerBytes(r.Reply)
 			}
--- a/bluebelld/bbbackend/client.go
+++ b/bluebelld/bbbackend/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbticket"
 )
 
 // Handlers take in what a client learns. They may be called at the same time.
@@ -238,10 +239,11 @@
 	return !by.IsZero() && time.Now().After(by)
 }
 
-// setHeaders marks a request so that the endpoint's log can be matched with ours.
+// setHeaders marks a request so that the endpoint's log can be matched with ours. The
+// id goes without its authentication code: with it anybody could read the answer.
 func setHeaders(h http.Header, e bbmsg.EndpointCall) {
 	h.Set("Content-Type", "application/json")
-	h.Set("Bluebell-Request", e.Attempt.ID)
+	h.Set("Bluebell-Request", bbticket.Public(e.Attempt.ID))
 	h.Set("Bluebell-Stage", strconv.Itoa(e.Attempt.Stage))
 	h.Set("Bluebell-Attempt", strconv.Itoa(e.Attempt.Number))
 	if e.Session != "" {
--- a/bluebelld/bbbackend/client_test.go
+++ b/bluebelld/bbbackend/client_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbticket"
 )
 
 // testWait bounds the waits of the tests.
@@ -191,3 +192,15 @@
 		checkKind(t, stream(t, 0, "data: {\n\ndata: [DONE]\n\n"), bbmsg.NewsBroken)
 	})
 }
+
+func TestEndpointsGetNoAuthenticationCode(t *testing.T) {
+	got := make(chan string, 1)
+	server := serve(t, func(_ http.ResponseWriter, r *http.Request) { got <- r.Header.Get("Bluebell-Request") })
+	keys := bbticket.Keys{Current: []byte("key")}
+	e := call(server)
+	e.Attempt.ID = keys.Sign(bbticket.Ticket{Home: "a", Incarnation: 1, ExpiryMillis: 2}) + ".n"
+	run(t, e, time.Now())
+	if diff := cmp.Diff("b1.a.1.2.n", <-got); diff != "" {
+		t.Errorf("id (-want +got):\n%s", diff)
+	}
+}
--- a/core/bbflow/dispatch.go
+++ b/core/bbflow/dispatch.go
@@ -36,7 +36,8 @@
 	}
 	choice, ok := t.choose(now, r)
 	if !ok {
-		t.later(now, r, bbmsg.ReasonNoEndpoint, t.Settings.RefusedWait)
+		r.RetryHint = choice.RetryAfter
+		t.later(now, r, choice.Reason, t.Settings.RefusedWait)
 		return
 	}
 	t.dispatch(now, r, choice, false)
--- a/core/bbflow/flow.go
+++ b/core/bbflow/flow.go
@@ -119,8 +119,13 @@
 	due time.Duration
 }
 
-// Choice is an endpoint with its owner.
+// Choice is an endpoint with its owner, or why there is none.
 type Choice struct {
+	// Reason is why there is no endpoint, and RetryAfter when a caller may come back.
+	// Both are unset when there is one.
+	Reason     bbmsg.Reason
+	RetryAfter time.Duration
+	// Endpoint to use, with the process of its owner by the list of that revision.
 	Endpoint         string
 	Owner            string
 	OwnerIncarnation uint64
@@ -148,7 +153,7 @@
 
 // Seams are the decisions and effects outside the flow. All are set.
 type Seams struct {
-	// Choose picks an endpoint, and false when none is eligible.
+	// Choose picks an endpoint, and false with a reason when none is eligible.
 	Choose func(now time.Duration, q Query) (Choice, bool)
 	// Peer tells whether a node answers probes.
 	Peer func(now time.Duration, name string) PeerState
--- a/core/bbnode/address.go
+++ b/core/bbnode/address.go
@@ -64,6 +64,7 @@
 			Alive:       true,
 			Draining:    n.drain.started,
 			Load:        n.Home.Running(),
+			Handed:      n.policy.handed[self.Name],
 		},
 	}
 	for _, name := range n.sortedNames() {
@@ -89,3 +90,13 @@
 	}
 	return nodes
 }
+
+// tickHanded forgets, once for each heartbeat, the answers that named this node: their
+// callers have come, or their load is as well known as that of other nodes.
+func (n *Node) tickHanded() {
+	if n.now < n.policy.handedUntil {
+		return
+	}
+	n.policy.handedUntil = n.now + n.Settings.Times.ProbeInterval
+	n.policy.handed[n.Settings.Self.Name] = 0
+}
--- a/core/bbnode/choose.go
+++ b/core/bbnode/choose.go
@@ -83,14 +83,20 @@
 // choose picks an endpoint for a stage.
 func (n *Node) choose(_ time.Duration, q bbflow.Query) (bbflow.Choice, bool) {
 	if n.Index == nil {
-		return bbflow.Choice{}, false
+		return bbflow.Choice{
+			Reason:     bbmsg.ReasonNotReady,
+			RetryAfter: retryAfter(bbmsg.ReasonNotReady),
+		}, false
 	}
 	endpoints := n.Index.ServiceEndpoints[q.Step.Service]
 	candidates := n.candidates(endpoints, q)
 	query := n.routeQuery(q)
 	choice := n.policy.router.Choose(&query, candidates)
 	if choice.Index < 0 {
-		return bbflow.Choice{}, false
+		return bbflow.Choice{
+			Reason:     choice.Reason,
+			RetryAfter: retryAfter(choice.Reason),
+		}, false
 	}
 	c := candidates[choice.Index]
 	return bbflow.Choice{
@@ -101,6 +107,29 @@
 	}, true
 }
 
+const (
+	// soonRetry is when a caller may come back for an endpoint that is being looked
+	// after: a cold one that carries a little more every moment.
+	soonRetry = 500 * time.Millisecond
+	// lostRetry is when a caller may come back for endpoints whose owner is lost; the
+	// platform's list has to change first.
+	lostRetry = 2 * time.Second
+	// operatorRetry is when a caller may come back for what operators have to change.
+	operatorRetry = 5 * time.Second
+)
+
+// retryAfter returns when a caller may come back that found no endpoint.
+func retryAfter(reason bbmsg.Reason) time.Duration {
+	switch reason {
+	case bbmsg.ReasonColdWait, bbmsg.ReasonNotReady:
+		return soonRetry
+	case bbmsg.ReasonOwnerGone:
+		return lostRetry
+	default:
+		return operatorRetry
+	}
+}
+
 // routeQuery describes a stage to the router.
 func (n *Node) routeQuery(q bbflow.Query) bbroute.Query {
 	r := bbroute.Query{
@@ -138,7 +167,8 @@
 		Region:     n.Index.Region(e.Domain),
 		Owner:      owner,
 		OwnerAlive: owner != "" && n.alive(owner) && n.incarnationOf(owner) != 0,
-		Excluded:   excluded || n.Index.IsOut(e),
+		Excluded:   excluded,
+		Out:        n.Index.IsOut(e),
 	}
 	if owner == n.Settings.Self.Name {
 		c.Digest, c.Known = n.Owner.Digest(n.now, e.Name)
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -205,6 +205,7 @@
 // Tick takes in what has happened and returns what is to be done, in order.
 func (n *Node) Tick(now time.Duration, inputs []bbmsg.Input) []bbmsg.Output {
 	n.now = now
+	n.tickHanded()
 	n.emit(n.Members.Tick(now))
 	for i := range inputs {
 		n.take(&inputs[i])
--- a/core/bbnode/policy.go
+++ b/core/bbnode/policy.go
@@ -33,8 +33,10 @@
 	retryShare float64
 	suspects   *bbsuspect.Table
 	ranker     *bbaddress.Ranker
-	// handed counts the answers that named each node first since it was heard.
-	handed map[string]int
+	// handed counts the answers that named each node first since it was heard, and
+	// for this node itself, since the last heartbeat began, which ends at handedUntil.
+	handed      map[string]int
+	handedUntil time.Duration
 	// longestTicket is the longest life of any ticket in this incarnation.
 	longestTicket time.Duration
 }
--- a/core/bbroute/candidate.go
+++ b/core/bbroute/candidate.go
@@ -53,6 +53,8 @@
 	// them that were sent after the digest was made.
 	InFlight int
 	Since    int
+	// Out is true when the endpoint's failure domain was taken out by the rules.
+	Out bool
 	// Excluded is true when the request must not go there, for instance because an
 	// attempt failed there.
 	Excluded bool
@@ -169,6 +171,8 @@
 
 func verdict(q *Query, c *Candidate) Verdict {
 	switch {
+	case c.Out:
+		return VerdictOut
 	case c.Excluded:
 		return VerdictExcluded
 	case !c.OwnerAlive:
--- a/core/bbroute/choose.go
+++ b/core/bbroute/choose.go
@@ -343,6 +343,8 @@
 		return bbmsg.ReasonColdWait
 	case counts[VerdictOwnerLost]+counts[VerdictUnheard] > 0:
 		return bbmsg.ReasonOwnerGone
+	case counts[VerdictOut] > 0 && counts[VerdictOut] == len(r.assessments):
+		return bbmsg.ReasonDomainOut
 	default:
 		return bbmsg.ReasonNoEndpoint
 	}
--- a/core/bbroute/choose_test.go
+++ b/core/bbroute/choose_test.go
@@ -46,7 +46,7 @@
 func (n *naive) build(s Settings, candidates []Candidate) {
 	for i, c := range candidates {
 		d := c.Digest
-		good := !c.Excluded && c.OwnerAlive && c.Known && d.Window > 0 &&
+		good := !c.Out && !c.Excluded && c.OwnerAlive && c.Known && d.Window > 0 &&
 			d.State != bbmsg.StateLeaving && d.State != bbmsg.StateOut &&
 			(n.q.Model == "" || d.Model == "" || d.Model == n.q.Model)
 		if n.q.Alone && (d.InFlight > 0 || d.Queued > 0 || c.InFlight > 0) {
@@ -256,6 +256,7 @@
 		Since:     since,
 		InFlight:  since + rapid.IntRange(0, 1).Draw(t, "before"),
 		Excluded:  rare("excluded"),
+		Out:       rare("out"),
 	}
 }
 
@@ -347,6 +348,15 @@
 	checkSame(t, "none idle", Choice{Index: -1, Reason: bbmsg.ReasonColdWait}, r.Choose(&q, candidates))
 }
 
+func TestReasons(t *testing.T) {
+	candidates := fleet(2, 8)
+	candidates[0].Out, candidates[1].Out = true, true
+	q := Query{Domain: "domain0", Region: "north"}
+	checkSame(t, "all out", Choice{Index: -1, Reason: bbmsg.ReasonDomainOut}, testRouter().Choose(&q, candidates))
+	candidates[1].Out, candidates[1].OwnerAlive = false, false
+	checkSame(t, "owner lost", Choice{Index: -1, Reason: bbmsg.ReasonOwnerGone}, testRouter().Choose(&q, candidates))
+}
+
 func TestExplain(t *testing.T) {
 	r := testRouter()
 	candidates := fleet(2, 8)
