--- a/bluebellbench/bbcompare/report.go
+++ b/bluebellbench/bbcompare/report.go
@@ -128,6 +128,10 @@
 		}
 		fmt.Fprintf(w, "| %s | %s | %s | %s |\n", r.name, r.print(system), r.print(baseline), ratio(system, baseline))
 	}
+	for _, account := range accountsOf(p) {
+		system, baseline := 100*p.System.Summary.Accounts[account].Share(), 100*p.Baseline.Summary.Accounts[account].Share()
+		fmt.Fprintf(w, "| attainment of %s, %% | %.1f | %.1f | %s |\n", account, system, baseline, ratio(system, baseline))
+	}
 	for _, service := range servicesOf(p) {
 		system, baseline := perAnswer(p.System, float64(p.System.Exchanges[service])), perAnswer(p.Baseline, float64(p.Baseline.Exchanges[service]))
 		fmt.Fprintf(w, "| work at %s per answer in time | %.2f | %.2f | %s |\n", service, system, baseline, ratio(system, baseline))
@@ -149,6 +153,17 @@
 	return fmt.Sprintf("%.2f", system/baseline)
 }
 
+// accountsOf returns the accounts with requests, sorted.
+func accountsOf(p Pair) []string {
+	var names []string
+	for name := range p.System.Summary.Accounts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// servicesOf returns the services that either side used, sorted.
 func servicesOf(p Pair) []string {
 	var names []string
 	for name := range p.System.Exchanges {
