--- a/core/bbmember/probe.go
+++ b/core/bbmember/probe.go
@@ -114,7 +114,7 @@
 // digests of the endpoints from these, so that its reply leaves them out.
 func (t *Table) HandleProbe(now time.Duration, probe bbmsg.Probe, own bbmsg.Knowledge) bbmsg.ProbeReply {
 	t.notePause(now)
-	t.observe(probe.Knowledge.ListRevision)
+	t.Observe(probe.Knowledge.ListRevision)
 	t.noteUnready(probe.From, probe.Ready)
 	if p := t.Peers[probe.From]; p != nil {
 		t.hear(now, p, probe.Incarnation, probe.Knowledge)
@@ -135,7 +135,7 @@
 // HandleReply takes in the answer to a probe. Answers that match no probe are dropped.
 func (t *Table) HandleReply(now time.Duration, reply bbmsg.ProbeReply) []bbmsg.Output {
 	t.notePause(now)
-	t.observe(reply.Knowledge.ListRevision)
+	t.Observe(reply.Knowledge.ListRevision)
 	p := t.Peers[reply.From]
 	if p == nil {
 		return nil
--- a/core/bbmember/table.go
+++ b/core/bbmember/table.go
@@ -208,7 +208,7 @@
 	t.adopted++
 	t.list = list
 	t.current = newLayout(list)
-	t.observe(list.Revision)
+	t.Observe(list.Revision)
 	clear(t.owners)
 	t.refreshPeers(now)
 	t.updateReady()
@@ -333,8 +333,9 @@
 	return owner
 }
 
-// observe takes in a revision number. Seeing a newer one voids all confirmations.
-func (t *Table) observe(revision int64) {
+// Observe takes in the number of a list that exists. A newer one voids all
+// confirmations.
+func (t *Table) Observe(revision int64) {
 	if revision <= t.seen {
 		return
 	}
--- a/core/bbnode/peers.go
+++ b/core/bbnode/peers.go
@@ -101,6 +101,7 @@
 		})
 		return
 	}
+	n.Members.Observe(d.ListRevision)
 	n.Owner.Offer(n.now, d, from)
 	n.emit(n.Owner.TakeOutputs())
 }
--- a/core/bbowner/offer.go
+++ b/core/bbowner/offer.go
@@ -52,15 +52,16 @@
 	t.enqueue(now, e, w)
 }
 
-// whyNot returns why an attempt is refused before it is queued, or ReasonNone. The
-// list revisions are compared first, as in section 7.2 of the design for hotspot
-// splits (elastickv PR 945): a sender that is ahead waits until the owner has caught
-// up, and one that is behind learns the owner's revision. When both are behind, the
-// confirmation protects cold endpoints.
+// whyNot returns why an attempt is refused before it is queued, or ReasonNone.
+//
+// The home's list revision stands in the attempt, as the observed route version does
+// in section 7.2 of the design for hotspot splits (elastickv PR 945). A home that is
+// ahead shows that this node is behind, so that it gives a cold endpoint nothing
+// until it has caught up. A warm one is used: the owner is a function of the list, so
+// a home with the newer list sends only to the right owner. When both are behind, no
+// stamp tells, and only the confirmation protects cold endpoints.
 func (t *Table) whyNot(now time.Duration, e *Endpoint, w *bbbacklog.Work) (bbmsg.Reason, time.Duration) {
 	switch {
-	case w.Dispatch.ListRevision > t.revision:
-		return bbmsg.ReasonNotReady, behindRetry
 	case e == nil:
 		return bbmsg.ReasonNoEndpoint, 0
 	case !e.Owned:
@@ -72,6 +73,9 @@
 	case now < e.RetryAt:
 		return bbmsg.ReasonEndpointFailed, e.RetryAt - now
 	}
+	if e.Cold() && w.Dispatch.ListRevision > t.revision {
+		return bbmsg.ReasonNotReady, behindRetry
+	}
 	limit := t.limit(now, e)
 	if limit == 0 && e.Cold() {
 		return t.whyCold(now, e)
