--- a/bluebellctl/bbreference/reference.go
+++ b/bluebellctl/bbreference/reference.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bluebellhall/core/bbevent"
-	"bluebellhall/core/bbrule"
+	"bluebellhall/core/bbline"
 )
 
 // numbersPerGroup is how many event numbers a group has.
@@ -85,14 +85,14 @@
 // kinds returns a part for each kind of rule.
 func kinds() string {
 	var parts []string
-	for _, k := range bbrule.Kinds {
+	for _, k := range bbline.Kinds {
 		parts = append(parts, kind(k))
 	}
 	return strings.Join(parts, "\n")
 }
 
 // kind describes one kind of rule.
-func kind(k bbrule.Kind) string {
+func kind(k bbline.Kind) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "### `%s`\n\n%s At most %d lines.\n\n    %s\n", k.Name, k.Text, k.Most, k.Example)
 	if k.Subject != "" {
@@ -115,7 +115,7 @@
 }
 
 // leftOut tells what holds when a key is left out.
-func leftOut(k bbrule.Key) string {
+func leftOut(k bbline.Key) string {
 	switch {
 	case k.Required:
 		return "refused"
@@ -130,7 +130,7 @@
 func checks() string {
 	var b strings.Builder
 	b.WriteString("| check | title | what holds for a valid text |\n| --- | --- | --- |\n")
-	for _, c := range bbrule.Checks {
+	for _, c := range bbline.Checks {
 		fmt.Fprintf(&b, "| %d | %s | %s |\n", c.Number, c.Title, c.Text)
 	}
 	return b.String()
--- a/core/bbrule/check.go
+++ b/core/bbline/check.go
@@ -1,4 +1,4 @@
-package bbrule
+package bbline
 
 import (
 	"cmp"
@@ -76,7 +76,18 @@
 	{Number: CheckTooManyFound, Title: "tooManyFound", Text: "At most 1000 findings are listed; the rest are counted."},
 }
 
-// String returns the finding as line:column: text (check number).
+// Finding is one thing wrong with a rules text.
+type Finding struct {
+	// Line and Column start at 1 and count bytes.
+	Line   int `json:"line"`
+	Column int `json:"column"`
+	// Check is the number of the check that found it.
+	Check int `json:"check"`
+	// Text is the message for the operator.
+	Text string `json:"text"`
+}
+
+// String returns the finding as line:Column: text (check number).
 func (f Finding) String() string {
 	return fmt.Sprintf("%d:%d: %s (check %d)", f.Line, f.Column, f.Text, f.Check)
 }
@@ -91,15 +102,15 @@
 	)
 }
 
-// sortFindings orders findings by place and cuts them to the bound.
-func sortFindings(findings []Finding) []Finding {
+// SortFindings orders findings by place and cuts them to the bound.
+func SortFindings(findings []Finding) []Finding {
 	slices.SortFunc(findings, compareFindings)
-	if len(findings) <= maxFindings {
+	if len(findings) <= MaxFindings {
 		return findings
 	}
-	dropped := len(findings) - maxFindings
-	last := findings[maxFindings]
-	return append(findings[:maxFindings:maxFindings], Finding{
+	dropped := len(findings) - MaxFindings
+	last := findings[MaxFindings]
+	return append(findings[:MaxFindings:MaxFindings], Finding{
 		Line:   last.Line,
 		Column: last.Column,
 		Check:  CheckTooManyFound,
--- a/core/bbrule/kind.go
+++ b/core/bbline/kind.go
@@ -1,4 +1,7 @@
-package bbrule
+// Package bbline takes rules texts apart: lines into kind, name and keys, and keys
+// into values. It holds the tables of kinds and checks, and collects findings with
+// their place.
+package bbline
 
 // Kind describes one kind of rule. The table of kinds in docs/RULES.md is made
 // from the entries.
--- a/core/bbrule/format.go
+++ b/core/bbrule/format.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"strings"
+
+	"bluebellhall/core/bbline"
 )
 
 // notStated stands for the comment of rules that were not made from a text.
@@ -31,7 +33,7 @@
 		put(c.AskedBy, "call %s/%s %s deadline=%s", c.Service, c.Path, repeatWord(c.Idempotent), c.Deadline)
 	}
 	for _, m := range set.Models {
-		put(m.AskedBy, "model %s weight=%s", m.Name, formatSize(m.WeightBytes))
+		put(m.AskedBy, "model %s weight=%s", m.Name, bbline.FormatSize(m.WeightBytes))
 	}
 	for _, e := range set.Endpoints {
 		put(e.AskedBy, "%s", formatEndpoint(e))
@@ -66,11 +68,11 @@
 // settings returns all bounds as lines.
 func settings(l Limits) []setting {
 	d := DefaultLimits()
-	share := int64(math.Round(l.RetryShare * shareUnits))
-	cost := int64(math.Round(l.CrossRegionCost * costUnits))
+	share := int64(math.Round(l.RetryShare * bbline.ShareUnits))
+	cost := int64(math.Round(l.CrossRegionCost * bbline.CostUnits))
 	return []setting{
 		{
-			text:      "limit body=" + formatSize(l.BodyBytes),
+			text:      "limit body=" + bbline.FormatSize(l.BodyBytes),
 			askedBy:   l.AskedBy.BodyBytes,
 			isChanged: l.BodyBytes != d.BodyBytes,
 		},
@@ -80,17 +82,17 @@
 			isChanged: l.AnswerTTL != d.AnswerTTL,
 		},
 		{
-			text:      "retry share=" + formatDecimal(share, shareDecimals) + "%",
+			text:      "retry share=" + bbline.FormatDecimal(share, bbline.ShareDecimals) + "%",
 			askedBy:   l.AskedBy.RetryShare,
 			isChanged: l.RetryShare != d.RetryShare,
 		},
 		{
-			text:      "cost crossRegion=" + formatDecimal(cost, costDecimals),
+			text:      "cost crossRegion=" + bbline.FormatDecimal(cost, bbline.CostDecimals),
 			askedBy:   l.AskedBy.CrossRegionCost,
 			isChanged: l.CrossRegionCost != d.CrossRegionCost,
 		},
 		{
-			text:      "store rate=" + formatSize(l.WeightStoreRate),
+			text:      "store rate=" + bbline.FormatSize(l.WeightStoreRate),
 			askedBy:   l.AskedBy.WeightStoreRate,
 			isChanged: l.WeightStoreRate != d.WeightStoreRate,
 		},
--- a/core/bbrule/model.go
+++ b/core/bbrule/model.go
@@ -3,7 +3,11 @@
 // of the text, so every node accepts or refuses a revision alike.
 package bbrule
 
-import "time"
+import (
+	"time"
+
+	"bluebellhall/core/bbline"
+)
 
 // RuleSet is one valid revision of the rules. It is never changed once parsed.
 type RuleSet struct {
@@ -172,12 +176,4 @@
 }
 
 // Finding is one thing wrong with a rules text.
-type Finding struct {
-	// Line and Column start at 1 and count bytes.
-	Line   int `json:"line"`
-	Column int `json:"column"`
-	// Check is the number of the check that found it.
-	Check int `json:"check"`
-	// Text is the message for the operator.
-	Text string `json:"text"`
-}
+type Finding = bbline.Finding
--- a/core/bbrule/parse.go
+++ b/core/bbrule/parse.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bluebellhall/core/bbline"
 )
 
 // Bounds of the values.
@@ -20,15 +22,15 @@
 	// maxBodyBytes bounds the limit on bodies, maxBytes all other sizes.
 	maxBodyBytes = 64e6
 	maxBytes     = 100e12
-	// maxRetryUnits and maxCostUnits are in units of shareUnits and costUnits.
-	maxRetryUnits = shareUnits / 2
-	maxCostUnits  = 1_000_000 * costUnits
+	// maxRetryUnits and maxCostUnits are in units of bbline.ShareUnits and bbline.CostUnits.
+	maxRetryUnits = bbline.ShareUnits / 2
+	maxCostUnits  = 1_000_000 * bbline.CostUnits
 )
 
 // parser collects the rules and findings of one text.
 type parser struct {
-	set      *RuleSet
-	findings []Finding
+	bbline.Reader
+	set *RuleSet
 	// count holds the number of lines of each kind.
 	count map[string]int
 	// declared holds the line of each declared name, by kind and name.
@@ -48,7 +50,7 @@
 // reference is a place that names something declared elsewhere.
 type reference struct {
 	line int
-	word word
+	word bbline.Word
 	// wanted is what must be declared, check the finding when it isn't.
 	wanted subject
 	check  int
@@ -64,18 +66,18 @@
 		count:    map[string]int{},
 		declared: map[subject]int{},
 	}
-	if len(text) > MaxTextBytes {
-		p.find(1, 1, CheckTextSize, "the text has %d bytes, more than %d", len(text), MaxTextBytes)
-		return nil, p.findings
+	if len(text) > bbline.MaxTextBytes {
+		p.Find(1, 1, bbline.CheckTextSize, "the text has %d bytes, more than %d", len(text), bbline.MaxTextBytes)
+		return nil, p.Findings
 	}
-	lines := p.scan(text)
+	lines := p.Scan(text)
 	for i := range lines {
 		p.take(&lines[i])
 	}
 	p.resolve()
 	p.checkUse(lines)
-	if len(p.findings) > 0 {
-		return nil, sortFindings(p.findings)
+	if len(p.Findings) > 0 {
+		return nil, bbline.SortFindings(p.Findings)
 	}
 	return p.set, nil
 }
@@ -97,15 +99,15 @@
 }
 
 // take adds one line to the set.
-func (p *parser) take(l *line) {
-	p.count[l.kind.Name]++
-	if count := p.count[l.kind.Name]; count > l.kind.Most {
-		if count == l.kind.Most+1 {
-			p.find(l.number, l.start.column, CheckTooMany, "more than %d lines of kind %s", l.kind.Most, l.kind.Name)
+func (p *parser) take(l *bbline.Line) {
+	p.count[l.Kind.Name]++
+	if count := p.count[l.Kind.Name]; count > l.Kind.Most {
+		if count == l.Kind.Most+1 {
+			p.Find(l.Number, l.Start.Column, bbline.CheckTooMany, "more than %d lines of kind %s", l.Kind.Most, l.Kind.Name)
 		}
 		return
 	}
-	switch l.kind.Name {
+	switch l.Kind.Name {
 	case "domain":
 		p.takeDomain(l)
 	case "service":
@@ -121,191 +123,191 @@
 	case "account":
 		p.takeAccount(l)
 	case "out":
-		p.declare(l, l.subject.text)
-		p.refer(l, l.subject, "domain", CheckUnknownDomain)
+		p.declare(l, l.Subject.Text)
+		p.refer(l, l.Subject, "domain", bbline.CheckUnknownDomain)
 	default:
 		p.takeLimits(l)
 	}
 }
 
 // declare records a name and reports it when it stands already.
-func (p *parser) declare(l *line, name string) {
+func (p *parser) declare(l *bbline.Line, name string) {
 	s := subject{
-		kind: l.kind.Name,
+		kind: l.Kind.Name,
 		name: name,
 	}
 	if first, ok := p.declared[s]; ok {
-		p.find(l.number, l.subject.column, CheckDuplicate, "%s %s stands already on line %d", s.kind, s.name, first)
+		p.Find(l.Number, l.Subject.Column, bbline.CheckDuplicate, "%s %s stands already on line %d", s.kind, s.name, first)
 		return
 	}
-	p.declared[s] = l.number
+	p.declared[s] = l.Number
 }
 
 // declareName is declare for subjects that must be plain names.
-func (p *parser) declareName(l *line) string {
-	if !isName(l.subject.text) {
-		p.find(l.number, l.subject.column, CheckName, "%q is not a name", l.subject.text)
+func (p *parser) declareName(l *bbline.Line) string {
+	if !bbline.IsName(l.Subject.Text) {
+		p.Find(l.Number, l.Subject.Column, bbline.CheckName, "%q is not a name", l.Subject.Text)
 	}
-	p.declare(l, l.subject.text)
-	return l.subject.text
+	p.declare(l, l.Subject.Text)
+	return l.Subject.Text
 }
 
 // refer records that a word names something of a kind.
-func (p *parser) refer(l *line, w word, kind string, check int) {
+func (p *parser) refer(l *bbline.Line, w bbline.Word, kind string, check int) {
 	p.references = append(p.references, reference{
-		line: l.number,
+		line: l.Number,
 		word: w,
 		wanted: subject{
 			kind: kind,
-			name: w.text,
+			name: w.Text,
 		},
 		check: check,
 	})
 }
 
-func (p *parser) takeDomain(l *line) {
+func (p *parser) takeDomain(l *bbline.Line) {
 	p.set.Domains = append(p.set.Domains, Domain{
 		Name:    p.declareName(l),
-		Region:  p.name(l, "region").text,
-		AskedBy: l.askedBy,
+		Region:  p.Name(l, "region").Text,
+		AskedBy: l.AskedBy,
 	})
 }
 
-func (p *parser) takeService(l *line) {
-	w, given := l.value("kind")
-	kind := ServiceKind(w.text)
+func (p *parser) takeService(l *bbline.Line) {
+	w, given := l.Value("kind")
+	kind := ServiceKind(w.Text)
 	if given && kind != KindEngine && kind != KindPool && kind != KindPlain {
-		p.badValue(l, "kind", w)
+		p.BadValue(l, "kind", w)
 	}
 	p.set.Services = append(p.set.Services, Service{
 		Name:        p.declareName(l),
 		Kind:        kind,
-		ReportsLoad: p.yesNo(l, "reports"),
-		AskedBy:     l.askedBy,
+		ReportsLoad: p.YesNo(l, "reports"),
+		AskedBy:     l.AskedBy,
 	})
 }
 
-func (p *parser) takeCall(l *line) {
-	service, path, _ := strings.Cut(l.subject.text, "/")
-	if !isName(service) || !isPath(path) {
-		p.find(l.number, l.subject.column, CheckName, "%q is not service/path", l.subject.text)
+func (p *parser) takeCall(l *bbline.Line) {
+	service, path, _ := strings.Cut(l.Subject.Text, "/")
+	if !bbline.IsName(service) || !bbline.IsPath(path) {
+		p.Find(l.Number, l.Subject.Column, bbline.CheckName, "%q is not service/path", l.Subject.Text)
 	}
-	p.declare(l, l.subject.text)
-	p.refer(l, word{column: l.subject.column, text: service}, "service", CheckUnknownService)
+	p.declare(l, l.Subject.Text)
+	p.refer(l, bbline.Word{Column: l.Subject.Column, Text: service}, "service", bbline.CheckUnknownService)
 	p.set.Calls = append(p.set.Calls, Call{
 		Service:    service,
 		Path:       path,
-		Idempotent: l.choice == "idempotent",
-		Deadline:   p.duration(l, "deadline", minDeadline, maxDeadline),
-		AskedBy:    l.askedBy,
+		Idempotent: l.Choice == "idempotent",
+		Deadline:   p.Duration(l, "deadline", minDeadline, maxDeadline),
+		AskedBy:    l.AskedBy,
 	})
 }
 
-func (p *parser) takeModel(l *line) {
+func (p *parser) takeModel(l *bbline.Line) {
 	p.set.Models = append(p.set.Models, Model{
 		Name:        p.declareName(l),
-		WeightBytes: p.size(l, "weight", 1, maxBytes),
-		AskedBy:     l.askedBy,
+		WeightBytes: p.Size(l, "weight", 1, maxBytes),
+		AskedBy:     l.AskedBy,
 	})
 }
 
-func (p *parser) takeEndpoint(l *line) {
-	service := p.name(l, "service")
-	domain := p.name(l, "domain")
-	model := p.name(l, "model")
+func (p *parser) takeEndpoint(l *bbline.Line) {
+	service := p.Name(l, "service")
+	domain := p.Name(l, "domain")
+	model := p.Name(l, "model")
 	address := p.endpointAddress(l)
 	e := Endpoint{
 		Name:          p.declareName(l),
-		Service:       service.text,
-		Model:         model.text,
+		Service:       service.Text,
+		Model:         model.Text,
 		Address:       address,
-		Domain:        domain.text,
-		WarmSlots:     p.number(l, "warm", 1, maxSlots),
-		ColdSlots:     p.number(l, "cold", 1, maxSlots),
-		ChecksFencing: p.yesNo(l, "fencing"),
-		AskedBy:       l.askedBy,
+		Domain:        domain.Text,
+		WarmSlots:     p.Number(l, "warm", 1, maxSlots),
+		ColdSlots:     p.Number(l, "cold", 1, maxSlots),
+		ChecksFencing: p.YesNo(l, "fencing"),
+		AskedBy:       l.AskedBy,
 	}
 	if e.ColdSlots > e.WarmSlots {
-		p.find(l.number, l.start.column, CheckColdSlots, "cold=%d is more than warm=%d", e.ColdSlots, e.WarmSlots)
+		p.Find(l.Number, l.Start.Column, bbline.CheckColdSlots, "cold=%d is more than warm=%d", e.ColdSlots, e.WarmSlots)
 	}
-	p.referIfGiven(l, "service", service, "service", CheckUnknownService)
-	p.referIfGiven(l, "domain", domain, "domain", CheckUnknownDomain)
-	p.referIfGiven(l, "model", model, "model", CheckUnknownModel)
+	p.referIfGiven(l, "service", service, "service", bbline.CheckUnknownService)
+	p.referIfGiven(l, "domain", domain, "domain", bbline.CheckUnknownDomain)
+	p.referIfGiven(l, "model", model, "model", bbline.CheckUnknownModel)
 	p.set.Endpoints = append(p.set.Endpoints, e)
 }
 
 // referIfGiven is refer for a key that stands in the line.
-func (p *parser) referIfGiven(l *line, key string, w word, kind string, check int) {
-	if _, ok := l.given(key); ok {
+func (p *parser) referIfGiven(l *bbline.Line, key string, w bbline.Word, kind string, check int) {
+	if _, ok := l.Given(key); ok {
 		p.refer(l, w, kind, check)
 	}
 }
 
 // endpointAddress returns the address and reports one that stands already.
-func (p *parser) endpointAddress(l *line) string {
-	w, ok := p.address(l, "address")
+func (p *parser) endpointAddress(l *bbline.Line) string {
+	w, ok := p.Address(l, "address")
 	if !ok {
 		return ""
 	}
 	s := subject{
 		kind: "address",
-		name: w.text,
+		name: w.Text,
 	}
 	if first, ok := p.declared[s]; ok {
-		p.find(l.number, w.column, CheckAddress, "address %s stands already on line %d", w.text, first)
-		return w.text
+		p.Find(l.Number, w.Column, bbline.CheckAddress, "address %s stands already on line %d", w.Text, first)
+		return w.Text
 	}
-	p.declared[s] = l.number
-	return w.text
+	p.declared[s] = l.Number
+	return w.Text
 }
 
-func (p *parser) takeAccount(l *line) {
+func (p *parser) takeAccount(l *bbline.Line) {
 	p.set.Accounts = append(p.set.Accounts, Account{
 		Name:     p.declareName(l),
-		Weight:   p.number(l, "weight", 1, maxWeight),
-		Priority: p.number(l, "priority", 0, maxPriority),
-		AskedBy:  l.askedBy,
+		Weight:   p.Number(l, "weight", 1, maxWeight),
+		Priority: p.Number(l, "priority", 0, maxPriority),
+		AskedBy:  l.AskedBy,
 	})
 }
 
 // takeLimits adds the settings of a limit, retry, cost or store line.
-func (p *parser) takeLimits(l *line) {
+func (p *parser) takeLimits(l *bbline.Line) {
 	limits := &p.set.Limits
 	if p.sets(l, "body") {
-		limits.BodyBytes = p.size(l, "body", 1, maxBodyBytes)
-		limits.AskedBy.BodyBytes = l.askedBy
+		limits.BodyBytes = p.Size(l, "body", 1, maxBodyBytes)
+		limits.AskedBy.BodyBytes = l.AskedBy
 	}
 	if p.sets(l, "answer") {
-		limits.AnswerTTL = p.duration(l, "answer", minAnswer, maxAnswer)
-		limits.AskedBy.AnswerTTL = l.askedBy
+		limits.AnswerTTL = p.Duration(l, "answer", minAnswer, maxAnswer)
+		limits.AskedBy.AnswerTTL = l.AskedBy
 	}
 	if p.sets(l, "share") {
-		limits.RetryShare = p.share(l, "share", maxRetryUnits)
-		limits.AskedBy.RetryShare = l.askedBy
+		limits.RetryShare = p.Share(l, "share", maxRetryUnits)
+		limits.AskedBy.RetryShare = l.AskedBy
 	}
 	if p.sets(l, "crossRegion") {
-		limits.CrossRegionCost = p.price(l, "crossRegion", maxCostUnits)
-		limits.AskedBy.CrossRegionCost = l.askedBy
+		limits.CrossRegionCost = p.Price(l, "crossRegion", maxCostUnits)
+		limits.AskedBy.CrossRegionCost = l.AskedBy
 	}
 	if p.sets(l, "rate") {
-		limits.WeightStoreRate = p.size(l, "rate", 1, maxBytes)
-		limits.AskedBy.WeightStoreRate = l.askedBy
+		limits.WeightStoreRate = p.Size(l, "rate", 1, maxBytes)
+		limits.AskedBy.WeightStoreRate = l.AskedBy
 	}
 }
 
 // sets tells whether the line sets a key, and reports a setting that stands already.
-func (p *parser) sets(l *line, key string) bool {
-	w, ok := l.given(key)
+func (p *parser) sets(l *bbline.Line, key string) bool {
+	w, ok := l.Given(key)
 	if !ok {
 		return false
 	}
 	s := subject{
-		kind: l.kind.Name,
+		kind: l.Kind.Name,
 		name: key,
 	}
 	if first, ok := p.declared[s]; ok {
-		p.find(l.number, w.column, CheckRepeatedKey, "%s is set already on line %d", key, first)
+		p.Find(l.Number, w.Column, bbline.CheckRepeatedKey, "%s is set already on line %d", key, first)
 	}
-	p.declared[s] = l.number
+	p.declared[s] = l.Number
 	return true
 }
--- a/core/bbrule/parse_test.go
+++ b/core/bbrule/parse_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbline"
 )
 
 var update = flag.Bool("update", false, "write golden files anew")
@@ -36,77 +38,77 @@
 		add    string
 		column int
 	}{
-		{check: CheckCharacter, add: "domain x region=r # a\x01", column: 22},
-		{check: CheckCharacter, add: "domain \xff region=r # a", column: 8},
-		{check: CheckLineSize, add: "# " + strings.Repeat("x", maxLineBytes), column: maxLineBytes + 1},
-		{check: CheckUnknownKind, add: "domian x region=r # a", column: 1},
-		{check: CheckNoComment, add: "domain x region=r", column: 18},
-		{check: CheckNoComment, add: "domain x region=r # ", column: 19},
-		{check: CheckNoSubject, add: "domain region=r # a", column: 1},
-		{check: CheckName, add: "domain -x region=r # a", column: 8},
-		{check: CheckName, add: "domain x region=r/s # a", column: 17},
-		{check: CheckName, add: "model " + strings.Repeat("x", maxNameBytes+1) + " weight=1B # a", column: 7},
-		{check: CheckName, add: "call s idempotent # a", column: 6},
-		{check: CheckName, add: "call s//x idempotent # a", column: 6},
-		{check: CheckExtraWord, add: "domain x region=r and # a", column: 19},
-		{check: CheckUnknownKey, add: "domain x region=r size=2 # a", column: 19},
-		{check: CheckRepeatedKey, add: "domain x region=r region=s # a", column: 19},
-		{check: CheckRepeatedKey, add: "limit body=1MB # a\nlimit body=2MB # a", column: 12},
-		{check: CheckMissingKey, add: "domain x # a", column: 1},
-		{check: CheckMissingKey, add: "limit # a", column: 1},
-		{check: CheckValue, add: "service x kind=pond # a", column: 16},
-		{check: CheckValue, add: "service x kind=pool reports=maybe # a", column: 29},
-		{check: CheckValue, add: "call s/x once deadline=2 # a", column: 24},
-		{check: CheckValue, add: "model x weight=14G # a", column: 16},
-		{check: CheckValue, add: "model x weight=-1B # a", column: 16},
-		{check: CheckValue, add: "account x weight=1.5 # a", column: 18},
-		{check: CheckValue, add: "retry share=10 # a", column: 13},
-		{check: CheckValue, add: "retry share=1.234% # a", column: 13},
-		{check: CheckValue, add: "cost crossRegion=.5 # a", column: 18},
-		{check: CheckValue, add: "endpoint x service=s address=host:1 domain=d # a", column: 30},
-		{check: CheckValue, add: "endpoint x service=s address=127.0.0.1:0 domain=d # a", column: 30},
-		{check: CheckValue, add: "pipeline x stages=p/a,,p/b # a", column: 23},
-		{check: CheckRange, add: "call s/x once deadline=0s # a", column: 24},
-		{check: CheckRange, add: "call s/x once deadline=61m # a", column: 24},
-		{check: CheckRange, add: "model x weight=99999999999TB # a", column: 16},
-		{check: CheckRange, add: "model x weight=0B # a", column: 16},
-		{check: CheckRange, add: "account x weight=0 # a", column: 18},
-		{check: CheckRange, add: "account x priority=4 # a", column: 20},
-		{check: CheckRange, add: "retry share=50.01% # a", column: 13},
-		{check: CheckRange, add: "cost crossRegion=1000000.1 # a", column: 18},
-		{check: CheckRange, add: "limit body=65MB # a", column: 12},
-		{check: CheckRange, add: "limit answer=11m # a", column: 14},
-		{check: CheckRange, add: "endpoint x service=s address=127.0.0.1:2 domain=d warm=100001 # a", column: 56},
-		{check: CheckRange, add: "pipeline x stages=p/a,p/a,p/a,p/a,p/a,p/a,p/a,p/a,p/a # a", column: 19},
-		{check: CheckDuplicate, add: "domain d region=r # a", column: 8},
-		{check: CheckDuplicate, add: "call s/v1/do once # a", column: 6},
-		{check: CheckDuplicate, add: "out d # a\nout d # a", column: 5},
-		{check: CheckAddress, add: "endpoint x service=s address=127.0.0.1:1 domain=d # a", column: 30},
-		{check: CheckUnknownDomain, add: "out x # a", column: 5},
-		{check: CheckUnknownDomain, add: "endpoint x service=s address=127.0.0.1:2 domain=x # a", column: 49},
-		{check: CheckUnknownService, add: "call x/y once # a", column: 6},
-		{check: CheckUnknownService, add: "call p/y once # a", column: 6},
-		{check: CheckUnknownService, add: "endpoint x service=x address=127.0.0.1:2 domain=d # a", column: 20},
-		{check: CheckUnknownService, add: "pipeline x stages=p/a,x/y # a", column: 23},
-		{check: CheckUnknownModel, add: "endpoint x service=e model=x address=127.0.0.1:2 domain=d # a", column: 28},
-		{check: CheckUnknownModel, add: "pipeline x stages=e@x # a", column: 21},
-		{check: CheckUnknownCall, add: "pipeline x stages=s/v1/undo # a", column: 19},
-		{check: CheckModelMisplaced, add: "endpoint x service=s model=m address=127.0.0.1:2 domain=d # a", column: 28},
-		{check: CheckModelMisplaced, add: "pipeline x stages=e # a", column: 19},
-		{check: CheckModelMisplaced, add: "pipeline x stages=p/a@m # a", column: 19},
-		{check: CheckPathMisplaced, add: "pipeline x stages=e/v1@m # a", column: 19},
-		{check: CheckPathMisplaced, add: "pipeline x stages=p # a", column: 19},
-		{check: CheckColdSlots, add: "endpoint x service=s address=127.0.0.1:2 domain=d warm=1 cold=2 # a", column: 1},
-		{check: CheckTooMany, add: "retry share=1% # a\nretry # a", column: 1},
-		{check: CheckChoice, add: "call s/x # a", column: 10},
-		{check: CheckChoice, add: "call s/x twice # a", column: 10},
-		{check: CheckChoice, add: "call s/x once idempotent # a", column: 15},
+		{check: bbline.CheckCharacter, add: "domain x region=r # a\x01", column: 22},
+		{check: bbline.CheckCharacter, add: "domain \xff region=r # a", column: 8},
+		{check: bbline.CheckLineSize, add: "# " + strings.Repeat("x", bbline.MaxLineBytes), column: bbline.MaxLineBytes + 1},
+		{check: bbline.CheckUnknownKind, add: "domian x region=r # a", column: 1},
+		{check: bbline.CheckNoComment, add: "domain x region=r", column: 18},
+		{check: bbline.CheckNoComment, add: "domain x region=r # ", column: 19},
+		{check: bbline.CheckNoSubject, add: "domain region=r # a", column: 1},
+		{check: bbline.CheckName, add: "domain -x region=r # a", column: 8},
+		{check: bbline.CheckName, add: "domain x region=r/s # a", column: 17},
+		{check: bbline.CheckName, add: "model " + strings.Repeat("x", bbline.MaxNameBytes+1) + " weight=1B # a", column: 7},
+		{check: bbline.CheckName, add: "call s idempotent # a", column: 6},
+		{check: bbline.CheckName, add: "call s//x idempotent # a", column: 6},
+		{check: bbline.CheckExtraWord, add: "domain x region=r and # a", column: 19},
+		{check: bbline.CheckUnknownKey, add: "domain x region=r size=2 # a", column: 19},
+		{check: bbline.CheckRepeatedKey, add: "domain x region=r region=s # a", column: 19},
+		{check: bbline.CheckRepeatedKey, add: "limit body=1MB # a\nlimit body=2MB # a", column: 12},
+		{check: bbline.CheckMissingKey, add: "domain x # a", column: 1},
+		{check: bbline.CheckMissingKey, add: "limit # a", column: 1},
+		{check: bbline.CheckValue, add: "service x kind=pond # a", column: 16},
+		{check: bbline.CheckValue, add: "service x kind=pool reports=maybe # a", column: 29},
+		{check: bbline.CheckValue, add: "call s/x once deadline=2 # a", column: 24},
+		{check: bbline.CheckValue, add: "model x weight=14G # a", column: 16},
+		{check: bbline.CheckValue, add: "model x weight=-1B # a", column: 16},
+		{check: bbline.CheckValue, add: "account x weight=1.5 # a", column: 18},
+		{check: bbline.CheckValue, add: "retry share=10 # a", column: 13},
+		{check: bbline.CheckValue, add: "retry share=1.234% # a", column: 13},
+		{check: bbline.CheckValue, add: "cost crossRegion=.5 # a", column: 18},
+		{check: bbline.CheckValue, add: "endpoint x service=s address=host:1 domain=d # a", column: 30},
+		{check: bbline.CheckValue, add: "endpoint x service=s address=127.0.0.1:0 domain=d # a", column: 30},
+		{check: bbline.CheckValue, add: "pipeline x stages=p/a,,p/b # a", column: 23},
+		{check: bbline.CheckRange, add: "call s/x once deadline=0s # a", column: 24},
+		{check: bbline.CheckRange, add: "call s/x once deadline=61m # a", column: 24},
+		{check: bbline.CheckRange, add: "model x weight=99999999999TB # a", column: 16},
+		{check: bbline.CheckRange, add: "model x weight=0B # a", column: 16},
+		{check: bbline.CheckRange, add: "account x weight=0 # a", column: 18},
+		{check: bbline.CheckRange, add: "account x priority=4 # a", column: 20},
+		{check: bbline.CheckRange, add: "retry share=50.01% # a", column: 13},
+		{check: bbline.CheckRange, add: "cost crossRegion=1000000.1 # a", column: 18},
+		{check: bbline.CheckRange, add: "limit body=65MB # a", column: 12},
+		{check: bbline.CheckRange, add: "limit answer=11m # a", column: 14},
+		{check: bbline.CheckRange, add: "endpoint x service=s address=127.0.0.1:2 domain=d warm=100001 # a", column: 56},
+		{check: bbline.CheckRange, add: "pipeline x stages=p/a,p/a,p/a,p/a,p/a,p/a,p/a,p/a,p/a # a", column: 19},
+		{check: bbline.CheckDuplicate, add: "domain d region=r # a", column: 8},
+		{check: bbline.CheckDuplicate, add: "call s/v1/do once # a", column: 6},
+		{check: bbline.CheckDuplicate, add: "out d # a\nout d # a", column: 5},
+		{check: bbline.CheckAddress, add: "endpoint x service=s address=127.0.0.1:1 domain=d # a", column: 30},
+		{check: bbline.CheckUnknownDomain, add: "out x # a", column: 5},
+		{check: bbline.CheckUnknownDomain, add: "endpoint x service=s address=127.0.0.1:2 domain=x # a", column: 49},
+		{check: bbline.CheckUnknownService, add: "call x/y once # a", column: 6},
+		{check: bbline.CheckUnknownService, add: "call p/y once # a", column: 6},
+		{check: bbline.CheckUnknownService, add: "endpoint x service=x address=127.0.0.1:2 domain=d # a", column: 20},
+		{check: bbline.CheckUnknownService, add: "pipeline x stages=p/a,x/y # a", column: 23},
+		{check: bbline.CheckUnknownModel, add: "endpoint x service=e model=x address=127.0.0.1:2 domain=d # a", column: 28},
+		{check: bbline.CheckUnknownModel, add: "pipeline x stages=e@x # a", column: 21},
+		{check: bbline.CheckUnknownCall, add: "pipeline x stages=s/v1/undo # a", column: 19},
+		{check: bbline.CheckModelMisplaced, add: "endpoint x service=s model=m address=127.0.0.1:2 domain=d # a", column: 28},
+		{check: bbline.CheckModelMisplaced, add: "pipeline x stages=e # a", column: 19},
+		{check: bbline.CheckModelMisplaced, add: "pipeline x stages=p/a@m # a", column: 19},
+		{check: bbline.CheckPathMisplaced, add: "pipeline x stages=e/v1@m # a", column: 19},
+		{check: bbline.CheckPathMisplaced, add: "pipeline x stages=p # a", column: 19},
+		{check: bbline.CheckColdSlots, add: "endpoint x service=s address=127.0.0.1:2 domain=d warm=1 cold=2 # a", column: 1},
+		{check: bbline.CheckTooMany, add: "retry share=1% # a\nretry # a", column: 1},
+		{check: bbline.CheckChoice, add: "call s/x # a", column: 10},
+		{check: bbline.CheckChoice, add: "call s/x twice # a", column: 10},
+		{check: bbline.CheckChoice, add: "call s/x once idempotent # a", column: 15},
 	}
 	checkClean(t, valid)
 	seen := map[int]bool{
-		CheckTextSize:     true,
-		CheckNoDomain:     true,
-		CheckTooManyFound: true,
+		bbline.CheckTextSize:     true,
+		bbline.CheckNoDomain:     true,
+		bbline.CheckTooManyFound: true,
 	}
 	for _, c := range cases {
 		seen[c.check] = true
@@ -116,20 +118,20 @@
 		})
 	}
 	t.Run("text size", func(t *testing.T) {
-		text := valid + strings.Repeat("#\n", MaxTextBytes/2)
-		checkFinds(t, text, Finding{Line: 1, Column: 1, Check: CheckTextSize})
+		text := valid + strings.Repeat("#\n", bbline.MaxTextBytes/2)
+		checkFinds(t, text, Finding{Line: 1, Column: 1, Check: bbline.CheckTextSize})
 	})
 	t.Run("no domain", func(t *testing.T) {
-		checkFinds(t, "", Finding{Line: 1, Column: 1, Check: CheckNoDomain})
+		checkFinds(t, "", Finding{Line: 1, Column: 1, Check: bbline.CheckNoDomain})
 	})
 	t.Run("too many findings", func(t *testing.T) {
-		_, findings := Parse(strings.Repeat("x\n", maxFindings+7))
+		_, findings := Parse(strings.Repeat("x\n", bbline.MaxFindings+7))
 		last := findings[len(findings)-1]
-		if len(findings) != maxFindings+1 || last.Check != CheckTooManyFound {
+		if len(findings) != bbline.MaxFindings+1 || last.Check != bbline.CheckTooManyFound {
 			t.Errorf("%d findings, the last is %v", len(findings), last)
 		}
 	})
-	for i, c := range Checks {
+	for i, c := range bbline.Checks {
 		if c.Number != i+1 || !seen[c.Number] {
 			t.Errorf("check %d is out of order or has no case", c.Number)
 		}
@@ -210,10 +212,10 @@
 }
 
 func TestKindExamples(t *testing.T) {
-	for _, k := range Kinds {
+	for _, k := range bbline.Kinds {
 		_, findings := Parse(k.Example)
 		findings = slices.DeleteFunc(findings, func(f Finding) bool {
-			return f.Check >= CheckUnknownDomain && f.Check <= CheckUnknownCall || f.Check == CheckNoDomain
+			return f.Check >= bbline.CheckUnknownDomain && f.Check <= bbline.CheckUnknownCall || f.Check == bbline.CheckNoDomain
 		})
 		if len(findings) > 0 {
 			t.Errorf("%s: %v", k.Example, findings)
--- a/core/bbrule/pipeline.go
+++ b/core/bbrule/pipeline.go
@@ -1,60 +1,64 @@
 package bbrule
 
-import "strings"
+import (
+	"strings"
+
+	"bluebellhall/core/bbline"
+)
 
 // stagePlace is where a stage stands in the text.
 type stagePlace struct {
 	line  int
-	word  word
+	word  bbline.Word
 	stage Stage
 }
 
-func (p *parser) takePipeline(l *line) {
+func (p *parser) takePipeline(l *bbline.Line) {
 	stages, places := p.stages(l)
 	p.set.Pipelines = append(p.set.Pipelines, Pipeline{
 		Name:     p.declareName(l),
 		Stages:   stages,
-		Deadline: p.duration(l, "deadline", minDeadline, maxDeadline),
-		AskedBy:  l.askedBy,
+		Deadline: p.Duration(l, "deadline", minDeadline, maxDeadline),
+		AskedBy:  l.AskedBy,
 	})
 	for _, s := range places {
-		p.refer(l, word{column: s.word.column, text: s.stage.Service}, "service", CheckUnknownService)
+		p.refer(l, bbline.Word{Column: s.word.Column, Text: s.stage.Service}, "service", bbline.CheckUnknownService)
 		if s.stage.Model != "" {
-			column := s.word.column + strings.LastIndex(s.word.text, "@") + 1
-			p.refer(l, word{column: column, text: s.stage.Model}, "model", CheckUnknownModel)
+			column := s.word.Column + strings.LastIndex(s.word.Text, "@") + 1
+			p.refer(l, bbline.Word{Column: column, Text: s.stage.Model}, "model", bbline.CheckUnknownModel)
 		}
 	}
 }
 
 // stages reads the list of stages. Stages that can't be read are left out of the places.
-func (p *parser) stages(l *line) ([]Stage, []stagePlace) {
-	list, given := l.given("stages")
+func (p *parser) stages(l *bbline.Line) ([]Stage, []stagePlace) {
+	list, given := l.Given("stages")
 	if !given {
 		return nil, nil
 	}
 	var stages []Stage
 	var places []stagePlace
-	column := list.column
-	for text := range strings.SplitSeq(list.text, ",") {
-		w := word{
-			column: column,
-			text:   text,
+	column := list.Column
+	for text := range strings.SplitSeq(list.Text, ",") {
+		w := bbline.Word{
+			Column: column,
+			Text:   text,
 		}
 		column += len(text) + 1
 		stage, ok := parseStage(text)
 		if !ok {
-			p.find(l.number, w.column, CheckValue, "stage %q is not service[/path][@model]", text)
+			p.Find(l.Number, w.Column, bbline.CheckValue, "stage %q is not service[/path][@model]", text)
 			continue
 		}
 		stages = append(stages, stage)
 		places = append(places, stagePlace{
-			line:  l.number,
+			line:  l.Number,
 			word:  w,
 			stage: stage,
 		})
 	}
 	if len(stages) > maxStages {
-		p.find(l.number, list.column, CheckRange, "a pipeline has %d stages, more than %d", len(stages), maxStages)
+		p.Find(l.Number, list.Column, bbline.CheckRange, "a pipeline has %d stages, more than %d", len(stages), maxStages)
 	}
 	p.places = append(p.places, places...)
 	return stages, places
@@ -64,7 +68,7 @@
 func parseStage(text string) (Stage, bool) {
 	target, model, hasModel := strings.Cut(text, "@")
 	service, path, hasPath := strings.Cut(target, "/")
-	ok := isName(service) && (!hasPath || isPath(path)) && (!hasModel || isName(model))
+	ok := bbline.IsName(service) && (!hasPath || bbline.IsPath(path)) && (!hasModel || bbline.IsName(model))
 	return Stage{
 		Service: service,
 		Model:   model,
@@ -88,25 +92,25 @@
 func (p *parser) checkStage(place stagePlace, kind ServiceKind) {
 	stage := place.stage
 	report := func(check int, format string, arguments ...any) {
-		p.find(place.line, place.word.column, check, format, arguments...)
+		p.Find(place.line, place.word.Column, check, format, arguments...)
 	}
 	if kind == KindEngine && stage.Model == "" {
-		report(CheckModelMisplaced, "stage %s of an engine needs @model", place.word.text)
+		report(bbline.CheckModelMisplaced, "stage %s of an engine needs @model", place.word.Text)
 	}
 	if kind != KindEngine && stage.Model != "" {
-		report(CheckModelMisplaced, "stage %s is no engine and has no model", place.word.text)
+		report(bbline.CheckModelMisplaced, "stage %s is no engine and has no model", place.word.Text)
 	}
 	if kind == KindEngine && stage.Path != "" {
-		report(CheckPathMisplaced, "stage %s is an engine and has no path", place.word.text)
+		report(bbline.CheckPathMisplaced, "stage %s is an engine and has no path", place.word.Text)
 	}
 	if kind == KindPool && stage.Path == "" {
-		report(CheckPathMisplaced, "stage %s of a pool needs /path", place.word.text)
+		report(bbline.CheckPathMisplaced, "stage %s of a pool needs /path", place.word.Text)
 	}
 	call := subject{
 		kind: "call",
 		name: stage.Service + "/" + stage.Path,
 	}
 	if _, ok := p.declared[call]; kind == KindPlain && !ok {
-		report(CheckUnknownCall, "call %s is not declared", call.name)
+		report(bbline.CheckUnknownCall, "call %s is not declared", call.name)
 	}
 }
--- a/core/bbrule/property_test.go
+++ b/core/bbrule/property_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"bluebellhall/core/bbline"
 )
 
 // seed is the default of -rapid.seed, so that every run draws the same sets.
@@ -39,7 +41,7 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add(valid)
-	for _, k := range Kinds {
+	for _, k := range bbline.Kinds {
 		f.Add(valid + k.Example)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
@@ -107,8 +109,8 @@
 		set.Accounts = append(set.Accounts, Account{Name: fmt.Sprintf("a%d", i), Weight: rapid.IntRange(1, maxWeight).Draw(t, "weight"), Priority: rapid.IntRange(0, maxPriority).Draw(t, "priority"), AskedBy: ask()})
 	}
 	set.Limits = Limits{
-		RetryShare:      float64(rapid.Int64Range(0, maxRetryUnits).Draw(t, "share")) / shareUnits,
-		CrossRegionCost: float64(rapid.Int64Range(0, maxCostUnits).Draw(t, "cost")) / costUnits,
+		RetryShare:      float64(rapid.Int64Range(0, maxRetryUnits).Draw(t, "share")) / bbline.ShareUnits,
+		CrossRegionCost: float64(rapid.Int64Range(0, maxCostUnits).Draw(t, "cost")) / bbline.CostUnits,
 		WeightStoreRate: size(maxBytes),
 		AnswerTTL:       time.Duration(rapid.Int64Range(int64(minAnswer), int64(maxAnswer)).Draw(t, "answer")),
 		BodyBytes:       size(maxBodyBytes),
--- a/core/bbrule/resolve.go
+++ b/core/bbrule/resolve.go
@@ -1,21 +1,25 @@
 package bbrule
 
-import "strings"
+import (
+	"strings"
+
+	"bluebellhall/core/bbline"
+)
 
 // resolve reports references to what isn't declared and takes domains out.
 func (p *parser) resolve() {
 	for _, r := range p.references {
 		if _, ok := p.declared[r.wanted]; !ok {
-			p.find(r.line, r.word.column, r.check, "%s %q is not declared", r.wanted.kind, r.wanted.name)
+			p.Find(r.line, r.word.Column, r.check, "%s %q is not declared", r.wanted.kind, r.wanted.name)
 		}
 	}
 	if len(p.set.Domains) == 0 {
-		p.find(1, 1, CheckNoDomain, "no failure domain is declared")
+		p.Find(1, 1, bbline.CheckNoDomain, "no failure domain is declared")
 	}
 }
 
 // checkUse reports rules that don't fit the kind of service that they name.
-func (p *parser) checkUse(lines []line) {
+func (p *parser) checkUse(lines []bbline.Line) {
 	kinds := map[string]ServiceKind{}
 	for _, s := range p.set.Services {
 		kinds[s.Name] = s.Kind
@@ -31,26 +35,26 @@
 }
 
 // checkLineUse takes domains out and checks calls and endpoints against their service.
-func (p *parser) checkLineUse(l *line, kinds map[string]ServiceKind) {
-	switch l.kind.Name {
+func (p *parser) checkLineUse(l *bbline.Line, kinds map[string]ServiceKind) {
+	switch l.Kind.Name {
 	case "out":
 		for i := range p.set.Domains {
-			if d := &p.set.Domains[i]; d.Name == l.subject.text {
+			if d := &p.set.Domains[i]; d.Name == l.Subject.Text {
 				d.Out = true
-				d.OutAskedBy = l.askedBy
+				d.OutAskedBy = l.AskedBy
 			}
 		}
 	case "call":
-		service, _, _ := strings.Cut(l.subject.text, "/")
+		service, _, _ := strings.Cut(l.Subject.Text, "/")
 		if kind, ok := kinds[service]; ok && kind != KindPlain {
-			p.find(l.number, l.subject.column, CheckUnknownService, "service %s is no plain service and has no calls", service)
+			p.Find(l.Number, l.Subject.Column, bbline.CheckUnknownService, "service %s is no plain service and has no calls", service)
 		}
 	case "endpoint":
-		model, given := l.given("model")
-		service, _ := l.given("service")
-		kind, ok := kinds[service.text]
+		model, given := l.Given("model")
+		service, _ := l.Given("service")
+		kind, ok := kinds[service.Text]
 		if given && ok && kind != KindEngine {
-			p.find(l.number, model.column, CheckModelMisplaced, "service %s is no engine and has no model", service.text)
+			p.Find(l.Number, model.Column, bbline.CheckModelMisplaced, "service %s is no engine and has no model", service.Text)
 		}
 	}
 }
