Owner: an attempt is refused by its own turn in the fair queue

Cause: an owner refused what would end too late by the whole backlog of the endpoint, so a large account's backlog refused requests of small ones that the fair queue would have served first. Now the wait is counted by the turn that the attempt would get.

Proved by leaving out the new wait, and the order of equal turns: a test fails.

--- a/core/bbbacklog/backlog.go
+++ b/core/bbbacklog/backlog.go
@@ -96,14 +96,7 @@
 		b.Alone = append(b.Alone, w)
 		return nil, true
 	}
-	items, ok := b.queue.Push(now, bbfair.Item{
-		Key:      w.Number,
-		Account:  w.Dispatch.Account,
-		Priority: w.Dispatch.Priority,
-		Weight:   w.Dispatch.Weight,
-		Cost:     unitCost,
-		Deadline: sendBy,
-	})
+	items, ok := b.queue.Push(now, itemOf(w, sendBy))
 	if ok {
 		b.queued[w.Number] = w
 	}
@@ -181,6 +174,24 @@
 	return max(b.Waiting()+len(b.Running)+1-limit, 0)
 }
 
+// AheadOf is like Ahead for a given attempt, by its turn in the fair queue.
+func (b *Backlog) AheadOf(w *Work, limit int) int {
+	before := b.queue.Before(itemOf(w, 0)) + len(b.Alone)
+	return max(before+len(b.Running)+1-limit, 0)
+}
+
+// itemOf returns an attempt that must be sent by a time as an item of the fair queue.
+func itemOf(w *Work, sendBy time.Duration) bbfair.Item {
+	return bbfair.Item{
+		Key:      w.Number,
+		Account:  w.Dispatch.Account,
+		Priority: w.Dispatch.Priority,
+		Weight:   w.Dispatch.Weight,
+		Cost:     unitCost,
+		Deadline: sendBy,
+	}
+}
+
 // Start notes that an attempt is sent.
 func (b *Backlog) Start(now time.Duration, w *Work) {
 	w.State = Running
--- /dev/null
+++ b/core/bbfair/before.go
@@ -0,0 +1,45 @@
+package bbfair
+
+import "math"
+
+// Before returns how many of the items held would be served before a new item: those
+// of higher levels, and those of its own level whose turn comes first. Items that come
+// later and the guard of lower levels are left out.
+func (q *Queue) Before(item Item) int {
+	item = clamped(item)
+	count := 0
+	for i := range item.Priority {
+		count += q.levels[i].count
+	}
+	l := &q.levels[item.Priority]
+	own, known := q.flows[flowKey{
+		account:  item.Account,
+		priority: item.Priority,
+	}]
+	start := l.clock
+	if known {
+		start = max(start, own.start+float64(own.count)*item.Cost/float64(own.weight))
+	}
+	for _, f := range l.flows {
+		if f == own {
+			count += f.count
+			continue
+		}
+		count += f.before(start, item)
+	}
+	return count
+}
+
+// before returns how many items of a flow come before an item of another account with
+// a start tag, as if all had its cost.
+func (f *flow) before(start float64, item Item) int {
+	turns := (start - f.start) * float64(f.weight) / item.Cost
+	if turns < 0 {
+		return 0
+	}
+	first := math.Ceil(turns)
+	if first == turns && f.key.account < item.Account {
+		first++
+	}
+	return min(int(first), f.count)
+}
--- a/core/bbowner/offer.go
+++ b/core/bbowner/offer.go
@@ -83,7 +83,7 @@
 	if e.Cold() && e.QueueFull(limit) {
 		return bbmsg.ReasonColdWait, max(e.wait(limit), coldRetry)
 	}
-	if wait := e.wait(limit); now+wait+e.ServiceTime > w.Deadline {
+	if wait := e.waitOf(w, limit); now+wait+e.ServiceTime > w.Deadline {
 		return bbmsg.ReasonOverload, wait
 	}
 	return bbmsg.ReasonNone, 0
--- a/core/bbowner/table.go
+++ b/core/bbowner/table.go
@@ -407,6 +407,12 @@
 	return e.ServiceTime * time.Duration(e.Ahead(limit)) / time.Duration(max(limit, 1))
 }
 
+// waitOf returns the expected wait of a given attempt. The backlog of other accounts
+// counts only as far as the fair queue serves it first.
+func (e *Endpoint) waitOf(w *bbbacklog.Work, limit int) time.Duration {
+	return e.ServiceTime * time.Duration(e.AheadOf(w, limit)) / time.Duration(max(limit, 1))
+}
+
 // event adds an event to the outputs.
 func (t *Table) event(e *Endpoint, number bbevent.Number, w *bbbacklog.Work, detail string) {
 	event := &bbevent.Event{
--- a/core/bbowner/table_test.go
+++ b/core/bbowner/table_test.go
@@ -395,6 +395,21 @@
 		r.settle()
 		r.wantEnds("done ", "refused overload")
 	})
+	t.Run("the backlog of one account refuses none of another", func(t *testing.T) {
+		r := warmRig(t)
+		r.offer("engine", 1)
+		r.advance(time.Second)
+		r.news(1, bbmsg.NewsDone)
+		r.offer("engine", 8)
+		for _, account := range []string{"account", "small"} {
+			d := r.dispatch("engine")
+			d.Account = account
+			d.BudgetMillis = 2200
+			r.table.Offer(r.now, d, "home")
+		}
+		r.settle()
+		r.wantEnds("done ", "refused overload")
+	})
 }
 
 func TestOwnership(t *testing.T) {
