--- a/core/bbflow/result.go
+++ b/core/bbflow/result.go
@@ -62,9 +62,6 @@
 		r.Stream = a.Number
 		t.closeOthers(now, r, a.Number)
 	}
-	if r.Stream != a.Number {
-		return
-	}
 	if !r.last() {
 		r.Tokens = appendFresh(r.Tokens, m.Offset, m.Tokens)
 		return
--- a/core/bbflow/tick.go
+++ b/core/bbflow/tick.go
@@ -109,7 +109,7 @@
 
 // hedge starts a second attempt beside one that is slow with its first news.
 func (t *Table) hedge(now time.Duration, r *Run) {
-	if r.step().Once || r.Alone || r.Stream != 0 || r.open() != 1 {
+	if r.Stream != 0 || r.open() != 1 {
 		return
 	}
 	for _, a := range r.Attempts {
