Answers that are lost after the run, as a fault and as a failure over sockets

Cause: a flow that retries calls which may not be repeated passed the failures over sockets, because no fault let a call run and lose its answer.

--- a/bluebellbench/bbcluster/cluster_test.go
+++ b/bluebellbench/bbcluster/cluster_test.go
@@ -36,6 +36,8 @@
 	{name: "endpoints turn cold without a sign", cause: coldEndpoints},
 	{name: "an endpoint crashes", cause: crashEndpoint},
 	{name: "a failure domain goes out and comes back", cause: domainOut, mend: domainBack},
+	{name: "answers of plain services are lost after the run", cause: func(_ *testing.T, c *Cluster) { loseAnswers(c, 0.5) },
+		mend: func(_ *testing.T, c *Cluster) { loseAnswers(c, 0) }},
 	{name: "a node dies while another is cut off", cause: func(t *testing.T, c *Cluster) { cutOff(t, c); killNode(t, c) },
 		mend: func(t *testing.T, c *Cluster) { restartNode(t, c); mendCut(t, c) }},
 	{name: "everything turns cold while the platform is down", cause: func(t *testing.T, c *Cluster) { platformDown(t, c); coldEndpoints(t, c) },
@@ -85,6 +87,13 @@
 func domainOut(_ *testing.T, c *Cluster)  { c.Fleet.SetOut("khovd", true) }
 func domainBack(_ *testing.T, c *Cluster) { c.Fleet.SetOut("khovd", false) }
 
+// loseAnswers makes a share of the calls of plain services run without an answer.
+func loseAnswers(c *Cluster, share float64) {
+	for _, p := range c.Fleet.Pools {
+		p.Apply(bbendpoint.Faults{LoseShare: &share})
+	}
+}
+
 // startCluster runs the Khangai example.
 func startCluster(t *testing.T) *Cluster {
 	t.Helper()
--- a/bluebellfake/bbendpoint/endpoint.go
+++ b/bluebellfake/bbendpoint/endpoint.go
@@ -27,9 +27,10 @@
 	random   func() float64
 
 	mu sync.Mutex
-	// slow, failShare and killOn are the faults in force.
+	// slow, failShare, loseShare and killOn are the faults in force.
 	slow      float64
 	failShare float64
+	loseShare float64
 	killOn    string
 	// pausedUntil is the end of the last pause.
 	pausedUntil time.Time
@@ -134,6 +135,9 @@
 	if f.FailShare != nil {
 		e.failShare = *f.FailShare
 	}
+	if f.LoseShare != nil {
+		e.loseShare = *f.LoseShare
+	}
 	if f.KillOn != nil {
 		e.killOn = *f.KillOn
 	}
--- a/bluebellfake/bbendpoint/settings.go
+++ b/bluebellfake/bbendpoint/settings.go
@@ -93,6 +93,9 @@
 	SlowFactor *float64 `json:"slowFactor,omitempty"`
 	// FailShare is the part of the taken requests that end with status 500, from 0 to 1.
 	FailShare *float64 `json:"failShare,omitempty"`
+	// LoseShare is the part of the requests that run to their end and whose connection
+	// is reset before the answer, from 0 to 1.
+	LoseShare *float64 `json:"loseShare,omitempty"`
 	// KillOn crashes the endpoint when a body holds it; empty ends that.
 	KillOn *string `json:"killOn,omitempty"`
 	// Silent makes the connections of now go silent for good.
--- a/bluebellfake/bbendpoint/work.go
+++ b/bluebellfake/bbendpoint/work.go
@@ -86,7 +86,7 @@
 		return
 	}
 	done = k.Run(counter, r, j)
-	if e.over(j) {
+	if e.over(j) || e.loses() {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -187,6 +187,13 @@
 	http.Error(w, "not taken: "+http.StatusText(status), status)
 }
 
+// loses draws whether the answer to a request that ran is lost with its connection.
+func (e *Endpoint) loses() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.loseShare > 0 && e.random() < e.loseShare
+}
+
 // fails draws whether a request fails.
 func (e *Endpoint) fails() bool {
 	e.mu.Lock()
--- a/core/bbflow/flow_test.go
+++ b/core/bbflow/flow_test.go
@@ -124,7 +124,7 @@
 			return Choice{Endpoint: name, Owner: fmt.Sprintf("o%d", i), OwnerIncarnation: 1}, true
 		}
 	}
-	return Choice{}, false
+	return Choice{Reason: bbmsg.ReasonNoEndpoint}, false
 }
 
 func (r *rig) peer(_ time.Duration, name string) PeerState {
