Specifications of home, owner and configuration, each guard with its mutant

spec/check searches the three models to the end and then 38 models with one guard left out or at a limit, in each of which it must find a violation.

--- a/spec/owner.pml
+++ b/spec/owner.pml
@@ -49,6 +49,11 @@
 #ifndef FORMER
 #define FORMER 0        /* 0: former groups aren't asked, 1: by who confirms, 2: by the owner */
 #endif
+#ifdef NO_SENDTIME
+#define LATEST (L + 1)
+#else
+#define LATEST 0        /* an answer later than L counts no more */
+#endif
 #ifndef KEEP
 #define KEEP 255        /* a node that never restarts; 255: none */
 #endif
@@ -109,7 +114,7 @@
 byte stray;             /* sends of A that came too late */
 #endif
 #ifdef LATE
-byte lateAge;           /* 0: no answer of X to A under way, else its age plus one */
+byte lateAge;         /* 0: no answer of X to A under way, else its age plus one */
 #endif
 #if GAP > 0
 byte since;             /* ticks since A could last give work */
@@ -126,7 +131,11 @@
 #define ONE(t,n,q,g) (IN(q,g) && ((q) == (n) || t[(n)*N+(q)] > 0))
 #define COUNT(t,n,g) (ONE(t,n,0,g) + ONE(t,n,1,g) + ONE(t,n,2,g) + ONE(t,n,3,g) + ONE(t,n,4,g))
 #endif
+#ifdef NO_MAJORITY      /* one confirmation is enough */
+#define MAJORITY(t,n,g) (1)
+#else
 #define MAJORITY(t,n,g) (2*COUNT(t,n,g) > SIZE(g))
+#endif
 
 /* A node that knows the former group confirms nobody in the new revision before it
  * counts on a majority of the former group being at the new revision. */
@@ -135,7 +144,12 @@
 #else
 #define FENCED(n)   (1)
 #endif
-#ifdef HEAR
+#ifdef NO_HEARFENCED    /* answers of nodes that wait for a former group count as heard */
+#define HEARABLE(n) (1)
+#else
+#define HEARABLE(n) FENCED(n)
+#endif
+#ifdef HEAR             /* a node that started is not ready before it has heard enough */
 #define TOLD(n)     (!fresh[n])
 #else
 #define TOLD(n)     (1)
@@ -148,7 +162,13 @@
 #else
 #define ASKED(n)    (1)
 #endif
-#define HOLDS(n)    (OWNS(n) && READY(n) && MAJORITY(conf,n,GROUP(n)) && ASKED(n))
+#ifdef NO_CLEAR         /* nodes collect confirmations before they own anything */
+#define COLLECTS(n) (1)
+#else
+#define COLLECTS(n) OWNS(n)
+#endif
+#define COVERED(n)  (READY(n) && MAJORITY(conf,n,GROUP(n)) && ASKED(n))
+#define HOLDS(n)    (OWNS(n) && COVERED(n))
 #define MAY(n)      (HOLDS(n) && held[(n)/B] >= G)
 
 inline clear(n) {
@@ -169,10 +189,18 @@
 
 inline adopt(n) {
 	rev[n] = 2;
+#ifndef NO_CLEAR        /* confirmations of the former revision still count */
 	clear(n)
+#endif
 }
 
 inline restart(n, r) {
+#ifdef LATE
+	if :: n == A -> lateAge = 0 :: else fi;
+#endif
+#ifdef HAND
+	if :: n == A -> hand = 0 :: else fi;
+#endif
 	rev[n] = r;
 	mem[n] = (r == 1);
 	fresh[n] = 1;
@@ -184,7 +212,7 @@
 	if
 	:: fresh[o] && quiet[o] == 0 && IN(p, GROUP(o)) && IN(o, GROUP(o)) ->
 		if
-		:: FENCED(p) -> heard[o] = heard[o] | (1 << p)
+		:: HEARABLE(p) -> heard[o] = heard[o] | (1 << p)
 		:: else
 		fi;
 		if
@@ -201,11 +229,13 @@
 }
 
 inline probe(o, p) {
+#ifndef NO_REVISION     /* answers count whatever revision they name */
 	if
 	:: rev[o] > rev[p] -> adopt(p)
 	:: rev[p] > rev[o] -> adopt(o)
 	:: else
 	fi;
+#endif
 #ifdef HEAR
 	hear(o, p);
 #endif
@@ -216,12 +246,22 @@
 	fi;
 #endif
 	if
-	:: OWNS(o) && (IN(p, GROUP(o)) || (FORMER == 2 && mem[o] && IN(p, G1))) && READY(p) -> conf[o*N+p] = L
+	:: COLLECTS(o) && (IN(p, GROUP(o)) || (FORMER == 2 && mem[o] && IN(p, G1))) && READY(p) -> conf[o*N+p] = L
 	:: else
 	fi
 }
 
 inline tick() {
+#ifdef LATE
+	if
+	:: lateAge > 0 -> lateAge++;
+		if
+		:: lateAge > L -> lateAge = LATEST
+		:: else
+		fi
+	:: else
+	fi;
+#endif
 #if GAP > 0
 	if
 	:: MAY(A) -> since = 0
@@ -229,11 +269,11 @@
 	fi;
 #endif
 	if
-	:: HOLDS(A) -> if :: held[0] < G -> held[0]++ :: else fi
+	:: COLLECTS(A) && COVERED(A) -> if :: held[0] < G -> held[0]++ :: else fi
 	:: else -> held[0] = 0
 	fi;
 	if
-	:: HOLDS(B) -> if :: held[1] < G -> held[1]++ :: else fi
+	:: COLLECTS(B) && COVERED(B) -> if :: held[1] < G -> held[1]++ :: else fi
 	:: else -> held[1] = 0
 	fi;
 	i = 0;
@@ -263,6 +303,34 @@
 	:: d_step { LIVE(n) && (n) != KEEP && restarts < RESTARTS -> printf("%d restarts with list 2\n", n); restart(n, 2); spend(); assert(SAFE) }
 #define NODE(n) ADOPT(n) RESTART(n)
 
+#ifdef NO_LOOK          /* after a pause A goes on without looking again */
+#define AFTERSEND
+#else
+#define AFTERSEND hand = 0;
+#endif
+#ifdef HAND             /* A looks; it may be paused for any time before it sends */
+#define PAUSED \
+	:: d_step { MAY(A) && !hand -> printf("0 looks\n"); hand = 1 } \
+	:: d_step { hand -> printf("0 sends\n"); AFTERSEND \
+		if :: MAY(B) -> stray++ :: else fi; assert(SAFE && stray <= 1) }
+#else
+#define PAUSED
+#endif
+
+#ifdef NO_SENDTIME      /* a late answer counts from its arrival */
+#define LEFT L
+#else
+#define LEFT (L + 1 - lateAge)
+#endif
+#ifdef LATE             /* X answers a probe of A, the answer arrives later */
+#define DELAYED \
+	:: d_step { lateAge == 0 && rev[A] == 1 && rev[X] == 1 && READY(X) -> printf("1 answers 0\n"); lateAge = 1 } \
+	:: d_step { lateAge > 0 -> printf("0 gets the answer of 1\n"); \
+		if :: rev[A] == 1 && LEFT > conf[A*N+X] -> conf[A*N+X] = LEFT :: else fi; lateAge = 0; assert(SAFE) }
+#else
+#define DELAYED
+#endif
+
 inline spend() {
 	if
 	:: RESTARTS < 255 -> restarts++
@@ -307,6 +375,8 @@
 	PROBE(Z, A) PROBE(Z, X) PROBE(Z, Y) PROBE(Z, B)
 	NODE(Z)
 #endif
+	PAUSED
+	DELAYED
 	:: d_step { printf("tick\n"); tick(); assert(SAFE) }
 	od
 }
