Members: whoever confirms asks the former groups; a quiet time after a start

Cause: the model checker (docs/notes/confirmation.md) broke the rule by which only the owner asks the former groups that it remembers: with two of three entry VMs replaced, a new owner and its new confirmer remember none. It also broke readiness without a quiet time, and "all others have answered" when one of them itself waits for its former group.

Now a node says ready only while enough members of each former group are known to have its list (each for ConfirmTime from the sending of its probe), it says when it is asking, and after its start it confirms nobody for the quiet time. Of a former group half, rounded up, is asked for: for odd sizes that is the majority of the note, for a pair it is one, since any majority of a pair needs both. A former group is not asked when all majorities meet. Members that are not listed count as stopped after FormerTime; those that are listed never.

--- a/core/bbmember/layout.go
+++ b/core/bbgroup/layout.go
@@ -1,4 +1,7 @@
-package bbmember
+// Package bbgroup divides the entry VMs of a member list into groups and names the owner
+// of each endpoint. Both are pure functions of the list, so nodes that hold the same
+// revision agree.
+package bbgroup
 
 import (
 	"cmp"
@@ -10,10 +13,10 @@
 )
 
 const (
-	// maxGroupMembers bounds the group of an entry VM, itself included.
-	maxGroupMembers = 9
-	// meanGroupMembers is the mean size aimed at when a region has several groups.
-	meanGroupMembers = 6
+	// MaxMembers bounds the group of an entry VM, itself included.
+	MaxMembers = 9
+	// meanMembers is the mean size aimed at when a region has several groups.
+	meanMembers = 6
 )
 
 // Group is a set of entry VMs of one region that confirm each other's list.
@@ -26,61 +29,58 @@
 	Members []string
 }
 
-// entry is an entry VM as the layout sees it.
-type entry struct {
-	member bbmsg.Member
+// Entry is an entry VM as the layout sees it.
+type Entry struct {
+	Member bbmsg.Member
 	// hash is the hash of the name, for rendezvous hashing.
 	hash uint64
 }
 
-// groupRow is a group with what the choice of an owner needs.
-type groupRow struct {
+// Row is a group with what the choice of an owner needs.
+type Row struct {
 	Group
 	// hash is the hash of region and bucket.
 	hash uint64
 	// active holds the members that are not leaving, sorted by name.
-	active []entry
+	active []Entry
 }
 
-// layout is what one member list says of groups and owners. It is a pure function
-// of the list, so nodes that hold the same revision agree.
-type layout struct {
-	revision int64
-	// entries holds all entry VMs by name.
-	entries map[string]entry
-	// names is sorted and has the names in entries.
-	names []string
-	// groups is sorted by region and bucket; no group is empty.
-	groups []groupRow
-	// groupOf maps the name of an entry VM to its index in groups.
-	groupOf map[string]int
+// Layout is what one member list says of groups and owners. It is never changed.
+type Layout struct {
+	// Revision is that of the list.
+	Revision int64
+	// Entries holds all entry VMs by name.
+	Entries map[string]Entry
+	// Groups is sorted by region and bucket; no group is empty.
+	Groups []Row
+	// GroupOf maps the name of an entry VM to its index in Groups.
+	GroupOf map[string]int
 	// regionOf maps a failure domain to its region, and domainOf an endpoint to its
 	// failure domain.
 	regionOf map[string]string
 	domainOf map[string]string
 }
 
-func newLayout(list bbmsg.MemberList) *layout {
-	l := &layout{
-		revision: list.Revision,
-		entries:  map[string]entry{},
-		groupOf:  map[string]int{},
+// New returns the layout of a list.
+func New(list bbmsg.MemberList) *Layout {
+	l := &Layout{
+		Revision: list.Revision,
+		Entries:  map[string]Entry{},
+		GroupOf:  map[string]int{},
 		regionOf: map[string]string{},
 		domainOf: map[string]string{},
 	}
-	regions := map[string][]entry{}
+	regions := map[string][]Entry{}
 	for _, m := range list.Members {
 		l.regionOf[m.Domain] = m.Region
 		if m.Role != bbmsg.RoleEntry {
 			l.domainOf[m.Name] = m.Domain
 			continue
 		}
-		e := entry{member: m, hash: bbhash.Name(m.Name)}
-		l.entries[m.Name] = e
-		l.names = append(l.names, m.Name)
+		e := Entry{Member: m, hash: bbhash.Name(m.Name)}
+		l.Entries[m.Name] = e
 		regions[m.Region] = append(regions[m.Region], e)
 	}
-	slices.Sort(l.names)
 	names := make([]string, 0, len(regions))
 	for name := range regions {
 		names = append(names, name)
@@ -94,23 +94,23 @@
 
 // addRegion splits the entry VMs of a region into groups. A VM takes the bucket that
 // ranks highest for it and has room, so that a change of one VM moves few others.
-func (l *layout) addRegion(region string, entries []entry) {
+func (l *Layout) addRegion(region string, entries []Entry) {
 	buckets := bucketCount(len(entries))
 	room := (len(entries)+buckets-1)/buckets + 2
-	room = min(room, maxGroupMembers)
-	rows := make([]groupRow, buckets)
+	room = min(room, MaxMembers)
+	rows := make([]Row, buckets)
 	for i := range rows {
 		rows[i].Region = region
 		rows[i].Bucket = i
 		rows[i].hash = bbhash.Score(bbhash.Name(region), uint64(i))
 	}
-	slices.SortFunc(entries, func(a, b entry) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.member.Name, b.member.Name))
+	slices.SortFunc(entries, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.Member.Name, b.Member.Name))
 	})
 	for _, e := range entries {
 		best := bestBucket(rows, e, room)
-		rows[best].Members = append(rows[best].Members, e.member.Name)
-		if !e.member.Leaving {
+		rows[best].Members = append(rows[best].Members, e.Member.Name)
+		if !e.Member.Leaving {
 			rows[best].active = append(rows[best].active, e)
 		}
 	}
@@ -119,27 +119,27 @@
 			continue
 		}
 		slices.Sort(r.Members)
-		slices.SortFunc(r.active, func(a, b entry) int {
-			return cmp.Compare(a.member.Name, b.member.Name)
+		slices.SortFunc(r.active, func(a, b Entry) int {
+			return cmp.Compare(a.Member.Name, b.Member.Name)
 		})
 		for _, name := range r.Members {
-			l.groupOf[name] = len(l.groups)
+			l.GroupOf[name] = len(l.Groups)
 		}
-		l.groups = append(l.groups, r)
+		l.Groups = append(l.Groups, r)
 	}
 }
 
 // bucketCount returns the number of groups for a region of the given size. It is a
 // power of two, so that it changes seldom as a region grows.
 func bucketCount(members int) int {
-	if members <= maxGroupMembers {
+	if members <= MaxMembers {
 		return 1
 	}
-	wanted := (members + meanGroupMembers - 1) / meanGroupMembers
+	wanted := (members + meanMembers - 1) / meanMembers
 	return 1 << bits.Len(uint(wanted-1))
 }
 
-func bestBucket(rows []groupRow, e entry, room int) int {
+func bestBucket(rows []Row, e Entry, room int) int {
 	best := -1
 	var score uint64
 	for i := range rows {
@@ -158,13 +158,13 @@
 // groupFor returns the index of the group that is responsible for an endpoint, or -1
 // when the list has no active entry VM. It prefers groups with an active member in the
 // endpoint's failure domain, then groups of its region.
-func (l *layout) groupFor(endpoint uint64, domain string) int {
+func (l *Layout) groupFor(endpoint uint64, domain string) int {
 	region, known := l.regionOf[domain]
 	best := -1
 	bestRank := 0
 	var bestScore uint64
-	for i := range l.groups {
-		g := &l.groups[i]
+	for i := range l.Groups {
+		g := &l.Groups[i]
 		if len(g.active) == 0 {
 			continue
 		}
@@ -185,19 +185,19 @@
 	return best
 }
 
-func hasDomain(entries []entry, domain string) bool {
+func hasDomain(entries []Entry, domain string) bool {
 	for i := range entries {
-		if entries[i].member.Domain == domain {
+		if entries[i].Member.Domain == domain {
 			return true
 		}
 	}
 	return false
 }
 
-// owner returns the owner of an endpoint and the index of its group, or "" and -1. The
+// Owner returns the owner of an endpoint and the index of its group, or "" and -1. The
 // domain that the list names goes before the one given: nodes with one list and
 // different rules must agree.
-func (l *layout) owner(endpoint, domain string) (string, int) {
+func (l *Layout) Owner(endpoint, domain string) (string, int) {
 	if listed, ok := l.domainOf[endpoint]; ok {
 		domain = listed
 	}
@@ -206,19 +206,44 @@
 	if group < 0 {
 		return "", -1
 	}
-	active := l.groups[group].active
+	active := l.Groups[group].active
 	local := hasDomain(active, domain)
 	best := ""
 	var bestScore uint64
 	for i := range active {
-		if local && active[i].member.Domain != domain {
+		if local && active[i].Member.Domain != domain {
 			continue
 		}
 		score := bbhash.Score(active[i].hash, hash)
 		if best == "" || score > bestScore {
-			best = active[i].member.Name
+			best = active[i].Member.Name
 			bestScore = score
 		}
 	}
 	return best, group
 }
+
+// GroupNames returns the members of the group that a node belongs to, or nil.
+func (l *Layout) GroupNames(name string) []string {
+	i, ok := l.GroupOf[name]
+	if !ok {
+		return nil
+	}
+	return l.Groups[i].Members
+}
+
+// OnlyGroup returns the group of a region that has one only, else nil. A node that has
+// started and is not listed yet belongs to it.
+func (l *Layout) OnlyGroup(region string) []string {
+	var names []string
+	for _, g := range l.Groups {
+		if g.Region != region {
+			continue
+		}
+		if names != nil {
+			return nil
+		}
+		names = g.Members
+	}
+	return names
+}
--- a/core/bbmember/confirm.go
+++ b/core/bbmember/confirm.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbgroup"
 	"bluebellhall/core/bbmsg"
 )
 
-// Ready returns true once this node may confirm others: it has heard a majority of
-// ready others of its group, or all others. It stays true for this incarnation.
+// Ready returns true once this node may confirm others: its quiet time is over, and it
+// has heard at its present list revision a majority of ready others of its group, or all
+// others while none asks a former group. It stays true for this incarnation.
 func (t *Table) Ready() bool { return t.ready }
 
 // Fresh returns true while this node holds its first list and its whole group, of more
@@ -30,7 +32,7 @@
 		if p == nil {
 			continue
 		}
-		if !p.answered || p.ready && !(p.fresh && t.unready[name]) {
+		if p.answered == 0 || p.ready && !(p.fresh && t.unready[name]) {
 			return
 		}
 	}
@@ -66,8 +68,8 @@
 		if f.until <= now {
 			continue
 		}
-		_, group := f.layout.owner(endpoint, domain)
-		own, ok := f.layout.groupOf[t.settings.Self.Name]
+		_, group := f.layout.Owner(endpoint, domain)
+		own, ok := f.layout.GroupOf[t.settings.Self.Name]
 		if group >= 0 && (!ok || own != group) {
 			return false
 		}
@@ -80,7 +82,7 @@
 	if now >= t.heldUntil {
 		return false
 	}
-	return len(t.Group()) == 1 || len(t.formers) > 0
+	return len(t.Group()) == 1 || len(t.groups) > 0
 }
 
 // paused returns true when no call came for PauseGap.
@@ -101,6 +103,9 @@
 			p.waiting = false
 		}
 	}
+	if !t.ticked {
+		t.started = now
+	}
 	t.lastTick = now
 	t.ticked = true
 }
@@ -110,30 +115,44 @@
 	t.coveredUntil = 0
 	for _, p := range t.Peers {
 		p.confirmedUntil = 0
+		p.listUntil = 0
 	}
 }
 
 // updateReady applies the rule for nodes that have just started.
-func (t *Table) updateReady() {
+func (t *Table) updateReady(now time.Duration) {
 	group := t.Group()
-	if t.ready || group == nil {
+	if t.ready || group == nil || now-t.started < t.quietTime(len(group)) {
 		return
 	}
-	others := len(group) - 1
-	answered, ready := 0, 0
+	others, answered, ready := 0, 0, 0
 	for _, name := range group {
 		p := t.Peers[name]
-		if p == nil || !p.answered {
+		if name == t.settings.Self.Name {
+			continue
+		}
+		others++
+		if p == nil || p.answered == 0 || p.answered != t.seen {
 			continue
 		}
-		answered++
 		if p.ready {
 			ready++
 		}
+		if !p.asking {
+			answered++
+		}
 	}
-	if answered == others || ready > others/2 {
-		t.ready = true
+	t.ready = answered == others || ready > others/2
+}
+
+func (t *Table) quietTime(members int) time.Duration {
+	switch {
+	case t.settings.QuietTime > 0:
+		return t.settings.QuietTime
+	case members <= smallGroup:
+		return t.settings.ConfirmTime + t.settings.ConfirmTime/4
 	}
+	return quietFactor * t.settings.ConfirmTime
 }
 
 // updateCover follows whether enough members confirm. It is called before and after
@@ -155,30 +174,27 @@
 }
 
 // coverUntil returns how long the confirmations that are held now suffice: a majority
-// of the group, and of each former group so many that the others are no majority.
-// It returns 0 when the list held is not the newest seen or does not name this node.
+// of the group, and what the former groups require. It returns 0 when the list held is
+// not the newest seen or does not name this node.
 func (t *Table) coverUntil(now time.Duration) time.Duration {
-	group := t.Group()
-	if group == nil || t.seen != t.list.Revision {
+	if t.current == nil || t.seen != t.list.Revision {
 		return 0
 	}
-	until := t.reach(group, len(group)/2+1)
-	for _, f := range t.formers {
-		if f.until <= now {
-			continue
-		}
-		names := f.layout.groupNames(t.settings.Self.Name)
-		until = min(until, t.reach(names, (len(names)+1)/2))
+	group := t.current.GroupNames(t.settings.Self.Name)
+	if group == nil {
+		return 0
 	}
-	return until
+	until := t.reach(group, len(group)/2+1, confirmedUntil)
+	return min(until, t.formerUntil(now))
 }
 
-// reach returns until when at least count of the named nodes confirm.
-func (t *Table) reach(names []string, count int) time.Duration {
+// reach returns until when what until tells of a peer holds for at least count of the
+// named nodes. For this node itself it always holds.
+func (t *Table) reach(names []string, count int, until func(p *Peer) time.Duration) time.Duration {
 	if count == 0 {
 		return maxTime
 	}
-	var buffer [2 * maxGroupMembers]time.Duration
+	var buffer [2 * bbgroup.MaxMembers]time.Duration
 	untils := buffer[:0]
 	for _, name := range names {
 		switch p := t.Peers[name]; {
@@ -187,7 +203,7 @@
 		case p == nil:
 			untils = append(untils, 0)
 		default:
-			untils = append(untils, p.confirmedUntil)
+			untils = append(untils, until(p))
 		}
 	}
 	slices.Sort(untils)
--- a/core/bbmember/past.go
+++ b/core/bbmember/past.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"bluebellhall/core/bbgroup"
 	"bluebellhall/core/bbmsg"
 )
 
@@ -21,7 +22,7 @@
 
 // pastList is a set of entry VMs that was held.
 type pastList struct {
-	layout *layout
+	layout *bbgroup.Layout
 	// until is when it was last in force anywhere, unset while open.
 	until time.Duration
 	// open is true until a majority has confirmed a later list: before that others may
@@ -39,8 +40,8 @@
 		return
 	}
 	p.drop(now - t.settings.PastTime)
-	held := newLayout(entriesOnly(t.list))
-	if maps.Equal(held.entries, newLayout(entriesOnly(list)).entries) {
+	held := bbgroup.New(entriesOnly(t.list))
+	if maps.Equal(held.Entries, bbgroup.New(entriesOnly(list)).Entries) {
 		return
 	}
 	p.lists = append(p.lists, pastList{
@@ -92,7 +93,7 @@
 		if !p.open && p.until < since {
 			continue
 		}
-		if owner, _ := p.layout.owner(name, domain); owner != t.settings.Self.Name {
+		if owner, _ := p.layout.Owner(name, domain); owner != t.settings.Self.Name {
 			return false
 		}
 	}
--- a/core/bbmember/probe.go
+++ b/core/bbmember/probe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbgroup"
 	"bluebellhall/core/bbmsg"
 )
 
@@ -11,6 +12,7 @@
 func (t *Table) Tick(now time.Duration) []bbmsg.Output {
 	t.notePause(now)
 	t.dropFormers(now)
+	t.updateReady(now)
 	t.updateCover(now)
 	t.tellConfirmed(now)
 	if now < t.lookAt {
@@ -56,7 +58,7 @@
 // probedOften returns true for peers that get a probe each interval: the group, and
 // everybody in a fleet that is no larger than a group.
 func (t *Table) probedOften(p *Peer) bool {
-	return p.InGroup || len(t.Peers) < maxGroupMembers
+	return p.InGroup || len(t.Peers) < bbgroup.MaxMembers
 }
 
 func (t *Table) probeDue(now time.Duration, outputs []bbmsg.Output) []bbmsg.Output {
@@ -122,12 +124,14 @@
 			own.Endpoints = nil
 		}
 	}
+	asking := t.current != nil && now >= t.formerUntil(now)
 	return bbmsg.ProbeReply{
 		From:        t.settings.Self.Name,
 		Incarnation: t.settings.Incarnation,
 		Sequence:    probe.Sequence,
-		Ready:       t.ready,
+		Ready:       t.ready && !asking,
 		Fresh:       t.Fresh(),
+		Asking:      asking,
 		Knowledge:   t.knowledge(own),
 	}
 }
@@ -148,21 +152,31 @@
 		reply.Knowledge.Endpoints = p.Knowledge.Endpoints
 	}
 	t.hear(now, p, reply.Incarnation, reply.Knowledge)
-	p.answered = true
-	p.ready = reply.Ready
-	p.fresh = reply.Fresh
-	t.noteUnready(reply.From, reply.Ready)
-	t.updateReady()
-	t.updateFresh()
 	t.updateCover(now)
-	if reply.Ready && reply.Knowledge.ListRevision == t.seen {
-		p.confirmedUntil = max(p.confirmedUntil, sent.at+t.settings.ConfirmTime)
-	}
+	t.takeReply(p, reply, sent.at+t.settings.ConfirmTime)
+	t.updateReady(now)
+	t.updateFresh()
 	t.updateCover(now)
 	t.tellConfirmed(now)
 	return t.takePending()
 }
 
+// takeReply notes what a peer says of itself. Its word counts until the time given.
+func (t *Table) takeReply(p *Peer, reply bbmsg.ProbeReply, until time.Duration) {
+	p.answered = reply.Knowledge.ListRevision
+	p.ready = reply.Ready
+	p.fresh = reply.Fresh
+	p.asking = reply.Asking
+	t.noteUnready(reply.From, reply.Ready)
+	if p.answered != t.seen {
+		return
+	}
+	p.listUntil = max(p.listUntil, until)
+	if p.ready {
+		p.confirmedUntil = max(p.confirmedUntil, until)
+	}
+}
+
 // take returns the probe with a sequence number and forgets it.
 func (p *Peer) take(sequence uint64) (sentProbe, bool) {
 	for i, s := range p.sent {
--- a/core/bbmember/table.go
+++ b/core/bbmember/table.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbgroup"
 	"bluebellhall/core/bbmsg"
 )
 
@@ -25,6 +26,10 @@
 	// maxFormer bounds the number of former lists that are remembered. When more
 	// change within FormerTime, cold endpoints wait until the oldest has run out.
 	maxFormer = 8
+	// smallGroup is the size up to which a short quiet time suffices, and quietFactor
+	// times ConfirmTime is the quiet time above it.
+	smallGroup  = 3
+	quietFactor = 3
 	// maxUnready bounds the peers that are remembered as just started.
 	maxUnready = 64
 	// maxOwnerCache bounds the number of cached owners; the cache is cleared when full.
@@ -50,9 +55,12 @@
 	// PauseGap is the time between ticks from which the process counts as paused. It
 	// exceeds ProbeInterval.
 	PauseGap time.Duration
-	// FormerTime is how long a former group must be asked as well; 0 means five
-	// times SettleTime.
+	// FormerTime is the time after which an entry VM that the list no longer names
+	// counts as stopped; 0 means five times SettleTime.
 	FormerTime time.Duration
+	// QuietTime is how long a node that has started confirms nobody; 0 means a quarter
+	// more than ConfirmTime in a group of up to three, else three times ConfirmTime.
+	QuietTime time.Duration
 	// PastTime is how long earlier lists are remembered for OwnedSince.
 	PastTime time.Duration
 	// Knowledge returns what probes tell of this node; ListRevision is filled in by
@@ -81,13 +89,16 @@
 	// Knowledge is the newest that was heard.
 	Knowledge bbmsg.Knowledge
 
-	// answered is true once it has answered a probe of this incarnation of ours; ready
-	// and fresh are what it said of itself last.
-	answered bool
+	// answered is the list revision in its last answer to a probe of this incarnation
+	// of ours, 0 if none; ready, fresh and asking are what it said of itself then.
+	answered int64
 	ready    bool
 	fresh    bool
-	// confirmedUntil is when its confirmation of the newest revision ends, 0 if none.
+	asking   bool
+	// confirmedUntil is when its confirmation of the newest revision ends, 0 if none,
+	// and listUntil when its word that it has that revision ends.
 	confirmedUntil time.Duration
+	listUntil      time.Duration
 	// nextProbe is when the next probe is due.
 	nextProbe time.Duration
 	// firstUnanswered is when the oldest probe without any later sign of life was sent.
@@ -108,8 +119,8 @@
 
 // former is a list that was in use until a newer one was adopted.
 type former struct {
-	layout *layout
-	// until is when it need not be asked any more.
+	layout *bbgroup.Layout
+	// until is when its owners of other groups count as stopped.
 	until time.Duration
 }
 
@@ -126,10 +137,12 @@
 	// lookAt is when a probe is due or a peer may be lost.
 	lookAt time.Duration
 	// current is nil before the first list.
-	current *layout
+	current *bbgroup.Layout
 	list    bbmsg.MemberList
 	formers []former
-	past    past
+	// groups holds the former groups that must be asked.
+	groups []formerGroup
+	past   past
 	// heldUntil is set when formers overflowed; nothing is confirmed before it.
 	heldUntil time.Duration
 	// seen is the newest list revision ever seen, which may exceed the one held.
@@ -154,6 +167,8 @@
 	// lastTick is the time of the last call; ticked is false before the first.
 	lastTick time.Duration
 	ticked   bool
+	// started is the time of the first call.
+	started time.Duration
 	// nextOutside is when the next probe outside the group is due and outside the
 	// position in order where the rotation stands.
 	nextOutside time.Duration
@@ -207,11 +222,11 @@
 	t.notePast(now, list)
 	t.adopted++
 	t.list = list
-	t.current = newLayout(list)
+	t.current = bbgroup.New(list)
 	t.Observe(list.Revision)
 	clear(t.owners)
 	t.refreshPeers(now)
-	t.updateReady()
+	t.updateReady(now)
 	t.updateCover(now)
 	t.event(bbevent.ListAdopted, "", revisionDetail(list.Revision))
 	return true
@@ -227,6 +242,7 @@
 		return
 	}
 	t.dropFormers(now)
+	t.rememberGroup(until)
 	t.formers = append(t.formers, former{layout: t.current, until: until})
 	if len(t.formers) > maxFormer {
 		t.heldUntil = max(t.heldUntil, t.formers[0].until)
@@ -240,11 +256,8 @@
 	for n < len(t.formers) && t.formers[n].until <= now {
 		n++
 	}
-	if n == 0 {
-		return
-	}
 	t.formers = t.formers[n:]
-	if t.current != nil {
+	if t.current != nil && t.dropGroups(now) {
 		t.refreshPeers(now)
 	}
 }
@@ -252,20 +265,20 @@
 // refreshPeers makes Peers match the current list and the former groups.
 func (t *Table) refreshPeers(now time.Duration) {
 	wanted := map[string]bbmsg.Member{}
-	for _, f := range t.formers {
-		for _, name := range f.layout.groupNames(t.settings.Self.Name) {
-			wanted[name] = f.layout.entries[name].member
+	for _, f := range t.groups {
+		for _, m := range f.members {
+			wanted[m.Name] = m
 		}
 	}
 	inGroup := map[string]bool{}
 	for name := range wanted {
 		inGroup[name] = true
 	}
-	for _, name := range t.current.groupNames(t.settings.Self.Name) {
+	for _, name := range t.current.GroupNames(t.settings.Self.Name) {
 		inGroup[name] = true
 	}
-	for name, e := range t.current.entries {
-		wanted[name] = e.member
+	for name, e := range t.current.Entries {
+		wanted[name] = e.Member
 	}
 	delete(wanted, t.settings.Self.Name)
 	for name := range t.Peers {
@@ -286,7 +299,7 @@
 		}
 		p.Member = wanted[name]
 		p.InGroup = inGroup[name]
-		_, p.Listed = t.current.entries[name]
+		_, p.Listed = t.current.Entries[name]
 	}
 	t.near = t.near[:0]
 	for _, name := range t.order {
@@ -297,22 +310,16 @@
 	t.lookAt = now
 }
 
-// groupNames returns the members of the group that a node belongs to, or nil.
-func (l *layout) groupNames(name string) []string {
-	i, ok := l.groupOf[name]
-	if !ok {
-		return nil
-	}
-	return l.groups[i].Members
-}
-
-// Group returns the names of this node's group, itself included, sorted; nil when
-// the list does not name this node.
+// Group returns the names of this node's group, sorted; nil when it has none. A node
+// that the list does not name has the group of its region, if there is only one.
 func (t *Table) Group() []string {
 	if t.current == nil {
 		return nil
 	}
-	return t.current.groupNames(t.settings.Self.Name)
+	if names := t.current.GroupNames(t.settings.Self.Name); names != nil {
+		return names
+	}
+	return t.current.OnlyGroup(t.settings.Self.Region)
 }
 
 // Owner returns the name of the entry VM that owns an endpoint by the list held, or
@@ -328,7 +335,7 @@
 	if len(t.owners) >= maxOwnerCache {
 		clear(t.owners)
 	}
-	owner, _ := t.current.owner(endpoint, domain)
+	owner, _ := t.current.Owner(endpoint, domain)
 	t.owners[key] = owner
 	return owner
 }
