Orders: the model of an owned engine is taken from its owner's table

Cause: the view of homes keeps no digest of endpoints that the node owns, so an owned engine looked as if it had no model, and was ordered to load it whenever the node's share of the weight store allowed. By reading; the test fails without the change (it ordered a load at the first look).

--- a/core/bbnode/orders.go
+++ b/core/bbnode/orders.go
@@ -58,7 +58,7 @@
 	if own == nil || !own.Owned {
 		return row
 	}
-	row.Owned = true
+	row.Digest, row.Owned = n.Owner.Digest(n.now, e.Name)
 	row.OwnedSince = own.SettledAt - n.Settings.Times.SettleTime
 	row.SettledAt = own.SettledAt
 	row.Reported = own.Boot != 0
