Members: who lacks the newest list asks the group of its own, and who asks is not new

Cause, both found by the traces of the specification as cases: - A node that had only heard of a newer list was ready at once for that revision, and didn't ask the group of the list it held. Two of three members replaced, links cut between the sides, the third member without the new list: 'endpoint-1 is acted for by [a1 a4]'. It now asks that group like a former one. - A member that asks its former group was taken for one that had just started, so that new members called their group fresh and would not wait for calls of former owners. TestRandomChanges holds tables against the property of spec/owner.pml.

--- a/core/bbmember/confirm.go
+++ b/core/bbmember/confirm.go
@@ -21,7 +21,8 @@
 func (t *Table) Fresh() bool { return t.ready && t.fresh && t.adopted == 1 }
 
 // updateFresh looks whether each other member either is not ready, or was seen so by
-// this process and got ready in the same way.
+// this process and got ready in the same way. A member that asks a former group has
+// held an older list.
 func (t *Table) updateFresh() {
 	group := t.Group()
 	if t.adopted != 1 || len(group) < 2 {
@@ -32,7 +33,7 @@
 		if p == nil {
 			continue
 		}
-		if p.answered == 0 || p.ready && !(p.fresh && t.unready[name]) {
+		if p.answered == 0 || p.asking || p.ready && !(p.fresh && t.unready[name]) {
 			return
 		}
 	}
--- a/core/bbmember/probe.go
+++ b/core/bbmember/probe.go
@@ -124,7 +124,7 @@
 			own.Endpoints = nil
 		}
 	}
-	asking := t.current != nil && now >= t.formerUntil(now)
+	asking := t.asking(now)
 	return bbmsg.ProbeReply{
 		From:        t.settings.Self.Name,
 		Incarnation: t.settings.Incarnation,
@@ -136,6 +136,20 @@
 	}
 }
 
+// asking returns true while this node can't count on its former groups having the newest
+// list. While it lacks that list itself, the group of the one it holds is such a group.
+func (t *Table) asking(now time.Duration) bool {
+	if t.current == nil {
+		return false
+	}
+	until := t.formerUntil(now)
+	if t.seen != t.list.Revision {
+		group := t.Group()
+		until = min(until, t.reach(group, len(group)-len(group)/2, listUntil))
+	}
+	return now >= until
+}
+
 // HandleReply takes in the answer to a probe. Answers that match no probe are dropped.
 func (t *Table) HandleReply(now time.Duration, reply bbmsg.ProbeReply) []bbmsg.Output {
 	t.notePause(now)
@@ -167,7 +181,7 @@
 	p.ready = reply.Ready
 	p.fresh = reply.Fresh
 	p.asking = reply.Asking
-	t.noteUnready(reply.From, reply.Ready)
+	t.noteUnready(reply.From, reply.Ready || reply.Asking)
 	if p.answered != t.seen {
 		return
 	}
--- a/core/bbmsg/list.go
+++ b/core/bbmsg/list.go
@@ -66,8 +66,9 @@
 	// Fresh is true when the replying node got ready because its whole group had just
 	// started, and has had no other list since.
 	Fresh bool `json:"fresh,omitempty"`
-	// Asking is true while the replying node waits for members of a former group. It
-	// confirms nobody then, and it does not count towards "all others have answered".
+	// Asking is true while the replying node waits for members of a former group, or of
+	// the group of the list it holds when it has heard of a newer one. It confirms nobody
+	// then, and it does not count towards "all others have answered".
 	Asking bool `json:"asking,omitempty"`
 	// Knowledge is the replying node's state after it took in the probe's.
 	Knowledge Knowledge `json:"knowledge"`
