Many nodes against one that knows everything, under a manual clock

bbworld delivers messages between a few cores and counting endpoints, with loss, delay, doubling, cuts, pauses, crashes, restarts and lists that reach only some.

--- /dev/null
+++ b/core/bbworld/world.go
@@ -0,0 +1,317 @@
+// Package bbworld drives a few entry VMs under a manual clock. It delivers what they
+// send to each other and to plain endpoints that count every run; messages may be lost,
+// late and doubled. It is for tests and has no model of time but the order of steps.
+package bbworld
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbnode"
+	"bluebellhall/core/bbticket"
+)
+
+// Settings configure a World.
+type Settings struct {
+	// Random draws the incarnations and what the nodes draw.
+	Random *rand.Rand
+	// Times and Bounds are those of every node.
+	Times  bbnode.Times
+	Bounds bbnode.Bounds
+	// Delays returns when each copy of a message from one node to another arrives,
+	// counted from now; none loses it. Endpoint calls are not subject to it.
+	Delays func(from, to string) []time.Duration
+	// ServiceTime returns how long an endpoint takes for a call.
+	ServiceTime func() time.Duration
+	// LoseAnswer returns true when the connection of a call breaks after the run.
+	LoseAnswer func() bool
+}
+
+// World holds nodes, endpoints and what is on the way between them.
+type World struct {
+	Settings Settings
+	// Now is the time of the world. A node's clock starts at 0 with its process.
+	Now time.Duration
+	// Nodes holds the nodes by name, stopped ones included.
+	Nodes map[string]*Node
+	// Runs counts the runs of each request id at the endpoints.
+	Runs map[string]int
+	// Running counts the calls that each endpoint runs now, and Most is the highest.
+	Running map[string]int
+	Most    int
+	// Answers has the final answers that reached callers, by call.
+	Answers map[uint64][]bbmsg.Answer
+	// Tickets has the tickets that were given out, by call.
+	Tickets map[uint64]string
+	// Events is the time line.
+	Events []bbevent.Event
+
+	names []string
+	queue []delivery
+	// nextReport is when the endpoints report next.
+	nextReport time.Duration
+	calls      uint64
+	order      uint64
+	keys       bbticket.Keys
+	list       bbmsg.MemberList
+	rules      bbmsg.RulesText
+}
+
+// Node is one entry VM.
+type Node struct {
+	// Core is nil while the process is down.
+	Core *bbnode.Node
+	// Paused processes take no step; their inputs wait.
+	Paused bool
+	// Cut nodes exchange nothing with other nodes.
+	Cut         bool
+	member      bbmsg.Member
+	incarnation uint64
+	started     time.Duration
+	inputs      []bbmsg.Input
+}
+
+// delivery is something that happens later.
+type delivery struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+// New returns a world whose nodes hold a list and rules, none of them started.
+func New(s Settings, keys bbticket.Keys, list bbmsg.MemberList, rules bbmsg.RulesText) *World {
+	w := &World{
+		Settings: s,
+		Nodes:    map[string]*Node{},
+		Runs:     map[string]int{},
+		Running:  map[string]int{},
+		Answers:  map[uint64][]bbmsg.Answer{},
+		Tickets:  map[uint64]string{},
+		keys:     keys,
+		list:     list,
+		rules:    rules,
+	}
+	for _, m := range list.Members {
+		if m.Role == bbmsg.RoleEntry {
+			w.Nodes[m.Name] = &Node{
+				member: m,
+			}
+			w.names = append(w.names, m.Name)
+		}
+	}
+	sort.Strings(w.names)
+	return w
+}
+
+// Start starts the process of a node, with nothing in memory but what the platform
+// tells it at once.
+func (w *World) Start(name string) {
+	n := w.Nodes[name]
+	n.incarnation = w.Settings.Random.Uint64() | 1
+	n.started = w.Now
+	n.Paused = false
+	n.Core = bbnode.New(bbnode.Settings{
+		Self:        n.member,
+		Incarnation: n.incarnation,
+		Keys:        w.keys,
+		Random:      rand.New(rand.NewPCG(w.Settings.Random.Uint64(), 1)),
+		Times:       w.Settings.Times,
+		Bounds:      w.Settings.Bounds,
+	})
+	n.inputs = []bbmsg.Input{
+		{Platform: &bbmsg.PlatformState{Up: true}},
+		{List: &w.list},
+		{Rules: &w.rules},
+	}
+}
+
+// Crash ends the process of a node. Its calls to endpoints run on.
+func (w *World) Crash(name string) {
+	n := w.Nodes[name]
+	n.Core = nil
+	n.inputs = nil
+}
+
+// Publish gives a list to some nodes; the others have it from them.
+func (w *World) Publish(list bbmsg.MemberList, names ...string) {
+	w.list = list
+	for _, name := range names {
+		w.input(name, bbmsg.Input{List: &list})
+	}
+}
+
+// Ask lets a caller ask a node for a ticket and returns the number of the call.
+func (w *World) Ask(name, account string) uint64 {
+	w.calls++
+	w.input(name, bbmsg.Input{Address: &bbmsg.AddressAsked{
+		Call:    w.calls,
+		Account: account,
+	}})
+	return w.calls
+}
+
+// Send lets a caller send a request to a node and returns the number of the call. The
+// answer stays away when the node's process is down or ends.
+func (w *World) Send(name string, request bbmsg.CallerRequest) uint64 {
+	w.calls++
+	w.input(name, bbmsg.Input{Caller: &bbmsg.CallerArrived{
+		Call:    w.calls,
+		Request: request,
+	}})
+	return w.calls
+}
+
+func (w *World) input(name string, i bbmsg.Input) {
+	n := w.Nodes[name]
+	if n != nil && n.Core != nil {
+		n.inputs = append(n.inputs, i)
+	}
+}
+
+// after runs a function at a later time, in the order of the calls.
+func (w *World) after(d time.Duration, run func()) {
+	w.order++
+	w.queue = append(w.queue, delivery{
+		at:    w.Now + d,
+		order: w.order,
+		run:   run,
+	})
+}
+
+// Run lets time pass in steps.
+func (w *World) Run(d, step time.Duration) {
+	for end := w.Now + d; w.Now < end; w.Now += step {
+		w.deliver()
+		w.report()
+		for _, name := range w.names {
+			w.tick(name)
+		}
+	}
+}
+
+// report lets every endpoint tell every node how it is, once in a while.
+func (w *World) report() {
+	if w.Now < w.nextReport {
+		return
+	}
+	w.nextReport = w.Now + w.Settings.Times.ReportInterval
+	for _, m := range w.list.Members {
+		if m.Role == bbmsg.RoleEntry {
+			continue
+		}
+		for _, name := range w.names {
+			w.input(name, bbmsg.Input{Report: &bbmsg.LoadReport{
+				Endpoint: m.Name,
+				Boot:     1,
+				Cold:     true,
+				Running:  w.Running[m.Name],
+			}})
+		}
+	}
+}
+
+// deliver runs what is due.
+func (w *World) deliver() {
+	var due, later []delivery
+	for _, d := range w.queue {
+		if d.at <= w.Now {
+			due = append(due, d)
+		} else {
+			later = append(later, d)
+		}
+	}
+	w.queue = later
+	sort.Slice(due, func(i, j int) bool {
+		if due[i].at != due[j].at {
+			return due[i].at < due[j].at
+		}
+		return due[i].order < due[j].order
+	})
+	for _, d := range due {
+		d.run()
+	}
+}
+
+func (w *World) tick(name string) {
+	n := w.Nodes[name]
+	if n.Core == nil || n.Paused {
+		return
+	}
+	inputs := n.inputs
+	n.inputs = nil
+	for _, o := range n.Core.Tick(w.Now-n.started, inputs) {
+		w.take(name, n, o)
+	}
+}
+
+// take carries out one output.
+func (w *World) take(name string, n *Node, o bbmsg.Output) {
+	switch {
+	case o.Send != nil:
+		w.pass(name, o.Send.To, bbmsg.Input{Peer: &bbmsg.FromPeer{
+			From:        name,
+			Incarnation: n.incarnation,
+			Envelope:    o.Send.Envelope,
+		}})
+	case o.Probe != nil:
+		w.pass(name, o.Probe.To, bbmsg.Input{Probe: &o.Probe.Probe})
+	case o.Reply != nil:
+		w.pass(name, o.Reply.To, bbmsg.Input{Reply: &o.Reply.Reply})
+	case o.Call != nil:
+		w.call(name, n.incarnation, *o.Call)
+	case o.Answer != nil:
+		if o.Answer.Outcome != bbmsg.OutcomePending {
+			w.Answers[o.Answer.Call] = append(w.Answers[o.Answer.Call], *o.Answer)
+		}
+	case o.Addresses != nil:
+		w.Tickets[o.Addresses.Call] = o.Addresses.Ticket
+	case o.Event != nil:
+		w.Events = append(w.Events, *o.Event)
+	}
+}
+
+// pass carries a message between nodes.
+func (w *World) pass(from, to string, i bbmsg.Input) {
+	for _, d := range w.Settings.Delays(from, to) {
+		w.after(d, func() {
+			if w.Nodes[to] == nil || w.Nodes[from].Cut || w.Nodes[to].Cut {
+				return
+			}
+			w.input(to, i)
+		})
+	}
+}
+
+// call runs a call at an endpoint. A stopped call runs on: stopping is no undoing.
+func (w *World) call(name string, incarnation uint64, c bbmsg.EndpointCall) {
+	w.Runs[c.Attempt.ID]++
+	w.Running[c.Endpoint]++
+	w.Most = max(w.Most, w.Running[c.Endpoint])
+	w.after(w.Settings.ServiceTime(), func() {
+		w.Running[c.Endpoint]--
+		n := w.Nodes[name]
+		if n.Core == nil || n.incarnation != incarnation {
+			return
+		}
+		news := bbmsg.EndpointNews{
+			Call: c.Call,
+			Kind: bbmsg.NewsDone,
+			Body: Reply(c.Attempt.ID, c.Body),
+			Cold: true,
+		}
+		if w.Settings.LoseAnswer() {
+			news.Kind = bbmsg.NewsBroken
+			news.Body = nil
+		}
+		w.input(name, bbmsg.Input{Endpoint: &news})
+	})
+}
+
+// Reply is what every endpoint answers: one process that knows everything would give
+// the caller the same.
+func Reply(id string, body []byte) []byte {
+	return append([]byte(id+" "), body...)
+}
