--- a/spec/owner.pml
+++ b/spec/owner.pml
@@ -19,7 +19,8 @@
  * - A restart forgets everything. The node may come back with revision 1 as long as
  *   it is named in it, any number of times.
  * - A node that learns of a revision by a probe whose answer is lost takes the same
- *   step as one that reads the list.
+ *   step as one that reads the list. The code may hold the older list meanwhile, and
+ *   asks its group as a former one.
  * - The send of a paused process is the pair "look", "send" of node A.
  *
  * Guards, each left out by a macro: see spec/check.
