--- a/core/bbnode/orders_test.go
+++ b/core/bbnode/orders_test.go
@@ -29,15 +29,15 @@
 		Bounds:      DefaultBounds,
 	})
 	list := bbmsg.MemberList{Revision: 1, Members: []bbmsg.Member{
-		{Name: "a", Role: bbmsg.RoleEntry, Domain: "d", Region: "r"},
-		{Name: "e", Role: bbmsg.RoleEndpoint, Domain: "d", Region: "r"},
+		{Name: "a", Role: bbmsg.RoleEntry, Address: "10.0.0.2:80", PeerAddress: "10.0.0.2:81", Domain: "d", Region: "r"},
+		{Name: "e", Role: bbmsg.RoleEndpoint, Address: "10.0.0.1:80", Domain: "d", Region: "r"},
 	}}
 	n.Tick(1, []bbmsg.Input{
 		{Rules: &bbmsg.RulesText{Revision: 1, Text: ordersRules}},
 		{List: &list},
 	})
-	if n.Index == nil {
-		t.Fatal("the rules were refused")
+	if n.Index == nil || n.Members.Revision() == 0 {
+		t.Fatal("the rules or the list were refused")
 	}
 	for now := time.Second; now < time.Minute; now += 200 * time.Millisecond {
 		report := &bbmsg.LoadReport{Endpoint: "e", Boot: 1, Model: "m"}
