Probes: numbered fields, digests only where they are needed, one interval for a fleet

Most of it was digests and the names of fields. Fields of the steady messages have numbers on the wire now; in fleets of more than nine, probes carry only digests of endpoints that changed hands, homes hear of the others with the results of their own attempts, and one not heard of counts as carrying little.

--- a/bluebelld/bbserver/server.go
+++ b/bluebelld/bbserver/server.go
@@ -180,6 +180,9 @@
 		Times:  bbnode.DefaultTimes,
 		Bounds: bbnode.DefaultBounds,
 	}
+	if s.ProbeIntervalMillis > 0 {
+		r.Times = bbnode.TimesFor(time.Duration(s.ProbeIntervalMillis) * time.Millisecond)
+	}
 	if seams.Times != nil {
 		r.Times = *seams.Times
 	}
--- a/bluebelld/bbsettings/settings.go
+++ b/bluebelld/bbsettings/settings.go
@@ -30,6 +30,9 @@
 	// while keys are being changed.
 	KeyFile         string `json:"keyFile"`
 	PreviousKeyFile string `json:"previousKeyFile,omitempty"`
+	// ProbeIntervalMillis is the time between two probes to a peer of the group, the
+	// same on all VMs of a fleet; 0 means 250. Fleets of more than 9 use 1000.
+	ProbeIntervalMillis int64 `json:"probeIntervalMillis,omitempty"`
 	// LogLevel is debug, info, warn or error; empty means info.
 	LogLevel string `json:"logLevel,omitempty"`
 	// Key and PreviousKey are the contents of the files.
@@ -56,6 +59,12 @@
 	return f.Field + ": " + f.Text
 }
 
+// The bounds of the probe interval.
+const (
+	minProbeMillis = 50
+	maxProbeMillis = 5000
+)
+
 // minKeyBytes is the least length of a signing key.
 const minKeyBytes = 16
 
@@ -141,6 +150,9 @@
 	if s.KeyFile == "" {
 		f = add(f, "keyFile", "is empty")
 	}
+	if p := s.ProbeIntervalMillis; p != 0 && (p < minProbeMillis || p > maxProbeMillis) {
+		f = add(f, "probeIntervalMillis", fmt.Sprintf("%d is not from %d to %d", p, minProbeMillis, maxProbeMillis))
+	}
 	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
 		f = add(f, "logLevel", fmt.Sprintf("%q is not a level", s.LogLevel))
 	}
--- a/bluebelld/bbsettings/settings_test.go
+++ b/bluebelld/bbsettings/settings_test.go
@@ -21,7 +21,7 @@
 		want []string
 	}{
 		{name: "good", text: good},
-		{name: "all findings together", text: `{"name": "a.b", "callerAddress": "x", "peerAddress": "localhost:2", "logLevel": "loud"}`, want: []string{
+		{name: "all findings together", text: `{"name": "a.b", "callerAddress": "x", "peerAddress": "localhost:2", "logLevel": "loud", "probeIntervalMillis": 7}`, want: []string{
 			"name: has a dot or a space",
 			"domain: is empty",
 			"region: is empty",
@@ -29,6 +29,7 @@
 			`peerAddress: "localhost" is not an IP number`,
 			"platformAddresses: is empty",
 			"keyFile: is empty",
+			"probeIntervalMillis: 7 is not from 50 to 5000",
 			`logLevel: "loud" is not a level`,
 		}},
 		{name: "syntax with its place", text: "{\n  \"name\": }", want: []string{"2:12: invalid character '}' looking for beginning of value"}},
--- a/core/bbmsg/list.go
+++ b/core/bbmsg/list.go
@@ -40,81 +40,84 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// Probes and their replies are the steady traffic between entry VMs. On the wire their
+// fields have numbers in place of names; a number is never given to another field.
+
 // Probe asks a peer to confirm the sender's list and carries what the sender knows.
 // Probes and replies are never stored or sent again.
 type Probe struct {
 	// From is the sender's name and Incarnation a random number drawn at its start.
-	From        string `json:"from"`
-	Incarnation uint64 `json:"incarnation"`
+	From        string `json:"from" cbor:"1,keyasint,omitempty"`
+	Incarnation uint64 `json:"incarnation" cbor:"2,keyasint,omitempty"`
 	// Sequence matches the reply to the probe; it grows by one per probe and peer.
-	Sequence uint64 `json:"sequence"`
+	Sequence uint64 `json:"sequence" cbor:"3,keyasint,omitempty"`
 	// Ready is false while the sender has not heard enough to confirm others.
-	Ready bool `json:"ready,omitempty"`
+	Ready bool `json:"ready,omitempty" cbor:"4,keyasint,omitempty"`
 	// Knowledge is the sender's state at the time of sending.
-	Knowledge Knowledge `json:"knowledge"`
+	Knowledge Knowledge `json:"knowledge" cbor:"5,keyasint,omitempty"`
 }
 
 // ProbeReply answers a Probe.
 type ProbeReply struct {
 	// From and Incarnation are the replying node's.
-	From        string `json:"from"`
-	Incarnation uint64 `json:"incarnation"`
+	From        string `json:"from" cbor:"1,keyasint,omitempty"`
+	Incarnation uint64 `json:"incarnation" cbor:"2,keyasint,omitempty"`
 	// Sequence is the probe's.
-	Sequence uint64 `json:"sequence"`
+	Sequence uint64 `json:"sequence" cbor:"3,keyasint,omitempty"`
 	// Ready is false while the replying node has not heard enough to confirm others.
-	Ready bool `json:"ready"`
+	Ready bool `json:"ready" cbor:"4,keyasint,omitempty"`
 	// Fresh is true when the replying node got ready because its whole group had just
 	// started, and has had no other list since.
-	Fresh bool `json:"fresh,omitempty"`
+	Fresh bool `json:"fresh,omitempty" cbor:"5,keyasint,omitempty"`
 	// Asking is true while the replying node waits for members of a former group, or of
 	// the group of the list it holds when it has heard of a newer one. It confirms nobody
 	// then, and it does not count towards "all others have answered".
-	Asking bool `json:"asking,omitempty"`
+	Asking bool `json:"asking,omitempty" cbor:"7,keyasint,omitempty"`
 	// Knowledge is the replying node's state after it took in the probe's.
-	Knowledge Knowledge `json:"knowledge"`
+	Knowledge Knowledge `json:"knowledge" cbor:"6,keyasint,omitempty"`
 }
 
 // Knowledge is what nodes tell each other with probes and replies.
 type Knowledge struct {
 	// ListRevision is the newest list revision ever seen in this incarnation.
-	ListRevision int64 `json:"listRevision"`
+	ListRevision int64 `json:"listRevision" cbor:"1,keyasint,omitempty"`
 	// RulesRevision and RulesDigest name the rules in force.
-	RulesRevision int64  `json:"rulesRevision"`
-	RulesDigest   uint64 `json:"rulesDigest"`
+	RulesRevision int64  `json:"rulesRevision" cbor:"2,keyasint,omitempty"`
+	RulesDigest   uint64 `json:"rulesDigest" cbor:"3,keyasint,omitempty"`
 	// Draining is true once the node hands out no more of its own address.
-	Draining bool `json:"draining,omitempty"`
+	Draining bool `json:"draining,omitempty" cbor:"4,keyasint,omitempty"`
 	// ClockMillis is the sender's monotonic clock, from which others compute the
 	// expiry of tickets that name it.
-	ClockMillis int64 `json:"clockMillis"`
+	ClockMillis int64 `json:"clockMillis" cbor:"5,keyasint,omitempty"`
 	// Load is the number of requests at home here.
-	Load int `json:"load"`
+	Load int `json:"load" cbor:"6,keyasint,omitempty"`
 	// Heirs lists the homes whose records this node answers for.
-	Heirs []Heir `json:"heirs,omitempty"`
+	Heirs []Heir `json:"heirs,omitempty" cbor:"7,keyasint,omitempty"`
 	// Endpoints has a digest of each endpoint the node owns.
-	Endpoints []EndpointDigest `json:"endpoints,omitempty"`
+	Endpoints []EndpointDigest `json:"endpoints,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // Heir names a home that left and gave its records to the node that tells of it.
 type Heir struct {
-	Home        string `json:"home"`
-	Incarnation uint64 `json:"incarnation"`
+	Home        string `json:"home" cbor:"1,keyasint,omitempty"`
+	Incarnation uint64 `json:"incarnation" cbor:"2,keyasint,omitempty"`
 }
 
 // EndpointDigest is an owner's summary of an endpoint, for the choice at homes.
 type EndpointDigest struct {
 	// Name is the endpoint's.
-	Name string `json:"name"`
+	Name string `json:"name" cbor:"1,keyasint,omitempty"`
 	// State is the owner's view.
-	State EndpointState `json:"state"`
+	State EndpointState `json:"state" cbor:"2,keyasint,omitempty"`
 	// Window is how many requests the owner lets it have now; InFlight how many it has.
-	Window   int `json:"window"`
-	InFlight int `json:"inFlight"`
+	Window   int `json:"window" cbor:"3,keyasint,omitempty"`
+	InFlight int `json:"inFlight" cbor:"4,keyasint,omitempty"`
 	// Queued is how many requests wait for it at the owner.
-	Queued int `json:"queued"`
+	Queued int `json:"queued" cbor:"5,keyasint,omitempty"`
 	// WaitMillis is the expected wait of a new request, in milliseconds.
-	WaitMillis int `json:"waitMillis"`
+	WaitMillis int `json:"waitMillis" cbor:"6,keyasint,omitempty"`
 	// Model is the model it has loaded, empty if none or unknown.
-	Model string `json:"model,omitempty"`
+	Model string `json:"model,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // EndpointState is the owner's view of an endpoint.
--- a/core/bbnode/choose.go
+++ b/core/bbnode/choose.go
@@ -174,14 +174,23 @@
 		c.Digest, c.Known = n.Owner.Digest(n.now, e.Name)
 		return c
 	}
-	v, ok := n.views[e.Name]
-	if !ok {
-		return c
+	if v, ok := n.views[e.Name]; ok {
+		c.InFlight = v.inFlight
+		c.Since = v.since
+		c.Known = v.owner == owner
+		c.Digest = v.digest
+		c.DigestAge = n.now - v.seen
+	}
+	if !c.Known && n.large() {
+		c.Known = true
+		c.Digest = unheardDigest
 	}
-	c.InFlight = v.inFlight
-	c.Since = v.since
-	c.Known = v.owner == owner
-	c.Digest = v.digest
-	c.DigestAge = n.now - v.seen
 	return c
 }
+
+// unheardDigest stands for an endpoint that this home of a large fleet has not heard
+// of: it counts as one that carries little, until the first result tells more.
+var unheardDigest = bbmsg.EndpointDigest{
+	State:  bbmsg.StateUnknown,
+	Window: 1,
+}
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -85,6 +85,23 @@
 	StartPatience:  2 * time.Second,
 }
 
+// TimesFor returns the default intervals stretched to another probe interval. All
+// nodes of a fleet use the same one: confirmations of one node must have run out
+// before another one's settling time has.
+func TimesFor(probeInterval time.Duration) Times {
+	t := DefaultTimes
+	scale := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) * float64(probeInterval) / float64(DefaultTimes.ProbeInterval))
+	}
+	t.ProbeInterval = probeInterval
+	t.ConfirmTime = scale(t.ConfirmTime)
+	t.SettleTime = scale(t.SettleTime)
+	t.PeerTimeout = scale(t.PeerTimeout)
+	t.PauseGap = scale(t.PauseGap)
+	t.StartPatience = scale(t.StartPatience)
+	return t
+}
+
 // DefaultBounds are the sizes for a small VM.
 var DefaultBounds = Bounds{
 	Records:     100_000,
--- a/core/bbnode/peers.go
+++ b/core/bbnode/peers.go
@@ -1,6 +1,7 @@
 package bbnode
 
 import (
+	"slices"
 	"time"
 
 	"bluebellhall/core/bbevent"
@@ -15,7 +16,30 @@
 		Draining:    n.drain.started,
 		Load:        n.Home.Running(),
 		Heirs:       n.Home.Heirs(),
-		Endpoints:   n.Owner.Digests(n.now),
+		Endpoints:   n.toldDigests(),
+	})
+}
+
+// smallFleet is the number of entry VMs up to which everybody is probed often and told
+// of all endpoints. In larger fleets homes hear of endpoints with the results of their
+// own attempts.
+const smallFleet = 9
+
+// large tells whether the fleet is larger than a small one.
+func (n *Node) large() bool {
+	return len(n.Members.Peers) >= smallFleet
+}
+
+// toldDigests returns the digests that probes carry: in a large fleet only those of
+// endpoints that were lost, which their new owners have to hear of.
+func (n *Node) toldDigests() []bbmsg.EndpointDigest {
+	digests := n.Owner.Digests(n.now)
+	if !n.large() {
+		return digests
+	}
+	return slices.DeleteFunc(digests, func(d bbmsg.EndpointDigest) bool {
+		e := n.Owner.Endpoints[d.Name]
+		return e == nil || e.Owned
 	})
 }
 
