--- a/core/bbnode/orders_test.go
+++ b/core/bbnode/orders_test.go
@@ -5,46 +5,63 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"bluebellhall/core/bbmsg"
 )
 
-// ordersRules has one engine with a model.
-const ordersRules = `domain d region=r # test
-service engines kind=engine reports=yes # test
-model m weight=1KB # test
-endpoint e service=engines model=m address=10.0.0.1:80 domain=d warm=4 cold=1 # test
-pipeline p stages=engines@m deadline=6s # test
-account a weight=1 priority=1 # test
-store rate=1MB # test
+// engineRules has one engine that is to have a model.
+const engineRules = `domain d region=r # x
+service g kind=engine reports=yes # x
+model m weight=1KB # x
+endpoint e service=g model=m address=127.0.0.1:1 domain=d # x
+pipeline p stages=g@m # x
 `
 
-// TestLoadedModelIsSeen checks that a node that owns an engine without any traffic
-// knows from its report that the model is loaded, and orders nothing.
-func TestLoadedModelIsSeen(t *testing.T) {
+// TestOrdersToOwnEngines checks that an owner orders a model only where its endpoint
+// reports none, also when no request has brought news of the endpoint yet.
+func TestOrdersToOwnEngines(t *testing.T) {
+	cases := []struct {
+		name     string
+		reported string
+		want     bool
+	}{
+		{name: "has its model", reported: "m", want: false},
+		{name: "has none", reported: "", want: true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, isOrdered(test.reported)); diff != "" {
+				t.Errorf("ordered (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// isOrdered tells whether a node gives an order within a minute to its only engine,
+// which reports a model.
+func isOrdered(model string) bool {
+	self := bbmsg.Member{Name: "a", Role: bbmsg.RoleEntry, Address: "127.0.0.1:2", PeerAddress: "127.0.0.1:3", Domain: "d", Region: "r"}
 	n := New(Settings{
-		Self:        bbmsg.Member{Name: "a", Domain: "d", Region: "r"},
+		Self:        self,
 		Incarnation: 1,
 		Random:      rand.New(rand.NewPCG(1, 1)),
 		Times:       DefaultTimes,
 		Bounds:      DefaultBounds,
 	})
-	list := bbmsg.MemberList{Revision: 1, Members: []bbmsg.Member{
-		{Name: "a", Role: bbmsg.RoleEntry, Address: "10.0.0.2:80", PeerAddress: "10.0.0.2:81", Domain: "d", Region: "r"},
-		{Name: "e", Role: bbmsg.RoleEndpoint, Address: "10.0.0.1:80", Domain: "d", Region: "r"},
-	}}
-	n.Tick(1, []bbmsg.Input{
-		{Rules: &bbmsg.RulesText{Revision: 1, Text: ordersRules}},
-		{List: &list},
+	n.Tick(time.Millisecond, []bbmsg.Input{
+		{Rules: &bbmsg.RulesText{Revision: 1, Text: engineRules}},
+		{List: &bbmsg.MemberList{Revision: 1, Members: []bbmsg.Member{self}}},
 	})
-	if n.Index == nil || n.Members.Revision() == 0 {
-		t.Fatal("the rules or the list were refused")
-	}
-	for now := time.Second; now < time.Minute; now += 200 * time.Millisecond {
-		report := &bbmsg.LoadReport{Endpoint: "e", Boot: 1, Model: "m"}
-		for _, o := range n.Tick(now, []bbmsg.Input{{Report: report}}) {
+	for now := DefaultTimes.ReportInterval; now < time.Minute; now += DefaultTimes.ReportInterval {
+		outputs := n.Tick(now, []bbmsg.Input{
+			{Report: &bbmsg.LoadReport{Endpoint: "e", Boot: 1, Model: model}},
+		})
+		for _, o := range outputs {
 			if o.Order != nil {
-				t.Fatalf("at %v it ordered %+v", now, *o.Order)
+				return true
 			}
 		}
 	}
+	return false
 }
