Owner: an old hint of the former owner opens a warm endpoint from its cold slots

Cause: by reading, a new owner took the last digest of the former one for warm whatever its age, so that half the window could go to an endpoint that had turned cold after its owner died. Now it counts like a load report of that age: wholly up to FreshReport, else growing from the cold slots. The test fails without the change.

--- a/core/bbnode/choose.go
+++ b/core/bbnode/choose.go
@@ -34,7 +34,7 @@
 	}
 	owner := n.Members.Owner(d.Name, e.Domain)
 	if owner == n.Settings.Self.Name {
-		n.Owner.Hint(n.now, d)
+		n.Owner.Hint(n.now, d, 0)
 		return
 	}
 	if owner != from {
--- a/core/bbnode/rules.go
+++ b/core/bbnode/rules.go
@@ -64,7 +64,7 @@
 	})
 	for _, name := range gained {
 		if v, ok := n.views[name]; ok {
-			n.Owner.Hint(n.now, v.digest)
+			n.Owner.Hint(n.now, v.digest, n.now-v.seen)
 		}
 	}
 	n.emit(n.Owner.TakeOutputs())
--- a/core/bbowner/table.go
+++ b/core/bbowner/table.go
@@ -320,10 +320,10 @@
 	t.fresh = fresh
 }
 
-// Hint takes in what the former owner of an endpoint told of it last.
-func (t *Table) Hint(now time.Duration, d bbmsg.EndpointDigest) {
+// Hint takes in what the former owner of an endpoint told of it last, and how long ago.
+func (t *Table) Hint(now time.Duration, d bbmsg.EndpointDigest, age time.Duration) {
 	if e := t.Endpoints[d.Name]; e != nil && e.Owned {
-		e.Hint(now, d)
+		e.Hint(now, t.windows, d, age)
 		e.dirty = true
 	}
 }
--- a/core/bbowner/table_test.go
+++ b/core/bbowner/table_test.go
@@ -356,11 +356,17 @@
 		r.advance(testSettle)
 		r.wantCalls(4)
 	})
-	t.Run("known from the former owner", func(t *testing.T) {
-		r := newRig(t)
-		r.table.Hint(r.now, bbmsg.EndpointDigest{Name: "engine", State: bbmsg.StateWarm, InFlight: 1})
-		r.offer("engine", 4)
-		r.wantCalls(1)
+	t.Run("known from the former owner, wholly if that is fresh", func(t *testing.T) {
+		for age, want := range map[time.Duration]bbmsg.EndpointState{
+			time.Second:     bbmsg.StateWarm,
+			2 * time.Second: bbmsg.StateWarming,
+		} {
+			r := newRig(t)
+			r.table.Hint(r.now, bbmsg.EndpointDigest{Name: "engine", State: bbmsg.StateWarm, InFlight: 1}, age)
+			r.offer("engine", 4)
+			r.wantCalls(1)
+			r.wantState(want)
+		}
 	})
 	t.Run("from its cold slots when the report is old", func(t *testing.T) {
 		r := settledRig(t)
--- a/core/bbwindow/window.go
+++ b/core/bbwindow/window.go
@@ -159,9 +159,10 @@
 	return max(slots, 0)
 }
 
-// Hint takes in what the former owner told of the endpoint. It opens a warm endpoint
-// only: there may be calls of owners before it, or of a later moment.
-func (w *Window) Hint(now time.Duration, d bbmsg.EndpointDigest) {
+// Hint takes in what the former owner told of the endpoint some time ago. It opens a warm
+// endpoint only, as a report of that age would: there may be calls of owners before it,
+// or of a later moment.
+func (w *Window) Hint(now time.Duration, s Settings, d bbmsg.EndpointDigest, age time.Duration) {
 	if now >= w.CarryUntil {
 		return
 	}
@@ -169,7 +170,7 @@
 		w.Foreign = d.InFlight
 	}
 	if w.State == bbmsg.StateUnknown && d.State == bbmsg.StateWarm {
-		w.open(true)
+		w.open(age <= s.FreshReport)
 	}
 }
 
