--- a/core/bbnode/orders_test.go
+++ b/core/bbnode/orders_test.go
@@ -31,7 +31,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			if diff := cmp.Diff(test.want, isOrdered(test.reported)); diff != "" {
+			if diff := cmp.Diff(test.want, isOrdered(t, test.reported)); diff != "" {
 				t.Errorf("ordered (-want +got):\n%s", diff)
 			}
 		})
@@ -40,7 +40,8 @@
 
 // isOrdered tells whether a node gives an order within a minute to its only engine,
 // which reports a model.
-func isOrdered(model string) bool {
+func isOrdered(t *testing.T, model string) bool {
+	t.Helper()
 	self := bbmsg.Member{Name: "a", Role: bbmsg.RoleEntry, Address: "127.0.0.1:2", PeerAddress: "127.0.0.1:3", Domain: "d", Region: "r"}
 	n := New(Settings{
 		Self:        self,
@@ -53,6 +54,9 @@
 		{Rules: &bbmsg.RulesText{Revision: 1, Text: engineRules}},
 		{List: &bbmsg.MemberList{Revision: 1, Members: []bbmsg.Member{self}}},
 	})
+	if n.Index == nil || n.Members.Revision() == 0 {
+		t.Fatal("the rules or the list were refused")
+	}
 	for now := DefaultTimes.ReportInterval; now < time.Minute; now += DefaultTimes.ReportInterval {
 		outputs := n.Tick(now, []bbmsg.Input{
 			{Report: &bbmsg.LoadReport{Endpoint: "e", Boot: 1, Model: model}},
