--- a/bluebellbench/bbcompare/measure.go
+++ b/bluebellbench/bbcompare/measure.go
@@ -150,6 +150,7 @@
 
 // quiet returns how long after its going out the outage's domain got its last work.
 func quiet(s *side, out, back time.Time) time.Duration {
+	// Work from before the outage has a time below that.
 	last := time.Duration(-1)
 	domain := s.fleet.Rules.Domains[outageDomain].Name
 	for _, e := range s.fleet.Rules.Endpoints {
@@ -157,7 +158,7 @@
 			continue
 		}
 		for _, x := range s.fleet.Endpoints[e.Name].Exchanges() {
-			if x.At.After(out) && x.At.Before(back) {
+			if x.At.Before(back) {
 				last = max(last, x.At.Sub(out))
 			}
 		}
