Deputies carry warm endpoints of a dead owner that is still listed

While the list names a dead entry VM its endpoints got no work. Now the next in the rendezvous order carries warm ones, at half of their slots less what others run, while a fresh report says warm and it has neither heard the owner nor of a newer list. Cold, unknown and warming endpoints get nothing, nor those of services that do not report.

--- a/core/bbflow/dispatch.go
+++ b/core/bbflow/dispatch.go
@@ -99,6 +99,7 @@
 		OwnerIncarnation: c.OwnerIncarnation,
 		Sent:             now,
 		Expires:          now + budget,
+		Deputy:           c.Deputy,
 		Hedge:            hedge,
 		HedgeAt:          t.hedgeTime(now, r),
 	}
@@ -129,6 +130,7 @@
 func (t *Table) message(r *Run, a Attempt, c Choice, budget time.Duration) *bbmsg.Dispatch {
 	s := r.step()
 	return &bbmsg.Dispatch{
+		Deputy:           c.Deputy,
 		Attempt:          t.name(r, a),
 		Home:             t.Settings.Self,
 		HomeIncarnation:  t.Settings.Incarnation,
@@ -167,6 +169,7 @@
 	a.CancelSent = true
 	t.Seams.Send(now, a.Owner, bbmsg.Envelope{
 		Cancel: &bbmsg.Cancel{
+			Deputy:           a.Deputy,
 			Attempt:          t.name(r, *a),
 			Endpoint:         a.Endpoint,
 			Home:             t.Settings.Self,
--- a/core/bbflow/flow.go
+++ b/core/bbflow/flow.go
@@ -73,6 +73,8 @@
 	Expires time.Duration
 	// Lost is when the owner was first seen gone, 0 while it is there.
 	Lost time.Duration
+	// Deputy is true when the owner only stands in for one that is lost.
+	Deputy bool
 	// CancelSent is true once the owner was asked to stop.
 	CancelSent bool
 	// Hedge is true for a second attempt beside an open one.
@@ -130,6 +132,7 @@
 	Owner            string
 	OwnerIncarnation uint64
 	ListRevision     int64
+	Deputy           bool
 }
 
 // Query asks for an endpoint for a stage.
--- a/core/bbmsg/envelope.go
+++ b/core/bbmsg/envelope.go
@@ -175,6 +175,8 @@
 
 // Dispatch sends one attempt to the owner of an endpoint.
 type Dispatch struct {
+	// Deputy is true when the receiver is to act for an owner that the home has lost.
+	Deputy  bool    `json:"deputy,omitempty"`
 	Attempt Attempt `json:"attempt"`
 	// Home and HomeIncarnation name the sending home.
 	Home            string `json:"home"`
@@ -256,6 +258,8 @@
 
 // Cancel asks the owner to stop an attempt and to say whether it was ever sent.
 type Cancel struct {
+	// Deputy is that of the Dispatch.
+	Deputy  bool    `json:"deputy,omitempty"`
 	Attempt Attempt `json:"attempt"`
 	// Endpoint is the endpoint of the attempt.
 	Endpoint string `json:"endpoint"`
--- a/core/bbmsg/list.go
+++ b/core/bbmsg/list.go
@@ -118,6 +118,8 @@
 	WaitMillis int `json:"waitMillis" cbor:"6,keyasint,omitempty"`
 	// Model is the model it has loaded, empty if none or unknown.
 	Model string `json:"model,omitempty" cbor:"7,keyasint,omitempty"`
+	// Deputy is true when the sender acts for an owner that it has lost.
+	Deputy bool `json:"deputy,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // EndpointState is the owner's view of an endpoint.
--- a/core/bbnode/choose.go
+++ b/core/bbnode/choose.go
@@ -33,6 +33,15 @@
 		return
 	}
 	owner := n.Members.Owner(d.Name, e.Domain)
+	if d.Deputy {
+		if owner == n.Settings.Self.Name || n.alive(owner) {
+			return
+		}
+		owner = n.Members.Deputy(d.Name, e.Domain)
+		if owner == n.Settings.Self.Name {
+			return
+		}
+	}
 	if owner == n.Settings.Self.Name {
 		n.Owner.Hint(n.now, d, 0)
 		return
@@ -104,6 +113,7 @@
 		Owner:            c.Owner,
 		OwnerIncarnation: n.incarnationOf(c.Owner),
 		ListRevision:     n.Members.Revision(),
+		Deputy:           c.Digest.Deputy,
 	}, true
 }
 
@@ -160,6 +170,10 @@
 // candidate describes one endpoint to the router.
 func (n *Node) candidate(e *bbrule.Endpoint, excluded bool) bbroute.Candidate {
 	owner := n.Members.Owner(e.Name, e.Domain)
+	lost := owner != "" && owner != n.Settings.Self.Name && !n.alive(owner) && n.reports(e)
+	if lost {
+		owner = n.Members.Deputy(e.Name, e.Domain)
+	}
 	c := bbroute.Candidate{
 		Name:       e.Name,
 		Hash:       n.policy.hashOf(e.Name),
@@ -171,17 +185,17 @@
 		Out:        n.Index.IsOut(e),
 	}
 	if owner == n.Settings.Self.Name {
-		c.Digest, c.Known = n.Owner.Digest(n.now, e.Name)
+		c.Digest, c.Known = n.tableOf(lost).Digest(n.now, e.Name)
 		return c
 	}
 	if v, ok := n.views[e.Name]; ok {
 		c.InFlight = v.inFlight
 		c.Since = v.since
-		c.Known = v.owner == owner
+		c.Known = v.owner == owner && v.digest.Deputy == lost
 		c.Digest = v.digest
 		c.DigestAge = n.now - v.seen
 	}
-	if !c.Known && n.large() {
+	if !c.Known && n.large() && !lost {
 		c.Known = true
 		c.Digest = unheardDigest
 	}
--- a/core/bbnode/drain.go
+++ b/core/bbnode/drain.go
@@ -74,7 +74,7 @@
 	if n.Home.Running() > 0 || len(n.receiver.calls) > 0 {
 		return true
 	}
-	for _, d := range n.Owner.Digests(n.now) {
+	for _, d := range append(n.Owner.Digests(n.now), n.deputy.Digests(n.now)...) {
 		if d.InFlight > 0 || d.Queued > 0 {
 			return true
 		}
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -117,6 +117,8 @@
 	Home     *bbhome.Table
 	Flow     *bbflow.Table
 	Owner    *bbowner.Table
+	// deputy has the endpoints that this node looks after while their owner is lost.
+	deputy *bbowner.Table
 	// Index has the rules in force, nil before the first.
 	Index *bbrule.Index
 
@@ -190,6 +192,7 @@
 		ConfirmedFor:   n.Members.ConfirmedFor,
 		Fresh:          n.Members.Fresh,
 	})
+	n.deputy = n.newDeputy()
 	n.Flow = bbflow.New(bbflow.Settings{
 		Self:           s.Self.Name,
 		Incarnation:    s.Incarnation,
@@ -260,6 +263,8 @@
 func (n *Node) runOwner() {
 	n.Owner.Tick(n.now, n.Members.Confirmed(n.now))
 	n.emit(n.Owner.TakeOutputs())
+	n.deputy.Tick(n.now, false)
+	n.emit(n.deputy.TakeOutputs())
 }
 
 // take dispatches one input.
@@ -268,6 +273,10 @@
 	case i.Peer != nil:
 		n.takeEnvelope(i.Peer.From, &i.Peer.Envelope)
 	case i.Endpoint != nil:
+		if i.Endpoint.Call > deputyFirstCall {
+			n.deputy.News(n.now, *i.Endpoint)
+			return
+		}
 		n.Owner.News(n.now, *i.Endpoint)
 	case i.Caller != nil:
 		n.takeCaller(*i.Caller)
@@ -281,6 +290,7 @@
 		n.takeReply(*i.Reply)
 	case i.Report != nil:
 		n.Owner.Report(n.now, *i.Report)
+		n.deputy.Report(n.now, *i.Report)
 	default:
 		n.takeRare(i)
 	}
@@ -384,5 +394,6 @@
 	next := n.Members.NextWake(n.now)
 	next = min(next, n.Owner.NextWake(n.now))
 	next = min(next, n.Flow.NextWake())
+	next = min(next, n.deputy.NextWake(n.now))
 	return next
 }
--- a/core/bbnode/peers.go
+++ b/core/bbnode/peers.go
@@ -35,7 +35,7 @@
 func (n *Node) toldDigests() []bbmsg.EndpointDigest {
 	digests := n.Owner.Digests(n.now)
 	if !n.large() {
-		return digests
+		return append(digests, n.deputy.Digests(n.now)...)
 	}
 	return slices.DeleteFunc(digests, func(d bbmsg.EndpointDigest) bool {
 		e := n.Owner.Endpoints[d.Name]
@@ -109,6 +109,7 @@
 	n.Flow.PeerChanged(n.now, name)
 	n.receiverPeerChanged(name)
 	n.drainPeerChanged(name)
+	n.setDeputies()
 }
 
 // takeDispatch offers an attempt to the owner's table. An attempt that was meant for
@@ -126,8 +127,9 @@
 		return
 	}
 	n.Members.Observe(d.ListRevision)
-	n.Owner.Offer(n.now, d, from)
-	n.emit(n.Owner.TakeOutputs())
+	table := n.tableOf(d.Deputy)
+	table.Offer(n.now, d, from)
+	n.emit(table.TakeOutputs())
 }
 
 // takeCancel stops an attempt. Only the process that got the attempt can answer.
@@ -135,8 +137,9 @@
 	if c.OwnerIncarnation != n.Settings.Incarnation {
 		return
 	}
-	answer, ok := n.Owner.Cancel(n.now, c)
-	n.emit(n.Owner.TakeOutputs())
+	table := n.tableOf(c.Deputy)
+	answer, ok := table.Cancel(n.now, c)
+	n.emit(table.TakeOutputs())
 	if !ok {
 		return
 	}
--- a/core/bbnode/rules.go
+++ b/core/bbnode/rules.go
@@ -20,6 +20,7 @@
 	}
 	n.Index = n.Config.Rules().Index
 	n.Owner.SetRules(n.now, n.Index.Set)
+	n.deputy.SetRules(n.now, halfSlots(n.Index.Set))
 	n.policy.setLimits(n.Index.Set.Limits)
 	n.dropViews()
 	n.setOwned()
@@ -35,6 +36,7 @@
 		return
 	}
 	n.Owner.SetMembers(n.now, adopted)
+	n.deputy.SetMembers(n.now, adopted)
 	n.setOwned()
 	n.receiverListChanged()
 	n.setLinks()
@@ -68,6 +70,7 @@
 		}
 	}
 	n.emit(n.Owner.TakeOutputs())
+	n.setDeputies()
 }
 
 // tickConfiguration asks peers for what they have newer and decides on readiness.
--- a/core/bbowner/offer.go
+++ b/core/bbowner/offer.go
@@ -77,6 +77,9 @@
 		return bbmsg.ReasonNotReady, behindRetry
 	}
 	limit := t.limit(now, e)
+	if limit == 0 && t.settings.WarmOnly {
+		return bbmsg.ReasonOwnerGone, coldRetry
+	}
 	if limit == 0 && e.Cold() {
 		return t.whyCold(now, e)
 	}
--- a/core/bbowner/send.go
+++ b/core/bbowner/send.go
@@ -61,6 +61,8 @@
 		return
 	}
 	switch {
+	case t.settings.WarmOnly:
+		t.refuseQueued(now, e, bbmsg.ReasonOwnerGone)
 	case now < e.RetryAt:
 		t.refuseQueued(now, e, bbmsg.ReasonEndpointFailed)
 	case e.Cold():
@@ -85,9 +87,23 @@
 	if !e.usable() {
 		return 0
 	}
+	if t.settings.WarmOnly {
+		return t.deputyLimit(now, e)
+	}
 	return e.Limit(now, e.Cold() && t.mayUseCold(now, e))
 }
 
+// deputyLimit is limit at a deputy.
+func (t *Table) deputyLimit(now time.Duration, e *Endpoint) int {
+	if e.State != bbmsg.StateWarm || now-e.Measured > t.settings.FreshReport {
+		return 0
+	}
+	if !t.settings.ConfirmedFor(now, e.Rule.Name, e.Rule.Domain) {
+		return 0
+	}
+	return e.Limit(now, false)
+}
+
 // pump sends queued attempts while the window has room, and at most one to a cold
 // endpoint.
 func (t *Table) pump(now time.Duration, e *Endpoint) {
--- a/core/bbowner/table.go
+++ b/core/bbowner/table.go
@@ -25,6 +25,8 @@
 	stopLinger = time.Second
 	// lostKeep is how long the digest of an endpoint that was lost is still told.
 	lostKeep = 10 * time.Second
+	// deputyCarry is how long a deputy counts the calls of others.
+	deputyCarry = 10000 * time.Hour
 )
 
 // Settings configures a Table. Zero times and counts take the defaults named.
@@ -57,6 +59,11 @@
 	// ConfirmedFor tells whether a cold endpoint may be used; it is asked right before
 	// each send, besides the answer given to Tick. It may be nil.
 	ConfirmedFor func(now time.Duration, endpoint, domain string) bool
+	// WarmOnly makes this the table of a deputy: endpoints get work only while a fresh
+	// report says warm and ConfirmedFor allows it. FirstCall keeps its call numbers
+	// apart.
+	WarmOnly  bool
+	FirstCall uint64
 	// Fresh tells whether this node's endpoints have had no other owner yet, because
 	// its whole group has just started. It may be nil.
 	Fresh func() bool
@@ -132,6 +139,7 @@
 			WarmCompletions: settings.WarmCompletions,
 		},
 		Endpoints: map[string]*Endpoint{},
+		lastCall:  settings.FirstCall,
 		active:    map[uint64]*bbbacklog.Work{},
 		calls:     map[uint64]*bbbacklog.Work{},
 		ended:     bbattempt.NewMemory(settings.RememberTime),
@@ -292,7 +300,7 @@
 		}
 		e.Lost = now
 		t.refuseQueued(now, e, bbmsg.ReasonMoved)
-		t.event(e, bbevent.OwnershipLost, nil, "")
+		t.event(e, bbevent.OwnershipLost, nil, t.role())
 		lost = append(lost, name)
 	}
 	t.index(now)
@@ -300,12 +308,24 @@
 }
 
 func (t *Table) gain(now time.Duration, e *Endpoint) {
-	e.Gain(now, t.windows, t.carry[e.Rule.Service])
+	carry := t.carry[e.Rule.Service]
+	if t.settings.WarmOnly {
+		carry = deputyCarry
+	}
+	e.Gain(now, t.windows, carry)
 	if t.fresh {
 		e.CarryUntil = e.SettledAt
 	}
 	e.nextPoll = now
-	t.event(e, bbevent.OwnershipGained, nil, "")
+	t.event(e, bbevent.OwnershipGained, nil, t.role())
+}
+
+// role returns the detail of the events of a deputy.
+func (t *Table) role() string {
+	if t.settings.WarmOnly {
+		return "as deputy"
+	}
+	return ""
 }
 
 // noteFresh stops waiting for calls of former owners when there were none.
@@ -384,6 +404,7 @@
 		Queued:     e.Waiting(),
 		WaitMillis: int(e.wait(limit) / time.Millisecond),
 		Model:      e.Model,
+		Deputy:     t.settings.WarmOnly,
 	}
 }
 
--- a/core/bbwindow/window.go
+++ b/core/bbwindow/window.go
@@ -58,6 +58,8 @@
 	// Boot is the newest boot number reported, 0 if none; FormerBoot the one before.
 	Boot       uint64
 	FormerBoot uint64
+	// Measured is when the latest report was true.
+	Measured time.Duration
 	// Model is the loaded model as reported.
 	Model string
 	// SettledAt is when a former owner no longer starts calls while it is cold, and
@@ -188,6 +190,7 @@
 		w.TurnCold(measured, true, "new boot")
 	}
 	w.Boot = r.Boot
+	w.Measured = max(w.Measured, measured)
 	if measured < w.CarryUntil {
 		w.Foreign = max(r.Running+r.Waiting-own(measured), 0)
 		w.Known = measured >= w.SettledAt
