Links tell apart the last processes of a peer; an empty answer stays one

Cause: a batch of an earlier process of a peer, still on its way, reset what was known of the present one, so that a repeated batch was taken twice. Test seen to fail before. An answer without a body was taken for one that had been dropped, so that a repeat was told ran in place of answered.

--- a/bluebelld/bblink/link_test.go
+++ b/bluebelld/bblink/link_test.go
@@ -176,7 +176,7 @@
 func TestTakeDropsRepeats(t *testing.T) {
 	b := &inbox{}
 	s := &Server{
-		senders: make(map[string]senderState),
+		senders: make(map[string][]senderState),
 		receiver: Receiver{
 			Message: b.message,
 		},
@@ -191,6 +191,8 @@
 	s.take(batch(1, 1, "1", "2"))
 	s.take(batch(1, 1, "1", "2", "3"))
 	s.take(batch(2, 1, "new process"))
+	s.take(batch(1, 1, "1", "2", "3"))
+	s.take(batch(2, 1, "new process"))
 	want := []string{"1", "2", "3", "new process"}
 	if diff := cmp.Diff(want, b.list()); diff != "" {
 		t.Errorf("delivered messages (-want +got):\n%s", diff)
--- a/bluebelld/bblink/server.go
+++ b/bluebelld/bblink/server.go
@@ -34,8 +34,9 @@
 	receiver    Receiver
 
 	mu sync.Mutex
-	// senders has what was received from each peer.
-	senders map[string]senderState
+	// senders has the sequence number up to which everything was taken in from each
+	// process, for at most maxProcesses of each peer, newest last.
+	senders map[string][]senderState
 	// probes has the probes that wait for a reply, at most maxWaitingProbes.
 	probes map[probeKey]chan bbmsg.ProbeReply
 }
@@ -47,6 +48,10 @@
 	received uint64
 }
 
+// maxProcesses bounds the processes of one peer that are told apart. A batch of an
+// earlier process can still be on its way when the present one sends.
+const maxProcesses = 8
+
 // probeKey names a probe.
 type probeKey struct {
 	from        string
@@ -76,7 +81,7 @@
 	s := &Server{
 		incarnation: incarnation,
 		receiver:    r,
-		senders:     make(map[string]senderState),
+		senders:     make(map[string][]senderState),
 		probes:      make(map[probeKey]chan bbmsg.ProbeReply),
 	}
 	g := grpc.NewServer(
@@ -176,12 +181,7 @@
 func (s *Server) take(b *bbmsg.Batch) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := s.senders[b.From]
-	if state.incarnation != b.Incarnation {
-		state = senderState{
-			incarnation: b.Incarnation,
-		}
-	}
+	state := s.state(b.From, b.Incarnation)
 	for i, e := range b.Envelopes {
 		sequence := b.First + uint64(i)
 		if sequence <= state.received {
@@ -194,10 +194,27 @@
 			Envelope:    e,
 		}, b.Stamp)
 	}
-	s.senders[b.From] = state
 	return state.received
 }
 
+// state returns what was received from a process, and makes it for a new one.
+func (s *Server) state(from string, incarnation uint64) *senderState {
+	known := s.senders[from]
+	for i := range known {
+		if known[i].incarnation == incarnation {
+			return &known[i]
+		}
+	}
+	if len(known) == maxProcesses {
+		known = known[1:]
+	}
+	known = append(known, senderState{
+		incarnation: incarnation,
+	})
+	s.senders[from] = known
+	return &known[len(known)-1]
+}
+
 // blocked tells whether a peer is cut off.
 func (s *Server) blocked(peer string) bool {
 	return s.receiver.Blocked != nil && s.receiver.Blocked(peer)
--- a/core/bbhome/table.go
+++ b/core/bbhome/table.go
@@ -196,6 +196,9 @@
 // dropAnswer drops what is stored of the answer of an ended record. A repeat of one
 // that was answered is told that it ran.
 func (t *Table) dropAnswer(r *Record) {
+	if answerSize(r) == 0 {
+		return
+	}
 	t.answerBytes -= answerSize(r)
 	r.Tokens = nil
 	r.Body = nil
