--- a/core/bbmember/confirm.go
+++ b/core/bbmember/confirm.go
@@ -18,7 +18,9 @@
 // Fresh returns true while this node holds its first list and its whole group, of more
 // than one, had just started with it. The endpoints that it owns then have had no other
 // owner whose calls could still run.
-func (t *Table) Fresh() bool { return t.ready && t.fresh && t.adopted == 1 }
+func (t *Table) Fresh() bool {
+	return t.ready && t.fresh && t.adopted == 1 && !t.elder
+}
 
 // updateFresh looks whether each other member either is not ready, or was seen so by
 // this process and got ready in the same way. A member that asks a former group has
--- a/core/bbmember/probe.go
+++ b/core/bbmember/probe.go
@@ -118,7 +118,9 @@
 	t.notePause(now)
 	t.Observe(probe.Knowledge.ListRevision)
 	t.noteUnready(probe.From, probe.Ready)
-	if p := t.Peers[probe.From]; p != nil {
+	p := t.Peers[probe.From]
+	t.elder = t.elder || p == nil && probe.Ready
+	if p != nil {
 		t.hear(now, p, probe.Incarnation, probe.Knowledge)
 		if t.probedOften(p) {
 			own.Endpoints = nil
--- a/core/bbmember/table.go
+++ b/core/bbmember/table.go
@@ -154,6 +154,9 @@
 	fresh   bool
 	unready map[string]bool
 	adopted int
+	// elder is true once a ready node that the list does not name has sent a probe: it
+	// may be a former owner.
+	elder bool
 	// covered is true while enough members confirm; coveredSince is when that began
 	// and coveredUntil when it ends unless they confirm again.
 	covered      bool
--- a/core/bbmember/table_test.go
+++ b/core/bbmember/table_test.go
@@ -466,6 +466,12 @@
 			check(t, f, name, true)
 		}
 	})
+	t.Run("not while a node runs that the list no longer names", func(t *testing.T) {
+		f := newFleet(three, "a1", "a2", "a3")
+		f.tables["a1"].HandleProbe(0, bbmsg.Probe{From: "a9", Ready: true}, bbmsg.Knowledge{})
+		f.run(3*testConfirm, nil)
+		check(t, f, "a1", false)
+	})
 	t.Run("not one that restarts later, and none after another list", func(t *testing.T) {
 		f := newFleet(three, "a1", "a2", "a3")
 		f.run(2*testConfirm, nil)
