--- a/core/bbworld/world.go
+++ b/core/bbworld/world.go
@@ -48,6 +48,8 @@
 	Tickets map[uint64]string
 	// Events is the time line.
 	Events []bbevent.Event
+	// Stopped counts the processes that ended by a planned stop.
+	Stopped int
 
 	names []string
 	queue []delivery
@@ -164,6 +166,11 @@
 	return w.calls
 }
 
+// Drain begins the planned stop of a node.
+func (w *World) Drain(name string) {
+	w.input(name, bbmsg.Input{Drain: true})
+}
+
 func (w *World) input(name string, i bbmsg.Input) {
 	n := w.Nodes[name]
 	if n != nil && n.Core != nil {
@@ -268,6 +275,9 @@
 		}
 	case o.Addresses != nil:
 		w.Tickets[o.Addresses.Call] = o.Addresses.Ticket
+	case o.Stopped:
+		w.Stopped++
+		w.Crash(name)
 	case o.Event != nil:
 		w.Events = append(w.Events, *o.Event)
 	}
