Stand-ins: what counts as a sign of a cold turn; scenario of lost answers

Cause: TestPromisesOverSockets failed once in nine runs with two requests over the cold capacity of encoders, and the comparison counted two. Trace: encoders publish no reports; the requests came after one begun cold had ended three times slower than usual, at some 30 ms in place of 10, which the stand-in took for a sign. Load makes answers as slow, so an owner can't act on it without closing busy endpoints: the owner's bound is five times and 250 ms. The other race is a request that was under way when a report or reset left the endpoint. The check now counts a request as the owner's fault 50 ms (two regions and room) after a report, a rejection or a reset; that nothing is counted before any sign is as it was, and the unwarned ones are still counted and shown. The scenario lostAnswers runs calls whose answers never come.

--- a/bluebellbench/bbcompare/scenario.go
+++ b/bluebellbench/bbcompare/scenario.go
@@ -74,6 +74,9 @@
 		{Name: "poison", Title: "A request that crashes endpoints is sent again and again", Load: 0.4, Duration: usualDuration, Kinds: withPoison, Steps: []Step{
 			{At: 0, Do: killOnPoison},
 		}},
+		{Name: "lostAnswers", Title: "Answers of plain services are lost after the run", Load: 0.4, Duration: usualDuration, Steps: []Step{
+			{At: faultTime, Do: loseSome},
+		}},
 	}
 }
 
@@ -126,6 +129,17 @@
 	}
 }
 
+// loseShare is the part of the answers of plain services that is lost.
+const loseShare = 0.3
+
+// loseSome makes plain services run calls whose answers never arrive.
+func loseSome(f *bbfleet.Fleet) {
+	share := loseShare
+	for _, p := range f.Pools {
+		p.Apply(bbendpoint.Faults{LoseShare: &share})
+	}
+}
+
 func allSilent(f *bbfleet.Fleet) {
 	for _, e := range f.Endpoints {
 		e.Apply(bbendpoint.Faults{Silent: true})
--- a/bluebellfake/bbendpoint/endpoint.go
+++ b/bluebellfake/bbendpoint/endpoint.go
@@ -35,8 +35,10 @@
 	// pausedUntil is the end of the last pause.
 	pausedUntil time.Time
 	cold        bool
-	// coldShown is true once a peer could have seen that the endpoint is cold.
-	coldShown bool
+	// shownAt is when it first showed that it is cold: by a report, a rejection or a
+	// reset. It is zero while it has not. Slower answers are no sign, since load makes
+	// them as slow.
+	shownAt time.Time
 	// bootAt is the time of the last start of the process.
 	bootAt time.Time
 	// ended is closed when the running process ends.
@@ -96,9 +98,9 @@
 		slow:     1,
 		cold:     !s.StartWarm,
 		// A peer expects a started endpoint to be cold.
-		coldShown: true,
-		bootAt:    time.Now(),
-		ended:     make(chan struct{}),
+		shownAt: time.Now().Add(-signTime),
+		bootAt:  time.Now(),
+		ended:   make(chan struct{}),
 	}
 	e.counts.Boot = uint64(time.Now().UnixMilli())
 	e.pushState()
@@ -161,12 +163,29 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cold = true
-	e.coldShown = false
+	e.shownAt = time.Time{}
 	e.turns++
 	e.warmth = 0
 	e.pushState()
 }
 
+// show notes that the endpoint has shown that it is cold. The lock is held.
+func (e *Endpoint) show() {
+	if e.shownAt.IsZero() {
+		e.shownAt = time.Now()
+	}
+}
+
+// signTime is how long a sign is on its way to the owner, and a request that the owner
+// sent before it saw the sign on its way back: two regions apart, with some room.
+const signTime = 50 * time.Millisecond
+
+// warned tells whether the owner could have seen that the endpoint is cold before it
+// sent a request that arrives now. The lock is held.
+func (e *Endpoint) warned() bool {
+	return !e.shownAt.IsZero() && time.Since(e.shownAt) >= signTime
+}
+
 // Crash resets all connections and starts the process anew, cold.
 func (e *Endpoint) Crash() {
 	e.mu.Lock()
@@ -184,7 +203,10 @@
 	e.mu.Unlock()
 	reset := e.listener.restart(e.Settings.RestartTime)
 	e.mu.Lock()
-	e.coldShown = reset > 0
+	e.shownAt = time.Time{}
+	if reset > 0 {
+		e.show()
+	}
 	e.mu.Unlock()
 	for _, f := range hooks {
 		f()
@@ -360,7 +382,7 @@
 	e.trimStates()
 	s := e.states[0]
 	if s.cold && s.boot == e.counts.Boot {
-		e.coldShown = true
+		e.show()
 	}
 	running := min(s.inFlight, e.Settings.WarmSlots)
 	return bbmsg.LoadReport{
--- a/bluebellfake/bbendpoint/settings.go
+++ b/bluebellfake/bbendpoint/settings.go
@@ -118,8 +118,8 @@
 	Rejected int64 `json:"rejected"`
 	// OverCold counts the requests taken over the cold capacity.
 	OverCold int64 `json:"overCold"`
-	// OverColdUnwarned is the part of OverCold from before the endpoint had ended work
-	// that was begun cold, reported that it is cold or reset connections.
+	// OverColdUnwarned is the part of OverCold from before the endpoint had reported that
+	// it is cold, rejected work for it or reset connections, and signTime after that.
 	OverColdUnwarned int64 `json:"overColdUnwarned"`
 	// Crashes counts the ends of its process.
 	Crashes int64 `json:"crashes"`
