--- a/bluebelld/bbbackend/client_test.go
+++ b/bluebelld/bbbackend/client_test.go
@@ -48,7 +48,7 @@
 		Call:          1,
 		Address:       strings.TrimPrefix(server.URL, "http://"),
 		Kind:          "pool",
-		Path:          "v1/work",
+		Path:          "v1/run",
 		Body:          []byte(`{}`),
 		TimeoutMillis: testWait.Milliseconds(),
 	}
