Node: callers and the graceful stop in packages of their own

The callers that wait at a node and the search for a home move to bbreceiver, the graceful stop and the handover of records to bbdrain, both with function fields where they need the rest of the node. What was asked of members in many places (process, alive, sorted names) moves to bbmember. No behaviour changes: the bodies are the same but for the receivers; early callers are served where the node becomes ready instead of by the next statement of the tick.

The tests of bbnode and bbworld pass unchanged.

--- /dev/null
+++ b/core/bbmember/lookup.go
@@ -0,0 +1,45 @@
+package bbmember
+
+import "sort"
+
+// Incarnation returns the process of a node as last heard, 0 if never.
+func (t *Table) Incarnation(name string) uint64 {
+	if name == t.settings.Self.Name {
+		return t.settings.Incarnation
+	}
+	if p, ok := t.Peers[name]; ok {
+		return p.Incarnation
+	}
+	return 0
+}
+
+// Alive tells whether a node answers probes. The node itself does.
+func (t *Table) Alive(name string) bool {
+	if name == t.settings.Self.Name {
+		return true
+	}
+	p, ok := t.Peers[name]
+	return ok && p.Heard && p.Alive
+}
+
+// AlivePeers returns the names of the peers that answer probes, sorted.
+func (t *Table) AlivePeers() []string {
+	var names []string
+	for name, p := range t.Peers {
+		if p.Heard && p.Alive {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// PeerNames returns the names of all peers, sorted.
+func (t *Table) PeerNames() []string {
+	names := make([]string, 0, len(t.Peers))
+	for name := range t.Peers {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- a/core/bbnode/address.go
+++ b/core/bbnode/address.go
@@ -62,12 +62,12 @@
 			ClockMillis: n.now.Milliseconds(),
 			HeardAt:     n.now,
 			Alive:       true,
-			Draining:    n.drain.started,
+			Draining:    n.drain.Started(),
 			Load:        n.Home.Running(),
 			Handed:      n.policy.handed[self.Name],
 		},
 	}
-	for _, name := range n.sortedNames() {
+	for _, name := range n.Members.PeerNames() {
 		p := n.Members.Peers[name]
 		if !p.Listed {
 			continue
--- a/core/bbnode/choose.go
+++ b/core/bbnode/choose.go
@@ -34,7 +34,7 @@
 	}
 	owner := n.Members.Owner(d.Name, e.Domain)
 	if d.Deputy {
-		if owner == n.Settings.Self.Name || n.alive(owner) {
+		if owner == n.Settings.Self.Name || n.Members.Alive(owner) {
 			return
 		}
 		owner = n.Members.Deputy(d.Name, e.Domain)
@@ -111,7 +111,7 @@
 	return bbflow.Choice{
 		Endpoint:         c.Name,
 		Owner:            c.Owner,
-		OwnerIncarnation: n.incarnationOf(c.Owner),
+		OwnerIncarnation: n.Members.Incarnation(c.Owner),
 		ListRevision:     n.Members.Revision(),
 		Deputy:           c.Digest.Deputy,
 	}, true
@@ -170,7 +170,7 @@
 // candidate describes one endpoint to the router.
 func (n *Node) candidate(e *bbrule.Endpoint, excluded bool) bbroute.Candidate {
 	owner := n.Members.Owner(e.Name, e.Domain)
-	lost := owner != "" && owner != n.Settings.Self.Name && !n.alive(owner) && n.reports(e)
+	lost := owner != "" && owner != n.Settings.Self.Name && !n.Members.Alive(owner) && n.reports(e)
 	if lost {
 		owner = n.Members.Deputy(e.Name, e.Domain)
 	}
@@ -180,7 +180,7 @@
 		Domain:     e.Domain,
 		Region:     n.Index.Region(e.Domain),
 		Owner:      owner,
-		OwnerAlive: owner != "" && n.alive(owner) && n.incarnationOf(owner) != 0,
+		OwnerAlive: owner != "" && n.Members.Alive(owner) && n.Members.Incarnation(owner) != 0,
 		Excluded:   excluded,
 		Out:        n.Index.IsOut(e),
 	}
--- a/core/bbnode/deputy.go
+++ b/core/bbnode/deputy.go
@@ -31,7 +31,7 @@
 // next in order, has lost the owner and knows of no newer list.
 func (n *Node) deputyFor(_ time.Duration, name, domain string) bool {
 	owner := n.Members.Owner(name, domain)
-	return owner != "" && !n.alive(owner) && n.Members.Seen() == n.Members.Revision() &&
+	return owner != "" && !n.Members.Alive(owner) && n.Members.Seen() == n.Members.Revision() &&
 		n.Members.Deputy(name, domain) == n.Settings.Self.Name
 }
 
--- a/core/bbnode/homes.go
+++ b/core/bbnode/homes.go
@@ -67,23 +67,15 @@
 	return a, true
 }
 
-// keyPrefix keeps the names of keys apart from those of endpoints.
-const keyPrefix = "key:"
-
-// keyHome returns the home of a plain idempotency key. It depends on the list alone:
-// nodes with one list and different rules must agree.
-func (n *Node) keyHome(id string) string {
-	return n.Members.Owner(keyPrefix+id, "")
-}
-
 // keySafe tells whether no other process can have accepted a key within the time that
 // keys are kept: this node is its home by a confirmed list, was so by every list that
 // can have been in force within that time, and its process has seen all of them. The
 // settling time covers a former home whose confirmation was still running out.
 func (n *Node) keySafe(id string) bool {
+	place := bbticket.KeyPlace(id)
 	since := n.now - n.Settings.Times.KeyRetention - n.Settings.Times.SettleTime
-	return n.Members.OwnedSince(since, keyPrefix+id, "") &&
-		n.Members.ConfirmedFor(n.now, keyPrefix+id, "")
+	return n.Members.OwnedSince(since, place, "") &&
+		n.Members.ConfirmedFor(n.now, place, "")
 }
 
 // target is what a request asks for, by the rules in force.
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bluebellhall/core/bbconfig"
+	"bluebellhall/core/bbdrain"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbflow"
 	"bluebellhall/core/bbhome"
@@ -15,6 +16,7 @@
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bborder"
 	"bluebellhall/core/bbowner"
+	"bluebellhall/core/bbreceiver"
 	"bluebellhall/core/bbrule"
 	"bluebellhall/core/bbticket"
 )
@@ -125,8 +127,8 @@
 	// Config is the configuration in force.
 	Config *bbconfig.Config
 
-	receiver receiver
-	drain    drainState
+	receiver *bbreceiver.Table
+	drain    *bbdrain.Table
 	policy   policy
 	platform platformState
 	// views has the newest digest of each endpoint and what this home sent since.
@@ -157,8 +159,6 @@
 		Config:   newConfig(s),
 		views:    make(map[string]*view),
 	}
-	n.receiver.calls = make(map[uint64]*call)
-	n.receiver.peerCalls = make(map[string]map[uint64]bool)
 	n.policy = newPolicy(s.Random)
 	n.orders = bborder.New(bborder.Settings{
 		Self: s.Self.Name,
@@ -193,6 +193,8 @@
 		Fresh:          n.Members.Fresh,
 	})
 	n.deputy = n.newDeputy()
+	n.receiver = n.newReceiver()
+	n.drain = n.newDrain()
 	n.Flow = bbflow.New(bbflow.Settings{
 		Self:           s.Self.Name,
 		Incarnation:    s.Incarnation,
@@ -234,12 +236,11 @@
 	n.Home.Tick(now)
 	n.Flow.Tick(now)
 	n.tickConfiguration()
-	n.tickReceiver()
 	n.drainLocal()
 	n.runOwner()
 	n.drainLocal()
 	n.tickOrders()
-	n.tickDrain()
+	n.drain.Tick(n.now)
 	out := n.out
 	n.out = nil
 	return out
@@ -279,9 +280,9 @@
 		}
 		n.Owner.News(n.now, *i.Endpoint)
 	case i.Caller != nil:
-		n.takeCaller(*i.Caller)
+		n.receiver.Take(*i.Caller)
 	case i.CallerGone != nil:
-		n.callerGone(i.CallerGone.Call)
+		n.receiver.Gone(i.CallerGone.Call)
 	case i.Address != nil:
 		n.answerAddress(*i.Address)
 	case i.Probe != nil:
@@ -308,7 +309,7 @@
 	case i.OrderResult != nil:
 		n.takeOrderResult(*i.OrderResult)
 	case i.Drain:
-		n.startDrain()
+		n.drain.Start(n.now, n.policy.longestTicket)
 	}
 }
 
@@ -322,7 +323,7 @@
 	case e.Forward != nil:
 		n.takeForward(from, *e.Forward)
 	case e.Answer != nil:
-		n.takeAnswer(from, *e.Answer)
+		n.receiver.Answer(from, *e.Answer)
 	case e.Detach != nil:
 		n.Home.Leave(e.Detach.ID, from, e.Detach.Call)
 	case e.Cancel != nil:
@@ -330,7 +331,7 @@
 	case e.Cancelled != nil:
 		n.Flow.HandleCancelled(n.now, from, *e.Cancelled)
 	case e.Handover != nil:
-		n.takeHandover(from, *e.Handover)
+		n.drain.Take(n.now, from, *e.Handover)
 	case e.Suspect != nil:
 		n.takeSuspect(*e.Suspect)
 	case e.Rules != nil:
--- a/core/bbnode/peers.go
+++ b/core/bbnode/peers.go
@@ -13,7 +13,7 @@
 func (n *Node) knowledge() bbmsg.Knowledge {
 	return n.Config.Knowledge(bbmsg.Knowledge{
 		ClockMillis: n.now.Milliseconds(),
-		Draining:    n.drain.started,
+		Draining:    n.drain.Started(),
 		Load:        n.Home.Running(),
 		Heirs:       n.Home.Heirs(),
 		Endpoints:   n.toldDigests(),
@@ -45,7 +45,7 @@
 
 // takeProbe answers a probe and learns from it.
 func (n *Node) takeProbe(p bbmsg.Probe) {
-	before := n.incarnationOf(p.From)
+	before := n.Members.Incarnation(p.From)
 	reply := n.Members.HandleProbe(n.now, p, n.knowledge())
 	n.out = append(n.out, bbmsg.Output{
 		Reply: &bbmsg.ReplyOut{
@@ -59,7 +59,7 @@
 
 // takeReply learns from the answer to a probe.
 func (n *Node) takeReply(r bbmsg.ProbeReply) {
-	before := n.incarnationOf(r.From)
+	before := n.Members.Incarnation(r.From)
 	n.emit(n.Members.HandleReply(n.now, r))
 	n.learn(r.From, before, r.Knowledge)
 }
@@ -70,45 +70,25 @@
 	for _, d := range k.Endpoints {
 		n.see(from, d)
 	}
-	if after := n.incarnationOf(from); before != 0 && after != before {
+	if after := n.Members.Incarnation(from); before != 0 && after != before {
 		n.peerChanged(from)
 	}
 	n.Config.HearPeer(from, k)
 }
 
-// incarnationOf returns the process of a node as last heard, 0 if never.
-func (n *Node) incarnationOf(name string) uint64 {
-	if name == n.Settings.Self.Name {
-		return n.Settings.Incarnation
-	}
-	if p, ok := n.Members.Peers[name]; ok {
-		return p.Incarnation
-	}
-	return 0
-}
-
-// alive tells whether a node answers probes. The node itself does.
-func (n *Node) alive(name string) bool {
-	if name == n.Settings.Self.Name {
-		return true
-	}
-	p, ok := n.Members.Peers[name]
-	return ok && p.Heard && p.Alive
-}
-
 // peerState tells the flow about an owner.
 func (n *Node) peerState(_ time.Duration, name string) bbflow.PeerState {
 	return bbflow.PeerState{
-		Alive:       n.alive(name),
-		Incarnation: n.incarnationOf(name),
+		Alive:       n.Members.Alive(name),
+		Incarnation: n.Members.Incarnation(name),
 	}
 }
 
 // peerChanged acts on a peer that was lost, came back or started anew.
 func (n *Node) peerChanged(name string) {
 	n.Flow.PeerChanged(n.now, name)
-	n.receiverPeerChanged(name)
-	n.drainPeerChanged(name)
+	n.receiver.PeerChanged(name)
+	n.drain.PeerChanged(n.now, name)
 	n.setDeputies()
 }
 
--- a/core/bbnode/rules.go
+++ b/core/bbnode/rules.go
@@ -1,7 +1,6 @@
 package bbnode
 
 import (
-	"sort"
 	"time"
 
 	"bluebellhall/core/bbconfig"
@@ -38,7 +37,7 @@
 	n.Owner.SetMembers(n.now, adopted)
 	n.deputy.SetMembers(n.now, adopted)
 	n.setOwned()
-	n.receiverListChanged()
+	n.receiver.ListChanged()
 	n.setLinks()
 }
 
@@ -46,7 +45,7 @@
 // former groups that are still asked.
 func (n *Node) setLinks() {
 	links := &bbmsg.LinkSet{}
-	for _, name := range n.sortedNames() {
+	for _, name := range n.Members.PeerNames() {
 		links.Members = append(links.Members, n.Members.Peers[name].Member)
 	}
 	n.out = append(n.out, bbmsg.Output{
@@ -75,7 +74,7 @@
 
 // tickConfiguration asks peers for what they have newer and decides on readiness.
 func (n *Node) tickConfiguration() {
-	n.emit(n.Config.Tick(n.now, n.alivePeers()))
+	n.emit(n.Config.Tick(n.now, n.Members.AlivePeers()))
 	if n.ready || !n.Config.Ready() {
 		return
 	}
@@ -83,18 +82,7 @@
 	n.event(bbevent.Event{
 		Number: bbevent.NodeReady,
 	})
-}
-
-// alivePeers returns the names of the nodes that answer probes, sorted.
-func (n *Node) alivePeers() []string {
-	var names []string
-	for name, p := range n.Members.Peers {
-		if p.Heard && p.Alive {
-			names = append(names, name)
-		}
-	}
-	sort.Strings(names)
-	return names
+	n.receiver.Ready()
 }
 
 // newConfig returns an empty configuration.
--- a/core/bbnode/status.go
+++ b/core/bbnode/status.go
@@ -14,7 +14,7 @@
 		Domain:       n.Settings.Self.Domain,
 		Region:       n.Settings.Self.Region,
 		Ready:        n.ready,
-		Draining:     n.drain.started,
+		Draining:     n.drain.Started(),
 		Confirmed:    n.Members.Confirmed(now),
 		UptimeMillis: now.Milliseconds(),
 		Rules:        n.Config.Status(),
@@ -77,7 +77,7 @@
 
 // fillPeers lists the other nodes.
 func (n *Node) fillPeers(s *bbmsg.Status, now time.Duration) {
-	for _, name := range n.sortedNames() {
+	for _, name := range n.Members.PeerNames() {
 		p := n.Members.Peers[name]
 		row := bbmsg.PeerStatus{
 			Name:          name,
--- a/core/bbnode/suspects.go
+++ b/core/bbnode/suspects.go
@@ -31,7 +31,7 @@
 
 // tellSuspect tells all peers that answer of content that kills endpoints.
 func (n *Node) tellSuspect(s bbmsg.Suspect) {
-	for _, name := range n.alivePeers() {
+	for _, name := range n.Members.AlivePeers() {
 		n.send(name, bbmsg.Envelope{
 			Suspect: &s,
 		})
--- a/core/bbticket/ticket.go
+++ b/core/bbticket/ticket.go
@@ -229,3 +229,8 @@
 	}
 	return payload + "." + nonce
 }
+
+// KeyPlace returns the name by which the home of a plain idempotency key is found among
+// the owners, in no failure domain: nodes with one list and different rules agree on it. It
+// keeps the names of keys apart from those of endpoints.
+func KeyPlace(id string) string { return "key:" + id }
