Node: times and budgets, and the answers about addresses, in packages of their own

What a home has learned of the time that services take, its retry budgets and its gates move from bbnode to bbpolicy. The answers to callers that ask which entry VMs to use move to bbaddress as a Responder, with their count of answers that named each VM. Draws of randomness keep their order. No behaviour changes.

--- /dev/null
+++ b/core/bbaddress/responder.go
@@ -0,0 +1,169 @@
+package bbaddress
+
+import (
+	"time"
+
+	"bluebellhall/core/bbhash"
+	"bluebellhall/core/bbmember"
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbticket"
+)
+
+// Settings configure a responder.
+type Settings struct {
+	// Self is this node's entry in the list, and Incarnation its process.
+	Self        bbmsg.Member
+	Incarnation uint64
+	// Keys sign tickets.
+	Keys bbticket.Keys
+	// HeartbeatInterval is the time after which answers that named this node itself no
+	// longer count.
+	HeartbeatInterval time.Duration
+	// Random returns uniformly distributed numbers.
+	Random func() uint64
+}
+
+// Seams tell a responder of its own node.
+type Seams struct {
+	// Load returns the number of requests whose home is this node.
+	Load func() int
+	// Draining tells whether this node has begun to stop.
+	Draining func() bool
+}
+
+// Responder answers callers that ask which entry VMs to use. It is not safe for
+// concurrent use.
+type Responder struct {
+	settings Settings
+	seams    Seams
+	members  *bbmember.Table
+	ranker   *Ranker
+	// ready is true once the node serves callers, and never false again.
+	ready bool
+	// ttl is how long an answer may be kept.
+	ttl time.Duration
+	// handed counts the answers that named each node first since it was heard, and
+	// for this node itself, since the last heartbeat began, which ends at handedUntil.
+	handed      map[string]int
+	handedUntil time.Duration
+	// longestTicket is the longest life of any ticket in this incarnation.
+	longestTicket time.Duration
+}
+
+// ticketMargin covers the time until all peers have heard that a node drains, and
+// the grace that tickets outlive their answers by.
+const ticketMargin = 5 * time.Second
+
+// NewResponder returns a responder of a node that is not ready.
+func NewResponder(s Settings, members *bbmember.Table, seams Seams) *Responder {
+	return &Responder{
+		settings: s,
+		seams:    seams,
+		members:  members,
+		ranker: &Ranker{
+			Random: s.Random,
+		},
+		handed: make(map[string]int),
+	}
+}
+
+// Answer tells a caller which entry VMs to use, with a ticket of the first.
+func (r *Responder) Answer(now time.Duration, a bbmsg.AddressAsked) bbmsg.AddressAnswer {
+	answer := bbmsg.AddressAnswer{
+		Call:   a.Call,
+		Reason: bbmsg.ReasonNotReady,
+	}
+	if r.ready {
+		r.fill(now, &answer, a)
+	}
+	return answer
+}
+
+// fill ranks the entry VMs for a caller. Callers come to a near VM by
+// themselves, so the region of the VM that is asked stands for theirs.
+func (r *Responder) fill(now time.Duration, answer *bbmsg.AddressAnswer, a bbmsg.AddressAsked) {
+	nodes := r.nodes(now)
+	ranked := r.ranker.Rank(now, Query{
+		Session: SessionHash(a.Account, a.Session),
+		Region:  r.settings.Self.Region,
+	}, nodes)
+	if len(ranked) == 0 {
+		return
+	}
+	home := &nodes[ranked[0]]
+	r.handed[home.Name]++
+	answer.Reason = bbmsg.ReasonNone
+	answer.KeepMillis = r.ranker.Keep(r.ttl).Milliseconds()
+	answer.Ticket = r.settings.Keys.Sign(Ticket(now, home, r.ttl))
+	for _, i := range ranked {
+		answer.Addresses = append(answer.Addresses, nodes[i].Address)
+	}
+}
+
+// nodes lists the entry VMs as this node sees them, itself included.
+func (r *Responder) nodes(now time.Duration) []Node {
+	self := r.settings.Self
+	nodes := []Node{
+		{
+			Name:        self.Name,
+			Hash:        bbhash.Name(self.Name),
+			Address:     self.Address,
+			Domain:      self.Domain,
+			Region:      self.Region,
+			Incarnation: r.settings.Incarnation,
+			ClockMillis: now.Milliseconds(),
+			HeardAt:     now,
+			Alive:       true,
+			Draining:    r.seams.Draining(),
+			Load:        r.seams.Load(),
+			Handed:      r.handed[self.Name],
+		},
+	}
+	for _, name := range r.members.PeerNames() {
+		p := r.members.Peers[name]
+		if !p.Listed {
+			continue
+		}
+		nodes = append(nodes, Node{
+			Name:        name,
+			Hash:        bbhash.Name(name),
+			Address:     p.Member.Address,
+			Domain:      p.Member.Domain,
+			Region:      p.Member.Region,
+			Incarnation: p.Incarnation,
+			ClockMillis: p.Knowledge.ClockMillis,
+			HeardAt:     p.LastHeard,
+			Alive:       p.Heard && p.Alive,
+			Leaving:     p.Member.Leaving,
+			Draining:    p.Knowledge.Draining,
+			Load:        p.Knowledge.Load,
+			Handed:      r.handed[name],
+		})
+	}
+	return nodes
+}
+
+// Tick forgets, once for each heartbeat, the answers that named this node: their
+// callers have come, or their load is as well known as that of other nodes.
+func (r *Responder) Tick(now time.Duration) {
+	if now < r.handedUntil {
+		return
+	}
+	r.handedUntil = now + r.settings.HeartbeatInterval
+	r.handed[r.settings.Self.Name] = 0
+}
+
+// Heard forgets the answers that named a peer: its load is known anew.
+func (r *Responder) Heard(name string) { r.handed[name] = 0 }
+
+// SetTTL sets how long an answer may be kept, by the rules in force.
+func (r *Responder) SetTTL(ttl time.Duration) {
+	r.ttl = ttl
+	r.longestTicket = max(r.longestTicket, ttl+ticketMargin)
+}
+
+// LongestTicket returns the longest life of any ticket since the process started.
+func (r *Responder) LongestTicket() time.Duration { return r.longestTicket }
+
+// Ready lets addresses be named from now on; rules are in force.
+func (r *Responder) Ready() { r.ready = true }
--- a/core/bbnode/choose.go
+++ b/core/bbnode/choose.go
@@ -1,6 +1,7 @@
 package bbnode
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -98,9 +99,9 @@
 		}, false
 	}
 	endpoints := n.Index.ServiceEndpoints[q.Step.Service]
-	candidates := n.candidates(endpoints, q)
+	candidates := n.listCandidates(endpoints, q)
 	query := n.routeQuery(q)
-	choice := n.policy.router.Choose(&query, candidates)
+	choice := n.router.Choose(&query, candidates)
 	if choice.Index < 0 {
 		return bbflow.Choice{
 			Reason:     choice.Reason,
@@ -147,7 +148,7 @@
 		Region:        n.Settings.Self.Region,
 		Model:         q.Step.Model,
 		Bytes:         int64(q.BodyBytes),
-		ServiceMillis: n.policy.serviceMillis(n.now, q.Step.Service),
+		ServiceMillis: n.policy.ServiceMillis(n.now, q.Step.Service),
 		Alone:         q.Alone,
 	}
 	if q.Session != "" && q.Step.Kind == bbrule.KindEngine {
@@ -156,14 +157,14 @@
 	return r
 }
 
-// candidates lists the endpoints of a service as this home sees them. The memory is
+// listCandidates lists the endpoints of a service as this home sees them. The memory is
 // used again by the next call.
-func (n *Node) candidates(endpoints []*bbrule.Endpoint, q bbflow.Query) []bbroute.Candidate {
-	list := n.policy.candidates[:0]
+func (n *Node) listCandidates(endpoints []*bbrule.Endpoint, q bbflow.Query) []bbroute.Candidate {
+	list := n.candidates[:0]
 	for _, e := range endpoints {
 		list = append(list, n.candidate(e, slices.Contains(q.Exclude, e.Name)))
 	}
-	n.policy.candidates = list
+	n.candidates = list
 	return list
 }
 
@@ -176,7 +177,7 @@
 	}
 	c := bbroute.Candidate{
 		Name:       e.Name,
-		Hash:       n.policy.hashOf(e.Name),
+		Hash:       n.hashOf(e.Name),
 		Domain:     e.Domain,
 		Region:     n.Index.Region(e.Domain),
 		Owner:      owner,
@@ -208,3 +209,34 @@
 	State:  bbmsg.StateUnknown,
 	Window: 1,
 }
+
+// hashOf returns the hash of an endpoint's name.
+func (n *Node) hashOf(name string) uint64 {
+	h, ok := n.hashes[name]
+	if !ok {
+		h = bbhash.Name(name)
+		n.hashes[name] = h
+	}
+	return h
+}
+
+const (
+	// domainMillis and regionMillis are one-way delays between failure domains and
+	// between regions, in milliseconds.
+	domainMillis = 1.5
+	regionMillis = 10
+	// gigabyteMillisPerCost is the delay that is worth a unit of the operators'
+	// currency, in milliseconds.
+	gigabyteMillisPerCost = 1e6
+)
+
+// newRouter returns the router of a node.
+func newRouter(random *rand.Rand) *bbroute.Router {
+	return &bbroute.Router{
+		Random: random.Uint64,
+		Settings: bbroute.Settings{
+			DomainMillis: domainMillis,
+			RegionMillis: regionMillis,
+		},
+	}
+}
--- /dev/null
+++ b/core/bbnode/flow.go
@@ -0,0 +1,37 @@
+package bbnode
+
+import (
+	"time"
+
+	"bluebellhall/core/bbflow"
+	"bluebellhall/core/bbmsg"
+)
+
+// flowSeams connects the flow with the rest of the node.
+func (n *Node) flowSeams() bbflow.Seams {
+	return bbflow.Seams{
+		Choose:     n.choose,
+		Peer:       n.peerState,
+		Send:       n.sendAttempt,
+		Closed:     n.ended,
+		Progress:   n.progress,
+		End:        n.endRecord,
+		Emit:       n.event,
+		CanMake:    n.policy.CanMake,
+		Split:      n.policy.Split,
+		First:      n.policy.First,
+		AllowRetry: n.policy.AllowRetry,
+		HedgeDelay: n.policy.HedgeDelay,
+		Observe:    n.policy.Observe,
+		Died:       n.endpointDied,
+		Survived:   n.survived,
+	}
+}
+
+// sendAttempt passes a message of the flow on and counts attempts.
+func (n *Node) sendAttempt(_ time.Duration, to string, e bbmsg.Envelope) {
+	if e.Dispatch != nil {
+		n.sent(e.Dispatch)
+	}
+	n.send(to, e)
+}
--- a/core/bbnode/homes.go
+++ b/core/bbnode/homes.go
@@ -176,13 +176,13 @@
 		Request: r.ID,
 		Detail:  r.Request.Pipeline + r.Request.Service,
 	})
-	suspicion := n.policy.suspects.Verdict(n.now, r.Fingerprint)
+	suspicion := n.suspects.Verdict(n.now, r.Fingerprint)
 	if suspicion == bbsuspect.Refused {
 		r.Repeatable = true
 		n.endRecord(r, bbmsg.OutcomeNotRun, bbmsg.ReasonSuspect)
 		return
 	}
-	if !n.policy.pass(n.now, r, t) {
+	if !n.policy.Pass(n.now, r, t.deadline-answerMargin, t.steps) {
 		r.Repeatable = true
 		n.endRecord(r, bbmsg.OutcomeNotRun, bbmsg.ReasonDeadline)
 		return
@@ -250,7 +250,7 @@
 	if !n.Home.End(r, outcome, reason) {
 		return
 	}
-	n.policy.ended(r)
+	n.policy.Ended(r)
 	waiters := r.Waiters
 	r.Waiters = nil
 	for i := range waiters {
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bluebellhall/core/bbaddress"
 	"bluebellhall/core/bbconfig"
 	"bluebellhall/core/bbdrain"
 	"bluebellhall/core/bbevent"
@@ -16,8 +17,11 @@
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bborder"
 	"bluebellhall/core/bbowner"
+	"bluebellhall/core/bbpolicy"
 	"bluebellhall/core/bbreceiver"
+	"bluebellhall/core/bbroute"
 	"bluebellhall/core/bbrule"
+	"bluebellhall/core/bbsuspect"
 	"bluebellhall/core/bbticket"
 )
 
@@ -127,10 +131,17 @@
 	// Config is the configuration in force.
 	Config *bbconfig.Config
 
-	receiver *bbreceiver.Table
-	drain    *bbdrain.Table
-	policy   policy
-	platform platformState
+	receiver  *bbreceiver.Table
+	drain     *bbdrain.Table
+	policy    *bbpolicy.Policy
+	addresses *bbaddress.Responder
+	// router chooses endpoints; candidates is memory for one choice, and hashes has the
+	// hashes of endpoint names.
+	router     *bbroute.Router
+	candidates []bbroute.Candidate
+	hashes     map[string]uint64
+	suspects   *bbsuspect.Table
+	platform   platformState
 	// views has the newest digest of each endpoint and what this home sent since.
 	views  map[string]*view
 	orders *bborder.Table
@@ -159,7 +170,10 @@
 		Config:   newConfig(s),
 		views:    make(map[string]*view),
 	}
-	n.policy = newPolicy(s.Random)
+	n.policy = bbpolicy.New()
+	n.router = newRouter(s.Random)
+	n.hashes = make(map[string]uint64)
+	n.suspects = bbsuspect.New(maxSuspects)
 	n.orders = bborder.New(bborder.Settings{
 		Self: s.Self.Name,
 	})
@@ -195,6 +209,7 @@
 	n.deputy = n.newDeputy()
 	n.receiver = n.newReceiver()
 	n.drain = n.newDrain()
+	n.addresses = n.newAddresses()
 	n.Flow = bbflow.New(bbflow.Settings{
 		Self:           s.Self.Name,
 		Incarnation:    s.Incarnation,
@@ -227,7 +242,7 @@
 // Tick takes in what has happened and returns what is to be done, in order.
 func (n *Node) Tick(now time.Duration, inputs []bbmsg.Input) []bbmsg.Output {
 	n.now = now
-	n.tickHanded()
+	n.addresses.Tick(n.now)
 	n.emit(n.Members.Tick(now))
 	for i := range inputs {
 		n.take(&inputs[i])
@@ -309,7 +324,7 @@
 	case i.OrderResult != nil:
 		n.takeOrderResult(*i.OrderResult)
 	case i.Drain:
-		n.drain.Start(n.now, n.policy.longestTicket)
+		n.drain.Start(n.now, n.addresses.LongestTicket())
 	}
 }
 
--- a/core/bbnode/parts.go
+++ b/core/bbnode/parts.go
@@ -1,6 +1,7 @@
 package bbnode
 
 import (
+	"bluebellhall/core/bbaddress"
 	"bluebellhall/core/bbdrain"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbreceiver"
@@ -25,6 +26,29 @@
 	})
 }
 
+// newAddresses returns what answers callers that ask which entry VMs to use.
+func (n *Node) newAddresses() *bbaddress.Responder {
+	s := n.Settings
+	return bbaddress.NewResponder(bbaddress.Settings{
+		Self:              s.Self,
+		Incarnation:       s.Incarnation,
+		Keys:              s.Keys,
+		HeartbeatInterval: s.Times.ProbeInterval,
+		Random:            s.Random.Uint64,
+	}, n.Members, bbaddress.Seams{
+		Load:     n.Home.Running,
+		Draining: n.drain.Started,
+	})
+}
+
+// answerAddress tells a caller which entry VMs to use.
+func (n *Node) answerAddress(a bbmsg.AddressAsked) {
+	answer := n.addresses.Answer(n.now, a)
+	n.out = append(n.out, bbmsg.Output{
+		Addresses: &answer,
+	})
+}
+
 // newDrain returns the state of the graceful stop.
 func (n *Node) newDrain() *bbdrain.Table {
 	s := n.Settings
--- a/core/bbnode/peers.go
+++ b/core/bbnode/peers.go
@@ -66,7 +66,7 @@
 
 // learn takes in what a peer knows.
 func (n *Node) learn(from string, before uint64, k bbmsg.Knowledge) {
-	n.policy.handed[from] = 0
+	n.addresses.Heard(from)
 	for _, d := range k.Endpoints {
 		n.see(from, d)
 	}
--- a/core/bbnode/rules.go
+++ b/core/bbnode/rules.go
@@ -6,6 +6,7 @@
 	"bluebellhall/core/bbconfig"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbrule"
 )
 
 // fetchInterval is the least time between two questions to peers for configuration.
@@ -20,11 +21,19 @@
 	n.Index = n.Config.Rules().Index
 	n.Owner.SetRules(n.now, n.Index.Set)
 	n.deputy.SetRules(n.now, halfSlots(n.Index.Set))
-	n.policy.setLimits(n.Index.Set.Limits)
+	n.setLimits(n.Index.Set.Limits)
 	n.dropViews()
 	n.setOwned()
 }
 
+// setLimits takes in the limits of new rules.
+func (n *Node) setLimits(l bbrule.Limits) {
+	n.policy.SetRetryShare(l.RetryShare)
+	n.addresses.SetTTL(l.AnswerTTL)
+	n.router.Settings.GigabyteMillis = l.CrossRegionCost * gigabyteMillisPerCost
+	clear(n.hashes)
+}
+
 // offerList takes in a list of VMs and adopts it if it is newer.
 func (n *Node) offerList(list bbmsg.MemberList, source string) {
 	if !n.Config.OfferList(source, list) {
@@ -82,6 +91,7 @@
 	n.event(bbevent.Event{
 		Number: bbevent.NodeReady,
 	})
+	n.addresses.Ready()
 	n.receiver.Ready()
 }
 
--- a/core/bbnode/suspects.go
+++ b/core/bbnode/suspects.go
@@ -13,12 +13,12 @@
 
 // endpointDied notes that an endpoint died under a request and tells the peers.
 func (n *Node) endpointDied(now time.Duration, r *bbhome.Record, endpoint string, others int) bbsuspect.Verdict {
-	verdict, _, _ := n.policy.suspects.Died(now, bbsuspect.Death{
+	verdict, _, _ := n.suspects.Died(now, bbsuspect.Death{
 		Fingerprint: r.Fingerprint,
 		Endpoint:    endpoint,
 		Others:      others,
 	})
-	for _, s := range n.policy.suspects.Outbox() {
+	for _, s := range n.suspects.Outbox() {
 		n.tellSuspect(s)
 	}
 	return verdict
@@ -26,7 +26,7 @@
 
 // survived clears content that went through a stage.
 func (n *Node) survived(r *bbhome.Record) {
-	n.policy.suspects.Succeeded(n.now, r.Fingerprint)
+	n.suspects.Succeeded(n.now, r.Fingerprint)
 }
 
 // tellSuspect tells all peers that answer of content that kills endpoints.
@@ -40,5 +40,5 @@
 
 // takeSuspect takes in what a peer tells of such content.
 func (n *Node) takeSuspect(s bbmsg.Suspect) {
-	n.policy.suspects.Merge(n.now, s)
+	n.suspects.Merge(n.now, s)
 }
