Node: views of the endpoints and the choice among them in a package of their own

What a home knows of the endpoints, the router and the candidates that it is given move from bbnode to bbview, with the question what a deputy may look after. No behaviour changes; the tests of the deputy stay with the node, which they drive by Tick.

--- a/core/bbnode/flow.go
+++ b/core/bbnode/flow.go
@@ -10,10 +10,10 @@
 // flowSeams connects the flow with the rest of the node.
 func (n *Node) flowSeams() bbflow.Seams {
 	return bbflow.Seams{
-		Choose:     n.choose,
+		Choose:     n.views.Choose,
 		Peer:       n.peerState,
 		Send:       n.sendAttempt,
-		Closed:     n.ended,
+		Closed:     n.views.Ended,
 		Progress:   n.progress,
 		End:        n.endRecord,
 		Emit:       n.event,
@@ -31,7 +31,7 @@
 // sendAttempt passes a message of the flow on and counts attempts.
 func (n *Node) sendAttempt(_ time.Duration, to string, e bbmsg.Envelope) {
 	if e.Dispatch != nil {
-		n.sent(e.Dispatch)
+		n.views.Sent(e.Dispatch)
 	}
 	n.send(to, e)
 }
--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -19,10 +19,10 @@
 	"bluebellhall/core/bbowner"
 	"bluebellhall/core/bbpolicy"
 	"bluebellhall/core/bbreceiver"
-	"bluebellhall/core/bbroute"
 	"bluebellhall/core/bbrule"
 	"bluebellhall/core/bbsuspect"
 	"bluebellhall/core/bbticket"
+	"bluebellhall/core/bbview"
 )
 
 // Settings configure a node. Zero times and bounds take the defaults of Defaults.
@@ -135,16 +135,10 @@
 	drain     *bbdrain.Table
 	policy    *bbpolicy.Policy
 	addresses *bbaddress.Responder
-	// router chooses endpoints; candidates is memory for one choice, and hashes has the
-	// hashes of endpoint names.
-	router     *bbroute.Router
-	candidates []bbroute.Candidate
-	hashes     map[string]uint64
-	suspects   *bbsuspect.Table
-	platform   platformState
-	// views has the newest digest of each endpoint and what this home sent since.
-	views  map[string]*view
-	orders *bborder.Table
+	suspects  *bbsuspect.Table
+	platform  platformState
+	views     *bbview.Table
+	orders    *bborder.Table
 	// nextOrders is when the orders are looked at again.
 	nextOrders time.Duration
 	// ready is true once the node serves callers, and never false again.
@@ -168,11 +162,8 @@
 	n := &Node{
 		Settings: s,
 		Config:   newConfig(s),
-		views:    make(map[string]*view),
 	}
 	n.policy = bbpolicy.New()
-	n.router = newRouter(s.Random)
-	n.hashes = make(map[string]uint64)
 	n.suspects = bbsuspect.New(maxSuspects)
 	n.orders = bborder.New(bborder.Settings{
 		Self: s.Self.Name,
@@ -207,6 +198,7 @@
 		Fresh:          n.Members.Fresh,
 	})
 	n.deputy = n.newDeputy()
+	n.views = n.newViews()
 	n.receiver = n.newReceiver()
 	n.drain = n.newDrain()
 	n.addresses = n.newAddresses()
--- a/core/bbnode/orders.go
+++ b/core/bbnode/orders.go
@@ -51,9 +51,7 @@
 	row := bborder.Row{
 		Rule: *e,
 	}
-	if v, ok := n.views[e.Name]; ok {
-		row.Digest = v.digest
-	}
+	row.Digest, _, _ = n.views.Digest(n.now, e.Name)
 	own := n.Owner.Endpoints[e.Name]
 	if own == nil || !own.Owned {
 		return row
--- a/core/bbnode/parts.go
+++ b/core/bbnode/parts.go
@@ -5,6 +5,7 @@
 	"bluebellhall/core/bbdrain"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbreceiver"
+	"bluebellhall/core/bbview"
 )
 
 // newReceiver returns the table of the callers that wait at this node.
@@ -49,6 +50,19 @@
 	})
 }
 
+// newViews returns what the home knows of the endpoints.
+func (n *Node) newViews() *bbview.Table {
+	return bbview.New(bbview.Settings{
+		Self:   n.Settings.Self,
+		Random: n.Settings.Random.Uint64,
+	}, bbview.Sources{
+		Members: n.Members,
+		Policy:  n.policy,
+		Owner:   n.Owner,
+		Deputy:  n.deputy,
+	})
+}
+
 // newDrain returns the state of the graceful stop.
 func (n *Node) newDrain() *bbdrain.Table {
 	s := n.Settings
--- a/core/bbnode/peers.go
+++ b/core/bbnode/peers.go
@@ -20,21 +20,11 @@
 	})
 }
 
-// smallFleet is the number of entry VMs up to which everybody is probed often and told
-// of all endpoints. In larger fleets homes hear of endpoints with the results of their
-// own attempts.
-const smallFleet = 9
-
-// large tells whether the fleet is larger than a small one.
-func (n *Node) large() bool {
-	return len(n.Members.Peers) >= smallFleet
-}
-
 // toldDigests returns the digests that probes carry: in a large fleet only those of
 // endpoints that were lost, which their new owners have to hear of.
 func (n *Node) toldDigests() []bbmsg.EndpointDigest {
 	digests := n.Owner.Digests(n.now)
-	if !n.large() {
+	if !n.views.Large() {
 		return append(digests, n.deputy.Digests(n.now)...)
 	}
 	return slices.DeleteFunc(digests, func(d bbmsg.EndpointDigest) bool {
@@ -68,7 +58,7 @@
 func (n *Node) learn(from string, before uint64, k bbmsg.Knowledge) {
 	n.addresses.Heard(from)
 	for _, d := range k.Endpoints {
-		n.see(from, d)
+		n.views.See(n.now, from, d)
 	}
 	if after := n.Members.Incarnation(from); before != 0 && after != before {
 		n.peerChanged(from)
@@ -131,7 +121,7 @@
 // takeResult passes news of an attempt to the flow.
 func (n *Node) takeResult(from string, r bbmsg.Result) {
 	if r.Digest != nil {
-		n.see(from, *r.Digest)
+		n.views.See(n.now, from, *r.Digest)
 	}
 	n.Flow.HandleResult(n.now, from, r)
 }
--- a/core/bbnode/rules.go
+++ b/core/bbnode/rules.go
@@ -6,7 +6,6 @@
 	"bluebellhall/core/bbconfig"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbmsg"
-	"bluebellhall/core/bbrule"
 )
 
 // fetchInterval is the least time between two questions to peers for configuration.
@@ -21,19 +20,12 @@
 	n.Index = n.Config.Rules().Index
 	n.Owner.SetRules(n.now, n.Index.Set)
 	n.deputy.SetRules(n.now, halfSlots(n.Index.Set))
-	n.setLimits(n.Index.Set.Limits)
-	n.dropViews()
+	n.policy.SetRetryShare(n.Index.Set.Limits.RetryShare)
+	n.addresses.SetTTL(n.Index.Set.Limits.AnswerTTL)
+	n.views.SetRules(n.Index)
 	n.setOwned()
 }
 
-// setLimits takes in the limits of new rules.
-func (n *Node) setLimits(l bbrule.Limits) {
-	n.policy.SetRetryShare(l.RetryShare)
-	n.addresses.SetTTL(l.AnswerTTL)
-	n.router.Settings.GigabyteMillis = l.CrossRegionCost * gigabyteMillisPerCost
-	clear(n.hashes)
-}
-
 // offerList takes in a list of VMs and adopts it if it is newer.
 func (n *Node) offerList(list bbmsg.MemberList, source string) {
 	if !n.Config.OfferList(source, list) {
@@ -73,8 +65,8 @@
 		return e != nil && n.Members.Owner(name, e.Domain) == self
 	})
 	for _, name := range gained {
-		if v, ok := n.views[name]; ok {
-			n.Owner.Hint(n.now, v.digest, n.now-v.seen)
+		if digest, age, ok := n.views.Digest(n.now, name); ok {
+			n.Owner.Hint(n.now, digest, age)
 		}
 	}
 	n.emit(n.Owner.TakeOutputs())
--- /dev/null
+++ b/core/bbview/choose.go
@@ -0,0 +1,172 @@
+package bbview
+
+import (
+	"slices"
+	"time"
+
+	"bluebellhall/core/bbflow"
+	"bluebellhall/core/bbhash"
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbowner"
+	"bluebellhall/core/bbroute"
+	"bluebellhall/core/bbrule"
+)
+
+// Choose picks an endpoint for a stage.
+func (t *Table) Choose(now time.Duration, q bbflow.Query) (bbflow.Choice, bool) {
+	if t.index == nil {
+		return bbflow.Choice{
+			Reason:     bbmsg.ReasonNotReady,
+			RetryAfter: retryAfter(bbmsg.ReasonNotReady),
+		}, false
+	}
+	endpoints := t.index.ServiceEndpoints[q.Step.Service]
+	candidates := t.listCandidates(now, endpoints, q)
+	query := t.routeQuery(now, q)
+	choice := t.router.Choose(&query, candidates)
+	if choice.Index < 0 {
+		return bbflow.Choice{
+			Reason:     choice.Reason,
+			RetryAfter: retryAfter(choice.Reason),
+		}, false
+	}
+	c := candidates[choice.Index]
+	return bbflow.Choice{
+		Endpoint:         c.Name,
+		Owner:            c.Owner,
+		OwnerIncarnation: t.members.Incarnation(c.Owner),
+		ListRevision:     t.members.Revision(),
+		Deputy:           c.Digest.Deputy,
+	}, true
+}
+
+const (
+	// soonRetry is when a caller may come back for an endpoint that is being looked
+	// after: a cold one that carries a little more every moment.
+	soonRetry = 500 * time.Millisecond
+	// lostRetry is when a caller may come back for endpoints whose owner is lost; the
+	// platform's list has to change first.
+	lostRetry = 2 * time.Second
+	// operatorRetry is when a caller may come back for what operators have to change.
+	operatorRetry = 5 * time.Second
+)
+
+// retryAfter returns when a caller may come back that found no endpoint.
+func retryAfter(reason bbmsg.Reason) time.Duration {
+	switch reason {
+	case bbmsg.ReasonColdWait, bbmsg.ReasonNotReady:
+		return soonRetry
+	case bbmsg.ReasonOwnerGone:
+		return lostRetry
+	default:
+		return operatorRetry
+	}
+}
+
+// routeQuery describes a stage to the router.
+func (t *Table) routeQuery(now time.Duration, q bbflow.Query) bbroute.Query {
+	r := bbroute.Query{
+		Domain:        t.settings.Self.Domain,
+		Region:        t.settings.Self.Region,
+		Model:         q.Step.Model,
+		Bytes:         int64(q.BodyBytes),
+		ServiceMillis: t.policy.ServiceMillis(now, q.Step.Service),
+		Alone:         q.Alone,
+	}
+	if q.Session != "" && q.Step.Kind == bbrule.KindEngine {
+		r.Session = bbhash.Name(q.Session)
+	}
+	return r
+}
+
+// listCandidates lists the endpoints of a service as this home sees them. The memory is
+// used again by the next call.
+func (t *Table) listCandidates(now time.Duration, endpoints []*bbrule.Endpoint, q bbflow.Query) []bbroute.Candidate {
+	list := t.candidates[:0]
+	for _, e := range endpoints {
+		list = append(list, t.candidate(now, e, slices.Contains(q.Exclude, e.Name)))
+	}
+	t.candidates = list
+	return list
+}
+
+// candidate describes one endpoint to the router.
+func (t *Table) candidate(now time.Duration, e *bbrule.Endpoint, excluded bool) bbroute.Candidate {
+	owner := t.members.Owner(e.Name, e.Domain)
+	lost := owner != "" && owner != t.settings.Self.Name && !t.members.Alive(owner) && t.reports(e)
+	if lost {
+		owner = t.members.Deputy(e.Name, e.Domain)
+	}
+	c := bbroute.Candidate{
+		Name:       e.Name,
+		Hash:       t.hashOf(e.Name),
+		Domain:     e.Domain,
+		Region:     t.index.Region(e.Domain),
+		Owner:      owner,
+		OwnerAlive: owner != "" && t.members.Alive(owner) && t.members.Incarnation(owner) != 0,
+		Excluded:   excluded,
+		Out:        t.index.IsOut(e),
+	}
+	if owner == t.settings.Self.Name {
+		c.Digest, c.Known = t.own(lost).Digest(now, e.Name)
+		return c
+	}
+	if v, ok := t.views[e.Name]; ok {
+		c.InFlight = v.inFlight
+		c.Since = v.since
+		c.Known = v.owner == owner && v.digest.Deputy == lost
+		c.Digest = v.digest
+		c.DigestAge = now - v.seen
+	}
+	if !c.Known && t.Large() && !lost {
+		c.Known = true
+		c.Digest = unheardDigest
+	}
+	return c
+}
+
+// own returns the deputy's table for an endpoint whose owner is lost, else the owner's.
+func (t *Table) own(lost bool) *bbowner.Table {
+	if lost {
+		return t.deputy
+	}
+	return t.owner
+}
+
+// unheardDigest stands for an endpoint that this home of a large fleet has not heard
+// of: it counts as one that carries little, until the first result tells more.
+var unheardDigest = bbmsg.EndpointDigest{
+	State:  bbmsg.StateUnknown,
+	Window: 1,
+}
+
+// hashOf returns the hash of an endpoint's name.
+func (t *Table) hashOf(name string) uint64 {
+	h, ok := t.hashes[name]
+	if !ok {
+		h = bbhash.Name(name)
+		t.hashes[name] = h
+	}
+	return h
+}
+
+const (
+	// domainMillis and regionMillis are one-way delays between failure domains and
+	// between regions, in milliseconds.
+	domainMillis = 1.5
+	regionMillis = 10
+	// gigabyteMillisPerCost is the delay that is worth a unit of the operators'
+	// currency, in milliseconds.
+	gigabyteMillisPerCost = 1e6
+)
+
+// newRouter returns the router of a node.
+func newRouter(random func() uint64) *bbroute.Router {
+	return &bbroute.Router{
+		Random: random,
+		Settings: bbroute.Settings{
+			DomainMillis: domainMillis,
+			RegionMillis: regionMillis,
+		},
+	}
+}
