--- a/core/bbnode/node.go
+++ b/core/bbnode/node.go
@@ -13,6 +13,7 @@
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbflow"
 	"bluebellhall/core/bbhome"
+	"bluebellhall/core/bbintake"
 	"bluebellhall/core/bbmember"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bborder"
@@ -132,6 +133,7 @@
 	Config *bbconfig.Config
 
 	receiver  *bbreceiver.Table
+	intake    *bbintake.Table
 	drain     *bbdrain.Table
 	policy    *bbpolicy.Policy
 	addresses *bbaddress.Responder
@@ -199,6 +201,7 @@
 	})
 	n.deputy = n.newDeputy()
 	n.views = n.newViews()
+	n.intake = n.newIntake()
 	n.receiver = n.newReceiver()
 	n.drain = n.newDrain()
 	n.addresses = n.newAddresses()
@@ -212,6 +215,7 @@
 		MaxAttempts:    maxAttempts,
 		AnswerMargin:   answerMargin,
 	}, n.flowSeams())
+	n.intake.Flow = n.Flow
 	n.event(bbevent.Event{
 		Number: bbevent.NodeStarted,
 	})
@@ -328,7 +332,7 @@
 	case e.Dispatch != nil:
 		n.takeDispatch(from, *e.Dispatch)
 	case e.Forward != nil:
-		n.takeForward(from, *e.Forward)
+		n.intake.Take(n.now, from, *e.Forward)
 	case e.Answer != nil:
 		n.receiver.Answer(from, *e.Answer)
 	case e.Detach != nil:
--- a/core/bbnode/parts.go
+++ b/core/bbnode/parts.go
@@ -3,6 +3,7 @@
 import (
 	"bluebellhall/core/bbaddress"
 	"bluebellhall/core/bbdrain"
+	"bluebellhall/core/bbintake"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbreceiver"
 	"bluebellhall/core/bbview"
@@ -50,6 +51,27 @@
 	})
 }
 
+// newIntake returns the intake of this home, still without its flow.
+func (n *Node) newIntake() *bbintake.Table {
+	s := n.Settings
+	return bbintake.New(bbintake.Settings{
+		Self:         s.Self.Name,
+		Incarnation:  s.Incarnation,
+		Keys:         s.Keys,
+		KeyRetention: s.Times.KeyRetention,
+		SettleTime:   s.Times.SettleTime,
+		AnswerMargin: answerMargin,
+	}, bbintake.Sources{
+		Members:  n.Members,
+		Home:     n.Home,
+		Policy:   n.policy,
+		Suspects: n.suspects,
+	}, bbintake.Seams{
+		Send: n.send,
+		Emit: n.event,
+	})
+}
+
 // newViews returns what the home knows of the endpoints.
 func (n *Node) newViews() *bbview.Table {
 	return bbview.New(bbview.Settings{
--- a/core/bbnode/rules.go
+++ b/core/bbnode/rules.go
@@ -23,6 +23,7 @@
 	n.policy.SetRetryShare(n.Index.Set.Limits.RetryShare)
 	n.addresses.SetTTL(n.Index.Set.Limits.AnswerTTL)
 	n.views.SetRules(n.Index)
+	n.intake.SetRules(n.Index)
 	n.setOwned()
 }
 
