--- a/core/bbnode/orders.go
+++ b/core/bbnode/orders.go
@@ -34,7 +34,7 @@
 		Owners:    max(1, n.activeEntries()),
 		Rate:      n.Index.Set.Limits.WeightStoreRate,
 		Models:    n.Index.Set.Models,
-		Wanted:    wantedModels(n.Index.Set),
+		Wanted:    bborder.WantedModels(n.Index.Set),
 	}
 	for i := range n.Index.Set.Endpoints {
 		e := &n.Index.Set.Endpoints[i]
@@ -73,21 +73,3 @@
 	}
 	return count
 }
-
-// wantedModels lists the models that a pipeline asks for, sorted.
-func wantedModels(set *bbrule.RuleSet) []string {
-	seen := make(map[string]bool)
-	for _, p := range set.Pipelines {
-		for _, s := range p.Stages {
-			if s.Model != "" {
-				seen[s.Model] = true
-			}
-		}
-	}
-	names := make([]string, 0, len(seen))
-	for name := range seen {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
