Messages that no correct peer sends don't end a node

Cause: a resumed stream with a negative offset from a peer ended the process with a slice out of range; callers can't send one, but a peer's fault would have taken every VM it spoke to along.

--- a/core/bbflow/result.go
+++ b/core/bbflow/result.go
@@ -122,7 +122,7 @@
 	t.Seams.Closed(a.Endpoint)
 	t.emit(r, bbevent.StageRefused, *a, string(m.Reason))
 	r.LastReason = m.Reason
-	r.RetryHint = time.Duration(m.RetryAfterMillis) * time.Millisecond
+	r.RetryHint = bbmsg.Millis(m.RetryAfterMillis)
 	if r.open() > 0 {
 		return
 	}
--- a/core/bbhome/inherit.go
+++ b/core/bbhome/inherit.go
@@ -96,7 +96,7 @@
 		t.Inherited[heir] = in
 	}
 	for _, r := range h.Records {
-		keep := now + time.Duration(r.KeepMillis)*time.Millisecond
+		keep := now + bbmsg.Millis(r.KeepMillis)
 		in.Records[r.ID] = inheritedRecord(r, keep)
 		in.Until = max(in.Until, keep)
 	}
--- a/core/bbintake/intake.go
+++ b/core/bbintake/intake.go
@@ -112,7 +112,7 @@
 		Waiter: bbhome.Waiter{
 			Receiver: from,
 			Call:     f.Call,
-			Next:     f.Request.FromOffset,
+			Next:     max(f.Request.FromOffset, 0),
 			Stream:   f.Request.Stream,
 		},
 	}
@@ -179,7 +179,7 @@
 	t.answerWaiter(r, &bbhome.Waiter{
 		Receiver: from,
 		Call:     f.Call,
-		Next:     f.Request.FromOffset,
+		Next:     max(f.Request.FromOffset, 0),
 		Stream:   f.Request.Stream,
 	})
 }
--- a/core/bbintake/resolve.go
+++ b/core/bbintake/resolve.go
@@ -33,7 +33,7 @@
 	}
 	t := resolveTarget(index, q)
 	t.account = *account
-	if budget := time.Duration(q.BudgetMillis) * time.Millisecond; budget > 0 {
+	if budget := bbmsg.Millis(q.BudgetMillis); budget > 0 {
 		t.deadline = min(t.deadline, budget)
 	}
 	if int64(len(q.Body)) > index.Set.Limits.BodyBytes {
--- a/core/bbowner/offer.go
+++ b/core/bbowner/offer.go
@@ -31,8 +31,8 @@
 		Key:      key,
 		Dispatch: d,
 		Queued:   now,
-		Deadline: now + time.Duration(d.BudgetMillis)*time.Millisecond,
-		Next:     d.FromOffset,
+		Deadline: now + bbmsg.Millis(d.BudgetMillis),
+		Next:     max(d.FromOffset, 0),
 	}
 	w.Dispatch.Home = from
 	if t.ended.Len()+len(t.active) >= t.settings.RememberLimit {
--- a/core/bbsuspect/suspect.go
+++ b/core/bbsuspect/suspect.go
@@ -159,7 +159,7 @@
 	}
 	r.Deaths = max(r.Deaths, s.Deaths)
 	r.Sole = max(r.Sole, s.Sole)
-	keep := min(time.Duration(s.KeepMillis)*time.Millisecond, refusedKeep)
+	keep := min(bbmsg.Millis(s.KeepMillis), refusedKeep)
 	r.Until = max(r.Until, now+keep)
 }
 
