--- a/core/bbnode/garbage_test.go
+++ b/core/bbnode/garbage_test.go
@@ -103,7 +103,7 @@
 // endpoint sends. It may drop or refuse them, and must not panic.
 func TestGarbageDoesNotEndTheNode(t *testing.T) {
 	for seed := range uint64(40) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(*testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
 			keys := bbticket.Keys{Current: []byte("0123456789abcdef")}
 			n := New(Settings{
