Partitions between processes by command; a platform that is back is soon seen

Cause: links could be cut in one process only. Seen with seven processes: a VM that is cut off from all others and the platform says so in its status, holds its cold endpoints back as unconfirmed and is confirmed again within five seconds of the mend. Found there: it told the platform as down for up to five seconds after the mend, because the first poll was held; polls after a failure are not held.

--- a/bluebelld/bbserver/server.go
+++ b/bluebelld/bbserver/server.go
@@ -81,6 +81,9 @@
 // use Drain for a graceful stop.
 func Start(s bbsettings.Settings, seams Seams) (*Server, func(), error) {
 	v := newServer(s, seams)
+	if s.TestFaults {
+		seams, v.handler = withCuts(seams, v.handler)
+	}
 	var cleanups []func()
 	cleanup := func() {
 		for i := len(cleanups) - 1; i >= 0; i-- {
--- a/bluebelld/bbsettings/settings.go
+++ b/bluebelld/bbsettings/settings.go
@@ -33,6 +33,8 @@
 	// ProbeIntervalMillis is the time between two probes to a peer of the group, the
 	// same on all VMs of a fleet; 0 means 250. Fleets of more than 9 use 1000.
 	ProbeIntervalMillis int64 `json:"probeIntervalMillis,omitempty"`
+	// TestFaults lets POST /admin/cut cut links of this VM. It serves tests only.
+	TestFaults bool `json:"testFaults,omitempty"`
 	// LogLevel is debug, info, warn or error; empty means info.
 	LogLevel string `json:"logLevel,omitempty"`
 	// Key and PreviousKey are the contents of the files.
--- a/bluebelld/bbwatch/watch.go
+++ b/bluebelld/bbwatch/watch.go
@@ -90,17 +90,20 @@
 	}
 	var after int64
 	wait := shortestRetry
+	hold := pollWait
 	for turn := 0; ctx.Err() == nil; {
-		data, err := w.poll(ctx, client, w.Addresses[turn%len(w.Addresses)], name, after)
+		data, err := w.poll(ctx, client, w.Addresses[turn%len(w.Addresses)], name, after, hold)
 		if err == nil {
 			after, err = w.accept(after, data, take)
 		}
 		if err == nil || errors.Is(err, errUnchanged) {
 			w.note(true)
 			wait = shortestRetry
+			hold = pollWait
 			continue
 		}
 		w.note(false)
+		hold = 0
 		client.CloseIdleConnections()
 		turn++
 		pause(ctx, wait/2+rand.N(wait))
@@ -117,14 +120,15 @@
 	return max(after, revision), nil
 }
 
-// poll asks once for a value newer than a revision.
-func (w *Watch) poll(ctx context.Context, client *http.Client, address, name string, after int64) ([]byte, error) {
+// poll asks once for a value newer than a revision, for which the platform may hold it.
+// After a failure it is not held, so that the platform is soon seen to be back.
+func (w *Watch) poll(ctx context.Context, client *http.Client, address, name string, after int64, hold time.Duration) ([]byte, error) {
 	if w.Blocked != nil && w.Blocked() {
 		return nil, errors.New("cut off")
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/v1/%s?after=%d&waitMillis=%d", address, name, after, pollWait.Milliseconds())
+	url := fmt.Sprintf("http://%s/v1/%s?after=%d&waitMillis=%d", address, name, after, hold.Milliseconds())
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "build poll")
--- a/bluebellfake/fault.go
+++ b/bluebellfake/fault.go
@@ -33,6 +33,7 @@
 			addressFlag("endpoint"),
 			&cli.FloatFlag{Name: "slow", Usage: "stretch working times by `FACTOR`; 1 is normal"},
 			&cli.FloatFlag{Name: "fail", Usage: "fail a `SHARE` of the requests, from 0 to 1"},
+			&cli.FloatFlag{Name: "lose", Usage: "run a `SHARE` of the requests and lose the answer, from 0 to 1"},
 			&cli.StringFlag{Name: "kill-on", Usage: "crash when a body holds `TEXT`; empty ends that"},
 			&cli.BoolFlag{Name: "silent", Usage: "make the open connections silent for good"},
 			&cli.DurationFlag{Name: "pause", Usage: "accept and do nothing for `TIME`"},
@@ -61,6 +62,10 @@
 		fail := c.Float("fail")
 		f.FailShare = &fail
 	}
+	if c.IsSet("lose") {
+		lose := c.Float("lose")
+		f.LoseShare = &lose
+	}
 	if c.IsSet("kill-on") {
 		killOn := c.String("kill-on")
 		f.KillOn = &killOn
@@ -68,6 +73,28 @@
 	return f
 }
 
+// cut is the body of a command to an entry VM.
+type cut struct {
+	// Names has the peers, or platform, that are cut off from now on.
+	Names []string `json:"names"`
+}
+
+func cutCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "cut",
+		Usage: "cut an entry VM off from peers and from the platform; without names all links are mended",
+		Flags: []cli.Flag{
+			addressFlag("callers' interface of the entry VM, whose settings have testFaults"),
+			&cli.StringSliceFlag{Name: "name", Usage: "`NAME` of a peer, or platform; may stand several times"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return send(ctx, c, "/admin/cut", cut{
+				Names: c.StringSlice("name"),
+			})
+		},
+	}
+}
+
 func outageCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "outage",
--- a/bluebellfake/main.go
+++ b/bluebellfake/main.go
@@ -42,6 +42,7 @@
 		Commands: []*cli.Command{
 			runCommand(),
 			faultCommand(),
+			cutCommand(),
 			outageCommand(),
 			publishCommand(),
 		},
