--- a/bluebelld/bbwatch/watch.go
+++ b/bluebelld/bbwatch/watch.go
@@ -82,7 +82,8 @@
 	return l.Revision, nil
 }
 
-// follow polls one value for ever. After a failure it waits with jitter and turns to
+// follow polls one value for ever, and no more often than each shortestRetry, also
+// when the platform does not hold polls. After a failure it waits with jitter and turns to
 // the next address.
 func (w *Watch) follow(ctx context.Context, name string, take func([]byte) (int64, error)) {
 	client := &http.Client{
@@ -92,6 +93,7 @@
 	wait := shortestRetry
 	hold := pollWait
 	for turn := 0; ctx.Err() == nil; {
+		began := time.Now()
 		data, err := w.poll(ctx, client, w.Addresses[turn%len(w.Addresses)], name, after, hold)
 		if err == nil {
 			after, err = w.accept(after, data, take)
@@ -100,6 +102,7 @@
 			w.note(true)
 			wait = shortestRetry
 			hold = pollWait
+			pause(ctx, shortestRetry-time.Since(began))
 			continue
 		}
 		w.note(false)
