One strict decoder of JSON settings for daemon and stand-ins

Cause: the decoding of settings with the place of what is wrong stood twice, and only one of the two had been mended to place an unknown field where it stands.

--- a/bluebelld/bbsettings/settings.go
+++ b/bluebelld/bbsettings/settings.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -12,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"bluebellhall/core/bbjson"
 )
 
 // Settings are what a process must know before it can read the rules.
@@ -42,25 +43,6 @@
 	PreviousKey []byte `json:"-"`
 }
 
-// Finding is one thing wrong with the settings.
-type Finding struct {
-	// Line and Column are set for errors of syntax, from 1.
-	Line   int
-	Column int
-	// Field is the JSON name of the field, if one is concerned.
-	Field string
-	// Text is the message for the operator.
-	Text string
-}
-
-// String returns the finding in the form place: text.
-func (f Finding) String() string {
-	if f.Line > 0 {
-		return fmt.Sprintf("%d:%d: %s", f.Line, f.Column, f.Text)
-	}
-	return f.Field + ": " + f.Text
-}
-
 // The bounds of the probe interval.
 const (
 	minProbeMillis = 50
@@ -71,7 +53,7 @@
 const minKeyBytes = 16
 
 // Load reads settings and the key files that they name.
-func Load(path string) (Settings, []Finding, error) {
+func Load(path string) (Settings, []bbjson.Finding, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, nil, errors.Wrap(err, "read settings")
@@ -88,7 +70,7 @@
 }
 
 // loadKey reads one key file.
-func loadKey(findings []Finding, field, path string) ([]byte, []Finding) {
+func loadKey(findings []bbjson.Finding, field, path string) ([]byte, []bbjson.Finding) {
 	key, err := os.ReadFile(path)
 	if err != nil {
 		return nil, add(findings, field, err.Error())
@@ -101,40 +83,17 @@
 }
 
 // Parse decodes settings and returns all findings.
-func Parse(data []byte) (Settings, []Finding) {
+func Parse(data []byte) (Settings, []bbjson.Finding) {
 	var s Settings
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return s, []Finding{syntaxFinding(data, decoder.InputOffset(), err)}
+	if findings := bbjson.Decode(data, &s); len(findings) > 0 {
+		return s, findings
 	}
 	return s, Check(s)
 }
 
-// syntaxFinding places an error of the decoder.
-func syntaxFinding(data []byte, offset int64, err error) Finding {
-	var syntax *json.SyntaxError
-	var kind *json.UnmarshalTypeError
-	if errors.As(err, &syntax) {
-		offset = syntax.Offset
-	}
-	if errors.As(err, &kind) {
-		offset = kind.Offset
-	}
-	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		offset = int64(bytes.Index(data, []byte(name)))
-	}
-	before := data[:min(int64(len(data)), offset)]
-	return Finding{
-		Line:   1 + bytes.Count(before, []byte("\n")),
-		Column: len(before) - bytes.LastIndexByte(before, '\n'),
-		Text:   err.Error(),
-	}
-}
-
 // Check returns what is wrong with the fields of settings.
-func Check(s Settings) []Finding {
-	var f []Finding
+func Check(s Settings) []bbjson.Finding {
+	var f []bbjson.Finding
 	f = checkName(f, "name", s.Name)
 	f = checkName(f, "domain", s.Domain)
 	f = checkName(f, "region", s.Region)
@@ -162,7 +121,7 @@
 }
 
 // checkName checks a name that becomes part of request ids.
-func checkName(f []Finding, field, value string) []Finding {
+func checkName(f []bbjson.Finding, field, value string) []bbjson.Finding {
 	if value == "" {
 		return add(f, field, "is empty")
 	}
@@ -173,7 +132,7 @@
 }
 
 // checkAddress checks a host:port with an IP number.
-func checkAddress(f []Finding, field, value string) []Finding {
+func checkAddress(f []bbjson.Finding, field, value string) []bbjson.Finding {
 	host, port, err := net.SplitHostPort(value)
 	if err != nil {
 		return add(f, field, fmt.Sprintf("%q is not host:port", value))
@@ -188,8 +147,8 @@
 }
 
 // add appends a finding about a field.
-func add(f []Finding, field, text string) []Finding {
-	return append(f, Finding{
+func add(f []bbjson.Finding, field, text string) []bbjson.Finding {
+	return append(f, bbjson.Finding{
 		Field: field,
 		Text:  text,
 	})
--- a/bluebellfake/bbfleet/fleet.go
+++ b/bluebellfake/bbfleet/fleet.go
@@ -7,6 +7,7 @@
 	"bluebellhall/bluebellfake/bbengine"
 	"bluebellhall/bluebellfake/bbplatform"
 	"bluebellhall/bluebellfake/bbpool"
+	"bluebellhall/core/bbjson"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbrule"
 
@@ -57,7 +58,7 @@
 	return f, f.stop, nil
 }
 
-func findingsError(findings []Finding) error {
+func findingsError(findings []bbjson.Finding) error {
 	lines := make([]string, len(findings))
 	for i, f := range findings {
 		lines[i] = f.String()
--- a/bluebellfake/run.go
+++ b/bluebellfake/run.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"bluebellhall/bluebellfake/bbfleet"
+	"bluebellhall/core/bbjson"
 	"bluebellhall/core/bbrule"
 
 	"github.com/cockroachdb/errors"
@@ -78,7 +79,7 @@
 }
 
 // findings makes one error of all findings, one a line with its place.
-func findings(path string, found []bbfleet.Finding, rulesPath string, wrong []bbrule.Finding) error {
+func findings(path string, found []bbjson.Finding, rulesPath string, wrong []bbrule.Finding) error {
 	var lines []string
 	for _, f := range found {
 		lines = append(lines, fmt.Sprintf("%s:%s", path, f))
