--- a/bluebellbench/bbslope/rig.go
+++ b/bluebellbench/bbslope/rig.go
@@ -27,7 +27,7 @@
 }
 
 const (
-	// domains and regions shape the fleet as letter 1 does.
+	// domains and regions shape the fleet as planned.
 	domains = 4
 	regions = 2
 	// callBody and answerBody are the payloads of a plain call.
--- a/bluebellbench/bbslope/slopes.go
+++ b/bluebellbench/bbslope/slopes.go
@@ -28,7 +28,7 @@
 	streamRequests = 200
 	// idleTime is the time on the manual clock in which nothing but control runs.
 	idleTime = 60 * time.Second
-	// endpointsPerNode is that of letter 1, rounded.
+	// endpointsPerNode is that of the planned size, rounded.
 	endpointsPerNode = 3
 	// loneEndpoints is the number of endpoints in the rigs of one node.
 	loneEndpoints = 20
