--- a/bluebelld/bbcaller/api_test.go
+++ b/bluebelld/bbcaller/api_test.go
@@ -185,6 +185,11 @@
 		checkText(t, body, "id: 2\ndata: {\"tokens\":[\"a\",\"b\"],\"offset\":0}\n\n"+
 			"event: end\ndata: {\"outcome\":\"unknown\",\"reason\":\"silent\",\"repeatable\":false,\"request\":\"b1.a.1.2.n\",\"tokens\":2}\n\n")
 	})
+	t.Run("stream: resumed beyond its end, it names the number of tokens that there are", func(t *testing.T) {
+		r := newRig(t, answers(bbmsg.Answer{Outcome: bbmsg.OutcomeAnswered, Offset: 8}))
+		_, body := r.do(t, "POST", "/v1/pipelines/p", "", append([]string{HeaderLastEvent, "30"}, stream...)...)
+		checkText(t, body, "event: end\ndata: {\"outcome\":\"answered\",\"repeatable\":false,\"request\":\"b1.a.1.2.n\",\"tokens\":8}\n\n")
+	})
 	t.Run("too many callers", func(t *testing.T) {
 		r := newRig(t, nil)
 		for range 2 {
--- a/bluebelld/bbcaller/write.go
+++ b/bluebelld/bbcaller/write.go
@@ -125,6 +125,9 @@
 		Refusal: refusalOf(m),
 		Tokens:  s.next,
 	}
+	if m.Outcome == bbmsg.OutcomeAnswered {
+		e.Tokens = m.Offset + len(m.Tokens)
+	}
 	if m.Outcome == bbmsg.OutcomeAnswered && json.Valid(m.Body) {
 		e.Body = m.Body
 		e.Detail = ""
