--- a/bluebellbench/bbcluster/cluster_test.go
+++ b/bluebellbench/bbcluster/cluster_test.go
@@ -94,15 +94,15 @@
 	}
 }
 
-// startCluster runs the Khangai example.
-func startCluster(t *testing.T) *Cluster {
+// startCluster runs the Khangai example with rules changed by edit.
+func startCluster(t *testing.T, edit func(rules string) string) *Cluster {
 	t.Helper()
 	rules, err := os.ReadFile("../../examples/khangai/rules.txt")
 	if err != nil {
 		t.Fatal(err)
 	}
 	c, cleanup, err := Start(Settings{
-		Rules:   string(rules),
+		Rules:   edit(string(rules)),
 		Fleet:   bbfleet.Settings{FreePorts: true, Seed: 1},
 		Domains: []string{"ulaanbaatar", "arkhangai", "khovd", "ulaanbaatar", "arkhangai", "khovd", "ulaanbaatar"},
 	})
@@ -114,6 +114,18 @@
 	return c
 }
 
+// clientNodes lists the entry VMs for a client.
+func clientNodes(c *Cluster) []bbclient.Node {
+	var nodes []bbclient.Node
+	for _, name := range c.Names() {
+		nodes = append(nodes, bbclient.Node{
+			Address: c.Address(name),
+			Region:  c.Server(name).Status().Region,
+		})
+	}
+	return nodes
+}
+
 // waitSettled waits until all nodes may use what they own.
 func waitSettled(t *testing.T, c *Cluster) {
 	t.Helper()
@@ -180,15 +192,8 @@
 // TestPromisesOverSockets causes failures, alone and in pairs, on one cluster and
 // holds what callers saw against what the stand-ins recorded.
 func TestPromisesOverSockets(t *testing.T) {
-	c := startCluster(t)
-	var nodes []bbclient.Node
-	for _, name := range c.Names() {
-		nodes = append(nodes, bbclient.Node{
-			Address: c.Address(name),
-			Region:  c.Server(name).Status().Region,
-		})
-	}
-	client, cleanup := bbclient.New(nodes)
+	c := startCluster(t, func(rules string) string { return rules })
+	client, cleanup := bbclient.New(clientNodes(c))
 	defer cleanup()
 	for i, f := range failures {
 		t.Run(f.name, func(t *testing.T) { checkLoad(t, c, client, uint64(i+1), f) })
