--- a/bluebellbench/bbaudit/audit.go
+++ b/bluebellbench/bbaudit/audit.go
@@ -135,19 +135,19 @@
 	}
 }
 
-// LastStart returns when the endpoints of a failure domain last took a request, and
-// false when they took none after a time.
-func LastStart(fleet *bbfleet.Fleet, domain string, after time.Time) (time.Time, bool) {
-	var last time.Time
+// LastStart returns when the endpoints of a failure domain last took a request between
+// two times, and the first of these when they took none.
+func LastStart(fleet *bbfleet.Fleet, domain string, from, until time.Time) time.Time {
+	last := from
 	for _, e := range fleet.Rules.Endpoints {
 		if e.Domain != domain {
 			continue
 		}
 		for _, x := range fleet.Endpoints[e.Name].Exchanges() {
-			if x.At.After(after) && x.At.After(last) {
+			if x.At.After(last) && x.At.Before(until) {
 				last = x.At
 			}
 		}
 	}
-	return last, !last.IsZero()
+	return last
 }
--- a/bluebellbench/bbdemo/demo.go
+++ b/bluebellbench/bbdemo/demo.go
@@ -23,6 +23,7 @@
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbrule"
+	"bluebellhall/core/bbticket"
 )
 
 // Settings describe a demo.
@@ -245,17 +246,7 @@
 
 // quiet returns how long after it was taken out the failure domain still got work.
 func (d *demo) quiet() time.Duration {
-	last := d.outAt
-	for _, e := range d.rules.Endpoints {
-		if e.Domain != d.domain {
-			continue
-		}
-		for _, x := range d.cluster.Fleet.Endpoints[e.Name].Exchanges() {
-			if x.At.After(last) && x.At.Before(d.backAt) {
-				last = x.At
-			}
-		}
-	}
+	last := bbaudit.LastStart(d.cluster.Fleet, d.domain, d.outAt, d.backAt)
 	return last.Sub(d.outAt)
 }
 
@@ -290,7 +281,7 @@
 		if r.Reply.Outcome != bbmsg.OutcomeAnswered || len(r.Reply.IDs) == 0 {
 			continue
 		}
-		id := publicID(r.Reply.IDs[len(r.Reply.IDs)-1])
+		id := bbticket.Public(r.Reply.IDs[len(r.Reply.IDs)-1])
 		if counts[id] > counts[best] || best == "" {
 			best = id
 		}
--- a/bluebellbench/bbdemo/steps.go
+++ b/bluebellbench/bbdemo/steps.go
@@ -4,8 +4,6 @@
 	"context"
 	"sort"
 	"time"
-
-	"bluebellhall/core/bbticket"
 )
 
 // step is a failure that is caused at a time of the load.
@@ -103,11 +101,6 @@
 	d.say("%s has stopped (error: %v)", drainedNode, d.drained)
 }
 
-// publicID returns an id as events show it.
-func publicID(id string) string {
-	return bbticket.Public(id)
-}
-
 // sortedKeys returns the keys of counts in order.
 func sortedKeys(counts map[string]int) []string {
 	keys := make([]string, 0, len(counts))
--- a/bluebellbench/bbslope/slopes.go
+++ b/bluebellbench/bbslope/slopes.go
@@ -200,29 +200,23 @@
 
 // accountCosts measures the rules by the number of accounts.
 func accountCosts() ([]Slope, error) {
-	var memory, text []Point
-	for _, size := range accountSizes {
-		rules := rulesText(rigSettings{accounts: size, endpoints: loneEndpoints})
-		before := heap()
-		index, err := indexOf(rules)
-		if err != nil {
-			return nil, err
-		}
-		memory = append(memory, Point{Size: float64(size), Cost: heap() - before})
-		runtime.KeepAlive(index)
-		text = append(text, Point{Size: float64(size), Cost: float64(len(rules))})
-	}
-	return []Slope{
-		Fit("memory of the rules, without their text", "bytes", "accounts", memory),
-		Fit("text of the rules", "bytes", "accounts", text),
-	}, nil
+	return rulesCosts("accounts", accountSizes, func(size int) rigSettings {
+		return rigSettings{accounts: size, endpoints: loneEndpoints}
+	})
 }
 
 // endpointMemory measures the rules by the number of endpoints.
 func endpointMemory() ([]Slope, error) {
+	return rulesCosts("endpoints", endpointSizes, func(size int) rigSettings {
+		return rigSettings{accounts: 1, endpoints: size}
+	})
+}
+
+// rulesCosts measures memory and text of the rules by the number of what they name.
+func rulesCosts(by string, sizes []int, settings func(size int) rigSettings) ([]Slope, error) {
 	var memory, text []Point
-	for _, size := range endpointSizes {
-		rules := rulesText(rigSettings{accounts: 1, endpoints: size})
+	for _, size := range sizes {
+		rules := rulesText(settings(size))
 		before := heap()
 		index, err := indexOf(rules)
 		if err != nil {
@@ -233,8 +227,8 @@
 		text = append(text, Point{Size: float64(size), Cost: float64(len(rules))})
 	}
 	return []Slope{
-		Fit("memory of the rules, without their text", "bytes", "endpoints", memory),
-		Fit("text of the rules", "bytes", "endpoints", text),
+		Fit("memory of the rules, without their text", "bytes", by, memory),
+		Fit("text of the rules", "bytes", by, text),
 	}, nil
 }
 
--- a/bluebelld/bbcaller/api.go
+++ b/bluebelld/bbcaller/api.go
@@ -116,11 +116,6 @@
 	writeJSON(w, http.StatusOK, a.backing.Status())
 }
 
-// eventPage is the answer of the events page.
-type eventPage struct {
-	Events []bbevent.Event `json:"events"`
-}
-
 // events answers with the events after a stamp.
 func (a *API) events(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(defaultTo(r.URL.Query().Get("after"), "0"), 10, 64)
@@ -131,7 +126,7 @@
 		})
 		return
 	}
-	writeJSON(w, http.StatusOK, eventPage{
+	writeJSON(w, http.StatusOK, bbmsg.EventPage{
 		Events: a.backing.Events(bbevent.Stamp(after)),
 	})
 }
