--- /dev/null
+++ b/bluebelld/bbentry/entry.go
@@ -0,0 +1,371 @@
+package bbentry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bluebellhall/bluebelld/bbgateway"
+	"bluebellhall/bluebelld/bbhub"
+	"bluebellhall/bluebelld/bbpeer"
+	"bluebellhall/core/bballowance"
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbcoordinator"
+	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
+)
+
+// Settings are what a VM is told of itself.
+type Settings struct {
+	// Self is what the VM tells the others of itself.
+	Self bbgossip.Member
+	// PeerListen is the address for calls of other VMs.
+	PeerListen string
+	// Seeds are addresses of some other VMs; they may be stale.
+	Seeds []string
+	// Regions has the region of each failure domain.
+	Regions map[string]string
+	// Limits bound repeated calls.
+	Limits bbcoordinator.Limits
+}
+
+// Seams are what a platform's adapter does for the VM.
+type Seams struct {
+	Codec       bbgateway.Codec
+	RunPieces   func(ctx context.Context, address, endpoint string, pieces []bbhub.Piece) ([]bbcoordinator.PieceResult, bbhealth.Outcome)
+	FreeResults func(ctx context.Context, address string, handles []string)
+	Log         zerolog.Logger
+}
+
+// Entry is a running entry VM.
+type Entry struct {
+	// Knowledge is what the platform published.
+	Knowledge *Knowledge
+	// Gateway serves callers.
+	Gateway *bbgateway.Gateway
+
+	settings Settings
+	log      zerolog.Logger
+	began    time.Time
+	fleet    *bbpeer.Fleet
+	conns    *bbpeer.Conns
+	hub      *bbhub.Hub
+	notes    chan addressedNote
+	leaving  atomic.Bool
+}
+
+// addressedNote is a note for the coordinator at an address.
+type addressedNote struct {
+	peer string
+	note bbjob.Note
+}
+
+const (
+	// notePeriod is how long notes are gathered before they are sent.
+	notePeriod = 40 * time.Millisecond
+	// noteTimeout bounds a call with notes.
+	noteTimeout = time.Second
+	// maxNotes bounds the notes that wait; more are dropped, and the coordinator notices
+	// by the requests' limits.
+	maxNotes = 4096
+	// publishPeriod is how often a VM looks whether others know more than it.
+	publishPeriod = 150 * time.Millisecond
+	// publishTimeout bounds a call for what another VM knows.
+	publishTimeout = 800 * time.Millisecond
+)
+
+// Start starts an entry VM. The clean-up function ends its calls.
+func Start(s Settings, seams Seams) (*Entry, func(), error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	conns, closeConns := bbpeer.NewConns()
+	e := &Entry{
+		settings: s,
+		log:      seams.Log,
+		began:    time.Now(),
+		conns:    conns,
+		notes:    make(chan addressedNote, maxNotes),
+	}
+	e.Knowledge = newKnowledge(e.now)
+	e.Knowledge.changed = e.catalogChanged
+	e.fleet = bbpeer.NewFleet(s.Self, s.Seeds, e.now, conns)
+	e.fleet.Log = e.peerChanged
+	coordinator := bbcoordinator.New(bbcoordinator.Knowledge{
+		Service:   e.service,
+		Endpoints: e.Knowledge.usable,
+		Region:    e.region,
+		Majority:  e.majority,
+	}, s.Limits)
+	hub, stopHub := bbhub.New(coordinator, bbhub.Seams{
+		Now:         e.now,
+		RunPieces:   seams.RunPieces,
+		FreeResults: seams.FreeResults,
+		Zone:        e.Knowledge.zoneOf,
+		Log:         e.decided,
+	})
+	e.hub = hub
+	stopPeers, err := bbpeer.Listen(s.PeerListen, bbpeer.Handlers{
+		Exchange:  e.fleet.Answer,
+		Published: e.published,
+		Order:     hub.Order,
+		Notes:     hub.Notes,
+	})
+	if err != nil {
+		cancel()
+		closeConns()
+		return nil, nil, err
+	}
+	e.Gateway = bbgateway.New(s.Self.Name, s.Self.Zone, s.Self.Region, seams.Codec, bbgateway.Seams{
+		Now:       e.now,
+		Index:     e.Knowledge.Index,
+		Endpoints: e.Knowledge.usable,
+		Usable:    e.Knowledge.mayUse,
+		Region:    e.region,
+		Order:     e.order,
+		Note:      e.note,
+		Log:       e.requestEnded,
+		Window:    e.window,
+		Leaving:   e.leaving.Load,
+	})
+	go e.fleet.Run(ctx)
+	go e.followOthers(ctx)
+	go e.sendNotes(ctx)
+	return e, func() {
+		cancel()
+		stopHub()
+		stopPeers()
+		closeConns()
+	}, nil
+}
+
+// now returns the steady time since the start.
+func (e *Entry) now() time.Duration {
+	return time.Since(e.began)
+}
+
+// Ready tells whether this VM takes new callers.
+func (e *Entry) Ready() bool {
+	ready, _, _ := e.Knowledge.ready()
+	return ready && !e.leaving.Load()
+}
+
+// Leave begins the graceful stop: other VMs stop naming this one.
+func (e *Entry) Leave(ctx context.Context) {
+	e.leaving.Store(true)
+	e.refresh()
+	e.fleet.Announce(ctx)
+}
+
+// SetSeeds replaces the addresses at which other VMs may be found.
+func (e *Entry) SetSeeds(seeds []string) {
+	e.fleet.SetSeeds(seeds)
+}
+
+// Addresses returns the addresses for a caller in a region: those of the running VMs there,
+// or of all where there is none.
+func (e *Entry) Addresses(region string) []string {
+	var near, all []string
+	add := func(m bbgossip.Member) {
+		if !m.Ready || m.Leaving {
+			return
+		}
+		all = append(all, m.Front)
+		if m.Region == region {
+			near = append(near, m.Front)
+		}
+	}
+	e.refresh()
+	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
+		add(t.Self())
+		for _, m := range t.Present(now) {
+			add(m)
+		}
+	})
+	if len(near) > 0 {
+		return near
+	}
+	return all
+}
+
+// refresh updates what this VM tells of itself.
+func (e *Entry) refresh() {
+	ready, version, revision := e.Knowledge.ready()
+	e.fleet.Update(func(m *bbgossip.Member) {
+		m.Ready = ready
+		m.Leaving = e.leaving.Load()
+		m.CatalogVersion = version
+		m.EndpointRevision = revision
+	})
+}
+
+func (e *Entry) service(name string) *bbcatalog.Service {
+	x := e.Knowledge.Index()
+	if x == nil {
+		return nil
+	}
+	return x.Service(name)
+}
+
+func (e *Entry) region(zone string) string {
+	return e.settings.Regions[zone]
+}
+
+func (e *Entry) majority() bool {
+	has := false
+	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
+		has = t.HasMajority(now)
+	})
+	return has
+}
+
+// window returns this VM's part of the allowance for repeats of a service.
+func (e *Entry) window(string) *bballowance.Window {
+	vms := 1
+	e.fleet.View(func(t *bbgossip.Table, _ time.Duration) {
+		vms += len(t.Known())
+	})
+	return &bballowance.Window{
+		Span:  e.settings.Limits.RetrySpan,
+		Ratio: e.settings.Limits.RetryRatio,
+		Slack: e.settings.Limits.RetrySlack / float64(vms),
+	}
+}
+
+// order asks the coordinator for an engine.
+func (e *Entry) order(ctx context.Context, o bbjob.Order) (bbjob.Verdict, string, error) {
+	verdict, leader, err := e.fleet.Order(ctx, o, e.hub.Order)
+	return verdict, leader.Peer, err
+}
+
+// note passes a note on to a coordinator.
+func (e *Entry) note(peer string, n bbjob.Note) {
+	if peer == e.settings.Self.Peer {
+		go e.hub.Notes([]bbjob.Note{n})
+		return
+	}
+	select {
+	case e.notes <- addressedNote{
+		peer: peer,
+		note: n,
+	}:
+	default:
+		e.log.Warn().Str("id", n.ID).Msg("noteDropped")
+	}
+}
+
+// sendNotes gathers notes for a moment and sends them.
+func (e *Entry) sendNotes(ctx context.Context) {
+	for {
+		var first addressedNote
+		select {
+		case <-ctx.Done():
+			return
+		case first = <-e.notes:
+		}
+		time.Sleep(notePeriod)
+		batches := map[string][]bbjob.Note{
+			first.peer: {first.note},
+		}
+		for range len(e.notes) {
+			n := <-e.notes
+			batches[n.peer] = append(batches[n.peer], n.note)
+		}
+		for peer, notes := range batches {
+			go e.sendBatch(ctx, peer, notes)
+		}
+	}
+}
+
+func (e *Entry) sendBatch(ctx context.Context, peer string, notes []bbjob.Note) {
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	if err := e.conns.Notes(ctx, peer, notes); err != nil {
+		e.log.Info().Str("peer", peer).Int("notes", len(notes)).Err(err).Msg("notesLost")
+	}
+}
+
+// published answers another VM that knows less than this one.
+func (e *Entry) published(w bbpeer.Wanted) bbpeer.Published {
+	var p bbpeer.Published
+	if x := e.Knowledge.Index(); w.Catalog && x != nil {
+		p.Catalog = &x.Catalog
+	}
+	if w.Endpoints {
+		s := e.Knowledge.snapshot()
+		p.Endpoints = &s
+	}
+	return p
+}
+
+// followOthers asks other VMs for what they know and this one doesn't.
+func (e *Entry) followOthers(ctx context.Context) {
+	ticker := time.NewTicker(publishPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		e.refresh()
+		_, version, revision := e.Knowledge.ready()
+		stale := e.Knowledge.stale()
+		var peer bbgossip.Member
+		var w bbpeer.Wanted
+		e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
+			for _, m := range t.Reachable(now) {
+				catalog := m.CatalogVersion > version
+				endpoints := stale && m.EndpointRevision > revision
+				if catalog || endpoints {
+					peer = m
+					w.Catalog, w.Endpoints = catalog, endpoints
+				}
+			}
+		})
+		if w.Catalog || w.Endpoints {
+			e.follow(ctx, peer, w)
+		}
+	}
+}
+
+// follow asks one VM for what it knows.
+func (e *Entry) follow(ctx context.Context, peer bbgossip.Member, w bbpeer.Wanted) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	p, err := e.conns.Published(ctx, peer.Peer, w)
+	if err != nil {
+		e.log.Info().Str("peer", peer.Name).Err(err).Msg("followFailed")
+		return
+	}
+	if p.Catalog != nil {
+		e.Knowledge.OfferCatalog(*p.Catalog, peer.Name)
+	}
+	if p.Endpoints != nil && e.Knowledge.adopt(*p.Endpoints) {
+		e.log.Debug().Str("peer", peer.Name).Uint64("revision", p.Endpoints.Revision).Msg("endpointsAdopted")
+	}
+}
+
+func (e *Entry) catalogChanged(c bbcatalog.Catalog, source string) {
+	e.log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Str("source", source).Msg("catalogInForce")
+	go e.refresh()
+}
+
+func (e *Entry) peerChanged(name string, up bool, why string) {
+	if up {
+		e.log.Info().Str("peer", name).Str("why", why).Msg("peerBack")
+		return
+	}
+	e.log.Warn().Str("peer", name).Str("why", why).Msg("peerLost")
+}
+
+func (e *Entry) decided(d bbcoordinator.Event) {
+	e.log.Info().Str("id", d.Job).Str("detail", d.Detail).Dur("value", d.Value).Msg(d.What)
+}
+
+func (e *Entry) requestEnded(l bbgateway.Logged) {
+	e.log.Info().Str("id", l.ID).Str("route", l.Route).Str("outcome", l.Outcome).Str("cause", l.Cause).
+		Str("endpoint", l.Endpoint).Int("status", l.Status).Int("tries", l.Tries).Uint64("version", l.Version).
+		Dur("granted", l.Granted).Dur("first", l.First).Dur("took", l.Took).Msg("requestEnded")
+}
--- /dev/null
+++ b/bluebelld/bbentry/knowledge.go
@@ -0,0 +1,171 @@
+// Package bbentry puts an entry VM together for platforms that publish endpoints and
+// configuration: what the VM knows, the fleet, the coordinator and the gateway.
+package bbentry
+
+import (
+	"sync"
+	"time"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbregistry"
+)
+
+const (
+	// staleAfter is when a VM that hears nothing of the platform asks others for its
+	// endpoints: a little more than the usual time between two readings.
+	staleAfter = 1200 * time.Millisecond
+	// outageMemory is how long after the end of an outage missing entries may return.
+	outageMemory = 2500 * time.Millisecond
+)
+
+// Knowledge is what the platform published, as far as this VM knows it.
+type Knowledge struct {
+	now func() time.Duration
+	// changed is called after a newer catalog came into force.
+	changed func(c bbcatalog.Catalog, source string)
+
+	mu    sync.Mutex
+	index *bbcatalog.Index
+	table *bbregistry.Table
+	// listed is true once the endpoints were read.
+	listed bool
+	// heardAt is when the platform last answered; failing is true since a call failed.
+	heardAt time.Duration
+	failing bool
+	// outageEnd is when the platform answered again after an outage.
+	outageEnd time.Duration
+	outage    bool
+}
+
+// newKnowledge returns the knowledge of a VM that has read nothing.
+func newKnowledge(now func() time.Duration) *Knowledge {
+	return &Knowledge{
+		now:     now,
+		changed: func(bbcatalog.Catalog, string) {},
+		table:   bbregistry.NewTable(),
+	}
+}
+
+// OfferCatalog brings a catalog into force if it is newer than the present one.
+func (k *Knowledge) OfferCatalog(c bbcatalog.Catalog, source string) bool {
+	k.mu.Lock()
+	newer := k.index == nil || c.Version > k.index.Catalog.Version
+	if newer {
+		k.index = bbcatalog.NewIndex(c)
+	}
+	k.mu.Unlock()
+	if newer {
+		k.changed(c, source)
+	}
+	return newer
+}
+
+// Index returns the configuration in force, or nil.
+func (k *Knowledge) Index() *bbcatalog.Index {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.index
+}
+
+// Endpoints lets a function change the table of endpoints. Grace is true while entries
+// may be missing because of an outage.
+func (k *Knowledge) Endpoints(change func(t *bbregistry.Table, now time.Duration, grace bool)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	change(k.table, now, k.outage && now-k.outageEnd < outageMemory)
+	k.listed = true
+}
+
+// Heard notes that the platform answered. It is true when it had not before.
+func (k *Knowledge) Heard() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	back := k.failing
+	if back {
+		k.outage = true
+		k.outageEnd = now
+	}
+	k.failing = false
+	k.heardAt = now
+	return back
+}
+
+// Failed notes that a call to the platform failed. It is true when the last one had not.
+func (k *Knowledge) Failed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	first := !k.failing
+	k.failing = true
+	return first
+}
+
+// Revision returns the platform's revision up to which this VM knows the endpoints.
+func (k *Knowledge) Revision() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Revision
+}
+
+// stale tells whether this VM should ask others for the endpoints.
+func (k *Knowledge) stale() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.listed || k.now()-k.heardAt > staleAfter
+}
+
+// adopt takes in the endpoints of another VM if they are newer.
+func (k *Knowledge) adopt(s bbregistry.Snapshot) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.listed && s.Revision <= k.table.Revision {
+		return false
+	}
+	k.table.Replace(k.now(), s)
+	k.listed = true
+	return true
+}
+
+// snapshot returns the endpoints for another VM.
+func (k *Knowledge) snapshot() bbregistry.Snapshot {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Snapshot(k.now())
+}
+
+// usable returns the endpoints of a service that may get new work.
+func (k *Knowledge) usable(service string) []*bbregistry.Entry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	k.table.Expire(now)
+	return k.table.Of(now, service)
+}
+
+// mayUse tells whether an endpoint may get new work.
+func (k *Knowledge) mayUse(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Usable(id) != nil
+}
+
+// ready tells whether this VM can serve, and what it knows.
+func (k *Knowledge) ready() (ready bool, version, revision uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.index == nil {
+		return false, 0, k.table.Revision
+	}
+	return k.listed, k.index.Catalog.Version, k.table.Revision
+}
+
+// zoneOf returns the failure domain of an endpoint, empty if it is not known.
+func (k *Knowledge) zoneOf(id string) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if e := k.table.Usable(id); e != nil {
+		return e.Zone
+	}
+	return ""
+}
--- /dev/null
+++ b/bluebelld/bbgateway/answer.go
@@ -0,0 +1,158 @@
+package bbgateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/core/bbhealth"
+)
+
+const (
+	// maxHeld bounds the part of an answer that is held until it is whole.
+	maxHeld = 128 << 10
+	// copyBuffer is the size of the pieces in which longer answers are passed on.
+	copyBuffer = 8 << 10
+	// maxRetryAfter bounds what a refused caller is told.
+	maxRetryAfter = 5 * time.Second
+)
+
+// fail ends a request with an answer of this VM. Statuses 429 and 503 promise that the
+// request has not run.
+func (g *Gateway) fail(x *exchange, status int, cause string, retryAfter time.Duration) {
+	h := x.w.Header()
+	h["Date"] = nil
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		seconds := min(retryAfter, maxRetryAfter).Seconds()
+		h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
+	}
+	h.Set("Content-Length", "0")
+	x.w.WriteHeader(status)
+	x.sent = true
+	g.ended(x, "refused", cause, status)
+}
+
+// ended writes the line on a request that has ended.
+func (g *Gateway) ended(x *exchange, outcome, cause string, status int) {
+	x.log.ID = x.ID
+	x.log.Outcome = outcome
+	x.log.Cause = cause
+	x.log.Status = status
+	x.log.Took = g.seams.Now() - x.began
+	g.seams.Log(x.log)
+}
+
+// abort ends a request whose answer has begun by closing the caller's connection, so that
+// it can't be taken for whole.
+func (g *Gateway) abort(x *exchange, cause string) {
+	g.ended(x, "cut", cause, 0)
+	panic(http.ErrAbortHandler)
+}
+
+// outgoing returns the request as an endpoint gets it.
+func (g *Gateway) outgoing(x *exchange, f Forward) *http.Request {
+	f.Left = x.limit - g.seams.Now()
+	f.HasAccounts = len(x.index.Catalog.Accounts) > 0
+	if x.account != nil {
+		f.Account = x.account.Name
+	}
+	r := &http.Request{
+		Method: x.r.Method,
+		URL: &url.URL{
+			Opaque: x.r.RequestURI,
+		},
+		Host:   x.r.Host,
+		Header: g.codec.Encode(x.r.Header, f),
+	}
+	if len(x.body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(x.body))
+		r.ContentLength = int64(len(x.body))
+	}
+	return r
+}
+
+// classify tells what an exchange with an endpoint says of it; answer is nil if there was
+// an error.
+func classify(err error, reading Reading) bbhealth.Outcome {
+	switch {
+	case errors.Is(err, bbchannel.ErrUnreachable):
+		return bbhealth.OutcomeUnreachable
+	case err != nil || reading.Other:
+		return bbhealth.OutcomeBroken
+	case reading.Moved:
+		return bbhealth.OutcomeMoved
+	case reading.NotRun:
+		return bbhealth.OutcomeFull
+	}
+	return bbhealth.OutcomeGood
+}
+
+// start sends the head of an endpoint's answer to the caller.
+func (g *Gateway) start(x *exchange, a *bbchannel.Answer, length int64) {
+	h := x.w.Header()
+	for name, values := range g.codec.Pass(a.Header) {
+		h[name] = values
+	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := h[name]; !ok {
+			// The library would fill these in.
+			h[name] = nil
+		}
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	x.w.WriteHeader(a.Status)
+	x.sent = true
+}
+
+// deliver passes a whole answer on. It holds back short ones until they are whole, so
+// that a broken one can still be repeated; the error is the endpoint's.
+func (g *Gateway) deliver(ctx context.Context, x *exchange, a *bbchannel.Answer) error {
+	held, err := io.ReadAll(io.LimitReader(a.Body, maxHeld))
+	if err != nil {
+		return err
+	}
+	if len(held) < maxHeld {
+		if x.r.Method == http.MethodHead {
+			g.start(x, a, a.Length)
+			return nil
+		}
+		g.start(x, a, int64(len(held)))
+		g.write(ctx, x, held)
+		return nil
+	}
+	g.start(x, a, a.Length)
+	g.write(ctx, x, held)
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := a.Body.Read(buffer)
+		g.write(ctx, x, buffer[:n])
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			g.abort(x, "endpointBroke")
+		}
+	}
+}
+
+// write passes bytes on; a caller that has left ends the request.
+func (g *Gateway) write(ctx context.Context, x *exchange, data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	if _, err := x.w.Write(data); err != nil {
+		g.abort(x, "callerGone")
+	}
+	if ctx.Err() != nil {
+		g.abort(x, "timeOver")
+	}
+}
--- /dev/null
+++ b/bluebelld/bbgateway/event.go
@@ -0,0 +1,52 @@
+package bbgateway
+
+import "bytes"
+
+// splitter finds the whole events of a stream, so that one that is cut in the middle is
+// never passed on.
+type splitter struct {
+	// whole is false where bytes are passed on as they come.
+	whole bool
+	held  []byte
+	// last is the ID of the last whole event; empty if none had one.
+	last string
+}
+
+func newSplitter(whole bool) *splitter {
+	return &splitter{
+		whole: whole,
+	}
+}
+
+// eventEnd is the empty line after an event.
+var eventEnd = []byte("\n\n")
+
+// idField begins the line with an event's ID.
+var idField = []byte("id:")
+
+// add takes in bytes and returns those that may be passed on. They are valid until the
+// next call.
+func (s *splitter) add(data []byte) []byte {
+	if !s.whole {
+		return data
+	}
+	s.held = append(s.held, data...)
+	end := bytes.LastIndex(s.held, eventEnd)
+	if end < 0 {
+		return nil
+	}
+	end += len(eventEnd)
+	events := bytes.Clone(s.held[:end])
+	s.held = append(s.held[:0], s.held[end:]...)
+	for _, line := range bytes.Split(events, []byte("\n")) {
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			s.last = string(bytes.TrimSpace(id))
+		}
+	}
+	return events
+}
+
+// rest returns what is left at the end of a whole stream.
+func (s *splitter) rest() []byte {
+	return s.held
+}
--- /dev/null
+++ b/bluebelld/bbgateway/gateway.go
@@ -0,0 +1,306 @@
+// Package bbgateway serves callers: it finds the route and the account of a request, asks
+// for an endpoint, sends the request there and passes the answer on as it arrives.
+package bbgateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/core/bballowance"
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbplain"
+	"bluebellhall/core/bbregistry"
+)
+
+// Request is what a caller's headers say.
+type Request struct {
+	// ID is new for each attempt of the caller.
+	ID string
+	// Key names the client account; empty if there is none.
+	Key string
+	// Wait is how long the caller waits; 0 if it doesn't say.
+	Wait time.Duration
+	// Prompt is set for requests that generate tokens.
+	Prompt bbjob.Prompt
+	// Pieces has the number of pieces of each stage; a stage beyond its end has one.
+	Pieces []int
+	// PieceKey names the input of the stages that need no results.
+	PieceKey string
+	// LastEvent is set when a caller goes on with a stream that broke off.
+	LastEvent string
+}
+
+// Forward is what an endpoint is told besides the caller's own headers.
+type Forward struct {
+	// Endpoint is the one that should run the request; another one must turn it away.
+	Endpoint string
+	// Left is the time until the caller gives up.
+	Left time.Duration
+	// Account is the name of the client account; empty if there is none.
+	Account string
+	// HasAccounts is true when keys are in use, so that the caller's must not be passed on.
+	HasAccounts bool
+	// Priority is the rank of the request; 0 is the most urgent.
+	Priority int
+	// Engine is true when the endpoint generates tokens.
+	Engine bool
+	// Staged is true when the route has stages; Inputs are the handles of their results.
+	Staged bool
+	Inputs []string
+	// LastEvent is the last event that the caller has; empty if the answer begins anew.
+	LastEvent string
+}
+
+// Reading is what an endpoint's answer says besides its status.
+type Reading struct {
+	// NotRun is true when the endpoint says that it didn't run the request.
+	NotRun bool
+	// Moved is true when another endpoint is at the address now.
+	Moved bool
+	// Other is true when the answer belongs to another request.
+	Other bool
+	// Signed is true when the answer bears the endpoint's receipt.
+	Signed bool
+	// Gone is true when an input of the request no longer exists.
+	Gone bool
+}
+
+// Codec translates headers.
+type Codec struct {
+	Decode func(r *http.Request) (Request, error)
+	Encode func(caller http.Header, f Forward) http.Header
+	Read   func(id string, a *bbchannel.Answer) Reading
+	// Pass returns the headers of an endpoint's answer that the caller gets.
+	Pass func(h http.Header) http.Header
+}
+
+// Logged is one line on a request, written when it ends.
+type Logged struct {
+	ID, Route, Outcome, Cause, Endpoint string
+	Status, Tries                       int
+	Granted, First, Took                time.Duration
+	Version                             uint64
+}
+
+// Seams are the gateway's effects on the outside.
+type Seams struct {
+	Now func() time.Duration
+	// Index returns the configuration in force, or nil.
+	Index func() *bbcatalog.Index
+	// Endpoints returns the endpoints of a service that may get new work.
+	Endpoints func(service string) []*bbregistry.Entry
+	// Usable tells whether an endpoint may still get new work.
+	Usable func(id string) bool
+	Region func(zone string) string
+	// Order asks the coordinator for an engine and names who answered.
+	Order func(ctx context.Context, o bbjob.Order) (bbjob.Verdict, string, error)
+	// Note tells a coordinator of progress.
+	Note func(coordinator string, n bbjob.Note)
+	Log  func(l Logged)
+	// Window returns the allowance for repeats of a service; it is called under a lock.
+	Window func(service string) *bballowance.Window
+	// Leaving is true once this VM is stopping.
+	Leaving func() bool
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	codec Codec
+	seams Seams
+	// name, zone and region are those of this VM.
+	name, zone, region string
+
+	mu      sync.Mutex
+	chooser *bbplain.Chooser
+	windows map[string]*bballowance.Window
+	// patience has the longest wait that callers of each route named, which is that of
+	// their first attempts.
+	patience map[string]time.Duration
+}
+
+// New returns a gateway of a VM.
+func New(name, zone, region string, c Codec, s Seams) *Gateway {
+	return &Gateway{
+		codec:    c,
+		seams:    s,
+		name:     name,
+		zone:     zone,
+		region:   region,
+		chooser:  bbplain.NewChooser(),
+		windows:  make(map[string]*bballowance.Window),
+		patience: make(map[string]time.Duration),
+	}
+}
+
+const (
+	// startRetryAfter is for callers of a VM that knows no configuration yet.
+	startRetryAfter = 500 * time.Millisecond
+	// defaultWait is the wait of callers that name none on routes without a timeout.
+	defaultWait = 30 * time.Second
+	// defaultBody bounds bodies while no configuration sets a limit.
+	defaultBody = 4 << 20
+	// bodyTimeout bounds the reading of a caller's body.
+	bodyTimeout = 10 * time.Second
+	// maxRoutes bounds the table of patience.
+	maxRoutes = 20000
+)
+
+// exchange is one request of a caller in progress.
+type exchange struct {
+	Request
+	w       http.ResponseWriter
+	r       *http.Request
+	index   *bbcatalog.Index
+	route   *bbcatalog.Route
+	account *bbcatalog.Account
+	service string
+	body    []byte
+	// began and limit are by the steady clock.
+	began time.Duration
+	limit time.Duration
+	// sent is true once a part of the answer went to the caller.
+	sent bool
+	log  Logged
+}
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{
+		w:     w,
+		r:     r,
+		index: g.seams.Index(),
+		began: g.seams.Now(),
+	}
+	if g.seams.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if status, cause := g.admit(x); status != 0 {
+		g.fail(x, status, cause, startRetryAfter)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), x.limit-x.began)
+	defer cancel()
+	// A caller that doesn't read must not hold the answer in memory for ever.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(x.limit - x.began + time.Second))
+	if x.staged() {
+		g.pipeline(ctx, x)
+		return
+	}
+	g.plain(ctx, x)
+}
+
+// staged tells whether the request goes through the coordinator.
+func (x *exchange) staged() bool {
+	s := x.index.Service(x.service)
+	return len(x.route.Stages) > 0 || (s != nil && s.Engine != nil)
+}
+
+// admit finds the route and the account and reads the body. It returns a status and a
+// cause if the request ends here.
+func (g *Gateway) admit(x *exchange) (int, string) {
+	if x.index == nil {
+		return http.StatusServiceUnavailable, "noConfiguration"
+	}
+	x.log.Version = x.index.Catalog.Version
+	q, err := g.codec.Decode(x.r)
+	if err != nil {
+		return http.StatusBadRequest, "headers"
+	}
+	x.Request = q
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") {
+		return http.StatusBadRequest, "target"
+	}
+	x.route = x.index.Route(hostName(x.r.Host), path)
+	if x.route == nil {
+		return http.StatusNotFound, "noRoute"
+	}
+	x.log.Route = x.route.Name
+	if x.index.NeedsKey(x.route) {
+		x.account = x.index.Account(x.Key)
+		if x.account == nil {
+			return http.StatusUnauthorized, "unknownKey"
+		}
+	}
+	if status, cause := x.readBody(); status != 0 {
+		return status, cause
+	}
+	x.limit = x.began + g.wait(x)
+	x.service = x.route.Pick(rand.Float64())
+	return 0, ""
+}
+
+// wait returns the time that the caller may be kept waiting.
+func (g *Gateway) wait(x *exchange) time.Duration {
+	wait := x.Wait
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if x.route.Timeout > 0 {
+		wait = min(wait, x.route.Timeout)
+	}
+	return wait
+}
+
+// objective returns the time that is left until an answer is late. A caller that comes
+// back names a shorter wait than at first; the difference is gone from its objective too.
+func (g *Gateway) objective(x *exchange) time.Duration {
+	if x.Wait <= 0 {
+		return x.route.Objective
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first, ok := g.patience[x.route.Name]
+	if !ok && len(g.patience) >= maxRoutes {
+		return x.route.Objective
+	}
+	if x.Wait > first {
+		first = x.Wait
+		g.patience[x.route.Name] = first
+	}
+	return x.route.Objective - (first - x.Wait)
+}
+
+// readBody reads the caller's body whole, so that it can be sent again.
+func (x *exchange) readBody() (int, string) {
+	most := x.index.Catalog.Limits.BodyBytes
+	if most <= 0 {
+		most = defaultBody
+	}
+	if x.r.ContentLength > most {
+		return http.StatusRequestEntityTooLarge, "bodySize"
+	}
+	if x.r.Body == nil || x.r.Body == http.NoBody {
+		return 0, ""
+	}
+	// A reader that can't have a deadline has its connection's.
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, most))
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge, "bodySize"
+	}
+	if err != nil {
+		return http.StatusBadRequest, "bodyBroken"
+	}
+	x.body = body
+	return 0, ""
+}
+
+// hostName returns a host without its port.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
--- /dev/null
+++ b/bluebelld/bbgateway/pipeline.go
@@ -0,0 +1,276 @@
+package bbgateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/core/bballowance"
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
+)
+
+// maxGrants bounds the engines that one request is offered to.
+const maxGrants = 5
+
+// pipeline serves a request that goes through stages to an engine.
+func (g *Gateway) pipeline(ctx context.Context, x *exchange) {
+	order := g.order(x)
+	runs := 0
+	for x.log.Tries < maxGrants {
+		now := g.seams.Now()
+		order.Limit = x.limit - now
+		verdict, coordinator, err := g.seams.Order(ctx, order)
+		if err != nil || verdict.Grant == nil {
+			g.unplaced(ctx, x, runs, verdict)
+			return
+		}
+		x.log.Tries++
+		x.log.Endpoint = verdict.Grant.Endpoint
+		if x.log.Granted == 0 {
+			x.log.Granted = g.seams.Now() - x.began
+		}
+		t := &try{
+			exchange:    x,
+			grant:       *verdict.Grant,
+			coordinator: coordinator,
+		}
+		outcome, again := g.run(ctx, t, runs)
+		if !again {
+			return
+		}
+		if outcome == bbhealth.OutcomeBroken {
+			runs++
+		}
+		order.Objective -= g.seams.Now() - now
+		order.Avoid = append(order.Avoid, t.grant.Endpoint)
+		order.Repeat = outcome != bbhealth.OutcomeUnreachable
+	}
+	g.give(ctx, x, runs, "tries")
+}
+
+// order returns what the coordinator is told of a request.
+func (g *Gateway) order(x *exchange) bbjob.Order {
+	o := bbjob.Order{
+		ID:        x.ID,
+		Origin:    g.name,
+		Route:     x.route.Name,
+		Service:   x.service,
+		Key:       x.PieceKey,
+		Prompt:    x.Prompt,
+		Priority:  bbcatalog.Priority(x.route, x.account),
+		Objective: g.objective(x),
+		Zone:      g.zone,
+		Region:    g.region,
+		Regions:   regions(x.route, x.account),
+	}
+	for i, s := range x.route.Stages {
+		pieces := 1
+		if i < len(x.Pieces) {
+			pieces = x.Pieces[i]
+		}
+		o.Stages = append(o.Stages, bbjob.Stage{
+			Service:     s.Service,
+			After:       s.After,
+			ResultBytes: s.ResultBytes,
+			Pieces:      pieces,
+		})
+	}
+	return o
+}
+
+// noRegion stands for a route and an account that have no region in common.
+const noRegion = "none"
+
+// regions returns the regions that a route and an account allow; empty means all.
+func regions(r *bbcatalog.Route, a *bbcatalog.Account) []string {
+	if a == nil || len(a.Regions) == 0 {
+		return r.Regions
+	}
+	if len(r.Regions) == 0 {
+		return a.Regions
+	}
+	var both []string
+	for _, region := range r.Regions {
+		if bbcatalog.Allowed(r, a, region) {
+			both = append(both, region)
+		}
+	}
+	if len(both) == 0 {
+		return []string{noRegion}
+	}
+	return both
+}
+
+// unplaced ends a request that was given no engine.
+func (g *Gateway) unplaced(ctx context.Context, x *exchange, runs int, v bbjob.Verdict) {
+	if v.Refusal == nil {
+		g.give(ctx, x, runs, "noCoordinator")
+		return
+	}
+	if runs > 0 {
+		g.give(ctx, x, runs, v.Refusal.Reason)
+		return
+	}
+	x.log.First = v.Refusal.Expected
+	g.fail(x, http.StatusServiceUnavailable, v.Refusal.Reason, v.Refusal.RetryAfter)
+}
+
+// give ends a request that can't be served any more.
+func (g *Gateway) give(ctx context.Context, x *exchange, runs int, cause string) {
+	switch {
+	case errors.Is(x.r.Context().Err(), context.Canceled):
+		g.ended(x, "left", "callerGone", 0)
+		if x.sent {
+			panic(http.ErrAbortHandler)
+		}
+	case x.sent:
+		g.abort(x, cause)
+	case runs > 0 && ctx.Err() != nil:
+		g.fail(x, http.StatusGatewayTimeout, "timeOver", 0)
+	case runs > 0:
+		g.fail(x, http.StatusBadGateway, cause, 0)
+	default:
+		g.fail(x, http.StatusServiceUnavailable, cause, startRetryAfter)
+	}
+}
+
+// try is one offer of a request to an engine.
+type try struct {
+	*exchange
+	grant       bbjob.Grant
+	coordinator string
+	// event is the ID of the last whole event that the caller got.
+	started bool
+}
+
+// run sends the request to the granted engine and passes the answer on. Again tells
+// whether another engine may get the request.
+func (g *Gateway) run(ctx context.Context, t *try, runs int) (outcome bbhealth.Outcome, again bool) {
+	note := bbjob.Note{
+		ID:       t.ID,
+		Endpoint: t.grant.Endpoint,
+		Ended:    true,
+	}
+	defer func() {
+		note.Outcome = outcome
+		note.Again = again
+		g.seams.Note(t.coordinator, note)
+	}()
+	if !g.seams.Usable(t.grant.Endpoint) {
+		return bbhealth.OutcomeFull, true
+	}
+	answer, cleanup, err := bbchannel.Exchange(ctx, t.grant.Address, g.outgoing(t.exchange, Forward{
+		Endpoint:  t.grant.Endpoint,
+		Priority:  bbcatalog.Priority(t.route, t.account),
+		Engine:    true,
+		Staged:    len(t.route.Stages) > 0,
+		Inputs:    t.grant.Inputs,
+		LastEvent: t.LastEvent,
+	}))
+	if err != nil {
+		outcome = classify(err, Reading{})
+		return outcome, g.lost(ctx, t, outcome, runs)
+	}
+	defer cleanup()
+	reading := g.codec.Read(t.ID, answer)
+	outcome = classify(nil, reading)
+	switch {
+	case reading.Gone:
+		note.Gone = true
+		g.give(ctx, t.exchange, runs, "inputGone")
+		return outcome, false
+	case outcome == bbhealth.OutcomeFull || outcome == bbhealth.OutcomeMoved:
+		return outcome, true
+	case outcome == bbhealth.OutcomeBroken || (!reading.Signed && answer.Status < http.StatusMultipleChoices):
+		return bbhealth.OutcomeBroken, g.lost(ctx, t, bbhealth.OutcomeBroken, runs)
+	}
+	if err := g.stream(ctx, t, answer); err != nil {
+		if g.seams.Now() >= t.limit || errors.Is(t.r.Context().Err(), context.Canceled) {
+			// The time was over or the caller left; that says nothing of the engine.
+			g.give(ctx, t.exchange, runs+1, "timeOver")
+			return bbhealth.OutcomeFull, false
+		}
+		return bbhealth.OutcomeBroken, g.lost(ctx, t, bbhealth.OutcomeBroken, runs)
+	}
+	g.ended(t.exchange, "answered", "", answer.Status)
+	return bbhealth.OutcomeGood, false
+}
+
+// lost tells whether a request that had no whole answer may go to another engine, and ends
+// it if not.
+func (g *Gateway) lost(ctx context.Context, t *try, o bbhealth.Outcome, runs int) bool {
+	if ctx.Err() == nil && o == bbhealth.OutcomeUnreachable {
+		return true
+	}
+	repeatable := t.route.Kind == bbcatalog.KindIdempotent || (t.route.Kind == bbcatalog.KindStream && t.route.Resumable)
+	if ctx.Err() == nil && repeatable && runs+1 < t.route.MaxAttempts {
+		return true
+	}
+	if o == bbhealth.OutcomeBroken {
+		runs++
+	}
+	g.give(ctx, t.exchange, runs, "broken")
+	return false
+}
+
+// stream passes an answer on as it arrives. The error is the endpoint's; the answer is
+// whole if there is none.
+func (g *Gateway) stream(ctx context.Context, t *try, a *bbchannel.Answer) error {
+	if a.Status >= http.StatusMultipleChoices {
+		return g.deliver(ctx, t.exchange, a)
+	}
+	events := newSplitter(t.route.Resumable)
+	flusher := http.NewResponseController(t.w)
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := a.Body.Read(buffer)
+		if n > 0 && !t.started {
+			t.started = true
+			if t.log.First == 0 {
+				t.log.First = g.seams.Now() - t.began
+			}
+			g.seams.Note(t.coordinator, bbjob.Note{
+				ID:       t.ID,
+				Endpoint: t.grant.Endpoint,
+				Started:  true,
+			})
+		}
+		if whole := events.add(buffer[:n]); len(whole) > 0 {
+			if !t.sent {
+				g.start(t.exchange, a, -1)
+			}
+			g.write(ctx, t.exchange, whole)
+			if events.last != "" {
+				t.LastEvent = events.last
+			}
+			if err := flusher.Flush(); err != nil {
+				g.abort(t.exchange, "callerGone")
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			if !t.sent {
+				g.start(t.exchange, a, a.Length)
+			}
+			g.write(ctx, t.exchange, events.rest())
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// window returns the allowance of a service; the caller holds the lock.
+func (g *Gateway) window(service string) *bballowance.Window {
+	w := g.windows[service]
+	if w == nil {
+		w = g.seams.Window(service)
+		g.windows[service] = w
+	}
+	return w
+}
--- /dev/null
+++ b/bluebelld/bbgateway/plain.go
@@ -0,0 +1,186 @@
+package bbgateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbplain"
+)
+
+const (
+	// shedRetryAfter is when a place should be free at a service whose requests are short.
+	shedRetryAfter = 100 * time.Millisecond
+	// maxOffers bounds the endpoints that are asked for one request, those counted that
+	// turned it away or could not be reached.
+	maxOffers = 4
+	// firstTry is the part of the objective after which an idempotent request is tried at
+	// another endpoint.
+	firstTry = 1.5
+)
+
+// plain serves a request that one endpoint answers by itself.
+func (g *Gateway) plain(ctx context.Context, x *exchange) {
+	now := g.seams.Now()
+	g.mu.Lock()
+	g.window(x.service).Request(now)
+	g.mu.Unlock()
+	avoid := make(map[string]bool)
+	runs := 0
+	cause := "noEndpoint"
+	for x.log.Tries < maxOffers {
+		e, ok := g.choose(x, avoid)
+		if !ok {
+			break
+		}
+		avoid[e.ID] = true
+		x.log.Tries++
+		x.log.Endpoint = e.ID
+		outcome, again := g.offer(ctx, x, e, runs)
+		if x.sent {
+			return
+		}
+		if !again {
+			return
+		}
+		if outcome == bbhealth.OutcomeBroken {
+			runs++
+		}
+		cause = causes[outcome]
+		if outcome != bbhealth.OutcomeUnreachable && !g.mayRepeat(x) {
+			break
+		}
+	}
+	if runs > 0 {
+		g.fail(x, http.StatusBadGateway, cause, 0)
+		return
+	}
+	g.fail(x, http.StatusServiceUnavailable, cause, shedRetryAfter)
+}
+
+// causes are the words for outcomes in logs.
+var causes = map[bbhealth.Outcome]string{
+	bbhealth.OutcomeUnreachable: "unreachable",
+	bbhealth.OutcomeBroken:      "broken",
+	bbhealth.OutcomeFull:        "full",
+	bbhealth.OutcomeMoved:       "moved",
+}
+
+// choose picks an endpoint for the request.
+func (g *Gateway) choose(x *exchange, avoid map[string]bool) (bbplain.Endpoint, bool) {
+	entries := g.seams.Endpoints(x.service)
+	list := make([]bbplain.Endpoint, 0, len(entries))
+	for _, e := range entries {
+		region := g.seams.Region(e.Zone)
+		if !bbcatalog.Allowed(x.route, x.account, region) {
+			continue
+		}
+		list = append(list, bbplain.Endpoint{
+			ID:      e.ID,
+			Address: e.Address,
+			Zone:    e.Zone,
+			Region:  region,
+			Cold:    e.Cold > 0,
+		})
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.chooser.Choose(g.seams.Now(), list, bbplain.Place{
+		Zone:   g.zone,
+		Region: g.region,
+	}, avoid)
+}
+
+// mayRepeat tells whether the allowance has one more repeat for the request's service.
+func (g *Gateway) mayRepeat(x *exchange) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.window(x.service).Take(g.seams.Now(), 1)
+}
+
+// offer sends the request to one endpoint. Again tells whether another may get it.
+func (g *Gateway) offer(ctx context.Context, x *exchange, e bbplain.Endpoint, runs int) (outcome bbhealth.Outcome, again bool) {
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.chooser.Done(g.seams.Now(), e.ID, outcome)
+	}()
+	repeatable := x.route.Kind == bbcatalog.KindIdempotent && runs+1 < x.route.MaxAttempts
+	tryCtx := ctx
+	if repeatable {
+		var cancel context.CancelFunc
+		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(firstTry*float64(x.route.Objective)))
+		defer cancel()
+	}
+	answer, cleanup, err := bbchannel.Exchange(tryCtx, e.Address, g.outgoing(x, Forward{
+		Endpoint: e.ID,
+		Priority: bbcatalog.Priority(x.route, x.account),
+	}))
+	if err != nil {
+		return g.broken(ctx, x, classify(err, Reading{}), repeatable)
+	}
+	defer cleanup()
+	reading := g.codec.Read(x.ID, answer)
+	outcome = classify(nil, reading)
+	switch outcome {
+	case bbhealth.OutcomeFull, bbhealth.OutcomeMoved:
+		return outcome, true
+	case bbhealth.OutcomeBroken:
+		return g.broken(ctx, x, outcome, repeatable)
+	}
+	if answer.Status >= http.StatusInternalServerError && repeatable && g.mayRepeat(x) {
+		return bbhealth.OutcomeGood, g.again(ctx, x, answer)
+	}
+	if !reading.Signed && answer.Status < http.StatusMultipleChoices {
+		return g.broken(ctx, x, bbhealth.OutcomeBroken, repeatable)
+	}
+	if err := g.deliver(ctx, x, answer); err != nil {
+		return g.broken(ctx, x, bbhealth.OutcomeBroken, repeatable)
+	}
+	g.ended(x, "answered", "", answer.Status)
+	return bbhealth.OutcomeGood, false
+}
+
+// again tries an idempotent request that an endpoint failed once more elsewhere. If that
+// is not possible the endpoint's failure goes to the caller.
+func (g *Gateway) again(ctx context.Context, x *exchange, failed *bbchannel.Answer) bool {
+	e, ok := g.choose(x, map[string]bool{
+		x.log.Endpoint: true,
+	})
+	if ok {
+		x.log.Tries++
+		x.log.Endpoint = e.ID
+		if _, again := g.offer(ctx, x, e, x.route.MaxAttempts); x.sent || !again {
+			return false
+		}
+	}
+	if err := g.deliver(ctx, x, failed); err != nil {
+		g.fail(x, http.StatusBadGateway, "broken", 0)
+		return false
+	}
+	g.ended(x, "answered", "endpointFailed", failed.Status)
+	return false
+}
+
+// broken ends or repeats a request that had no whole answer from an endpoint.
+func (g *Gateway) broken(ctx context.Context, x *exchange, o bbhealth.Outcome, repeatable bool) (bbhealth.Outcome, bool) {
+	switch {
+	case errors.Is(x.r.Context().Err(), context.Canceled):
+		g.ended(x, "left", "callerGone", 0)
+		return o, false
+	case o == bbhealth.OutcomeUnreachable && ctx.Err() == nil:
+		return o, true
+	case ctx.Err() != nil:
+		g.fail(x, http.StatusGatewayTimeout, "timeOver", 0)
+		return o, false
+	case repeatable:
+		return o, true
+	}
+	g.fail(x, http.StatusBadGateway, "broken", 0)
+	return o, false
+}
--- /dev/null
+++ b/bluebelld/bbhub/hub.go
@@ -0,0 +1,194 @@
+// Package bbhub runs the coordinator of a VM: it carries out what the coordinator decides
+// and answers the orders that wait.
+package bbhub
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bluebellhall/core/bbcoordinator"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbpool"
+)
+
+const (
+	// freeTimeout bounds a call that frees results; results also end by themselves.
+	freeTimeout = time.Second
+	// callSlack is what a call may take beyond the time that its requests have.
+	callSlack = 500 * time.Millisecond
+)
+
+// Piece is one piece of a call, as it is sent.
+type Piece struct {
+	Job   string
+	Stage int
+	Piece int
+	// Key is set for pieces that need no results, Inputs for all others.
+	Key    string
+	Inputs []string
+	// Left is the time that the request has.
+	Left time.Duration
+}
+
+// Seams are the effects of the hub on the outside.
+type Seams struct {
+	// Now returns the steady time.
+	Now func() time.Duration
+	// RunPieces makes a call and returns the results in the order of the pieces.
+	RunPieces func(ctx context.Context, address, endpoint string, pieces []Piece) ([]bbcoordinator.PieceResult, bbhealth.Outcome)
+	// FreeResults tells an endpoint that results are needed no more.
+	FreeResults func(ctx context.Context, address string, handles []string)
+	// Zone returns the failure domain of an endpoint.
+	Zone func(endpoint string) string
+	// Log takes in decisions.
+	Log func(e bbcoordinator.Event)
+}
+
+// Hub drives one coordinator.
+type Hub struct {
+	seams Seams
+
+	mu          sync.Mutex
+	coordinator *bbcoordinator.Coordinator
+	// waiters has the channel of each order that waits.
+	waiters map[string]chan bbjob.Verdict
+	timer   *time.Timer
+	// due is when the timer fires; 0 if it is not set.
+	due time.Duration
+}
+
+// New returns a hub and its clean-up function.
+func New(c *bbcoordinator.Coordinator, s Seams) (*Hub, func()) {
+	h := &Hub{
+		seams:       s,
+		coordinator: c,
+		waiters:     make(map[string]chan bbjob.Verdict),
+	}
+	h.timer = time.AfterFunc(time.Hour, h.tick)
+	return h, func() { h.timer.Stop() }
+}
+
+// Order takes in an order and waits for its verdict. When the context ends first, the
+// request is forgotten.
+func (h *Hub) Order(ctx context.Context, o bbjob.Order) (bbjob.Verdict, error) {
+	c := make(chan bbjob.Verdict, 1)
+	h.mu.Lock()
+	h.waiters[o.ID] = c
+	h.apply(h.coordinator.Submit(h.seams.Now(), o))
+	h.mu.Unlock()
+	select {
+	case v := <-c:
+		return v, nil
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.waiters[o.ID] == c {
+		delete(h.waiters, o.ID)
+	}
+	h.apply(h.coordinator.Cancel(h.seams.Now(), o.ID))
+	return bbjob.Verdict{}, ctx.Err()
+}
+
+// Notes takes in notes of progress.
+func (h *Hub) Notes(notes []bbjob.Note) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, n := range notes {
+		h.apply(h.coordinator.Progress(h.seams.Now(), n))
+	}
+}
+
+// tick lets the coordinator do what is due.
+func (h *Hub) tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.due = 0
+	h.apply(h.coordinator.Tick(h.seams.Now()))
+}
+
+// apply carries out what the coordinator decided.
+func (h *Hub) apply(out bbcoordinator.Output) {
+	for _, e := range out.Events {
+		h.seams.Log(e)
+	}
+	for i := range out.Grants {
+		h.answer(out.Grants[i].ID, bbjob.Verdict{
+			Grant: &out.Grants[i],
+		})
+	}
+	for i := range out.Refusals {
+		h.answer(out.Refusals[i].ID, bbjob.Verdict{
+			Refusal: &out.Refusals[i],
+		})
+	}
+	for _, c := range out.Calls {
+		h.call(c)
+	}
+	for _, f := range out.Frees {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+			defer cancel()
+			h.seams.FreeResults(ctx, f.Address, f.Handles)
+		}()
+	}
+	h.setTimer()
+}
+
+// answer gives a waiting order its verdict.
+func (h *Hub) answer(id string, v bbjob.Verdict) {
+	if c := h.waiters[id]; c != nil {
+		delete(h.waiters, id)
+		c <- v
+	}
+}
+
+// call makes a call and tells the coordinator how it ended.
+func (h *Hub) call(c *bbpool.Call) {
+	pieces := make([]Piece, 0, len(c.Pieces))
+	// places has the number in the call of each piece that is sent.
+	places := make([]int, 0, len(c.Pieces))
+	var longest time.Duration
+	for i, p := range c.Pieces {
+		key, inputs, ok := h.coordinator.PieceInputs(p)
+		if !ok {
+			continue
+		}
+		longest = max(longest, c.Limits[i])
+		places = append(places, i)
+		pieces = append(pieces, Piece{
+			Job:    p.Job,
+			Stage:  p.Stage,
+			Piece:  p.Piece,
+			Key:    key,
+			Inputs: inputs,
+			Left:   c.Limits[i],
+		})
+	}
+	zone := h.seams.Zone(c.Endpoint)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), longest+callSlack)
+		defer cancel()
+		answered, outcome := h.seams.RunPieces(ctx, c.Address, c.Endpoint, pieces)
+		results := make([]bbcoordinator.PieceResult, len(c.Pieces))
+		for i := range min(len(answered), len(places)) {
+			results[places[i]] = answered[i]
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.apply(h.coordinator.CallDone(h.seams.Now(), c.ID, zone, outcome, results))
+	}()
+}
+
+// setTimer makes the timer fire when the coordinator wants to look again.
+func (h *Hub) setTimer() {
+	now := h.seams.Now()
+	next, ok := h.coordinator.Next(now)
+	if !ok || (h.due > now && h.due <= next) {
+		return
+	}
+	h.due = next
+	h.timer.Reset(next - now)
+}
--- a/bluebelld/bblink/codec.go
+++ b/bluebelld/bblink/codec.go
@@ -9,8 +9,8 @@
 	"google.golang.org/grpc/encoding"
 )
 
-// codecName is the content subtype of our calls.
-const codecName = "cbor"
+// CodecName is the content subtype of our calls.
+const CodecName = "cbor"
 
 // codec encodes plain structs as CBOR. The field names are those of the json tags.
 type codec struct{}
@@ -28,7 +28,7 @@
 
 // Name returns the content subtype.
 func (codec) Name() string {
-	return codecName
+	return CodecName
 }
 
 // register makes the codec known to grpc once per process.
--- a/bluebelld/bblink/sender.go
+++ b/bluebelld/bblink/sender.go
@@ -177,7 +177,7 @@
 	defer s.dropConn(conn)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := conn.NewStream(ctx, &linkStream, linkMethod, grpc.CallContentSubtype(codecName))
+	stream, err := conn.NewStream(ctx, &linkStream, linkMethod, grpc.CallContentSubtype(CodecName))
 	if err != nil {
 		return
 	}
@@ -349,7 +349,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeWait)
 	defer cancel()
 	reply := new(bbmsg.ProbeReply)
-	err := conn.Invoke(ctx, probeMethod, &p, reply, grpc.CallContentSubtype(codecName))
+	err := conn.Invoke(ctx, probeMethod, &p, reply, grpc.CallContentSubtype(CodecName))
 	s.noteProbe(conn, err == nil)
 	if err == nil && !s.blocked() {
 		s.settings.Reply(*reply)
--- /dev/null
+++ b/bluebelld/bbpeer/conn.go
@@ -0,0 +1,173 @@
+package bbpeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"bluebellhall/bluebelld/bblink"
+	"bluebellhall/core/bbjob"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection: several round trips between regions.
+	dialTimeout = 500 * time.Millisecond
+	// unackedTimeout ends connections on which sent bytes are not acknowledged.
+	unackedTimeout = 1500 * time.Millisecond
+	// maxMessageBytes bounds a message; a catalog of thousands of routes fits.
+	maxMessageBytes = 8 << 20
+	// bufferBytes are the buffers of a connection; most messages are small.
+	bufferBytes = 4 << 10
+)
+
+// Listen starts to answer other VMs on an address. The clean-up function closes all
+// connections at once.
+func Listen(address string, h Handlers) (func(), error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for other VMs on %s", address)
+	}
+	g := grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+	)
+	g.RegisterService(&serviceDesc, &server{
+		h: h,
+	})
+	go func() {
+		// Serve ends with the clean-up function only.
+		_ = g.Serve(listener)
+	}()
+	return g.Stop, nil
+}
+
+// Conns are the connections to other VMs, by address.
+type Conns struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewConns returns an empty table of connections and its clean-up function.
+func NewConns() (*Conns, func()) {
+	c := &Conns{
+		conns: make(map[string]*grpc.ClientConn),
+	}
+	return c, c.closeAll
+}
+
+// Exchange tells a VM of this one and returns what it tells.
+func (c *Conns) Exchange(ctx context.Context, address string, e Exchange) (Exchange, error) {
+	var answer Exchange
+	err := c.invoke(ctx, address, exchangeMethod, &e, &answer)
+	return answer, err
+}
+
+// Published asks a VM for what the platform published.
+func (c *Conns) Published(ctx context.Context, address string, w Wanted) (Published, error) {
+	var answer Published
+	err := c.invoke(ctx, address, publishedMethod, &w, &answer)
+	return answer, err
+}
+
+// Order asks a coordinator for an engine and waits for its verdict.
+func (c *Conns) Order(ctx context.Context, address string, o bbjob.Order) (bbjob.Verdict, error) {
+	var answer bbjob.Verdict
+	err := c.invoke(ctx, address, orderMethod, &o, &answer)
+	return answer, err
+}
+
+// Notes tells a coordinator of progress.
+func (c *Conns) Notes(ctx context.Context, address string, n []bbjob.Note) error {
+	return c.invoke(ctx, address, notesMethod, &Notes{
+		Notes: n,
+	}, new(Nothing))
+}
+
+// Reset closes the connection to an address, so that the next call opens a new one: the
+// old one may be silent for good.
+func (c *Conns) Reset(address string) {
+	c.mu.Lock()
+	conn := c.conns[address]
+	delete(c.conns, address)
+	c.mu.Unlock()
+	if conn != nil {
+		// An error here means that it was closed before.
+		_ = conn.Close()
+	}
+}
+
+func (c *Conns) invoke(ctx context.Context, address, method string, question, answer any) error {
+	conn, err := c.conn(address)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(conn.Invoke(ctx, method, question, answer), "call %s of %s", method, address)
+}
+
+// conn returns the connection to an address, made at the first call.
+func (c *Conns) conn(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn := c.conns[address]; conn != nil {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithContextDialer(dial),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  100 * time.Millisecond,
+				Multiplier: 1.5,
+				Jitter:     0.2,
+				MaxDelay:   time.Second,
+			},
+			MinConnectTimeout: dialTimeout,
+		}),
+		grpc.WithDefaultCallOptions(
+			grpc.CallContentSubtype(bblink.CodecName),
+			grpc.MaxCallRecvMsgSize(maxMessageBytes),
+		),
+	)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", address)
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+// dial opens a connection that ends when sent bytes stay unacknowledged.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: dialTimeout,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var option error
+			err := raw.Control(func(fd uintptr) {
+				option = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+			return errors.CombineErrors(err, option)
+		},
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (c *Conns) closeAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
--- /dev/null
+++ b/bluebelld/bbpeer/fleet.go
@@ -0,0 +1,318 @@
+package bbpeer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbjob"
+)
+
+const (
+	// round is the time between two rounds of exchange. A dead VM is noticed after three
+	// or four.
+	round = 350 * time.Millisecond
+	// exchangeTimeout bounds one exchange: two round trips between regions with a lost
+	// packet in one.
+	exchangeTimeout = 700 * time.Millisecond
+	// meshSize is the largest fleet in which every VM exchanges with every other in each
+	// round.
+	meshSize = 12
+	// fanOut is the number of VMs that a VM exchanges with in each round of a larger fleet.
+	fanOut = 3
+)
+
+// Fleet is this VM's view of the others, kept up to date by rounds of exchange.
+type Fleet struct {
+	// Now returns the steady time.
+	Now func() time.Duration
+	// Conns are the connections to the others.
+	Conns *Conns
+	// Log tells of a VM that was lost or is back; up is true when it is back.
+	Log func(name string, up bool, why string)
+
+	mu    sync.Mutex
+	table *bbgossip.Table
+	seeds []string
+	// busy are the addresses with an exchange in progress.
+	busy map[string]bool
+	// introduced has the process of each VM that knows this one in full.
+	introduced map[string]int64
+	// reached are the names that were reachable in the last round.
+	reached map[string]bool
+	// leader is the coordinator as of the last look, and changed is closed when it
+	// is another one.
+	leader  bbgossip.Member
+	changed chan struct{}
+}
+
+// NewFleet returns a fleet that knows only its own VM and the addresses of some seeds.
+func NewFleet(self bbgossip.Member, seeds []string, now func() time.Duration, conns *Conns) *Fleet {
+	return &Fleet{
+		Now:        now,
+		Conns:      conns,
+		Log:        func(string, bool, string) {},
+		table:      bbgossip.NewTable(self),
+		seeds:      seeds,
+		busy:       make(map[string]bool),
+		introduced: make(map[string]int64),
+		reached:    make(map[string]bool),
+		leader:     self,
+		changed:    make(chan struct{}),
+	}
+}
+
+// Run makes rounds of exchange until the context ends.
+func (f *Fleet) Run(ctx context.Context) {
+	ticker := time.NewTicker(round)
+	defer ticker.Stop()
+	for {
+		f.exchangeRound(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// SetSeeds replaces the addresses of the seeds.
+func (f *Fleet) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = seeds
+}
+
+// Update changes what this VM tells of itself.
+func (f *Fleet) Update(change func(m *bbgossip.Member)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.Update(change)
+	f.look()
+}
+
+// Announce makes a round of exchange at once.
+func (f *Fleet) Announce(ctx context.Context) {
+	f.exchangeRound(ctx)
+}
+
+// View gives a function the table, which it must not keep.
+func (f *Fleet) View(look func(t *bbgossip.Table, now time.Duration)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	look(f.table, f.Now())
+}
+
+// Leader returns the VM that coordinates shared work, and a channel that is closed when
+// it is another one.
+func (f *Fleet) Leader() (bbgossip.Member, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.look()
+	return f.leader, f.changed
+}
+
+// IsSelf tells whether a member is this VM.
+func (f *Fleet) IsSelf(m bbgossip.Member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return m.Name == f.table.Self().Name
+}
+
+// Answer takes in the exchange of another VM and returns this VM's.
+func (f *Fleet) Answer(e Exchange) Exchange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	known := f.table.Heard(now, e.From)
+	f.table.Merge(now, e.Members)
+	answer := Exchange{
+		From:    f.table.Self(),
+		Digest:  f.table.Digest(),
+		Unknown: !known,
+	}
+	if e.KnownBoot == answer.From.Boot {
+		answer.From = answer.From.Brief()
+	}
+	if e.Digest != answer.Digest {
+		answer.Members = f.table.Known()
+	}
+	f.look()
+	return answer
+}
+
+// Order asks the coordinator for an engine, and another one when the first is lost. Local
+// answers when this VM coordinates.
+func (f *Fleet) Order(ctx context.Context, o bbjob.Order, local func(context.Context, bbjob.Order) (bbjob.Verdict, error)) (bbjob.Verdict, bbgossip.Member, error) {
+	started := f.Now()
+	objective, limit := o.Objective, o.Limit
+	for try := 0; ; try++ {
+		leader, changed := f.Leader()
+		o.Objective, o.Limit = objective-(f.Now()-started), limit-(f.Now()-started)
+		if f.IsSelf(leader) || try >= maxOrderTries {
+			verdict, err := local(ctx, o)
+			return verdict, f.self(), err
+		}
+		verdict, err := f.orderFrom(ctx, leader, changed, o)
+		if err == nil || ctx.Err() != nil {
+			return verdict, leader, err
+		}
+		select {
+		case <-ctx.Done():
+			return bbjob.Verdict{}, leader, ctx.Err()
+		case <-changed:
+		case <-time.After(orderPause):
+		}
+	}
+}
+
+const (
+	// maxOrderTries is the number of failed calls to coordinators after which a VM decides
+	// by itself.
+	maxOrderTries = 3
+	// orderPause is the pause after a failed call to a coordinator.
+	orderPause = 100 * time.Millisecond
+)
+
+// orderFrom asks one coordinator, until it answers or is no longer the coordinator.
+func (f *Fleet) orderFrom(ctx context.Context, leader bbgossip.Member, changed <-chan struct{}, o bbjob.Order) (bbjob.Verdict, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-done:
+		}
+	}()
+	return f.Conns.Order(ctx, leader.Peer, o)
+}
+
+func (f *Fleet) self() bbgossip.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Self()
+}
+
+// exchangeRound starts an exchange with each VM of this round.
+func (f *Fleet) exchangeRound(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.Update(func(*bbgossip.Member) {})
+	f.table.Forget(f.Now())
+	for _, address := range f.targets() {
+		if f.busy[address] {
+			continue
+		}
+		f.busy[address] = true
+		go f.exchange(ctx, address)
+	}
+	f.look()
+}
+
+// targets returns the addresses for one round: all members of a small fleet, else a few,
+// and seeds that no known member has.
+func (f *Fleet) targets() []string {
+	known := f.table.Known()
+	addresses := make([]string, 0, len(known))
+	taken := map[string]bool{
+		f.table.Self().Peer: true,
+	}
+	for _, m := range known {
+		taken[m.Peer] = true
+		addresses = append(addresses, m.Peer)
+	}
+	if len(addresses) >= meshSize {
+		rand.Shuffle(len(addresses), func(i, j int) {
+			addresses[i], addresses[j] = addresses[j], addresses[i]
+		})
+		addresses = addresses[:fanOut]
+	}
+	for _, seed := range f.seeds {
+		if !taken[seed] {
+			addresses = append(addresses, seed)
+		}
+	}
+	return addresses
+}
+
+// exchange makes one exchange with an address.
+func (f *Fleet) exchange(ctx context.Context, address string) {
+	question, name := f.question(address)
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := f.Conns.Exchange(ctx, address, question)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.busy, address)
+	now := f.Now()
+	if err == nil {
+		if f.table.Answered(now, answer.From) && !answer.Unknown {
+			f.introduced[answer.From.Name] = answer.From.Boot
+		} else {
+			delete(f.introduced, name)
+		}
+		f.table.Merge(now, answer.Members)
+		f.look()
+		return
+	}
+	if status.Code(errors.UnwrapAll(err)) == codes.Unavailable && name != "" {
+		f.table.Lost(name)
+	}
+	go f.Conns.Reset(address)
+	f.look()
+}
+
+// question returns what this VM tells the VM at an address, and that VM's name if known.
+func (f *Fleet) question(address string) (Exchange, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	q := Exchange{
+		From:   f.table.Self(),
+		Digest: f.table.Digest(),
+	}
+	for _, m := range f.table.Known() {
+		if m.Peer != address {
+			continue
+		}
+		q.KnownBoot = m.Boot
+		if f.introduced[m.Name] == m.Boot {
+			q.From = q.From.Brief()
+		}
+		return q, m.Name
+	}
+	return q, ""
+}
+
+// look notes which VMs are reachable now and which one coordinates.
+func (f *Fleet) look() {
+	now := f.Now()
+	present := make(map[string]bool)
+	for _, m := range f.table.Reachable(now) {
+		present[m.Name] = true
+		if !f.reached[m.Name] {
+			f.reached[m.Name] = true
+			f.Log(m.Name, true, "answers")
+		}
+	}
+	for name := range f.reached {
+		if !present[name] {
+			delete(f.reached, name)
+			f.Log(name, false, "silent")
+		}
+	}
+	leader := f.table.Leader(now)
+	if leader.Name != f.leader.Name || leader.Boot != f.leader.Boot {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+	f.leader = leader
+}
--- /dev/null
+++ b/bluebelld/bbpeer/service.go
@@ -0,0 +1,118 @@
+// Package bbpeer is how entry VMs that find each other by themselves talk: they exchange
+// what they know of each other, hand on what the platform published, and ask the VM that
+// coordinates shared work for engines.
+package bbpeer
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbregistry"
+)
+
+// Exchange is what one VM tells another of itself and of the rest.
+type Exchange struct {
+	// From is the sender, brief if the other side should know it.
+	From bbgossip.Member `cbor:"1,keyasint"`
+	// KnownBoot is the process of the receiver that the sender knows; 0 if none.
+	KnownBoot int64 `cbor:"2,keyasint,omitempty"`
+	// Digest is that of the sender's table.
+	Digest uint64 `cbor:"3,keyasint,omitempty"`
+	// Members are those that the sender knows; only where the tables differ.
+	Members []bbgossip.Member `cbor:"4,keyasint,omitempty"`
+	// Unknown is true in an answer when the sender of the question wasn't known.
+	Unknown bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Wanted names what a VM lacks of what the platform published.
+type Wanted struct {
+	Catalog   bool `json:"catalog"`
+	Endpoints bool `json:"endpoints"`
+}
+
+// Published is what the platform published, as another VM knows it.
+type Published struct {
+	Catalog   *bbcatalog.Catalog   `json:"catalog"`
+	Endpoints *bbregistry.Snapshot `json:"endpoints"`
+}
+
+// Notes are notes of progress for a coordinator.
+type Notes struct {
+	Notes []bbjob.Note `json:"notes"`
+}
+
+// Nothing is an empty answer.
+type Nothing struct{}
+
+// Handlers answer the calls of other VMs. They may be called at the same time.
+type Handlers struct {
+	Exchange  func(e Exchange) Exchange
+	Published func(w Wanted) Published
+	Order     func(ctx context.Context, o bbjob.Order) (bbjob.Verdict, error)
+	Notes     func(n []bbjob.Note)
+}
+
+// The full names of the calls.
+const (
+	serviceName     = "bluebell.Entry"
+	exchangeMethod  = "/bluebell.Entry/Exchange"
+	publishedMethod = "/bluebell.Entry/Published"
+	orderMethod     = "/bluebell.Entry/Order"
+	notesMethod     = "/bluebell.Entry/Notes"
+)
+
+// entryService is what grpc requires a server to implement.
+type entryService interface {
+	handlers() *Handlers
+}
+
+type server struct {
+	h Handlers
+}
+
+func (s *server) handlers() *Handlers {
+	return &s.h
+}
+
+// unary returns the description of a call that decodes into Q and answers with R.
+func unary[Q, R any](name string, call func(ctx context.Context, h *Handlers, q *Q) (*R, error)) grpc.MethodDesc {
+	return grpc.MethodDesc{
+		MethodName: name,
+		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+			q := new(Q)
+			if err := decode(q); err != nil {
+				return nil, err
+			}
+			return call(ctx, srv.(entryService).handlers(), q)
+		},
+	}
+}
+
+// serviceDesc describes the service to grpc. It is written by hand because the messages
+// are plain structs and need no generator.
+var serviceDesc = grpc.ServiceDesc{
+	ServiceName: serviceName,
+	HandlerType: (*entryService)(nil),
+	Methods: []grpc.MethodDesc{
+		unary("Exchange", func(_ context.Context, h *Handlers, q *Exchange) (*Exchange, error) {
+			answer := h.Exchange(*q)
+			return &answer, nil
+		}),
+		unary("Published", func(_ context.Context, h *Handlers, q *Wanted) (*Published, error) {
+			answer := h.Published(*q)
+			return &answer, nil
+		}),
+		unary("Order", func(ctx context.Context, h *Handlers, q *bbjob.Order) (*bbjob.Verdict, error) {
+			answer, err := h.Order(ctx, *q)
+			return &answer, err
+		}),
+		unary("Notes", func(_ context.Context, h *Handlers, q *Notes) (*Nothing, error) {
+			h.Notes(q.Notes)
+			return new(Nothing), nil
+		}),
+	},
+}
--- /dev/null
+++ b/core/bballowance/allowance.go
@@ -0,0 +1,65 @@
+// Package bballowance bounds the repeated calls to a service to a share of the requests
+// for it, so that failures don't multiply the load.
+package bballowance
+
+import "time"
+
+// slices is the number of parts that the window is counted in.
+const slices = 10
+
+// safety is the part of the allowance that is used: VMs count their windows apart, and a
+// call may arrive later than it was counted.
+const safety = 0.8
+
+// Window counts requests and repeats of one service over a sliding time. The zero value
+// is not ready for use.
+type Window struct {
+	// Span is the length of the window; positive.
+	Span time.Duration
+	// Ratio is the part of the requests that may be repeated.
+	Ratio float64
+	// Slack is the number of repeats that is free in a window, for this VM.
+	Slack float64
+	// requests and repeats are counted in slices of the window, newest at head.
+	requests [slices]float64
+	repeats  [slices]float64
+	head     int
+	// at is the start of the newest slice.
+	at time.Duration
+}
+
+// Request counts a request for the service.
+func (w *Window) Request(now time.Duration) {
+	w.turn(now)
+	w.requests[w.head]++
+}
+
+// Take tells whether n more repeats may be made now, and counts them.
+func (w *Window) Take(now time.Duration, n int) bool {
+	w.turn(now)
+	requests, repeats := 0.0, 0.0
+	for i := range slices {
+		requests += w.requests[i]
+		repeats += w.repeats[i]
+	}
+	if repeats+float64(n) > safety*(w.Ratio*requests+w.Slack) {
+		return false
+	}
+	w.repeats[w.head] += float64(n)
+	return true
+}
+
+// turn moves the window on to now.
+func (w *Window) turn(now time.Duration) {
+	slice := w.Span / slices
+	for i := 0; now-w.at >= slice; i++ {
+		if i >= slices {
+			w.at = now
+			return
+		}
+		w.at += slice
+		w.head = (w.head + 1) % slices
+		w.requests[w.head] = 0
+		w.repeats[w.head] = 0
+	}
+}
--- /dev/null
+++ b/core/bbcatalog/index.go
@@ -0,0 +1,119 @@
+package bbcatalog
+
+import (
+	"sort"
+	"strings"
+)
+
+// Index finds routes, services and accounts of one catalog.
+type Index struct {
+	// Catalog is the version that the index was made from.
+	Catalog Catalog
+	// byHost has the routes of a host, those with the longest prefix first.
+	byHost   map[string][]*Route
+	services map[string]*Service
+	byKey    map[string]*Account
+}
+
+// NewIndex returns the index of a catalog, which must not change afterwards.
+func NewIndex(c Catalog) *Index {
+	x := &Index{
+		Catalog:  c,
+		byHost:   make(map[string][]*Route, len(c.Routes)),
+		services: make(map[string]*Service, len(c.Services)),
+		byKey:    make(map[string]*Account),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		x.byHost[r.Host] = append(x.byHost[r.Host], r)
+	}
+	for _, routes := range x.byHost {
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].Prefix) > len(routes[j].Prefix)
+		})
+	}
+	for i := range c.Services {
+		x.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Accounts {
+		for _, key := range c.Accounts[i].Keys {
+			x.byKey[key] = &c.Accounts[i]
+		}
+	}
+	return x
+}
+
+// Route returns the route with the longest prefix of the path among those of the host,
+// or nil.
+func (x *Index) Route(host, path string) *Route {
+	for _, r := range x.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the service of that name, or nil.
+func (x *Index) Service(name string) *Service {
+	return x.services[name]
+}
+
+// Account returns the account that holds a key, or nil.
+func (x *Index) Account(key string) *Account {
+	return x.byKey[key]
+}
+
+// NeedsKey tells whether the requests of a route must carry a key.
+func (x *Index) NeedsKey(r *Route) bool {
+	return len(x.Catalog.Accounts) > 0 && !r.Anonymous
+}
+
+// Priority returns the rank of an account's requests on a route; a may be nil.
+func Priority(r *Route, a *Account) int {
+	if a != nil && a.Priority != nil {
+		return *a.Priority
+	}
+	return r.Priority
+}
+
+// Allowed tells whether requests of a route and an account may be served in a region;
+// a may be nil. Where both name regions, both bind.
+func Allowed(r *Route, a *Account, region string) bool {
+	if !holds(r.Regions, region) {
+		return false
+	}
+	return a == nil || holds(a.Regions, region)
+}
+
+// holds tells whether a list has a value; an empty list has all.
+func holds(list []string, value string) bool {
+	if len(list) == 0 {
+		return true
+	}
+	for _, s := range list {
+		if s == value {
+			return true
+		}
+	}
+	return false
+}
+
+// Pick returns the service for a request of a route. The draw is from 0 up to 1.
+func (r *Route) Pick(draw float64) string {
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	left := draw * total
+	for _, s := range r.Shares {
+		left -= s.Weight
+		if left < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
--- /dev/null
+++ b/core/bbcoordinator/coordinator.go
@@ -0,0 +1,339 @@
+// Package bbcoordinator takes requests through their stages to an engine. One VM runs it
+// for all, so that pieces of different requests meet. It decides and remembers; the caller's
+// connection, the bodies and the sending stay with the VM that holds the caller.
+package bbcoordinator
+
+import (
+	"time"
+
+	"bluebellhall/core/bballowance"
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbplacement"
+	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bbregistry"
+)
+
+// Knowledge is what the coordinator asks of its VM.
+type Knowledge struct {
+	// Service returns the service of a name, or nil.
+	Service func(name string) *bbcatalog.Service
+	// Endpoints returns the endpoints of a service that may get new work.
+	Endpoints func(service string) []*bbregistry.Entry
+	// Region returns the region of a failure domain.
+	Region func(zone string) string
+	// Majority tells whether this VM reaches most of the others.
+	Majority func() bool
+}
+
+// Limits are the bounds that the coordinator keeps.
+type Limits struct {
+	// RetryRatio, RetrySlack and RetrySpan bound the repeated calls to a service.
+	RetryRatio float64
+	RetrySlack float64
+	RetrySpan  time.Duration
+}
+
+// Output is what the VM has to do after a decision.
+type Output struct {
+	Calls    []*bbpool.Call
+	Grants   []bbjob.Grant
+	Refusals []bbjob.Refusal
+	Frees    []Free
+	// Events are decisions for the log.
+	Events []Event
+}
+
+// Free names results that are not needed any more.
+type Free struct {
+	Address string
+	Handles []string
+}
+
+// Event is a decision about a request, for the log.
+type Event struct {
+	Job    string
+	What   string
+	Detail string
+	Value  time.Duration
+}
+
+// PieceResult is what an endpoint answered for one piece.
+type PieceResult struct {
+	// Handle names the result; empty if there is none.
+	Handle string
+	// Gone is true when an input no longer exists.
+	Gone bool
+	// Late is true when the request's time was over.
+	Late bool
+}
+
+// Coordinator has the requests in progress and the tables of pools and engines.
+type Coordinator struct {
+	know   Knowledge
+	limits Limits
+	jobs   map[string]*job
+	pools  map[string]*bbpool.Pool
+	// engines has a table for each service of engines.
+	engines map[string]*bbplacement.Table
+	retries map[string]*bballowance.Window
+	calls   map[uint64]*bbpool.Call
+	// freed are results to be freed, by the address of their maker.
+	freed map[string][]string
+	// waiting are the jobs whose stages are done and that wait for an engine.
+	waiting  map[string]*job
+	lastCall uint64
+	out      Output
+}
+
+const (
+	// maxJobs bounds the requests in progress.
+	maxJobs = 20000
+	// engineTime is the usual time from a grant to the first token, without the prompt.
+	engineTime = 90 * time.Millisecond
+	// rankStep is how much later a request goes for each step of priority.
+	rankStep = 250 * time.Millisecond
+	// lateness is the part of its objective by which a request may be expected too late
+	// and still be taken in.
+	lateness = 0.25
+	// minRetryAfter keeps refused callers from coming back before anything has changed.
+	minRetryAfter = 150 * time.Millisecond
+	// linkLead is the time of a round trip between regions and some work at both ends.
+	linkLead = 15 * time.Millisecond
+	// burstPart and fullBurst bound the grants to an engine that may be cold.
+	fullBurst = 3.0
+	// loneBurst is the burst when this VM may not be the only coordinator.
+	loneBurst = 1.0
+	// stuckCheck is how often calls are looked at for being overdue.
+	stuckCheck = 50 * time.Millisecond
+)
+
+// New returns a coordinator without requests.
+func New(k Knowledge, l Limits) *Coordinator {
+	return &Coordinator{
+		know:    k,
+		limits:  l,
+		jobs:    make(map[string]*job),
+		pools:   make(map[string]*bbpool.Pool),
+		engines: make(map[string]*bbplacement.Table),
+		retries: make(map[string]*bballowance.Window),
+		calls:   make(map[uint64]*bbpool.Call),
+		freed:   make(map[string][]string),
+		waiting: make(map[string]*job),
+	}
+}
+
+// Len returns the number of requests in progress.
+func (c *Coordinator) Len() int {
+	return len(c.jobs)
+}
+
+// Submit takes in an order. A verdict follows in this output or a later one.
+func (c *Coordinator) Submit(now time.Duration, o bbjob.Order) Output {
+	if j := c.jobs[o.ID]; j != nil {
+		c.resubmit(now, j, o)
+		return c.decide(now)
+	}
+	if c.know.Service(o.Service) == nil {
+		c.refuse(o.ID, "noService", minRetryAfter, 0)
+		return c.flush()
+	}
+	if len(c.jobs) >= maxJobs {
+		c.refuse(o.ID, "tableFull", minRetryAfter, 0)
+		return c.flush()
+	}
+	j := newJob(now, o)
+	expected := c.estimate(now, j)
+	if retryAfter, reason := c.judge(now, j, expected); reason != "" {
+		c.refuse(o.ID, reason, retryAfter, expected-now)
+		return c.flush()
+	}
+	c.jobs[o.ID] = j
+	for _, s := range o.Stages {
+		c.window(s.Service).Request(now)
+	}
+	c.window(o.Service).Request(now)
+	c.log(o.ID, "accepted", o.Route, expected-now)
+	c.release(j)
+	return c.decide(now)
+}
+
+// judge tells whether a request is turned away, when the caller should come back, and why.
+func (c *Coordinator) judge(now time.Duration, j *job, expected time.Duration) (time.Duration, string) {
+	if expected > j.limit {
+		return c.retryAfter(expected - j.limit), "limit"
+	}
+	slack := time.Duration(lateness * float64(j.objective))
+	if expected > j.due+slack && j.due > now {
+		return c.retryAfter(expected - j.due), "late"
+	}
+	return 0, ""
+}
+
+// retryAfter returns when a refused caller should come back.
+func (c *Coordinator) retryAfter(over time.Duration) time.Duration {
+	return max(minRetryAfter, over)
+}
+
+// Cancel forgets a request whose caller has left or whose origin is gone.
+func (c *Coordinator) Cancel(now time.Duration, id string) Output {
+	if j := c.jobs[id]; j != nil {
+		c.log(id, "cancelled", "", now-j.arrived)
+		if j.granted != "" {
+			c.table(j.order.Service).Ended(now, j.granted, id, bbhealth.OutcomeFull)
+		}
+		c.drop(j)
+	}
+	return c.decide(now)
+}
+
+// Tick does what is due: calls that are overdue, requests whose time is over.
+func (c *Coordinator) Tick(now time.Duration) Output {
+	for _, p := range c.pools {
+		p.Expire(now)
+		for _, call := range p.Overdue(now) {
+			c.repeat(now, call)
+		}
+	}
+	for id, j := range c.jobs {
+		switch {
+		case j.granted != "" && now > j.limit+grantGrace:
+			c.table(j.order.Service).Ended(now, j.granted, id, bbhealth.OutcomeFull)
+			c.drop(j)
+		case j.granted == "" && now+j.tail(0) > j.limit:
+			c.refuse(id, "deadline", minRetryAfter, now-j.arrived)
+			c.drop(j)
+		}
+	}
+	return c.decide(now)
+}
+
+// grantGrace is how long after its limit a granted request is remembered.
+const grantGrace = time.Second
+
+// Next returns when Tick should be called again at the latest.
+func (c *Coordinator) Next(now time.Duration) (time.Duration, bool) {
+	if len(c.jobs) == 0 {
+		return 0, false
+	}
+	next := now + stuckCheck
+	for _, p := range c.pools {
+		if at, ok := p.NextChange(now); ok && at < next {
+			next = at
+		}
+	}
+	return max(next, now+time.Millisecond), true
+}
+
+// decide makes all calls and grants that are possible now.
+func (c *Coordinator) decide(now time.Duration) Output {
+	for name, p := range c.pools {
+		if p.Waiting() == 0 {
+			continue
+		}
+		c.listPool(name, p)
+		for call := p.Next(now); call != nil && len(call.Pieces) > 0; call = p.Next(now) {
+			c.lastCall++
+			p.Start(now, call, c.lastCall)
+			c.calls[call.ID] = call
+			c.out.Calls = append(c.out.Calls, call)
+		}
+	}
+	c.place(now)
+	return c.flush()
+}
+
+// listPool tells a pool which endpoints it may use.
+func (c *Coordinator) listPool(name string, p *bbpool.Pool) {
+	entries := c.know.Endpoints(name)
+	list := make([]bbpool.Endpoint, 0, len(entries))
+	for _, e := range entries {
+		list = append(list, bbpool.Endpoint{
+			ID:      e.ID,
+			Address: e.Address,
+			Zone:    e.Zone,
+		})
+	}
+	p.Endpoints(list)
+}
+
+// flush returns the output that was gathered.
+func (c *Coordinator) flush() Output {
+	for address, handles := range c.freed {
+		c.out.Frees = append(c.out.Frees, Free{
+			Address: address,
+			Handles: handles,
+		})
+	}
+	clear(c.freed)
+	out := c.out
+	c.out = Output{}
+	return out
+}
+
+// refuse gives a request its final answer.
+func (c *Coordinator) refuse(id, reason string, retryAfter, expected time.Duration) {
+	c.out.Refusals = append(c.out.Refusals, bbjob.Refusal{
+		ID:         id,
+		Reason:     reason,
+		RetryAfter: retryAfter,
+		Expected:   expected,
+	})
+}
+
+// log notes a decision.
+func (c *Coordinator) log(job, what, detail string, value time.Duration) {
+	c.out.Events = append(c.out.Events, Event{
+		Job:    job,
+		What:   what,
+		Detail: detail,
+		Value:  value,
+	})
+}
+
+// pool returns the pool of a service, or nil if it has none.
+func (c *Coordinator) pool(service string) *bbpool.Pool {
+	p := c.pools[service]
+	s := c.know.Service(service)
+	if p == nil {
+		if s == nil || s.Pool == nil {
+			return nil
+		}
+		p = bbpool.NewPool(service, *s.Pool)
+		p.Lead = linkLead
+		c.pools[service] = p
+		c.listPool(service, p)
+	} else if s != nil && s.Pool != nil {
+		p.Spec = *s.Pool
+	}
+	return p
+}
+
+// table returns the engines of a service.
+func (c *Coordinator) table(service string) *bbplacement.Table {
+	t := c.engines[service]
+	s := c.know.Service(service)
+	if t == nil {
+		t = bbplacement.NewTable(bbcatalog.Engine{})
+		c.engines[service] = t
+	}
+	if s != nil && s.Engine != nil {
+		t.Spec = *s.Engine
+	}
+	return t
+}
+
+// window returns the allowance of repeats for a service.
+func (c *Coordinator) window(service string) *bballowance.Window {
+	w := c.retries[service]
+	if w == nil {
+		w = &bballowance.Window{
+			Span:  c.limits.RetrySpan,
+			Ratio: c.limits.RetryRatio,
+			Slack: c.limits.RetrySlack,
+		}
+		c.retries[service] = w
+	}
+	return w
+}
--- /dev/null
+++ b/core/bbcoordinator/stages.go
@@ -0,0 +1,343 @@
+package bbcoordinator
+
+import (
+	"sort"
+	"time"
+
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbpool"
+)
+
+// maxPieceTries bounds the calls that one piece may be in.
+const maxPieceTries = 4
+
+// estimate returns when the first token of a request that has just arrived is expected,
+// and fills in its tails.
+func (c *Coordinator) estimate(now time.Duration, j *job) time.Duration {
+	o := &j.order
+	prompt := time.Duration(float64(o.Prompt.Tokens) / readRate * float64(time.Second))
+	c.measureTails(j, engineTime+prompt/2)
+	finished := make([]time.Duration, len(o.Stages))
+	last := now
+	future := c.future()
+	for i, s := range o.Stages {
+		begin := now
+		for _, before := range s.After {
+			begin = max(begin, finished[before])
+		}
+		finished[i] = begin
+		p := c.pool(s.Service)
+		if s.Pieces == 0 || p == nil {
+			continue
+		}
+		urgency := j.due - j.tails[i] + c.rank(o.Priority)
+		wait := p.Wait(now, urgency, future.before(s.Service, urgency))
+		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(c.usualBatch(p, s.Pieces))
+		last = max(last, finished[i])
+	}
+	return last + c.table(o.Service).Wait(now, c.need(j), c.listEngines(o.Service))
+}
+
+// readRate is the usual speed at which engines read prompts, in tokens a second.
+const readRate = 38400.0
+
+// usualBatch is the number of pieces that a call with a group of n is expected to have.
+func (c *Coordinator) usualBatch(p *bbpool.Pool, n int) int {
+	return min(p.Spec.Batch, max(n, p.Spec.Batch/2))
+}
+
+// measureTails fills in the time from the start of each stage to the first token.
+func (c *Coordinator) measureTails(j *job, engine time.Duration) {
+	for i := len(j.order.Stages) - 1; i >= 0; i-- {
+		s := j.order.Stages[i]
+		rest := engine
+		for k := i + 1; k < len(j.order.Stages); k++ {
+			for _, before := range j.order.Stages[k].After {
+				if before == i && j.order.Stages[k].Pieces > 0 {
+					rest = max(rest, j.tails[k])
+				}
+			}
+		}
+		j.tails[i] = rest
+		if p := c.pool(s.Service); p != nil && s.Pieces > 0 {
+			j.tails[i] += p.Duration(c.usualBatch(p, s.Pieces))
+		}
+	}
+}
+
+// rank is how much later a request of a priority goes.
+func (c *Coordinator) rank(priority int) time.Duration {
+	return time.Duration(priority) * rankStep
+}
+
+// futureWork is the pieces that requests in progress will bring to pools later.
+type futureWork map[string][]futurePieces
+
+type futurePieces struct {
+	urgency time.Duration
+	pieces  int
+}
+
+// future returns the work that is still to come.
+func (c *Coordinator) future() futureWork {
+	f := make(futureWork)
+	for _, j := range c.jobs {
+		for i, s := range j.order.Stages {
+			if j.stages[i].released || s.Pieces == 0 {
+				continue
+			}
+			f[s.Service] = append(f[s.Service], futurePieces{
+				urgency: j.due - j.tails[i] + c.rank(j.order.Priority),
+				pieces:  s.Pieces,
+			})
+		}
+	}
+	return f
+}
+
+// before counts the pieces for a service that go before an urgency.
+func (f futureWork) before(service string, urgency time.Duration) int {
+	n := 0
+	for _, w := range f[service] {
+		if w.urgency <= urgency {
+			n += w.pieces
+		}
+	}
+	return n
+}
+
+// release puts the stages of a request that may begin into their pools.
+func (c *Coordinator) release(j *job) {
+	for i, s := range j.order.Stages {
+		st := &j.stages[i]
+		if st.released || s.Pieces == 0 || !j.ready(i) {
+			continue
+		}
+		st.released = true
+		left := make([]int, s.Pieces)
+		for k := range left {
+			left[k] = k
+		}
+		c.addGroup(j, i, left)
+	}
+	if j.done() {
+		c.waiting[j.order.ID] = j
+	}
+}
+
+// addGroup puts pieces of a stage into its pool.
+func (c *Coordinator) addGroup(j *job, stage int, pieces []int) {
+	s := j.order.Stages[stage]
+	p := c.pool(s.Service)
+	if p == nil {
+		c.refuse(j.order.ID, "noPool", minRetryAfter, 0)
+		c.drop(j)
+		return
+	}
+	p.Add(&bbpool.Group{
+		Job:         j.order.ID,
+		Stage:       stage,
+		Left:        pieces,
+		ResultBytes: s.ResultBytes,
+		StartBy:     j.due - j.tails[stage],
+		Rank:        c.rank(j.order.Priority),
+		Limit:       j.limit,
+		Zone:        j.home(stage),
+		Allowed:     c.allowed(j.order),
+	})
+}
+
+// allowed returns the test of an order for failure domains.
+func (c *Coordinator) allowed(o bbjob.Order) func(zone string) bool {
+	return func(zone string) bool {
+		if len(o.Regions) == 0 {
+			return true
+		}
+		region := c.know.Region(zone)
+		for _, r := range o.Regions {
+			if r == region {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// PieceInputs returns what a call has to say of a piece: the key of its request or the
+// handles of its inputs. It is false when the request is gone.
+func (c *Coordinator) PieceInputs(p bbpool.Piece) (key string, inputs []string, ok bool) {
+	j := c.jobs[p.Job]
+	if j == nil {
+		return "", nil, false
+	}
+	if len(j.order.Stages[p.Stage].After) == 0 {
+		return j.order.Key, nil, true
+	}
+	return "", j.inputs(p.Stage), true
+}
+
+// CallDone takes in the end of a call. Results are in the order of its pieces; there are
+// none unless the outcome is good.
+func (c *Coordinator) CallDone(now time.Duration, id uint64, zone string, o bbhealth.Outcome, results []PieceResult) Output {
+	call := c.calls[id]
+	if call == nil {
+		return c.decide(now)
+	}
+	delete(c.calls, id)
+	p := c.pool(call.Service)
+	handles := make(map[string]float64)
+	retry := make(map[string]map[int][]int)
+	for i, piece := range call.Pieces {
+		j := c.jobs[piece.Job]
+		if i < len(results) && results[i].Handle != "" {
+			c.keep(call, zone, j, piece, results[i].Handle, handles)
+			continue
+		}
+		if j == nil || j.stages[piece.Stage].pieces[piece.Piece].handle != "" {
+			continue
+		}
+		if i < len(results) && (results[i].Gone || results[i].Late) {
+			c.refuse(piece.Job, "inputGone", minRetryAfter, now-j.arrived)
+			c.drop(j)
+			continue
+		}
+		if call.Overdue {
+			continue
+		}
+		if retry[piece.Job] == nil {
+			retry[piece.Job] = make(map[int][]int)
+		}
+		retry[piece.Job][piece.Stage] = append(retry[piece.Job][piece.Stage], piece.Piece)
+	}
+	p.Done(now, call, o, handles)
+	for _, job := range sortedKeys(retry) {
+		c.retryPieces(now, job, retry[job], o)
+	}
+	for _, piece := range call.Pieces {
+		if j := c.jobs[piece.Job]; j != nil {
+			c.release(j)
+		}
+	}
+	return c.decide(now)
+}
+
+// keep takes in the result of one piece, or frees it when nobody needs it.
+func (c *Coordinator) keep(call *bbpool.Call, zone string, j *job, piece bbpool.Piece, handle string, handles map[string]float64) {
+	if j == nil || j.stages[piece.Stage].pieces[piece.Piece].handle != "" {
+		c.freed[call.Address] = append(c.freed[call.Address], handle)
+		return
+	}
+	st := &j.stages[piece.Stage]
+	st.pieces[piece.Piece] = pieceState{
+		handle:  handle,
+		maker:   call.Endpoint,
+		address: call.Address,
+		zone:    zone,
+	}
+	st.left--
+	handles[handle] = j.order.Stages[piece.Stage].ResultBytes
+	if st.left > 0 {
+		return
+	}
+	// The inputs of a finished stage are needed no more unless another stage needs them.
+	for _, before := range j.order.Stages[piece.Stage].After {
+		if c.consumed(j, before) {
+			c.freeStage(j, before)
+		}
+	}
+}
+
+// consumed tells whether all stages that need the results of a stage are done.
+func (c *Coordinator) consumed(j *job, stage int) bool {
+	for i, s := range j.order.Stages {
+		for _, before := range s.After {
+			if before == stage && j.stages[i].left > 0 {
+				return false
+			}
+		}
+	}
+	return !j.final(stage)
+}
+
+// retryPieces puts pieces of a failed call back, or ends their request.
+func (c *Coordinator) retryPieces(now time.Duration, id string, stages map[int][]int, o bbhealth.Outcome) {
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	for stage, pieces := range stages {
+		st := &j.stages[stage]
+		tries := 0
+		for _, k := range pieces {
+			st.pieces[k].tries++
+			tries = max(tries, st.pieces[k].tries)
+		}
+		service := j.order.Stages[stage].Service
+		if o != bbhealth.OutcomeUnreachable {
+			if tries >= maxPieceTries || !c.window(service).Take(now, 1) {
+				c.refuse(id, "stageFailed", minRetryAfter, now-j.arrived)
+				c.drop(j)
+				return
+			}
+		}
+		c.addGroup(j, stage, pieces)
+	}
+}
+
+// repeat gives the pieces of an overdue call to other endpoints as well.
+func (c *Coordinator) repeat(now time.Duration, call *bbpool.Call) {
+	again := make(map[string]map[int][]int)
+	for _, piece := range call.Pieces {
+		j := c.jobs[piece.Job]
+		if j == nil || j.stages[piece.Stage].pieces[piece.Piece].handle != "" {
+			continue
+		}
+		if again[piece.Job] == nil {
+			again[piece.Job] = make(map[int][]int)
+		}
+		again[piece.Job][piece.Stage] = append(again[piece.Job][piece.Stage], piece.Piece)
+	}
+	for _, id := range sortedKeys(again) {
+		c.log(id, "callOverdue", call.Endpoint, now-call.Sent)
+		c.retryPieces(now, id, again[id], bbhealth.OutcomeBroken)
+	}
+}
+
+// freeStage gives up the results of a stage.
+func (c *Coordinator) freeStage(j *job, stage int) {
+	for k := range j.stages[stage].pieces {
+		p := &j.stages[stage].pieces[k]
+		if p.handle == "" || p.freed {
+			continue
+		}
+		p.freed = true
+		c.freed[p.address] = append(c.freed[p.address], p.handle)
+		if pool := c.pools[j.order.Stages[stage].Service]; pool != nil {
+			pool.Free(p.maker, p.handle)
+		}
+	}
+}
+
+// drop forgets a request and gives up its results.
+func (c *Coordinator) drop(j *job) {
+	id := j.order.ID
+	delete(c.jobs, id)
+	delete(c.waiting, id)
+	for i := range j.stages {
+		c.freeStage(j, i)
+		if p := c.pools[j.order.Stages[i].Service]; p != nil {
+			p.Drop(id)
+		}
+	}
+}
+
+// sortedKeys returns the keys of a map in order, so that decisions can be replayed.
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/core/bbgossip/table.go
@@ -0,0 +1,310 @@
+// Package bbgossip is the table of entry VMs that have found each other through a few
+// seeds and by passing on what they know. It decides which VM coordinates shared work.
+package bbgossip
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"bluebellhall/core/bbhash"
+)
+
+const (
+	// presentFor is how long a VM counts as running after its last sign of life, directly
+	// or through others: six rounds of exchange.
+	presentFor = 2 * time.Second
+	// reachableFor is how long a VM counts as reachable after its last direct answer: four
+	// rounds of exchange.
+	reachableFor = 1300 * time.Millisecond
+	// forgetAfter is how long a silent VM stays in the table and is still tried.
+	forgetAfter = 60 * time.Second
+	// maxMembers bounds the table.
+	maxMembers = 2048
+	// maxRetired bounds the remembered former processes of one VM.
+	maxRetired = 8
+)
+
+// Member is what a VM tells of itself. The fields have numbers on the wire, because VMs
+// tell each other several times a second.
+type Member struct {
+	// Name is the VM's; it stays over restarts.
+	Name string `cbor:"1,keyasint"`
+	// Boot is the Unix millisecond of the process's start, which tells processes apart and
+	// orders them by age. It may go backwards when the time of day is corrected.
+	Boot int64 `cbor:"2,keyasint"`
+	// Beat grows while the process runs.
+	Beat uint64 `cbor:"3,keyasint"`
+	// Peer is the address for calls between VMs. It and the fields up to Weight stay while
+	// the process runs and are left out where the other side has them.
+	Peer string `cbor:"4,keyasint,omitempty"`
+	// Front is the address for callers.
+	Front  string `cbor:"5,keyasint,omitempty"`
+	Zone   string `cbor:"6,keyasint,omitempty"`
+	Region string `cbor:"7,keyasint,omitempty"`
+	// Weight is the VM's capacity in cores.
+	Weight float64 `cbor:"8,keyasint,omitempty"`
+	// Ready VMs have a catalog and know endpoints.
+	Ready bool `cbor:"9,keyasint,omitempty"`
+	// Leaving VMs take no new callers and coordinate nothing.
+	Leaving bool `cbor:"10,keyasint,omitempty"`
+	// CatalogVersion is the configuration that the VM has in force.
+	CatalogVersion uint64 `cbor:"11,keyasint,omitempty"`
+	// EndpointRevision is the platform's revision of the VM's table of endpoints.
+	EndpointRevision uint64 `cbor:"12,keyasint,omitempty"`
+}
+
+// Brief returns the member without what stays while its process runs.
+func (m Member) Brief() Member {
+	m.Peer, m.Front, m.Zone, m.Region, m.Weight = "", "", "", "", 0
+	return m
+}
+
+// complete takes the fields that a brief member leaves out from a former state of the
+// same process.
+func (m Member) complete(former Member) Member {
+	m.Peer, m.Front, m.Zone, m.Region, m.Weight = former.Peer, former.Front, former.Zone, former.Region, former.Weight
+	return m
+}
+
+// entry is a member with what this VM has seen of it.
+type entry struct {
+	Member
+	// heardAt is when a newer beat was last seen, directly or through others.
+	heardAt time.Duration
+	// answeredAt is when the member itself last answered; 0 if never.
+	answeredAt time.Duration
+	// lost is set when a call showed that nothing listens at the member's address.
+	lost bool
+	// retired are boots of former processes, which others may still pass on.
+	retired []int64
+}
+
+// Table has this VM and the others.
+type Table struct {
+	self    Member
+	entries map[string]*entry
+}
+
+// NewTable returns a table that knows only its own VM.
+func NewTable(self Member) *Table {
+	return &Table{
+		self:    self,
+		entries: make(map[string]*entry),
+	}
+}
+
+// Self returns what this VM tells of itself.
+func (t *Table) Self() Member {
+	return t.self
+}
+
+// Update changes what this VM tells of itself and counts a beat.
+func (t *Table) Update(change func(m *Member)) {
+	change(&t.self)
+	t.self.Beat++
+}
+
+// Heard takes in what the member itself said, in a call or in an answer. A new boot
+// retires the former one. It is false when the member was brief and isn't known.
+func (t *Table) Heard(now time.Duration, m Member) bool {
+	if m.Name == t.self.Name || m.Name == "" {
+		return true
+	}
+	e := t.entry(m.Name)
+	if e == nil {
+		return true
+	}
+	if m.Peer == "" {
+		if e.Boot != m.Boot {
+			return false
+		}
+		m = m.complete(e.Member)
+	}
+	if e.Boot != m.Boot && e.Boot != 0 {
+		e.retire(e.Boot)
+	}
+	if e.Boot != m.Boot || m.Beat >= e.Beat {
+		e.Member = m
+	}
+	e.heardAt = now
+	e.lost = false
+	return true
+}
+
+// Answered notes that a member answered a call of this VM. It is false when the answer was
+// brief and the member isn't known.
+func (t *Table) Answered(now time.Duration, m Member) bool {
+	if !t.Heard(now, m) {
+		return false
+	}
+	if e := t.entries[m.Name]; e != nil {
+		e.answeredAt = now
+	}
+	return true
+}
+
+// Boot returns the boot of a known member, or 0.
+func (t *Table) Boot(name string) int64 {
+	if e := t.entries[name]; e != nil {
+		return e.Boot
+	}
+	return 0
+}
+
+// Digest returns a number that is the same for VMs that know the same processes.
+func (t *Table) Digest() uint64 {
+	names := []string{processName(t.self)}
+	for _, e := range t.entries {
+		if e.Boot != 0 {
+			names = append(names, processName(e.Member))
+		}
+	}
+	sort.Strings(names)
+	return bbhash.Name(strings.Join(names, " "))
+}
+
+// processName tells the processes of all VMs apart.
+func processName(m Member) string {
+	return m.Name + "/" + strconv.FormatInt(m.Boot, 36)
+}
+
+// Merge takes in what one member knows of others.
+func (t *Table) Merge(now time.Duration, members []Member) {
+	for _, m := range members {
+		if m.Name == t.self.Name || m.Name == "" || m.Peer == "" {
+			continue
+		}
+		e := t.entry(m.Name)
+		if e == nil || e.isRetired(m.Boot) {
+			continue
+		}
+		newer := e.Boot == 0 || m.Boot > e.Boot || (m.Boot == e.Boot && m.Beat > e.Beat)
+		if !newer {
+			continue
+		}
+		if e.Boot != 0 && e.Boot != m.Boot {
+			e.retire(e.Boot)
+			e.lost = false
+		}
+		if m.Boot == e.Boot && e.lost {
+			continue
+		}
+		e.Member = m
+		e.heardAt = now
+	}
+}
+
+// Lost notes that nothing listens at a member's address any more.
+func (t *Table) Lost(name string) {
+	if e := t.entries[name]; e != nil {
+		e.lost = true
+		e.answeredAt = 0
+	}
+}
+
+// Forget drops members that have been silent for long.
+func (t *Table) Forget(now time.Duration) {
+	for name, e := range t.entries {
+		if now-e.heardAt > forgetAfter {
+			delete(t.entries, name)
+		}
+	}
+}
+
+// Known returns all members but this VM, in the order of their names: running or not.
+func (t *Table) Known() []Member {
+	return t.list(func(*entry) bool { return true })
+}
+
+// Present returns the other members that seem to run, in the order of their names.
+func (t *Table) Present(now time.Duration) []Member {
+	return t.list(func(e *entry) bool { return e.present(now) })
+}
+
+// Reachable returns the other members that answer this VM, in the order of their names.
+func (t *Table) Reachable(now time.Duration) []Member {
+	return t.list(func(e *entry) bool { return e.reachable(now) })
+}
+
+// Leader returns the VM that coordinates shared work: the oldest of those that this VM
+// reaches, so that a restarted VM takes nothing over. It is this VM if there is no other.
+func (t *Table) Leader(now time.Duration) Member {
+	leader := t.self
+	found := t.self.Ready && !t.self.Leaving
+	for _, m := range t.Reachable(now) {
+		if !m.Ready || m.Leaving {
+			continue
+		}
+		if !found || m.Boot < leader.Boot || (m.Boot == leader.Boot && m.Name < leader.Name) {
+			leader = m
+			found = true
+		}
+	}
+	return leader
+}
+
+// HasMajority tells whether this VM reaches more than half of the VMs that seemed to run
+// lately, itself included.
+func (t *Table) HasMajority(now time.Duration) bool {
+	return 2*(len(t.Reachable(now))+1) > t.recent(now)+1
+}
+
+// recent counts the other members that were heard within the time in which a partition
+// may hide them.
+func (t *Table) recent(now time.Duration) int {
+	n := 0
+	for _, e := range t.entries {
+		if now-e.heardAt <= forgetAfter {
+			n++
+		}
+	}
+	return n
+}
+
+// entry returns the entry of a name, made if there is room, else nil.
+func (t *Table) entry(name string) *entry {
+	e := t.entries[name]
+	if e == nil && len(t.entries) < maxMembers {
+		e = new(entry)
+		t.entries[name] = e
+	}
+	return e
+}
+
+// list returns the members for which a function is true.
+func (t *Table) list(keep func(e *entry) bool) []Member {
+	var found []Member
+	for _, e := range t.entries {
+		if e.Boot != 0 && keep(e) {
+			found = append(found, e.Member)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Name < found[j].Name })
+	return found
+}
+
+func (e *entry) present(now time.Duration) bool {
+	return !e.lost && now-e.heardAt <= presentFor
+}
+
+func (e *entry) reachable(now time.Duration) bool {
+	return !e.lost && e.answeredAt > 0 && now-e.answeredAt <= reachableFor
+}
+
+func (e *entry) isRetired(boot int64) bool {
+	for _, b := range e.retired {
+		if b == boot {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entry) retire(boot int64) {
+	e.retired = append(e.retired, boot)
+	if len(e.retired) > maxRetired {
+		e.retired = e.retired[1:]
+	}
+}
--- /dev/null
+++ b/core/bbjob/job.go
@@ -0,0 +1,116 @@
+// Package bbjob has the messages between the VM that holds a caller and the VM that
+// coordinates the stages and engines: orders, grants, refusals and notes of progress.
+package bbjob
+
+import (
+	"time"
+
+	"bluebellhall/core/bbhealth"
+)
+
+// Order tells a coordinator what a request needs. Times are durations that are left when
+// the order is sent, so that no clocks are compared.
+type Order struct {
+	// ID is the request's, unique for each attempt of a caller.
+	ID string `json:"id"`
+	// Origin is the VM that holds the caller's connection.
+	Origin string `json:"origin"`
+	// Route is the name of the request's route.
+	Route string `json:"route"`
+	// Service has the engines that may run the request.
+	Service string `json:"service"`
+	// Stages are numbered from 0; each needs only earlier ones.
+	Stages []Stage `json:"stages"`
+	// Key names the input of stages that need no results.
+	Key string `json:"key"`
+	// Prompt is what the engine reads.
+	Prompt Prompt `json:"prompt"`
+	// Priority is the rank; 0 is the most urgent.
+	Priority int `json:"priority"`
+	// Objective is the time left until the answer is late; it may be negative.
+	Objective time.Duration `json:"objective"`
+	// Limit is the time left until the caller gives up.
+	Limit time.Duration `json:"limit"`
+	// Zone and Region are those of the origin.
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// Regions are those in which the request may be served; empty means everywhere.
+	Regions []string `json:"regions"`
+	// Avoid are endpoints at which an earlier try of this request ended.
+	Avoid []string `json:"avoid"`
+	// Repeat is true when the request was offered to an engine before.
+	Repeat bool `json:"repeat"`
+}
+
+// Stage is the work of one stage of a request.
+type Stage struct {
+	Service string `json:"service"`
+	// After are the numbers of the stages whose results each piece needs.
+	After []int `json:"after"`
+	// ResultBytes is the approximate size of one result.
+	ResultBytes float64 `json:"resultBytes"`
+	// Pieces is the number of results to be made; 0 leaves the stage out.
+	Pieces int `json:"pieces"`
+}
+
+// Prompt is what an engine reads and makes.
+type Prompt struct {
+	Model string `json:"model"`
+	// Tokens is the whole length of the prompt.
+	Tokens int `json:"tokens"`
+	// Output is the most tokens that are made.
+	Output int `json:"output"`
+	// Parts are the prompt's shared parts in order, the request's own at the end.
+	Parts []Part `json:"parts"`
+}
+
+// Part is a piece of a prompt that requests may share.
+type Part struct {
+	ID     string `json:"id"`
+	Tokens int    `json:"tokens"`
+}
+
+// Grant allows the origin to send the request to an engine, once.
+type Grant struct {
+	ID string `json:"id"`
+	// Endpoint is the engine's ID.
+	Endpoint string `json:"endpoint"`
+	// Address is where the coordinator knows the engine.
+	Address string `json:"address"`
+	// Inputs are the handles of the results that the engine needs.
+	Inputs []string `json:"inputs"`
+}
+
+// Refusal says that the request has not run. The origin tells the caller.
+type Refusal struct {
+	ID string `json:"id"`
+	// Reason is a word for logs and metrics.
+	Reason string `json:"reason"`
+	// RetryAfter is when there should be room.
+	RetryAfter time.Duration `json:"retryAfter"`
+	// Expected is the time that the answer would have taken, as the coordinator saw it.
+	Expected time.Duration `json:"expected"`
+}
+
+// Verdict is the answer to an order; one of the two is set.
+type Verdict struct {
+	Grant   *Grant   `json:"grant"`
+	Refusal *Refusal `json:"refusal"`
+}
+
+// Note tells a coordinator how a granted request goes on.
+type Note struct {
+	ID string `json:"id"`
+	// Endpoint is the one that the note is about.
+	Endpoint string `json:"endpoint"`
+	// Started is true when the first part of the answer has arrived.
+	Started bool `json:"started"`
+	// Ended is true when nothing more will come of this try.
+	Ended bool `json:"ended"`
+	// Again is true when the origin will ask for another engine.
+	Again bool `json:"again"`
+	// Outcome tells how the try ended, if it did.
+	Outcome bbhealth.Outcome `json:"outcome"`
+	// Gone is true when the engine said that an input no longer exists.
+	Gone bool `json:"gone"`
+}
--- /dev/null
+++ b/core/bbplacement/cache.go
@@ -0,0 +1,67 @@
+package bbplacement
+
+import (
+	"container/list"
+
+	"bluebellhall/core/bbjob"
+)
+
+// prefixCache is a guess of the prompt parts that an engine keeps, the least recently
+// used first to go. The zero value keeps nothing.
+type prefixCache struct {
+	// parts has the place of each part in order.
+	parts map[partKey]*list.Element
+	// order has parts, the most recently used in front.
+	order  *list.List
+	tokens float64
+}
+
+// partKey names a part for a model.
+type partKey struct {
+	model, id string
+}
+
+type keptPart struct {
+	key    partKey
+	tokens float64
+}
+
+// prefix returns the tokens at the start of a prompt that are kept without a gap.
+func (c *prefixCache) prefix(p bbjob.Prompt) float64 {
+	kept := 0.0
+	for _, part := range p.Parts {
+		if _, ok := c.parts[partKey{model: p.Model, id: part.ID}]; !ok {
+			break
+		}
+		kept += float64(part.Tokens)
+	}
+	return min(kept, float64(p.Tokens))
+}
+
+// add notes that a prompt is read, and drops parts beyond the space in tokens.
+func (c *prefixCache) add(p bbjob.Prompt, space float64) {
+	if c.parts == nil {
+		c.parts = make(map[partKey]*list.Element)
+		c.order = list.New()
+	}
+	for _, part := range p.Parts {
+		key := partKey{
+			model: p.Model,
+			id:    part.ID,
+		}
+		if e, ok := c.parts[key]; ok {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.parts[key] = c.order.PushFront(keptPart{
+			key:    key,
+			tokens: float64(part.Tokens),
+		})
+		c.tokens += float64(part.Tokens)
+	}
+	for c.tokens > space && c.order.Len() > 0 {
+		last := c.order.Remove(c.order.Back()).(keptPart)
+		delete(c.parts, last.key)
+		c.tokens -= last.tokens
+	}
+}
--- /dev/null
+++ b/core/bbplacement/table.go
@@ -0,0 +1,268 @@
+// Package bbplacement chooses the engine for a request by the prompt parts that engines
+// keep, by the prompts that they still have to read, and by their memory. It counts its
+// own grants at once, because the load that engines report is old when it arrives.
+package bbplacement
+
+import (
+	"time"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
+)
+
+const (
+	// readRate is the speed at which an engine reads a prompt, in tokens a second: that of
+	// the engines on the users' sheets.
+	readRate = 38400.0
+	// memoryPart is the part of an engine's memory that grants may fill; the rest is for
+	// requests of other VMs and for prompts that turn out longer.
+	memoryPart = 0.9
+	// neighbourCost is what each running request adds to the time of the next: some steps
+	// with one more neighbour.
+	neighbourCost = 3 * time.Millisecond
+	// failureCost is the time lost by a request that fails.
+	failureCost = 3 * time.Second
+	// coldCost is how much slower an endpoint is that has just started.
+	coldCost = 150 * time.Millisecond
+	// zoneCost keeps streams in the caller's failure domain where load is alike.
+	zoneCost = 6 * time.Millisecond
+	// moveCost is what it costs to move a megabyte of inputs to another failure domain,
+	// in time lost elsewhere.
+	moveCost = 60 * time.Millisecond
+	// startedAfter is when a request counts as read though its origin said nothing.
+	startedAfter = 3 * time.Second
+	// forgetAfter is when a grant of which nothing was heard no longer counts.
+	forgetAfter = 30 * time.Second
+)
+
+// Need is what a request asks of an engine.
+type Need struct {
+	Job    string
+	Prompt bbjob.Prompt
+	Zone   string
+	// Inputs has the bytes of the inputs by the failure domain where they are.
+	Inputs map[string]float64
+	// Allowed tells whether a failure domain may be used.
+	Allowed func(zone string) bool
+	// Avoid are endpoints at which an earlier try ended.
+	Avoid []string
+}
+
+// Endpoint is an engine that may get work.
+type Endpoint struct {
+	ID, Address, Zone string
+	// Cold engines carry only a little.
+	Cold bool
+}
+
+// Pace bounds the grants to one engine.
+type Pace struct {
+	// PerSecond is the rate of grants; 0 means no limit.
+	PerSecond float64
+	// Burst is how many may follow each other at once.
+	Burst float64
+	// Cold is false when cold engines get nothing.
+	Cold bool
+}
+
+// run is a request that was granted an engine.
+type run struct {
+	tokens  float64
+	unread  float64
+	at      time.Duration
+	started bool
+}
+
+// engine is what is remembered of an endpoint.
+type engine struct {
+	runs   map[string]*run
+	kept   prefixCache
+	health bbhealth.Record
+	// tokens is the memory of all runs.
+	tokens float64
+	// bucket has the grants that may be made at once, as of bucketAt.
+	bucket   float64
+	bucketAt time.Duration
+	known    bool
+}
+
+// Table has the engines of one service.
+type Table struct {
+	Spec    bbcatalog.Engine
+	engines map[string]*engine
+}
+
+// NewTable returns an empty table.
+func NewTable(spec bbcatalog.Engine) *Table {
+	return &Table{
+		Spec:    spec,
+		engines: make(map[string]*engine),
+	}
+}
+
+// Choose returns the best engine for a request and counts the grant; false if none may
+// have it now.
+func (t *Table) Choose(now time.Duration, n Need, endpoints []Endpoint, pace Pace) (Endpoint, bool) {
+	best := -1
+	var bestCost time.Duration
+	need := float64(n.Prompt.Tokens + n.Prompt.Output)
+	for i, e := range endpoints {
+		g := t.engine(e.ID)
+		if avoided(n.Avoid, e.ID) || !n.Allowed(e.Zone) || g.health.Paused(now) {
+			continue
+		}
+		if e.Cold && !pace.Cold || !g.mayStart(now, pace) {
+			continue
+		}
+		g.expire(now)
+		if len(g.runs) >= max(1, t.Spec.Slots) || (len(g.runs) > 0 && g.tokens+need > memoryPart*t.Spec.Tokens) {
+			continue
+		}
+		cost := t.cost(now, g, e, n)
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return Endpoint{}, false
+	}
+	t.grant(now, endpoints[best].ID, n, need)
+	return endpoints[best], true
+}
+
+// cost is the time until the first token, with what is lost elsewhere added.
+func (t *Table) cost(now time.Duration, g *engine, e Endpoint, n Need) time.Duration {
+	unread := float64(n.Prompt.Tokens) - g.kept.prefix(n.Prompt)
+	for _, r := range g.runs {
+		unread += r.waiting(now)
+	}
+	cost := time.Duration(unread/readRate*float64(time.Second)) + time.Duration(len(g.runs))*neighbourCost
+	cost += time.Duration(g.health.Failures(now) * float64(failureCost))
+	if e.Cold {
+		cost += coldCost
+	}
+	if e.Zone != n.Zone {
+		cost += zoneCost
+	}
+	for zone, bytes := range n.Inputs {
+		if zone != e.Zone {
+			cost += time.Duration(bytes / 1e6 * float64(moveCost))
+		}
+	}
+	return cost
+}
+
+// grant counts a request at an engine.
+func (t *Table) grant(now time.Duration, id string, n Need, need float64) {
+	g := t.engine(id)
+	g.bucket--
+	g.runs[n.Job] = &run{
+		tokens: need,
+		unread: float64(n.Prompt.Tokens) - g.kept.prefix(n.Prompt),
+		at:     now,
+	}
+	g.tokens += need
+	g.kept.add(n.Prompt, t.Spec.Tokens-g.tokens)
+}
+
+// Started notes that an engine has read a request's prompt.
+func (t *Table) Started(id, job string) {
+	if r := t.engine(id).runs[job]; r != nil {
+		r.started = true
+	}
+}
+
+// Ended notes that a request no longer runs at an engine.
+func (t *Table) Ended(now time.Duration, id, job string, o bbhealth.Outcome) {
+	g := t.engine(id)
+	g.health.Note(now, o)
+	if r := g.runs[job]; r != nil {
+		g.tokens -= r.tokens
+		delete(g.runs, job)
+	}
+	if o == bbhealth.OutcomeUnreachable || o == bbhealth.OutcomeMoved {
+		g.kept = prefixCache{}
+	}
+}
+
+// Wait estimates the time until the first token of a request that came now.
+func (t *Table) Wait(now time.Duration, n Need, endpoints []Endpoint) time.Duration {
+	found := false
+	var best time.Duration
+	for _, e := range endpoints {
+		g := t.engine(e.ID)
+		if !n.Allowed(e.Zone) || g.health.Paused(now) {
+			continue
+		}
+		if cost := t.cost(now, g, e, n); !found || cost < best {
+			found, best = true, cost
+		}
+	}
+	if !found {
+		return forgetAfter
+	}
+	return best
+}
+
+// Retain forgets the engines that are not listed any more.
+func (t *Table) Retain(listed map[string]bool) {
+	for id, g := range t.engines {
+		if !listed[id] && len(g.runs) == 0 {
+			delete(t.engines, id)
+		}
+	}
+}
+
+func (t *Table) engine(id string) *engine {
+	g := t.engines[id]
+	if g == nil {
+		g = &engine{
+			runs: make(map[string]*run),
+		}
+		t.engines[id] = g
+	}
+	return g
+}
+
+// mayStart tells whether the pace allows one more grant.
+func (g *engine) mayStart(now time.Duration, p Pace) bool {
+	if p.PerSecond <= 0 {
+		return true
+	}
+	if !g.known {
+		g.known = true
+		g.bucket = p.Burst
+		g.bucketAt = now
+	}
+	g.bucket = min(p.Burst, g.bucket+(now-g.bucketAt).Seconds()*p.PerSecond)
+	g.bucketAt = now
+	return g.bucket >= 1
+}
+
+// expire drops runs of which nothing was heard for long.
+func (g *engine) expire(now time.Duration) {
+	for job, r := range g.runs {
+		if now-r.at > forgetAfter {
+			g.tokens -= r.tokens
+			delete(g.runs, job)
+		}
+	}
+}
+
+// waiting is the part of a run's prompt that is still to be read.
+func (r *run) waiting(now time.Duration) float64 {
+	if r.started || now-r.at > startedAfter {
+		return 0
+	}
+	return r.unread
+}
+
+func avoided(list []string, id string) bool {
+	for _, s := range list {
+		if s == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/bbpool/pool.go
@@ -0,0 +1,499 @@
+// Package bbpool decides which pieces of stage work go into the next call of which
+// endpoint. Pieces of all requests meet here, because an endpoint works on one call at a
+// time and a full call takes little longer than one with a single piece.
+package bbpool
+
+import (
+	"sort"
+	"time"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbhealth"
+)
+
+const (
+	// hopeless is added to the urgency of work that can't be on time any more, so that it
+	// doesn't hold up work that can. It is the longest objective on the users' sheets.
+	hopeless = 2500 * time.Millisecond
+	// splitBytes is the size of a result from which pieces of one request stay together:
+	// moving larger ones between failure domains costs more than a place in a call.
+	splitBytes = 500e3
+	// slowFactor is the learned slowness from which an endpoint gets work only when no
+	// other would be done sooner.
+	slowFactor = 1.8
+	// learnRate is the weight of the newest call in the learned slowness.
+	learnRate = 0.3
+	// fullPause is how long an endpoint that had no place for a call is left alone: a part
+	// of a call's usual time.
+	fullPause = 80 * time.Millisecond
+	// overdueFactor and overdueSlack tell when a call is so late that its pieces go to
+	// another endpoint as well.
+	overdueFactor = 1.7
+	overdueSlack  = 150 * time.Millisecond
+)
+
+// Group is the pieces of one stage of one request that may be worked on now.
+type Group struct {
+	// Job is the request's ID, Stage the number of its stage.
+	Job   string
+	Stage int
+	// Left are the numbers of the pieces that are in no call.
+	Left []int
+	// ResultBytes is the size of one result.
+	ResultBytes float64
+	// StartBy is when the work has to begin for the request to be on time.
+	StartBy time.Duration
+	// Rank is added to StartBy: less urgent requests go later.
+	Rank time.Duration
+	// Limit is when the request is given up.
+	Limit time.Duration
+	// Zone is where the inputs are or the results are wanted; empty if it doesn't matter.
+	Zone string
+	// Allowed tells whether an endpoint's failure domain may be used; nil means all.
+	Allowed func(zone string) bool
+}
+
+// urgency orders groups; the lowest goes first.
+func (g *Group) urgency(now time.Duration) time.Duration {
+	u := g.StartBy + g.Rank
+	if g.StartBy < now {
+		u += hopeless
+	}
+	return u
+}
+
+// Piece names one piece in a call.
+type Piece struct {
+	Job   string
+	Stage int
+	Piece int
+}
+
+// Call is work for one endpoint.
+type Call struct {
+	ID       uint64
+	Service  string
+	Endpoint string
+	Address  string
+	Pieces   []Piece
+	// Limits has the time that each piece's request has left.
+	Limits []time.Duration
+	// Sent is when the call was decided.
+	Sent time.Duration
+	// Expected is when the answer should be there.
+	Expected time.Duration
+	// Bytes is the room that its results take.
+	Bytes float64
+	// Overdue is true once its pieces were given to others as well.
+	Overdue bool
+}
+
+// Endpoint is one that may get calls now.
+type Endpoint struct {
+	ID, Address, Zone string
+}
+
+// worker is what is remembered of an endpoint.
+type worker struct {
+	calls  map[uint64]*Call
+	health bbhealth.Record
+	// slowness is the learned ratio of measured to nominal time; 1 is nominal.
+	slowness float64
+	// pausedUntil is set when the endpoint had no place.
+	pausedUntil time.Duration
+	// results has the size and end of life of results that take room.
+	results map[string]result
+	// used is the room taken by results and by calls in progress, in bytes.
+	used float64
+}
+
+type result struct {
+	bytes   float64
+	expires time.Duration
+}
+
+// Pool has the work and the endpoints of one service.
+type Pool struct {
+	Service string
+	// Spec is the capacity of one endpoint.
+	Spec bbcatalog.Pool
+	// Lead is how long before the expected end of a call the next one is sent, so that
+	// the endpoint doesn't wait for the network.
+	Lead    time.Duration
+	groups  []*Group
+	workers map[string]*worker
+	// endpoints are those that may get calls, as last told.
+	endpoints []Endpoint
+}
+
+// NewPool returns an empty pool.
+func NewPool(service string, spec bbcatalog.Pool) *Pool {
+	return &Pool{
+		Service: service,
+		Spec:    spec,
+		workers: make(map[string]*worker),
+	}
+}
+
+// Add puts work into the pool.
+func (p *Pool) Add(g *Group) {
+	p.groups = append(p.groups, g)
+}
+
+// Drop takes all work of a request out of the pool.
+func (p *Pool) Drop(job string) {
+	kept := p.groups[:0]
+	for _, g := range p.groups {
+		if g.Job != job {
+			kept = append(kept, g)
+		}
+	}
+	clear(p.groups[len(kept):])
+	p.groups = kept
+}
+
+// Waiting returns the number of pieces that are in no call.
+func (p *Pool) Waiting() int {
+	n := 0
+	for _, g := range p.groups {
+		n += len(g.Left)
+	}
+	return n
+}
+
+// Endpoints tells which endpoints may get calls from now on.
+func (p *Pool) Endpoints(list []Endpoint) {
+	p.endpoints = list
+	present := make(map[string]bool, len(list))
+	for _, e := range list {
+		present[e.ID] = true
+		if p.workers[e.ID] == nil {
+			p.workers[e.ID] = &worker{
+				calls:    make(map[uint64]*Call),
+				slowness: 1,
+				results:  make(map[string]result),
+			}
+		}
+	}
+	for id, w := range p.workers {
+		if !present[id] && len(w.calls) == 0 {
+			delete(p.workers, id)
+		}
+	}
+}
+
+// Duration returns the nominal time of a call with n pieces.
+func (p *Pool) Duration(n int) time.Duration {
+	return p.Spec.CallTime + time.Duration(n)*p.Spec.PieceTime
+}
+
+// Next returns the next call that should be made, or nil. The caller gives it an ID with
+// Start.
+func (p *Pool) Next(now time.Duration) *Call {
+	if len(p.groups) == 0 {
+		return nil
+	}
+	sort.SliceStable(p.groups, func(i, j int) bool {
+		return p.groups[i].urgency(now) < p.groups[j].urgency(now)
+	})
+	for _, g := range p.groups {
+		if e, w := p.choose(now, g); w != nil {
+			return p.compose(now, g, e, w)
+		}
+	}
+	return nil
+}
+
+// choose returns the endpoint that should work on a group now, if there is one.
+func (p *Pool) choose(now time.Duration, g *Group) (Endpoint, *worker) {
+	var best Endpoint
+	var chosen *worker
+	var bestCost time.Duration
+	for _, e := range p.endpoints {
+		w := p.workers[e.ID]
+		if !p.free(now, w) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
+			continue
+		}
+		if p.room(w) < g.ResultBytes {
+			continue
+		}
+		cost := p.cost(now, w)
+		if g.Zone != "" && g.Zone != e.Zone {
+			cost += p.distance(g)
+		}
+		if chosen == nil || cost < bestCost {
+			best, chosen, bestCost = e, w, cost
+		}
+	}
+	if chosen == nil || (chosen.slowness >= slowFactor && p.soonerElsewhere(now, g, chosen)) {
+		return Endpoint{}, nil
+	}
+	return best, chosen
+}
+
+// distance is the cost of another failure domain: a round trip, and more where results
+// are large.
+func (p *Pool) distance(g *Group) time.Duration {
+	if g.ResultBytes >= splitBytes {
+		return p.Spec.CallTime
+	}
+	return p.Spec.CallTime / 8
+}
+
+// cost is the time that a worker would take for a usual call, with failures counted.
+func (p *Pool) cost(now time.Duration, w *worker) time.Duration {
+	d := float64(p.Duration(p.Spec.Batch/2)) * w.slowness
+	d *= 1 + 3*w.health.Failures(now)
+	return time.Duration(d) + p.remaining(now, w)
+}
+
+// soonerElsewhere tells whether an endpoint that is busy now would be done sooner.
+func (p *Pool) soonerElsewhere(now time.Duration, g *Group, slow *worker) bool {
+	mine := p.cost(now, slow)
+	for _, e := range p.endpoints {
+		w := p.workers[e.ID]
+		if w == slow || w.health.Paused(now) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
+			continue
+		}
+		if p.cost(now, w) < mine {
+			return true
+		}
+	}
+	return false
+}
+
+// free tells whether a worker may get a call now.
+func (p *Pool) free(now time.Duration, w *worker) bool {
+	if w.health.Paused(now) || now < w.pausedUntil {
+		return false
+	}
+	if len(w.calls) < max(1, p.Spec.Slots) {
+		return true
+	}
+	return len(w.calls) == max(1, p.Spec.Slots) && p.Spec.Queue > 0 && p.remaining(now, w) <= p.Lead
+}
+
+// remaining is the time until a worker's calls in progress should be done.
+func (p *Pool) remaining(now time.Duration, w *worker) time.Duration {
+	if len(w.calls) < max(1, p.Spec.Slots) {
+		return 0
+	}
+	var last time.Duration
+	for _, c := range w.calls {
+		last = max(last, c.Expected-now)
+	}
+	return max(0, last)
+}
+
+// room is what a worker has left for results, in bytes.
+func (p *Pool) room(w *worker) float64 {
+	return p.Spec.RoomBytes - w.used
+}
+
+// compose fills a call: first the chosen group, then others in the order of their
+// urgency. Groups that don't fit whole are split only where their results are small.
+func (p *Pool) compose(now time.Duration, first *Group, e Endpoint, w *worker) *Call {
+	c := &Call{
+		Service:  p.Service,
+		Endpoint: e.ID,
+		Address:  e.Address,
+		Sent:     now,
+	}
+	p.take(now, c, first, w)
+	for _, g := range p.groups {
+		space := p.Spec.Batch - len(c.Pieces)
+		if space <= 0 {
+			break
+		}
+		if g == first || len(g.Left) == 0 || (g.Allowed != nil && !g.Allowed(e.Zone)) {
+			continue
+		}
+		if len(g.Left) > space && g.ResultBytes >= splitBytes {
+			continue
+		}
+		if g.Zone != "" && g.Zone != e.Zone && g.ResultBytes >= splitBytes && p.idleIn(now, g.Zone) {
+			continue
+		}
+		p.take(now, c, g, w)
+	}
+	kept := p.groups[:0]
+	for _, g := range p.groups {
+		if len(g.Left) > 0 {
+			kept = append(kept, g)
+		}
+	}
+	clear(p.groups[len(kept):])
+	p.groups = kept
+	return c
+}
+
+// idleIn tells whether a worker in a failure domain could take a call now.
+func (p *Pool) idleIn(now time.Duration, zone string) bool {
+	for _, e := range p.endpoints {
+		if e.Zone == zone && p.free(now, p.workers[e.ID]) {
+			return true
+		}
+	}
+	return false
+}
+
+// take moves pieces of a group into a call, as many as there is space and room for.
+func (p *Pool) take(now time.Duration, c *Call, g *Group, w *worker) {
+	n := min(len(g.Left), p.Spec.Batch-len(c.Pieces))
+	if g.ResultBytes > 0 {
+		n = min(n, int((p.room(w)-c.Bytes)/g.ResultBytes))
+	}
+	for range max(0, n) {
+		c.Pieces = append(c.Pieces, Piece{
+			Job:   g.Job,
+			Stage: g.Stage,
+			Piece: g.Left[0],
+		})
+		c.Limits = append(c.Limits, g.Limit-now)
+		c.Bytes += g.ResultBytes
+		g.Left = g.Left[1:]
+	}
+}
+
+// Start notes that a call is being made.
+func (p *Pool) Start(now time.Duration, c *Call, id uint64) {
+	w := p.workers[c.Endpoint]
+	c.ID = id
+	c.Expected = now + p.remaining(now, w) + time.Duration(float64(p.Duration(len(c.Pieces)))*w.slowness)
+	w.calls[id] = c
+	w.used += c.Bytes
+}
+
+// Overdue returns the calls that should have been answered long ago and were not returned
+// before. Their pieces should be worked on elsewhere too.
+func (p *Pool) Overdue(now time.Duration) []*Call {
+	var late []*Call
+	for _, w := range p.workers {
+		for _, c := range w.calls {
+			allowed := time.Duration(float64(c.Expected-c.Sent)*overdueFactor) + overdueSlack
+			if !c.Overdue && now-c.Sent > allowed {
+				c.Overdue = true
+				w.health.Note(now, bbhealth.OutcomeBroken)
+				w.slowness = max(w.slowness, overdueFactor)
+				late = append(late, c)
+			}
+		}
+	}
+	sort.Slice(late, func(i, j int) bool { return late[i].ID < late[j].ID })
+	return late
+}
+
+// Done notes the end of a call. Handles are those of its results, with their sizes.
+func (p *Pool) Done(now time.Duration, c *Call, o bbhealth.Outcome, handles map[string]float64) {
+	w := p.workers[c.Endpoint]
+	if w == nil {
+		return
+	}
+	delete(w.calls, c.ID)
+	w.used -= c.Bytes
+	w.health.Note(now, o)
+	switch o {
+	case bbhealth.OutcomeFull:
+		w.pausedUntil = now + fullPause
+	case bbhealth.OutcomeGood:
+		w.learn(float64(now-c.Sent) / float64(max(p.Duration(len(c.Pieces)), c.Expected-c.Sent)) * w.slowness)
+	}
+	for handle, bytes := range handles {
+		w.results[handle] = result{
+			bytes:   bytes,
+			expires: now + p.Spec.ResultLife,
+		}
+		w.used += bytes
+	}
+}
+
+// learn takes in the measured slowness of a call.
+func (w *worker) learn(slowness float64) {
+	w.slowness += learnRate * (min(max(slowness, 0.5), 10) - w.slowness)
+}
+
+// Free notes that a result takes no room any more.
+func (p *Pool) Free(endpoint, handle string) {
+	w := p.workers[endpoint]
+	if w == nil {
+		return
+	}
+	if r, ok := w.results[handle]; ok {
+		w.used -= r.bytes
+		delete(w.results, handle)
+	}
+}
+
+// Expire drops results that have ended by themselves.
+func (p *Pool) Expire(now time.Duration) {
+	for _, w := range p.workers {
+		for handle, r := range w.results {
+			if now >= r.expires {
+				w.used -= r.bytes
+				delete(w.results, handle)
+			}
+		}
+	}
+}
+
+// Wait estimates how long new work of a given urgency would wait, when future more pieces
+// of requests in progress come before it.
+func (p *Pool) Wait(now, urgency time.Duration, future int) time.Duration {
+	ahead := future
+	for _, g := range p.groups {
+		if g.urgency(now) <= urgency {
+			ahead += len(g.Left)
+		}
+	}
+	perSecond := 0.0
+	var soonest time.Duration
+	usable := 0
+	full := p.Duration(p.Spec.Batch)
+	for _, e := range p.endpoints {
+		w := p.workers[e.ID]
+		if w.health.Paused(now) {
+			continue
+		}
+		left := p.remaining(now, w)
+		if usable == 0 || left < soonest {
+			soonest = left
+		}
+		usable++
+		perSecond += float64(p.Spec.Batch*max(1, p.Spec.Slots)) / (full.Seconds() * w.slowness)
+	}
+	if usable == 0 {
+		return p.Spec.ResultLife
+	}
+	return soonest + time.Duration(float64(ahead)/perSecond*float64(time.Second))
+}
+
+// Usable returns the number of endpoints that take calls.
+func (p *Pool) Usable(now time.Duration) int {
+	n := 0
+	for _, e := range p.endpoints {
+		if !p.workers[e.ID].health.Paused(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// NextChange returns when a worker that is left alone or busy may take a call again, if
+// work waits.
+func (p *Pool) NextChange(now time.Duration) (time.Duration, bool) {
+	if len(p.groups) == 0 {
+		return 0, false
+	}
+	var next time.Duration
+	for _, e := range p.endpoints {
+		w := p.workers[e.ID]
+		at := max(w.pausedUntil, now)
+		if len(w.calls) > 0 {
+			at = max(at, now+p.remaining(now, w)-p.Lead)
+		}
+		if at > now && (next == 0 || at < next) {
+			next = at
+		}
+	}
+	return next, next > 0
+}
--- /dev/null
+++ b/core/bbregistry/table.go
@@ -0,0 +1,187 @@
+// Package bbregistry is the table of the endpoints that the platform lists. It keeps
+// entries that lapsed while the platform was away until they had time to return.
+package bbregistry
+
+import (
+	"sort"
+	"time"
+)
+
+// returnGrace is how long an entry may be missing after the platform is back: endpoints
+// write themselves in again within two seconds.
+const returnGrace = 1800 * time.Millisecond
+
+// Endpoint is one process that serves requests.
+type Endpoint struct {
+	// ID is new for most starts of an endpoint; with Born it names one process.
+	ID string `json:"id"`
+	// Service is the one that the endpoint belongs to.
+	Service string `json:"service"`
+	// Address is IP:PORT. It may be used again by another endpoint later.
+	Address string `json:"address"`
+	// Zone is the failure domain.
+	Zone string `json:"zone"`
+	// Born is the Unix millisecond of the process's start; 0 if unknown.
+	Born int64 `json:"born"`
+	// Leaving endpoints finish what they have and get nothing new.
+	Leaving bool `json:"leaving"`
+	// Cold is how much longer the endpoint carries only a little, when it was listed.
+	Cold time.Duration `json:"cold"`
+}
+
+// Snapshot is what the platform listed at one revision.
+type Snapshot struct {
+	// Revision is the platform's, and grows with each change.
+	Revision  uint64     `json:"revision"`
+	Endpoints []Endpoint `json:"endpoints"`
+	// Evacuated are the failure domains that get nothing new.
+	Evacuated []string `json:"evacuated"`
+}
+
+// Entry is an endpoint with what this VM knows of its listing.
+type Entry struct {
+	Endpoint
+	// ColdUntil is when the endpoint is warm, by the steady clock of this VM.
+	ColdUntil time.Duration
+	// lapsed is set while the entry is missing from the platform's list.
+	lapsed bool
+	// lapsedAt is when the entry was first missing.
+	lapsedAt time.Duration
+}
+
+// Table has the entries that may be used. The zero value is not ready for use.
+type Table struct {
+	// Revision is the platform's revision up to which changes are in the table.
+	Revision  uint64
+	entries   map[string]*Entry
+	evacuated map[string]bool
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		entries:   make(map[string]*Entry),
+		evacuated: make(map[string]bool),
+	}
+}
+
+// Put adds or changes an entry.
+func (t *Table) Put(now time.Duration, e Endpoint) {
+	t.entries[e.ID] = &Entry{
+		Endpoint:  e,
+		ColdUntil: now + e.Cold,
+	}
+}
+
+// Remove takes an entry out. With grace it is kept for a while, since the platform was
+// away and its entries lapse then.
+func (t *Table) Remove(now time.Duration, id string, grace bool) {
+	e := t.entries[id]
+	if e == nil {
+		return
+	}
+	if !grace || e.Leaving {
+		delete(t.entries, id)
+		return
+	}
+	if !e.lapsed {
+		e.lapsed = true
+		e.lapsedAt = now
+	}
+}
+
+// Replace makes the table that of another VM.
+func (t *Table) Replace(now time.Duration, s Snapshot) {
+	t.ReplaceEndpoints(now, s, false)
+	t.SetEvacuated(s.Evacuated)
+}
+
+// SetEvacuated makes these the failure domains that get nothing new.
+func (t *Table) SetEvacuated(zones []string) {
+	t.evacuated = make(map[string]bool, len(zones))
+	for _, zone := range zones {
+		t.evacuated[zone] = true
+	}
+}
+
+// ReplaceEndpoints makes the endpoints those of a whole list. With grace those that it
+// lacks are kept for a while.
+func (t *Table) ReplaceEndpoints(now time.Duration, s Snapshot, grace bool) {
+	listed := make(map[string]bool, len(s.Endpoints))
+	for _, e := range s.Endpoints {
+		listed[e.ID] = true
+		t.Put(now, e)
+	}
+	for id := range t.entries {
+		if !listed[id] {
+			t.Remove(now, id, grace)
+		}
+	}
+	t.Revision = s.Revision
+}
+
+// Evacuate notes whether a failure domain is out.
+func (t *Table) Evacuate(zone string, out bool) {
+	if out {
+		t.evacuated[zone] = true
+		return
+	}
+	delete(t.evacuated, zone)
+}
+
+// Expire drops entries that did not return in time.
+func (t *Table) Expire(now time.Duration) {
+	for id, e := range t.entries {
+		if e.lapsed && now-e.lapsedAt >= returnGrace {
+			delete(t.entries, id)
+		}
+	}
+}
+
+// Usable returns the endpoint of that ID if it may get new work, or nil.
+func (t *Table) Usable(id string) *Entry {
+	e := t.entries[id]
+	if e == nil || e.Leaving || t.evacuated[e.Zone] {
+		return nil
+	}
+	return e
+}
+
+// Of returns copies of the endpoints of a service that may get new work, in the order of
+// their IDs, with the cold time that they have left.
+func (t *Table) Of(now time.Duration, service string) []*Entry {
+	var found []*Entry
+	for id, e := range t.entries {
+		if e.Service != service || t.Usable(id) == nil {
+			continue
+		}
+		copied := *e
+		copied.Cold = max(0, e.ColdUntil-now)
+		found = append(found, &copied)
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].ID < found[j].ID })
+	return found
+}
+
+// Len returns the number of entries.
+func (t *Table) Len() int {
+	return len(t.entries)
+}
+
+// Snapshot returns the whole table for another VM.
+func (t *Table) Snapshot(now time.Duration) Snapshot {
+	s := Snapshot{
+		Revision: t.Revision,
+	}
+	for _, e := range t.entries {
+		listed := e.Endpoint
+		listed.Cold = max(0, e.ColdUntil-now)
+		s.Endpoints = append(s.Endpoints, listed)
+	}
+	sort.Slice(s.Endpoints, func(i, j int) bool { return s.Endpoints[i].ID < s.Endpoints[j].ID })
+	for zone := range t.evacuated {
+		s.Evacuated = append(s.Evacuated, zone)
+	}
+	sort.Strings(s.Evacuated)
+	return s
+}
