Coordinator: results leave their room as soon as they are read

Change: a result is freed when its reader should have it; a stage whose results only the engine needs begins last; what turns out to be gone is made again; engines are chosen by the parts that others keep; estimates are corrected by what requests of each route have taught.

--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -87,7 +87,7 @@
 type Logged struct {
 	ID, Route, Outcome, Cause, Endpoint string
 	Status, Tries                       int
-	Granted, First, Took                time.Duration
+	Granted, First, Took, Objective     time.Duration
 	Version                             uint64
 }
 
@@ -251,23 +251,28 @@
 	return wait
 }
 
-// objective returns the time that is left until an answer is late. A caller that comes
-// back names a shorter wait than at first; the difference is gone from its objective too.
-func (g *Gateway) objective(x *exchange) time.Duration {
+// returningAfter is how much shorter than the longest a wait must be for its caller to have
+// come back: more than callers' clocks and pauses differ.
+const returningAfter = 100 * time.Millisecond
+
+// objective returns the time that is left until an answer is late, and whether the caller
+// has come back: it names a shorter wait than at first then, and the difference is gone
+// from its objective too.
+func (g *Gateway) objective(x *exchange) (left time.Duration, returning bool) {
 	if x.Wait <= 0 {
-		return x.route.Objective
+		return x.route.Objective, false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	first, ok := g.patience[x.route.Name]
 	if !ok && len(g.patience) >= maxRoutes {
-		return x.route.Objective
+		return x.route.Objective, false
 	}
 	if x.Wait > first {
 		first = x.Wait
 		g.patience[x.route.Name] = first
 	}
-	return x.route.Objective - (first - x.Wait)
+	return x.route.Objective - (first - x.Wait), first-x.Wait > returningAfter
 }
 
 // readBody reads the caller's body whole, so that it can be sent again.
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -47,7 +47,9 @@
 			runs++
 		}
 		order.Objective -= g.seams.Now() - now
-		order.Avoid = append(order.Avoid, t.grant.Endpoint)
+		if !t.gone {
+			order.Avoid = append(order.Avoid, t.grant.Endpoint)
+		}
 		order.Repeat = outcome != bbhealth.OutcomeUnreachable
 	}
 	g.give(ctx, x, runs, "tries")
@@ -55,6 +57,8 @@
 
 // order returns what the coordinator is told of a request.
 func (g *Gateway) order(x *exchange) bbjob.Order {
+	objective, returning := g.objective(x)
+	x.log.Objective = objective
 	o := bbjob.Order{
 		ID:        x.ID,
 		Origin:    g.name,
@@ -63,7 +67,9 @@
 		Key:       x.PieceKey,
 		Prompt:    x.Prompt,
 		Priority:  bbcatalog.Priority(x.route, x.account),
-		Objective: g.objective(x),
+		Objective: objective,
+		Returning: returning,
+		Resumable: x.route.Resumable,
 		Zone:      g.zone,
 		Region:    g.region,
 		Regions:   regions(x.route, x.account),
@@ -144,8 +150,10 @@
 	*exchange
 	grant       bbjob.Grant
 	coordinator string
-	// event is the ID of the last whole event that the caller got.
+	// started is true once a part of the answer has arrived.
 	started bool
+	// gone is true when the engine found that an input no longer exists.
+	gone bool
 }
 
 // run sends the request to the granted engine and passes the answer on. Again tells
@@ -181,9 +189,8 @@
 	outcome = classify(nil, reading)
 	switch {
 	case reading.Gone:
-		note.Gone = true
-		g.give(ctx, t.exchange, runs, "inputGone")
-		return outcome, false
+		t.gone = true
+		return bbhealth.OutcomeFull, true
 	case outcome == bbhealth.OutcomeFull || outcome == bbhealth.OutcomeMoved:
 		return outcome, true
 	case outcome == bbhealth.OutcomeBroken || (!reading.Signed && answer.Status < http.StatusMultipleChoices):
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -4,6 +4,8 @@
 package bbcoordinator
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
 	"bluebellhall/core/bballowance"
@@ -67,6 +69,8 @@
 	Gone bool
 	// Late is true when the request's time was over.
 	Late bool
+	// NoRoom is true when the endpoint had no room for the result.
+	NoRoom bool
 }
 
 // Coordinator has the requests in progress and the tables of pools and engines.
@@ -82,7 +86,9 @@
 	// freed are results to be freed, by the address of their maker.
 	freed map[string][]string
 	// waiting are the jobs whose stages are done and that wait for an engine.
-	waiting  map[string]*job
+	waiting map[string]*job
+	// learned has what requests of each route have taught.
+	learned  map[string]*experience
 	lastCall uint64
 	out      Output
 }
@@ -121,6 +127,7 @@
 		calls:   make(map[uint64]*bbpool.Call),
 		freed:   make(map[string][]string),
 		waiting: make(map[string]*job),
+		learned: make(map[string]*experience),
 	}
 }
 
@@ -164,8 +171,9 @@
 	if expected > j.limit {
 		return c.retryAfter(expected - j.limit), "limit"
 	}
+	o := &j.order
 	slack := time.Duration(lateness * float64(j.objective))
-	if expected > j.due+slack && j.due > now {
+	if expected > j.due+slack && !o.Returning {
 		return c.retryAfter(expected - j.due), "late"
 	}
 	return 0, ""
@@ -195,9 +203,14 @@
 		for _, call := range p.Overdue(now) {
 			c.repeat(now, call)
 		}
+		for _, call := range p.Fetched(now) {
+			c.fetched(call)
+		}
 	}
 	for id, j := range c.jobs {
 		switch {
+		case j.granted != "" && !j.order.Resumable && !j.started && now-j.grantedAt > inputTime:
+			c.freeUsed(j)
 		case j.granted != "" && now > j.limit+grantGrace:
 			c.table(j.order.Service).Ended(now, j.granted, id, bbhealth.OutcomeFull)
 			c.drop(j)
@@ -209,6 +222,10 @@
 	return c.decide(now)
 }
 
+// inputTime is how long after a grant the engine should have the inputs: the request's way
+// to its origin and to the engine, and the inputs' way.
+const inputTime = 200 * time.Millisecond
+
 // grantGrace is how long after its limit a granted request is remembered.
 const grantGrace = time.Second
 
@@ -237,7 +254,9 @@
 			c.lastCall++
 			p.Start(now, call, c.lastCall)
 			c.calls[call.ID] = call
+			c.begun(call)
 			c.out.Calls = append(c.out.Calls, call)
+			c.log(strconv.FormatUint(call.ID, 10), "callSent", fmt.Sprintf("%s %s pieces=%d waiting=%d", name, call.Endpoint, len(call.Pieces), p.Waiting()), call.Expected-now)
 		}
 	}
 	c.place(now)
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -45,6 +45,7 @@
 	}
 	j.repeated = false
 	j.granted = e.ID
+	j.grantedAt = now
 	delete(c.waiting, j.order.ID)
 	inputs, _ := j.finals()
 	c.log(j.order.ID, "granted", e.ID, now-j.arrived)
@@ -115,8 +116,9 @@
 	}
 	t := c.table(j.order.Service)
 	if n.Started {
+		c.learn(now, j)
 		t.Started(n.Endpoint, n.ID)
-		if !n.Ended {
+		if !n.Ended && !j.order.Resumable {
 			c.freeUsed(j)
 		}
 	}
@@ -150,12 +152,8 @@
 	j.order.Avoid = o.Avoid
 	j.repeated = o.Repeat
 	for i := range j.stages {
-		for _, p := range j.stages[i].pieces {
-			if j.final(i) && p.freed {
-				c.refuse(o.ID, "inputGone", minRetryAfter, now-j.arrived)
-				c.drop(j)
-				return
-			}
+		if j.final(i) {
+			j.remake(i)
 		}
 	}
 	c.release(j)
--- a/core/bbcoordinator/job.go
+++ b/core/bbcoordinator/job.go
@@ -18,12 +18,24 @@
 	freed bool
 	// tries counts the calls that the piece was in.
 	tries int
+	// queued is true while the piece waits in a pool, calls counts the calls in progress
+	// that it is in.
+	queued bool
+	calls  int
+	// fetched is true once an endpoint that works on the piece should have its inputs.
+	fetched bool
+}
+
+// wanted tells whether the piece has to be put into its pool.
+func (p *pieceState) wanted() bool {
+	return p.handle == "" && !p.queued && p.calls == 0
 }
 
 // stageState is how far a stage is.
 type stageState struct {
 	pieces []pieceState
-	// released is true once the pieces were put into the pool.
+	// released is true once the pieces were put into the pool; it is taken back when they
+	// have to be made again.
 	released bool
 	// left counts the pieces without a result.
 	left int
@@ -41,8 +53,16 @@
 	stages    []stageState
 	// granted is the engine that the request was granted; empty if none.
 	granted string
+	// grantedAt is when that was.
+	grantedAt time.Duration
+	// estimated is when the first token was expected at arrival, before any correction.
+	estimated time.Duration
+	// started is true once the first token was made.
+	started bool
 	// repeated is true when the next grant is not the first.
 	repeated bool
+	// wish is the failure domain of the engine that would suit best at arrival.
+	wish string
 	// tails has for each stage the time from its start to the first token, as it usually
 	// takes.
 	tails []time.Duration
@@ -104,6 +124,20 @@
 	return true
 }
 
+// early tells whether the results of a stage would only wait: the engine alone needs them,
+// and a stage that doesn't need them is yet to begin.
+func (j *job) early(stage int) bool {
+	if !j.final(stage) {
+		return false
+	}
+	for i, s := range j.order.Stages {
+		if i != stage && s.Pieces > 0 && !j.stages[i].released && !j.ready(i) {
+			return true
+		}
+	}
+	return false
+}
+
 // inputs returns the handles of the results that a stage needs.
 func (j *job) inputs(stage int) []string {
 	var handles []string
@@ -132,7 +166,7 @@
 }
 
 // home returns the failure domain where a stage is best done: that of most of its inputs,
-// or that of another final stage whose results are larger.
+// or that of a likely engine.
 func (j *job) home(stage int) string {
 	bytes := make(map[string]float64)
 	for _, before := range j.order.Stages[stage].After {
@@ -141,6 +175,9 @@
 		}
 	}
 	best, most := "", 0.0
+	if len(bytes) == 0 {
+		return j.wish
+	}
 	for zone, b := range bytes {
 		if b > most || (b == most && zone < best) {
 			best, most = zone, b
@@ -160,3 +197,47 @@
 	}
 	return longest
 }
+
+// fetchedAll tells whether everything that needs the results of a stage has them.
+func (j *job) fetchedAll(stage int) bool {
+	for i, s := range j.order.Stages {
+		for _, before := range s.After {
+			if before != stage {
+				continue
+			}
+			for _, p := range j.stages[i].pieces {
+				if p.handle == "" && !p.fetched {
+					return false
+				}
+			}
+		}
+	}
+	return !j.final(stage)
+}
+
+// rewind makes the stages that a stage needs be done again where their results are gone.
+func (j *job) rewind(stage int) {
+	j.stages[stage].released = false
+	for _, before := range j.order.Stages[stage].After {
+		j.remake(before)
+	}
+}
+
+// remake makes a stage be done again as far as its results are gone.
+func (j *job) remake(stage int) {
+	st := &j.stages[stage]
+	lost := false
+	for k := range st.pieces {
+		p := &st.pieces[k]
+		if p.handle != "" && p.freed {
+			*p = pieceState{
+				tries: p.tries,
+			}
+			st.left++
+			lost = true
+		}
+	}
+	if lost {
+		j.rewind(stage)
+	}
+}
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -1,7 +1,9 @@
 package bbcoordinator
 
 import (
+	"fmt"
 	"sort"
+	"strconv"
 	"time"
 
 	"bluebellhall/core/bbhealth"
@@ -16,8 +18,8 @@
 // and fills in its tails.
 func (c *Coordinator) estimate(now time.Duration, j *job) time.Duration {
 	o := &j.order
-	prompt := time.Duration(float64(o.Prompt.Tokens) / readRate * float64(time.Second))
-	c.measureTails(j, engineTime+prompt/2)
+	learned := c.learnedOf(o.Route)
+	c.measureTails(j, learned.engine)
 	finished := make([]time.Duration, len(o.Stages))
 	last := now
 	future := c.future()
@@ -36,12 +38,13 @@
 		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(c.usualBatch(p, s.Pieces))
 		last = max(last, finished[i])
 	}
-	return last + c.table(o.Service).Wait(now, c.need(j), c.listEngines(o.Service))
+	need := c.need(j)
+	engines := c.listEngines(o.Service)
+	j.wish = c.table(o.Service).Best(now, need, engines)
+	j.estimated = last + c.table(o.Service).Wait(now, need, engines)
+	return j.estimated + learned.bias
 }
 
-// readRate is the usual speed at which engines read prompts, in tokens a second.
-const readRate = 38400.0
-
 // usualBatch is the number of pieces that a call with a group of n is expected to have.
 func (c *Coordinator) usualBatch(p *bbpool.Pool, n int) int {
 	return min(p.Spec.Batch, max(n, p.Spec.Batch/2))
@@ -107,19 +110,24 @@
 	return n
 }
 
-// release puts the stages of a request that may begin into their pools.
+// release puts the stages of a request that may begin into their pools. Results that only
+// the engine needs are made last, so that they don't take room while others are waited for.
 func (c *Coordinator) release(j *job) {
 	for i, s := range j.order.Stages {
 		st := &j.stages[i]
-		if st.released || s.Pieces == 0 || !j.ready(i) {
+		if st.released || s.Pieces == 0 || !j.ready(i) || j.early(i) {
 			continue
 		}
 		st.released = true
-		left := make([]int, s.Pieces)
-		for k := range left {
-			left[k] = k
+		var left []int
+		for k := range st.pieces {
+			if st.pieces[k].wanted() {
+				left = append(left, k)
+			}
+		}
+		if len(left) > 0 {
+			c.addGroup(j, i, left)
 		}
-		c.addGroup(j, i, left)
 	}
 	if j.done() {
 		c.waiting[j.order.ID] = j
@@ -135,6 +143,9 @@
 		c.drop(j)
 		return
 	}
+	for _, k := range pieces {
+		j.stages[stage].pieces[k].queued = true
+	}
 	p.Add(&bbpool.Group{
 		Job:         j.order.ID,
 		Stage:       stage,
@@ -186,23 +197,31 @@
 	}
 	delete(c.calls, id)
 	p := c.pool(call.Service)
-	handles := make(map[string]float64)
+	made, full := c.sizes(call, results)
+	if full && o == bbhealth.OutcomeGood {
+		p.Crowded(now, call.Endpoint)
+	}
+	p.Done(now, call, o, made)
+	c.log(strconv.FormatUint(id, 10), "callDone", fmt.Sprintf("%s %s outcome=%d results=%d of %d", call.Service, call.Endpoint, o, len(made), len(call.Pieces)), now-call.Sent)
 	retry := make(map[string]map[int][]int)
 	for i, piece := range call.Pieces {
 		j := c.jobs[piece.Job]
+		if j != nil {
+			j.stages[piece.Stage].pieces[piece.Piece].calls--
+		}
 		if i < len(results) && results[i].Handle != "" {
-			c.keep(call, zone, j, piece, results[i].Handle, handles)
+			c.keep(call, zone, j, piece, results[i].Handle)
 			continue
 		}
 		if j == nil || j.stages[piece.Stage].pieces[piece.Piece].handle != "" {
 			continue
 		}
-		if i < len(results) && (results[i].Gone || results[i].Late) {
-			c.refuse(piece.Job, "inputGone", minRetryAfter, now-j.arrived)
+		if i < len(results) && results[i].Late {
+			c.refuse(piece.Job, "deadline", minRetryAfter, now-j.arrived)
 			c.drop(j)
 			continue
 		}
-		if call.Overdue {
+		if !j.stages[piece.Stage].pieces[piece.Piece].wanted() {
 			continue
 		}
 		if retry[piece.Job] == nil {
@@ -210,7 +229,6 @@
 		}
 		retry[piece.Job][piece.Stage] = append(retry[piece.Job][piece.Stage], piece.Piece)
 	}
-	p.Done(now, call, o, handles)
 	for _, job := range sortedKeys(retry) {
 		c.retryPieces(now, job, retry[job], o)
 	}
@@ -222,21 +240,33 @@
 	return c.decide(now)
 }
 
+// sizes returns the results of a call with their sizes, and whether the endpoint had no
+// room for some.
+func (c *Coordinator) sizes(call *bbpool.Call, results []PieceResult) (made map[string]float64, full bool) {
+	made = make(map[string]float64)
+	for i := range min(len(results), len(call.Pieces)) {
+		full = full || results[i].NoRoom
+		if results[i].Handle != "" {
+			made[results[i].Handle] = call.Sizes[i]
+		}
+	}
+	return made, full
+}
+
 // keep takes in the result of one piece, or frees it when nobody needs it.
-func (c *Coordinator) keep(call *bbpool.Call, zone string, j *job, piece bbpool.Piece, handle string, handles map[string]float64) {
+func (c *Coordinator) keep(call *bbpool.Call, zone string, j *job, piece bbpool.Piece, handle string) {
 	if j == nil || j.stages[piece.Stage].pieces[piece.Piece].handle != "" {
 		c.freed[call.Address] = append(c.freed[call.Address], handle)
+		c.pool(call.Service).Free(call.Endpoint, handle)
 		return
 	}
 	st := &j.stages[piece.Stage]
-	st.pieces[piece.Piece] = pieceState{
-		handle:  handle,
-		maker:   call.Endpoint,
-		address: call.Address,
-		zone:    zone,
-	}
+	made := &st.pieces[piece.Piece]
+	made.handle = handle
+	made.maker = call.Endpoint
+	made.address = call.Address
+	made.zone = zone
 	st.left--
-	handles[handle] = j.order.Stages[piece.Stage].ResultBytes
 	if st.left > 0 {
 		return
 	}
@@ -281,8 +311,9 @@
 				return
 			}
 		}
-		c.addGroup(j, stage, pieces)
+		j.rewind(stage)
 	}
+	c.release(j)
 }
 
 // repeat gives the pieces of an overdue call to other endpoints as well.
@@ -290,7 +321,11 @@
 	again := make(map[string]map[int][]int)
 	for _, piece := range call.Pieces {
 		j := c.jobs[piece.Job]
-		if j == nil || j.stages[piece.Stage].pieces[piece.Piece].handle != "" {
+		if j == nil {
+			continue
+		}
+		p := &j.stages[piece.Stage].pieces[piece.Piece]
+		if p.handle != "" || p.queued || p.calls > 1 {
 			continue
 		}
 		if again[piece.Job] == nil {
@@ -300,7 +335,52 @@
 	}
 	for _, id := range sortedKeys(again) {
 		c.log(id, "callOverdue", call.Endpoint, now-call.Sent)
-		c.retryPieces(now, id, again[id], bbhealth.OutcomeBroken)
+		j := c.jobs[id]
+		for stage, pieces := range again[id] {
+			if j.ready(stage) && c.inputsKept(j, stage) && c.window(j.order.Stages[stage].Service).Take(now, 1) {
+				c.addGroup(j, stage, pieces)
+			}
+		}
+	}
+}
+
+// inputsKept tells whether all results that a stage needs still exist.
+func (c *Coordinator) inputsKept(j *job, stage int) bool {
+	for _, before := range j.order.Stages[stage].After {
+		for _, p := range j.stages[before].pieces {
+			if p.freed {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// begun notes that a call is being made.
+func (c *Coordinator) begun(call *bbpool.Call) {
+	for _, piece := range call.Pieces {
+		if j := c.jobs[piece.Job]; j != nil {
+			p := &j.stages[piece.Stage].pieces[piece.Piece]
+			p.queued = false
+			p.calls++
+		}
+	}
+}
+
+// fetched notes that the endpoint of a call should have its inputs, and gives up those that
+// nothing else needs.
+func (c *Coordinator) fetched(call *bbpool.Call) {
+	for _, piece := range call.Pieces {
+		j := c.jobs[piece.Job]
+		if j == nil {
+			continue
+		}
+		j.stages[piece.Stage].pieces[piece.Piece].fetched = true
+		for _, before := range j.order.Stages[piece.Stage].After {
+			if j.fetchedAll(before) {
+				c.freeStage(j, before)
+			}
+		}
 	}
 }
 
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -31,11 +31,15 @@
 	Objective time.Duration `json:"objective"`
 	// Limit is the time left until the caller gives up.
 	Limit time.Duration `json:"limit"`
+	// Returning is true when the caller was refused before and has come back.
+	Returning bool `json:"returning"`
 	// Zone and Region are those of the origin.
 	Zone   string `json:"zone"`
 	Region string `json:"region"`
 	// Regions are those in which the request may be served; empty means everywhere.
 	Regions []string `json:"regions"`
+	// Resumable requests may need their inputs again after their answer has begun.
+	Resumable bool `json:"resumable"`
 	// Avoid are endpoints at which an earlier try of this request ended.
 	Avoid []string `json:"avoid"`
 	// Repeat is true when the request was offered to an engine before.
@@ -111,6 +115,4 @@
 	Again bool `json:"again"`
 	// Outcome tells how the try ended, if it did.
 	Outcome bbhealth.Outcome `json:"outcome"`
-	// Gone is true when the engine said that an input no longer exists.
-	Gone bool `json:"gone"`
 }
--- a/core/bbplacement/cache.go
+++ b/core/bbplacement/cache.go
@@ -9,8 +9,8 @@
 // prefixCache is a guess of the prompt parts that an engine keeps, the least recently
 // used first to go. The zero value keeps nothing.
 type prefixCache struct {
-	// parts has the place of each part in order.
-	parts map[partKey]*list.Element
+	// kept has the place of each part in order.
+	kept map[partKey]*list.Element
 	// order has parts, the most recently used in front.
 	order  *list.List
 	tokens float64
@@ -26,13 +26,20 @@
 	tokens float64
 }
 
+// parts returns the number of parts at the start of a prompt that are kept without a gap.
+func (c *prefixCache) parts(p bbjob.Prompt) int {
+	for i, part := range p.Parts {
+		if _, ok := c.kept[partKey{model: p.Model, id: part.ID}]; !ok {
+			return i
+		}
+	}
+	return len(p.Parts)
+}
+
 // prefix returns the tokens at the start of a prompt that are kept without a gap.
 func (c *prefixCache) prefix(p bbjob.Prompt) float64 {
 	kept := 0.0
-	for _, part := range p.Parts {
-		if _, ok := c.parts[partKey{model: p.Model, id: part.ID}]; !ok {
-			break
-		}
+	for _, part := range p.Parts[:c.parts(p)] {
 		kept += float64(part.Tokens)
 	}
 	return min(kept, float64(p.Tokens))
@@ -40,8 +47,8 @@
 
 // add notes that a prompt is read, and drops parts beyond the space in tokens.
 func (c *prefixCache) add(p bbjob.Prompt, space float64) {
-	if c.parts == nil {
-		c.parts = make(map[partKey]*list.Element)
+	if c.kept == nil {
+		c.kept = make(map[partKey]*list.Element)
 		c.order = list.New()
 	}
 	for _, part := range p.Parts {
@@ -49,11 +56,11 @@
 			model: p.Model,
 			id:    part.ID,
 		}
-		if e, ok := c.parts[key]; ok {
+		if e, ok := c.kept[key]; ok {
 			c.order.MoveToFront(e)
 			continue
 		}
-		c.parts[key] = c.order.PushFront(keptPart{
+		c.kept[key] = c.order.PushFront(keptPart{
 			key:    key,
 			tokens: float64(part.Tokens),
 		})
@@ -61,7 +68,7 @@
 	}
 	for c.tokens > space && c.order.Len() > 0 {
 		last := c.order.Remove(c.order.Back()).(keptPart)
-		delete(c.parts, last.key)
+		delete(c.kept, last.key)
 		c.tokens -= last.tokens
 	}
 }
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -27,9 +27,14 @@
 	coldCost = 150 * time.Millisecond
 	// zoneCost keeps streams in the caller's failure domain where load is alike.
 	zoneCost = 6 * time.Millisecond
-	// moveCost is what it costs to move a megabyte of inputs to another failure domain,
-	// in time lost elsewhere.
-	moveCost = 60 * time.Millisecond
+	// moveCost is what it costs to move a megabyte of inputs to another failure domain, and
+	// rereadCost to read a thousand tokens again that another engine keeps, both as the
+	// delay of a request that is worth as much. The users price them at about 1 to 3.
+	moveCost   = 25 * time.Millisecond
+	rereadCost = 80 * time.Millisecond
+	// rereadWindow is how long after its last use a part counts as kept: the users price
+	// readings again within about nine seconds.
+	rereadWindow = 10 * time.Second
 	// startedAfter is when a request counts as read though its origin said nothing.
 	startedAfter = 3 * time.Second
 	// forgetAfter is when a grant of which nothing was heard no longer counts.
@@ -91,6 +96,8 @@
 type Table struct {
 	Spec    bbcatalog.Engine
 	engines map[string]*engine
+	// used has when each part was last granted to any engine.
+	used map[partKey]time.Duration
 }
 
 // NewTable returns an empty table.
@@ -98,6 +105,7 @@
 	return &Table{
 		Spec:    spec,
 		engines: make(map[string]*engine),
+		used:    make(map[partKey]time.Duration),
 	}
 }
 
@@ -138,6 +146,7 @@
 		unread += r.waiting(now)
 	}
 	cost := time.Duration(unread/readRate*float64(time.Second)) + time.Duration(len(g.runs))*neighbourCost
+	cost += time.Duration(t.reread(now, g, n.Prompt) / 1000 * float64(rereadCost))
 	cost += time.Duration(g.health.Failures(now) * float64(failureCost))
 	if e.Cold {
 		cost += coldCost
@@ -153,6 +162,49 @@
 	return cost
 }
 
+// reread returns the tokens of a prompt that an engine would read though another one kept
+// them.
+func (t *Table) reread(now time.Duration, g *engine, p bbjob.Prompt) float64 {
+	tokens := 0.0
+	kept := g.kept.parts(p)
+	for _, part := range p.Parts[kept:] {
+		at, ok := t.used[partKey{
+			model: p.Model,
+			id:    part.ID,
+		}]
+		if ok && now-at <= rereadWindow {
+			tokens += float64(part.Tokens)
+		}
+	}
+	return tokens
+}
+
+// Best returns the failure domain of the engine that would be chosen now; empty if there is
+// none.
+func (t *Table) Best(now time.Duration, n Need, endpoints []Endpoint) string {
+	zone := ""
+	var best time.Duration
+	for _, e := range endpoints {
+		g := t.engine(e.ID)
+		if !n.Allowed(e.Zone) || g.health.Paused(now) {
+			continue
+		}
+		if cost := t.cost(now, g, e, n); zone == "" || cost < best {
+			zone, best = e.Zone, cost
+		}
+	}
+	return zone
+}
+
+// Forget drops what is remembered of parts that were not used for long.
+func (t *Table) Forget(now time.Duration) {
+	for key, at := range t.used {
+		if now-at > rereadWindow {
+			delete(t.used, key)
+		}
+	}
+}
+
 // grant counts a request at an engine.
 func (t *Table) grant(now time.Duration, id string, n Need, need float64) {
 	g := t.engine(id)
@@ -164,6 +216,12 @@
 	}
 	g.tokens += need
 	g.kept.add(n.Prompt, t.Spec.Tokens-g.tokens)
+	for _, part := range n.Prompt.Parts {
+		t.used[partKey{
+			model: n.Prompt.Model,
+			id:    part.ID,
+		}] = now
+	}
 }
 
 // Started notes that an engine has read a request's prompt.
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -26,6 +26,11 @@
 	// fullPause is how long an endpoint that had no place for a call is left alone: a part
 	// of a call's usual time.
 	fullPause = 80 * time.Millisecond
+	// fetchTime is how long after its turn a call should have its inputs: the call's way, and
+	// the inputs' way over links that carry them in some milliseconds.
+	fetchTime = 110 * time.Millisecond
+	// roomPart is the part of an endpoint's room that is filled: sizes are approximate.
+	roomPart = 0.95
 	// overdueFactor and overdueSlack tell when a call is so late that its pieces go to
 	// another endpoint as well.
 	overdueFactor = 1.7
@@ -76,6 +81,8 @@
 	Endpoint string
 	Address  string
 	Pieces   []Piece
+	// Sizes has the bytes that each result takes.
+	Sizes []float64
 	// Limits has the time that each piece's request has left.
 	Limits []time.Duration
 	// Sent is when the call was decided.
@@ -84,6 +91,11 @@
 	Expected time.Duration
 	// Bytes is the room that its results take.
 	Bytes float64
+	// turned is true once the endpoint should be working on the call, since turnAt.
+	turned bool
+	turnAt time.Duration
+	// fetched is true once the call was returned by Fetched.
+	fetched bool
 	// Overdue is true once its pieces were given to others as well.
 	Overdue bool
 }
@@ -287,7 +299,7 @@
 
 // room is what a worker has left for results, in bytes.
 func (p *Pool) room(w *worker) float64 {
-	return p.Spec.RoomBytes - w.used
+	return roomPart*p.Spec.RoomBytes - w.used
 }
 
 // compose fills a call: first the chosen group, then others in the order of their
@@ -350,6 +362,7 @@
 			Piece: g.Left[0],
 		})
 		c.Limits = append(c.Limits, g.Limit-now)
+		c.Sizes = append(c.Sizes, g.ResultBytes)
 		c.Bytes += g.ResultBytes
 		g.Left = g.Left[1:]
 	}
@@ -360,10 +373,28 @@
 	w := p.workers[c.Endpoint]
 	c.ID = id
 	c.Expected = now + p.remaining(now, w) + time.Duration(float64(p.Duration(len(c.Pieces)))*w.slowness)
+	c.turned = len(w.calls) < max(1, p.Spec.Slots)
+	c.turnAt = now
 	w.calls[id] = c
 	w.used += c.Bytes
 }
 
+// Fetched returns the calls whose endpoints should have the inputs by now and that were not
+// returned before.
+func (p *Pool) Fetched(now time.Duration) []*Call {
+	var list []*Call
+	for _, w := range p.workers {
+		for _, c := range w.calls {
+			if c.turned && !c.fetched && now-c.turnAt >= fetchTime {
+				c.fetched = true
+				list = append(list, c)
+			}
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
 // Overdue returns the calls that should have been answered long ago and were not returned
 // before. Their pieces should be worked on elsewhere too.
 func (p *Pool) Overdue(now time.Duration) []*Call {
@@ -391,6 +422,12 @@
 	}
 	delete(w.calls, c.ID)
 	w.used -= c.Bytes
+	for _, next := range w.calls {
+		if !next.turned {
+			next.turned = true
+			next.turnAt = now
+		}
+	}
 	w.health.Note(now, o)
 	switch o {
 	case bbhealth.OutcomeFull:
@@ -407,6 +444,13 @@
 	}
 }
 
+// Crowded notes that an endpoint had no room for a result.
+func (p *Pool) Crowded(now time.Duration, endpoint string) {
+	if w := p.workers[endpoint]; w != nil {
+		w.pausedUntil = now + fullPause
+	}
+}
+
 // learn takes in the measured slowness of a call.
 func (w *worker) learn(slowness float64) {
 	w.slowness += learnRate * (min(max(slowness, 0.5), 10) - w.slowness)
