--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -158,6 +158,19 @@
 	e.fleet.Announce(ctx)
 }
 
+// Finish waits until the requests of other VMs that this one coordinates are done.
+func (e *Entry) Finish(ctx context.Context) {
+	ticker := time.NewTicker(notePeriod)
+	defer ticker.Stop()
+	for e.hub.Len() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // SetSeeds replaces the addresses at which other VMs may be found.
 func (e *Entry) SetSeeds(seeds []string) {
 	e.fleet.SetSeeds(seeds)
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// Len returns the number of requests in progress.
+func (h *Hub) Len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.coordinator.Len()
+}
+
 // tick lets the coordinator do what is due.
 func (h *Hub) tick() {
 	h.mu.Lock()
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -47,7 +47,7 @@
 	// reached are the names that were reachable in the last round.
 	reached map[string]bool
 	// leader is the coordinator as of the last look, and changed is closed when it
-	// is another one.
+	// is another one or a VM is no longer reachable.
 	leader  bbgossip.Member
 	changed chan struct{}
 }
@@ -180,22 +180,36 @@
 	orderPause = 100 * time.Millisecond
 )
 
-// orderFrom asks one coordinator, until it answers or is no longer the coordinator.
+// orderFrom asks one coordinator, until it answers or can't be reached. One that is leaving
+// or no longer the oldest finishes what it has.
 func (f *Fleet) orderFrom(ctx context.Context, leader bbgossip.Member, changed <-chan struct{}, o bbjob.Order) (bbjob.Verdict, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
 	go func() {
-		select {
-		case <-changed:
-			cancel()
-		case <-done:
+		for {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+			var reachable bool
+			if reachable, changed = f.stillReaches(leader); !reachable {
+				cancel()
+				return
+			}
 		}
 	}()
 	return f.Conns.Order(ctx, leader.Peer, o)
 }
 
+// stillReaches tells whether a process of another VM is reachable, and returns the channel
+// that is closed when that may have changed.
+func (f *Fleet) stillReaches(m bbgossip.Member) (bool, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reached[m.Name] && f.table.Boot(m.Name) == m.Boot, f.changed
+}
+
 func (f *Fleet) self() bbgossip.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -303,14 +317,16 @@
 			f.Log(m.Name, true, "answers")
 		}
 	}
+	lost := false
 	for name := range f.reached {
 		if !present[name] {
 			delete(f.reached, name)
+			lost = true
 			f.Log(name, false, "silent")
 		}
 	}
 	leader := f.table.Leader(now)
-	if leader.Name != f.leader.Name || leader.Boot != f.leader.Boot {
+	if lost || leader.Name != f.leader.Name || leader.Boot != f.leader.Boot {
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -99,7 +99,7 @@
 	// engineTime is the usual time from a grant to the first token, without the prompt.
 	engineTime = 90 * time.Millisecond
 	// rankStep is how much later a request goes for each step of priority.
-	rankStep = 250 * time.Millisecond
+	rankStep = 600 * time.Millisecond
 	// lateness is the part of its objective by which a request may be expected too late
 	// and still be taken in.
 	lateness = 0.25
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -198,10 +198,10 @@
 	delete(c.calls, id)
 	p := c.pool(call.Service)
 	made, full := c.sizes(call, results)
+	p.Done(now, call, o, made)
 	if full && o == bbhealth.OutcomeGood {
 		p.Crowded(now, call.Endpoint)
 	}
-	p.Done(now, call, o, made)
 	c.log(strconv.FormatUint(id, 10), "callDone", fmt.Sprintf("%s %s outcome=%d results=%d of %d", call.Service, call.Endpoint, o, len(made), len(call.Pieces)), now-call.Sent)
 	retry := make(map[string]map[int][]int)
 	for i, piece := range call.Pieces {
@@ -229,8 +229,9 @@
 		}
 		retry[piece.Job][piece.Stage] = append(retry[piece.Job][piece.Stage], piece.Piece)
 	}
+	mayRepeat := len(retry) == 0 || full || o == bbhealth.OutcomeUnreachable || c.window(call.Service).Take(now, 1)
 	for _, job := range sortedKeys(retry) {
-		c.retryPieces(now, job, retry[job], o)
+		c.retryPieces(now, job, retry[job], mayRepeat, !full)
 	}
 	for _, piece := range call.Pieces {
 		if j := c.jobs[piece.Job]; j != nil {
@@ -290,29 +291,28 @@
 	return !j.final(stage)
 }
 
-// retryPieces puts pieces of a failed call back, or ends their request.
-func (c *Coordinator) retryPieces(now time.Duration, id string, stages map[int][]int, o bbhealth.Outcome) {
+// retryPieces puts pieces of a failed call back, or ends their request. Tries that an
+// endpoint turned away for want of room don't count.
+func (c *Coordinator) retryPieces(now time.Duration, id string, stages map[int][]int, mayRepeat, counts bool) {
 	j := c.jobs[id]
 	if j == nil {
 		return
 	}
 	for stage, pieces := range stages {
-		st := &j.stages[stage]
-		tries := 0
 		for _, k := range pieces {
-			st.pieces[k].tries++
-			tries = max(tries, st.pieces[k].tries)
-		}
-		service := j.order.Stages[stage].Service
-		if o != bbhealth.OutcomeUnreachable {
-			if tries >= maxPieceTries || !c.window(service).Take(now, 1) {
-				c.refuse(id, "stageFailed", minRetryAfter, now-j.arrived)
-				c.drop(j)
-				return
+			p := &j.stages[stage].pieces[k]
+			if counts {
+				p.tries++
 			}
+			mayRepeat = mayRepeat && p.tries < maxPieceTries
 		}
 		j.rewind(stage)
 	}
+	if !mayRepeat {
+		c.refuse(id, "stageFailed", minRetryAfter, now-j.arrived)
+		c.drop(j)
+		return
+	}
 	c.release(j)
 }
 
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -4,7 +4,9 @@
 package bbpool
 
 import (
+	"math"
 	"sort"
+	"strconv"
 	"time"
 
 	"bluebellhall/core/bbcatalog"
@@ -13,8 +15,8 @@
 
 const (
 	// hopeless is added to the urgency of work that can't be on time any more, so that it
-	// doesn't hold up work that can. It is the longest objective on the users' sheets.
-	hopeless = 2500 * time.Millisecond
+	// doesn't hold up work that can: about an objective of the users' sheets.
+	hopeless = 1500 * time.Millisecond
 	// splitBytes is the size of a result from which pieces of one request stay together:
 	// moving larger ones between failure domains costs more than a place in a call.
 	splitBytes = 500e3
@@ -23,6 +25,11 @@
 	slowFactor = 1.8
 	// learnRate is the weight of the newest call in the learned slowness.
 	learnRate = 0.3
+	// slowHalfLife is the time in which slowness that was not seen again is half forgotten,
+	// so that an endpoint that has recovered is tried again.
+	slowHalfLife = 2500 * time.Millisecond
+	// crowdedFor is how long an endpoint that had no room counts as full.
+	crowdedFor = 500 * time.Millisecond
 	// fullPause is how long an endpoint that had no place for a call is left alone: a part
 	// of a call's usual time.
 	fullPause = 80 * time.Millisecond
@@ -109,12 +116,15 @@
 type worker struct {
 	calls  map[uint64]*Call
 	health bbhealth.Record
-	// slowness is the learned ratio of measured to nominal time; 1 is nominal.
+	// slowness is the learned ratio of measured to nominal time as of slowAt; 1 is nominal.
 	slowness float64
+	slowAt   time.Duration
 	// pausedUntil is set when the endpoint had no place.
 	pausedUntil time.Duration
 	// results has the size and end of life of results that take room.
 	results map[string]result
+	// unknown counts the times that the endpoint had less room than expected.
+	unknown int
 	// used is the room taken by results and by calls in progress, in bytes.
 	used float64
 }
@@ -237,7 +247,7 @@
 			best, chosen, bestCost = e, w, cost
 		}
 	}
-	if chosen == nil || (chosen.slowness >= slowFactor && p.soonerElsewhere(now, g, chosen)) {
+	if chosen == nil || (chosen.slow(now) >= slowFactor && p.soonerElsewhere(now, g, chosen)) {
 		return Endpoint{}, nil
 	}
 	return best, chosen
@@ -254,24 +264,31 @@
 
 // cost is the time that a worker would take for a usual call, with failures counted.
 func (p *Pool) cost(now time.Duration, w *worker) time.Duration {
-	d := float64(p.Duration(p.Spec.Batch/2)) * w.slowness
+	d := float64(p.Duration(p.Spec.Batch/2)) * w.slow(now)
 	d *= 1 + 3*w.health.Failures(now)
 	return time.Duration(d) + p.remaining(now, w)
 }
 
-// soonerElsewhere tells whether an endpoint that is busy now would be done sooner.
+// soonerElsewhere tells whether the other endpoints would have done all waiting work before
+// a slow one is done with a call.
 func (p *Pool) soonerElsewhere(now time.Duration, g *Group, slow *worker) bool {
-	mine := p.cost(now, slow)
+	var sooner time.Duration
+	perSecond := 0.0
 	for _, e := range p.endpoints {
 		w := p.workers[e.ID]
 		if w == slow || w.health.Paused(now) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
 			continue
 		}
-		if p.cost(now, w) < mine {
-			return true
+		if cost := p.cost(now, w); perSecond == 0 || cost < sooner {
+			sooner = cost
 		}
+		perSecond += float64(p.Spec.Batch) / (p.Duration(p.Spec.Batch).Seconds() * w.slow(now))
 	}
-	return false
+	if perSecond == 0 {
+		return false
+	}
+	sooner += time.Duration(float64(p.Waiting()) / perSecond * float64(time.Second))
+	return sooner < p.cost(now, slow)
 }
 
 // free tells whether a worker may get a call now.
@@ -372,7 +389,7 @@
 func (p *Pool) Start(now time.Duration, c *Call, id uint64) {
 	w := p.workers[c.Endpoint]
 	c.ID = id
-	c.Expected = now + p.remaining(now, w) + time.Duration(float64(p.Duration(len(c.Pieces)))*w.slowness)
+	c.Expected = now + p.remaining(now, w) + time.Duration(float64(p.Duration(len(c.Pieces)))*w.slow(now))
 	c.turned = len(w.calls) < max(1, p.Spec.Slots)
 	c.turnAt = now
 	w.calls[id] = c
@@ -405,7 +422,8 @@
 			if !c.Overdue && now-c.Sent > allowed {
 				c.Overdue = true
 				w.health.Note(now, bbhealth.OutcomeBroken)
-				w.slowness = max(w.slowness, overdueFactor)
+				w.slowness = max(w.slow(now), overdueFactor)
+				w.slowAt = now
 				late = append(late, c)
 			}
 		}
@@ -433,7 +451,7 @@
 	case bbhealth.OutcomeFull:
 		w.pausedUntil = now + fullPause
 	case bbhealth.OutcomeGood:
-		w.learn(float64(now-c.Sent) / float64(max(p.Duration(len(c.Pieces)), c.Expected-c.Sent)) * w.slowness)
+		w.learn(now, float64(now-max(c.Sent, c.turnAt))/float64(p.Duration(len(c.Pieces))))
 	}
 	for handle, bytes := range handles {
 		w.results[handle] = result{
@@ -444,16 +462,35 @@
 	}
 }
 
-// Crowded notes that an endpoint had no room for a result.
+// Crowded notes that an endpoint had no room for a result: something takes room that this
+// pool doesn't know of, such as results of a former coordinator.
 func (p *Pool) Crowded(now time.Duration, endpoint string) {
-	if w := p.workers[endpoint]; w != nil {
-		w.pausedUntil = now + fullPause
+	w := p.workers[endpoint]
+	if w == nil {
+		return
+	}
+	unknown := max(0, p.room(w))
+	w.unknown++
+	w.results["unknown "+strconv.Itoa(w.unknown)] = result{
+		bytes:   unknown,
+		expires: now + crowdedFor,
 	}
+	w.used += unknown
 }
 
 // learn takes in the measured slowness of a call.
-func (w *worker) learn(slowness float64) {
-	w.slowness += learnRate * (min(max(slowness, 0.5), 10) - w.slowness)
+func (w *worker) learn(now time.Duration, slowness float64) {
+	present := w.slow(now)
+	w.slowness = present + learnRate*(min(max(slowness, 0.5), 10)-present)
+	w.slowAt = now
+}
+
+// slow returns the learned slowness, with what was long ago forgotten in part.
+func (w *worker) slow(now time.Duration) float64 {
+	if w.slowness <= 1 {
+		return w.slowness
+	}
+	return 1 + (w.slowness-1)*math.Exp2(-float64(now-w.slowAt)/float64(slowHalfLife))
 }
 
 // Free notes that a result takes no room any more.
@@ -503,7 +540,7 @@
 			soonest = left
 		}
 		usable++
-		perSecond += float64(p.Spec.Batch*max(1, p.Spec.Slots)) / (full.Seconds() * w.slowness)
+		perSecond += float64(p.Spec.Batch*max(1, p.Spec.Slots)) / (full.Seconds() * w.slow(now))
 	}
 	if usable == 0 {
 		return p.Spec.ResultLife
