--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -20,7 +20,7 @@
 	}
 	sort.Slice(list, func(i, k int) bool {
 		a, b := list[i], list[k]
-		ua, ub := a.due+c.rank(a.order.Priority), b.due+c.rank(b.order.Priority)
+		ua, ub := a.due+rank(a.order.Priority), b.due+rank(b.order.Priority)
 		if ua != ub {
 			return ua < ub
 		}
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -22,7 +22,7 @@
 	c.measureTails(j, learned.engine)
 	finished := make([]time.Duration, len(o.Stages))
 	last := now
-	future := c.future()
+	future := c.future(now)
 	for i, s := range o.Stages {
 		begin := now
 		for _, before := range s.After {
@@ -33,7 +33,7 @@
 		if s.Pieces == 0 || p == nil {
 			continue
 		}
-		urgency := j.due - j.tails[i] + c.rank(o.Priority)
+		urgency := j.dueOf(i).Urgency(now)
 		wait := p.Wait(now, urgency, future.before(s.Service, urgency))
 		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(c.usualBatch(p, s.Pieces))
 		last = max(last, finished[i])
@@ -69,8 +69,17 @@
 	}
 }
 
+// dueOf returns when a stage has to begin.
+func (j *job) dueOf(stage int) bbpool.Due {
+	return bbpool.Due{
+		StartBy:   j.due - j.tails[stage],
+		LastStart: j.limit - j.tails[stage],
+		Rank:      rank(j.order.Priority),
+	}
+}
+
 // rank is how much later a request of a priority goes.
-func (c *Coordinator) rank(priority int) time.Duration {
+func rank(priority int) time.Duration {
 	return time.Duration(priority) * rankStep
 }
 
@@ -83,7 +92,7 @@
 }
 
 // future returns the work that is still to come.
-func (c *Coordinator) future() futureWork {
+func (c *Coordinator) future(now time.Duration) futureWork {
 	f := make(futureWork)
 	for _, j := range c.jobs {
 		for i, s := range j.order.Stages {
@@ -91,7 +100,7 @@
 				continue
 			}
 			f[s.Service] = append(f[s.Service], futurePieces{
-				urgency: j.due - j.tails[i] + c.rank(j.order.Priority),
+				urgency: j.dueOf(i).Urgency(now),
 				pieces:  s.Pieces,
 			})
 		}
@@ -151,8 +160,7 @@
 		Stage:       stage,
 		Left:        pieces,
 		ResultBytes: s.ResultBytes,
-		StartBy:     j.due - j.tails[stage],
-		Rank:        c.rank(j.order.Priority),
+		Due:         j.dueOf(stage),
 		Limit:       j.limit,
 		Zone:        j.home(stage),
 		Allowed:     c.allowed(j.order),
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// hopeless is added to the urgency of work that can't be on time any more, so that it
-	// doesn't hold up work that can: about an objective of the users' sheets.
-	hopeless = 1500 * time.Millisecond
 	// splitBytes is the size of a result from which pieces of one request stay together:
 	// moving larger ones between failure domains costs more than a place in a call.
 	splitBytes = 500e3
@@ -53,10 +50,8 @@
 	Left []int
 	// ResultBytes is the size of one result.
 	ResultBytes float64
-	// StartBy is when the work has to begin for the request to be on time.
-	StartBy time.Duration
-	// Rank is added to StartBy: less urgent requests go later.
-	Rank time.Duration
+	// Due says when the work has to begin.
+	Due Due
 	// Limit is when the request is given up.
 	Limit time.Duration
 	// Zone is where the inputs are or the results are wanted; empty if it doesn't matter.
@@ -65,13 +60,21 @@
 	Allowed func(zone string) bool
 }
 
-// urgency orders groups; the lowest goes first.
-func (g *Group) urgency(now time.Duration) time.Duration {
-	u := g.StartBy + g.Rank
-	if g.StartBy < now {
-		u += hopeless
+// Due says when work has to begin.
+type Due struct {
+	// StartBy is the latest begin for an answer that is on time, LastStart for one at all.
+	StartBy, LastStart time.Duration
+	// Rank is added: less urgent requests go later.
+	Rank time.Duration
+}
+
+// Urgency orders work; the lowest goes first. Work that can't be on time any more goes by
+// the time at which it could not be done at all, so that it doesn't hold up work that can.
+func (d Due) Urgency(now time.Duration) time.Duration {
+	if d.StartBy >= now {
+		return d.StartBy + d.Rank
 	}
-	return u
+	return max(d.LastStart, now) + d.Rank
 }
 
 // Piece names one piece in a call.
@@ -216,7 +219,7 @@
 		return nil
 	}
 	sort.SliceStable(p.groups, func(i, j int) bool {
-		return p.groups[i].urgency(now) < p.groups[j].urgency(now)
+		return p.groups[i].Due.Urgency(now) < p.groups[j].Due.Urgency(now)
 	})
 	for _, g := range p.groups {
 		if e, w := p.choose(now, g); w != nil {
@@ -522,7 +525,7 @@
 func (p *Pool) Wait(now, urgency time.Duration, future int) time.Duration {
 	ahead := future
 	for _, g := range p.groups {
-		if g.urgency(now) <= urgency {
+		if g.Due.Urgency(now) <= urgency {
 			ahead += len(g.Left)
 		}
 	}
