Callers that come back are known by what they ask; streams end at their gap

Cause: the time that a caller names varies by 15 % between first attempts, so that it doesn't tell who has come back; the objective was cut by the difference and most of price-chat was treated as late, which hid that a step of 600 ms in rank doesn't protect the more urgent kinds. Conclusion: 1500 ms; callers' patience bounds the wait for the first event.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -380,5 +380,5 @@
 func (e *Entry) requestEnded(l bbgateway.Logged) {
 	e.log.Info().Str("id", l.ID).Str("route", l.Route).Str("outcome", l.Outcome).Str("cause", l.Cause).
 		Str("endpoint", l.Endpoint).Int("status", l.Status).Int("tries", l.Tries).Uint64("version", l.Version).
-		Dur("granted", l.Granted).Dur("objective", l.Objective).Dur("first", l.First).Dur("took", l.Took).Msg("requestEnded")
+		Dur("granted", l.Granted).Dur("first", l.First).Dur("took", l.Took).Msg("requestEnded")
 }
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -87,7 +87,7 @@
 type Logged struct {
 	ID, Route, Outcome, Cause, Endpoint string
 	Status, Tries                       int
-	Granted, First, Took, Objective     time.Duration
+	Granted, First, Took                time.Duration
 	Version                             uint64
 }
 
@@ -122,22 +122,18 @@
 	mu      sync.Mutex
 	chooser *bbplain.Chooser
 	windows map[string]*bballowance.Window
-	// patience has the longest wait that callers of each route named, which is that of
-	// their first attempts.
-	patience map[string]time.Duration
 }
 
 // New returns a gateway of a VM.
 func New(name, zone, region string, c Codec, s Seams) *Gateway {
 	return &Gateway{
-		codec:    c,
-		seams:    s,
-		name:     name,
-		zone:     zone,
-		region:   region,
-		chooser:  bbplain.NewChooser(),
-		windows:  make(map[string]*bballowance.Window),
-		patience: make(map[string]time.Duration),
+		codec:   c,
+		seams:   s,
+		name:    name,
+		zone:    zone,
+		region:  region,
+		chooser: bbplain.NewChooser(),
+		windows: make(map[string]*bballowance.Window),
 	}
 }
 
@@ -150,8 +146,6 @@
 	defaultBody = 4 << 20
 	// bodyTimeout bounds the reading of a caller's body.
 	bodyTimeout = 10 * time.Second
-	// maxRoutes bounds the table of patience.
-	maxRoutes = 20000
 )
 
 // exchange is one request of a caller in progress.
@@ -251,30 +245,6 @@
 	return wait
 }
 
-// returningAfter is how much shorter than the longest a wait must be for its caller to have
-// come back: more than callers' clocks and pauses differ.
-const returningAfter = 100 * time.Millisecond
-
-// objective returns the time that is left until an answer is late, and whether the caller
-// has come back: it names a shorter wait than at first then, and the difference is gone
-// from its objective too.
-func (g *Gateway) objective(x *exchange) (left time.Duration, returning bool) {
-	if x.Wait <= 0 {
-		return x.route.Objective, false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	first, ok := g.patience[x.route.Name]
-	if !ok && len(g.patience) >= maxRoutes {
-		return x.route.Objective, false
-	}
-	if x.Wait > first {
-		first = x.Wait
-		g.patience[x.route.Name] = first
-	}
-	return x.route.Objective - (first - x.Wait), first-x.Wait > returningAfter
-}
-
 // readBody reads the caller's body whole, so that it can be sent again.
 func (x *exchange) readBody() (int, string) {
 	most := x.index.Catalog.Limits.BodyBytes
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,7 +24,7 @@
 	runs := 0
 	for x.log.Tries < maxGrants {
 		now := g.seams.Now()
-		order.Limit = x.limit - now
+		order.Limit = x.firstBy() - now
 		verdict, coordinator, err := g.seams.Order(ctx, order)
 		if err != nil || verdict.Grant == nil {
 			g.unplaced(ctx, x, runs, verdict)
@@ -57,8 +58,6 @@
 
 // order returns what the coordinator is told of a request.
 func (g *Gateway) order(x *exchange) bbjob.Order {
-	objective, returning := g.objective(x)
-	x.log.Objective = objective
 	o := bbjob.Order{
 		ID:        x.ID,
 		Origin:    g.name,
@@ -67,8 +66,7 @@
 		Key:       x.PieceKey,
 		Prompt:    x.Prompt,
 		Priority:  bbcatalog.Priority(x.route, x.account),
-		Objective: objective,
-		Returning: returning,
+		Objective: x.route.Objective,
 		Resumable: x.route.Resumable,
 		Zone:      g.zone,
 		Region:    g.region,
@@ -89,6 +87,15 @@
 	return o
 }
 
+// firstBy returns when the caller leaves if no part of the answer has arrived.
+func (x *exchange) firstBy() time.Duration {
+	within := x.route.FirstEventWithin()
+	if within == 0 || x.sent {
+		return x.limit
+	}
+	return min(x.limit, x.began+within)
+}
+
 // noRegion stands for a route and an account that have no region in common.
 const noRegion = "none"
 
--- a/core/bbcatalog/catalog.go
+++ b/core/bbcatalog/catalog.go
@@ -45,6 +45,8 @@
 	Timeout time.Duration `json:"timeout"`
 	// Objective is the time within which an answer is on time; for streams the first event.
 	Objective time.Duration `json:"objective"`
+	// Pause is the longest pause between events of a stream that is on time.
+	Pause time.Duration `json:"pause"`
 	// Priority is the rank; 0 is the most urgent.
 	Priority int `json:"priority"`
 	// Shares has at least one service; the weights add up to more than 0.
--- a/core/bbcatalog/index.go
+++ b/core/bbcatalog/index.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 )
 
 // Index finds routes, services and accounts of one catalog.
@@ -117,3 +118,20 @@
 	}
 	return r.Shares[len(r.Shares)-1].Service
 }
+
+// The gap between events after which callers abandon a stream, also before its first
+// event: the longest of the three, by the users' sheets.
+const (
+	minStreamGap     = 2 * time.Second
+	gapPerObjective  = 4
+	gapPerUsualPause = 8
+)
+
+// FirstEventWithin returns the time after which a caller of a stream has left if nothing
+// has arrived; 0 for other requests.
+func (r *Route) FirstEventWithin() time.Duration {
+	if r.Kind != KindStream {
+		return 0
+	}
+	return max(minStreamGap, gapPerObjective*r.Objective, gapPerUsualPause*r.Pause)
+}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -89,6 +89,7 @@
 	waiting map[string]*job
 	// learned has what requests of each route have taught.
 	learned  map[string]*experience
+	refused  *refusals
 	lastCall uint64
 	out      Output
 }
@@ -99,7 +100,7 @@
 	// engineTime is the usual time from a grant to the first token, without the prompt.
 	engineTime = 90 * time.Millisecond
 	// rankStep is how much later a request goes for each step of priority.
-	rankStep = 600 * time.Millisecond
+	rankStep = 1500 * time.Millisecond
 	// lateness is the part of its objective by which a request may be expected too late
 	// and still be taken in.
 	lateness = 0.25
@@ -128,6 +129,7 @@
 		freed:   make(map[string][]string),
 		waiting: make(map[string]*job),
 		learned: make(map[string]*experience),
+		refused: newRefusals(),
 	}
 }
 
@@ -151,8 +153,13 @@
 		return c.flush()
 	}
 	j := newJob(now, o)
+	if first, ok := c.refused.take(now, o); ok {
+		j.returning = true
+		j.due = min(j.due, first+o.Objective)
+	}
 	expected := c.estimate(now, j)
 	if retryAfter, reason := c.judge(now, j, expected); reason != "" {
+		c.refused.add(now, o)
 		c.refuse(o.ID, reason, retryAfter, expected-now)
 		return c.flush()
 	}
@@ -161,7 +168,7 @@
 		c.window(s.Service).Request(now)
 	}
 	c.window(o.Service).Request(now)
-	c.log(o.ID, "accepted", o.Route, expected-now)
+	c.log(o.ID, map[bool]string{true: "returned", false: "accepted"}[j.returning], o.Route, expected-now)
 	c.release(j)
 	return c.decide(now)
 }
@@ -171,9 +178,8 @@
 	if expected > j.limit {
 		return c.retryAfter(expected - j.limit), "limit"
 	}
-	o := &j.order
 	slack := time.Duration(lateness * float64(j.objective))
-	if expected > j.due+slack && !o.Returning {
+	if expected > j.due+slack && !j.returning {
 		return c.retryAfter(expected - j.due), "late"
 	}
 	return 0, ""
--- a/core/bbcoordinator/job.go
+++ b/core/bbcoordinator/job.go
@@ -59,6 +59,8 @@
 	estimated time.Duration
 	// started is true once the first token was made.
 	started bool
+	// returning is true when the caller was refused before and has come back.
+	returning bool
 	// repeated is true when the next grant is not the first.
 	repeated bool
 	// wish is the failure domain of the engine that would suit best at arrival.
--- /dev/null
+++ b/core/bbcoordinator/refusals.go
@@ -0,0 +1,85 @@
+package bbcoordinator
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"bluebellhall/core/bbhash"
+	"bluebellhall/core/bbjob"
+)
+
+const (
+	// rememberRefusal is how long a refused request is known: the longest time for which
+	// callers of the users' sheets wait.
+	rememberRefusal = 20 * time.Second
+	// maxRefusals bounds the refused requests that are known.
+	maxRefusals = 20000
+)
+
+// refusals knows callers that come back after a refusal by what they ask, since each
+// attempt has an ID of its own.
+type refusals struct {
+	// first has when each request came at first.
+	first map[uint64]time.Duration
+	// order has the requests in the order of their refusals.
+	order []refusal
+}
+
+// refusal is one refused request.
+type refusal struct {
+	content uint64
+	at      time.Duration
+}
+
+func newRefusals() *refusals {
+	return &refusals{
+		first: make(map[uint64]time.Duration),
+	}
+}
+
+// add notes that a request was refused.
+func (r *refusals) add(now time.Duration, o bbjob.Order) {
+	r.expire(now)
+	content := contentOf(o)
+	if _, ok := r.first[content]; ok || len(r.order) >= maxRefusals {
+		return
+	}
+	r.first[content] = now
+	r.order = append(r.order, refusal{
+		content: content,
+		at:      now,
+	})
+}
+
+// take returns when a request came at first, if it was refused then.
+func (r *refusals) take(now time.Duration, o bbjob.Order) (time.Duration, bool) {
+	r.expire(now)
+	first, ok := r.first[contentOf(o)]
+	return first, ok
+}
+
+// expire forgets refusals of long ago.
+func (r *refusals) expire(now time.Duration) {
+	for len(r.order) > 0 && now-r.order[0].at > rememberRefusal {
+		delete(r.first, r.order[0].content)
+		r.order = r.order[1:]
+	}
+}
+
+// contentOf returns a number for what a request asks.
+func contentOf(o bbjob.Order) uint64 {
+	var b strings.Builder
+	b.WriteString(o.Route)
+	b.WriteByte(0)
+	b.WriteString(o.Key)
+	for _, n := range []int{o.Prompt.Tokens, o.Prompt.Output} {
+		b.WriteByte(0)
+		b.WriteString(strconv.Itoa(n))
+	}
+	for _, p := range o.Prompt.Parts {
+		b.WriteByte(0)
+		b.WriteString(p.ID)
+	}
+	return bbhash.Name(b.String())
+}
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -31,8 +31,6 @@
 	Objective time.Duration `json:"objective"`
 	// Limit is the time left until the caller gives up.
 	Limit time.Duration `json:"limit"`
-	// Returning is true when the caller was refused before and has come back.
-	Returning bool `json:"returning"`
 	// Zone and Region are those of the origin.
 	Zone   string `json:"zone"`
 	Region string `json:"region"`
