--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -97,6 +97,7 @@
 		Endpoints: e.Knowledge.usable,
 		Region:    e.region,
 		Majority:  e.majority,
+		Alone:     e.fleet.LeadsAlone,
 	}, s.Limits)
 	hub, stopHub := bbhub.New(coordinator, bbhub.Seams{
 		Now:         e.now,
@@ -156,6 +157,7 @@
 	e.leaving.Store(true)
 	e.refresh()
 	e.fleet.Announce(ctx)
+	e.hub.Leave()
 }
 
 // Finish waits until the requests of other VMs that this one coordinates are done.
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -53,7 +53,7 @@
 	mu          sync.Mutex
 	coordinator *bbcoordinator.Coordinator
 	// waiters has the channel of each order that waits.
-	waiters map[string]chan bbjob.Verdict
+	waiters map[string]chan bbjob.Update
 	timer   *time.Timer
 	// due is when the timer fires; 0 if it is not set.
 	due time.Duration
@@ -64,32 +64,49 @@
 	h := &Hub{
 		seams:       s,
 		coordinator: c,
-		waiters:     make(map[string]chan bbjob.Verdict),
+		waiters:     make(map[string]chan bbjob.Update),
 	}
 	h.timer = time.AfterFunc(time.Hour, h.tick)
 	return h, func() { h.timer.Stop() }
 }
 
-// Order takes in an order and waits for its verdict. When the context ends first, the
-// request is forgotten.
-func (h *Hub) Order(ctx context.Context, o bbjob.Order) (bbjob.Verdict, error) {
-	c := make(chan bbjob.Verdict, 1)
+// maxUpdates bounds the updates that an order may lag behind; more are dropped, and the
+// results in them are made again if this coordinator is lost.
+const maxUpdates = 128
+
+// Order takes in an order and passes on what becomes of it until the verdict. When the
+// context ends first, the request is forgotten.
+func (h *Hub) Order(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error {
+	c := make(chan bbjob.Update, maxUpdates)
 	h.mu.Lock()
 	h.waiters[o.ID] = c
 	h.apply(h.coordinator.Submit(h.seams.Now(), o))
 	h.mu.Unlock()
-	select {
-	case v := <-c:
-		return v, nil
-	case <-ctx.Done():
+	for {
+		select {
+		case u := <-c:
+			if err := pass(u); err != nil || u.Verdict != nil {
+				return err
+			}
+			continue
+		case <-ctx.Done():
+		}
+		break
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.waiters[o.ID] == c {
 		delete(h.waiters, o.ID)
+		h.apply(h.coordinator.Cancel(h.seams.Now(), o.ID))
 	}
-	h.apply(h.coordinator.Cancel(h.seams.Now(), o.ID))
-	return bbjob.Verdict{}, ctx.Err()
+	return ctx.Err()
+}
+
+// Leave hands all requests back for the next coordinator.
+func (h *Hub) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.apply(h.coordinator.Leave())
 }
 
 // Notes takes in notes of progress.
@@ -121,6 +138,16 @@
 	for _, e := range out.Events {
 		h.seams.Log(e)
 	}
+	for id, made := range out.Made {
+		h.update(id, bbjob.Update{
+			Made: made,
+		})
+	}
+	for _, id := range out.Elsewhere {
+		h.answer(id, bbjob.Verdict{
+			Elsewhere: true,
+		})
+	}
 	for i := range out.Grants {
 		h.answer(out.Grants[i].ID, bbjob.Verdict{
 			Grant: &out.Grants[i],
@@ -146,9 +173,28 @@
 
 // answer gives a waiting order its verdict.
 func (h *Hub) answer(id string, v bbjob.Verdict) {
-	if c := h.waiters[id]; c != nil {
-		delete(h.waiters, id)
-		c <- v
+	h.update(id, bbjob.Update{
+		Verdict: &v,
+	})
+	delete(h.waiters, id)
+}
+
+// update passes an update on to a waiting order.
+func (h *Hub) update(id string, u bbjob.Update) {
+	c := h.waiters[id]
+	if c == nil {
+		return
+	}
+	if u.Verdict == nil && len(c) >= maxUpdates-1 {
+		return
+	}
+	select {
+	case c <- u:
+	default:
+		h.seams.Log(bbcoordinator.Event{
+			Job:  id,
+			What: "updateDropped",
+		})
 	}
 }
 
--- a/bluebelld/bbpeer/conn.go
+++ b/bluebelld/bbpeer/conn.go
@@ -78,11 +78,34 @@
 	return answer, err
 }
 
-// Order asks a coordinator for an engine and waits for its verdict.
-func (c *Conns) Order(ctx context.Context, address string, o bbjob.Order) (bbjob.Verdict, error) {
-	var answer bbjob.Verdict
-	err := c.invoke(ctx, address, orderMethod, &o, &answer)
-	return answer, err
+// Order asks a coordinator for an engine and passes on what becomes of the order until the
+// verdict.
+func (c *Conns) Order(ctx context.Context, address string, o bbjob.Order, pass func(u bbjob.Update) error) error {
+	conn, err := c.conn(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := conn.NewStream(ctx, &orderStream, orderMethod)
+	if err != nil {
+		return errors.Wrapf(err, "order at %s", address)
+	}
+	if err := stream.SendMsg(&o); err != nil {
+		return errors.Wrapf(err, "order at %s", address)
+	}
+	if err := stream.CloseSend(); err != nil {
+		return errors.Wrapf(err, "order at %s", address)
+	}
+	for {
+		var u bbjob.Update
+		if err := stream.RecvMsg(&u); err != nil {
+			return errors.Wrapf(err, "order at %s", address)
+		}
+		if err := pass(u); err != nil || u.Verdict != nil {
+			return err
+		}
+	}
 }
 
 // Notes tells a coordinator of progress.
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -50,6 +50,8 @@
 	// is another one or a VM is no longer reachable.
 	leader  bbgossip.Member
 	changed chan struct{}
+	// ledSince is when this VM became the coordinator.
+	ledSince time.Duration
 }
 
 // NewFleet returns a fleet that knows only its own VM and the addresses of some seeds.
@@ -147,25 +149,41 @@
 	return answer
 }
 
-// Order asks the coordinator for an engine, and another one when the first is lost. Local
-// answers when this VM coordinates.
-func (f *Fleet) Order(ctx context.Context, o bbjob.Order, local func(context.Context, bbjob.Order) (bbjob.Verdict, error)) (bbjob.Verdict, bbgossip.Member, error) {
+// Local runs the coordinator of this VM.
+type Local func(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error
+
+// Order asks the coordinator for an engine, and another one when the first is lost or
+// leaves. Results that were made so far go along. Local is used when this VM coordinates.
+func (f *Fleet) Order(ctx context.Context, o bbjob.Order, local Local) (bbjob.Verdict, bbgossip.Member, error) {
 	started := f.Now()
 	objective, limit := o.Objective, o.Limit
+	var verdict bbjob.Verdict
+	pass := func(u bbjob.Update) error {
+		o.Made = append(o.Made, u.Made...)
+		if u.Verdict != nil {
+			verdict = *u.Verdict
+		}
+		return nil
+	}
 	for try := 0; ; try++ {
 		leader, changed := f.Leader()
 		o.Objective, o.Limit = objective-(f.Now()-started), limit-(f.Now()-started)
 		if f.IsSelf(leader) || try >= maxOrderTries {
-			verdict, err := local(ctx, o)
-			return verdict, f.self(), err
-		}
-		verdict, err := f.orderFrom(ctx, leader, changed, o)
-		if err == nil || ctx.Err() != nil {
-			return verdict, leader, err
+			leader = f.self()
+			err := local(ctx, o, pass)
+			if !verdict.Elsewhere || err != nil {
+				return verdict, leader, err
+			}
+		} else {
+			err := f.orderFrom(ctx, leader, changed, o, pass)
+			if ctx.Err() != nil || (err == nil && !verdict.Elsewhere) {
+				return verdict, leader, err
+			}
 		}
+		verdict = bbjob.Verdict{}
 		select {
 		case <-ctx.Done():
-			return bbjob.Verdict{}, leader, ctx.Err()
+			return verdict, leader, ctx.Err()
 		case <-changed:
 		case <-time.After(orderPause):
 		}
@@ -175,14 +193,14 @@
 const (
 	// maxOrderTries is the number of failed calls to coordinators after which a VM decides
 	// by itself.
-	maxOrderTries = 3
+	maxOrderTries = 6
 	// orderPause is the pause after a failed call to a coordinator.
-	orderPause = 100 * time.Millisecond
+	orderPause = 60 * time.Millisecond
 )
 
 // orderFrom asks one coordinator, until it answers or can't be reached. One that is leaving
 // or no longer the oldest finishes what it has.
-func (f *Fleet) orderFrom(ctx context.Context, leader bbgossip.Member, changed <-chan struct{}, o bbjob.Order) (bbjob.Verdict, error) {
+func (f *Fleet) orderFrom(ctx context.Context, leader bbgossip.Member, changed <-chan struct{}, o bbjob.Order, pass func(u bbjob.Update) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -199,7 +217,19 @@
 			}
 		}
 	}()
-	return f.Conns.Order(ctx, leader.Peer, o)
+	return f.Conns.Order(ctx, leader.Peer, o, pass)
+}
+
+// settleTime is how long after a change of the coordinator calls of the former one may be
+// in progress: the longest call on the users' sheets, and a wait behind another.
+const settleTime = 900 * time.Millisecond
+
+// LeadsAlone tells whether this VM coordinates and has done so for a while.
+func (f *Fleet) LeadsAlone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	return f.leader.Name == f.table.Self().Name && now-f.ledSince > settleTime && f.table.HasMajority(now)
 }
 
 // stillReaches tells whether a process of another VM is reachable, and returns the channel
@@ -330,5 +360,8 @@
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
+	if leader.Name != f.leader.Name {
+		f.ledSince = now
+	}
 	f.leader = leader
 }
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -52,8 +52,9 @@
 type Handlers struct {
 	Exchange  func(e Exchange) Exchange
 	Published func(w Wanted) Published
-	Order     func(ctx context.Context, o bbjob.Order) (bbjob.Verdict, error)
-	Notes     func(n []bbjob.Note)
+	// Order passes on what becomes of an order until its verdict.
+	Order func(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error
+	Notes func(n []bbjob.Note)
 }
 
 // The full names of the calls.
@@ -106,13 +107,30 @@
 			answer := h.Published(*q)
 			return &answer, nil
 		}),
-		unary("Order", func(ctx context.Context, h *Handlers, q *bbjob.Order) (*bbjob.Verdict, error) {
-			answer, err := h.Order(ctx, *q)
-			return &answer, err
-		}),
 		unary("Notes", func(_ context.Context, h *Handlers, q *Notes) (*Nothing, error) {
 			h.Notes(q.Notes)
 			return new(Nothing), nil
 		}),
 	},
+	Streams: []grpc.StreamDesc{
+		{
+			StreamName:    "Order",
+			ServerStreams: true,
+			Handler: func(srv any, stream grpc.ServerStream) error {
+				o := new(bbjob.Order)
+				if err := stream.RecvMsg(o); err != nil {
+					return err
+				}
+				return srv.(entryService).handlers().Order(stream.Context(), *o, func(u bbjob.Update) error {
+					return stream.SendMsg(&u)
+				})
+			},
+		},
+	},
+}
+
+// orderStream describes the stream of updates to an order.
+var orderStream = grpc.StreamDesc{
+	StreamName:    "Order",
+	ServerStreams: true,
 }
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -27,6 +27,8 @@
 	Region func(zone string) string
 	// Majority tells whether this VM reaches most of the others.
 	Majority func() bool
+	// Alone tells whether no other VM coordinates or did so a moment ago.
+	Alone func() bool
 }
 
 // Limits are the bounds that the coordinator keeps.
@@ -43,6 +45,10 @@
 	Grants   []bbjob.Grant
 	Refusals []bbjob.Refusal
 	Frees    []Free
+	// Made are results that the origins of their requests should know.
+	Made map[string][]bbjob.Made
+	// Elsewhere are requests that the next coordinator should take.
+	Elsewhere []string
 	// Events are decisions for the log.
 	Events []Event
 }
@@ -91,7 +97,9 @@
 	learned  map[string]*experience
 	refused  *refusals
 	lastCall uint64
-	out      Output
+	// leaving is true once this coordinator hands its requests back.
+	leaving bool
+	out     Output
 }
 
 const (
@@ -152,7 +160,12 @@
 		c.refuse(o.ID, "tableFull", minRetryAfter, 0)
 		return c.flush()
 	}
+	if c.leaving {
+		c.out.Elsewhere = append(c.out.Elsewhere, o.ID)
+		return c.flush()
+	}
 	j := newJob(now, o)
+	c.adopt(now, j)
 	if first, ok := c.refused.take(now, o); ok {
 		j.returning = true
 		j.due = min(j.due, first+o.Objective)
@@ -173,13 +186,38 @@
 	return c.decide(now)
 }
 
+// Leave hands all requests back that are in no call; others follow when their calls end.
+func (c *Coordinator) Leave() Output {
+	c.leaving = true
+	for _, id := range sortedKeys(c.jobs) {
+		c.handBack(c.jobs[id])
+	}
+	return c.flush()
+}
+
+// handBack gives a request to the next coordinator, with the results that it has.
+func (c *Coordinator) handBack(j *job) {
+	if j.granted != "" || j.inCalls() {
+		return
+	}
+	id := j.order.ID
+	delete(c.jobs, id)
+	delete(c.waiting, id)
+	for i := range j.stages {
+		if p := c.pools[j.order.Stages[i].Service]; p != nil {
+			p.Drop(id)
+		}
+	}
+	c.out.Elsewhere = append(c.out.Elsewhere, id)
+}
+
 // judge tells whether a request is turned away, when the caller should come back, and why.
 func (c *Coordinator) judge(now time.Duration, j *job, expected time.Duration) (time.Duration, string) {
 	if expected > j.limit {
 		return c.retryAfter(expected - j.limit), "limit"
 	}
 	slack := time.Duration(lateness * float64(j.objective))
-	if expected > j.due+slack && !j.returning {
+	if expected > j.due+slack && !j.returning && len(j.order.Made) == 0 {
 		return c.retryAfter(expected - j.due), "late"
 	}
 	return 0, ""
@@ -210,7 +248,10 @@
 			c.repeat(now, call)
 		}
 		for _, call := range p.Fetched(now) {
-			c.fetched(call)
+			// Calls of another coordinator may go before this one's.
+			if c.know.Alone() {
+				c.fetched(call)
+			}
 		}
 	}
 	for id, j := range c.jobs {
@@ -251,6 +292,9 @@
 
 // decide makes all calls and grants that are possible now.
 func (c *Coordinator) decide(now time.Duration) Output {
+	if c.leaving {
+		return c.flush()
+	}
 	for name, p := range c.pools {
 		if p.Waiting() == 0 {
 			continue
--- a/core/bbcoordinator/job.go
+++ b/core/bbcoordinator/job.go
@@ -91,6 +91,27 @@
 	return j
 }
 
+// inCalls tells whether an endpoint works on the request.
+func (j *job) inCalls() bool {
+	for i := range j.stages {
+		for k := range j.stages[i].pieces {
+			if j.stages[i].pieces[k].calls > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// lose gives up what a stage needs, because some of it is gone and nobody knows which.
+func (j *job) lose(stage int) {
+	for _, before := range j.order.Stages[stage].After {
+		for k := range j.stages[before].pieces {
+			j.stages[before].pieces[k].freed = true
+		}
+	}
+}
+
 // ready tells whether all results that a stage needs are there.
 func (j *job) ready(stage int) bool {
 	for _, before := range j.order.Stages[stage].After {
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -154,6 +154,7 @@
 	}
 	for _, k := range pieces {
 		j.stages[stage].pieces[k].queued = true
+		j.stages[stage].pieces[k].fetched = false
 	}
 	p.Add(&bbpool.Group{
 		Job:         j.order.ID,
@@ -210,7 +211,7 @@
 	if full && o == bbhealth.OutcomeGood {
 		p.Crowded(now, call.Endpoint)
 	}
-	c.log(strconv.FormatUint(id, 10), "callDone", fmt.Sprintf("%s %s outcome=%d results=%d of %d", call.Service, call.Endpoint, o, len(made), len(call.Pieces)), now-call.Sent)
+	c.log(strconv.FormatUint(id, 10), "callDone", describe(call, o, results), now-call.Sent)
 	retry := make(map[string]map[int][]int)
 	for i, piece := range call.Pieces {
 		j := c.jobs[piece.Job]
@@ -218,7 +219,7 @@
 			j.stages[piece.Stage].pieces[piece.Piece].calls--
 		}
 		if i < len(results) && results[i].Handle != "" {
-			c.keep(call, zone, j, piece, results[i].Handle)
+			c.keep(now, call, zone, j, piece, results[i].Handle)
 			continue
 		}
 		if j == nil || j.stages[piece.Stage].pieces[piece.Piece].handle != "" {
@@ -229,6 +230,9 @@
 			c.drop(j)
 			continue
 		}
+		if i < len(results) && results[i].Gone {
+			c.loseInputs(j, piece.Stage)
+		}
 		if !j.stages[piece.Stage].pieces[piece.Piece].wanted() {
 			continue
 		}
@@ -243,12 +247,50 @@
 	}
 	for _, piece := range call.Pieces {
 		if j := c.jobs[piece.Job]; j != nil {
+			if c.leaving {
+				c.handBack(j)
+				continue
+			}
 			c.release(j)
 		}
 	}
 	return c.decide(now)
 }
 
+// loseInputs gives up the results that a stage needs, so that they are made again.
+func (c *Coordinator) loseInputs(j *job, stage int) {
+	for _, before := range j.order.Stages[stage].After {
+		c.freeStage(j, before)
+	}
+	j.lose(stage)
+}
+
+// adopt takes in the results of a former coordinator.
+func (c *Coordinator) adopt(now time.Duration, j *job) {
+	for _, m := range j.order.Made {
+		if m.Stage >= len(j.stages) || m.Piece >= len(j.stages[m.Stage].pieces) {
+			continue
+		}
+		p := &j.stages[m.Stage].pieces[m.Piece]
+		if p.handle != "" {
+			continue
+		}
+		p.handle = m.Handle
+		p.maker = m.Maker
+		p.address = m.Address
+		p.zone = m.Zone
+		j.stages[m.Stage].left--
+		if pool := c.pool(j.order.Stages[m.Stage].Service); pool != nil {
+			pool.Adopt(now, m.Maker, m.Handle, j.order.Stages[m.Stage].ResultBytes)
+		}
+	}
+	for i := range j.stages {
+		if j.stages[i].left == 0 && c.consumed(j, i) {
+			c.freeStage(j, i)
+		}
+	}
+}
+
 // sizes returns the results of a call with their sizes, and whether the endpoint had no
 // room for some.
 func (c *Coordinator) sizes(call *bbpool.Call, results []PieceResult) (made map[string]float64, full bool) {
@@ -263,7 +305,7 @@
 }
 
 // keep takes in the result of one piece, or frees it when nobody needs it.
-func (c *Coordinator) keep(call *bbpool.Call, zone string, j *job, piece bbpool.Piece, handle string) {
+func (c *Coordinator) keep(now time.Duration, call *bbpool.Call, zone string, j *job, piece bbpool.Piece, handle string) {
 	if j == nil || j.stages[piece.Stage].pieces[piece.Piece].handle != "" {
 		c.freed[call.Address] = append(c.freed[call.Address], handle)
 		c.pool(call.Service).Free(call.Endpoint, handle)
@@ -276,9 +318,21 @@
 	made.address = call.Address
 	made.zone = zone
 	st.left--
+	if c.out.Made == nil {
+		c.out.Made = make(map[string][]bbjob.Made)
+	}
+	c.out.Made[piece.Job] = append(c.out.Made[piece.Job], bbjob.Made{
+		Stage:   piece.Stage,
+		Piece:   piece.Piece,
+		Handle:  handle,
+		Maker:   call.Endpoint,
+		Address: call.Address,
+		Zone:    zone,
+	})
 	if st.left > 0 {
 		return
 	}
+	c.log(piece.Job, "stageDone", strconv.Itoa(piece.Stage), now-j.arrived)
 	// The inputs of a finished stage are needed no more unless another stage needs them.
 	for _, before := range j.order.Stages[piece.Stage].After {
 		if c.consumed(j, before) {
@@ -316,6 +370,10 @@
 		}
 		j.rewind(stage)
 	}
+	if c.leaving {
+		c.handBack(j)
+		return
+	}
 	if !mayRepeat {
 		c.refuse(id, "stageFailed", minRetryAfter, now-j.arrived)
 		c.drop(j)
@@ -429,3 +487,19 @@
 	sort.Strings(keys)
 	return keys
 }
+
+// describe returns the end of a call as the log has it.
+func describe(call *bbpool.Call, o bbhealth.Outcome, results []PieceResult) string {
+	made, gone, crowded := 0, 0, 0
+	for _, r := range results {
+		switch {
+		case r.Handle != "":
+			made++
+		case r.Gone:
+			gone++
+		case r.NoRoom:
+			crowded++
+		}
+	}
+	return fmt.Sprintf("%s %s outcome=%d results=%d of %d gone=%d noRoom=%d", call.Service, call.Endpoint, o, made, len(call.Pieces), gone, crowded)
+}
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -38,6 +38,8 @@
 	Regions []string `json:"regions"`
 	// Resumable requests may need their inputs again after their answer has begun.
 	Resumable bool `json:"resumable"`
+	// Made are results that a former coordinator had made for the request.
+	Made []Made `json:"made"`
 	// Avoid are endpoints at which an earlier try of this request ended.
 	Avoid []string `json:"avoid"`
 	// Repeat is true when the request was offered to an engine before.
@@ -55,6 +57,18 @@
 	Pieces int `json:"pieces"`
 }
 
+// Made is the result of one piece of a stage.
+type Made struct {
+	Stage int `json:"stage"`
+	Piece int `json:"piece"`
+	// Handle names the result.
+	Handle string `json:"handle"`
+	// Maker, Address and Zone are those of the endpoint that keeps it.
+	Maker   string `json:"maker"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
 // Prompt is what an engine reads and makes.
 type Prompt struct {
 	Model string `json:"model"`
@@ -94,10 +108,20 @@
 	Expected time.Duration `json:"expected"`
 }
 
-// Verdict is the answer to an order; one of the two is set.
+// Verdict is the answer to an order; one of the three is set.
 type Verdict struct {
 	Grant   *Grant   `json:"grant"`
 	Refusal *Refusal `json:"refusal"`
+	// Elsewhere is true when the coordinator is leaving and the order should go to the next
+	// one.
+	Elsewhere bool `json:"elsewhere"`
+}
+
+// Update is what an origin hears of its order: results that were made, and at the end the
+// verdict.
+type Update struct {
+	Made    []Made   `json:"made"`
+	Verdict *Verdict `json:"verdict"`
 }
 
 // Note tells a coordinator how a granted request goes on.
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -496,6 +496,22 @@
 	return 1 + (w.slowness-1)*math.Exp2(-float64(now-w.slowAt)/float64(slowHalfLife))
 }
 
+// Adopt notes a result that a former coordinator had made.
+func (p *Pool) Adopt(now time.Duration, endpoint, handle string, bytes float64) {
+	w := p.workers[endpoint]
+	if w == nil {
+		return
+	}
+	if _, ok := w.results[handle]; ok {
+		return
+	}
+	w.results[handle] = result{
+		bytes:   bytes,
+		expires: now + p.Spec.ResultLife,
+	}
+	w.used += bytes
+}
+
 // Free notes that a result takes no room any more.
 func (p *Pool) Free(endpoint, handle string) {
 	w := p.workers[endpoint]
