Rank counts less for work that has come far

Cause: requests with results in the rooms of one pool waited behind fresh ones of a more urgent kind at the next.

--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -71,10 +71,12 @@
 
 // dueOf returns when a stage has to begin.
 func (j *job) dueOf(stage int) bbpool.Due {
+	left := float64(j.tails[stage]) / float64(max(j.objective, 1))
 	return bbpool.Due{
 		StartBy:   j.due - j.tails[stage],
 		LastStart: j.limit - j.tails[stage],
-		Rank:      rank(j.order.Priority),
+		// What has come far takes room already and goes before what has not.
+		Rank: time.Duration(min(1, left) * float64(rank(j.order.Priority))),
 	}
 }
 
