Half-done stages go first; small inputs are kept until they are used

Cause: pieces of many requests were begun and none finished, so that rooms were full of parts (coop-desk at 5.5 of 14 pieces a call with 190 waiting); inputs that were freed early had to be made again when a piece found no room.

--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -70,6 +70,7 @@
 		Resumable: x.route.Resumable,
 		Zone:      g.zone,
 		Region:    g.region,
+		BodyBytes: len(x.body),
 		Regions:   regions(x.route, x.account),
 	}
 	for i, s := range x.route.Stages {
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -62,12 +62,16 @@
 	_, bytes := j.finals()
 	delete(bytes, "")
 	return bbplacement.Need{
-		Job:     j.order.ID,
-		Prompt:  j.order.Prompt,
-		Zone:    j.order.Zone,
-		Inputs:  bytes,
-		Allowed: c.allowed(j.order),
-		Avoid:   j.order.Avoid,
+		Job:    j.order.ID,
+		Prompt: j.order.Prompt,
+		Zone:   j.order.Zone,
+		Far: func(zone string) bool {
+			return c.know.Region(zone) != j.order.Region
+		},
+		BodyBytes: j.order.BodyBytes,
+		Inputs:    bytes,
+		Allowed:   c.allowed(j.order),
+		Avoid:     j.order.Avoid,
 	}
 }
 
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -164,6 +164,7 @@
 		Left:        pieces,
 		ResultBytes: s.ResultBytes,
 		Due:         j.dueOf(stage),
+		Begun:       len(pieces) < s.Pieces,
 		Limit:       j.limit,
 		Zone:        j.home(stage),
 		Allowed:     c.allowed(j.order),
@@ -210,8 +211,8 @@
 	p := c.pool(call.Service)
 	made, full := c.sizes(call, results)
 	p.Done(now, call, o, made)
-	if full && o == bbhealth.OutcomeGood {
-		p.Crowded(now, call.Endpoint)
+	if full > 0 && o == bbhealth.OutcomeGood {
+		p.Crowded(now, call.Endpoint, full)
 	}
 	c.log(strconv.FormatUint(id, 10), "callDone", describe(call, o, results), now-call.Sent)
 	retry := make(map[string]map[int][]int)
@@ -243,9 +244,9 @@
 		}
 		retry[piece.Job][piece.Stage] = append(retry[piece.Job][piece.Stage], piece.Piece)
 	}
-	mayRepeat := len(retry) == 0 || full || o == bbhealth.OutcomeUnreachable || c.window(call.Service).Take(now, 1)
+	mayRepeat := len(retry) == 0 || full > 0 || o == bbhealth.OutcomeUnreachable || c.window(call.Service).Take(now, 1)
 	for _, job := range sortedKeys(retry) {
-		c.retryPieces(now, job, retry[job], mayRepeat, !full)
+		c.retryPieces(now, job, retry[job], mayRepeat, full == 0)
 	}
 	for _, piece := range call.Pieces {
 		if j := c.jobs[piece.Job]; j != nil {
@@ -293,12 +294,14 @@
 	}
 }
 
-// sizes returns the results of a call with their sizes, and whether the endpoint had no
-// room for some.
-func (c *Coordinator) sizes(call *bbpool.Call, results []PieceResult) (made map[string]float64, full bool) {
+// sizes returns the results of a call with their sizes, and the size of those that the
+// endpoint had no room for.
+func (c *Coordinator) sizes(call *bbpool.Call, results []PieceResult) (made map[string]float64, full float64) {
 	made = make(map[string]float64)
 	for i := range min(len(results), len(call.Pieces)) {
-		full = full || results[i].NoRoom
+		if results[i].NoRoom {
+			full += call.Sizes[i]
+		}
 		if results[i].Handle != "" {
 			made[results[i].Handle] = call.Sizes[i]
 		}
@@ -445,7 +448,8 @@
 		}
 		j.stages[piece.Stage].pieces[piece.Piece].fetched = true
 		for _, before := range j.order.Stages[piece.Stage].After {
-			if j.fetchedAll(before) {
+			maker := c.pools[j.order.Stages[before].Service]
+			if maker != nil && maker.Scarce(j.order.Stages[before].ResultBytes) && j.fetchedAll(before) {
 				c.freeStage(j, before)
 			}
 		}
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -34,6 +34,8 @@
 	// Zone and Region are those of the origin.
 	Zone   string `json:"zone"`
 	Region string `json:"region"`
+	// BodyBytes is the size of the request's body, which goes from the origin to the engine.
+	BodyBytes int `json:"bodyBytes"`
 	// Regions are those in which the request may be served; empty means everywhere.
 	Regions []string `json:"regions"`
 	// Resumable requests may need their inputs again after their answer has begun.
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -26,7 +26,11 @@
 	// coldCost is how much slower an endpoint is that has just started.
 	coldCost = 150 * time.Millisecond
 	// zoneCost keeps streams in the caller's failure domain where load is alike.
-	zoneCost = 6 * time.Millisecond
+	zoneCost = 3 * time.Millisecond
+	// regionCost is two round trips between regions, and bodyCost what a kilobyte of a body
+	// between regions costs, as the delay of a request that is worth as much.
+	regionCost = 48 * time.Millisecond
+	bodyCost   = 2 * time.Millisecond
 	// moveCost is what it costs to move a megabyte of inputs to another failure domain, and
 	// rereadCost to read a thousand tokens again that another engine keeps, both as the
 	// delay of a request that is worth as much. The users price them at about 1 to 3.
@@ -46,6 +50,10 @@
 	Job    string
 	Prompt bbjob.Prompt
 	Zone   string
+	// Far tells whether a failure domain is in another region than the caller.
+	Far func(zone string) bool
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 	// Inputs has the bytes of the inputs by the failure domain where they are.
 	Inputs map[string]float64
 	// Allowed tells whether a failure domain may be used.
@@ -151,7 +159,10 @@
 	if e.Cold {
 		cost += coldCost
 	}
-	if e.Zone != n.Zone {
+	switch {
+	case n.Far(e.Zone):
+		cost += regionCost + time.Duration(n.BodyBytes/1000)*bodyCost
+	case e.Zone != n.Zone:
 		cost += zoneCost
 	}
 	for zone, bytes := range n.Inputs {
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -14,6 +14,12 @@
 )
 
 const (
+	// scarceParts is the number of results from which on their room doesn't matter: several
+	// times the pieces of the largest call on the users' sheets.
+	scarceParts = 400
+	// begunAdvance puts groups of which a part is done before all others: it is longer than
+	// callers wait.
+	begunAdvance = time.Minute
 	// splitBytes is the size of a result from which pieces of one request stay together:
 	// moving larger ones between failure domains costs more than a place in a call.
 	splitBytes = 500e3
@@ -25,16 +31,16 @@
 	// slowHalfLife is the time in which slowness that was not seen again is half forgotten,
 	// so that an endpoint that has recovered is tried again.
 	slowHalfLife = 2500 * time.Millisecond
-	// crowdedFor is how long an endpoint that had no room counts as full.
-	crowdedFor = 500 * time.Millisecond
+	// crowdedFor is how long room that an endpoint turned out not to have counts as taken.
+	crowdedFor = 300 * time.Millisecond
 	// fullPause is how long an endpoint that had no place for a call is left alone: a part
 	// of a call's usual time.
 	fullPause = 80 * time.Millisecond
 	// fetchTime is how long after its turn a call should have its inputs: the call's way, and
 	// the inputs' way over links that carry them in some milliseconds.
-	fetchTime = 110 * time.Millisecond
+	fetchTime = 120 * time.Millisecond
 	// roomPart is the part of an endpoint's room that is filled: sizes are approximate.
-	roomPart = 0.95
+	roomPart = 0.965
 	// overdueFactor and overdueSlack tell when a call is so late that its pieces go to
 	// another endpoint as well.
 	overdueFactor = 1.7
@@ -52,6 +58,9 @@
 	ResultBytes float64
 	// Due says when the work has to begin.
 	Due Due
+	// Begun is true once other pieces of the same stage are in a call or done. Such groups go
+	// first: results of half a stage take room and serve nobody.
+	Begun bool
 	// Limit is when the request is given up.
 	Limit time.Duration
 	// Zone is where the inputs are or the results are wanted; empty if it doesn't matter.
@@ -60,6 +69,15 @@
 	Allowed func(zone string) bool
 }
 
+// urgency orders groups; the lowest goes first.
+func (g *Group) urgency(now time.Duration) time.Duration {
+	u := g.Due.Urgency(now)
+	if g.Begun {
+		u -= begunAdvance
+	}
+	return u
+}
+
 // Due says when work has to begin.
 type Due struct {
 	// StartBy is the latest begin for an answer that is on time, LastStart for one at all.
@@ -177,6 +195,11 @@
 	p.groups = kept
 }
 
+// Scarce tells whether results of a size take a notable part of an endpoint's room.
+func (p *Pool) Scarce(bytes float64) bool {
+	return bytes*scarceParts > p.Spec.RoomBytes
+}
+
 // Waiting returns the number of pieces that are in no call.
 func (p *Pool) Waiting() int {
 	n := 0
@@ -219,7 +242,7 @@
 		return nil
 	}
 	sort.SliceStable(p.groups, func(i, j int) bool {
-		return p.groups[i].Due.Urgency(now) < p.groups[j].Due.Urgency(now)
+		return p.groups[i].urgency(now) < p.groups[j].urgency(now)
 	})
 	for _, g := range p.groups {
 		if e, w := p.choose(now, g); w != nil {
@@ -332,7 +355,7 @@
 		Sent:     now,
 	}
 	p.take(now, c, first, w)
-	for _, g := range p.groups {
+	for _, g := range p.nearFirst(now, e.Zone) {
 		space := p.Spec.Batch - len(c.Pieces)
 		if space <= 0 {
 			break
@@ -359,6 +382,21 @@
 	return c
 }
 
+// nearFirst returns the groups in the order in which an endpoint of a failure domain should
+// take them: those with inputs or engines elsewhere go a little later.
+func (p *Pool) nearFirst(now time.Duration, zone string) []*Group {
+	list := append([]*Group(nil), p.groups...)
+	key := func(g *Group) time.Duration {
+		u := g.urgency(now)
+		if g.Zone != "" && g.Zone != zone {
+			u += p.distance(g)
+		}
+		return u
+	}
+	sort.SliceStable(list, func(i, j int) bool { return key(list[i]) < key(list[j]) })
+	return list
+}
+
 // idleIn tells whether a worker in a failure domain could take a call now.
 func (p *Pool) idleIn(now time.Duration, zone string) bool {
 	for _, e := range p.endpoints {
@@ -385,6 +423,7 @@
 		c.Sizes = append(c.Sizes, g.ResultBytes)
 		c.Bytes += g.ResultBytes
 		g.Left = g.Left[1:]
+		g.Begun = true
 	}
 }
 
@@ -465,20 +504,19 @@
 	}
 }
 
-// Crowded notes that an endpoint had no room for a result: something takes room that this
-// pool doesn't know of, such as results of a former coordinator.
-func (p *Pool) Crowded(now time.Duration, endpoint string) {
+// Crowded notes that an endpoint had no room for some results: something takes room that
+// this pool doesn't know of, such as results of a former coordinator.
+func (p *Pool) Crowded(now time.Duration, endpoint string, bytes float64) {
 	w := p.workers[endpoint]
 	if w == nil {
 		return
 	}
-	unknown := max(0, p.room(w))
 	w.unknown++
 	w.results["unknown "+strconv.Itoa(w.unknown)] = result{
-		bytes:   unknown,
+		bytes:   bytes,
 		expires: now + crowdedFor,
 	}
-	w.used += unknown
+	w.used += bytes
 }
 
 // learn takes in the measured slowness of a call.
@@ -541,7 +579,7 @@
 func (p *Pool) Wait(now, urgency time.Duration, future int) time.Duration {
 	ahead := future
 	for _, g := range p.groups {
-		if g.Due.Urgency(now) <= urgency {
+		if g.urgency(now) <= urgency {
 			ahead += len(g.Left)
 		}
 	}
@@ -578,13 +616,20 @@
 	return n
 }
 
-// NextChange returns when a worker that is left alone or busy may take a call again, if
-// work waits.
+// NextChange returns when a call should have its inputs, or when a worker that is left alone
+// or busy may take a call again if work waits.
 func (p *Pool) NextChange(now time.Duration) (time.Duration, bool) {
+	var next time.Duration
+	for _, w := range p.workers {
+		for _, c := range w.calls {
+			if at := c.turnAt + fetchTime; c.turned && !c.fetched && (next == 0 || at < next) {
+				next = max(at, now+time.Millisecond)
+			}
+		}
+	}
 	if len(p.groups) == 0 {
-		return 0, false
+		return next, next > 0
 	}
-	var next time.Duration
 	for _, e := range p.endpoints {
 		w := p.workers[e.ID]
 		at := max(w.pausedUntil, now)
