Scenes: a coordinator against modelled endpoints under a manual clock

The models found three more faults: an endpoint without room was asked again every 16 ms, the results that a former coordinator had given up were taken for existing ones, and a piece that was tried again counted as fetched. Narrowed: an input that is gone counts only where the piece has no result yet; the trace shows a late duplicate whose inputs were given up after the other call had answered.

--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -138,10 +138,8 @@
 	for _, e := range out.Events {
 		h.seams.Log(e)
 	}
-	for id, made := range out.Made {
-		h.update(id, bbjob.Update{
-			Made: made,
-		})
+	for id, u := range out.Updates {
+		h.update(id, u)
 	}
 	for _, id := range out.Elsewhere {
 		h.answer(id, bbjob.Verdict{
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -159,7 +159,7 @@
 	objective, limit := o.Objective, o.Limit
 	var verdict bbjob.Verdict
 	pass := func(u bbjob.Update) error {
-		o.Made = append(o.Made, u.Made...)
+		o.Made = u.Apply(o.Made)
 		if u.Verdict != nil {
 			verdict = *u.Verdict
 		}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -45,8 +45,8 @@
 	Grants   []bbjob.Grant
 	Refusals []bbjob.Refusal
 	Frees    []Free
-	// Made are results that the origins of their requests should know.
-	Made map[string][]bbjob.Made
+	// Updates are what the origins of requests should know of their results.
+	Updates map[string]bbjob.Update
 	// Elsewhere are requests that the next coordinator should take.
 	Elsewhere []string
 	// Events are decisions for the log.
@@ -351,6 +351,17 @@
 	})
 }
 
+// update adds to what the origin of a request should know.
+func (c *Coordinator) update(id string, made []bbjob.Made, freed ...int) {
+	if c.out.Updates == nil {
+		c.out.Updates = make(map[string]bbjob.Update)
+	}
+	u := c.out.Updates[id]
+	u.Made = append(u.Made, made...)
+	u.Freed = append(u.Freed, freed...)
+	c.out.Updates[id] = u
+}
+
 // log notes a decision.
 func (c *Coordinator) log(job, what, detail string, value time.Duration) {
 	c.out.Events = append(c.out.Events, Event{
--- /dev/null
+++ b/core/bbcoordinator/coordinator_test.go
@@ -0,0 +1,237 @@
+package bbcoordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bbregistry"
+)
+
+const ms = time.Millisecond
+
+// newTestCoordinator returns a coordinator of a first stage whose results take much room,
+// a second stage with calls of four pieces, and an engine. The second stage has the named
+// endpoints, s1 and s2 if there are none.
+func newTestCoordinator(second ...string) *Coordinator {
+	pool := func(name string, batch int, room float64) *bbcatalog.Service {
+		return &bbcatalog.Service{
+			Name: name,
+			Pool: &bbcatalog.Pool{
+				Slots:      1,
+				Queue:      2,
+				Batch:      batch,
+				CallTime:   200 * ms,
+				PieceTime:  10 * ms,
+				RoomBytes:  room,
+				ResultLife: 4 * time.Second,
+			},
+		}
+	}
+	services := map[string]*bbcatalog.Service{
+		"first":  pool("first", 4, 10e6),
+		"second": pool("second", 4, 10e6),
+		"engine": {
+			Name: "engine",
+			Engine: &bbcatalog.Engine{
+				Slots:  10,
+				Tokens: 1e5,
+			},
+		},
+	}
+	entry := func(id, service string) *bbregistry.Entry {
+		return &bbregistry.Entry{
+			Endpoint: bbregistry.Endpoint{
+				ID:      id,
+				Service: service,
+				Address: "address of " + id,
+				Zone:    "east",
+			},
+		}
+	}
+	entries := map[string][]*bbregistry.Entry{
+		"first":  {entry("f1", "first")},
+		"engine": {entry("e1", "engine")},
+	}
+	if len(second) == 0 {
+		second = []string{"s1", "s2"}
+	}
+	for _, id := range second {
+		entries["second"] = append(entries["second"], entry(id, "second"))
+	}
+	return New(Knowledge{
+		Service:   func(name string) *bbcatalog.Service { return services[name] },
+		Endpoints: func(service string) []*bbregistry.Entry { return entries[service] },
+		Region:    func(string) string { return "r" },
+		Majority:  func() bool { return true },
+		Alone:     func() bool { return true },
+	}, Limits{
+		RetryRatio: 0.2,
+		RetrySlack: 10,
+		RetrySpan:  10 * time.Second,
+	})
+}
+
+// testOrder returns an order of one piece of the first stage and some of the second.
+func testOrder(id string, second int) bbjob.Order {
+	return bbjob.Order{
+		ID:      id,
+		Route:   "route",
+		Service: "engine",
+		Stages: []bbjob.Stage{
+			{Service: "first", ResultBytes: 1e6, Pieces: 1},
+			{Service: "second", After: []int{0}, ResultBytes: 1e3, Pieces: second},
+		},
+		Key:       "key of " + id,
+		Objective: 2 * time.Second,
+		Limit:     6 * time.Second,
+	}
+}
+
+// good answers a call with a result for each piece.
+func good(c *bbpool.Call) []PieceResult {
+	results := make([]PieceResult, len(c.Pieces))
+	for i, p := range c.Pieces {
+		results[i].Handle = c.Endpoint + "/" + p.Job + string(rune('0'+p.Stage)) + string(rune('0'+p.Piece))
+	}
+	return results
+}
+
+// freedHandles returns all handles that are freed.
+func freedHandles(out Output) []string {
+	var handles []string
+	for _, f := range out.Frees {
+		handles = append(handles, f.Handles...)
+	}
+	return handles
+}
+
+// wantFreed checks which results are given up.
+func wantFreed(t *testing.T, out Output, want ...string) {
+	t.Helper()
+	if diff := cmp.Diff(want, freedHandles(out)); diff != "" {
+		t.Errorf("results given up (-want +got):\n%s", diff)
+	}
+}
+
+// toSecond brings an order through its first stage and returns the calls of the second.
+func toSecond(t *testing.T, c *Coordinator, o bbjob.Order) []*bbpool.Call {
+	t.Helper()
+	out := c.Submit(0, o)
+	if len(out.Calls) != 1 {
+		t.Fatalf("%d calls for the first stage, want 1", len(out.Calls))
+	}
+	out = c.CallDone(210*ms, out.Calls[0].ID, "east", bbhealth.OutcomeGood, good(out.Calls[0]))
+	return out.Calls
+}
+
+func TestInputsStayWhileAPieceWaits(t *testing.T) {
+	c := newTestCoordinator("s1")
+	calls := toSecond(t, c, testOrder("a", 6))
+	wantFreed(t, c.Tick(335*ms))
+	// The first call had its inputs, but no room for its pieces.
+	results := make([]PieceResult, len(calls[0].Pieces))
+	for i := range results {
+		results[i].NoRoom = true
+	}
+	wantFreed(t, c.CallDone(340*ms, calls[0].ID, "east", bbhealth.OutcomeGood, results))
+	out := c.Tick(500 * ms)
+	if len(out.Calls) != 1 || len(out.Calls[0].Pieces) != 4 {
+		t.Fatalf("calls %+v once there should be room, want one with 4 of the 6 pieces", out.Calls)
+	}
+	// The second call has its inputs too, while two pieces wait for a third.
+	wantFreed(t, c.Tick(640*ms))
+}
+
+func TestInputsAreFreedOnceAllPiecesHaveThem(t *testing.T) {
+	c := newTestCoordinator()
+	toSecond(t, c, testOrder("a", 6))
+	wantFreed(t, c.Tick(250*ms))
+	wantFreed(t, c.Tick(400*ms), "f1/a00")
+}
+
+func TestLostInputsAreMadeAgain(t *testing.T) {
+	c := newTestCoordinator()
+	calls := toSecond(t, c, testOrder("a", 2))
+	results := []PieceResult{{Gone: true}, {Gone: true}}
+	out := c.CallDone(300*ms, calls[0].ID, "east", bbhealth.OutcomeGood, results)
+	if len(out.Calls) != 1 || out.Calls[0].Service != "first" {
+		t.Fatalf("calls %+v after the input was gone, want one of the first stage", out.Calls)
+	}
+	out = c.CallDone(520*ms, out.Calls[0].ID, "east", bbhealth.OutcomeGood, good(out.Calls[0]))
+	if len(out.Calls) != 1 || len(out.Calls[0].Pieces) != 2 {
+		t.Fatalf("calls %+v after the input was made again, want one with both pieces", out.Calls)
+	}
+}
+
+func TestPiecesGetTheInputsOfTheirRequest(t *testing.T) {
+	c := newTestCoordinator()
+	calls := toSecond(t, c, testOrder("a", 1))
+	key, inputs, ok := c.PieceInputs(calls[0].Pieces[0])
+	if diff := cmp.Diff([]string{"f1/a00"}, inputs); diff != "" || key != "" || !ok {
+		t.Errorf("key %q, known %v, inputs (-want +got):\n%s", key, ok, diff)
+	}
+}
+
+func TestResultOfALeftRequestIsFreed(t *testing.T) {
+	c := newTestCoordinator()
+	out := c.Submit(0, testOrder("a", 1))
+	c.Cancel(100*ms, "a")
+	out = c.CallDone(210*ms, out.Calls[0].ID, "east", bbhealth.OutcomeGood, good(out.Calls[0]))
+	wantFreed(t, out, "f1/a00")
+}
+
+func TestGrantHasTheFinalInputsInOrder(t *testing.T) {
+	c := newTestCoordinator()
+	calls := toSecond(t, c, testOrder("a", 2))
+	out := c.CallDone(430*ms, calls[0].ID, "east", bbhealth.OutcomeGood, good(calls[0]))
+	if len(out.Grants) != 1 {
+		t.Fatalf("%d grants, want 1", len(out.Grants))
+	}
+	want := []string{calls[0].Endpoint + "/a10", calls[0].Endpoint + "/a11"}
+	if diff := cmp.Diff(want, out.Grants[0].Inputs); diff != "" {
+		t.Errorf("inputs of the grant (-want +got):\n%s", diff)
+	}
+}
+
+func TestRefusedRequestIsKnownWhenItComesBack(t *testing.T) {
+	r := newRefusals()
+	o := testOrder("a", 1)
+	r.add(time.Second, o)
+	again := testOrder("b", 1)
+	again.Key = o.Key
+	if first, ok := r.take(2*time.Second, again); !ok || first != time.Second {
+		t.Errorf("first came at %v, known %v; want 1s, true", first, ok)
+	}
+	if _, ok := r.take(2*time.Second, testOrder("c", 1)); ok {
+		t.Error("another request counts as known, want it not to")
+	}
+	if _, ok := r.take(time.Second+rememberRefusal+ms, again); ok {
+		t.Error("a refusal of long ago is known, want it forgotten")
+	}
+}
+
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	c := newTestCoordinator()
+	o := testOrder("a", 2)
+	o.Limit = 300 * ms
+	out := c.Submit(0, o)
+	if len(out.Refusals) != 1 || out.Refusals[0].RetryAfter <= 0 {
+		t.Errorf("refusals %+v, want one with a time to come back", out.Refusals)
+	}
+}
+
+func TestAdoptedResultsThatWereFreedAreMadeAgain(t *testing.T) {
+	c := newTestCoordinator()
+	o := testOrder("a", 1)
+	o.Made = []bbjob.Made{{Stage: 0, Piece: 0, Handle: "f1/a00", Maker: "f1", Freed: true}}
+	out := c.Submit(0, o)
+	if len(out.Calls) != 1 || out.Calls[0].Service != "first" {
+		t.Errorf("calls %+v, want one that makes the first stage again", out.Calls)
+	}
+}
--- a/core/bbcoordinator/job.go
+++ b/core/bbcoordinator/job.go
@@ -161,6 +161,23 @@
 	return false
 }
 
+// madeOf returns the results of a stage as its origin should know them.
+func (j *job) madeOf(stage int) []bbjob.Made {
+	var made []bbjob.Made
+	for k, p := range j.stages[stage].pieces {
+		made = append(made, bbjob.Made{
+			Stage:   stage,
+			Piece:   k,
+			Handle:  p.handle,
+			Maker:   p.maker,
+			Address: p.address,
+			Zone:    p.zone,
+			Freed:   p.freed,
+		})
+	}
+	return made
+}
+
 // inputs returns the handles of the results that a stage needs.
 func (j *job) inputs(stage int) []string {
 	var handles []string
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -211,8 +211,8 @@
 	p := c.pool(call.Service)
 	made, full := c.sizes(call, results)
 	p.Done(now, call, o, made)
-	if full > 0 && o == bbhealth.OutcomeGood {
-		p.Crowded(now, call.Endpoint, full)
+	if full && o == bbhealth.OutcomeGood {
+		p.Crowded(now, call.Endpoint)
 	}
 	c.log(strconv.FormatUint(id, 10), "callDone", describe(call, o, results), now-call.Sent)
 	retry := make(map[string]map[int][]int)
@@ -244,9 +244,9 @@
 		}
 		retry[piece.Job][piece.Stage] = append(retry[piece.Job][piece.Stage], piece.Piece)
 	}
-	mayRepeat := len(retry) == 0 || full > 0 || o == bbhealth.OutcomeUnreachable || c.window(call.Service).Take(now, 1)
+	mayRepeat := len(retry) == 0 || full || o == bbhealth.OutcomeUnreachable || c.window(call.Service).Take(now, 1)
 	for _, job := range sortedKeys(retry) {
-		c.retryPieces(now, job, retry[job], mayRepeat, full == 0)
+		c.retryPieces(now, job, retry[job], mayRepeat, !full)
 	}
 	for _, piece := range call.Pieces {
 		if j := c.jobs[piece.Job]; j != nil {
@@ -282,26 +282,29 @@
 		p.maker = m.Maker
 		p.address = m.Address
 		p.zone = m.Zone
+		p.freed = m.Freed
 		j.stages[m.Stage].left--
-		if pool := c.pool(j.order.Stages[m.Stage].Service); pool != nil {
+		if pool := c.pool(j.order.Stages[m.Stage].Service); pool != nil && !m.Freed {
 			pool.Adopt(now, m.Maker, m.Handle, j.order.Stages[m.Stage].ResultBytes)
 		}
 	}
 	for i := range j.stages {
-		if j.stages[i].left == 0 && c.consumed(j, i) {
+		switch {
+		case j.stages[i].left > 0:
+		case c.consumed(j, i):
 			c.freeStage(j, i)
+		default:
+			j.remake(i)
 		}
 	}
 }
 
-// sizes returns the results of a call with their sizes, and the size of those that the
-// endpoint had no room for.
-func (c *Coordinator) sizes(call *bbpool.Call, results []PieceResult) (made map[string]float64, full float64) {
+// sizes returns the results of a call with their sizes, and whether the endpoint had no
+// room for some.
+func (c *Coordinator) sizes(call *bbpool.Call, results []PieceResult) (made map[string]float64, full bool) {
 	made = make(map[string]float64)
 	for i := range min(len(results), len(call.Pieces)) {
-		if results[i].NoRoom {
-			full += call.Sizes[i]
-		}
+		full = full || results[i].NoRoom
 		if results[i].Handle != "" {
 			made[results[i].Handle] = call.Sizes[i]
 		}
@@ -323,21 +326,11 @@
 	made.address = call.Address
 	made.zone = zone
 	st.left--
-	if c.out.Made == nil {
-		c.out.Made = make(map[string][]bbjob.Made)
-	}
-	c.out.Made[piece.Job] = append(c.out.Made[piece.Job], bbjob.Made{
-		Stage:   piece.Stage,
-		Piece:   piece.Piece,
-		Handle:  handle,
-		Maker:   call.Endpoint,
-		Address: call.Address,
-		Zone:    zone,
-	})
 	if st.left > 0 {
 		return
 	}
 	c.log(piece.Job, "stageDone", strconv.Itoa(piece.Stage), now-j.arrived)
+	c.update(piece.Job, j.madeOf(piece.Stage))
 	// The inputs of a finished stage are needed no more unless another stage needs them.
 	for _, before := range j.order.Stages[piece.Stage].After {
 		if c.consumed(j, before) {
@@ -458,17 +451,22 @@
 
 // freeStage gives up the results of a stage.
 func (c *Coordinator) freeStage(j *job, stage int) {
+	some := false
 	for k := range j.stages[stage].pieces {
 		p := &j.stages[stage].pieces[k]
 		if p.handle == "" || p.freed {
 			continue
 		}
 		p.freed = true
+		some = true
 		c.freed[p.address] = append(c.freed[p.address], p.handle)
 		if pool := c.pools[j.order.Stages[stage].Service]; pool != nil {
 			pool.Free(p.maker, p.handle)
 		}
 	}
+	if some && c.jobs[j.order.ID] != nil {
+		c.update(j.order.ID, nil, stage)
+	}
 }
 
 // drop forgets a request and gives up its results.
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -69,6 +69,8 @@
 	Maker   string `json:"maker"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Freed is true once the result was given up because its readers had it.
+	Freed bool `json:"freed"`
 }
 
 // Prompt is what an engine reads and makes.
@@ -122,7 +124,9 @@
 // Update is what an origin hears of its order: results that were made, and at the end the
 // verdict.
 type Update struct {
-	Made    []Made   `json:"made"`
+	Made []Made `json:"made"`
+	// Freed are the numbers of the stages whose results were given up.
+	Freed   []int    `json:"freed"`
 	Verdict *Verdict `json:"verdict"`
 }
 
@@ -140,3 +144,16 @@
 	// Outcome tells how the try ended, if it did.
 	Outcome bbhealth.Outcome `json:"outcome"`
 }
+
+// Apply brings the results that an origin knows of up to date.
+func (u Update) Apply(made []Made) []Made {
+	made = append(made, u.Made...)
+	for _, stage := range u.Freed {
+		for i := range made {
+			if made[i].Stage == stage {
+				made[i].Freed = true
+			}
+		}
+	}
+	return made
+}
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -31,8 +31,9 @@
 	// slowHalfLife is the time in which slowness that was not seen again is half forgotten,
 	// so that an endpoint that has recovered is tried again.
 	slowHalfLife = 2500 * time.Millisecond
-	// crowdedFor is how long room that an endpoint turned out not to have counts as taken.
-	crowdedFor = 300 * time.Millisecond
+	// crowdedFor is how long an endpoint that had no room counts as full: a part of a call, in
+	// which some results are usually freed.
+	crowdedFor = 150 * time.Millisecond
 	// fullPause is how long an endpoint that had no place for a call is left alone: a part
 	// of a call's usual time.
 	fullPause = 80 * time.Millisecond
@@ -506,17 +507,18 @@
 
 // Crowded notes that an endpoint had no room for some results: something takes room that
 // this pool doesn't know of, such as results of a former coordinator.
-func (p *Pool) Crowded(now time.Duration, endpoint string, bytes float64) {
+func (p *Pool) Crowded(now time.Duration, endpoint string) {
 	w := p.workers[endpoint]
 	if w == nil {
 		return
 	}
+	unknown := max(0, p.room(w))
 	w.unknown++
 	w.results["unknown "+strconv.Itoa(w.unknown)] = result{
-		bytes:   bytes,
+		bytes:   unknown,
 		expires: now + crowdedFor,
 	}
-	w.used += bytes
+	w.used += unknown
 }
 
 // learn takes in the measured slowness of a call.
--- /dev/null
+++ b/core/bbpool/pool_test.go
@@ -0,0 +1,221 @@
+package bbpool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbhealth"
+)
+
+const ms = time.Millisecond
+
+// newTestPool returns a pool of two endpoints with calls of four pieces and room for six
+// results of a megabyte each.
+func newTestPool() *Pool {
+	p := NewPool("desk", bbcatalog.Pool{
+		Slots:      1,
+		Queue:      2,
+		Batch:      4,
+		CallTime:   200 * ms,
+		PieceTime:  10 * ms,
+		RoomBytes:  6.3e6,
+		ResultLife: 4 * time.Second,
+	})
+	p.Endpoints([]Endpoint{
+		{ID: "w1", Address: "a1", Zone: "east"},
+		{ID: "w2", Address: "a2", Zone: "west"},
+	})
+	return p
+}
+
+// group returns n pieces of a request that have to begin by a time.
+func group(job string, n int, startBy time.Duration) *Group {
+	left := make([]int, n)
+	for i := range left {
+		left[i] = i
+	}
+	return &Group{
+		Job:  job,
+		Left: left,
+		Due: Due{
+			StartBy:   startBy,
+			LastStart: startBy + 4*time.Second,
+		},
+		Limit: startBy + 5*time.Second,
+	}
+}
+
+// calls makes all calls that are possible now.
+func calls(p *Pool, now time.Duration) []*Call {
+	var made []*Call
+	for c := p.Next(now); c != nil; c = p.Next(now) {
+		p.Start(now, c, uint64(len(made)+1))
+		made = append(made, c)
+	}
+	return made
+}
+
+// jobs returns how many pieces of each request are in a call.
+func jobs(c *Call) map[string]int {
+	n := make(map[string]int)
+	for _, p := range c.Pieces {
+		n[p.Job]++
+	}
+	return n
+}
+
+// wantJobs checks the pieces of a call.
+func wantJobs(t *testing.T, c *Call, want map[string]int) {
+	t.Helper()
+	if diff := cmp.Diff(want, jobs(c)); diff != "" {
+		t.Errorf("pieces of the call (-want +got):\n%s", diff)
+	}
+}
+
+func TestPiecesOfRequestsMeet(t *testing.T) {
+	p := newTestPool()
+	p.Add(group("a", 2, 500*ms))
+	p.Add(group("b", 2, 400*ms))
+	made := calls(p, 0)
+	if len(made) != 1 {
+		t.Fatalf("made %d calls, want 1", len(made))
+	}
+	wantJobs(t, made[0], map[string]int{"a": 2, "b": 2})
+}
+
+func TestMostUrgentGoesFirst(t *testing.T) {
+	p := newTestPool()
+	p.Add(group("late", 4, 900*ms))
+	p.Add(group("soon", 4, 400*ms))
+	wantJobs(t, p.Next(0), map[string]int{"soon": 4})
+}
+
+func TestWorkThatCanBeOnTimeGoesFirst(t *testing.T) {
+	p := newTestPool()
+	p.Add(group("missed", 4, 500*ms))
+	p.Add(group("feasible", 4, 1500*ms))
+	wantJobs(t, p.Next(1000*ms), map[string]int{"feasible": 4})
+}
+
+func TestHalfDoneStagesGoFirst(t *testing.T) {
+	p := newTestPool()
+	p.Endpoints([]Endpoint{{ID: "w1", Address: "a1", Zone: "east"}})
+	p.Add(group("first", 3, 500*ms))
+	p.Add(group("split", 3, 600*ms))
+	made := calls(p, 0)
+	wantJobs(t, made[0], map[string]int{"first": 3, "split": 1})
+	p.Done(240*ms, made[0], bbhealth.OutcomeGood, nil)
+	p.Add(group("urgent", 4, 300*ms))
+	wantJobs(t, p.Next(240*ms), map[string]int{"split": 2, "urgent": 2})
+}
+
+func TestLargeResultsStayTogether(t *testing.T) {
+	p := newTestPool()
+	p.Add(group("first", 3, 500*ms))
+	large := group("large", 2, 600*ms)
+	large.ResultBytes = 1e6
+	p.Add(large)
+	made := calls(p, 0)
+	wantJobs(t, made[0], map[string]int{"first": 3})
+	wantJobs(t, made[1], map[string]int{"large": 2})
+}
+
+func TestRoomBoundsCalls(t *testing.T) {
+	p := newTestPool()
+	p.Endpoints([]Endpoint{{ID: "w1", Address: "a1", Zone: "east"}})
+	for _, job := range []string{"a", "b"} {
+		g := group(job, 4, 500*ms)
+		g.ResultBytes = 1e6
+		p.Add(g)
+	}
+	made := calls(p, 0)
+	p.Done(240*ms, made[0], bbhealth.OutcomeGood, map[string]float64{"h1": 1e6, "h2": 1e6, "h3": 1e6, "h4": 1e6})
+
+	t.Run("no more than fit", func(t *testing.T) {
+		made := calls(p, 240*ms)
+		if len(made) != 1 {
+			t.Fatalf("made %d calls, want 1", len(made))
+		}
+		wantJobs(t, made[0], map[string]int{"b": 2})
+	})
+	t.Run("freed room is used again", func(t *testing.T) {
+		p.Free("w1", "h1")
+		p.Free("w1", "h1")
+		if c := p.Next(480 * ms); c == nil || len(c.Pieces) != 1 {
+			t.Errorf("next call %+v, want one with 1 piece", c)
+		}
+	})
+}
+
+func TestEndpointWithoutRoomIsLeftForAWhile(t *testing.T) {
+	p := newTestPool()
+	p.Endpoints([]Endpoint{{ID: "w1", Address: "a1", Zone: "east"}})
+	g := group("a", 2, 500*ms)
+	g.ResultBytes = 1e6
+	p.Add(g)
+	p.Crowded(0, "w1")
+	if c := p.Next(100 * ms); c != nil {
+		t.Errorf("call %+v while the endpoint has no room, want none", c)
+	}
+	p.Expire(crowdedFor)
+	if c := p.Next(crowdedFor); c == nil {
+		t.Error("no call after the room should be free, want one")
+	}
+}
+
+func TestSlownessIsForgotten(t *testing.T) {
+	p := newTestPool()
+	w := p.workers["w1"]
+	for range 10 {
+		w.learn(0, 5)
+	}
+	if slow := w.slow(0); slow < slowFactor {
+		t.Fatalf("slowness %.2f after slow calls, want at least %.2f", slow, slowFactor)
+	}
+	if slow := w.slow(10 * time.Second); slow > slowFactor {
+		t.Errorf("slowness %.2f ten seconds later, want less than %.2f", slow, slowFactor)
+	}
+}
+
+func TestOverdueCallIsToldOnce(t *testing.T) {
+	p := newTestPool()
+	p.Add(group("a", 1, 500*ms))
+	made := calls(p, 0)
+	if late := p.Overdue(300 * ms); len(late) != 0 {
+		t.Errorf("%d calls overdue after 300 ms, want none", len(late))
+	}
+	if late := p.Overdue(time.Second); len(late) != 1 || late[0] != made[0] {
+		t.Errorf("%d calls overdue after 1 s, want the one", len(late))
+	}
+	if late := p.Overdue(2 * time.Second); len(late) != 0 {
+		t.Errorf("%d calls overdue again, want none", len(late))
+	}
+}
+
+func TestUnreachableEndpointIsLeftAlone(t *testing.T) {
+	p := newTestPool()
+	p.Add(group("a", 4, 500*ms))
+	made := calls(p, 0)
+	p.Done(0, made[0], bbhealth.OutcomeUnreachable, nil)
+	for range 3 {
+		p.Add(group("b", 4, 500*ms))
+	}
+	for _, c := range calls(p, ms) {
+		if c.Endpoint == made[0].Endpoint {
+			t.Errorf("a call to %s right after it was unreachable, want none", c.Endpoint)
+		}
+	}
+}
+
+func TestFailureDomainsThatAreNotAllowed(t *testing.T) {
+	p := newTestPool()
+	g := group("a", 2, 500*ms)
+	g.Allowed = func(zone string) bool { return zone == "west" }
+	p.Add(g)
+	if c := p.Next(0); c == nil || c.Endpoint != "w2" {
+		t.Errorf("call %+v, want one to w2 in the allowed failure domain", c)
+	}
+}
--- /dev/null
+++ b/core/bbscene/events.go
@@ -0,0 +1,57 @@
+package bbscene
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a time; of two at the same time the one that was
+// planned first comes first.
+type event struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+// events is a heap of what is to come.
+type events []event
+
+// Len returns the number of events.
+func (e events) Len() int { return len(e) }
+
+// Less orders events by time.
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].sequence < e[j].sequence
+}
+
+// Swap exchanges two events.
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push adds an event.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop takes the last event.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// at plans an event.
+func (s *Scene) at(at time.Duration, run func()) {
+	s.sequence++
+	heap.Push(&s.events, event{
+		at:       at,
+		sequence: s.sequence,
+		run:      run,
+	})
+}
+
+// after plans an event from now on.
+func (s *Scene) after(d time.Duration, run func()) {
+	s.at(s.Now+d, run)
+}
--- /dev/null
+++ b/core/bbscene/models.go
@@ -0,0 +1,196 @@
+package bbscene
+
+import (
+	"fmt"
+	"time"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbcoordinator"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbpool"
+)
+
+// worker is a modelled endpoint that works on one call after the other.
+type worker struct {
+	spec bbcatalog.Pool
+	// factor is how many times as long its calls take; 1 is nominal.
+	factor  float64
+	queue   []func()
+	working bool
+	results map[string]kept
+	made    int
+}
+
+// kept is a result that takes room.
+type kept struct {
+	bytes float64
+	// expires is 0 while the call that makes it is in progress.
+	expires time.Duration
+}
+
+func newWorker(spec bbcatalog.Pool) *worker {
+	return &worker{
+		spec:    spec,
+		factor:  1,
+		results: make(map[string]kept),
+	}
+}
+
+// free drops results.
+func (w *worker) free(handles []string) {
+	for _, h := range handles {
+		delete(w.results, h)
+	}
+}
+
+// used returns the room that results take at a time.
+func (w *worker) used(now time.Duration) float64 {
+	sum := 0.0
+	for h, r := range w.results {
+		if r.expires > 0 && now >= r.expires {
+			delete(w.results, h)
+			continue
+		}
+		sum += r.bytes
+	}
+	return sum
+}
+
+// call sends a call to its endpoint.
+func (s *Scene) call(c *bbpool.Call) {
+	inputs := make([][]string, len(c.Pieces))
+	for i, p := range c.Pieces {
+		_, handles, _ := s.Coordinator.PieceInputs(p)
+		inputs[i] = handles
+	}
+	coordinator := s.Coordinator
+	answer := func(o bbhealth.Outcome, results []bbcoordinator.PieceResult) {
+		s.after(s.settings.Latency, func() {
+			if s.Coordinator == coordinator {
+				s.apply(coordinator.CallDone(s.Now, c.ID, s.zoneOf(c), o, results))
+			}
+		})
+	}
+	w := s.workers[c.Endpoint]
+	s.Totals.Calls++
+	s.after(2*s.settings.Latency, func() {
+		if len(w.queue) >= w.spec.Queue {
+			answer(bbhealth.OutcomeFull, nil)
+			return
+		}
+		w.queue = append(w.queue, func() { s.work(w, c, inputs, answer) })
+		s.turn(w)
+	})
+}
+
+// zoneOf returns the failure domain of a call's endpoint.
+func (s *Scene) zoneOf(c *bbpool.Call) string {
+	for _, e := range s.entries[c.Service] {
+		if e.ID == c.Endpoint {
+			return e.Zone
+		}
+	}
+	return ""
+}
+
+// turn begins the next call of a worker if it is idle.
+func (s *Scene) turn(w *worker) {
+	if w.working || len(w.queue) == 0 {
+		return
+	}
+	w.working = true
+	next := w.queue[0]
+	w.queue = w.queue[1:]
+	next()
+}
+
+// work does the pieces of a call whose turn has come.
+func (s *Scene) work(w *worker, c *bbpool.Call, inputs [][]string, answer func(bbhealth.Outcome, []bbcoordinator.PieceResult)) {
+	results := make([]bbcoordinator.PieceResult, len(c.Pieces))
+	room := w.spec.RoomBytes - w.used(s.Now)
+	n := 0
+	for i := range c.Pieces {
+		for _, h := range inputs[i] {
+			if !s.exists(h) {
+				results[i].Gone = true
+			}
+		}
+		switch {
+		case results[i].Gone:
+			s.lost(c, i)
+			continue
+		case room < c.Sizes[i]:
+			results[i].NoRoom = true
+			s.Totals.NoRoom++
+			continue
+		}
+		room -= c.Sizes[i]
+		w.made++
+		n++
+		results[i].Handle = fmt.Sprintf("%s/%d", c.Endpoint, w.made)
+		w.results[results[i].Handle] = kept{
+			bytes: c.Sizes[i],
+		}
+	}
+	s.Totals.Pieces += n
+	took := time.Duration(float64(w.spec.CallTime+time.Duration(n)*w.spec.PieceTime) * w.factor)
+	if n == 0 {
+		took = time.Millisecond
+	}
+	s.after(took, func() {
+		for _, r := range results {
+			if k, ok := w.results[r.Handle]; ok {
+				k.expires = s.Now + w.spec.ResultLife
+				w.results[r.Handle] = k
+			}
+		}
+		w.working = false
+		answer(bbhealth.OutcomeGood, results)
+		s.turn(w)
+	})
+}
+
+// lost counts a piece whose inputs are gone. One whose result was made in another call in
+// the meantime is nobody's loss.
+func (s *Scene) lost(c *bbpool.Call, i int) {
+	p := c.Pieces[i]
+	for _, m := range s.Made[p.Job] {
+		if m.Stage == p.Stage && m.Piece == p.Piece {
+			return
+		}
+	}
+	s.Totals.Gone++
+	if s.Trace != nil {
+		s.Trace(fmt.Sprintf("%v: inputs of %v in call %d of %s are gone", s.Now, p, c.ID, c.Endpoint))
+	}
+}
+
+// engine is a modelled engine that reads one prompt after the other and keeps their parts.
+type engine struct {
+	// busy is until when it reads.
+	busy time.Duration
+	kept map[string]bool
+}
+
+func newEngine() *engine {
+	return &engine{
+		kept: make(map[string]bool),
+	}
+}
+
+// read returns the time until the first token of a prompt that arrives now.
+func (e *engine) read(now time.Duration, p bbjob.Prompt) time.Duration {
+	unread := float64(p.Tokens)
+	for _, part := range p.Parts {
+		if !e.kept[part.ID] {
+			break
+		}
+		unread -= float64(part.Tokens)
+	}
+	for _, part := range p.Parts {
+		e.kept[part.ID] = true
+	}
+	e.busy = max(e.busy, now) + time.Duration(unread/readPerMs*float64(time.Millisecond))
+	return e.busy - now + firstToken
+}
