--- /dev/null
+++ b/core/bbhealth/health_test.go
@@ -0,0 +1,55 @@
+package bbhealth
+
+import (
+	"testing"
+	"time"
+)
+
+func TestPause(t *testing.T) {
+	var r Record
+	r.Note(0, OutcomeUnreachable)
+	if !r.Paused(firstPause-1) || r.Paused(firstPause) {
+		t.Error("the first pause has another length, want firstPause")
+	}
+	r.Note(firstPause, OutcomeUnreachable)
+	if !r.Paused(3*firstPause - 1) {
+		t.Error("the second pause is no longer than the first, want twice as long")
+	}
+	r.Note(time.Second, OutcomeGood)
+	if r.Paused(time.Second) {
+		t.Error("paused after a good call, want not")
+	}
+}
+
+func TestPauseIsBounded(t *testing.T) {
+	var r Record
+	now := time.Duration(0)
+	for range 40 {
+		r.Note(now, OutcomeUnreachable)
+		now += maxPause
+	}
+	if r.Paused(now + maxPause) {
+		t.Error("paused for longer than maxPause")
+	}
+}
+
+func TestFailuresFade(t *testing.T) {
+	var r Record
+	for range 5 {
+		r.Note(0, OutcomeBroken)
+	}
+	if f := r.Failures(0); f < 0.8 {
+		t.Errorf("failures %.2f after five broken calls, want at least 0.8", f)
+	}
+	if f := r.Failures(10 * halfLife); f > 0.01 {
+		t.Errorf("failures %.2f ten half-lives later, want about none", f)
+	}
+}
+
+func TestFullEndpointsDoNotCountAsFailing(t *testing.T) {
+	var r Record
+	r.Note(0, OutcomeFull)
+	if f := r.Failures(0); f != 0 || r.Paused(0) {
+		t.Errorf("failures %.2f, paused %v after a full answer; want neither", f, r.Paused(0))
+	}
+}
--- /dev/null
+++ b/core/bbplacement/table_test.go
@@ -0,0 +1,147 @@
+package bbplacement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
+)
+
+var engines = []Endpoint{
+	{ID: "e1", Zone: "east"},
+	{ID: "e2", Zone: "west"},
+}
+
+func newTestTable() *Table {
+	return NewTable(bbcatalog.Engine{
+		Slots:  4,
+		Tokens: 50e3,
+	})
+}
+
+// need returns a need with a shared part of a prompt and one of its own.
+func need(job, shared string) Need {
+	return Need{
+		Job: job,
+		Prompt: bbjob.Prompt{
+			Model:  "m",
+			Tokens: 9000,
+			Output: 50,
+			Parts:  []bbjob.Part{{ID: shared, Tokens: 6000}, {ID: "own of " + job, Tokens: 3000}},
+		},
+		Zone:    "east",
+		Far:     func(string) bool { return false },
+		Allowed: func(string) bool { return true },
+	}
+}
+
+var free = Pace{Cold: true}
+
+func wantChoice(t *testing.T, table *Table, now time.Duration, n Need, p Pace, want string) {
+	t.Helper()
+	got, ok := table.Choose(now, n, engines, p)
+	if (want != "") != ok || got.ID != want {
+		t.Errorf("choice for %s is %q, %v; want %q", n.Job, got.ID, ok, want)
+	}
+}
+
+func TestSharedPartsAreReadOnce(t *testing.T) {
+	table := newTestTable()
+	wantChoice(t, table, 0, need("a", "shared"), free, "e1")
+	table.Started("e1", "a")
+	wantChoice(t, table, time.Second, need("b", "shared"), free, "e1")
+	t.Run("unless the engine is busy for longer", func(t *testing.T) {
+		wantChoice(t, table, time.Second, need("x", "other"), free, "e2")
+	})
+}
+
+func TestOwnGrantsCountAtOnce(t *testing.T) {
+	table := newTestTable()
+	wantChoice(t, table, 0, need("a", "one"), free, "e1")
+	wantChoice(t, table, 0, need("b", "two"), free, "e2")
+}
+
+func TestMemoryBoundsGrants(t *testing.T) {
+	table := newTestTable()
+	table.Spec.Tokens = 10e3
+	wantChoice(t, table, 0, need("a", "one"), free, "e1")
+	wantChoice(t, table, 0, need("b", "one"), free, "e2")
+	wantChoice(t, table, 0, need("c", "one"), free, "")
+	table.Ended(time.Second, "e1", "a", bbhealth.OutcomeGood)
+	wantChoice(t, table, time.Second, need("c", "one"), free, "e1")
+}
+
+func TestPaceHoldsForWarmEnginesToo(t *testing.T) {
+	table := NewTable(bbcatalog.Engine{
+		Slots:  1000,
+		Tokens: 1e9,
+	})
+	pace := Pace{
+		PerSecond: 9.4,
+		Burst:     3,
+		Cold:      true,
+	}
+	one := engines[:1]
+	var at []time.Duration
+	for now := time.Duration(0); now < 5*time.Second; now += 10 * time.Millisecond {
+		if _, ok := table.Choose(now, need(fmt.Sprint(now), "s"), one, pace); ok {
+			at = append(at, now)
+		}
+	}
+	for i := range at {
+		n := 0
+		for _, later := range at[i:] {
+			if later-at[i] < time.Second {
+				n++
+			}
+		}
+		// Two coordinators of half a fleet each must stay under 1.5 times the rate and 5 more.
+		if n > 13 {
+			t.Fatalf("%d grants within a second from %v, want at most 13", n, at[i])
+		}
+	}
+}
+
+func TestColdEnginesWithoutMajority(t *testing.T) {
+	table := newTestTable()
+	cold := []Endpoint{{ID: "e1", Zone: "east", Cold: true}}
+	if e, ok := table.Choose(0, need("a", "s"), cold, Pace{PerSecond: 5, Burst: 1}); ok {
+		t.Errorf("granted %s, which is cold, want none", e.ID)
+	}
+}
+
+func TestEngineThatCouldNotBeReached(t *testing.T) {
+	table := newTestTable()
+	wantChoice(t, table, 0, need("a", "s"), free, "e1")
+	table.Ended(0, "e1", "a", bbhealth.OutcomeUnreachable)
+	wantChoice(t, table, 1, need("a", "s"), free, "e2")
+}
+
+func TestAvoidedEngines(t *testing.T) {
+	table := newTestTable()
+	n := need("a", "s")
+	n.Avoid = []string{"e1"}
+	wantChoice(t, table, 0, n, free, "e2")
+}
+
+func TestLargeInputsStayInTheirFailureDomain(t *testing.T) {
+	table := newTestTable()
+	n := need("a", "s")
+	n.Inputs = map[string]float64{"west": 4e6}
+	wantChoice(t, table, 0, n, free, "e2")
+}
+
+func TestLeastRecentlyUsedPartsGo(t *testing.T) {
+	var c prefixCache
+	c.add(bbjob.Prompt{Parts: []bbjob.Part{{ID: "a", Tokens: 60}}}, 100)
+	c.add(bbjob.Prompt{Parts: []bbjob.Part{{ID: "b", Tokens: 60}}}, 100)
+	if got := c.parts(bbjob.Prompt{Parts: []bbjob.Part{{ID: "a", Tokens: 60}}}); got != 0 {
+		t.Errorf("%d parts of the older prompt are kept, want none", got)
+	}
+	if got := c.parts(bbjob.Prompt{Parts: []bbjob.Part{{ID: "b", Tokens: 60}}}); got != 1 {
+		t.Errorf("%d parts of the newer prompt are kept, want 1", got)
+	}
+}
--- /dev/null
+++ b/core/bbregistry/table_test.go
@@ -0,0 +1,114 @@
+package bbregistry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func endpoint(id string) Endpoint {
+	return Endpoint{
+		ID:      id,
+		Service: "s",
+		Address: "address of " + id,
+		Zone:    "east",
+	}
+}
+
+func wantUsable(t *testing.T, table *Table, want ...string) {
+	t.Helper()
+	var got []string
+	for _, e := range table.Of(0, "s") {
+		got = append(got, e.ID)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("usable endpoints (-want +got):\n%s", diff)
+	}
+}
+
+func testTable() *Table {
+	table := NewTable()
+	table.ReplaceEndpoints(0, Snapshot{Revision: 5, Endpoints: []Endpoint{endpoint("a"), endpoint("b")}}, false)
+	return table
+}
+
+func TestUsable(t *testing.T) {
+	t.Run("all that are listed", func(t *testing.T) {
+		wantUsable(t, testTable(), "a", "b")
+	})
+	t.Run("not what is leaving", func(t *testing.T) {
+		table := testTable()
+		e := endpoint("a")
+		e.Leaving = true
+		table.Put(0, e)
+		wantUsable(t, table, "b")
+	})
+	t.Run("not in a failure domain that is out", func(t *testing.T) {
+		table := testTable()
+		table.Evacuate("east", true)
+		wantUsable(t, table)
+		table.Evacuate("east", false)
+		wantUsable(t, table, "a", "b")
+	})
+	t.Run("not what was taken out", func(t *testing.T) {
+		table := testTable()
+		table.Remove(0, "a", false)
+		wantUsable(t, table, "b")
+	})
+}
+
+func TestEntriesThatLapsedInAnOutage(t *testing.T) {
+	table := testTable()
+	table.ReplaceEndpoints(time.Second, Snapshot{Revision: 9, Endpoints: []Endpoint{endpoint("b")}}, true)
+	table.Expire(time.Second + returnGrace - 1)
+	wantUsable(t, table, "a", "b")
+
+	t.Run("are gone after their time to return", func(t *testing.T) {
+		table.Expire(time.Second + returnGrace)
+		wantUsable(t, table, "b")
+	})
+	t.Run("stay when they return", func(t *testing.T) {
+		table := testTable()
+		table.Remove(0, "a", true)
+		table.Put(time.Second, endpoint("a"))
+		table.Expire(time.Minute)
+		wantUsable(t, table, "a", "b")
+	})
+	t.Run("are gone at once when they were leaving", func(t *testing.T) {
+		table := testTable()
+		e := endpoint("a")
+		e.Leaving = true
+		table.Put(0, e)
+		table.Remove(0, "a", true)
+		if table.Len() != 1 {
+			t.Errorf("%d entries, want 1", table.Len())
+		}
+	})
+}
+
+func TestColdTimeRunsOff(t *testing.T) {
+	table := NewTable()
+	e := endpoint("a")
+	e.Cold = 3 * time.Second
+	table.Put(time.Second, e)
+	for now, want := range map[time.Duration]time.Duration{
+		time.Second:     3 * time.Second,
+		2 * time.Second: 2 * time.Second,
+		9 * time.Second: 0,
+	} {
+		if got := table.Of(now, "s")[0].Cold; got != want {
+			t.Errorf("cold time left at %v is %v, want %v", now, got, want)
+		}
+	}
+}
+
+func TestSnapshotGoesToAnotherVM(t *testing.T) {
+	table := testTable()
+	table.Evacuate("west", true)
+	other := NewTable()
+	other.Replace(0, table.Snapshot(0))
+	if diff := cmp.Diff(table.Snapshot(0), other.Snapshot(0)); diff != "" {
+		t.Errorf("snapshot of the other VM (-want +got):\n%s", diff)
+	}
+}
