--- a/bluebellctl/bbreference/reference.go
+++ b/bluebellctl/bbreference/reference.go
@@ -23,6 +23,7 @@
 	5: "Endpoints",
 	6: "Links between entry VMs",
 	7: "Limits",
+	8: "Entry VMs on a platform",
 }
 
 // Events returns the page of the event catalogue.
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -5,14 +5,15 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"bluebellhall/bluebelld/bbgateway"
 	"bluebellhall/bluebelld/bbhub"
+	"bluebellhall/bluebelld/bblog"
+	"bluebellhall/bluebelld/bbmeter"
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbcoordinator"
+	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
@@ -37,7 +38,8 @@
 	Codec       bbgateway.Codec
 	RunPieces   func(ctx context.Context, address, endpoint string, pieces []bbhub.Piece) ([]bbcoordinator.PieceResult, bbhealth.Outcome)
 	FreeResults func(ctx context.Context, address string, handles []string)
-	Log         zerolog.Logger
+	Log         bblog.Logger
+	Meter       *bbmeter.Meter
 }
 
 // Entry is a running entry VM.
@@ -48,7 +50,8 @@
 	Gateway *bbgateway.Gateway
 
 	settings Settings
-	log      zerolog.Logger
+	log      bblog.Logger
+	meter    *bbmeter.Meter
 	began    time.Time
 	fleet    *bbpeer.Fleet
 	conns    *bbpeer.Conns
@@ -84,14 +87,16 @@
 	e := &Entry{
 		settings: s,
 		log:      seams.Log,
+		meter:    seams.Meter,
 		began:    time.Now(),
 		conns:    conns,
 		notes:    make(chan addressedNote, maxNotes),
 	}
-	e.Knowledge = newKnowledge(e.now)
+	e.Knowledge = NewKnowledge(e.now)
 	e.Knowledge.changed = e.catalogChanged
 	e.fleet = bbpeer.NewFleet(s.Self, s.Seeds, e.now, conns)
 	e.fleet.Log = e.peerChanged
+	e.fleet.LogLeader = e.coordinatorChanged
 	coordinator := bbcoordinator.New(bbcoordinator.Knowledge{
 		Service:   e.service,
 		Endpoints: e.Knowledge.usable,
@@ -130,6 +135,7 @@
 		Window:    e.window,
 		Leaving:   e.leaving.Load,
 	})
+	e.addGauges()
 	go e.fleet.Run(ctx)
 	go e.followOthers(ctx)
 	go e.sendNotes(ctx)
@@ -266,7 +272,7 @@
 		note: n,
 	}:
 	default:
-		e.log.Warn().Str("id", n.ID).Msg("noteDropped")
+		e.log.Event(bbevent.NoteDropped).Str("id", n.ID).Send()
 	}
 }
 
@@ -297,7 +303,7 @@
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	defer cancel()
 	if err := e.conns.Notes(ctx, peer, notes); err != nil {
-		e.log.Info().Str("peer", peer).Int("notes", len(notes)).Err(err).Msg("notesLost")
+		e.log.Event(bbevent.NotesLost).Str("peer", peer).Int("notes", len(notes)).Err(err).Send()
 	}
 }
 
@@ -351,36 +357,110 @@
 	defer cancel()
 	p, err := e.conns.Published(ctx, peer.Peer, w)
 	if err != nil {
-		e.log.Info().Str("peer", peer.Name).Err(err).Msg("followFailed")
+		e.log.Event(bbevent.FollowFailed).Str("peer", peer.Name).Err(err).Send()
 		return
 	}
 	if p.Catalog != nil {
 		e.Knowledge.OfferCatalog(*p.Catalog, peer.Name)
 	}
 	if p.Endpoints != nil && e.Knowledge.adopt(*p.Endpoints) {
-		e.log.Debug().Str("peer", peer.Name).Uint64("revision", p.Endpoints.Revision).Msg("endpointsAdopted")
+		e.log.Event(bbevent.EndpointsAdopted).Str("peer", peer.Name).Uint64("revision", p.Endpoints.Revision).Send()
 	}
 }
 
 func (e *Entry) catalogChanged(c bbcatalog.Catalog, source string) {
-	e.log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Str("source", source).Msg("catalogInForce")
+	e.log.Event(bbevent.CatalogInForce).Uint64("version", c.Version).Int("routes", len(c.Routes)).Str("source", source).Send()
 	go e.refresh()
 }
 
 func (e *Entry) peerChanged(name string, up bool, why string) {
 	if up {
-		e.log.Info().Str("peer", name).Str("why", why).Msg("peerBack")
+		e.log.Event(bbevent.PeerBack).Str("peer", name).Str("why", why).Send()
 		return
 	}
-	e.log.Warn().Str("peer", name).Str("why", why).Msg("peerLost")
+	e.log.Event(bbevent.PeerLost).Str("peer", name).Str("why", why).Send()
+}
+
+// coordinatorChanged notes which VM coordinates.
+func (e *Entry) coordinatorChanged(name string, present int) {
+	e.log.Event(bbevent.CoordinatorChanged).Str("peer", name).Int("reachable", present).Send()
 }
 
+// decided logs a decision of the coordinator and counts it.
 func (e *Entry) decided(d bbcoordinator.Event) {
-	e.log.Info().Str("id", d.Job).Str("detail", d.Detail).Dur("value", d.Value).Msg(d.What)
+	line := e.log.Event(d.Number)
+	if d.Job != "" {
+		line.Str("id", d.Job)
+	}
+	if d.Call != 0 {
+		line.Uint64("call", d.Call)
+	}
+	if d.Endpoint != "" {
+		line.Str("endpoint", d.Endpoint)
+	}
+	if d.Detail != "" {
+		line.Str("detail", d.Detail)
+	}
+	if d.Value != 0 {
+		line.Dur("value", d.Value)
+	}
+	line.Send()
+	if entry, ok := bbevent.Lookup(d.Number); ok {
+		e.meter.Count("coordinator", entry.Title)
+	}
+	switch d.Number {
+	case bbevent.CallDone:
+		e.meter.Time(d.Value, "coordinator", "callMs")
+	case bbevent.EngineGranted:
+		e.meter.Time(d.Value, "coordinator", "stagesMs")
+	}
 }
 
+// requestEnded logs the end of a caller's request and counts it.
 func (e *Entry) requestEnded(l bbgateway.Logged) {
-	e.log.Info().Str("id", l.ID).Str("route", l.Route).Str("outcome", l.Outcome).Str("cause", l.Cause).
-		Str("endpoint", l.Endpoint).Int("status", l.Status).Int("tries", l.Tries).Uint64("version", l.Version).
-		Dur("granted", l.Granted).Dur("first", l.First).Dur("took", l.Took).Msg("requestEnded")
+	line := e.log.Event(bbevent.EntryRequestEnded).Str("id", l.ID).Str("route", l.Route).Str("outcome", l.Outcome)
+	if l.Cause != "" {
+		line.Str("cause", l.Cause)
+	}
+	if l.Endpoint != "" {
+		line.Str("endpoint", l.Endpoint).Int("tries", l.Tries)
+	}
+	if l.Granted != 0 {
+		line.Str("coordinator", l.Coordinator).Dur("granted", l.Granted)
+	}
+	if l.First != 0 {
+		line.Dur("first", l.First)
+	}
+	line.Int("status", l.Status).Uint64("version", l.Version).Dur("took", l.Took).Send()
+	e.meter.Count("requests", l.Kind, l.Outcome, l.Cause)
+	if l.Outcome != "answered" {
+		return
+	}
+	e.meter.Time(l.Took, "requests", l.Kind, "tookMs")
+	if l.First > 0 {
+		e.meter.Time(l.First, "requests", l.Kind, "firstMs")
+	}
+	if l.OnTime {
+		e.meter.Count("requests", l.Kind, "onTime")
+	}
+}
+
+// addGauges shows the state of this VM in its metrics.
+func (e *Entry) addGauges() {
+	gauge := func(name string, read func(t *bbgossip.Table, now time.Duration) float64) {
+		e.meter.Gauge(name, func() float64 {
+			value := 0.0
+			e.fleet.View(func(t *bbgossip.Table, now time.Duration) { value = read(t, now) })
+			return value
+		})
+	}
+	gauge("members.present", func(t *bbgossip.Table, now time.Duration) float64 { return float64(1 + len(t.Present(now))) })
+	gauge("members.reachable", func(t *bbgossip.Table, now time.Duration) float64 { return float64(1 + len(t.Reachable(now))) })
+	e.meter.Gauge("coordinator.requests", func() float64 { return float64(e.hub.Len()) })
+	e.meter.Gauge("knowledge.version", func() float64 {
+		_, version, _ := e.Knowledge.ready()
+		return float64(version)
+	})
+	e.meter.Gauge("knowledge.storeAgeMs", func() float64 { return float64(e.Knowledge.storeAge().Milliseconds()) })
+	e.meter.Gauge("knowledge.endpoints", func() float64 { return float64(e.Knowledge.size()) })
 }
--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -37,8 +37,8 @@
 	outage    bool
 }
 
-// newKnowledge returns the knowledge of a VM that has read nothing.
-func newKnowledge(now func() time.Duration) *Knowledge {
+// NewKnowledge returns the knowledge of a VM that has read nothing.
+func NewKnowledge(now func() time.Duration) *Knowledge {
 	return &Knowledge{
 		now:     now,
 		changed: func(bbcatalog.Catalog, string) {},
@@ -169,3 +169,17 @@
 	}
 	return ""
 }
+
+// storeAge returns the time since the platform last answered.
+func (k *Knowledge) storeAge() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.now() - k.heardAt
+}
+
+// size returns the number of listed endpoints.
+func (k *Knowledge) size() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Len()
+}
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -46,6 +46,14 @@
 	x.log.Cause = cause
 	x.log.Status = status
 	x.log.Took = g.seams.Now() - x.began
+	reached := x.log.First
+	if reached == 0 {
+		reached = x.log.Took
+	}
+	x.log.OnTime = outcome == "answered" && x.route != nil && reached <= x.route.Objective
+	if x.log.Kind == "" {
+		x.log.Kind = "none"
+	}
 	g.seams.Log(x.log)
 }
 
@@ -106,6 +114,7 @@
 			h[name] = nil
 		}
 	}
+	h.Del("Content-Length")
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -85,10 +85,21 @@
 
 // Logged is one line on a request, written when it ends.
 type Logged struct {
-	ID, Route, Outcome, Cause, Endpoint string
-	Status, Tries                       int
-	Granted, First, Took                time.Duration
-	Version                             uint64
+	ID, Route string
+	// Kind is that of the route: read, once or stream.
+	Kind string
+	// Outcome is a word for how the request ended, Cause why if it wasn't answered.
+	Outcome, Cause string
+	// Endpoint is the last one that got the request, Coordinator the VM that granted it.
+	Endpoint, Coordinator string
+	Status, Tries         int
+	// Granted, First and Took are the times from arrival to the grant of an engine, to the
+	// first part of the answer and to the end.
+	Granted, First, Took time.Duration
+	// OnTime is true for answers within the objective.
+	OnTime bool
+	// Version is the configuration that was in force.
+	Version uint64
 }
 
 // Seams are the gateway's effects on the outside.
@@ -219,6 +230,7 @@
 		return http.StatusNotFound, "noRoute"
 	}
 	x.log.Route = x.route.Name
+	x.log.Kind = kinds[x.route.Kind]
 	if x.index.NeedsKey(x.route) {
 		x.account = x.index.Account(x.Key)
 		if x.account == nil {
@@ -233,6 +245,13 @@
 	return 0, ""
 }
 
+// kinds are the words for kinds of routes in logs and metrics.
+var kinds = map[bbcatalog.Kind]string{
+	bbcatalog.KindIdempotent: "read",
+	bbcatalog.KindOnce:       "once",
+	bbcatalog.KindStream:     "stream",
+}
+
 // wait returns the time that the caller may be kept waiting.
 func (g *Gateway) wait(x *exchange) time.Duration {
 	wait := x.Wait
--- /dev/null
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -0,0 +1,418 @@
+package bbgateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/core/bballowance"
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbregistry"
+)
+
+// standIn is an endpoint whose answers are raw texts, one for each request in turn; the
+// last one is repeated. An empty text closes the connection without an answer.
+type standIn struct {
+	address string
+
+	mu      sync.Mutex
+	answers []string
+	// seen has the targets, headers and bodies of requests.
+	seen []string
+}
+
+func newStandIn(t *testing.T, answers ...string) *standIn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &standIn{
+		address: l.Addr().String(),
+		answers: answers,
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) serve(conn net.Conn) {
+	defer conn.Close()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	s.seen = append(s.seen, fmt.Sprint(r.Method, " ", r.RequestURI, " ", string(body)))
+	answer := s.answers[0]
+	if len(s.answers) > 1 {
+		s.answers = s.answers[1:]
+	}
+	s.mu.Unlock()
+	io.WriteString(conn, answer)
+}
+
+func (s *standIn) requests() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
+// The answers of stand-ins. Signed and notRun are the words of the test's codec.
+const (
+	answerOK     = "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 4\r\n\r\ndone"
+	answerNotRun = "HTTP/1.1 503 Full\r\nNotrun: 1\r\nContent-Length: 0\r\n\r\n"
+	answerFailed = "HTTP/1.1 500 Failed\r\nSigned: yes\r\nContent-Length: 4\r\n\r\nfail"
+	answerCut    = "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 99\r\n\r\ndone"
+	answerLost   = ""
+	answerBare   = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"
+)
+
+func stream(events ...string) string {
+	return "HTTP/1.1 200 OK\r\nSigned: yes\r\n\r\n" + strings.Join(events, "")
+}
+
+// fixture is a gateway with some endpoints.
+type fixture struct {
+	gateway  *Gateway
+	endpoint []*standIn
+	mu       sync.Mutex
+	logged   []Logged
+	orders   []bbjob.Order
+	notes    []bbjob.Note
+}
+
+var testCodec = Codec{
+	Decode: func(r *http.Request) (Request, error) {
+		if r.Header.Get("Id") == "" {
+			return Request{}, errors.New("no ID")
+		}
+		return Request{
+			ID:   r.Header.Get("Id"),
+			Key:  r.Header.Get("Key"),
+			Wait: 2 * time.Second,
+		}, nil
+	},
+	Encode: func(caller http.Header, f Forward) http.Header {
+		h := caller.Clone()
+		if f.LastEvent != "" {
+			h.Set("Last", f.LastEvent)
+		}
+		return h
+	},
+	Read: func(_ string, a *bbchannel.Answer) Reading {
+		return Reading{
+			NotRun: a.Header.Get("Notrun") != "",
+			Signed: a.Header.Get("Signed") != "",
+		}
+	},
+	Pass: func(h http.Header) http.Header { return h },
+}
+
+func newFixture(t *testing.T, endpoints ...*standIn) (*fixture, string) {
+	t.Helper()
+	f := &fixture{
+		endpoint: endpoints,
+	}
+	var entries []*bbregistry.Entry
+	for i, e := range endpoints {
+		entries = append(entries, &bbregistry.Entry{
+			Endpoint: bbregistry.Endpoint{
+				ID:      fmt.Sprint("e", i),
+				Address: e.address,
+				Zone:    "z",
+			},
+		})
+	}
+	route := func(name string, kind bbcatalog.Kind, attempts int) bbcatalog.Route {
+		return bbcatalog.Route{
+			Name:        name,
+			Host:        "127.0.0.1",
+			Prefix:      "/" + name + "/",
+			Kind:        kind,
+			Timeout:     2 * time.Second,
+			Objective:   time.Second,
+			MaxAttempts: attempts,
+			Shares:      []bbcatalog.Share{{Service: "s", Weight: 1}},
+			Anonymous:   name != "keyed",
+		}
+	}
+	resumable := route("resume", bbcatalog.KindStream, 2)
+	resumable.Resumable = true
+	resumable.Shares[0].Service = "engine"
+	plainStream := route("stream", bbcatalog.KindStream, 2)
+	plainStream.Shares[0].Service = "engine"
+	index := bbcatalog.NewIndex(bbcatalog.Catalog{
+		Version: 1,
+		Routes: []bbcatalog.Route{
+			route("read", bbcatalog.KindIdempotent, 2),
+			route("once", bbcatalog.KindOnce, 2),
+			route("keyed", bbcatalog.KindOnce, 1),
+			resumable, plainStream,
+		},
+		Services: []bbcatalog.Service{{Name: "s"}, {Name: "engine", Engine: &bbcatalog.Engine{}}},
+		Accounts: []bbcatalog.Account{{Name: "acme", Keys: []string{"k"}}},
+		Limits:   bbcatalog.Limits{BodyBytes: 100},
+	})
+	began := time.Now()
+	grants := 0
+	f.gateway = New("vm", "z", "r", testCodec, Seams{
+		Now:       func() time.Duration { return time.Since(began) },
+		Index:     func() *bbcatalog.Index { return index },
+		Endpoints: func(string) []*bbregistry.Entry { return entries },
+		Usable:    func(string) bool { return true },
+		Region:    func(string) string { return "r" },
+		Order: func(_ context.Context, o bbjob.Order) (bbjob.Verdict, string, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.orders = append(f.orders, o)
+			if grants >= len(entries) {
+				return bbjob.Verdict{Refusal: &bbjob.Refusal{Reason: "none", RetryAfter: 700 * time.Millisecond}}, "", nil
+			}
+			e := entries[grants]
+			grants++
+			return bbjob.Verdict{Grant: &bbjob.Grant{ID: o.ID, Endpoint: e.ID, Address: e.Address}}, "", nil
+		},
+		Note: func(_ string, n bbjob.Note) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.notes = append(f.notes, n)
+		},
+		Log: func(l Logged) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.logged = append(f.logged, l)
+		},
+		Window: func(string) *bballowance.Window {
+			return &bballowance.Window{
+				Span:  10 * time.Second,
+				Slack: 100,
+			}
+		},
+		Leaving: func() bool { return false },
+	})
+	server := httptest.NewServer(f.gateway)
+	t.Cleanup(server.Close)
+	return f, server.URL
+}
+
+// ask sends a request and returns status, body and the error of reading it.
+func ask(t *testing.T, url, body string, header ...string) (int, string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", "1")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+// wantAnswer checks status and body of an answer.
+func wantAnswer(t *testing.T, url string, status int, body string, header ...string) {
+	t.Helper()
+	gotStatus, gotBody, err := ask(t, url, "hello", header...)
+	if gotStatus != status || gotBody != body || err != nil {
+		t.Errorf("answer %d %q, error %v; want %d %q", gotStatus, gotBody, err, status, body)
+	}
+}
+
+// wantRequests checks how many requests each endpoint got.
+func wantRequests(t *testing.T, f *fixture, want ...int) {
+	t.Helper()
+	var got []int
+	for _, e := range f.endpoint {
+		got = append(got, len(e.requests()))
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("requests at the endpoints (-want +got):\n%s", diff)
+	}
+}
+
+func TestPlainAnswer(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, answerOK))
+	wantAnswer(t, url+"/once/a%2Fb?x=%20", http.StatusOK, "done")
+	want := []string{"POST /once/a%2Fb?x=%20 hello"}
+	if diff := cmp.Diff(want, f.endpoint[0].requests()); diff != "" {
+		t.Errorf("request at the endpoint (-want +got):\n%s", diff)
+	}
+}
+
+func TestWhatIsNotRunGoesToAnotherEndpoint(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, answerNotRun), newStandIn(t, answerOK))
+	wantAnswer(t, url+"/once/", http.StatusOK, "done")
+	wantRequests(t, f, 1, 1)
+}
+
+func TestWhatMayHaveRunIsNotRepeated(t *testing.T) {
+	for name, answer := range map[string]string{"lost": answerLost, "cut": answerCut, "without receipt": answerBare} {
+		t.Run(name, func(t *testing.T) {
+			f, url := newFixture(t, newStandIn(t, answer), newStandIn(t, answerOK))
+			wantAnswer(t, url+"/once/", http.StatusBadGateway, "")
+			wantRequests(t, f, 1, 0)
+		})
+	}
+}
+
+func TestIdempotentRequestIsRepeated(t *testing.T) {
+	for name, answer := range map[string]string{"lost": answerLost, "cut": answerCut, "failed": answerFailed} {
+		t.Run(name, func(t *testing.T) {
+			f, url := newFixture(t, newStandIn(t, answer), newStandIn(t, answerOK))
+			wantAnswer(t, url+"/read/", http.StatusOK, "done")
+			wantRequests(t, f, 1, 1)
+		})
+	}
+}
+
+func TestFailureOfTheEndpointIsPassedOn(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, answerFailed))
+	wantAnswer(t, url+"/once/", http.StatusInternalServerError, "fail")
+	wantRequests(t, f, 1)
+}
+
+func TestAllEndpointsFull(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, answerNotRun), newStandIn(t, answerNotRun))
+	wantAnswer(t, url+"/once/", http.StatusServiceUnavailable, "")
+	wantRequests(t, f, 1, 1)
+}
+
+func TestRequestsThatAreNotPassedOn(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, answerOK))
+	wantAnswer(t, url+"/unknown/", http.StatusNotFound, "")
+	wantAnswer(t, url+"/keyed/", http.StatusUnauthorized, "")
+	wantAnswer(t, url+"/keyed/", http.StatusUnauthorized, "", "Key", "wrong")
+	wantAnswer(t, url+"/once/", http.StatusBadRequest, "", "Id", "")
+	if status, _, _ := ask(t, url+"/once/", strings.Repeat("x", 101)); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d for a body over the limit, want 413", status)
+	}
+	wantRequests(t, f, 0)
+	wantAnswer(t, url+"/keyed/", http.StatusOK, "done", "Key", "k")
+}
+
+func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
+	f, url := newFixture(t,
+		newStandIn(t, "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 999\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"),
+		newStandIn(t, stream("id: 3\ndata: c\n\n")))
+	wantAnswer(t, url+"/resume/", http.StatusOK, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n")
+	wantRequests(t, f, 1, 1)
+}
+
+func TestStreamThatMayNotGoOnIsCut(t *testing.T) {
+	f, url := newFixture(t,
+		newStandIn(t, "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 999\r\n\r\nid: 1\ndata: a\n\n"),
+		newStandIn(t, stream("id: 2\ndata: b\n\n")))
+	if _, body, err := ask(t, url+"/stream/", ""); err == nil {
+		t.Errorf("body %q looks whole, want it to be cut", body)
+	}
+	wantRequests(t, f, 1, 0)
+}
+
+func TestStreamThatWasNotRunGoesToAnotherEngine(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, answerNotRun), newStandIn(t, stream("id: 1\ndata: a\n\n")))
+	wantAnswer(t, url+"/stream/", http.StatusOK, "id: 1\ndata: a\n\n")
+	wantRequests(t, f, 1, 1)
+	if diff := cmp.Diff([]string{"e0"}, f.orders[1].Avoid); diff != "" {
+		t.Errorf("engines to be avoided by the second order (-want +got):\n%s", diff)
+	}
+}
+
+func TestRefusalOfTheCoordinator(t *testing.T) {
+	_, url := newFixture(t)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/stream/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", "1")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	got := [2]string{response.Status[:3], response.Header.Get("Retry-After")}
+	if diff := cmp.Diff([2]string{"503", "0.700"}, got); diff != "" {
+		t.Errorf("status and time to come back (-want +got):\n%s", diff)
+	}
+}
+
+func TestCallerThatLeavesEndsTheRun(t *testing.T) {
+	closed := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	reached := make(chan struct{})
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		b := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(b); err != nil {
+			return
+		}
+		close(reached)
+		io.Copy(io.Discard, b)
+		close(closed)
+	}()
+	_, url := newFixture(t, &standIn{address: l.Addr().String()})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-reached
+		cancel()
+	}()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/once/", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", "1")
+	if response, err := http.DefaultClient.Do(r); err == nil {
+		response.Body.Close()
+		t.Error("answered, want the caller to have left")
+	}
+	<-closed
+}
+
+func TestSplitter(t *testing.T) {
+	s := newSplitter(true)
+	var got string
+	for _, part := range []string{"id: 1\nda", "ta: a\n", "\nid: 2\n", "data: b\n\nid: 3"} {
+		got += string(s.add([]byte(part)))
+	}
+	if diff := cmp.Diff("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", got); diff != "" {
+		t.Errorf("whole events (-want +got):\n%s", diff)
+	}
+	if s.last != "2" {
+		t.Errorf("last event is %q, want 2", s.last)
+	}
+}
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -32,6 +32,7 @@
 		}
 		x.log.Tries++
 		x.log.Endpoint = verdict.Grant.Endpoint
+		x.log.Coordinator = coordinator
 		if x.log.Granted == 0 {
 			x.log.Granted = g.seams.Now() - x.began
 		}
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -51,7 +51,7 @@
 		if outcome == bbhealth.OutcomeBroken {
 			runs++
 		}
-		cause = causes[outcome]
+		cause = outcome.String()
 		if outcome != bbhealth.OutcomeUnreachable && !g.mayRepeat(x) {
 			break
 		}
@@ -63,14 +63,6 @@
 	g.fail(x, http.StatusServiceUnavailable, cause, shedRetryAfter)
 }
 
-// causes are the words for outcomes in logs.
-var causes = map[bbhealth.Outcome]string{
-	bbhealth.OutcomeUnreachable: "unreachable",
-	bbhealth.OutcomeBroken:      "broken",
-	bbhealth.OutcomeFull:        "full",
-	bbhealth.OutcomeMoved:       "moved",
-}
-
 // choose picks an endpoint for the request.
 func (g *Gateway) choose(x *exchange, avoid map[string]bool) (bbplain.Endpoint, bool) {
 	entries := g.seams.Endpoints(x.service)
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bluebellhall/core/bbcoordinator"
+	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
@@ -190,8 +191,8 @@
 	case c <- u:
 	default:
 		h.seams.Log(bbcoordinator.Event{
-			Job:  id,
-			What: "updateDropped",
+			Number: bbevent.UpdateDropped,
+			Job:    id,
 		})
 	}
 }
--- /dev/null
+++ b/bluebelld/bbmeter/meter_test.go
@@ -0,0 +1,45 @@
+package bbmeter
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func shown(t *testing.T, m *Meter) string {
+	t.Helper()
+	var b strings.Builder
+	if _, err := m.WriteTo(&b); err != nil {
+		t.Fatal(err)
+	}
+	return b.String()
+}
+
+func TestMetricsAsText(t *testing.T) {
+	m := NewMeter()
+	m.Count("requests", "refused", "late")
+	m.Count("requests", "refused", "late")
+	m.Time(40*time.Millisecond, "firstMs")
+	m.Gauge("members", func() float64 { return 7 })
+	want := "firstMs.count 1\nfirstMs.p50 40\nfirstMs.p90 40\nfirstMs.p99 40\nmembers 7\nrequests.refused.late 2\n"
+	if diff := cmp.Diff(want, shown(t, m)); diff != "" {
+		t.Errorf("metrics (-want +got):\n%s", diff)
+	}
+}
+
+func TestNamesAreBounded(t *testing.T) {
+	m := NewMeter()
+	for i := range 3 * maxNames {
+		m.Count("requests", fmt.Sprint(i))
+	}
+	text := shown(t, m)
+	if got := strings.Count(text, "\n"); got != maxNames+1 {
+		t.Errorf("%d metrics, want %d and one for the rest", got, maxNames+1)
+	}
+	if !strings.Contains(text, fmt.Sprintf("overflow.requests %d\n", 2*maxNames)) {
+		t.Error("the metrics beyond the bound are not counted under one name")
+	}
+}
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -36,6 +36,8 @@
 	Conns *Conns
 	// Log tells of a VM that was lost or is back; up is true when it is back.
 	Log func(name string, up bool, why string)
+	// LogLeader tells of another coordinator, with the number of VMs that answer.
+	LogLeader func(name string, reachable int)
 
 	mu    sync.Mutex
 	table *bbgossip.Table
@@ -180,6 +182,9 @@
 				return verdict, leader, err
 			}
 		}
+		if verdict.Elsewhere {
+			f.left(leader)
+		}
 		verdict = bbjob.Verdict{}
 		select {
 		case <-ctx.Done():
@@ -198,6 +203,14 @@
 	orderPause = 60 * time.Millisecond
 )
 
+// left notes that a coordinator hands its orders back because it is leaving.
+func (f *Fleet) left(m bbgossip.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.Left(m.Name)
+	f.look()
+}
+
 // orderFrom asks one coordinator, until it answers or can't be reached. One that is leaving
 // or no longer the oldest finishes what it has.
 func (f *Fleet) orderFrom(ctx context.Context, leader bbgossip.Member, changed <-chan struct{}, o bbjob.Order, pass func(u bbjob.Update) error) error {
@@ -362,6 +375,7 @@
 	}
 	if leader.Name != f.leader.Name {
 		f.ledSince = now
+		f.LogLeader(leader.Name, len(present))
 	}
 	f.leader = leader
 }
--- /dev/null
+++ b/bluebelld/bbpeer/fleet_test.go
@@ -0,0 +1,233 @@
+package bbpeer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbjob"
+)
+
+// patience bounds the wait for what must happen in the end; tests don't measure time.
+const patience = 20 * time.Second
+
+// vm is one entry VM of a test.
+type vm struct {
+	fleet *Fleet
+	stop  func()
+	// orders has the IDs of the orders that it coordinated.
+	orders chan string
+}
+
+// freeAddresses returns addresses that nothing listens on.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses = append(addresses, l.Addr().String())
+		defer l.Close()
+	}
+	return addresses
+}
+
+// startVM starts a VM that answers each order with a grant that names it. Order may replace
+// that.
+func startVM(t *testing.T, name, address string, boot int64, seeds []string, order Local) *vm {
+	t.Helper()
+	began := time.Now()
+	conns, closeConns := NewConns()
+	v := &vm{
+		orders: make(chan string, 100),
+	}
+	v.fleet = NewFleet(bbgossip.Member{
+		Name:  name,
+		Boot:  boot,
+		Peer:  address,
+		Ready: true,
+	}, seeds, func() time.Duration { return time.Since(began) }, conns)
+	if order == nil {
+		order = v.grant
+	}
+	stopServer, err := Listen(address, Handlers{
+		Exchange:  v.fleet.Answer,
+		Published: func(Wanted) Published { return Published{} },
+		Order:     order,
+		Notes:     func([]bbjob.Note) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go v.fleet.Run(ctx)
+	v.stop = func() {
+		cancel()
+		stopServer()
+		closeConns()
+	}
+	t.Cleanup(v.stop)
+	return v
+}
+
+// grant answers an order with a grant of this VM.
+func (v *vm) grant(_ context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error {
+	v.orders <- o.ID
+	return pass(bbjob.Update{
+		Verdict: &bbjob.Verdict{
+			Grant: &bbjob.Grant{
+				ID:       o.ID,
+				Endpoint: v.fleet.self().Name,
+			},
+		},
+	})
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen", what)
+}
+
+// knows tells whether a VM follows a coordinator and reaches some others.
+func (v *vm) knows(leader string, reachable int) bool {
+	m, _ := v.fleet.Leader()
+	n := 0
+	v.fleet.View(func(t *bbgossip.Table, now time.Duration) { n = len(t.Reachable(now)) })
+	return m.Name == leader && n == reachable
+}
+
+// startThree starts three VMs that know only the first as a seed, and a seed that is down.
+func startThree(t *testing.T, order Local) []*vm {
+	t.Helper()
+	addresses := freeAddresses(t, 4)
+	seeds := []string{addresses[0], addresses[3]}
+	var vms []*vm
+	for i := range 3 {
+		local := order
+		if i > 0 {
+			local = nil
+		}
+		vms = append(vms, startVM(t, fmt.Sprint("vm", i), addresses[i], int64(100+i), seeds, local))
+	}
+	eventually(t, "that all know each other", func() bool {
+		return vms[0].knows("vm0", 2) && vms[1].knows("vm0", 2) && vms[2].knows("vm0", 2)
+	})
+	return vms
+}
+
+// wantGrant places an order at a VM and checks who granted it.
+func wantGrant(t *testing.T, v *vm, id, want string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	verdict, _, err := v.fleet.Order(ctx, bbjob.Order{
+		ID:    id,
+		Limit: patience,
+	}, v.grant)
+	if err != nil || verdict.Grant == nil {
+		t.Fatalf("verdict %+v, error %v; want a grant", verdict, err)
+	}
+	if diff := cmp.Diff(want, verdict.Grant.Endpoint); diff != "" {
+		t.Errorf("VM that granted %s (-want +got):\n%s", id, diff)
+	}
+}
+
+func TestVMsFindEachOtherThroughOneSeed(t *testing.T) {
+	vms := startThree(t, nil)
+	wantGrant(t, vms[2], "a", "vm0")
+	wantGrant(t, vms[0], "b", "vm0")
+}
+
+func TestOrderOutlivesItsCoordinator(t *testing.T) {
+	reached := make(chan struct{})
+	// The first coordinator tells of a result and is lost before its verdict.
+	vms := startThree(t, func(ctx context.Context, _ bbjob.Order, pass func(u bbjob.Update) error) error {
+		if err := pass(bbjob.Update{
+			Made: []bbjob.Made{{Stage: 0, Handle: "h"}},
+		}); err != nil {
+			return err
+		}
+		close(reached)
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	go func() {
+		<-reached
+		vms[0].stop()
+	}()
+	made := make(chan []bbjob.Made, 1)
+	verdict, coordinator, err := vms[1].fleet.Order(t.Context(), bbjob.Order{
+		ID:    "a",
+		Limit: patience,
+	}, func(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error {
+		made <- o.Made
+		return vms[1].grant(ctx, o, pass)
+	})
+	if err != nil || verdict.Grant == nil {
+		t.Fatalf("verdict %+v, error %v; want a grant of the next coordinator", verdict, err)
+	}
+	if coordinator.Name != "vm1" {
+		t.Errorf("coordinator is %s, want vm1, the oldest that is left", coordinator.Name)
+	}
+	if diff := cmp.Diff([]bbjob.Made{{Stage: 0, Handle: "h"}}, <-made); diff != "" {
+		t.Errorf("results that the next coordinator was told of (-want +got):\n%s", diff)
+	}
+}
+
+func TestLeavingCoordinatorSendsOrdersElsewhere(t *testing.T) {
+	vms := startThree(t, func(_ context.Context, _ bbjob.Order, pass func(u bbjob.Update) error) error {
+		return pass(bbjob.Update{
+			Verdict: &bbjob.Verdict{
+				Elsewhere: true,
+			},
+		})
+	})
+	go func() {
+		vms[0].fleet.Update(func(m *bbgossip.Member) { m.Leaving = true })
+	}()
+	wantGrant(t, vms[2], "a", "vm1")
+}
+
+func TestOrderEndsWithItsCaller(t *testing.T) {
+	ended := make(chan struct{})
+	vms := startThree(t, func(ctx context.Context, _ bbjob.Order, _ func(u bbjob.Update) error) error {
+		<-ctx.Done()
+		close(ended)
+		return ctx.Err()
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, _, err := vms[1].fleet.Order(ctx, bbjob.Order{
+		ID:    "a",
+		Limit: patience,
+	}, vms[1].grant)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		t.Errorf("error %v, want the caller's", err)
+	}
+	<-ended
+}
+
+func TestRestartedVMIsKnownAnew(t *testing.T) {
+	addresses := freeAddresses(t, 2)
+	first := startVM(t, "vm0", addresses[0], 100, nil, nil)
+	second := startVM(t, "vm1", addresses[1], 200, addresses[:1], nil)
+	eventually(t, "that both know each other", func() bool { return first.knows("vm0", 1) && second.knows("vm0", 1) })
+	first.stop()
+	eventually(t, "that the other one coordinates", func() bool { return second.knows("vm1", 0) })
+	again := startVM(t, "vm0", addresses[0], 300, addresses[1:], nil)
+	eventually(t, "that the restarted one follows", func() bool { return again.knows("vm1", 1) && second.knows("vm1", 1) })
+}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -5,11 +5,11 @@
 
 import (
 	"fmt"
-	"strconv"
 	"time"
 
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbplacement"
@@ -59,12 +59,17 @@
 	Handles []string
 }
 
-// Event is a decision about a request, for the log.
+// Event is a decision for the log. Empty fields don't apply.
 type Event struct {
-	Job    string
-	What   string
-	Detail string
-	Value  time.Duration
+	Number bbevent.Number
+	// Job is the request's ID.
+	Job string
+	// Call is the number of a call, Endpoint the one that it goes to.
+	Call     uint64
+	Endpoint string
+	Detail   string
+	// Value is the time that the event's text names.
+	Value time.Duration
 }
 
 // PieceResult is what an endpoint answered for one piece.
@@ -181,7 +186,16 @@
 		c.window(s.Service).Request(now)
 	}
 	c.window(o.Service).Request(now)
-	c.log(o.ID, map[bool]string{true: "returned", false: "accepted"}[j.returning], o.Route, expected-now)
+	accepted := bbevent.OrderAccepted
+	if j.returning {
+		accepted = bbevent.OrderReturned
+	}
+	c.log(Event{
+		Number: accepted,
+		Job:    o.ID,
+		Detail: o.Route,
+		Value:  expected - now,
+	})
 	c.release(j)
 	return c.decide(now)
 }
@@ -208,6 +222,10 @@
 			p.Drop(id)
 		}
 	}
+	c.log(Event{
+		Number: bbevent.OrderElsewhere,
+		Job:    id,
+	})
 	c.out.Elsewhere = append(c.out.Elsewhere, id)
 }
 
@@ -231,7 +249,11 @@
 // Cancel forgets a request whose caller has left or whose origin is gone.
 func (c *Coordinator) Cancel(now time.Duration, id string) Output {
 	if j := c.jobs[id]; j != nil {
-		c.log(id, "cancelled", "", now-j.arrived)
+		c.log(Event{
+			Number: bbevent.OrderCancelled,
+			Job:    id,
+			Value:  now - j.arrived,
+		})
 		if j.granted != "" {
 			c.table(j.order.Service).Ended(now, j.granted, id, bbhealth.OutcomeFull)
 		}
@@ -306,7 +328,13 @@
 			c.calls[call.ID] = call
 			c.begun(call)
 			c.out.Calls = append(c.out.Calls, call)
-			c.log(strconv.FormatUint(call.ID, 10), "callSent", fmt.Sprintf("%s %s pieces=%d waiting=%d", name, call.Endpoint, len(call.Pieces), p.Waiting()), call.Expected-now)
+			c.log(Event{
+				Number:   bbevent.CallSent,
+				Call:     call.ID,
+				Endpoint: call.Endpoint,
+				Detail:   fmt.Sprintf("%s pieces=%d waiting=%d", name, len(call.Pieces), p.Waiting()),
+				Value:    call.Expected - now,
+			})
 		}
 	}
 	c.place(now)
@@ -343,6 +371,12 @@
 
 // refuse gives a request its final answer.
 func (c *Coordinator) refuse(id, reason string, retryAfter, expected time.Duration) {
+	c.log(Event{
+		Number: bbevent.OrderRefused,
+		Job:    id,
+		Detail: reason,
+		Value:  expected,
+	})
 	c.out.Refusals = append(c.out.Refusals, bbjob.Refusal{
 		ID:         id,
 		Reason:     reason,
@@ -363,13 +397,8 @@
 }
 
 // log notes a decision.
-func (c *Coordinator) log(job, what, detail string, value time.Duration) {
-	c.out.Events = append(c.out.Events, Event{
-		Job:    job,
-		What:   what,
-		Detail: detail,
-		Value:  value,
-	})
+func (c *Coordinator) log(e Event) {
+	c.out.Events = append(c.out.Events, e)
 }
 
 // pool returns the pool of a service, or nil if it has none.
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbplacement"
@@ -48,7 +49,12 @@
 	j.grantedAt = now
 	delete(c.waiting, j.order.ID)
 	inputs, _ := j.finals()
-	c.log(j.order.ID, "granted", e.ID, now-j.arrived)
+	c.log(Event{
+		Number:   bbevent.EngineGranted,
+		Job:      j.order.ID,
+		Endpoint: e.ID,
+		Value:    now - j.arrived,
+	})
 	c.out.Grants = append(c.out.Grants, bbjob.Grant{
 		ID:       j.order.ID,
 		Endpoint: e.ID,
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
@@ -214,7 +215,13 @@
 	if full && o == bbhealth.OutcomeGood {
 		p.Crowded(now, call.Endpoint)
 	}
-	c.log(strconv.FormatUint(id, 10), "callDone", describe(call, o, results), now-call.Sent)
+	c.log(Event{
+		Number:   bbevent.CallDone,
+		Call:     id,
+		Endpoint: call.Endpoint,
+		Detail:   describe(call, o, results),
+		Value:    now - call.Sent,
+	})
 	retry := make(map[string]map[int][]int)
 	for i, piece := range call.Pieces {
 		j := c.jobs[piece.Job]
@@ -262,6 +269,11 @@
 
 // loseInputs gives up the results that a stage needs, so that they are made again.
 func (c *Coordinator) loseInputs(j *job, stage int) {
+	c.log(Event{
+		Number: bbevent.InputsGone,
+		Job:    j.order.ID,
+		Detail: strconv.Itoa(stage),
+	})
 	for _, before := range j.order.Stages[stage].After {
 		c.freeStage(j, before)
 	}
@@ -329,7 +341,12 @@
 	if st.left > 0 {
 		return
 	}
-	c.log(piece.Job, "stageDone", strconv.Itoa(piece.Stage), now-j.arrived)
+	c.log(Event{
+		Number: bbevent.StageDone,
+		Job:    piece.Job,
+		Detail: strconv.Itoa(piece.Stage),
+		Value:  now - j.arrived,
+	})
 	c.update(piece.Job, j.madeOf(piece.Stage))
 	// The inputs of a finished stage are needed no more unless another stage needs them.
 	for _, before := range j.order.Stages[piece.Stage].After {
@@ -398,7 +415,13 @@
 		again[piece.Job][piece.Stage] = append(again[piece.Job][piece.Stage], piece.Piece)
 	}
 	for _, id := range sortedKeys(again) {
-		c.log(id, "callOverdue", call.Endpoint, now-call.Sent)
+		c.log(Event{
+			Number:   bbevent.CallOverdue,
+			Job:      id,
+			Call:     call.ID,
+			Endpoint: call.Endpoint,
+			Value:    now - call.Sent,
+		})
 		j := c.jobs[id]
 		for stage, pieces := range again[id] {
 			if j.ready(stage) && c.inputsKept(j, stage) && c.window(j.order.Stages[stage].Service).Take(now, 1) {
@@ -422,13 +445,24 @@
 
 // begun notes that a call is being made.
 func (c *Coordinator) begun(call *bbpool.Call) {
+	sent := make(map[string]int)
 	for _, piece := range call.Pieces {
 		if j := c.jobs[piece.Job]; j != nil {
 			p := &j.stages[piece.Stage].pieces[piece.Piece]
 			p.queued = false
 			p.calls++
+			sent[piece.Job]++
 		}
 	}
+	for _, id := range sortedKeys(sent) {
+		c.log(Event{
+			Number:   bbevent.PiecesSent,
+			Job:      id,
+			Call:     call.ID,
+			Endpoint: call.Endpoint,
+			Detail:   strconv.Itoa(sent[id]),
+		})
+	}
 }
 
 // fetched notes that the endpoint of a call should have its inputs, and gives up those that
@@ -505,5 +539,5 @@
 			crowded++
 		}
 	}
-	return fmt.Sprintf("%s %s outcome=%d results=%d of %d gone=%d noRoom=%d", call.Service, call.Endpoint, o, made, len(call.Pieces), gone, crowded)
+	return fmt.Sprintf("%s outcome=%s results=%d of %d gone=%d noRoom=%d", call.Service, o, made, len(call.Pieces), gone, crowded)
 }
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -29,7 +29,8 @@
 }
 
 // The numbers of the catalogue. Hundreds group them: 1xx node, 2xx configuration,
-// 3xx membership and ownership, 4xx requests, 5xx endpoints, 6xx links, 7xx limits.
+// 3xx membership and ownership, 4xx requests, 5xx endpoints, 6xx links, 7xx limits, 8xx entry
+// VMs that find each other and coordinate shared work.
 const (
 	NodeStarted          Number = 101
 	NodeReady            Number = 102
@@ -84,6 +85,39 @@
 	TableFull            Number = 701
 	QueueFull            Number = 702
 	BudgetSpent          Number = 703
+	EntryStarted         Number = 801
+	EntryDraining        Number = 802
+	EntryStopped         Number = 803
+	EntryCut             Number = 804
+	SettingsReloaded     Number = 805
+	SettingsRefused      Number = 806
+	ListenerEnded        Number = 807
+	CatalogInForce       Number = 811
+	CatalogUnreadable    Number = 812
+	StoreLost            Number = 813
+	StoreBack            Number = 814
+	ZoneEvacuation       Number = 815
+	EndpointUnreadable   Number = 816
+	EndpointsAdopted     Number = 817
+	FollowFailed         Number = 818
+	CoordinatorChanged   Number = 821
+	OrderAccepted        Number = 831
+	OrderReturned        Number = 832
+	OrderElsewhere       Number = 833
+	PiecesSent           Number = 834
+	StageDone            Number = 835
+	InputsGone           Number = 836
+	EngineGranted        Number = 837
+	OrderCancelled       Number = 838
+	OrderRefused         Number = 839
+	CallSent             Number = 841
+	CallDone             Number = 842
+	CallOverdue          Number = 843
+	EntryRequestEnded    Number = 851
+	NoteDropped          Number = 861
+	NotesLost            Number = 862
+	UpdateDropped        Number = 863
+	LogLinesDropped      Number = 871
 )
 
 // Catalogue lists every kind of event by number.
@@ -141,6 +175,39 @@
 	{Number: TableFull, Title: "tableFull", Severity: SeverityError, Text: "A bounded table is full; new entries are refused."},
 	{Number: QueueFull, Title: "queueFull", Severity: SeverityWarning, Text: "A bounded queue is full; new work is refused as not run."},
 	{Number: BudgetSpent, Title: "budgetSpent", Severity: SeverityWarning, Text: "The retry budget is spent; no retry or hedge was made."},
+	{Number: EntryStarted, Title: "entryStarted", Severity: SeverityInfo, Text: "The process started; it knows nothing of an earlier one."},
+	{Number: EntryDraining, Title: "entryDraining", Severity: SeverityInfo, Text: "The process was asked to stop: it is named to no new caller and finishes what it has."},
+	{Number: EntryStopped, Title: "entryStopped", Severity: SeverityInfo, Text: "The process has finished and ends."},
+	{Number: EntryCut, Title: "entryCut", Severity: SeverityWarning, Text: "The time to stop was over while requests were in progress."},
+	{Number: SettingsReloaded, Title: "settingsReloaded", Severity: SeverityInfo, Text: "Changed settings are in force."},
+	{Number: SettingsRefused, Title: "settingsRefused", Severity: SeverityError, Text: "Changed settings have findings; those before stay in force."},
+	{Number: ListenerEnded, Title: "listenerEnded", Severity: SeverityError, Text: "An address is no longer served."},
+	{Number: CatalogInForce, Title: "catalogInForce", Severity: SeverityInfo, Text: "A newer configuration is in force; source tells who had it."},
+	{Number: CatalogUnreadable, Title: "catalogUnreadable", Severity: SeverityError, Text: "The platform's configuration can't be read; the one before stays in force."},
+	{Number: StoreLost, Title: "storeLost", Severity: SeverityWarning, Text: "The platform's store does not answer; this VM goes on with what it and others know."},
+	{Number: StoreBack, Title: "storeBack", Severity: SeverityInfo, Text: "The platform's store answers again."},
+	{Number: ZoneEvacuation, Title: "zoneEvacuation", Severity: SeverityInfo, Text: "A failure domain was taken out or brought back; out tells which."},
+	{Number: EndpointUnreadable, Title: "endpointUnreadable", Severity: SeverityWarning, Text: "An entry of the platform's list can't be read and names no endpoint."},
+	{Number: EndpointsAdopted, Title: "endpointsAdopted", Severity: SeverityInfo, Text: "The endpoints were taken from another VM, because the store is away."},
+	{Number: FollowFailed, Title: "followFailed", Severity: SeverityInfo, Text: "Another VM did not tell what it knows."},
+	{Number: CoordinatorChanged, Title: "coordinatorChanged", Severity: SeverityInfo, Text: "Another VM coordinates stages and engines, as this one sees it."},
+	{Number: OrderAccepted, Title: "orderAccepted", Severity: SeverityInfo, Text: "The coordinator took a request in; value is the expected time to its first token."},
+	{Number: OrderReturned, Title: "orderReturned", Severity: SeverityInfo, Text: "As orderAccepted, for a caller that was refused before."},
+	{Number: OrderElsewhere, Title: "orderElsewhere", Severity: SeverityInfo, Text: "A leaving coordinator handed a request back with the results made so far."},
+	{Number: PiecesSent, Title: "piecesSent", Severity: SeverityInfo, Text: "Pieces of a request went to an endpoint with the named call."},
+	{Number: StageDone, Title: "stageDone", Severity: SeverityInfo, Text: "All results of a stage are there; value is the time since the order arrived."},
+	{Number: InputsGone, Title: "inputsGone", Severity: SeverityWarning, Text: "Results that a stage needs no longer exist; they are made again."},
+	{Number: EngineGranted, Title: "engineGranted", Severity: SeverityInfo, Text: "The request may be sent to an engine; value is the time since the order arrived."},
+	{Number: OrderCancelled, Title: "orderCancelled", Severity: SeverityInfo, Text: "The caller left or its VM is gone; results are given up."},
+	{Number: OrderRefused, Title: "orderRefused", Severity: SeverityInfo, Text: "The coordinator turned a request away; it has not run. Value is the expected time."},
+	{Number: CallSent, Title: "callSent", Severity: SeverityInfo, Text: "A call to a stage worker; value is the time until the answer is expected."},
+	{Number: CallDone, Title: "callDone", Severity: SeverityInfo, Text: "The answer of a stage worker; value is the time that it took."},
+	{Number: CallOverdue, Title: "callOverdue", Severity: SeverityWarning, Text: "A call is late; its pieces go to another endpoint too."},
+	{Number: EntryRequestEnded, Title: "entryRequestEnded", Severity: SeverityInfo, Text: "A caller's request ended: route, outcome, cause, endpoint, tries and times."},
+	{Number: NoteDropped, Title: "noteDropped", Severity: SeverityWarning, Text: "Too many notes of progress wait; the coordinator notices by the request's limit."},
+	{Number: NotesLost, Title: "notesLost", Severity: SeverityInfo, Text: "A coordinator could not be told of progress."},
+	{Number: UpdateDropped, Title: "updateDropped", Severity: SeverityWarning, Text: "An origin lags behind; results are made again if this coordinator is lost."},
+	{Number: LogLinesDropped, Title: "logLinesDropped", Severity: SeverityWarning, Text: "The log's reader is too slow; lines counts those that were dropped."},
 }
 
 // Lookup returns the catalogue entry of a number, and false for an unknown one.
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -204,6 +204,13 @@
 	}
 }
 
+// Left notes that a member said that it is leaving, before its next beat tells all.
+func (t *Table) Left(name string) {
+	if e := t.entries[name]; e != nil {
+		e.Leaving = true
+	}
+}
+
 // Forget drops members that have been silent for long.
 func (t *Table) Forget(now time.Duration) {
 	for name, e := range t.entries {
--- a/core/bbhealth/health.go
+++ b/core/bbhealth/health.go
@@ -35,6 +35,23 @@
 	OutcomeMoved
 )
 
+// String returns the word for an outcome in logs and metrics.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeGood:
+		return "good"
+	case OutcomeUnreachable:
+		return "unreachable"
+	case OutcomeBroken:
+		return "broken"
+	case OutcomeFull:
+		return "full"
+	case OutcomeMoved:
+		return "moved"
+	}
+	return "unknown"
+}
+
 // Record is what is remembered of one endpoint. The zero value is an endpoint without
 // any calls.
 type Record struct {
