Pieces go where their inputs are, and wait a little for it

Each of the ten pieces at freight-board fetches all six results of coop-desk, so that one request moves 3.6 MB; the choice looked at the size of the result instead.

--- a/core/bbcoordinator/job.go
+++ b/core/bbcoordinator/job.go
@@ -226,6 +226,20 @@
 	return best
 }
 
+// moveBytes returns what goes between failure domains when pieces of a stage are not done at
+// its home: each piece fetches all its inputs.
+func (j *job) moveBytes(stage, pieces int) float64 {
+	o := j.order.Stages[stage]
+	if len(o.After) == 0 {
+		return float64(pieces) * o.ResultBytes
+	}
+	inputs := 0.0
+	for _, before := range o.After {
+		inputs += float64(j.order.Stages[before].Pieces) * j.order.Stages[before].ResultBytes
+	}
+	return float64(pieces) * inputs
+}
+
 // tail returns the least time from the start of what is left to the first token, for a
 // request whose stages from a number on are not done.
 func (j *job) tail(from int) time.Duration {
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -168,6 +168,7 @@
 		Begun:       len(pieces) < s.Pieces,
 		Limit:       j.limit,
 		Zone:        j.home(stage),
+		MoveBytes:   j.moveBytes(stage, len(pieces)),
 		Allowed:     c.allowed(j.order),
 	})
 }
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -14,6 +14,10 @@
 )
 
 const (
+	// roundTrip is the usual way to another failure domain and back, and moveCost what a
+	// megabyte that goes there costs, as the delay of a request that is worth as much.
+	roundTrip = 10 * time.Millisecond
+	moveCost  = 40 * time.Millisecond
 	// scarceParts is the number of results from which on their room doesn't matter: several
 	// times the pieces of the largest call on the users' sheets.
 	scarceParts = 400
@@ -66,6 +70,8 @@
 	Limit time.Duration
 	// Zone is where the inputs are or the results are wanted; empty if it doesn't matter.
 	Zone string
+	// MoveBytes is what goes between failure domains when the work is done elsewhere.
+	MoveBytes float64
 	// Allowed tells whether an endpoint's failure domain may be used; nil means all.
 	Allowed func(zone string) bool
 }
@@ -277,16 +283,33 @@
 	if chosen == nil || (chosen.slow(now) >= slowFactor && p.soonerElsewhere(now, g, chosen)) {
 		return Endpoint{}, nil
 	}
+	if g.Zone != "" && best.Zone != g.Zone && p.soonNear(now, g) {
+		return Endpoint{}, nil
+	}
 	return best, chosen
 }
 
-// distance is the cost of another failure domain: a round trip, and more where results
-// are large.
-func (p *Pool) distance(g *Group) time.Duration {
-	if g.ResultBytes >= splitBytes {
-		return p.Spec.CallTime
+// soonNear tells whether an endpoint where the inputs are is free before moving them would
+// pay.
+func (p *Pool) soonNear(now time.Duration, g *Group) bool {
+	for _, e := range p.endpoints {
+		w := p.workers[e.ID]
+		if e.Zone != g.Zone || w.health.Paused(now) || (g.Allowed != nil && !g.Allowed(e.Zone)) || w.slow(now) >= slowFactor {
+			continue
+		}
+		left := p.remaining(now, w)
+		if left > 0 && left <= p.distance(g) && len(w.calls) <= max(1, p.Spec.Slots) && p.room(w) >= g.ResultBytes {
+			return true
+		}
 	}
-	return p.Spec.CallTime / 8
+	return false
+}
+
+// distance is the cost of another failure domain: a round trip, and the price of what has to
+// be moved, as time.
+func (p *Pool) distance(g *Group) time.Duration {
+	move := time.Duration(g.MoveBytes / 1e6 * float64(moveCost))
+	return min(p.Spec.CallTime, roundTrip+move)
 }
 
 // cost is the time that a worker would take for a usual call, with failures counted.
--- a/core/bbpool/pool_test.go
+++ b/core/bbpool/pool_test.go
@@ -219,3 +219,55 @@
 		t.Errorf("call %+v, want one to w2 in the allowed failure domain", c)
 	}
 }
+
+// nearGroup returns pieces whose inputs are in the west and cost much to move.
+func nearGroup(job string) *Group {
+	g := group(job, 4, 900*ms)
+	g.Zone = "west"
+	g.MoveBytes = 3e6
+	return g
+}
+
+func TestWorkWaitsForANearEndpoint(t *testing.T) {
+	busy := func(p *Pool) *Call {
+		g := group("other", 4, 500*ms)
+		g.Allowed = func(zone string) bool { return zone == "west" }
+		p.Add(g)
+		return calls(p, 0)[0]
+	}
+	t.Run("that will soon be free", func(t *testing.T) {
+		p := newTestPool()
+		c := busy(p)
+		p.Add(nearGroup("near"))
+		if got := p.Next(c.Expected - 100*ms); got != nil {
+			t.Errorf("call to %s, want the pieces to wait for their failure domain", got.Endpoint)
+		}
+	})
+	t.Run("not for long", func(t *testing.T) {
+		p := newTestPool()
+		busy(p)
+		p.Add(nearGroup("near"))
+		if got := p.Next(ms); got == nil || got.Endpoint != "w1" {
+			t.Errorf("call %+v, want one to the idle endpoint", got)
+		}
+	})
+	t.Run("not for one that is late", func(t *testing.T) {
+		p := newTestPool()
+		c := busy(p)
+		p.Add(nearGroup("near"))
+		if got := p.Next(c.Expected + 100*ms); got == nil || got.Endpoint != "w1" {
+			t.Errorf("call %+v, want one to the idle endpoint", got)
+		}
+	})
+	t.Run("not for one without room", func(t *testing.T) {
+		p := newTestPool()
+		c := busy(p)
+		g := nearGroup("near")
+		g.ResultBytes = 1e6
+		p.Add(g)
+		p.Crowded(c.Expected-100*ms, "w2")
+		if got := p.Next(c.Expected - 100*ms); got == nil || got.Endpoint != "w1" {
+			t.Errorf("call %+v, want one to the idle endpoint", got)
+		}
+	})
+}
