No call is queued behind one that is late

Cause: TestWorkWaitsForANearEndpoint failed on the commit before: an endpoint whose call is late counted as about to be free, and got another one.

--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// lateSlack is how much longer than expected a call usually takes at most.
+	lateSlack = 80 * time.Millisecond
 	// roundTrip is the usual way to another failure domain and back, and moveCost what a
 	// megabyte that goes there costs, as the delay of a request that is worth as much.
 	roundTrip = 10 * time.Millisecond
@@ -349,7 +351,18 @@
 	if len(w.calls) < max(1, p.Spec.Slots) {
 		return true
 	}
-	return len(w.calls) == max(1, p.Spec.Slots) && p.Spec.Queue > 0 && p.remaining(now, w) <= p.Lead
+	return len(w.calls) == max(1, p.Spec.Slots) && p.Spec.Queue > 0 && p.remaining(now, w) <= p.Lead && !w.late(now)
+}
+
+// late tells whether a call in progress should have been answered a while ago: a call behind
+// it would wait for nobody knows how long.
+func (w *worker) late(now time.Duration) bool {
+	for _, c := range w.calls {
+		if now > c.Expected+lateSlack {
+			return true
+		}
+	}
+	return false
 }
 
 // remaining is the time until a worker's calls in progress should be done.
