Large fleets: the coordinator vouches for members, few VMs read the store

Cause: on the grown site each VM exchanged with three others a round and knew only these as reachable, so that many coordinated at once (24,063 calls found the endpoint full); all 65 read the store. Change: in fleets of more than twelve each VM exchanges with the coordinator, which names the running ones where its view differs; the coordinator is the oldest of the largest VMs; one VM a region and the coordinator read the store and others take the changes from them.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -58,6 +58,8 @@
 	hub      *bbhub.Hub
 	notes    chan addressedNote
 	leaving  atomic.Bool
+	// source is the VM whose endpoints this one follows; used by followLoop only.
+	source source
 }
 
 // addressedNote is a note for the coordinator at an address.
@@ -74,10 +76,6 @@
 	// maxNotes bounds the notes that wait; more are dropped, and the coordinator notices
 	// by the requests' limits.
 	maxNotes = 4096
-	// publishPeriod is how often a VM looks whether others know more than it.
-	publishPeriod = 150 * time.Millisecond
-	// publishTimeout bounds a call for what another VM knows.
-	publishTimeout = 800 * time.Millisecond
 )
 
 // Start starts an entry VM. The clean-up function ends its calls.
@@ -137,7 +135,7 @@
 	})
 	e.addGauges()
 	go e.fleet.Run(ctx)
-	go e.followOthers(ctx)
+	go e.followLoop(ctx)
 	go e.sendNotes(ctx)
 	return e, func() {
 		cancel()
@@ -307,67 +305,6 @@
 	}
 }
 
-// published answers another VM that knows less than this one.
-func (e *Entry) published(w bbpeer.Wanted) bbpeer.Published {
-	var p bbpeer.Published
-	if x := e.Knowledge.Index(); w.Catalog && x != nil {
-		p.Catalog = &x.Catalog
-	}
-	if w.Endpoints {
-		s := e.Knowledge.snapshot()
-		p.Endpoints = &s
-	}
-	return p
-}
-
-// followOthers asks other VMs for what they know and this one doesn't.
-func (e *Entry) followOthers(ctx context.Context) {
-	ticker := time.NewTicker(publishPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		e.refresh()
-		_, version, revision := e.Knowledge.ready()
-		stale := e.Knowledge.stale()
-		var peer bbgossip.Member
-		var w bbpeer.Wanted
-		e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
-			for _, m := range t.Reachable(now) {
-				catalog := m.CatalogVersion > version
-				endpoints := stale && m.EndpointRevision > revision
-				if catalog || endpoints {
-					peer = m
-					w.Catalog, w.Endpoints = catalog, endpoints
-				}
-			}
-		})
-		if w.Catalog || w.Endpoints {
-			e.follow(ctx, peer, w)
-		}
-	}
-}
-
-// follow asks one VM for what it knows.
-func (e *Entry) follow(ctx context.Context, peer bbgossip.Member, w bbpeer.Wanted) {
-	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
-	defer cancel()
-	p, err := e.conns.Published(ctx, peer.Peer, w)
-	if err != nil {
-		e.log.Event(bbevent.FollowFailed).Str("peer", peer.Name).Err(err).Send()
-		return
-	}
-	if p.Catalog != nil {
-		e.Knowledge.OfferCatalog(*p.Catalog, peer.Name)
-	}
-	if p.Endpoints != nil && e.Knowledge.adopt(*p.Endpoints) {
-		e.log.Event(bbevent.EndpointsAdopted).Str("peer", peer.Name).Uint64("revision", p.Endpoints.Revision).Send()
-	}
-}
-
 func (e *Entry) catalogChanged(c bbcatalog.Catalog, source string) {
 	e.log.Event(bbevent.CatalogInForce).Uint64("version", c.Version).Int("routes", len(c.Routes)).Str("source", source).Send()
 	go e.refresh()
--- /dev/null
+++ b/bluebelld/bbentry/follow.go
@@ -0,0 +1,159 @@
+package bbentry
+
+import (
+	"context"
+	"time"
+
+	"bluebellhall/bluebelld/bbpeer"
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbgossip"
+)
+
+const (
+	// publishPeriod is how often a VM looks whether others know more than it.
+	publishPeriod = 150 * time.Millisecond
+	// followPeriod is how often a VM that doesn't read the store asks one that does.
+	followPeriod = 400 * time.Millisecond
+	// publishTimeout bounds a call for what another VM knows.
+	publishTimeout = 800 * time.Millisecond
+	// smallFleet is the number of other VMs up to which each reads the store itself: the
+	// calls are few then, and a reader that is turned away costs time.
+	smallFleet = 12
+)
+
+// source is how far this VM has followed the endpoints of another one.
+type source struct {
+	boot     int64
+	sequence uint64
+}
+
+// published answers another VM that knows less than this one.
+func (e *Entry) published(w bbpeer.Wanted) bbpeer.Published {
+	_, version, _ := e.Knowledge.ready()
+	p := bbpeer.Published{
+		Boot:           e.settings.Self.Boot,
+		CatalogVersion: version,
+		StoreAge:       e.Knowledge.storeAge(),
+	}
+	if x := e.Knowledge.Index(); w.Catalog && x != nil {
+		p.Catalog = &x.Catalog
+	}
+	if w.Endpoints {
+		sequence := w.Sequence
+		if w.Boot != p.Boot {
+			sequence = 0
+		}
+		d := e.Knowledge.since(sequence)
+		p.Endpoints = &d
+	}
+	return p
+}
+
+// followLoop asks other VMs for what they know and this one doesn't.
+func (e *Entry) followLoop(ctx context.Context) {
+	ticker := time.NewTicker(publishPeriod)
+	defer ticker.Stop()
+	var asked time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		e.refresh()
+		reader, reads := e.reader()
+		e.Knowledge.setReading(reads)
+		if peer, ok := e.ahead(); ok {
+			e.follow(ctx, peer, bbpeer.Wanted{
+				Catalog: true,
+			})
+		}
+		switch {
+		case !reads && e.now()-asked >= followPeriod:
+		case reads && e.Knowledge.stale() && reader.Name != "":
+		default:
+			continue
+		}
+		asked = e.now()
+		e.follow(ctx, reader, bbpeer.Wanted{
+			Endpoints: true,
+			Boot:      e.source.boot,
+			Sequence:  e.source.sequence,
+		})
+	}
+}
+
+// ahead returns a VM that has a newer configuration in force.
+func (e *Entry) ahead() (bbgossip.Member, bool) {
+	_, version, _ := e.Knowledge.ready()
+	var peer bbgossip.Member
+	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
+		for _, m := range t.Reachable(now) {
+			if m.CatalogVersion > version {
+				version = m.CatalogVersion
+				peer = m
+			}
+		}
+	})
+	return peer, peer.Name != ""
+}
+
+// reader returns the VM to ask for endpoints, and whether this one reads the store itself.
+// One that can't reach the store asks the VM that knows the newest endpoints.
+func (e *Entry) reader() (bbgossip.Member, bool) {
+	_, _, revision := e.Knowledge.ready()
+	var best bbgossip.Member
+	reads := true
+	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
+		reachable := t.Reachable(now)
+		readers := t.Readers(now)
+		reads = len(reachable) <= smallFleet || readers[e.settings.Self.Name]
+		for _, m := range reachable {
+			switch {
+			case reads && m.EndpointRevision > revision:
+				revision = m.EndpointRevision
+				best = m
+			case !reads && readers[m.Name] && (best.Name == "" || m.Region == e.settings.Self.Region):
+				best = m
+			}
+		}
+	})
+	if !reads && (best.Name == "" || e.Knowledge.unfollowed()) {
+		return best, true
+	}
+	return best, reads
+}
+
+// follow asks one VM for what it knows.
+func (e *Entry) follow(ctx context.Context, peer bbgossip.Member, w bbpeer.Wanted) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	p, err := e.conns.Published(ctx, peer.Peer, w)
+	if err != nil {
+		e.log.Event(bbevent.FollowFailed).Str("peer", peer.Name).Err(err).Send()
+		return
+	}
+	if p.Catalog != nil {
+		e.Knowledge.OfferCatalog(*p.Catalog, peer.Name)
+	}
+	if p.Endpoints == nil {
+		return
+	}
+	taken := e.Knowledge.follow(*p.Endpoints, p.StoreAge)
+	if !taken {
+		return
+	}
+	if p.Endpoints.Whole {
+		e.log.Event(bbevent.EndpointsAdopted).Str("peer", peer.Name).Uint64("revision", p.Endpoints.Revision).Send()
+	}
+	e.source = source{
+		boot:     p.Boot,
+		sequence: p.Endpoints.Sequence,
+	}
+	_, version, _ := e.Knowledge.ready()
+	if p.CatalogVersion > version {
+		e.follow(ctx, peer, bbpeer.Wanted{
+			Catalog: true,
+		})
+	}
+}
--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -32,6 +32,10 @@
 	// heardAt is when the platform last answered; failing is true since a call failed.
 	heardAt time.Duration
 	failing bool
+	// followedAt is when the platform last answered the VM that this one follows.
+	followedAt time.Duration
+	// notReading is true while another VM reads the platform for this one.
+	notReading bool
 	// outageEnd is when the platform answered again after an outage.
 	outageEnd time.Duration
 	outage    bool
@@ -115,23 +119,45 @@
 	return !k.listed || k.now()-k.heardAt > staleAfter
 }
 
-// adopt takes in the endpoints of another VM if they are newer.
-func (k *Knowledge) adopt(s bbregistry.Snapshot) bool {
+// follow takes in the endpoints of another VM, which heard of the platform some time ago. It
+// is false if this VM knows newer ones.
+func (k *Knowledge) follow(d bbregistry.Delta, storeAge time.Duration) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.listed && s.Revision <= k.table.Revision {
+	k.followedAt = k.now() - storeAge
+	if k.listed && d.Revision < k.table.Revision {
 		return false
 	}
-	k.table.Replace(k.now(), s)
+	k.table.Apply(k.now(), d)
 	k.listed = true
 	return true
 }
 
-// snapshot returns the endpoints for another VM.
-func (k *Knowledge) snapshot() bbregistry.Snapshot {
+// unfollowed tells whether the VM that this one follows is silent or lost the platform.
+func (k *Knowledge) unfollowed() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.Snapshot(k.now())
+	return k.now()-k.followedAt > staleAfter
+}
+
+// since returns the changes of endpoints after a number of them.
+func (k *Knowledge) since(sequence uint64) bbregistry.Delta {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Since(k.now(), sequence)
+}
+
+// Reading tells whether this VM reads the platform itself, or another does it for it.
+func (k *Knowledge) Reading() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.notReading
+}
+
+func (k *Knowledge) setReading(reads bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.notReading = !reads
 }
 
 // usable returns the endpoints of a service that may get new work.
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -24,8 +24,11 @@
 	// meshSize is the largest fleet in which every VM exchanges with every other in each
 	// round.
 	meshSize = 12
-	// fanOut is the number of VMs that a VM exchanges with in each round of a larger fleet.
-	fanOut = 3
+	// starEvery is the number of rounds after which each VM of a larger fleet exchanges with
+	// the coordinator, and with one other so that parts of the fleet find each other.
+	starEvery = 2
+	// seedEvery is the number of rounds after which seeds are tried that no VM is known at.
+	seedEvery = 4
 )
 
 // Fleet is this VM's view of the others, kept up to date by rounds of exchange.
@@ -42,6 +45,8 @@
 	mu    sync.Mutex
 	table *bbgossip.Table
 	seeds []string
+	// rounds counts the rounds of exchange.
+	rounds int
 	// busy are the addresses with an exchange in progress.
 	busy map[string]bool
 	// introduced has the process of each VM that knows this one in full.
@@ -62,6 +67,7 @@
 		Now:        now,
 		Conns:      conns,
 		Log:        func(string, bool, string) {},
+		LogLeader:  func(string, int) {},
 		table:      bbgossip.NewTable(self),
 		seeds:      seeds,
 		busy:       make(map[string]bool),
@@ -135,17 +141,18 @@
 	defer f.mu.Unlock()
 	now := f.Now()
 	known := f.table.Heard(now, e.From)
-	f.table.Merge(now, e.Members)
+	f.table.Merge(now, e.Members, false)
 	answer := Exchange{
 		From:    f.table.Self(),
-		Digest:  f.table.Digest(),
+		Digest:  f.table.Digest(now),
+		Vouches: f.leader.Name == f.table.Self().Name,
 		Unknown: !known,
 	}
 	if e.KnownBoot == answer.From.Boot {
 		answer.From = answer.From.Brief()
 	}
 	if e.Digest != answer.Digest {
-		answer.Members = f.table.Known()
+		answer.Members = f.table.Present(now)
 	}
 	f.look()
 	return answer
@@ -275,9 +282,10 @@
 	f.look()
 }
 
-// targets returns the addresses for one round: all members of a small fleet, else a few,
-// and seeds that no known member has.
+// targets returns the addresses for one round: all members of a small fleet, else now and
+// then the coordinator and one other, and seeds that no known member has.
 func (f *Fleet) targets() []string {
+	f.rounds++
 	known := f.table.Known()
 	addresses := make([]string, 0, len(known))
 	taken := map[string]bool{
@@ -288,13 +296,17 @@
 		addresses = append(addresses, m.Peer)
 	}
 	if len(addresses) >= meshSize {
-		rand.Shuffle(len(addresses), func(i, j int) {
-			addresses[i], addresses[j] = addresses[j], addresses[i]
-		})
-		addresses = addresses[:fanOut]
+		other := addresses[rand.IntN(len(addresses))]
+		addresses = nil
+		if f.rounds%starEvery == 0 {
+			addresses = []string{other}
+			if f.leader.Name != f.table.Self().Name && f.leader.Peer != other {
+				addresses = append(addresses, f.leader.Peer)
+			}
+		}
 	}
 	for _, seed := range f.seeds {
-		if !taken[seed] {
+		if !taken[seed] && (len(known) == 0 || f.rounds%seedEvery == 0) {
 			addresses = append(addresses, seed)
 		}
 	}
@@ -317,10 +329,15 @@
 		} else {
 			delete(f.introduced, name)
 		}
-		f.table.Merge(now, answer.Members)
+		vouched := answer.Vouches && answer.From.Name == f.leader.Name
+		if vouched && answer.Digest == f.table.Digest(now) {
+			f.table.Vouch(now)
+		}
+		f.table.Merge(now, answer.Members, vouched)
 		f.look()
 		return
 	}
+	f.table.Failed(now, name)
 	if status.Code(errors.UnwrapAll(err)) == codes.Unavailable && name != "" {
 		f.table.Lost(name)
 	}
@@ -334,7 +351,7 @@
 	defer f.mu.Unlock()
 	q := Exchange{
 		From:   f.table.Self(),
-		Digest: f.table.Digest(),
+		Digest: f.table.Digest(f.Now()),
 	}
 	for _, m := range f.table.Known() {
 		if m.Peer != address {
--- a/bluebelld/bbpeer/fleet_test.go
+++ b/bluebelld/bbpeer/fleet_test.go
@@ -231,3 +231,25 @@
 	again := startVM(t, "vm0", addresses[0], 300, addresses[1:], nil)
 	eventually(t, "that the restarted one follows", func() bool { return again.knows("vm1", 1) && second.knows("vm1", 1) })
 }
+
+func TestLargeFleet(t *testing.T) {
+	const size = meshSize + 6
+	addresses := freeAddresses(t, size)
+	var vms []*vm
+	for i := range size {
+		vms = append(vms, startVM(t, fmt.Sprintf("vm%02d", i), addresses[i], int64(100+i), addresses[:3], nil))
+	}
+	follow := func(leader string, vms []*vm) func() bool {
+		return func() bool {
+			for _, v := range vms {
+				if !v.knows(leader, len(vms)-1) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, "that all follow the oldest", follow("vm00", vms))
+	vms[0].stop()
+	eventually(t, "that all follow the next", follow("vm01", vms[1:]))
+}
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -24,20 +25,32 @@
 	Digest uint64 `cbor:"3,keyasint,omitempty"`
 	// Members are those that the sender knows; only where the tables differ.
 	Members []bbgossip.Member `cbor:"4,keyasint,omitempty"`
+	// Vouches is true in an answer of the coordinator, as it sees itself.
+	Vouches bool `cbor:"6,keyasint,omitempty"`
 	// Unknown is true in an answer when the sender of the question wasn't known.
 	Unknown bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Wanted names what a VM lacks of what the platform published.
 type Wanted struct {
-	Catalog   bool `json:"catalog"`
-	Endpoints bool `json:"endpoints"`
+	Catalog bool `json:"catalog"`
+	// Endpoints is true for changes of endpoints after those that the sender knows of the
+	// process with the given boot.
+	Endpoints bool   `json:"endpoints"`
+	Boot      int64  `json:"boot"`
+	Sequence  uint64 `json:"sequence"`
 }
 
 // Published is what the platform published, as another VM knows it.
 type Published struct {
-	Catalog   *bbcatalog.Catalog   `json:"catalog"`
-	Endpoints *bbregistry.Snapshot `json:"endpoints"`
+	Catalog *bbcatalog.Catalog `json:"catalog"`
+	// Endpoints are changes of the process with the given boot.
+	Endpoints *bbregistry.Delta `json:"endpoints"`
+	Boot      int64             `json:"boot"`
+	// CatalogVersion is the configuration that the VM has in force.
+	CatalogVersion uint64 `json:"catalogVersion"`
+	// StoreAge is the time since the platform last answered it.
+	StoreAge time.Duration `json:"storeAge"`
 }
 
 // Notes are notes of progress for a coordinator.
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -13,11 +13,10 @@
 
 const (
 	// presentFor is how long a VM counts as running after its last sign of life, directly
-	// or through others: six rounds of exchange.
-	presentFor = 2 * time.Second
-	// reachableFor is how long a VM counts as reachable after its last direct answer: four
-	// rounds of exchange.
-	reachableFor = 1300 * time.Millisecond
+	// or through the coordinator: three calls of a large fleet, with some slack.
+	presentFor = 2500 * time.Millisecond
+	// failedFor is how long a VM that did not answer a call counts as out of reach.
+	failedFor = 3 * time.Second
 	// forgetAfter is how long a silent VM stays in the table and is still tried.
 	forgetAfter = 60 * time.Second
 	// maxMembers bounds the table.
@@ -71,10 +70,11 @@
 // entry is a member with what this VM has seen of it.
 type entry struct {
 	Member
-	// heardAt is when a newer beat was last seen, directly or through others.
+	// heardAt is the last sign of life: the member itself, a newer beat through others, or
+	// the word of the coordinator.
 	heardAt time.Duration
-	// answeredAt is when the member itself last answered; 0 if never.
-	answeredAt time.Duration
+	// answeredAt and failedAt are when a call of this VM was last answered and last failed.
+	answeredAt, failedAt time.Duration
 	// lost is set when a call showed that nothing listens at the member's address.
 	lost bool
 	// retired are boots of former processes, which others may still pass on.
@@ -153,11 +153,11 @@
 	return 0
 }
 
-// Digest returns a number that is the same for VMs that know the same processes.
-func (t *Table) Digest() uint64 {
+// Digest returns a number that is the same for VMs that know the same running processes.
+func (t *Table) Digest(now time.Duration) uint64 {
 	names := []string{processName(t.self)}
 	for _, e := range t.entries {
-		if e.Boot != 0 {
+		if e.Boot != 0 && e.present(now) {
 			names = append(names, processName(e.Member))
 		}
 	}
@@ -170,17 +170,21 @@
 	return m.Name + "/" + strconv.FormatInt(m.Boot, 36)
 }
 
-// Merge takes in what one member knows of others.
-func (t *Table) Merge(now time.Duration, members []Member) {
+// Merge takes in what one member knows of others. A coordinator vouches for the members
+// that it names: all VMs of a large fleet call it, and few call each other.
+func (t *Table) Merge(now time.Duration, members []Member, vouched bool) {
 	for _, m := range members {
 		if m.Name == t.self.Name || m.Name == "" || m.Peer == "" {
 			continue
 		}
 		e := t.entry(m.Name)
-		if e == nil || e.isRetired(m.Boot) {
+		if e == nil || e.isRetired(m.Boot) || (m.Boot == e.Boot && e.lost) {
 			continue
 		}
 		newer := e.Boot == 0 || m.Boot > e.Boot || (m.Boot == e.Boot && m.Beat > e.Beat)
+		if newer || (vouched && m.Boot == e.Boot) {
+			e.heardAt = now
+		}
 		if !newer {
 			continue
 		}
@@ -188,11 +192,23 @@
 			e.retire(e.Boot)
 			e.lost = false
 		}
-		if m.Boot == e.Boot && e.lost {
-			continue
-		}
 		e.Member = m
-		e.heardAt = now
+	}
+}
+
+// Vouch notes that the coordinator knows the same running VMs as this one.
+func (t *Table) Vouch(now time.Duration) {
+	for _, e := range t.entries {
+		if e.present(now) {
+			e.heardAt = now
+		}
+	}
+}
+
+// Failed notes that a member didn't answer a call.
+func (t *Table) Failed(now time.Duration, name string) {
+	if e := t.entries[name]; e != nil {
+		e.failedAt = now
 	}
 }
 
@@ -200,7 +216,6 @@
 func (t *Table) Lost(name string) {
 	if e := t.entries[name]; e != nil {
 		e.lost = true
-		e.answeredAt = 0
 	}
 }
 
@@ -230,13 +245,14 @@
 	return t.list(func(e *entry) bool { return e.present(now) })
 }
 
-// Reachable returns the other members that answer this VM, in the order of their names.
+// Reachable returns the other members that run and don't leave calls of this VM without an
+// answer, in the order of their names.
 func (t *Table) Reachable(now time.Duration) []Member {
 	return t.list(func(e *entry) bool { return e.reachable(now) })
 }
 
-// Leader returns the VM that coordinates shared work: the oldest of those that this VM
-// reaches, so that a restarted VM takes nothing over. It is this VM if there is no other.
+// Leader returns the VM that coordinates shared work: of the largest that this VM reaches
+// the oldest, so that a restarted VM takes nothing over. It is this VM if there is no other.
 func (t *Table) Leader(now time.Duration) Member {
 	leader := t.self
 	found := t.self.Ready && !t.self.Leaving
@@ -244,7 +260,7 @@
 		if !m.Ready || m.Leaving {
 			continue
 		}
-		if !found || m.Boot < leader.Boot || (m.Boot == leader.Boot && m.Name < leader.Name) {
+		if !found || before(m, leader) {
 			leader = m
 			found = true
 		}
@@ -252,6 +268,38 @@
 	return leader
 }
 
+// before tells whether a should coordinate rather than b.
+func before(a, b Member) bool {
+	switch {
+	case a.Weight != b.Weight:
+		return a.Weight > b.Weight
+	case a.Boot != b.Boot:
+		return a.Boot < b.Boot
+	}
+	return a.Name < b.Name
+}
+
+// Readers returns the VMs that read the platform's store for all: the coordinator and of
+// each region the VM that would coordinate it. The others ask them.
+func (t *Table) Readers(now time.Duration) map[string]bool {
+	readers := map[string]bool{
+		t.Leader(now).Name: true,
+	}
+	best := make(map[string]Member)
+	for _, m := range append(t.Reachable(now), t.self) {
+		if !m.Ready || m.Leaving {
+			continue
+		}
+		if b, ok := best[m.Region]; !ok || before(m, b) {
+			best[m.Region] = m
+		}
+	}
+	for _, m := range best {
+		readers[m.Name] = true
+	}
+	return readers
+}
+
 // HasMajority tells whether this VM reaches more than half of the VMs that seemed to run
 // lately, itself included.
 func (t *Table) HasMajority(now time.Duration) bool {
@@ -297,7 +345,8 @@
 }
 
 func (e *entry) reachable(now time.Duration) bool {
-	return !e.lost && e.answeredAt > 0 && now-e.answeredAt <= reachableFor
+	failing := e.failedAt > e.answeredAt && now-e.failedAt <= failedFor
+	return e.present(now) && !failing
 }
 
 func (e *entry) isRetired(boot int64) bool {
--- /dev/null
+++ b/core/bbregistry/delta.go
@@ -0,0 +1,96 @@
+package bbregistry
+
+import (
+	"sort"
+	"time"
+)
+
+// maxChanges bounds the changes that are kept; whoever is further behind gets the whole
+// table.
+const maxChanges = 1024
+
+// changes are the IDs of the entries that changed, in order.
+type changes struct {
+	ids []string
+	// dropped counts the changes that are no longer kept.
+	dropped uint64
+}
+
+// add notes a change.
+func (c *changes) add(id string) {
+	c.ids = append(c.ids, id)
+	if len(c.ids) > maxChanges {
+		c.ids = c.ids[1:]
+		c.dropped++
+	}
+}
+
+// sequence is the number of changes so far.
+func (c *changes) sequence() uint64 {
+	return c.dropped + uint64(len(c.ids))
+}
+
+// Delta is what has changed in a table.
+type Delta struct {
+	// Sequence is the number of changes up to which the delta goes.
+	Sequence uint64 `json:"sequence"`
+	// Whole is true when Put is the whole table.
+	Whole bool `json:"whole"`
+	// Revision is the platform's.
+	Revision uint64 `json:"revision"`
+	// Put are entries that were added or changed, Removed the IDs of those that are gone.
+	Put     []Endpoint `json:"put"`
+	Removed []string   `json:"removed"`
+	// Evacuated are the failure domains that get nothing new.
+	Evacuated []string `json:"evacuated"`
+}
+
+// Since returns what has changed after a number of changes.
+func (t *Table) Since(now time.Duration, sequence uint64) Delta {
+	all := t.Snapshot(now)
+	d := Delta{
+		Sequence:  t.changes.sequence(),
+		Revision:  t.Revision,
+		Evacuated: all.Evacuated,
+	}
+	if sequence < t.changes.dropped || sequence > d.Sequence || sequence == 0 {
+		d.Whole = true
+		d.Put = all.Endpoints
+		return d
+	}
+	changed := make(map[string]bool)
+	for _, id := range t.changes.ids[sequence-t.changes.dropped:] {
+		changed[id] = true
+	}
+	for _, e := range all.Endpoints {
+		if changed[e.ID] {
+			d.Put = append(d.Put, e)
+			delete(changed, e.ID)
+		}
+	}
+	for id := range changed {
+		d.Removed = append(d.Removed, id)
+	}
+	sort.Strings(d.Removed)
+	return d
+}
+
+// Apply brings the table up to a delta of another one.
+func (t *Table) Apply(now time.Duration, d Delta) {
+	if d.Whole {
+		t.Replace(now, Snapshot{
+			Revision:  d.Revision,
+			Endpoints: d.Put,
+			Evacuated: d.Evacuated,
+		})
+		return
+	}
+	for _, e := range d.Put {
+		t.Put(now, e)
+	}
+	for _, id := range d.Removed {
+		t.Remove(now, id, false)
+	}
+	t.SetEvacuated(d.Evacuated)
+	t.Revision = d.Revision
+}
--- /dev/null
+++ b/core/bbregistry/delta_test.go
@@ -0,0 +1,62 @@
+package bbregistry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// wantFollowed checks that a follower has what its leader has.
+func wantFollowed(t *testing.T, leader, follower *Table) {
+	t.Helper()
+	if diff := cmp.Diff(leader.Snapshot(0), follower.Snapshot(0)); diff != "" {
+		t.Errorf("table of the follower (-want +got):\n%s", diff)
+	}
+}
+
+func TestFollowerKeepsUp(t *testing.T) {
+	leader, follower := testTable(), NewTable()
+	first := leader.Since(0, 0)
+	follower.Apply(0, first)
+	wantFollowed(t, leader, follower)
+
+	leader.Put(0, endpoint("c"))
+	leader.Remove(0, "a", false)
+	leader.Evacuate("west", true)
+	leader.Revision = 9
+	d := leader.Since(0, first.Sequence)
+	if d.Whole || len(d.Put) != 1 || len(d.Removed) != 1 {
+		t.Errorf("delta %+v, want one entry put and one removed", d)
+	}
+	follower.Apply(0, d)
+	wantFollowed(t, leader, follower)
+
+	t.Run("a beat is no change", func(t *testing.T) {
+		leader.Put(0, endpoint("c"))
+		if d := leader.Since(0, d.Sequence); len(d.Put)+len(d.Removed) > 0 {
+			t.Errorf("delta %+v after a beat, want none", d)
+		}
+	})
+	t.Run("an entry that did not return is removed", func(t *testing.T) {
+		leader.Remove(0, "b", true)
+		leader.Expire(returnGrace)
+		follower.Apply(0, leader.Since(0, d.Sequence))
+		wantFollowed(t, leader, follower)
+	})
+}
+
+func TestFollowerThatIsFarBehind(t *testing.T) {
+	leader, follower := testTable(), NewTable()
+	sequence := leader.Since(0, 0).Sequence
+	for i := range 2 * maxChanges {
+		leader.Put(0, endpoint(fmt.Sprint(i%3)))
+		leader.Remove(0, fmt.Sprint(i%3), false)
+	}
+	d := leader.Since(0, sequence)
+	if !d.Whole {
+		t.Error("a part of the changes, want the whole table")
+	}
+	follower.Apply(0, d)
+	wantFollowed(t, leader, follower)
+}
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -55,6 +55,7 @@
 	Revision  uint64
 	entries   map[string]*Entry
 	evacuated map[string]bool
+	changes   changes
 }
 
 // NewTable returns an empty table.
@@ -65,12 +66,24 @@
 	}
 }
 
-// Put adds or changes an entry.
+// Put adds or changes an entry. Beats that change nothing but their own count are no change.
 func (t *Table) Put(now time.Duration, e Endpoint) {
+	former := t.entries[e.ID]
 	t.entries[e.ID] = &Entry{
 		Endpoint:  e,
 		ColdUntil: now + e.Cold,
 	}
+	if former == nil || former.lapsed || !former.Endpoint.same(e) {
+		t.changes.add(e.ID)
+	}
+}
+
+// same tells whether two states of an endpoint are alike for those who choose. The cold time
+// that is left is counted down by whoever knows it.
+func (e Endpoint) same(o Endpoint) bool {
+	cold := (e.Cold > 0) == (o.Cold > 0)
+	e.Cold, o.Cold = 0, 0
+	return cold && e == o
 }
 
 // Remove takes an entry out. With grace it is kept for a while, since the platform was
@@ -81,7 +94,7 @@
 		return
 	}
 	if !grace || e.Leaving {
-		delete(t.entries, id)
+		t.delete(id)
 		return
 	}
 	if !e.lapsed {
@@ -90,6 +103,11 @@
 	}
 }
 
+func (t *Table) delete(id string) {
+	delete(t.entries, id)
+	t.changes.add(id)
+}
+
 // Replace makes the table that of another VM.
 func (t *Table) Replace(now time.Duration, s Snapshot) {
 	t.ReplaceEndpoints(now, s, false)
@@ -133,7 +151,7 @@
 func (t *Table) Expire(now time.Duration) {
 	for id, e := range t.entries {
 		if e.lapsed && now-e.lapsedAt >= returnGrace {
-			delete(t.entries, id)
+			t.delete(id)
 		}
 	}
 }
