--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -14,6 +14,10 @@
 	// staleAfter is when a VM that hears nothing of the platform asks others for its
 	// endpoints: a little more than the usual time between two readings.
 	staleAfter = 1200 * time.Millisecond
+	// unfollowedAfter is when a VM that follows another one's endpoints reads the platform
+	// itself: some readings of the other one and calls to it, and half of the least bound for
+	// leaving endpoints in fleets of that size.
+	unfollowedAfter = 2 * time.Second
 	// outageMemory is how long after the end of an outage missing entries may return.
 	outageMemory = 2500 * time.Millisecond
 )
@@ -137,7 +141,7 @@
 func (k *Knowledge) unfollowed() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.now()-k.followedAt > staleAfter
+	return k.now()-k.followedAt > unfollowedAfter
 }
 
 // since returns the changes of endpoints after a number of them.
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -287,7 +287,7 @@
 	}
 	best := make(map[string]Member)
 	for _, m := range append(t.Reachable(now), t.self) {
-		if !m.Ready || m.Leaving {
+		if m.Leaving {
 			continue
 		}
 		if b, ok := best[m.Region]; !ok || before(m, b) {
