--- a/core/bbcatalog/catalog.go
+++ b/core/bbcatalog/catalog.go
@@ -89,8 +89,8 @@
 	HealthPath string `json:"healthPath"`
 	// MaxConnections is what one endpoint accepts from all callers together.
 	MaxConnections int `json:"maxConnections"`
-	// ColdPerSecond is what a cold endpoint carries from all VMs together; 0 means no limit.
-	ColdPerSecond float64 `json:"coldPerSecond"`
+	// ColdRate is what a cold endpoint carries from all VMs together; 0 means no limit.
+	ColdRate float64 `json:"coldRate"`
 	// Engine is set for services that generate tokens.
 	Engine *Engine `json:"engine"`
 	// Pool is set for services that work on stages.
--- /dev/null
+++ b/core/bbcoordinator/calls.go
@@ -0,0 +1,310 @@
+package bbcoordinator
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bbprogress"
+)
+
+// CallDone takes in the end of a call. Results are in the order of its pieces; there are
+// none unless the outcome is good.
+func (c *Coordinator) CallDone(now time.Duration, id uint64, zone string, o bbhealth.Outcome, results []PieceResult) Output {
+	call := c.calls[id]
+	if call == nil {
+		return c.decide(now)
+	}
+	delete(c.calls, id)
+	p := c.pool(call.Service)
+	made, full := c.sizes(call, results)
+	p.Done(now, call, o, made)
+	if full && o == bbhealth.OutcomeGood {
+		p.Crowded(now, call.Endpoint)
+	}
+	c.log(Event{
+		Number:   bbevent.CallDone,
+		Call:     id,
+		Endpoint: call.Endpoint,
+		Detail:   describe(call, o, results),
+		Value:    now - call.Sent,
+	})
+	retry := make(map[string]map[int][]int)
+	for i, piece := range call.Pieces {
+		j := c.jobs[piece.Job]
+		if j != nil {
+			j.Stages[piece.Stage].Pieces[piece.Piece].Calls--
+		}
+		if i < len(results) && results[i].Handle != "" {
+			c.keep(now, call, zone, j, piece, results[i].Handle)
+			continue
+		}
+		if j == nil || j.Stages[piece.Stage].Pieces[piece.Piece].Handle != "" {
+			continue
+		}
+		if i < len(results) && results[i].Late {
+			c.refuse(piece.Job, "deadline", minRetryAfter, now-j.Arrived)
+			c.drop(j)
+			continue
+		}
+		if i < len(results) && results[i].Gone {
+			c.loseInputs(j, piece.Stage)
+		}
+		if !j.Stages[piece.Stage].Pieces[piece.Piece].Wanted() {
+			continue
+		}
+		if retry[piece.Job] == nil {
+			retry[piece.Job] = make(map[int][]int)
+		}
+		retry[piece.Job][piece.Stage] = append(retry[piece.Job][piece.Stage], piece.Piece)
+	}
+	mayRepeat := len(retry) == 0 || full || o == bbhealth.OutcomeUnreachable || c.window(call.Service).Take(now, 1)
+	for _, job := range sortedKeys(retry) {
+		c.retryPieces(now, job, retry[job], mayRepeat, !full)
+	}
+	for _, piece := range call.Pieces {
+		if j := c.jobs[piece.Job]; j != nil {
+			if c.leaving {
+				c.handBack(j)
+				continue
+			}
+			c.release(j)
+		}
+	}
+	return c.decide(now)
+}
+
+// loseInputs gives up the results that a stage needs, so that they are made again.
+func (c *Coordinator) loseInputs(j *bbprogress.Job, stage int) {
+	c.log(Event{
+		Number: bbevent.InputsGone,
+		Job:    j.Order.ID,
+		Detail: strconv.Itoa(stage),
+	})
+	for _, before := range j.Order.Stages[stage].After {
+		c.freeStage(j, before)
+	}
+	j.Lose(stage)
+}
+
+// adopt takes in the results of a former coordinator.
+func (c *Coordinator) adopt(now time.Duration, j *bbprogress.Job) {
+	for _, m := range j.Order.Made {
+		if m.Stage >= len(j.Stages) || m.Piece >= len(j.Stages[m.Stage].Pieces) {
+			continue
+		}
+		p := &j.Stages[m.Stage].Pieces[m.Piece]
+		if p.Handle != "" {
+			continue
+		}
+		p.Handle = m.Handle
+		p.Maker = m.Maker
+		p.Address = m.Address
+		p.Zone = m.Zone
+		p.Freed = m.Freed
+		j.Stages[m.Stage].Left--
+		if pool := c.pool(j.Order.Stages[m.Stage].Service); pool != nil && !m.Freed {
+			pool.Adopt(now, m.Maker, m.Handle, j.Order.Stages[m.Stage].ResultBytes)
+		}
+	}
+	for i := range j.Stages {
+		switch {
+		case j.Stages[i].Left > 0:
+		case c.consumed(j, i):
+			c.freeStage(j, i)
+		default:
+			j.Remake(i)
+		}
+	}
+}
+
+// sizes returns the results of a call with their sizes, and whether the endpoint had no
+// room for some.
+func (c *Coordinator) sizes(call *bbpool.Call, results []PieceResult) (made map[string]float64, full bool) {
+	made = make(map[string]float64)
+	for i := range min(len(results), len(call.Pieces)) {
+		full = full || results[i].NoRoom
+		if results[i].Handle != "" {
+			made[results[i].Handle] = call.Sizes[i]
+		}
+	}
+	return made, full
+}
+
+// keep takes in the result of one piece, or frees it when nobody needs it.
+func (c *Coordinator) keep(now time.Duration, call *bbpool.Call, zone string, j *bbprogress.Job, piece bbpool.Piece, handle string) {
+	if j == nil || j.Stages[piece.Stage].Pieces[piece.Piece].Handle != "" {
+		c.freed[call.Address] = append(c.freed[call.Address], handle)
+		c.pool(call.Service).Free(call.Endpoint, handle)
+		return
+	}
+	st := &j.Stages[piece.Stage]
+	made := &st.Pieces[piece.Piece]
+	made.Handle = handle
+	made.Maker = call.Endpoint
+	made.Address = call.Address
+	made.Zone = zone
+	st.Left--
+	if st.Left > 0 {
+		return
+	}
+	c.log(Event{
+		Number: bbevent.StageDone,
+		Job:    piece.Job,
+		Detail: strconv.Itoa(piece.Stage),
+		Value:  now - j.Arrived,
+	})
+	c.update(piece.Job, j.MadeOf(piece.Stage))
+	// The inputs of a finished stage are needed no more unless another stage needs them.
+	for _, before := range j.Order.Stages[piece.Stage].After {
+		if c.consumed(j, before) {
+			c.freeStage(j, before)
+		}
+	}
+}
+
+// consumed tells whether all stages that need the results of a stage are done.
+func (c *Coordinator) consumed(j *bbprogress.Job, stage int) bool {
+	for i, s := range j.Order.Stages {
+		for _, before := range s.After {
+			if before == stage && j.Stages[i].Left > 0 {
+				return false
+			}
+		}
+	}
+	return !j.Final(stage)
+}
+
+// retryPieces puts pieces of a failed call back, or ends their request. Tries that an
+// endpoint turned away for want of room don't count.
+func (c *Coordinator) retryPieces(now time.Duration, id string, stages map[int][]int, mayRepeat, counts bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	for stage, pieces := range stages {
+		for _, k := range pieces {
+			p := &j.Stages[stage].Pieces[k]
+			if counts {
+				p.Tries++
+			}
+			mayRepeat = mayRepeat && p.Tries < maxPieceTries
+		}
+		j.Rewind(stage)
+	}
+	if c.leaving {
+		c.handBack(j)
+		return
+	}
+	if !mayRepeat {
+		c.refuse(id, "stageFailed", minRetryAfter, now-j.Arrived)
+		c.drop(j)
+		return
+	}
+	c.release(j)
+}
+
+// repeat gives the pieces of an overdue call to other endpoints as well.
+func (c *Coordinator) repeat(now time.Duration, call *bbpool.Call) {
+	again := make(map[string]map[int][]int)
+	for _, piece := range call.Pieces {
+		j := c.jobs[piece.Job]
+		if j == nil {
+			continue
+		}
+		p := &j.Stages[piece.Stage].Pieces[piece.Piece]
+		if p.Handle != "" || p.Queued || p.Calls > 1 {
+			continue
+		}
+		if again[piece.Job] == nil {
+			again[piece.Job] = make(map[int][]int)
+		}
+		again[piece.Job][piece.Stage] = append(again[piece.Job][piece.Stage], piece.Piece)
+	}
+	for _, id := range sortedKeys(again) {
+		c.log(Event{
+			Number:   bbevent.CallOverdue,
+			Job:      id,
+			Call:     call.ID,
+			Endpoint: call.Endpoint,
+			Value:    now - call.Sent,
+		})
+		j := c.jobs[id]
+		for stage, pieces := range again[id] {
+			if j.Ready(stage) && c.inputsKept(j, stage) && c.window(j.Order.Stages[stage].Service).Take(now, 1) {
+				c.addGroup(j, stage, pieces)
+			}
+		}
+	}
+}
+
+// inputsKept tells whether all results that a stage needs still exist.
+func (c *Coordinator) inputsKept(j *bbprogress.Job, stage int) bool {
+	for _, before := range j.Order.Stages[stage].After {
+		for _, p := range j.Stages[before].Pieces {
+			if p.Freed {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// begun notes that a call is being made.
+func (c *Coordinator) begun(call *bbpool.Call) {
+	sent := make(map[string]int)
+	for _, piece := range call.Pieces {
+		if j := c.jobs[piece.Job]; j != nil {
+			p := &j.Stages[piece.Stage].Pieces[piece.Piece]
+			p.Queued = false
+			p.Calls++
+			sent[piece.Job]++
+		}
+	}
+	for _, id := range sortedKeys(sent) {
+		c.log(Event{
+			Number:   bbevent.PiecesSent,
+			Job:      id,
+			Call:     call.ID,
+			Endpoint: call.Endpoint,
+			Detail:   strconv.Itoa(sent[id]),
+		})
+	}
+}
+
+// fetched notes that the endpoint of a call should have its inputs, and gives up those that
+// nothing else needs.
+func (c *Coordinator) fetched(call *bbpool.Call) {
+	for _, piece := range call.Pieces {
+		j := c.jobs[piece.Job]
+		if j == nil {
+			continue
+		}
+		j.Stages[piece.Stage].Pieces[piece.Piece].Fetched = true
+		for _, before := range j.Order.Stages[piece.Stage].After {
+			maker := c.pools[j.Order.Stages[before].Service]
+			if maker != nil && maker.Scarce(j.Order.Stages[before].ResultBytes) && j.FetchedAll(before) {
+				c.freeStage(j, before)
+			}
+		}
+	}
+}
+
+// describe returns the end of a call as the log has it.
+func describe(call *bbpool.Call, o bbhealth.Outcome, results []PieceResult) string {
+	made, gone, crowded := 0, 0, 0
+	for _, r := range results {
+		switch {
+		case r.Handle != "":
+			made++
+		case r.Gone:
+			gone++
+		case r.NoRoom:
+			crowded++
+		}
+	}
+	return fmt.Sprintf("%s outcome=%s results=%d of %d gone=%d noRoom=%d", call.Service, o, made, len(call.Pieces), gone, crowded)
+}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -11,9 +11,11 @@
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbhistory"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbplacement"
 	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bbprogress"
 	"bluebellhall/core/bbregistry"
 )
 
@@ -88,7 +90,7 @@
 type Coordinator struct {
 	know   Knowledge
 	limits Limits
-	jobs   map[string]*job
+	jobs   map[string]*bbprogress.Job
 	pools  map[string]*bbpool.Pool
 	// engines has a table for each service of engines.
 	engines map[string]*bbplacement.Table
@@ -97,10 +99,10 @@
 	// freed are results to be freed, by the address of their maker.
 	freed map[string][]string
 	// waiting are the jobs whose stages are done and that wait for an engine.
-	waiting map[string]*job
+	waiting map[string]*bbprogress.Job
 	// learned has what requests of each route have taught.
-	learned  map[string]*experience
-	refused  *refusals
+	learned  bbhistory.Experiences
+	refused  *bbhistory.Refusals
 	lastCall uint64
 	// leaving is true once this coordinator hands its requests back.
 	leaving bool
@@ -110,10 +112,6 @@
 const (
 	// maxJobs bounds the requests in progress.
 	maxJobs = 20000
-	// engineTime is the usual time from a grant to the first token, without the prompt.
-	engineTime = 90 * time.Millisecond
-	// rankStep is how much later a request goes for each step of priority.
-	rankStep = 1500 * time.Millisecond
 	// lateness is the part of its objective by which a request may be expected too late
 	// and still be taken in.
 	lateness = 0.25
@@ -134,15 +132,15 @@
 	return &Coordinator{
 		know:    k,
 		limits:  l,
-		jobs:    make(map[string]*job),
+		jobs:    make(map[string]*bbprogress.Job),
 		pools:   make(map[string]*bbpool.Pool),
 		engines: make(map[string]*bbplacement.Table),
 		retries: make(map[string]*bballowance.Window),
 		calls:   make(map[uint64]*bbpool.Call),
 		freed:   make(map[string][]string),
-		waiting: make(map[string]*job),
-		learned: make(map[string]*experience),
-		refused: newRefusals(),
+		waiting: make(map[string]*bbprogress.Job),
+		learned: make(bbhistory.Experiences),
+		refused: bbhistory.NewRefusals(),
 	}
 }
 
@@ -169,15 +167,15 @@
 		c.out.Elsewhere = append(c.out.Elsewhere, o.ID)
 		return c.flush()
 	}
-	j := newJob(now, o)
+	j := bbprogress.NewJob(now, o)
 	c.adopt(now, j)
-	if first, ok := c.refused.take(now, o); ok {
-		j.returning = true
-		j.due = min(j.due, first+o.Objective)
+	if first, ok := c.refused.Take(now, o); ok {
+		j.Returning = true
+		j.Due = min(j.Due, first+o.Objective)
 	}
 	expected := c.estimate(now, j)
 	if retryAfter, reason := c.judge(now, j, expected); reason != "" {
-		c.refused.add(now, o)
+		c.refused.Add(now, o)
 		c.refuse(o.ID, reason, retryAfter, expected-now)
 		return c.flush()
 	}
@@ -187,7 +185,7 @@
 	}
 	c.window(o.Service).Request(now)
 	accepted := bbevent.OrderAccepted
-	if j.returning {
+	if j.Returning {
 		accepted = bbevent.OrderReturned
 	}
 	c.log(Event{
@@ -210,15 +208,15 @@
 }
 
 // handBack gives a request to the next coordinator, with the results that it has.
-func (c *Coordinator) handBack(j *job) {
-	if j.granted != "" || j.inCalls() {
+func (c *Coordinator) handBack(j *bbprogress.Job) {
+	if j.Granted != "" || j.InCalls() {
 		return
 	}
-	id := j.order.ID
+	id := j.Order.ID
 	delete(c.jobs, id)
 	delete(c.waiting, id)
-	for i := range j.stages {
-		if p := c.pools[j.order.Stages[i].Service]; p != nil {
+	for i := range j.Stages {
+		if p := c.pools[j.Order.Stages[i].Service]; p != nil {
 			p.Drop(id)
 		}
 	}
@@ -230,13 +228,13 @@
 }
 
 // judge tells whether a request is turned away, when the caller should come back, and why.
-func (c *Coordinator) judge(now time.Duration, j *job, expected time.Duration) (time.Duration, string) {
-	if expected > j.limit {
-		return c.retryAfter(expected - j.limit), "limit"
+func (c *Coordinator) judge(now time.Duration, j *bbprogress.Job, expected time.Duration) (time.Duration, string) {
+	if expected > j.Limit {
+		return c.retryAfter(expected - j.Limit), "limit"
 	}
-	slack := time.Duration(lateness * float64(j.objective))
-	if expected > j.due+slack && !j.returning && len(j.order.Made) == 0 {
-		return c.retryAfter(expected - j.due), "late"
+	slack := time.Duration(lateness * float64(j.Objective))
+	if expected > j.Due+slack && !j.Returning && len(j.Order.Made) == 0 {
+		return c.retryAfter(expected - j.Due), "late"
 	}
 	return 0, ""
 }
@@ -252,10 +250,10 @@
 		c.log(Event{
 			Number: bbevent.OrderCancelled,
 			Job:    id,
-			Value:  now - j.arrived,
+			Value:  now - j.Arrived,
 		})
-		if j.granted != "" {
-			c.table(j.order.Service).Ended(now, j.granted, id, bbhealth.OutcomeFull)
+		if j.Granted != "" {
+			c.table(j.Order.Service).Ended(now, j.Granted, id, bbhealth.OutcomeFull)
 		}
 		c.drop(j)
 	}
@@ -278,13 +276,13 @@
 	}
 	for id, j := range c.jobs {
 		switch {
-		case j.granted != "" && !j.order.Resumable && !j.started && now-j.grantedAt > inputTime:
+		case j.Granted != "" && !j.Order.Resumable && !j.Started && now-j.GrantedAt > inputTime:
 			c.freeUsed(j)
-		case j.granted != "" && now > j.limit+grantGrace:
-			c.table(j.order.Service).Ended(now, j.granted, id, bbhealth.OutcomeFull)
+		case j.Granted != "" && now > j.Limit+grantGrace:
+			c.table(j.Order.Service).Ended(now, j.Granted, id, bbhealth.OutcomeFull)
 			c.drop(j)
-		case j.granted == "" && now+j.tail(0) > j.limit:
-			c.refuse(id, "deadline", minRetryAfter, now-j.arrived)
+		case j.Granted == "" && now+j.Tail(0) > j.Limit:
+			c.refuse(id, "deadline", minRetryAfter, now-j.Arrived)
 			c.drop(j)
 		}
 	}
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -199,23 +199,6 @@
 	}
 }
 
-func TestRefusedRequestIsKnownWhenItComesBack(t *testing.T) {
-	r := newRefusals()
-	o := testOrder("a", 1)
-	r.add(time.Second, o)
-	again := testOrder("b", 1)
-	again.Key = o.Key
-	if first, ok := r.take(2*time.Second, again); !ok || first != time.Second {
-		t.Errorf("first came at %v, known %v; want 1s, true", first, ok)
-	}
-	if _, ok := r.take(2*time.Second, testOrder("c", 1)); ok {
-		t.Error("another request counts as known, want it not to")
-	}
-	if _, ok := r.take(time.Second+rememberRefusal+ms, again); ok {
-		t.Error("a refusal of long ago is known, want it forgotten")
-	}
-}
-
 func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
 	c := newTestCoordinator()
 	o := testOrder("a", 2)
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -8,6 +8,7 @@
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbplacement"
+	"bluebellhall/core/bbprogress"
 )
 
 // place grants engines to the requests whose stages are done, the most urgent first.
@@ -15,17 +16,17 @@
 	if len(c.waiting) == 0 {
 		return
 	}
-	list := make([]*job, 0, len(c.waiting))
+	list := make([]*bbprogress.Job, 0, len(c.waiting))
 	for _, j := range c.waiting {
 		list = append(list, j)
 	}
 	sort.Slice(list, func(i, k int) bool {
 		a, b := list[i], list[k]
-		ua, ub := a.due+rank(a.order.Priority), b.due+rank(b.order.Priority)
+		ua, ub := a.Due+bbprogress.Rank(a.Order.Priority), b.Due+bbprogress.Rank(b.Order.Priority)
 		if ua != ub {
 			return ua < ub
 		}
-		return a.order.ID < b.order.ID
+		return a.Order.ID < b.Order.ID
 	})
 	for _, j := range list {
 		c.placeJob(now, j)
@@ -33,10 +34,10 @@
 }
 
 // placeJob grants an engine to one request if one may have it.
-func (c *Coordinator) placeJob(now time.Duration, j *job) {
-	service := j.order.Service
-	if j.repeated && !c.window(service).Take(now, 1) {
-		c.refuse(j.order.ID, "noRetries", minRetryAfter, now-j.arrived)
+func (c *Coordinator) placeJob(now time.Duration, j *bbprogress.Job) {
+	service := j.Order.Service
+	if j.Repeated && !c.window(service).Take(now, 1) {
+		c.refuse(j.Order.ID, "noRetries", minRetryAfter, now-j.Arrived)
 		c.drop(j)
 		return
 	}
@@ -44,19 +45,19 @@
 	if !ok {
 		return
 	}
-	j.repeated = false
-	j.granted = e.ID
-	j.grantedAt = now
-	delete(c.waiting, j.order.ID)
-	inputs, _ := j.finals()
+	j.Repeated = false
+	j.Granted = e.ID
+	j.GrantedAt = now
+	delete(c.waiting, j.Order.ID)
+	inputs, _ := j.Finals()
 	c.log(Event{
 		Number:   bbevent.EngineGranted,
-		Job:      j.order.ID,
+		Job:      j.Order.ID,
 		Endpoint: e.ID,
-		Value:    now - j.arrived,
+		Value:    now - j.Arrived,
 	})
 	c.out.Grants = append(c.out.Grants, bbjob.Grant{
-		ID:       j.order.ID,
+		ID:       j.Order.ID,
 		Endpoint: e.ID,
 		Address:  e.Address,
 		Inputs:   inputs,
@@ -64,20 +65,20 @@
 }
 
 // need returns what a request asks of an engine.
-func (c *Coordinator) need(j *job) bbplacement.Need {
-	_, bytes := j.finals()
+func (c *Coordinator) need(j *bbprogress.Job) bbplacement.Need {
+	_, bytes := j.Finals()
 	delete(bytes, "")
 	return bbplacement.Need{
-		Job:    j.order.ID,
-		Prompt: j.order.Prompt,
-		Zone:   j.order.Zone,
+		Job:    j.Order.ID,
+		Prompt: j.Order.Prompt,
+		Zone:   j.Order.Zone,
 		Far: func(zone string) bool {
-			return c.know.Region(zone) != j.order.Region
+			return c.know.Region(zone) != j.Order.Region
 		},
-		BodyBytes: j.order.BodyBytes,
+		BodyBytes: j.Order.BodyBytes,
 		Inputs:    bytes,
-		Allowed:   c.allowed(j.order),
-		Avoid:     j.order.Avoid,
+		Allowed:   c.allowed(j.Order),
+		Avoid:     j.Order.Avoid,
 	}
 }
 
@@ -100,20 +101,20 @@
 // they may turn cold at any moment and tell it later.
 func (c *Coordinator) pace(service string) bbplacement.Pace {
 	s := c.know.Service(service)
-	if s == nil || s.ColdPerSecond <= 0 {
+	if s == nil || s.ColdRate <= 0 {
 		return bbplacement.Pace{
 			Cold: true,
 		}
 	}
 	if c.know.Majority() {
 		return bbplacement.Pace{
-			PerSecond: s.ColdPerSecond,
+			PerSecond: s.ColdRate,
 			Burst:     fullBurst,
 			Cold:      true,
 		}
 	}
 	return bbplacement.Pace{
-		PerSecond: s.ColdPerSecond / 2,
+		PerSecond: s.ColdRate / 2,
 		Burst:     loneBurst,
 	}
 }
@@ -124,11 +125,11 @@
 	if j == nil {
 		return c.decide(now)
 	}
-	t := c.table(j.order.Service)
+	t := c.table(j.Order.Service)
 	if n.Started {
-		c.learn(now, j)
+		c.learned.Learn(now, j)
 		t.Started(n.Endpoint, n.ID)
-		if !n.Ended && !j.order.Resumable {
+		if !n.Ended && !j.Order.Resumable {
 			c.freeUsed(j)
 		}
 	}
@@ -137,7 +138,7 @@
 	}
 	t.Ended(now, n.Endpoint, n.ID, n.Outcome)
 	if n.Again && n.Outcome != bbhealth.OutcomeGood {
-		j.order.Avoid = append(j.order.Avoid, n.Endpoint)
+		j.Order.Avoid = append(j.Order.Avoid, n.Endpoint)
 		return c.decide(now)
 	}
 	c.drop(j)
@@ -145,25 +146,25 @@
 }
 
 // freeUsed gives up the results that an engine has read.
-func (c *Coordinator) freeUsed(j *job) {
-	for i := range j.stages {
+func (c *Coordinator) freeUsed(j *bbprogress.Job) {
+	for i := range j.Stages {
 		c.freeStage(j, i)
 	}
 }
 
 // resubmit takes in the order of a request that this VM knows: its origin asks again after
 // an engine turned it away.
-func (c *Coordinator) resubmit(now time.Duration, j *job, o bbjob.Order) {
-	if j.granted == "" {
+func (c *Coordinator) resubmit(now time.Duration, j *bbprogress.Job, o bbjob.Order) {
+	if j.Granted == "" {
 		return
 	}
-	c.table(o.Service).Ended(now, j.granted, o.ID, bbhealth.OutcomeFull)
-	j.granted = ""
-	j.order.Avoid = o.Avoid
-	j.repeated = o.Repeat
-	for i := range j.stages {
-		if j.final(i) {
-			j.remake(i)
+	c.table(o.Service).Ended(now, j.Granted, o.ID, bbhealth.OutcomeFull)
+	j.Granted = ""
+	j.Order.Avoid = o.Avoid
+	j.Repeated = o.Repeat
+	for i := range j.Stages {
+		if j.Final(i) {
+			j.Remake(i)
 		}
 	}
 	c.release(j)
--- /dev/null
+++ b/core/bbhistory/history_test.go
@@ -0,0 +1,61 @@
+package bbhistory
+
+import (
+	"testing"
+	"time"
+
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbprogress"
+)
+
+func testOrder(id string) bbjob.Order {
+	return bbjob.Order{
+		ID:        id,
+		Route:     "route",
+		Key:       "key of " + id,
+		Objective: time.Second,
+	}
+}
+
+func TestRefusedRequestIsKnownWhenItComesBack(t *testing.T) {
+	r := NewRefusals()
+	o := testOrder("a")
+	r.Add(time.Second, o)
+	again := testOrder("b")
+	again.Key = o.Key
+	if first, ok := r.Take(2*time.Second, again); !ok || first != time.Second {
+		t.Errorf("first came at %v, known %v; want 1s, true", first, ok)
+	}
+	if _, ok := r.Take(2*time.Second, testOrder("c")); ok {
+		t.Error("another request counts as known, want it not to")
+	}
+	if _, ok := r.Take(time.Second+rememberRefusal+time.Millisecond, again); ok {
+		t.Error("a refusal of long ago is known, want it forgotten")
+	}
+}
+
+func TestBiasFollowsLateness(t *testing.T) {
+	x := make(Experiences)
+	for range 100 {
+		j := bbprogress.NewJob(0, testOrder("a"))
+		j.Granted = "e"
+		j.Estimated = time.Second
+		x.Learn(1300*time.Millisecond, j)
+		x.Learn(9*time.Second, j)
+	}
+	if got := x.Of("route").Bias; got < 290*time.Millisecond || got > 310*time.Millisecond {
+		t.Errorf("bias %v after a hundred requests that were 300 ms late, want about that", got)
+	}
+}
+
+func TestBiasIsBounded(t *testing.T) {
+	x := make(Experiences)
+	for range 100 {
+		j := bbprogress.NewJob(0, testOrder("a"))
+		j.Granted = "e"
+		x.Learn(time.Minute, j)
+	}
+	if got := x.Of("route").Bias; got > 600*time.Millisecond {
+		t.Errorf("bias %v, want at most a part of the objective of a second", got)
+	}
+}
--- a/core/bbcoordinator/refusals.go
+++ b/core/bbhistory/refusals.go
@@ -1,4 +1,4 @@
-package bbcoordinator
+package bbhistory
 
 import (
 	"strconv"
@@ -17,9 +17,9 @@
 	maxRefusals = 20000
 )
 
-// refusals knows callers that come back after a refusal by what they ask, since each
+// Refusals knows callers that come back after a refusal by what they ask, since each
 // attempt has an ID of its own.
-type refusals struct {
+type Refusals struct {
 	// first has when each request came at first.
 	first map[uint64]time.Duration
 	// order has the requests in the order of their refusals.
@@ -32,14 +32,15 @@
 	at      time.Duration
 }
 
-func newRefusals() *refusals {
-	return &refusals{
+// NewRefusals returns an empty table.
+func NewRefusals() *Refusals {
+	return &Refusals{
 		first: make(map[uint64]time.Duration),
 	}
 }
 
-// add notes that a request was refused.
-func (r *refusals) add(now time.Duration, o bbjob.Order) {
+// Add notes that a request was refused.
+func (r *Refusals) Add(now time.Duration, o bbjob.Order) {
 	r.expire(now)
 	content := contentOf(o)
 	if _, ok := r.first[content]; ok || len(r.order) >= maxRefusals {
@@ -52,15 +53,15 @@
 	})
 }
 
-// take returns when a request came at first, if it was refused then.
-func (r *refusals) take(now time.Duration, o bbjob.Order) (time.Duration, bool) {
+// Take returns when a request came at first, if it was refused then.
+func (r *Refusals) Take(now time.Duration, o bbjob.Order) (time.Duration, bool) {
 	r.expire(now)
 	first, ok := r.first[contentOf(o)]
 	return first, ok
 }
 
 // expire forgets refusals of long ago.
-func (r *refusals) expire(now time.Duration) {
+func (r *Refusals) expire(now time.Duration) {
 	for len(r.order) > 0 && now-r.order[0].at > rememberRefusal {
 		delete(r.first, r.order[0].content)
 		r.order = r.order[1:]
--- /dev/null
+++ b/core/bbpool/group.go
@@ -0,0 +1,60 @@
+package bbpool
+
+import "time"
+
+// Group is the pieces of one stage of one request that may be worked on now.
+type Group struct {
+	// Job is the request's ID, Stage the number of its stage.
+	Job   string
+	Stage int
+	// Left are the numbers of the pieces that are in no call.
+	Left []int
+	// ResultBytes is the size of one result.
+	ResultBytes float64
+	// Due says when the work has to begin.
+	Due Due
+	// Begun is true once other pieces of the same stage are in a call or done. Such groups go
+	// first: results of half a stage take room and serve nobody.
+	Begun bool
+	// Limit is when the request is given up.
+	Limit time.Duration
+	// Zone is where the inputs are or the results are wanted; empty if it doesn't matter.
+	Zone string
+	// MoveBytes is what goes between failure domains when the work is done elsewhere.
+	MoveBytes float64
+	// Allowed tells whether an endpoint's failure domain may be used; nil means all.
+	Allowed func(zone string) bool
+}
+
+// urgency orders groups; the lowest goes first.
+func (g *Group) urgency(now time.Duration) time.Duration {
+	u := g.Due.Urgency(now)
+	if g.Begun {
+		u -= begunAdvance
+	}
+	return u
+}
+
+// Due says when work has to begin.
+type Due struct {
+	// StartBy is the latest begin for an answer that is on time, LastStart for one at all.
+	StartBy, LastStart time.Duration
+	// Rank is added: less urgent requests go later.
+	Rank time.Duration
+}
+
+// Urgency orders work; the lowest goes first. Work that can't be on time any more goes by
+// the time at which it could not be done at all, so that it doesn't hold up work that can.
+func (d Due) Urgency(now time.Duration) time.Duration {
+	if d.StartBy >= now {
+		return d.StartBy + d.Rank
+	}
+	return max(d.LastStart, now) + d.Rank
+}
+
+// Piece names one piece in a call.
+type Piece struct {
+	Job   string
+	Stage int
+	Piece int
+}
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -4,7 +4,6 @@
 package bbpool
 
 import (
-	"math"
 	"sort"
 	"strconv"
 	"time"
@@ -54,63 +53,6 @@
 	overdueSlack  = 150 * time.Millisecond
 )
 
-// Group is the pieces of one stage of one request that may be worked on now.
-type Group struct {
-	// Job is the request's ID, Stage the number of its stage.
-	Job   string
-	Stage int
-	// Left are the numbers of the pieces that are in no call.
-	Left []int
-	// ResultBytes is the size of one result.
-	ResultBytes float64
-	// Due says when the work has to begin.
-	Due Due
-	// Begun is true once other pieces of the same stage are in a call or done. Such groups go
-	// first: results of half a stage take room and serve nobody.
-	Begun bool
-	// Limit is when the request is given up.
-	Limit time.Duration
-	// Zone is where the inputs are or the results are wanted; empty if it doesn't matter.
-	Zone string
-	// MoveBytes is what goes between failure domains when the work is done elsewhere.
-	MoveBytes float64
-	// Allowed tells whether an endpoint's failure domain may be used; nil means all.
-	Allowed func(zone string) bool
-}
-
-// urgency orders groups; the lowest goes first.
-func (g *Group) urgency(now time.Duration) time.Duration {
-	u := g.Due.Urgency(now)
-	if g.Begun {
-		u -= begunAdvance
-	}
-	return u
-}
-
-// Due says when work has to begin.
-type Due struct {
-	// StartBy is the latest begin for an answer that is on time, LastStart for one at all.
-	StartBy, LastStart time.Duration
-	// Rank is added: less urgent requests go later.
-	Rank time.Duration
-}
-
-// Urgency orders work; the lowest goes first. Work that can't be on time any more goes by
-// the time at which it could not be done at all, so that it doesn't hold up work that can.
-func (d Due) Urgency(now time.Duration) time.Duration {
-	if d.StartBy >= now {
-		return d.StartBy + d.Rank
-	}
-	return max(d.LastStart, now) + d.Rank
-}
-
-// Piece names one piece in a call.
-type Piece struct {
-	Job   string
-	Stage int
-	Piece int
-}
-
 // Call is work for one endpoint.
 type Call struct {
 	ID       uint64
@@ -142,28 +84,6 @@
 	ID, Address, Zone string
 }
 
-// worker is what is remembered of an endpoint.
-type worker struct {
-	calls  map[uint64]*Call
-	health bbhealth.Record
-	// slowness is the learned ratio of measured to nominal time as of slowAt; 1 is nominal.
-	slowness float64
-	slowAt   time.Duration
-	// pausedUntil is set when the endpoint had no place.
-	pausedUntil time.Duration
-	// results has the size and end of life of results that take room.
-	results map[string]result
-	// unknown counts the times that the endpoint had less room than expected.
-	unknown int
-	// used is the room taken by results and by calls in progress, in bytes.
-	used float64
-}
-
-type result struct {
-	bytes   float64
-	expires time.Duration
-}
-
 // Pool has the work and the endpoints of one service.
 type Pool struct {
 	Service string
@@ -244,127 +164,6 @@
 	return p.Spec.CallTime + time.Duration(n)*p.Spec.PieceTime
 }
 
-// Next returns the next call that should be made, or nil. The caller gives it an ID with
-// Start.
-func (p *Pool) Next(now time.Duration) *Call {
-	if len(p.groups) == 0 {
-		return nil
-	}
-	sort.SliceStable(p.groups, func(i, j int) bool {
-		return p.groups[i].urgency(now) < p.groups[j].urgency(now)
-	})
-	for _, g := range p.groups {
-		if e, w := p.choose(now, g); w != nil {
-			return p.compose(now, g, e, w)
-		}
-	}
-	return nil
-}
-
-// choose returns the endpoint that should work on a group now, if there is one.
-func (p *Pool) choose(now time.Duration, g *Group) (Endpoint, *worker) {
-	var best Endpoint
-	var chosen *worker
-	var bestCost time.Duration
-	for _, e := range p.endpoints {
-		w := p.workers[e.ID]
-		if !p.free(now, w) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
-			continue
-		}
-		if p.room(w) < g.ResultBytes {
-			continue
-		}
-		cost := p.cost(now, w)
-		if g.Zone != "" && g.Zone != e.Zone {
-			cost += p.distance(g)
-		}
-		if chosen == nil || cost < bestCost {
-			best, chosen, bestCost = e, w, cost
-		}
-	}
-	if chosen == nil || (chosen.slow(now) >= slowFactor && p.soonerElsewhere(now, g, chosen)) {
-		return Endpoint{}, nil
-	}
-	if g.Zone != "" && best.Zone != g.Zone && p.soonNear(now, g) {
-		return Endpoint{}, nil
-	}
-	return best, chosen
-}
-
-// soonNear tells whether an endpoint where the inputs are is free before moving them would
-// pay.
-func (p *Pool) soonNear(now time.Duration, g *Group) bool {
-	for _, e := range p.endpoints {
-		w := p.workers[e.ID]
-		if e.Zone != g.Zone || w.health.Paused(now) || (g.Allowed != nil && !g.Allowed(e.Zone)) || w.slow(now) >= slowFactor {
-			continue
-		}
-		left := p.remaining(now, w)
-		if left > 0 && left <= p.distance(g) && len(w.calls) <= max(1, p.Spec.Slots) && p.room(w) >= g.ResultBytes {
-			return true
-		}
-	}
-	return false
-}
-
-// distance is the cost of another failure domain: a round trip, and the price of what has to
-// be moved, as time.
-func (p *Pool) distance(g *Group) time.Duration {
-	move := time.Duration(g.MoveBytes / 1e6 * float64(moveCost))
-	return min(p.Spec.CallTime, roundTrip+move)
-}
-
-// cost is the time that a worker would take for a usual call, with failures counted.
-func (p *Pool) cost(now time.Duration, w *worker) time.Duration {
-	d := float64(p.Duration(p.Spec.Batch/2)) * w.slow(now)
-	d *= 1 + 3*w.health.Failures(now)
-	return time.Duration(d) + p.remaining(now, w)
-}
-
-// soonerElsewhere tells whether the other endpoints would have done all waiting work before
-// a slow one is done with a call.
-func (p *Pool) soonerElsewhere(now time.Duration, g *Group, slow *worker) bool {
-	var sooner time.Duration
-	perSecond := 0.0
-	for _, e := range p.endpoints {
-		w := p.workers[e.ID]
-		if w == slow || w.health.Paused(now) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
-			continue
-		}
-		if cost := p.cost(now, w); perSecond == 0 || cost < sooner {
-			sooner = cost
-		}
-		perSecond += float64(p.Spec.Batch) / (p.Duration(p.Spec.Batch).Seconds() * w.slow(now))
-	}
-	if perSecond == 0 {
-		return false
-	}
-	sooner += time.Duration(float64(p.Waiting()) / perSecond * float64(time.Second))
-	return sooner < p.cost(now, slow)
-}
-
-// free tells whether a worker may get a call now.
-func (p *Pool) free(now time.Duration, w *worker) bool {
-	if w.health.Paused(now) || now < w.pausedUntil {
-		return false
-	}
-	if len(w.calls) < max(1, p.Spec.Slots) {
-		return true
-	}
-	return len(w.calls) == max(1, p.Spec.Slots) && p.Spec.Queue > 0 && p.remaining(now, w) <= p.Lead && !w.late(now)
-}
-
-// late tells whether a call in progress should have been answered a while ago: a call behind
-// it would wait for nobody knows how long.
-func (w *worker) late(now time.Duration) bool {
-	for _, c := range w.calls {
-		if now > c.Expected+lateSlack {
-			return true
-		}
-	}
-	return false
-}
-
 // remaining is the time until a worker's calls in progress should be done.
 func (p *Pool) remaining(now time.Duration, w *worker) time.Duration {
 	if len(w.calls) < max(1, p.Spec.Slots) {
@@ -382,88 +181,6 @@
 	return roomPart*p.Spec.RoomBytes - w.used
 }
 
-// compose fills a call: first the chosen group, then others in the order of their
-// urgency. Groups that don't fit whole are split only where their results are small.
-func (p *Pool) compose(now time.Duration, first *Group, e Endpoint, w *worker) *Call {
-	c := &Call{
-		Service:  p.Service,
-		Endpoint: e.ID,
-		Address:  e.Address,
-		Sent:     now,
-	}
-	p.take(now, c, first, w)
-	for _, g := range p.nearFirst(now, e.Zone) {
-		space := p.Spec.Batch - len(c.Pieces)
-		if space <= 0 {
-			break
-		}
-		if g == first || len(g.Left) == 0 || (g.Allowed != nil && !g.Allowed(e.Zone)) {
-			continue
-		}
-		if len(g.Left) > space && g.ResultBytes >= splitBytes {
-			continue
-		}
-		if g.Zone != "" && g.Zone != e.Zone && g.ResultBytes >= splitBytes && p.idleIn(now, g.Zone) {
-			continue
-		}
-		p.take(now, c, g, w)
-	}
-	kept := p.groups[:0]
-	for _, g := range p.groups {
-		if len(g.Left) > 0 {
-			kept = append(kept, g)
-		}
-	}
-	clear(p.groups[len(kept):])
-	p.groups = kept
-	return c
-}
-
-// nearFirst returns the groups in the order in which an endpoint of a failure domain should
-// take them: those with inputs or engines elsewhere go a little later.
-func (p *Pool) nearFirst(now time.Duration, zone string) []*Group {
-	list := append([]*Group(nil), p.groups...)
-	key := func(g *Group) time.Duration {
-		u := g.urgency(now)
-		if g.Zone != "" && g.Zone != zone {
-			u += p.distance(g)
-		}
-		return u
-	}
-	sort.SliceStable(list, func(i, j int) bool { return key(list[i]) < key(list[j]) })
-	return list
-}
-
-// idleIn tells whether a worker in a failure domain could take a call now.
-func (p *Pool) idleIn(now time.Duration, zone string) bool {
-	for _, e := range p.endpoints {
-		if e.Zone == zone && p.free(now, p.workers[e.ID]) {
-			return true
-		}
-	}
-	return false
-}
-
-// take moves pieces of a group into a call, as many as there is space and room for.
-func (p *Pool) take(now time.Duration, c *Call, g *Group, w *worker) {
-	n := min(len(g.Left), p.Spec.Batch-len(c.Pieces))
-	if g.ResultBytes > 0 {
-		n = min(n, int((p.room(w)-c.Bytes)/g.ResultBytes))
-	}
-	for range max(0, n) {
-		c.Pieces = append(c.Pieces, Piece{
-			Job:   g.Job,
-			Stage: g.Stage,
-			Piece: g.Left[0],
-		})
-		c.Limits = append(c.Limits, g.Limit-now)
-		c.Sizes = append(c.Sizes, g.ResultBytes)
-		c.Bytes += g.ResultBytes
-		g.Left = g.Left[1:]
-		g.Begun = true
-	}
-}
-
 // Start notes that a call is being made.
 func (p *Pool) Start(now time.Duration, c *Call, id uint64) {
 	w := p.workers[c.Endpoint]
@@ -557,21 +274,6 @@
 	w.used += unknown
 }
 
-// learn takes in the measured slowness of a call.
-func (w *worker) learn(now time.Duration, slowness float64) {
-	present := w.slow(now)
-	w.slowness = present + learnRate*(min(max(slowness, 0.5), 10)-present)
-	w.slowAt = now
-}
-
-// slow returns the learned slowness, with what was long ago forgotten in part.
-func (w *worker) slow(now time.Duration) float64 {
-	if w.slowness <= 1 {
-		return w.slowness
-	}
-	return 1 + (w.slowness-1)*math.Exp2(-float64(now-w.slowAt)/float64(slowHalfLife))
-}
-
 // Adopt notes a result that a former coordinator had made.
 func (p *Pool) Adopt(now time.Duration, endpoint, handle string, bytes float64) {
 	w := p.workers[endpoint]
--- /dev/null
+++ b/core/bbprogress/due.go
@@ -0,0 +1,63 @@
+package bbprogress
+
+import (
+	"time"
+
+	"bluebellhall/core/bbpool"
+)
+
+const (
+	// EngineTime is the usual time from a grant to the first token, without the prompt.
+	EngineTime = 90 * time.Millisecond
+	// rankStep is how much later a request goes for each step of priority: about the longest
+	// time that requests of the users' sheets can wait and still be on time.
+	rankStep = 1500 * time.Millisecond
+)
+
+// DueOf returns when a stage has to begin.
+func (j *Job) DueOf(stage int) bbpool.Due {
+	left := float64(j.Tails[stage]) / float64(max(j.Objective, 1))
+	return bbpool.Due{
+		StartBy:   j.Due - j.Tails[stage],
+		LastStart: j.Limit - j.Tails[stage],
+		// What has come far takes room already and goes before what has not.
+		Rank: time.Duration(min(1, left) * float64(Rank(j.Order.Priority))),
+	}
+}
+
+// Rank is how much later a request of a priority goes.
+func Rank(priority int) time.Duration {
+	return time.Duration(priority) * rankStep
+}
+
+// Future is the pieces that requests in progress will bring to services later.
+type Future map[string][]futurePieces
+
+type futurePieces struct {
+	urgency time.Duration
+	pieces  int
+}
+
+// Add counts the stages of a request that are still to come.
+func (f Future) Add(now time.Duration, j *Job) {
+	for i, s := range j.Order.Stages {
+		if j.Stages[i].Released || s.Pieces == 0 {
+			continue
+		}
+		f[s.Service] = append(f[s.Service], futurePieces{
+			urgency: j.DueOf(i).Urgency(now),
+			pieces:  s.Pieces,
+		})
+	}
+}
+
+// Before counts the pieces for a service that go before an urgency.
+func (f Future) Before(service string, urgency time.Duration) int {
+	n := 0
+	for _, w := range f[service] {
+		if w.urgency <= urgency {
+			n += w.pieces
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/bbprogress/job.go
@@ -0,0 +1,299 @@
+// Package bbprogress is how far a request is on its way through its stages to an engine: the
+// pieces that are made, in work or lost, and what may begin next.
+package bbprogress
+
+import (
+	"time"
+
+	"bluebellhall/core/bbjob"
+)
+
+// Piece is how far a piece of a stage is.
+type Piece struct {
+	// Handle names the result once it is made.
+	Handle string
+	// Maker and address are those of the endpoint that keeps the result.
+	Maker   string
+	Address string
+	Zone    string
+	// Freed is true once the result was given up.
+	Freed bool
+	// Tries counts the calls that the piece was in.
+	Tries int
+	// Queued is true while the piece waits in a pool, calls counts the calls in progress
+	// that it is in.
+	Queued bool
+	Calls  int
+	// Fetched is true once an endpoint that works on the piece should have its inputs.
+	Fetched bool
+}
+
+// Wanted tells whether the piece has to be put into its pool.
+func (p *Piece) Wanted() bool {
+	return p.Handle == "" && !p.Queued && p.Calls == 0
+}
+
+// Stage is how far a stage is.
+type Stage struct {
+	Pieces []Piece
+	// Released is true once the pieces were put into the pool; it is taken back when they
+	// have to be made again.
+	Released bool
+	// Left counts the pieces without a result.
+	Left int
+}
+
+// Job is a request in progress.
+type Job struct {
+	Order bbjob.Order
+	// Arrived, due and limit are by the steady clock of this VM.
+	Arrived time.Duration
+	Due     time.Duration
+	Limit   time.Duration
+	// Objective is the time that the request had to be on time when it arrived.
+	Objective time.Duration
+	Stages    []Stage
+	// Granted is the engine that the request was granted; empty if none.
+	Granted string
+	// GrantedAt is when that was.
+	GrantedAt time.Duration
+	// Estimated is when the first token was expected at arrival, before any correction.
+	Estimated time.Duration
+	// Started is true once the first token was made.
+	Started bool
+	// Returning is true when the caller was refused before and has come back.
+	Returning bool
+	// Repeated is true when the next grant is not the first.
+	Repeated bool
+	// Wish is the failure domain of the engine that would suit best at arrival.
+	Wish string
+	// Tails has for each stage the time from its start to the first token, as it usually
+	// takes.
+	Tails []time.Duration
+}
+
+// NewJob returns the state of an order that has just arrived.
+func NewJob(now time.Duration, o bbjob.Order) *Job {
+	j := &Job{
+		Order:     o,
+		Arrived:   now,
+		Due:       now + o.Objective,
+		Limit:     now + o.Limit,
+		Objective: o.Objective,
+		Stages:    make([]Stage, len(o.Stages)),
+		Tails:     make([]time.Duration, len(o.Stages)),
+		Repeated:  o.Repeat,
+	}
+	for i, s := range o.Stages {
+		j.Stages[i] = Stage{
+			Pieces: make([]Piece, s.Pieces),
+			Left:   s.Pieces,
+		}
+	}
+	return j
+}
+
+// InCalls tells whether an endpoint works on the request.
+func (j *Job) InCalls() bool {
+	for i := range j.Stages {
+		for k := range j.Stages[i].Pieces {
+			if j.Stages[i].Pieces[k].Calls > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Lose gives up what a stage needs, because some of it is gone and nobody knows which.
+func (j *Job) Lose(stage int) {
+	for _, before := range j.Order.Stages[stage].After {
+		for k := range j.Stages[before].Pieces {
+			j.Stages[before].Pieces[k].Freed = true
+		}
+	}
+}
+
+// Ready tells whether all results that a stage needs are there.
+func (j *Job) Ready(stage int) bool {
+	for _, before := range j.Order.Stages[stage].After {
+		if j.Stages[before].Left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Done tells whether all stages are.
+func (j *Job) Done() bool {
+	for i := range j.Stages {
+		if j.Stages[i].Left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Final tells whether no other stage needs the results of a stage.
+func (j *Job) Final(stage int) bool {
+	for _, s := range j.Order.Stages {
+		if s.Pieces == 0 {
+			continue
+		}
+		for _, before := range s.After {
+			if before == stage {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Early tells whether the results of a stage would only wait: the engine alone needs them,
+// and a stage that doesn't need them is yet to begin.
+func (j *Job) Early(stage int) bool {
+	if !j.Final(stage) {
+		return false
+	}
+	for i, s := range j.Order.Stages {
+		if i != stage && s.Pieces > 0 && !j.Stages[i].Released && !j.Ready(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// MadeOf returns the results of a stage as its origin should know them.
+func (j *Job) MadeOf(stage int) []bbjob.Made {
+	var made []bbjob.Made
+	for k, p := range j.Stages[stage].Pieces {
+		made = append(made, bbjob.Made{
+			Stage:   stage,
+			Piece:   k,
+			Handle:  p.Handle,
+			Maker:   p.Maker,
+			Address: p.Address,
+			Zone:    p.Zone,
+			Freed:   p.Freed,
+		})
+	}
+	return made
+}
+
+// Inputs returns the handles of the results that a stage needs.
+func (j *Job) Inputs(stage int) []string {
+	var handles []string
+	for _, before := range j.Order.Stages[stage].After {
+		for _, p := range j.Stages[before].Pieces {
+			handles = append(handles, p.Handle)
+		}
+	}
+	return handles
+}
+
+// Finals returns the handles that the engine needs, and their bytes by failure domain.
+func (j *Job) Finals() ([]string, map[string]float64) {
+	var handles []string
+	bytes := make(map[string]float64)
+	for i := range j.Stages {
+		if !j.Final(i) {
+			continue
+		}
+		for _, p := range j.Stages[i].Pieces {
+			handles = append(handles, p.Handle)
+			bytes[p.Zone] += j.Order.Stages[i].ResultBytes
+		}
+	}
+	return handles, bytes
+}
+
+// Home returns the failure domain where a stage is best done: that of most of its inputs,
+// or that of a likely engine.
+func (j *Job) Home(stage int) string {
+	bytes := make(map[string]float64)
+	for _, before := range j.Order.Stages[stage].After {
+		for _, p := range j.Stages[before].Pieces {
+			bytes[p.Zone] += j.Order.Stages[before].ResultBytes
+		}
+	}
+	best, most := "", 0.0
+	if len(bytes) == 0 {
+		return j.Wish
+	}
+	for zone, b := range bytes {
+		if b > most || (b == most && zone < best) {
+			best, most = zone, b
+		}
+	}
+	return best
+}
+
+// MoveBytes returns what goes between failure domains when pieces of a stage are not done at
+// its home: each piece fetches all its inputs.
+func (j *Job) MoveBytes(stage, pieces int) float64 {
+	o := j.Order.Stages[stage]
+	if len(o.After) == 0 {
+		return float64(pieces) * o.ResultBytes
+	}
+	inputs := 0.0
+	for _, before := range o.After {
+		inputs += float64(j.Order.Stages[before].Pieces) * j.Order.Stages[before].ResultBytes
+	}
+	return float64(pieces) * inputs
+}
+
+// Tail returns the least time from the start of what is left to the first token, for a
+// request whose stages from a number on are not done.
+func (j *Job) Tail(from int) time.Duration {
+	longest := EngineTime
+	for i := from; i < len(j.Stages); i++ {
+		if j.Stages[i].Left > 0 && j.Ready(i) {
+			longest = max(longest, j.Tails[i])
+		}
+	}
+	return longest
+}
+
+// FetchedAll tells whether everything that needs the results of a stage has them.
+func (j *Job) FetchedAll(stage int) bool {
+	for i, s := range j.Order.Stages {
+		for _, before := range s.After {
+			if before != stage {
+				continue
+			}
+			for _, p := range j.Stages[i].Pieces {
+				if p.Handle == "" && !p.Fetched {
+					return false
+				}
+			}
+		}
+	}
+	return !j.Final(stage)
+}
+
+// Rewind makes the stages that a stage needs be done again where their results are gone.
+func (j *Job) Rewind(stage int) {
+	j.Stages[stage].Released = false
+	for _, before := range j.Order.Stages[stage].After {
+		j.Remake(before)
+	}
+}
+
+// Remake makes a stage be done again as far as its results are gone.
+func (j *Job) Remake(stage int) {
+	st := &j.Stages[stage]
+	lost := false
+	for k := range st.Pieces {
+		p := &st.Pieces[k]
+		if p.Handle != "" && p.Freed {
+			*p = Piece{
+				Tries: p.Tries,
+			}
+			st.Left++
+			lost = true
+		}
+	}
+	if lost {
+		j.Rewind(stage)
+	}
+}
--- a/core/bbscene/scene.go
+++ b/core/bbscene/scene.go
@@ -47,7 +47,7 @@
 	readPerMs    = 38.4
 	firstToken   = 40 * time.Millisecond
 	answerTime   = 300 * time.Millisecond
-	coldPerS     = 9.4
+	coldRate     = 9.4
 )
 
 // Outcome is what became of one order.
@@ -123,8 +123,8 @@
 		}
 	}
 	scene.services[EngineService] = &bbcatalog.Service{
-		Name:          EngineService,
-		ColdPerSecond: coldPerS,
+		Name:     EngineService,
+		ColdRate: coldRate,
 		Engine: &bbcatalog.Engine{
 			Slots:  engineSlots,
 			Tokens: engineTokens,
