--- a/bluebellctl/bbcommand/explain.go
+++ b/bluebellctl/bbcommand/explain.go
@@ -38,16 +38,19 @@
 			"them, with the reason for each; the chosen one is marked with *. Between like endpoints the\n" +
 			"choice is drawn, so that other requests may go elsewhere. The rules file gives the endpoints;\n" +
 			"without --nodes all are taken to be warm and idle, with it their owners are asked.\n" +
-			"Finds fault (exit code 1) when a stage has no endpoint.",
+			"Finds fault (exit code 1) when a stage has no endpoint.\n" +
+			"With --logs it tells why a request that has ended was answered, refused or lost.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagPipeline, Usage: "`NAME` of the pipeline that is asked for"},
 			&cli.StringFlag{Name: flagCall, Usage: "`SERVICE/PATH` of the call that is asked for"},
-			&cli.StringFlag{Name: flagDomain, Usage: "failure `DOMAIN` of the request's home", Required: true},
+			&cli.StringFlag{Name: flagDomain, Usage: "failure `DOMAIN` of the request's home"},
 			&cli.StringFlag{Name: flagSession, Usage: "`ID` of the conversation"},
 			&cli.Uint64Flag{Name: flagSeed, Usage: "`SEED` of the draws between like endpoints", Value: 1},
 			&cli.FloatFlag{Name: flagDomainDelay, Usage: "one-way delay between failure domains of a region", Value: defaultDomainMillis},
 			&cli.FloatFlag{Name: flagRegionDelay, Usage: "one-way delay between regions", Value: defaultRegionMillis},
 			&cli.FloatFlag{Name: flagByteDelay, Usage: "delay that is worth a gigabyte between regions"},
+			logsFlag(),
+			&cli.StringFlag{Name: flagRequest, Usage: "with --logs: the request with this `ID` or beginning of one; without it those that failed are listed"},
 			nodesFlag(false),
 			timeoutFlag(),
 			jsonFlag(),
@@ -59,6 +62,12 @@
 }
 
 func runExplain(ctx context.Context, env *Environment, c *cli.Command) error {
+	if c.String(flagLogs) != "" {
+		return explainLogs(env, c)
+	}
+	if c.String(flagDomain) == "" {
+		return errors.New("one of --domain and --logs is needed")
+	}
 	arguments, err := argumentsOf(c, "FILE")
 	if err != nil {
 		return err
--- a/bluebellctl/bbcommand/timeline.go
+++ b/bluebellctl/bbcommand/timeline.go
@@ -36,10 +36,12 @@
 		Name:  "timeline",
 		Usage: "show the events of all entry VMs in one order",
 		Description: "Asks every entry VM given for its latest events and merges them by their stamps, so that an\n" +
-			"event that was caused by another stands after it. Times are UTC. docs/EVENTS.md explains each\n" +
-			"event. Finds fault with entry VMs that don't answer or no longer hold all that was asked for.",
+			"event that was caused by another stands after it. With --logs it reads log lines instead.\n" +
+			"Times are UTC. docs/EVENTS.md explains each event.\n" +
+			"Finds fault with entry VMs that don't answer or no longer hold all that was asked for.",
 		Flags: []cli.Flag{
-			nodesFlag(true),
+			nodesFlag(false),
+			logsFlag(),
 			&cli.StringFlag{Name: flagRequest, Usage: "only events of the request with this `ID` or beginning of one"},
 			&cli.StringFlag{Name: flagEndpoint, Usage: "only events of the endpoint with this `NAME`"},
 			&cli.StringFlag{Name: flagNode, Usage: "only events of or about the entry VM with this `NAME`"},
@@ -56,6 +58,12 @@
 }
 
 func runTimeline(ctx context.Context, env *Environment, c *cli.Command) error {
+	if c.String(flagLogs) != "" {
+		return timelineOfLogs(env, c)
+	}
+	if c.String(flagNodes) == "" {
+		return errors.New("one of --nodes and --logs is needed")
+	}
 	nodes, err := addresses(c)
 	if err != nil {
 		return err
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -174,7 +174,7 @@
 		j.Due = min(j.Due, first+o.Objective)
 	}
 	expected := c.estimate(now, j)
-	if retryAfter, reason := c.judge(now, j, expected); reason != "" {
+	if retryAfter, reason := c.judge(j, expected); reason != "" {
 		c.refused.Add(now, o)
 		c.refuse(o.ID, reason, retryAfter, expected-now)
 		return c.flush()
@@ -228,7 +228,7 @@
 }
 
 // judge tells whether a request is turned away, when the caller should come back, and why.
-func (c *Coordinator) judge(now time.Duration, j *bbprogress.Job, expected time.Duration) (time.Duration, string) {
+func (c *Coordinator) judge(j *bbprogress.Job, expected time.Duration) (time.Duration, string) {
 	if expected > j.Limit {
 		return c.retryAfter(expected - j.Limit), "limit"
 	}
