A piece whose late call has company is tried again; used stages stay done

Lines of calls are taken only from the time of their request: a process that starts again counts its calls anew.

--- a/bluebellctl/bblines/lines.go
+++ b/bluebellctl/bblines/lines.go
@@ -67,7 +67,7 @@
 	return lines, passed, errors.Wrap(scanner.Err(), "read log")
 }
 
-// callKey names a call over all processes.
+// callKey names a call of a VM.
 type callKey struct {
 	vm   string
 	call uint64
@@ -77,14 +77,24 @@
 // of their times. The request is named by its ID or the beginning of it.
 func Of(lines []Line, id string) []Line {
 	calls := make(map[callKey]bool)
+	var first, last int64
 	for _, l := range lines {
-		if l.Call != 0 && l.ID != "" && strings.HasPrefix(l.ID, id) {
+		if l.ID == "" || !strings.HasPrefix(l.ID, id) {
+			continue
+		}
+		if first == 0 || l.Time < first {
+			first = l.Time
+		}
+		last = max(last, l.Time)
+		if l.Call != 0 {
 			calls[callKey{vm: l.VM, call: l.Call}] = true
 		}
 	}
 	var found []Line
 	for _, l := range lines {
-		if l.ID != "" && strings.HasPrefix(l.ID, id) || l.ID == "" && calls[callKey{vm: l.VM, call: l.Call}] {
+		// A process that starts again counts its calls anew.
+		during := l.Time >= first && l.Time <= last
+		if l.ID != "" && strings.HasPrefix(l.ID, id) || l.ID == "" && during && calls[callKey{vm: l.VM, call: l.Call}] {
 			found = append(found, l)
 		}
 	}
--- a/bluebellctl/bblines/lines_test.go
+++ b/bluebellctl/bblines/lines_test.go
@@ -17,6 +17,7 @@
 {"vm":"vm-2","event":851,"message":"entryRequestEnded","id":"bb22","outcome":"answered","status":200,"took":12,"time":1500}
 {"vm":"vm-2","event":851,"message":"entryRequestEnded","id":"aa11","outcome":"refused","cause":"deadline","status":503,"took":4000,"time":5000}
 {"vm":"vm-1","event":842,"message":"callDone","call":7,"endpoint":"w1","value":290,"time":1300}
+{"vm":"vm-1","event":841,"message":"callSent","call":7,"endpoint":"w9","time":9000}
 `
 
 func read(t *testing.T) []Line {
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -36,7 +36,11 @@
 	h.Set("Content-Length", "0")
 	x.w.WriteHeader(status)
 	x.sent = true
-	g.ended(x, "refused", cause, status)
+	outcome := "refused"
+	if status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable {
+		outcome = "failed"
+	}
+	g.ended(x, outcome, cause, status)
 }
 
 // ended writes the line on a request that has ended.
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -35,7 +35,7 @@
 	retry := make(map[string]map[int][]int)
 	for i, piece := range call.Pieces {
 		j := c.jobs[piece.Job]
-		if j != nil {
+		if j != nil && !call.Overdue {
 			j.Stages[piece.Stage].Pieces[piece.Piece].Calls--
 		}
 		if i < len(results) && results[i].Handle != "" {
@@ -113,7 +113,7 @@
 	for i := range j.Stages {
 		switch {
 		case j.Stages[i].Left > 0:
-		case c.consumed(j, i):
+		case !j.Needed(i):
 			c.freeStage(j, i)
 		default:
 			j.Remake(i)
@@ -136,7 +136,7 @@
 
 // keep takes in the result of one piece, or frees it when nobody needs it.
 func (c *Coordinator) keep(now time.Duration, call *bbpool.Call, zone string, j *bbprogress.Job, piece bbpool.Piece, handle string) {
-	if j == nil || j.Stages[piece.Stage].Pieces[piece.Piece].Handle != "" {
+	if j == nil || j.Stages[piece.Stage].Pieces[piece.Piece].Handle != "" || !j.Needed(piece.Stage) {
 		c.freed[call.Address] = append(c.freed[call.Address], handle)
 		c.pool(call.Service).Free(call.Endpoint, handle)
 		return
@@ -160,24 +160,12 @@
 	c.update(piece.Job, j.MadeOf(piece.Stage))
 	// The inputs of a finished stage are needed no more unless another stage needs them.
 	for _, before := range j.Order.Stages[piece.Stage].After {
-		if c.consumed(j, before) {
+		if !j.Needed(before) {
 			c.freeStage(j, before)
 		}
 	}
 }
 
-// consumed tells whether all stages that need the results of a stage are done.
-func (c *Coordinator) consumed(j *bbprogress.Job, stage int) bool {
-	for i, s := range j.Order.Stages {
-		for _, before := range s.After {
-			if before == stage && j.Stages[i].Left > 0 {
-				return false
-			}
-		}
-	}
-	return !j.Final(stage)
-}
-
 // retryPieces puts pieces of a failed call back, or ends their request. Tries that an
 // endpoint turned away for want of room don't count.
 func (c *Coordinator) retryPieces(now time.Duration, id string, stages map[int][]int, mayRepeat, counts bool) {
@@ -216,7 +204,8 @@
 			continue
 		}
 		p := &j.Stages[piece.Stage].Pieces[piece.Piece]
-		if p.Handle != "" || p.Queued || p.Calls > 1 {
+		p.Calls--
+		if !p.Wanted() {
 			continue
 		}
 		if again[piece.Job] == nil {
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -218,3 +218,26 @@
 		t.Errorf("calls %+v, want one that makes the first stage again", out.Calls)
 	}
 }
+
+func TestPieceOfALateCallIsTriedAgain(t *testing.T) {
+	c := newTestCoordinator()
+	calls := toSecond(t, c, testOrder("a", 1))
+	out := c.Tick(1500 * ms)
+	if len(out.Calls) != 1 || out.Calls[0].Endpoint == calls[0].Endpoint {
+		t.Fatalf("calls %+v for a piece whose call is late, want one to the other endpoint", out.Calls)
+	}
+	// The second call fails the piece while the first is still late.
+	out = c.CallDone(1700*ms, out.Calls[0].ID, "east", bbhealth.OutcomeGood, []PieceResult{{}})
+	if len(out.Calls) != 1 || out.Calls[0].Service != "first" {
+		t.Fatalf("calls %+v after the second one failed, want one that makes the input again", out.Calls)
+	}
+	third := out.Calls[0]
+	// The first one answers after all.
+	out = c.CallDone(1750*ms, calls[0].ID, "east", bbhealth.OutcomeGood, good(calls[0]))
+	if len(out.Grants) != 1 {
+		t.Errorf("%d grants once the first call answered, want 1", len(out.Grants))
+	}
+	late := good(third)
+	late[0].Handle += "again"
+	wantFreed(t, c.CallDone(1900*ms, third.ID, "east", bbhealth.OutcomeGood, late), late[0].Handle)
+}
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -16,7 +16,7 @@
 func (c *Coordinator) release(j *bbprogress.Job) {
 	for i, s := range j.Order.Stages {
 		st := &j.Stages[i]
-		if st.Released || s.Pieces == 0 || !j.Ready(i) || j.Early(i) {
+		if st.Released || s.Pieces == 0 || !j.Ready(i) || !j.Needed(i) || j.Early(i) {
 			continue
 		}
 		st.Released = true
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -20,8 +20,8 @@
 	Freed bool
 	// Tries counts the calls that the piece was in.
 	Tries int
-	// Queued is true while the piece waits in a pool, calls counts the calls in progress
-	// that it is in.
+	// Queued is true while the piece waits in a pool, Calls counts the calls in progress
+	// that it is in and that are not late.
 	Queued bool
 	Calls  int
 	// Fetched is true once an endpoint that works on the piece should have its inputs.
@@ -124,16 +124,33 @@
 	return true
 }
 
-// Done tells whether all stages are.
+// Done tells whether the engine has all that it needs. Stages whose results were used may
+// be lost again.
 func (j *Job) Done() bool {
 	for i := range j.Stages {
-		if j.Stages[i].Left > 0 {
+		if j.Stages[i].Left > 0 && j.Final(i) {
 			return false
 		}
 	}
 	return true
 }
 
+// Needed tells whether the results of a stage are still of use: to the engine, or to a stage
+// that isn't done.
+func (j *Job) Needed(stage int) bool {
+	if j.Final(stage) {
+		return true
+	}
+	for i, s := range j.Order.Stages {
+		for _, before := range s.After {
+			if before == stage && j.Stages[i].Left > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Final tells whether no other stage needs the results of a stage.
 func (j *Job) Final(stage int) bool {
 	for _, s := range j.Order.Stages {
