--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -13,6 +13,7 @@
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbcoordinator"
+	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbhealth"
@@ -36,7 +37,7 @@
 // Seams are what a platform's adapter does for the VM.
 type Seams struct {
 	Codec       bbgateway.Codec
-	RunPieces   func(ctx context.Context, address, endpoint string, pieces []bbhub.Piece) ([]bbcoordinator.PieceResult, bbhealth.Outcome)
+	RunPieces   func(ctx context.Context, address, endpoint string, pieces []bbhub.Piece) ([]bbdecision.PieceResult, bbhealth.Outcome)
 	FreeResults func(ctx context.Context, address string, handles []string)
 	Log         bblog.Logger
 	Meter       *bbmeter.Meter
@@ -324,7 +325,7 @@
 }
 
 // decided logs a decision of the coordinator and counts it.
-func (e *Entry) decided(d bbcoordinator.Event) {
+func (e *Entry) decided(d bbdecision.Event) {
 	line := e.log.Event(d.Number)
 	if d.Job != "" {
 		line.Str("id", d.Job)
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bluebellhall/core/bbcoordinator"
+	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
@@ -38,13 +39,13 @@
 	// Now returns the steady time.
 	Now func() time.Duration
 	// RunPieces makes a call and returns the results in the order of the pieces.
-	RunPieces func(ctx context.Context, address, endpoint string, pieces []Piece) ([]bbcoordinator.PieceResult, bbhealth.Outcome)
+	RunPieces func(ctx context.Context, address, endpoint string, pieces []Piece) ([]bbdecision.PieceResult, bbhealth.Outcome)
 	// FreeResults tells an endpoint that results are needed no more.
 	FreeResults func(ctx context.Context, address string, handles []string)
 	// Zone returns the failure domain of an endpoint.
 	Zone func(endpoint string) string
 	// Log takes in decisions.
-	Log func(e bbcoordinator.Event)
+	Log func(e bbdecision.Event)
 }
 
 // Hub drives one coordinator.
@@ -135,7 +136,7 @@
 }
 
 // apply carries out what the coordinator decided.
-func (h *Hub) apply(out bbcoordinator.Output) {
+func (h *Hub) apply(out bbdecision.Output) {
 	for _, e := range out.Events {
 		h.seams.Log(e)
 	}
@@ -190,7 +191,7 @@
 	select {
 	case c <- u:
 	default:
-		h.seams.Log(bbcoordinator.Event{
+		h.seams.Log(bbdecision.Event{
 			Number: bbevent.UpdateDropped,
 			Job:    id,
 		})
@@ -224,7 +225,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), longest+callSlack)
 		defer cancel()
 		answered, outcome := h.seams.RunPieces(ctx, c.Address, c.Endpoint, pieces)
-		results := make([]bbcoordinator.PieceResult, len(c.Pieces))
+		results := make([]bbdecision.PieceResult, len(c.Pieces))
 		for i := range min(len(answered), len(places)) {
 			results[places[i]] = answered[i]
 		}
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -1,10 +1,10 @@
 package bbcoordinator
 
 import (
-	"fmt"
 	"strconv"
 	"time"
 
+	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbpool"
@@ -13,23 +13,23 @@
 
 // CallDone takes in the end of a call. Results are in the order of its pieces; there are
 // none unless the outcome is good.
-func (c *Coordinator) CallDone(now time.Duration, id uint64, zone string, o bbhealth.Outcome, results []PieceResult) Output {
+func (c *Coordinator) CallDone(now time.Duration, id uint64, zone string, o bbhealth.Outcome, results []bbdecision.PieceResult) bbdecision.Output {
 	call := c.calls[id]
 	if call == nil {
 		return c.decide(now)
 	}
 	delete(c.calls, id)
 	p := c.pool(call.Service)
-	made, full := c.sizes(call, results)
+	made, full := bbdecision.Sizes(call, results)
 	p.Done(now, call, o, made)
 	if full && o == bbhealth.OutcomeGood {
 		p.Crowded(now, call.Endpoint)
 	}
-	c.log(Event{
+	c.log(bbdecision.Event{
 		Number:   bbevent.CallDone,
 		Call:     id,
 		Endpoint: call.Endpoint,
-		Detail:   describe(call, o, results),
+		Detail:   bbdecision.Describe(call, o, results),
 		Value:    now - call.Sent,
 	})
 	retry := make(map[string]map[int][]int)
@@ -79,7 +79,7 @@
 
 // loseInputs gives up the results that a stage needs, so that they are made again.
 func (c *Coordinator) loseInputs(j *bbprogress.Job, stage int) {
-	c.log(Event{
+	c.log(bbdecision.Event{
 		Number: bbevent.InputsGone,
 		Job:    j.Order.ID,
 		Detail: strconv.Itoa(stage),
@@ -121,19 +121,6 @@
 	}
 }
 
-// sizes returns the results of a call with their sizes, and whether the endpoint had no
-// room for some.
-func (c *Coordinator) sizes(call *bbpool.Call, results []PieceResult) (made map[string]float64, full bool) {
-	made = make(map[string]float64)
-	for i := range min(len(results), len(call.Pieces)) {
-		full = full || results[i].NoRoom
-		if results[i].Handle != "" {
-			made[results[i].Handle] = call.Sizes[i]
-		}
-	}
-	return made, full
-}
-
 // keep takes in the result of one piece, or frees it when nobody needs it.
 func (c *Coordinator) keep(now time.Duration, call *bbpool.Call, zone string, j *bbprogress.Job, piece bbpool.Piece, handle string) {
 	if j == nil || j.Stages[piece.Stage].Pieces[piece.Piece].Handle != "" || !j.Needed(piece.Stage) {
@@ -151,7 +138,7 @@
 	if st.Left > 0 {
 		return
 	}
-	c.log(Event{
+	c.log(bbdecision.Event{
 		Number: bbevent.StageDone,
 		Job:    piece.Job,
 		Detail: strconv.Itoa(piece.Stage),
@@ -214,7 +201,7 @@
 		again[piece.Job][piece.Stage] = append(again[piece.Job][piece.Stage], piece.Piece)
 	}
 	for _, id := range sortedKeys(again) {
-		c.log(Event{
+		c.log(bbdecision.Event{
 			Number:   bbevent.CallOverdue,
 			Job:      id,
 			Call:     call.ID,
@@ -254,7 +241,7 @@
 		}
 	}
 	for _, id := range sortedKeys(sent) {
-		c.log(Event{
+		c.log(bbdecision.Event{
 			Number:   bbevent.PiecesSent,
 			Job:      id,
 			Call:     call.ID,
@@ -281,19 +268,3 @@
 		}
 	}
 }
-
-// describe returns the end of a call as the log has it.
-func describe(call *bbpool.Call, o bbhealth.Outcome, results []PieceResult) string {
-	made, gone, crowded := 0, 0, 0
-	for _, r := range results {
-		switch {
-		case r.Handle != "":
-			made++
-		case r.Gone:
-			gone++
-		case r.NoRoom:
-			crowded++
-		}
-	}
-	return fmt.Sprintf("%s outcome=%s results=%d of %d gone=%d noRoom=%d", call.Service, o, made, len(call.Pieces), gone, crowded)
-}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -9,6 +9,7 @@
 
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbhistory"
@@ -41,51 +42,6 @@
 	RetrySpan  time.Duration
 }
 
-// Output is what the VM has to do after a decision.
-type Output struct {
-	Calls    []*bbpool.Call
-	Grants   []bbjob.Grant
-	Refusals []bbjob.Refusal
-	Frees    []Free
-	// Updates are what the origins of requests should know of their results.
-	Updates map[string]bbjob.Update
-	// Elsewhere are requests that the next coordinator should take.
-	Elsewhere []string
-	// Events are decisions for the log.
-	Events []Event
-}
-
-// Free names results that are not needed any more.
-type Free struct {
-	Address string
-	Handles []string
-}
-
-// Event is a decision for the log. Empty fields don't apply.
-type Event struct {
-	Number bbevent.Number
-	// Job is the request's ID.
-	Job string
-	// Call is the number of a call, Endpoint the one that it goes to.
-	Call     uint64
-	Endpoint string
-	Detail   string
-	// Value is the time that the event's text names.
-	Value time.Duration
-}
-
-// PieceResult is what an endpoint answered for one piece.
-type PieceResult struct {
-	// Handle names the result; empty if there is none.
-	Handle string
-	// Gone is true when an input no longer exists.
-	Gone bool
-	// Late is true when the request's time was over.
-	Late bool
-	// NoRoom is true when the endpoint had no room for the result.
-	NoRoom bool
-}
-
 // Coordinator has the requests in progress and the tables of pools and engines.
 type Coordinator struct {
 	know   Knowledge
@@ -106,7 +62,7 @@
 	lastCall uint64
 	// leaving is true once this coordinator hands its requests back.
 	leaving bool
-	out     Output
+	out     bbdecision.Output
 }
 
 const (
@@ -150,7 +106,7 @@
 }
 
 // Submit takes in an order. A verdict follows in this output or a later one.
-func (c *Coordinator) Submit(now time.Duration, o bbjob.Order) Output {
+func (c *Coordinator) Submit(now time.Duration, o bbjob.Order) bbdecision.Output {
 	if j := c.jobs[o.ID]; j != nil {
 		c.resubmit(now, j, o)
 		return c.decide(now)
@@ -188,7 +144,7 @@
 	if j.Returning {
 		accepted = bbevent.OrderReturned
 	}
-	c.log(Event{
+	c.log(bbdecision.Event{
 		Number: accepted,
 		Job:    o.ID,
 		Detail: o.Route,
@@ -199,7 +155,7 @@
 }
 
 // Leave hands all requests back that are in no call; others follow when their calls end.
-func (c *Coordinator) Leave() Output {
+func (c *Coordinator) Leave() bbdecision.Output {
 	c.leaving = true
 	for _, id := range sortedKeys(c.jobs) {
 		c.handBack(c.jobs[id])
@@ -220,7 +176,7 @@
 			p.Drop(id)
 		}
 	}
-	c.log(Event{
+	c.log(bbdecision.Event{
 		Number: bbevent.OrderElsewhere,
 		Job:    id,
 	})
@@ -245,9 +201,9 @@
 }
 
 // Cancel forgets a request whose caller has left or whose origin is gone.
-func (c *Coordinator) Cancel(now time.Duration, id string) Output {
+func (c *Coordinator) Cancel(now time.Duration, id string) bbdecision.Output {
 	if j := c.jobs[id]; j != nil {
-		c.log(Event{
+		c.log(bbdecision.Event{
 			Number: bbevent.OrderCancelled,
 			Job:    id,
 			Value:  now - j.Arrived,
@@ -261,7 +217,7 @@
 }
 
 // Tick does what is due: calls that are overdue, requests whose time is over.
-func (c *Coordinator) Tick(now time.Duration) Output {
+func (c *Coordinator) Tick(now time.Duration) bbdecision.Output {
 	for _, p := range c.pools {
 		p.Expire(now)
 		for _, call := range p.Overdue(now) {
@@ -311,7 +267,7 @@
 }
 
 // decide makes all calls and grants that are possible now.
-func (c *Coordinator) decide(now time.Duration) Output {
+func (c *Coordinator) decide(now time.Duration) bbdecision.Output {
 	if c.leaving {
 		return c.flush()
 	}
@@ -326,7 +282,7 @@
 			c.calls[call.ID] = call
 			c.begun(call)
 			c.out.Calls = append(c.out.Calls, call)
-			c.log(Event{
+			c.log(bbdecision.Event{
 				Number:   bbevent.CallSent,
 				Call:     call.ID,
 				Endpoint: call.Endpoint,
@@ -354,22 +310,22 @@
 }
 
 // flush returns the output that was gathered.
-func (c *Coordinator) flush() Output {
+func (c *Coordinator) flush() bbdecision.Output {
 	for address, handles := range c.freed {
-		c.out.Frees = append(c.out.Frees, Free{
+		c.out.Frees = append(c.out.Frees, bbdecision.Free{
 			Address: address,
 			Handles: handles,
 		})
 	}
 	clear(c.freed)
 	out := c.out
-	c.out = Output{}
+	c.out = bbdecision.Output{}
 	return out
 }
 
 // refuse gives a request its final answer.
 func (c *Coordinator) refuse(id, reason string, retryAfter, expected time.Duration) {
-	c.log(Event{
+	c.log(bbdecision.Event{
 		Number: bbevent.OrderRefused,
 		Job:    id,
 		Detail: reason,
@@ -395,7 +351,7 @@
 }
 
 // log notes a decision.
-func (c *Coordinator) log(e Event) {
+func (c *Coordinator) log(e bbdecision.Event) {
 	c.out.Events = append(c.out.Events, e)
 }
 
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
@@ -94,8 +95,8 @@
 }
 
 // good answers a call with a result for each piece.
-func good(c *bbpool.Call) []PieceResult {
-	results := make([]PieceResult, len(c.Pieces))
+func good(c *bbpool.Call) []bbdecision.PieceResult {
+	results := make([]bbdecision.PieceResult, len(c.Pieces))
 	for i, p := range c.Pieces {
 		results[i].Handle = c.Endpoint + "/" + p.Job + string(rune('0'+p.Stage)) + string(rune('0'+p.Piece))
 	}
@@ -103,7 +104,7 @@
 }
 
 // freedHandles returns all handles that are freed.
-func freedHandles(out Output) []string {
+func freedHandles(out bbdecision.Output) []string {
 	var handles []string
 	for _, f := range out.Frees {
 		handles = append(handles, f.Handles...)
@@ -112,7 +113,7 @@
 }
 
 // wantFreed checks which results are given up.
-func wantFreed(t *testing.T, out Output, want ...string) {
+func wantFreed(t *testing.T, out bbdecision.Output, want ...string) {
 	t.Helper()
 	if diff := cmp.Diff(want, freedHandles(out)); diff != "" {
 		t.Errorf("results given up (-want +got):\n%s", diff)
@@ -135,7 +136,7 @@
 	calls := toSecond(t, c, testOrder("a", 6))
 	wantFreed(t, c.Tick(335*ms))
 	// The first call had its inputs, but no room for its pieces.
-	results := make([]PieceResult, len(calls[0].Pieces))
+	results := make([]bbdecision.PieceResult, len(calls[0].Pieces))
 	for i := range results {
 		results[i].NoRoom = true
 	}
@@ -158,7 +159,7 @@
 func TestLostInputsAreMadeAgain(t *testing.T) {
 	c := newTestCoordinator()
 	calls := toSecond(t, c, testOrder("a", 2))
-	results := []PieceResult{{Gone: true}, {Gone: true}}
+	results := []bbdecision.PieceResult{{Gone: true}, {Gone: true}}
 	out := c.CallDone(300*ms, calls[0].ID, "east", bbhealth.OutcomeGood, results)
 	if len(out.Calls) != 1 || out.Calls[0].Service != "first" {
 		t.Fatalf("calls %+v after the input was gone, want one of the first stage", out.Calls)
@@ -227,7 +228,7 @@
 		t.Fatalf("calls %+v for a piece whose call is late, want one to the other endpoint", out.Calls)
 	}
 	// The second call fails the piece while the first is still late.
-	out = c.CallDone(1700*ms, out.Calls[0].ID, "east", bbhealth.OutcomeGood, []PieceResult{{}})
+	out = c.CallDone(1700*ms, out.Calls[0].ID, "east", bbhealth.OutcomeGood, []bbdecision.PieceResult{{}})
 	if len(out.Calls) != 1 || out.Calls[0].Service != "first" {
 		t.Fatalf("calls %+v after the second one failed, want one that makes the input again", out.Calls)
 	}
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
@@ -50,7 +51,7 @@
 	j.GrantedAt = now
 	delete(c.waiting, j.Order.ID)
 	inputs, _ := j.Finals()
-	c.log(Event{
+	c.log(bbdecision.Event{
 		Number:   bbevent.EngineGranted,
 		Job:      j.Order.ID,
 		Endpoint: e.ID,
@@ -120,7 +121,7 @@
 }
 
 // Progress takes in a note of the VM that holds a request.
-func (c *Coordinator) Progress(now time.Duration, n bbjob.Note) Output {
+func (c *Coordinator) Progress(now time.Duration, n bbjob.Note) bbdecision.Output {
 	j := c.jobs[n.ID]
 	if j == nil {
 		return c.decide(now)
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
 )
@@ -12,7 +13,12 @@
 func (c *Coordinator) estimate(now time.Duration, j *bbprogress.Job) time.Duration {
 	o := &j.Order
 	learned := c.learned.Of(o.Route)
-	c.measureTails(j, learned.Engine)
+	j.MeasureTails(learned.Engine, func(stage bbjob.Stage) time.Duration {
+		if p := c.pool(stage.Service); p != nil {
+			return p.Duration(c.usualBatch(p, stage.Pieces))
+		}
+		return 0
+	})
 	finished := make([]time.Duration, len(o.Stages))
 	last := now
 	future := c.future(now)
@@ -42,31 +48,3 @@
 func (c *Coordinator) usualBatch(p *bbpool.Pool, n int) int {
 	return min(p.Spec.Batch, max(n, p.Spec.Batch/2))
 }
-
-// measureTails fills in the time from the start of each stage to the first token.
-func (c *Coordinator) measureTails(j *bbprogress.Job, engine time.Duration) {
-	for i := len(j.Order.Stages) - 1; i >= 0; i-- {
-		s := j.Order.Stages[i]
-		rest := engine
-		for k := i + 1; k < len(j.Order.Stages); k++ {
-			for _, before := range j.Order.Stages[k].After {
-				if before == i && j.Order.Stages[k].Pieces > 0 {
-					rest = max(rest, j.Tails[k])
-				}
-			}
-		}
-		j.Tails[i] = rest
-		if p := c.pool(s.Service); p != nil && s.Pieces > 0 {
-			j.Tails[i] += p.Duration(c.usualBatch(p, s.Pieces))
-		}
-	}
-}
-
-// future returns the work that requests in progress will bring to pools later.
-func (c *Coordinator) future(now time.Duration) bbprogress.Future {
-	f := make(bbprogress.Future)
-	for _, j := range c.jobs {
-		f.Add(now, j)
-	}
-	return f
-}
--- /dev/null
+++ b/core/bbdecision/decision.go
@@ -0,0 +1,56 @@
+// Package bbdecision has what a coordinator decides and what its VM answers: calls and grants to
+// be made, results to be given up, lines for the log.
+package bbdecision
+
+import (
+	"time"
+
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbpool"
+)
+
+// Output is what the VM has to do after a decision.
+type Output struct {
+	Calls    []*bbpool.Call
+	Grants   []bbjob.Grant
+	Refusals []bbjob.Refusal
+	Frees    []Free
+	// Updates are what the origins of requests should know of their results.
+	Updates map[string]bbjob.Update
+	// Elsewhere are requests that the next coordinator should take.
+	Elsewhere []string
+	// Events are decisions for the log.
+	Events []Event
+}
+
+// Free names results that are not needed any more.
+type Free struct {
+	Address string
+	Handles []string
+}
+
+// Event is a decision for the log. Empty fields don't apply.
+type Event struct {
+	Number bbevent.Number
+	// Job is the request's ID.
+	Job string
+	// Call is the number of a call, Endpoint the one that it goes to.
+	Call     uint64
+	Endpoint string
+	Detail   string
+	// Value is the time that the event's text names.
+	Value time.Duration
+}
+
+// PieceResult is what an endpoint answered for one piece.
+type PieceResult struct {
+	// Handle names the result; empty if there is none.
+	Handle string
+	// Gone is true when an input no longer exists.
+	Gone bool
+	// Late is true when the request's time was over.
+	Late bool
+	// NoRoom is true when the endpoint had no room for the result.
+	NoRoom bool
+}
--- a/core/bbprogress/due.go
+++ b/core/bbprogress/due.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
 )
 
@@ -61,3 +62,22 @@
 	}
 	return n
 }
+
+// MeasureTails fills in the time from the start of each stage to the first token, from the
+// usual time of an engine and of each stage's call.
+func (j *Job) MeasureTails(engine time.Duration, call func(s bbjob.Stage) time.Duration) {
+	for i := len(j.Order.Stages) - 1; i >= 0; i-- {
+		rest := engine
+		for k := i + 1; k < len(j.Order.Stages); k++ {
+			for _, before := range j.Order.Stages[k].After {
+				if before == i && j.Order.Stages[k].Pieces > 0 {
+					rest = max(rest, j.Tails[k])
+				}
+			}
+		}
+		j.Tails[i] = rest
+		if s := j.Order.Stages[i]; s.Pieces > 0 {
+			j.Tails[i] += call(s)
+		}
+	}
+}
--- a/core/bbscene/models.go
+++ b/core/bbscene/models.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"bluebellhall/core/bbcatalog"
-	"bluebellhall/core/bbcoordinator"
+	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
@@ -65,7 +65,7 @@
 		inputs[i] = handles
 	}
 	coordinator := s.Coordinator
-	answer := func(o bbhealth.Outcome, results []bbcoordinator.PieceResult) {
+	answer := func(o bbhealth.Outcome, results []bbdecision.PieceResult) {
 		s.after(s.settings.Latency, func() {
 			if s.Coordinator == coordinator {
 				s.apply(coordinator.CallDone(s.Now, c.ID, s.zoneOf(c), o, results))
@@ -106,8 +106,8 @@
 }
 
 // work does the pieces of a call whose turn has come.
-func (s *Scene) work(w *worker, c *bbpool.Call, inputs [][]string, answer func(bbhealth.Outcome, []bbcoordinator.PieceResult)) {
-	results := make([]bbcoordinator.PieceResult, len(c.Pieces))
+func (s *Scene) work(w *worker, c *bbpool.Call, inputs [][]string, answer func(bbhealth.Outcome, []bbdecision.PieceResult)) {
+	results := make([]bbdecision.PieceResult, len(c.Pieces))
 	room := w.spec.RoomBytes - w.used(s.Now)
 	n := 0
 	for i := range c.Pieces {
--- a/core/bbscene/scene.go
+++ b/core/bbscene/scene.go
@@ -11,6 +11,7 @@
 
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbcoordinator"
+	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
@@ -218,7 +219,7 @@
 }
 
 // apply carries out what the coordinator decided.
-func (s *Scene) apply(out bbcoordinator.Output) {
+func (s *Scene) apply(out bbdecision.Output) {
 	for id, u := range out.Updates {
 		s.Made[id] = u.Apply(s.Made[id])
 	}
