--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -48,3 +48,12 @@
 func (c *Coordinator) usualBatch(p *bbpool.Pool, n int) int {
 	return min(p.Spec.Batch, max(n, p.Spec.Batch/2))
 }
+
+// future returns the work that requests in progress will bring to pools later.
+func (c *Coordinator) future(now time.Duration) bbprogress.Future {
+	f := make(bbprogress.Future)
+	for _, j := range c.jobs {
+		f.Add(now, j)
+	}
+	return f
+}
