--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -18,6 +18,8 @@
 	// itself: some readings of the other one and calls to it, and half of the least bound for
 	// leaving endpoints in fleets of that size.
 	unfollowedAfter = 2 * time.Second
+	// maxLookups bounds the services whose endpoints are kept as looked up.
+	maxLookups = 1000
 	// outageMemory is how long after the end of an outage missing entries may return.
 	outageMemory = 2500 * time.Millisecond
 )
@@ -31,6 +33,8 @@
 	mu    sync.Mutex
 	index *bbcatalog.Index
 	table *bbregistry.Table
+	// lookups has the usable endpoints of services, as they were looked up last.
+	lookups map[string]cached
 	// listed is true once the endpoints were read.
 	listed bool
 	// heardAt is when the platform last answered; failing is true since a call failed.
@@ -51,6 +55,7 @@
 		now:     now,
 		changed: func(bbcatalog.Catalog, string) {},
 		table:   bbregistry.NewTable(),
+		lookups: make(map[string]cached),
 	}
 }
 
@@ -164,13 +169,38 @@
 	k.notReading = !reads
 }
 
-// usable returns the endpoints of a service that may get new work.
+// cachedFor is how long the endpoints of a service are kept as they were looked up: cold
+// times run off only a little in it.
+const cachedFor = 50 * time.Millisecond
+
+// cached is the usable endpoints of a service as of a state of the table.
+type cached struct {
+	entries []*bbregistry.Entry
+	state   uint64
+	at      time.Duration
+}
+
+// usable returns the endpoints of a service that may get new work. Callers must not change
+// them.
 func (k *Knowledge) usable(service string) []*bbregistry.Entry {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
 	k.table.Expire(now)
-	return k.table.Of(now, service)
+	state := k.table.State()
+	if c, ok := k.lookups[service]; ok && c.state == state && now-c.at < cachedFor {
+		return c.entries
+	}
+	if len(k.lookups) >= maxLookups {
+		clear(k.lookups)
+	}
+	c := cached{
+		entries: k.table.Of(now, service),
+		state:   state,
+		at:      now,
+	}
+	k.lookups[service] = c
+	return c.entries
 }
 
 // mayUse tells whether an endpoint may get new work.
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -56,6 +56,8 @@
 	entries   map[string]*Entry
 	evacuated map[string]bool
 	changes   changes
+	// evacuations counts the changes of evacuated.
+	evacuations uint64
 }
 
 // NewTable returns an empty table.
@@ -116,6 +118,7 @@
 
 // SetEvacuated makes these the failure domains that get nothing new.
 func (t *Table) SetEvacuated(zones []string) {
+	t.evacuations++
 	t.evacuated = make(map[string]bool, len(zones))
 	for _, zone := range zones {
 		t.evacuated[zone] = true
@@ -138,8 +141,14 @@
 	t.Revision = s.Revision
 }
 
+// State returns a number that changes when other endpoints may be used.
+func (t *Table) State() uint64 {
+	return t.changes.sequence() + t.evacuations
+}
+
 // Evacuate notes whether a failure domain is out.
 func (t *Table) Evacuate(zone string, out bool) {
+	t.evacuations++
 	if out {
 		t.evacuated[zone] = true
 		return
--- a/core/bbregistry/table_test.go
+++ b/core/bbregistry/table_test.go
@@ -112,3 +112,27 @@
 		t.Errorf("snapshot of the other VM (-want +got):\n%s", diff)
 	}
 }
+
+func TestStateChangesWithWhatIsUsable(t *testing.T) {
+	table := testTable()
+	last := table.State()
+	changed := func(what string, want bool) {
+		t.Helper()
+		if got := table.State() != last; got != want {
+			t.Errorf("state changed after %s: %v, want %v", what, got, want)
+		}
+		last = table.State()
+	}
+	table.Put(0, endpoint("a"))
+	changed("a beat", false)
+	leaving := endpoint("a")
+	leaving.Leaving = true
+	table.Put(0, leaving)
+	changed("an endpoint that leaves", true)
+	table.Evacuate("east", true)
+	changed("a failure domain that is taken out", true)
+	table.Remove(0, "b", true)
+	changed("an entry that lapsed", false)
+	table.Expire(returnGrace)
+	changed("an entry that did not return", true)
+}
