--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -71,7 +71,7 @@
 
 const (
 	// notePeriod is how long notes are gathered before they are sent.
-	notePeriod = 40 * time.Millisecond
+	notePeriod = 80 * time.Millisecond
 	// noteTimeout bounds a call with notes.
 	noteTimeout = time.Second
 	// maxNotes bounds the notes that wait; more are dropped, and the coordinator notices
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -140,22 +140,17 @@
 	for _, e := range out.Events {
 		h.seams.Log(e)
 	}
+	verdicts := verdictsOf(out)
 	for id, u := range out.Updates {
+		if v, ok := verdicts[id]; ok {
+			u.Verdict = v
+			delete(verdicts, id)
+		}
 		h.update(id, u)
 	}
-	for _, id := range out.Elsewhere {
-		h.answer(id, bbjob.Verdict{
-			Elsewhere: true,
-		})
-	}
-	for i := range out.Grants {
-		h.answer(out.Grants[i].ID, bbjob.Verdict{
-			Grant: &out.Grants[i],
-		})
-	}
-	for i := range out.Refusals {
-		h.answer(out.Refusals[i].ID, bbjob.Verdict{
-			Refusal: &out.Refusals[i],
+	for id, v := range verdicts {
+		h.update(id, bbjob.Update{
+			Verdict: v,
 		})
 	}
 	for _, c := range out.Calls {
@@ -171,12 +166,25 @@
 	h.setTimer()
 }
 
-// answer gives a waiting order its verdict.
-func (h *Hub) answer(id string, v bbjob.Verdict) {
-	h.update(id, bbjob.Update{
-		Verdict: &v,
-	})
-	delete(h.waiters, id)
+// verdictsOf returns the verdicts of an output by request.
+func verdictsOf(out bbdecision.Output) map[string]*bbjob.Verdict {
+	verdicts := make(map[string]*bbjob.Verdict)
+	for _, id := range out.Elsewhere {
+		verdicts[id] = &bbjob.Verdict{
+			Elsewhere: true,
+		}
+	}
+	for i := range out.Grants {
+		verdicts[out.Grants[i].ID] = &bbjob.Verdict{
+			Grant: &out.Grants[i],
+		}
+	}
+	for i := range out.Refusals {
+		verdicts[out.Refusals[i].ID] = &bbjob.Verdict{
+			Refusal: &out.Refusals[i],
+		}
+	}
+	return verdicts
 }
 
 // update passes an update on to a waiting order.
@@ -185,7 +193,9 @@
 	if c == nil {
 		return
 	}
-	if u.Verdict == nil && len(c) >= maxUpdates-1 {
+	if u.Verdict != nil {
+		delete(h.waiters, id)
+	} else if len(c) >= maxUpdates-1 {
 		return
 	}
 	select {
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -26,7 +26,7 @@
 	meshSize = 12
 	// starEvery is the number of rounds after which each VM of a larger fleet exchanges with
 	// the coordinator, and with one other so that parts of the fleet find each other.
-	starEvery = 2
+	starEvery = 3
 	// seedEvery is the number of rounds after which seeds are tried that no VM is known at.
 	seedEvery = 4
 )
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -144,7 +144,7 @@
 		Detail: strconv.Itoa(piece.Stage),
 		Value:  now - j.Arrived,
 	})
-	c.update(piece.Job, j.MadeOf(piece.Stage))
+	c.update(j, j.MadeOf(piece.Stage))
 	// The inputs of a finished stage are needed no more unless another stage needs them.
 	for _, before := range j.Order.Stages[piece.Stage].After {
 		if !j.Needed(before) {
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -339,15 +339,17 @@
 	})
 }
 
-// update adds to what the origin of a request should know.
-func (c *Coordinator) update(id string, made []bbjob.Made, freed ...int) {
+// update tells the origin of a request of the results of a stage, and of those that were
+// given up since the last time. That alone is not worth a message.
+func (c *Coordinator) update(j *bbprogress.Job, made []bbjob.Made) {
 	if c.out.Updates == nil {
 		c.out.Updates = make(map[string]bbjob.Update)
 	}
-	u := c.out.Updates[id]
+	u := c.out.Updates[j.Order.ID]
 	u.Made = append(u.Made, made...)
-	u.Freed = append(u.Freed, freed...)
-	c.out.Updates[id] = u
+	u.Freed = append(u.Freed, j.Untold...)
+	j.Untold = nil
+	c.out.Updates[j.Order.ID] = u
 }
 
 // log notes a decision.
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -106,8 +106,8 @@
 			pool.Free(p.Maker, p.Handle)
 		}
 	}
-	if some && c.jobs[j.Order.ID] != nil {
-		c.update(j.Order.ID, nil, stage)
+	if some {
+		j.Untold = append(j.Untold, stage)
 	}
 }
 
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -65,6 +65,8 @@
 	Returning bool
 	// Repeated is true when the next grant is not the first.
 	Repeated bool
+	// Untold are the stages whose results were given up since the origin was last told.
+	Untold []int
 	// Wish is the failure domain of the engine that would suit best at arrival.
 	Wish string
 	// Tails has for each stage the time from its start to the first token, as it usually
--- /dev/null
+++ b/core/bbscene/bench_test.go
@@ -0,0 +1,51 @@
+package bbscene
+
+import (
+	"testing"
+	"time"
+
+	"bluebellhall/core/bbcatalog"
+)
+
+// grown has the pools of a deployment with about ten times as many endpoints.
+func grown() Settings {
+	pool := func(service string, workers, batch int, piece time.Duration, room float64) Pool {
+		return Pool{
+			Service: service,
+			Workers: workers,
+			Spec: bbcatalog.Pool{
+				Slots:      1,
+				Queue:      2,
+				Batch:      batch,
+				CallTime:   200 * ms,
+				PieceTime:  piece,
+				RoomBytes:  room,
+				ResultLife: 4 * time.Second,
+			},
+		}
+	}
+	return Settings{
+		Pools: []Pool{
+			pool("portal", 18, 12, 14*ms, 27e6),
+			pool("desk", 15, 42, 4100*time.Microsecond, 5.6e6),
+			pool("board", 18, 60, 2900*time.Microsecond, 0.78e6),
+		},
+		Engines:    90,
+		Zones:      []string{"a", "b", "c", "d", "e", "f"},
+		Latency:    5 * ms,
+		RetrySlack: 170,
+	}
+}
+
+// BenchmarkGrown plays ten seconds of a grown deployment, models included.
+func BenchmarkGrown(b *testing.B) {
+	for range b.N {
+		s := New(grown())
+		steady(s, "draft", 0, 60, 0, 10*time.Second, plainChain)
+		steady(s, "chat", 2, 87, 100*ms, 10*time.Second, mixedChain)
+		s.Run(13 * time.Second)
+		if served, all := onTime(s, "draft"); served*10 < all*9 {
+			b.Fatalf("%d of %d drafts on time, want nine of ten", served, all)
+		}
+	}
+}
