--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -139,10 +139,13 @@
 	if p.Endpoints == nil {
 		return
 	}
-	taken := e.Knowledge.follow(*p.Endpoints, p.StoreAge)
+	turned, taken := e.Knowledge.follow(*p.Endpoints, p.StoreAge, e.settings.Regions)
 	if !taken {
 		return
 	}
+	for zone, out := range turned {
+		e.log.Event(bbevent.ZoneEvacuation).Str("zone", zone).Bool("out", out).Str("source", peer.Name).Send()
+	}
 	if p.Endpoints.Whole {
 		e.log.Event(bbevent.EndpointsAdopted).Str("peer", peer.Name).Uint64("revision", p.Endpoints.Revision).Send()
 	}
--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -129,17 +129,28 @@
 }
 
 // follow takes in the endpoints of another VM, which heard of the platform some time ago. It
-// is false if this VM knows newer ones.
-func (k *Knowledge) follow(d bbregistry.Delta, storeAge time.Duration) bool {
+// is false if this VM knows newer ones. Turned are the failure domains that were taken out or
+// brought back by it.
+func (k *Knowledge) follow(d bbregistry.Delta, storeAge time.Duration, zones map[string]string) (turned map[string]bool, taken bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.followedAt = k.now() - storeAge
 	if k.listed && d.Revision < k.table.Revision {
-		return false
+		return nil, false
+	}
+	before := make(map[string]bool, len(zones))
+	for zone := range zones {
+		before[zone] = k.table.Evacuated(zone)
 	}
 	k.table.Apply(k.now(), d)
 	k.listed = true
-	return true
+	turned = make(map[string]bool)
+	for zone, out := range before {
+		if now := k.table.Evacuated(zone); now != out {
+			turned[zone] = now
+		}
+	}
+	return turned, true
 }
 
 // unfollowed tells whether the VM that this one follows is silent or lost the platform.
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -57,8 +57,10 @@
 	// waiting are the jobs whose stages are done and that wait for an engine.
 	waiting map[string]*bbprogress.Job
 	// learned has what requests of each route have taught.
-	learned  bbhistory.Experiences
-	refused  *bbhistory.Refusals
+	learned bbhistory.Experiences
+	refused *bbhistory.Refusals
+	// suspects has the content of requests under which engines broke off.
+	suspects *bbhistory.Suspects
 	lastCall uint64
 	// leaving is true once this coordinator hands its requests back.
 	leaving bool
@@ -71,6 +73,9 @@
 	// lateness is the part of its objective by which a request may be expected too late
 	// and still be taken in.
 	lateness = 0.25
+	// suspectRetryAfter is for requests that have crashed engines; nothing will have changed
+	// sooner.
+	suspectRetryAfter = 5 * time.Second
 	// minRetryAfter keeps refused callers from coming back before anything has changed.
 	minRetryAfter = 150 * time.Millisecond
 	// linkLead is the time of a round trip between regions and some work at both ends.
@@ -86,17 +91,18 @@
 // New returns a coordinator without requests.
 func New(k Knowledge, l Limits) *Coordinator {
 	return &Coordinator{
-		know:    k,
-		limits:  l,
-		jobs:    make(map[string]*bbprogress.Job),
-		pools:   make(map[string]*bbpool.Pool),
-		engines: make(map[string]*bbplacement.Table),
-		retries: make(map[string]*bballowance.Window),
-		calls:   make(map[uint64]*bbpool.Call),
-		freed:   make(map[string][]string),
-		waiting: make(map[string]*bbprogress.Job),
-		learned: make(bbhistory.Experiences),
-		refused: bbhistory.NewRefusals(),
+		know:     k,
+		limits:   l,
+		jobs:     make(map[string]*bbprogress.Job),
+		pools:    make(map[string]*bbpool.Pool),
+		engines:  make(map[string]*bbplacement.Table),
+		retries:  make(map[string]*bballowance.Window),
+		calls:    make(map[uint64]*bbpool.Call),
+		freed:    make(map[string][]string),
+		waiting:  make(map[string]*bbprogress.Job),
+		learned:  make(bbhistory.Experiences),
+		refused:  bbhistory.NewRefusals(),
+		suspects: bbhistory.NewSuspects(),
 	}
 }
 
@@ -123,6 +129,10 @@
 		c.out.Elsewhere = append(c.out.Elsewhere, o.ID)
 		return c.flush()
 	}
+	if c.suspects.Refused(now, o) {
+		c.refuse(o.ID, "suspect", suspectRetryAfter, 0)
+		return c.flush()
+	}
 	j := bbprogress.NewJob(now, o)
 	c.adopt(now, j)
 	if first, ok := c.refused.Take(now, o); ok {
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -42,7 +42,7 @@
 		c.drop(j)
 		return
 	}
-	e, ok := c.table(service).Choose(now, c.need(j), c.listEngines(service), c.pace(service))
+	e, ok := c.table(service).Choose(now, c.need(now, j), c.listEngines(service), c.pace(service))
 	if !ok {
 		return
 	}
@@ -66,7 +66,7 @@
 }
 
 // need returns what a request asks of an engine.
-func (c *Coordinator) need(j *bbprogress.Job) bbplacement.Need {
+func (c *Coordinator) need(now time.Duration, j *bbprogress.Job) bbplacement.Need {
 	_, bytes := j.Finals()
 	delete(bytes, "")
 	return bbplacement.Need{
@@ -137,6 +137,7 @@
 	if !n.Ended {
 		return c.decide(now)
 	}
+	c.suspects.Note(now, j.Order, n, t.Running(n.Endpoint)-1)
 	t.Ended(now, n.Endpoint, n.ID, n.Outcome)
 	if n.Again && n.Outcome != bbhealth.OutcomeGood {
 		j.Order.Avoid = append(j.Order.Avoid, n.Endpoint)
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -37,7 +37,7 @@
 		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(c.usualBatch(p, s.Pieces))
 		last = max(last, finished[i])
 	}
-	need := c.need(j)
+	need := c.need(now, j)
 	engines := c.listEngines(o.Service)
 	j.Wish = c.table(o.Service).Best(now, need, engines)
 	j.Estimated = last + c.table(o.Service).Wait(now, need, engines)
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -60,6 +60,8 @@
 	Allowed func(zone string) bool
 	// Avoid are endpoints at which an earlier try ended.
 	Avoid []string
+	// Alone requests may have crashed engines and get one that runs nothing else.
+	Alone bool
 }
 
 // Endpoint is an engine that may get work.
@@ -132,6 +134,9 @@
 			continue
 		}
 		g.expire(now)
+		if n.Alone && len(g.runs) > 0 {
+			continue
+		}
 		if len(g.runs) >= max(1, t.Spec.Slots) || (len(g.runs) > 0 && g.tokens+need > memoryPart*t.Spec.Tokens) {
 			continue
 		}
@@ -235,6 +240,11 @@
 	}
 }
 
+// Running returns the number of requests that an engine was granted and that have not ended.
+func (t *Table) Running(id string) int {
+	return len(t.engine(id).runs)
+}
+
 // Started notes that an engine has read a request's prompt.
 func (t *Table) Started(id, job string) {
 	if r := t.engine(id).runs[job]; r != nil {
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -141,6 +141,11 @@
 	t.Revision = s.Revision
 }
 
+// Evacuated tells whether a failure domain is out.
+func (t *Table) Evacuated(zone string) bool {
+	return t.evacuated[zone]
+}
+
 // State returns a number that changes when other endpoints may be used.
 func (t *Table) State() uint64 {
 	return t.changes.sequence() + t.evacuations
