--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -80,6 +80,7 @@
 		Inputs:    bytes,
 		Allowed:   c.allowed(j.Order),
 		Avoid:     j.Order.Avoid,
+		Alone:     c.suspects.Alone(now, j.Order),
 	}
 }
 
--- a/core/bbplacement/table_test.go
+++ b/core/bbplacement/table_test.go
@@ -145,3 +145,12 @@
 		t.Errorf("%d parts of the newer prompt are kept, want 1", got)
 	}
 }
+
+func TestSuspectRunsAlone(t *testing.T) {
+	table := newTestTable()
+	wantChoice(t, table, 0, need("a", "one"), free, "e1")
+	suspect := need("b", "one")
+	suspect.Alone = true
+	wantChoice(t, table, 0, suspect, free, "e2")
+	wantChoice(t, table, 0, suspect, free, "")
+}
