Test of a lost coordinator waits for what it was told

Seen once, under load: TestOrderOutlivesItsCoordinator, no results told to the next coordinator. Trace: the test ended the first one as soon as its update was queued, not sent. It now makes a call on the same connection first, whose answer comes after the update.

--- a/bluebelld/bbpeer/fleet_test.go
+++ b/bluebelld/bbpeer/fleet_test.go
@@ -165,8 +165,15 @@
 		<-ctx.Done()
 		return ctx.Err()
 	})
+	leader, _ := vms[1].fleet.Leader()
 	go func() {
 		<-reached
+		// What was sent before on the same connection has arrived when this is answered.
+		if _, err := vms[1].fleet.Conns.Exchange(t.Context(), leader.Peer, Exchange{
+			From: vms[1].fleet.self(),
+		}); err != nil {
+			t.Errorf("exchange with the coordinator: %v", err)
+		}
 		vms[0].stop()
 	}()
 	made := make(chan []bbjob.Made, 1)
