Tables of engines are freed of what is gone

Cause: found in reading the diff: engines that were replaced and prompt parts of long ago stayed in the coordinator's tables for ever. TestTidyForgetsWhatIsGone.

--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -62,6 +62,8 @@
 	// suspects has the content of requests under which engines broke off.
 	suspects *bbhistory.Suspects
 	lastCall uint64
+	// tidied is when the tables of engines were last freed of what is gone.
+	tidied time.Duration
 	// leaving is true once this coordinator hands its requests back.
 	leaving bool
 	out     bbdecision.Output
@@ -84,6 +86,8 @@
 	fullBurst = 3.0
 	// loneBurst is the burst when this VM may not be the only coordinator.
 	loneBurst = 1.0
+	// tidyPeriod is how often tables are freed of what is gone.
+	tidyPeriod = time.Second
 	// stuckCheck is how often calls are looked at for being overdue.
 	stuckCheck = 50 * time.Millisecond
 )
@@ -240,6 +244,12 @@
 			}
 		}
 	}
+	if now-c.tidied >= tidyPeriod {
+		c.tidied = now
+		for service, t := range c.engines {
+			t.Tidy(now, c.listEngines(service))
+		}
+	}
 	for id, j := range c.jobs {
 		switch {
 		case j.Granted != "" && !j.Order.Resumable && !j.Started && now-j.GrantedAt > inputTime:
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -212,13 +212,24 @@
 	return zone
 }
 
-// Forget drops what is remembered of parts that were not used for long.
-func (t *Table) Forget(now time.Duration) {
+// Tidy forgets parts that were not used for long and engines that are no longer listed and
+// run nothing.
+func (t *Table) Tidy(now time.Duration, listed []Endpoint) {
 	for key, at := range t.used {
 		if now-at > rereadWindow {
 			delete(t.used, key)
 		}
 	}
+	present := make(map[string]bool, len(listed))
+	for _, e := range listed {
+		present[e.ID] = true
+	}
+	for id, g := range t.engines {
+		g.expire(now)
+		if !present[id] && len(g.runs) == 0 {
+			delete(t.engines, id)
+		}
+	}
 }
 
 // grant counts a request at an engine.
@@ -284,15 +295,6 @@
 	return best
 }
 
-// Retain forgets the engines that are not listed any more.
-func (t *Table) Retain(listed map[string]bool) {
-	for id, g := range t.engines {
-		if !listed[id] && len(g.runs) == 0 {
-			delete(t.engines, id)
-		}
-	}
-}
-
 func (t *Table) engine(id string) *engine {
 	g := t.engines[id]
 	if g == nil {
--- a/core/bbplacement/table_test.go
+++ b/core/bbplacement/table_test.go
@@ -154,3 +154,18 @@
 	wantChoice(t, table, 0, suspect, free, "e2")
 	wantChoice(t, table, 0, suspect, free, "")
 }
+
+func TestTidyForgetsWhatIsGone(t *testing.T) {
+	table := newTestTable()
+	wantChoice(t, table, 0, need("a", "one"), free, "e1")
+	wantChoice(t, table, 0, need("b", "two"), free, "e2")
+	table.Ended(0, "e2", "b", bbhealth.OutcomeGood)
+	table.Tidy(time.Second, nil)
+	if len(table.engines) != 1 {
+		t.Errorf("%d engines are known, want the one that still runs something", len(table.engines))
+	}
+	table.Tidy(forgetAfter+time.Second, nil)
+	if len(table.engines)+len(table.used) != 0 {
+		t.Errorf("%d engines and %d parts are known, want none", len(table.engines), len(table.used))
+	}
+}
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -345,17 +345,6 @@
 	return soonest + time.Duration(float64(ahead)/perSecond*float64(time.Second))
 }
 
-// Usable returns the number of endpoints that take calls.
-func (p *Pool) Usable(now time.Duration) int {
-	n := 0
-	for _, e := range p.endpoints {
-		if !p.workers[e.ID].health.Paused(now) {
-			n++
-		}
-	}
-	return n
-}
-
 // NextChange returns when a call should have its inputs, or when a worker that is left alone
 // or busy may take a call again if work waits.
 func (p *Pool) NextChange(now time.Duration) (time.Duration, bool) {
--- a/core/bbscene/bench_test.go
+++ b/core/bbscene/bench_test.go
@@ -3,32 +3,15 @@
 import (
 	"testing"
 	"time"
-
-	"bluebellhall/core/bbcatalog"
 )
 
 // grown has the pools of a deployment with about ten times as many endpoints.
 func grown() Settings {
-	pool := func(service string, workers, batch int, piece time.Duration, room float64) Pool {
-		return Pool{
-			Service: service,
-			Workers: workers,
-			Spec: bbcatalog.Pool{
-				Slots:      1,
-				Queue:      2,
-				Batch:      batch,
-				CallTime:   200 * ms,
-				PieceTime:  piece,
-				RoomBytes:  room,
-				ResultLife: 4 * time.Second,
-			},
-		}
-	}
 	return Settings{
 		Pools: []Pool{
-			pool("portal", 18, 12, 14*ms, 27e6),
-			pool("desk", 15, 42, 4100*time.Microsecond, 5.6e6),
-			pool("board", 18, 60, 2900*time.Microsecond, 0.78e6),
+			testPool("portal", 18, 12, 14*ms, 27e6),
+			testPool("desk", 15, 42, 4100*time.Microsecond, 5.6e6),
+			testPool("board", 18, 60, 2900*time.Microsecond, 0.78e6),
 		},
 		Engines:    90,
 		Zones:      []string{"a", "b", "c", "d", "e", "f"},
--- a/core/bbscene/scene_test.go
+++ b/core/bbscene/scene_test.go
@@ -17,28 +17,30 @@
 	limit     = 6 * time.Second
 )
 
+// testPool returns a pool whose calls take 200 ms and a time for each piece.
+func testPool(service string, workers, batch int, piece time.Duration, room float64) Pool {
+	return Pool{
+		Service: service,
+		Workers: workers,
+		Spec: bbcatalog.Pool{
+			Slots:      1,
+			Queue:      2,
+			Batch:      batch,
+			CallTime:   200 * ms,
+			PieceTime:  piece,
+			RoomBytes:  room,
+			ResultLife: 4 * time.Second,
+		},
+	}
+}
+
 // fair has the pools of a deployment in which all stages are shared by two kinds of request.
 func fair() Settings {
-	pool := func(service string, workers, batch int, piece time.Duration, room float64) Pool {
-		return Pool{
-			Service: service,
-			Workers: workers,
-			Spec: bbcatalog.Pool{
-				Slots:      1,
-				Queue:      2,
-				Batch:      batch,
-				CallTime:   200 * ms,
-				PieceTime:  piece,
-				RoomBytes:  room,
-				ResultLife: 4 * time.Second,
-			},
-		}
-	}
 	return Settings{
 		Pools: []Pool{
-			pool("portal", 3, 8, 21*ms, 18e6),
-			pool("desk", 5, 14, 12*ms, 1.7e6),
-			pool("board", 5, 22, 7800*time.Microsecond, 0.29e6),
+			testPool("portal", 3, 8, 21*ms, 18e6),
+			testPool("desk", 5, 14, 12*ms, 1.7e6),
+			testPool("board", 5, 22, 7800*time.Microsecond, 0.29e6),
 		},
 		Engines:    9,
 		Zones:      []string{"a", "b", "c"},
