--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -200,20 +200,15 @@
 // judge tells whether a request is turned away, when the caller should come back, and why.
 func (c *Coordinator) judge(j *bbprogress.Job, expected time.Duration) (time.Duration, string) {
 	if expected > j.Limit {
-		return c.retryAfter(expected - j.Limit), "limit"
+		return max(minRetryAfter, expected-j.Limit), "limit"
 	}
 	slack := time.Duration(lateness * float64(j.Objective))
 	if expected > j.Due+slack && !j.Returning && len(j.Order.Made) == 0 {
-		return c.retryAfter(expected - j.Due), "late"
+		return max(minRetryAfter, expected-j.Due), "late"
 	}
 	return 0, ""
 }
 
-// retryAfter returns when a refused caller should come back.
-func (c *Coordinator) retryAfter(over time.Duration) time.Duration {
-	return max(minRetryAfter, over)
-}
-
 // Cancel forgets a request whose caller has left or whose origin is gone.
 func (c *Coordinator) Cancel(now time.Duration, id string) bbdecision.Output {
 	if j := c.jobs[id]; j != nil {
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -15,7 +15,7 @@
 	learned := c.learned.Of(o.Route)
 	j.MeasureTails(learned.Engine, func(stage bbjob.Stage) time.Duration {
 		if p := c.pool(stage.Service); p != nil {
-			return p.Duration(c.usualBatch(p, stage.Pieces))
+			return p.Duration(p.UsualBatch(stage.Pieces))
 		}
 		return 0
 	})
@@ -34,7 +34,7 @@
 		}
 		urgency := j.DueOf(i).Urgency(now)
 		wait := p.Wait(now, urgency, future.Before(s.Service, urgency))
-		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(c.usualBatch(p, s.Pieces))
+		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(p.UsualBatch(s.Pieces))
 		last = max(last, finished[i])
 	}
 	need := c.need(now, j)
@@ -44,11 +44,6 @@
 	return j.Estimated + learned.Bias
 }
 
-// usualBatch is the number of pieces that a call with a group of n is expected to have.
-func (c *Coordinator) usualBatch(p *bbpool.Pool, n int) int {
-	return min(p.Spec.Batch, max(n, p.Spec.Batch/2))
-}
-
 // future returns the work that requests in progress will bring to pools later.
 func (c *Coordinator) future(now time.Duration) bbprogress.Future {
 	f := make(bbprogress.Future)
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -181,6 +181,11 @@
 	return roomPart*p.Spec.RoomBytes - w.used
 }
 
+// UsualBatch returns the number of pieces that a call with a group of n is expected to have.
+func (p *Pool) UsualBatch(n int) int {
+	return min(p.Spec.Batch, max(n, p.Spec.Batch/2))
+}
+
 // Start notes that a call is being made.
 func (p *Pool) Start(now time.Duration, c *Call, id uint64) {
 	w := p.workers[c.Endpoint]
