--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -210,25 +210,13 @@
 		})
 		j := c.jobs[id]
 		for stage, pieces := range again[id] {
-			if j.Ready(stage) && c.inputsKept(j, stage) && c.window(j.Order.Stages[stage].Service).Take(now, 1) {
+			if j.Ready(stage) && j.InputsKept(stage) && c.window(j.Order.Stages[stage].Service).Take(now, 1) {
 				c.addGroup(j, stage, pieces)
 			}
 		}
 	}
 }
 
-// inputsKept tells whether all results that a stage needs still exist.
-func (c *Coordinator) inputsKept(j *bbprogress.Job, stage int) bool {
-	for _, before := range j.Order.Stages[stage].After {
-		for _, p := range j.Stages[before].Pieces {
-			if p.Freed {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // begun notes that a call is being made.
 func (c *Coordinator) begun(call *bbpool.Call) {
 	sent := make(map[string]int)
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -82,7 +82,7 @@
 	minRetryAfter = 150 * time.Millisecond
 	// linkLead is the time of a round trip between regions and some work at both ends.
 	linkLead = 15 * time.Millisecond
-	// burstPart and fullBurst bound the grants to an engine that may be cold.
+	// fullBurst bounds the grants to an engine that may be cold.
 	fullBurst = 3.0
 	// loneBurst is the burst when this VM may not be the only coordinator.
 	loneBurst = 1.0
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"bluebellhall/core/bbjob"
-	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
 )
 
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -316,3 +316,15 @@
 		j.Rewind(stage)
 	}
 }
+
+// InputsKept tells whether all results that a stage needs still exist.
+func (j *Job) InputsKept(stage int) bool {
+	for _, before := range j.Order.Stages[stage].After {
+		for _, p := range j.Stages[before].Pieces {
+			if p.Freed {
+				return false
+			}
+		}
+	}
+	return true
+}
