--- /dev/null
+++ b/bluebelld/bbentry/knowledge_test.go
@@ -0,0 +1,113 @@
+package bbentry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbregistry"
+)
+
+// clock is a manual clock.
+type clock struct {
+	now time.Duration
+}
+
+func newTestKnowledge() (*Knowledge, *clock) {
+	c := &clock{
+		now: time.Second,
+	}
+	return NewKnowledge(func() time.Duration { return c.now }), c
+}
+
+// list makes these the endpoints that the platform lists.
+func list(k *Knowledge, ids ...string) {
+	var s bbregistry.Snapshot
+	for _, id := range ids {
+		s.Endpoints = append(s.Endpoints, bbregistry.Endpoint{
+			ID:      id,
+			Service: "s",
+			Zone:    "z",
+		})
+	}
+	k.Endpoints(func(t *bbregistry.Table, now time.Duration, grace bool) {
+		t.ReplaceEndpoints(now, s, grace)
+	})
+}
+
+func wantUsable(t *testing.T, k *Knowledge, want ...string) {
+	t.Helper()
+	var got []string
+	for _, e := range k.usable("s") {
+		got = append(got, e.ID)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("usable endpoints (-want +got):\n%s", diff)
+	}
+}
+
+func TestConfigurationNeverRegresses(t *testing.T) {
+	k, _ := newTestKnowledge()
+	for _, version := range []uint64{5, 3, 5, 9, 8} {
+		k.OfferCatalog(bbcatalog.Catalog{
+			Version: version,
+		}, "test")
+	}
+	if got := k.Index().Catalog.Version; got != 9 {
+		t.Errorf("version %d is in force, want 9", got)
+	}
+}
+
+func TestEndpointsAfterAnOutage(t *testing.T) {
+	k, c := newTestKnowledge()
+	list(k, "a", "b")
+	k.Failed()
+	c.now += 5 * time.Second
+	k.Heard()
+	list(k, "b")
+	wantUsable(t, k, "a", "b")
+	c.now += 2 * time.Second
+	wantUsable(t, k, "b")
+}
+
+func TestEndpointsWithoutAnOutage(t *testing.T) {
+	k, _ := newTestKnowledge()
+	list(k, "a", "b")
+	k.Heard()
+	list(k, "b")
+	wantUsable(t, k, "b")
+}
+
+func TestFollow(t *testing.T) {
+	k, _ := newTestKnowledge()
+	list(k, "a")
+	k.Endpoints(func(table *bbregistry.Table, _ time.Duration, _ bool) { table.Revision = 10 })
+	zones := map[string]string{"z": "r"}
+	t.Run("older endpoints are not taken", func(t *testing.T) {
+		if _, taken := k.follow(bbregistry.Delta{Revision: 9, Removed: []string{"a"}}, 0, zones); taken {
+			t.Error("endpoints of an older revision were taken, want them refused")
+		}
+		wantUsable(t, k, "a")
+	})
+	t.Run("a failure domain that is out is told", func(t *testing.T) {
+		turned, taken := k.follow(bbregistry.Delta{Revision: 11, Evacuated: []string{"z"}}, 0, zones)
+		if diff := cmp.Diff(map[string]bool{"z": true}, turned); diff != "" || !taken {
+			t.Errorf("taken %v, failure domains that turned (-want +got):\n%s", taken, diff)
+		}
+		wantUsable(t, k)
+	})
+}
+
+func TestReadingByItself(t *testing.T) {
+	k, c := newTestKnowledge()
+	k.follow(bbregistry.Delta{Revision: 1}, 100*time.Millisecond, nil)
+	if k.unfollowed() {
+		t.Error("a VM that was just followed counts as silent, want not")
+	}
+	c.now += unfollowedAfter
+	if !k.unfollowed() {
+		t.Error("a VM that is silent does not count as such")
+	}
+}
