--- a/bluebellctl/bblines/cause.go
+++ b/bluebellctl/bblines/cause.go
@@ -28,6 +28,7 @@
 	{Word: "noRetries", Text: "an engine turned the request away and the allowance of repeats was spent", Next: "metric coordinator.orderRefused, and what failed before"},
 	{Word: "tries", Text: "several engines turned the request away", Next: "timeline --endpoint of each"},
 	{Word: "noCoordinator", Text: "no coordinator answered in time", Next: "timeline --kind coordinatorChanged and peerLost"},
+	{Word: "leaving", Text: "the VM was stopping and the request had not reached an engine", Next: "timeline --kind entryDraining"},
 	{Word: "noService", Text: "the coordinator's configuration has no such service", Next: "timeline --kind catalogInForce"},
 	{Word: "broken", Text: "the endpoint had the request and its answer broke off", Ran: true, Next: "timeline --endpoint of it"},
 	{Word: "timeOver", Text: "the caller's time limit or the route's timeout was over", Ran: true, Next: "the longest part of this time line"},
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -130,6 +130,10 @@
 	// name, zone and region are those of this VM.
 	name, zone, region string
 
+	// waiting ends when requests must wait no more for an engine; stopWaiting ends it.
+	waiting     context.Context
+	stopWaiting context.CancelFunc
+
 	mu      sync.Mutex
 	chooser *bbplain.Chooser
 	windows map[string]*bballowance.Window
@@ -137,17 +141,26 @@
 
 // New returns a gateway of a VM.
 func New(name, zone, region string, c Codec, s Seams) *Gateway {
+	waiting, stopWaiting := context.WithCancel(context.Background())
 	return &Gateway{
-		codec:   c,
-		seams:   s,
-		name:    name,
-		zone:    zone,
-		region:  region,
-		chooser: bbplain.NewChooser(),
-		windows: make(map[string]*bballowance.Window),
+		waiting:     waiting,
+		stopWaiting: stopWaiting,
+		codec:       c,
+		seams:       s,
+		name:        name,
+		zone:        zone,
+		region:      region,
+		chooser:     bbplain.NewChooser(),
+		windows:     make(map[string]*bballowance.Window),
 	}
 }
 
+// StopWaiting refuses the requests that wait for an engine, now and from now on: the process
+// ends soon, and what has not begun is better served by another VM.
+func (g *Gateway) StopWaiting() {
+	g.stopWaiting()
+}
+
 const (
 	// startRetryAfter is for callers of a VM that knows no configuration yet.
 	startRetryAfter = 500 * time.Millisecond
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -416,3 +416,25 @@
 		t.Errorf("last event is %q, want 2", s.last)
 	}
 }
+
+func TestRequestsThatWaitAreRefusedBeforeTheProcessEnds(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, answerOK))
+	waits := make(chan struct{})
+	f.gateway.seams.Order = func(ctx context.Context, _ bbjob.Order) (bbjob.Verdict, string, error) {
+		close(waits)
+		<-ctx.Done()
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			t.Error("the request waited until its limit, want it to be refused before")
+		}
+		return bbjob.Verdict{}, "", ctx.Err()
+	}
+	go func() {
+		<-waits
+		f.gateway.StopWaiting()
+	}()
+	wantAnswer(t, url+"/stream/", http.StatusServiceUnavailable, "")
+	wantRequests(t, f, 0)
+	if diff := cmp.Diff("leaving", f.logged[0].Cause); diff != "" {
+		t.Errorf("cause of the refusal (-want +got):\n%s", diff)
+	}
+}
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -25,7 +25,7 @@
 	for x.log.Tries < maxGrants {
 		now := g.seams.Now()
 		order.Limit = x.firstBy() - now
-		verdict, coordinator, err := g.seams.Order(ctx, order)
+		verdict, coordinator, err := g.place(ctx, order)
 		if err != nil || verdict.Grant == nil {
 			g.unplaced(ctx, x, runs, verdict)
 			return
@@ -57,6 +57,14 @@
 	g.give(ctx, x, runs, "tries")
 }
 
+// place asks the coordinator for an engine, as long as requests may wait.
+func (g *Gateway) place(ctx context.Context, o bbjob.Order) (bbjob.Verdict, string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(g.waiting, cancel)()
+	return g.seams.Order(ctx, o)
+}
+
 // order returns what the coordinator is told of a request.
 func (g *Gateway) order(x *exchange) bbjob.Order {
 	o := bbjob.Order{
@@ -124,7 +132,11 @@
 // unplaced ends a request that was given no engine.
 func (g *Gateway) unplaced(ctx context.Context, x *exchange, runs int, v bbjob.Verdict) {
 	if v.Refusal == nil {
-		g.give(ctx, x, runs, "noCoordinator")
+		cause := "noCoordinator"
+		if g.waiting.Err() != nil {
+			cause = "leaving"
+		}
+		g.give(ctx, x, runs, cause)
 		return
 	}
 	if runs > 0 {
