Evacuations have a revision of their own

Endpoints and operators' changes are read apart, and one revision stood for both. TestNewerEvacuationsStay and TestNotReadyWithoutEndpoints (a VM that had read only the operators' part counted as ready) failed first.

--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -90,6 +90,13 @@
 	k.listed = true
 }
 
+// Operators lets a function change what operators said of failure domains.
+func (k *Knowledge) Operators(change func(t *bbregistry.Table)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	change(k.table)
+}
+
 // Heard notes that the platform answered. It is true when it had not before.
 func (k *Knowledge) Heard() bool {
 	k.mu.Lock()
--- a/bluebelld/bbentry/knowledge_test.go
+++ b/bluebelld/bbentry/knowledge_test.go
@@ -92,7 +92,7 @@
 		wantUsable(t, k, "a")
 	})
 	t.Run("a failure domain that is out is told", func(t *testing.T) {
-		turned, taken := k.follow(bbregistry.Delta{Revision: 11, Evacuated: []string{"z"}}, 0, zones)
+		turned, taken := k.follow(bbregistry.Delta{Revision: 11, OperatorRevision: 11, Evacuated: []string{"z"}}, 0, zones)
 		if diff := cmp.Diff(map[string]bool{"z": true}, turned); diff != "" || !taken {
 			t.Errorf("taken %v, failure domains that turned (-want +got):\n%s", taken, diff)
 		}
@@ -111,3 +111,18 @@
 		t.Error("a VM that is silent does not count as such")
 	}
 }
+
+func TestNotReadyWithoutEndpoints(t *testing.T) {
+	k, _ := newTestKnowledge()
+	k.OfferCatalog(bbcatalog.Catalog{
+		Version: 1,
+	}, "test")
+	k.Operators(func(t *bbregistry.Table) { t.Evacuate("z", true) })
+	if ready, _, _ := k.ready(); ready {
+		t.Error("ready before the endpoints are known, want not")
+	}
+	list(k, "a")
+	if ready, _, _ := k.ready(); !ready {
+		t.Error("not ready though all is known")
+	}
+}
--- a/core/bbregistry/delta.go
+++ b/core/bbregistry/delta.go
@@ -38,6 +38,8 @@
 	Whole bool `json:"whole"`
 	// Revision is the platform's.
 	Revision uint64 `json:"revision"`
+	// OperatorRevision is that of Evacuated.
+	OperatorRevision uint64 `json:"operatorRevision"`
 	// Put are entries that were added or changed, Removed the IDs of those that are gone.
 	Put     []Endpoint `json:"put"`
 	Removed []string   `json:"removed"`
@@ -52,6 +54,8 @@
 		Sequence:  t.changes.sequence(),
 		Revision:  t.Revision,
 		Evacuated: all.Evacuated,
+
+		OperatorRevision: t.OperatorRevision,
 	}
 	if sequence < t.changes.dropped || sequence > d.Sequence || sequence == 0 {
 		d.Whole = true
@@ -79,9 +83,10 @@
 func (t *Table) Apply(now time.Duration, d Delta) {
 	if d.Whole {
 		t.Replace(now, Snapshot{
-			Revision:  d.Revision,
-			Endpoints: d.Put,
-			Evacuated: d.Evacuated,
+			Revision:         d.Revision,
+			OperatorRevision: d.OperatorRevision,
+			Endpoints:        d.Put,
+			Evacuated:        d.Evacuated,
 		})
 		return
 	}
@@ -91,6 +96,6 @@
 	for _, id := range d.Removed {
 		t.Remove(now, id, false)
 	}
-	t.SetEvacuated(d.Evacuated)
+	t.adoptEvacuated(d.Evacuated, d.OperatorRevision)
 	t.Revision = d.Revision
 }
--- a/core/bbregistry/delta_test.go
+++ b/core/bbregistry/delta_test.go
@@ -24,6 +24,7 @@
 	leader.Put(0, endpoint("c"))
 	leader.Remove(0, "a", false)
 	leader.Evacuate("west", true)
+	leader.OperatorRevision = 8
 	leader.Revision = 9
 	d := leader.Since(0, first.Sequence)
 	if d.Whole || len(d.Put) != 1 || len(d.Removed) != 1 {
@@ -60,3 +61,17 @@
 	follower.Apply(0, d)
 	wantFollowed(t, leader, follower)
 }
+
+func TestNewerEvacuationsStay(t *testing.T) {
+	// The other VM has newer endpoints, but has not heard yet that a failure domain is out.
+	other, table := testTable(), testTable()
+	other.Revision = 20
+	other.OperatorRevision = 10
+	table.Evacuate("east", true)
+	table.OperatorRevision = 15
+	table.Apply(0, other.Since(0, 0))
+	if !table.Evacuated("east") {
+		t.Error("the failure domain is back, though this VM heard later that it is out")
+	}
+	wantUsable(t, table)
+}
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -32,8 +32,10 @@
 // Snapshot is what the platform listed at one revision.
 type Snapshot struct {
 	// Revision is the platform's, and grows with each change.
-	Revision  uint64     `json:"revision"`
-	Endpoints []Endpoint `json:"endpoints"`
+	Revision uint64 `json:"revision"`
+	// OperatorRevision is that of Evacuated.
+	OperatorRevision uint64     `json:"operatorRevision"`
+	Endpoints        []Endpoint `json:"endpoints"`
 	// Evacuated are the failure domains that get nothing new.
 	Evacuated []string `json:"evacuated"`
 }
@@ -52,10 +54,13 @@
 // Table has the entries that may be used. The zero value is not ready for use.
 type Table struct {
 	// Revision is the platform's revision up to which changes are in the table.
-	Revision  uint64
-	entries   map[string]*Entry
-	evacuated map[string]bool
-	changes   changes
+	Revision uint64
+	// OperatorRevision is the platform's revision up to which evacuations are in the table.
+	// They are read apart from the endpoints.
+	OperatorRevision uint64
+	entries          map[string]*Entry
+	evacuated        map[string]bool
+	changes          changes
 	// evacuations counts the changes of evacuated.
 	evacuations uint64
 }
@@ -113,7 +118,16 @@
 // Replace makes the table that of another VM.
 func (t *Table) Replace(now time.Duration, s Snapshot) {
 	t.ReplaceEndpoints(now, s, false)
-	t.SetEvacuated(s.Evacuated)
+	t.adoptEvacuated(s.Evacuated, s.OperatorRevision)
+}
+
+// adoptEvacuated takes in what another VM knows of evacuations, if it is newer. Its endpoints
+// may be newer while its evacuations are older.
+func (t *Table) adoptEvacuated(zones []string, revision uint64) {
+	if revision > t.OperatorRevision {
+		t.SetEvacuated(zones)
+		t.OperatorRevision = revision
+	}
 }
 
 // SetEvacuated makes these the failure domains that get nothing new.
@@ -203,7 +217,8 @@
 // Snapshot returns the whole table for another VM.
 func (t *Table) Snapshot(now time.Duration) Snapshot {
 	s := Snapshot{
-		Revision: t.Revision,
+		Revision:         t.Revision,
+		OperatorRevision: t.OperatorRevision,
 	}
 	for _, e := range t.entries {
 		listed := e.Endpoint
--- a/core/bbregistry/table_test.go
+++ b/core/bbregistry/table_test.go
@@ -106,6 +106,7 @@
 func TestSnapshotGoesToAnotherVM(t *testing.T) {
 	table := testTable()
 	table.Evacuate("west", true)
+	table.OperatorRevision = 3
 	other := NewTable()
 	other.Replace(0, table.Snapshot(0))
 	if diff := cmp.Diff(table.Snapshot(0), other.Snapshot(0)); diff != "" {
