A waiting repeat is counted once; a followed VM is known by name too

A request that was to be repeated and waited for an engine took a repeat from the allowance at each look, until it was refused (TestRepeatThatWaitsIsCountedOnce failed first). And a VM that changed the one whose endpoints it follows told them apart by the millisecond of their start alone, which two may share; that has no test of its own.

--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -23,6 +23,8 @@
 
 // source is how far this VM has followed the endpoints of another one.
 type source struct {
+	// name and boot name the process: VMs may start in the same millisecond.
+	name     string
 	boot     int64
 	sequence uint64
 }
@@ -75,6 +77,9 @@
 			continue
 		}
 		asked = e.now()
+		if e.source.name != reader.Name {
+			e.source = source{}
+		}
 		e.follow(ctx, reader, bbpeer.Wanted{
 			Endpoints: true,
 			Boot:      e.source.boot,
@@ -150,6 +155,7 @@
 		e.log.Event(bbevent.EndpointsAdopted).Str("peer", peer.Name).Uint64("revision", p.Endpoints.Revision).Send()
 	}
 	e.source = source{
+		name:     peer.Name,
 		boot:     p.Boot,
 		sequence: p.Endpoints.Sequence,
 	}
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -11,6 +11,7 @@
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bbprogress"
 	"bluebellhall/core/bbregistry"
 )
 
@@ -272,3 +273,19 @@
 		t.Errorf("another request was refused: %+v", out.Refusals)
 	}
 }
+
+func TestRepeatThatWaitsIsCountedOnce(t *testing.T) {
+	c := newTestCoordinator()
+	c.know.Endpoints = func(string) []*bbregistry.Entry { return nil }
+	o := testOrder("a", 0)
+	o.Stages = nil
+	o.Repeat = true
+	j := bbprogress.NewJob(0, o)
+	c.jobs[o.ID] = j
+	c.waiting[o.ID] = j
+	for i := range 20 {
+		if out := c.Tick(time.Duration(i) * 10 * ms); len(out.Refusals) > 0 {
+			t.Fatalf("refused as %s while it waited, want it to wait", out.Refusals[0].Reason)
+		}
+	}
+}
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -42,11 +42,12 @@
 		c.drop(j)
 		return
 	}
+	// The repeat is counted once, however long the request waits for its engine.
+	j.Repeated = false
 	e, ok := c.table(service).Choose(now, c.need(now, j), c.listEngines(service), c.pace(service))
 	if !ok {
 		return
 	}
-	j.Repeated = false
 	j.Granted = e.ID
 	j.GrantedAt = now
 	delete(c.waiting, j.Order.ID)
