One table of log levels, one look-up of events; a majority is counted

Behaviour stays: bbserver uses the levels of bblog, Lookup has a map in place of a search for each decision, and HasMajority counts in place of sorting copies for each grant.

--- a/bluebelld/bbserver/events.go
+++ b/bluebelld/bbserver/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"bluebellhall/bluebelld/bblog"
 	"bluebellhall/core/bbevent"
 )
 
@@ -57,17 +58,10 @@
 	return found
 }
 
-// levels maps severities to log levels.
-var levels = map[bbevent.Severity]zerolog.Level{
-	bbevent.SeverityInfo:    zerolog.InfoLevel,
-	bbevent.SeverityWarning: zerolog.WarnLevel,
-	bbevent.SeverityError:   zerolog.ErrorLevel,
-}
-
 // write logs an event under its number.
 func (t *timeline) write(e bbevent.Event) {
 	entry, _ := bbevent.Lookup(e.Number)
-	line := t.log.WithLevel(levels[entry.Severity])
+	line := t.log.WithLevel(bblog.Levels[entry.Severity])
 	if line == nil {
 		return
 	}
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -210,12 +210,17 @@
 	{Number: LogLinesDropped, Title: "logLinesDropped", Severity: SeverityWarning, Text: "The log's reader is too slow; lines counts those that were dropped."},
 }
 
-// Lookup returns the catalogue entry of a number, and false for an unknown one.
-func Lookup(number Number) (Entry, bool) {
+// byNumber has the catalogue by number: entries are looked up for each line of a log.
+var byNumber = func() map[Number]Entry {
+	m := make(map[Number]Entry, len(Catalogue))
 	for _, e := range Catalogue {
-		if e.Number == number {
-			return e, true
-		}
+		m[e.Number] = e
 	}
-	return Entry{}, false
+	return m
+}()
+
+// Lookup returns the catalogue entry of a number, and false for an unknown one.
+func Lookup(number Number) (Entry, bool) {
+	e, ok := byNumber[number]
+	return e, ok
 }
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -303,19 +303,16 @@
 // HasMajority tells whether this VM reaches more than half of the VMs that seemed to run
 // lately, itself included.
 func (t *Table) HasMajority(now time.Duration) bool {
-	return 2*(len(t.Reachable(now))+1) > t.recent(now)+1
-}
-
-// recent counts the other members that were heard within the time in which a partition
-// may hide them.
-func (t *Table) recent(now time.Duration) int {
-	n := 0
+	reachable, recent := 0, 0
 	for _, e := range t.entries {
+		if e.Boot != 0 && e.reachable(now) {
+			reachable++
+		}
 		if now-e.heardAt <= forgetAfter {
-			n++
+			recent++
 		}
 	}
-	return n
+	return 2*(reachable+1) > recent+1
 }
 
 // entry returns the entry of a name, made if there is room, else nil.
