Inputs that are gone are made again before another grant

Cause: an engine that found inputs gone (409) got the request again with the same handles, up to five times in 100 ms, since a result that had expired at its maker counted as kept. Ruled out: makers that left (their results stay readable until they end). The order now says that inputs were gone; results know when they expire and are made again before a grant; a following coordinator does the same. Tests without a network failed before.

--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -49,6 +49,7 @@
 			runs++
 		}
 		order.Objective -= g.seams.Now() - now
+		order.InputsGone = t.gone
 		if !t.gone {
 			order.Avoid = append(order.Avoid, t.grant.Endpoint)
 		}
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -104,13 +104,14 @@
 		p.Maker = m.Maker
 		p.Address = m.Address
 		p.Zone = m.Zone
-		p.Freed = m.Freed
+		p.Freed = m.Freed || (j.Order.InputsGone && j.Final(m.Stage))
 		j.Stages[m.Stage].Left--
 		if pool := c.pool(j.Order.Stages[m.Stage].Service); pool != nil && !m.Freed {
 			pool.Adopt(now, m.Maker, m.Handle, j.Order.Stages[m.Stage].ResultBytes)
 		}
 	}
-	for i := range j.Stages {
+	// What the last stages have to make again shows which results of the first are needed.
+	for i := len(j.Stages) - 1; i >= 0; i-- {
 		switch {
 		case j.Stages[i].Left > 0:
 		case !j.Needed(i):
@@ -134,6 +135,7 @@
 	made.Maker = call.Endpoint
 	made.Address = call.Address
 	made.Zone = zone
+	made.Expires = now + c.pool(call.Service).Spec.ResultLife
 	st.Left--
 	if st.Left > 0 {
 		return
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -286,6 +286,7 @@
 	if c.leaving {
 		return c.flush()
 	}
+	c.place(now)
 	for name, p := range c.pools {
 		if p.Waiting() == 0 {
 			continue
@@ -306,7 +307,6 @@
 			})
 		}
 	}
-	c.place(now)
 	return c.flush()
 }
 
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -201,6 +201,62 @@
 	}
 }
 
+// toGrant brings a request to its engine, with its last results made at 430 ms.
+func toGrant(t *testing.T, c *Coordinator, o bbjob.Order) {
+	t.Helper()
+	calls := toSecond(t, c, o)
+	if out := c.CallDone(430*ms, calls[0].ID, "east", bbhealth.OutcomeGood, good(calls[0])); len(out.Grants) != 1 {
+		t.Fatalf("%d grants, want 1", len(out.Grants))
+	}
+}
+
+// An engine that finds an input gone gets no second grant with the same inputs: they are
+// made again first, by this coordinator and by one that follows it.
+func TestInputsThatAnEngineFoundGoneAreMadeAgain(t *testing.T) {
+	again := testOrder("a", 2)
+	again.Repeat = true
+	again.InputsGone = true
+	t.Run("same coordinator", func(t *testing.T) {
+		c := newTestCoordinator()
+		toGrant(t, c, testOrder("a", 2))
+		out := c.Submit(500*ms, again)
+		if len(out.Grants) > 0 || len(out.Calls) != 1 || out.Calls[0].Service != "first" {
+			t.Errorf("grants %+v, calls %+v, want a call of the first stage", out.Grants, out.Calls)
+		}
+	})
+	t.Run("next coordinator", func(t *testing.T) {
+		c := newTestCoordinator()
+		o := again
+		o.Made = []bbjob.Made{
+			{Stage: 0, Piece: 0, Handle: "f1/a00", Maker: "f1"},
+			{Stage: 1, Piece: 0, Handle: "s1/a10", Maker: "s1"},
+			{Stage: 1, Piece: 1, Handle: "s1/a11", Maker: "s1"},
+		}
+		out := c.Submit(0, o)
+		if len(out.Grants) > 0 || len(out.Calls) != 1 || out.Calls[0].Service != "second" {
+			t.Errorf("grants %+v, calls %+v, want a call of the second stage", out.Grants, out.Calls)
+		}
+	})
+}
+
+// A request that waited for an engine longer than its inputs are kept has them made again
+// instead of being sent without them.
+func TestExpiredInputsAreMadeAgainBeforeAGrant(t *testing.T) {
+	c := newTestCoordinator()
+	o := testOrder("a", 2)
+	o.Limit = 20 * time.Second
+	o.Avoid = []string{"e1"}
+	calls := toSecond(t, c, o)
+	if out := c.CallDone(430*ms, calls[0].ID, "east", bbhealth.OutcomeGood, good(calls[0])); len(out.Grants) > 0 {
+		t.Fatalf("granted %+v, want no engine to be free", out.Grants)
+	}
+	c.jobs["a"].Order.Avoid = nil
+	out := c.Tick(4440 * ms)
+	if len(out.Grants) > 0 || len(out.Calls) != 1 || out.Calls[0].Service != "first" {
+		t.Errorf("grants %+v, calls %+v, want a call of the first stage", out.Grants, out.Calls)
+	}
+}
+
 func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
 	c := newTestCoordinator()
 	o := testOrder("a", 2)
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -37,6 +37,14 @@
 // placeJob grants an engine to one request if one may have it.
 func (c *Coordinator) placeJob(now time.Duration, j *bbprogress.Job) {
 	service := j.Order.Service
+	if loseExpired(now, j) {
+		delete(c.waiting, j.Order.ID)
+		for i := range j.Stages {
+			j.Remake(i)
+		}
+		c.release(j)
+		return
+	}
 	if j.Repeated && !c.window(service).Take(now, 1) {
 		c.refuse(j.Order.ID, "noRetries", minRetryAfter, now-j.Arrived)
 		c.drop(j)
@@ -166,6 +174,10 @@
 	j.Granted = ""
 	j.Order.Avoid = o.Avoid
 	j.Repeated = o.Repeat
+	if o.InputsGone && !loseExpired(now, j) {
+		// Nobody knows which of them are gone.
+		j.LoseFinals(func(*bbprogress.Piece) bool { return true })
+	}
 	for i := range j.Stages {
 		if j.Final(i) {
 			j.Remake(i)
@@ -173,3 +185,9 @@
 	}
 	c.release(j)
 }
+
+// loseExpired gives up those inputs of an engine whose time is over. It tells whether there
+// are any.
+func loseExpired(now time.Duration, j *bbprogress.Job) bool {
+	return j.LoseFinals(func(p *bbprogress.Piece) bool { return p.Expires > 0 && now >= p.Expires })
+}
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -46,6 +46,8 @@
 	Avoid []string `json:"avoid"`
 	// Repeat is true when the request was offered to an engine before.
 	Repeat bool `json:"repeat"`
+	// InputsGone is true when that engine found that some of its inputs no longer exist.
+	InputsGone bool `json:"inputsGone"`
 }
 
 // Stage is the work of one stage of a request.
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -16,6 +16,8 @@
 	Maker   string
 	Address string
 	Zone    string
+	// Expires is when its maker gives the result up; 0 if that is not known.
+	Expires time.Duration
 	// Freed is true once the result was given up.
 	Freed bool
 	// Tries counts the calls that the piece was in.
@@ -116,6 +118,25 @@
 	}
 }
 
+// LoseFinals gives up those inputs of the engine of which a function is true. It tells
+// whether there are any.
+func (j *Job) LoseFinals(gone func(p *Piece) bool) bool {
+	some := false
+	for i := range j.Stages {
+		if !j.Final(i) {
+			continue
+		}
+		for k := range j.Stages[i].Pieces {
+			p := &j.Stages[i].Pieces[k]
+			if p.Handle != "" && !p.Freed && gone(p) {
+				p.Freed = true
+				some = true
+			}
+		}
+	}
+	return some
+}
+
 // Ready tells whether all results that a stage needs are there.
 func (j *Job) Ready(stage int) bool {
 	for _, before := range j.Order.Stages[stage].After {
