Late requests that would wait long for a stage are turned away

Late work now goes a second behind, and is refused at once, with the wait as Retry-After, when it would wait longer than a call and a half.

--- a/bluebellctl/bblines/cause.go
+++ b/bluebellctl/bblines/cause.go
@@ -23,6 +23,7 @@
 	{Word: "late", Text: "the coordinator expected the first token later than the objective allows", Next: "timeline --kind callSent around that time: pieces waiting"},
 	{Word: "limit", Text: "the coordinator expected the first token after the caller's time limit", Next: "timeline --kind callSent around that time: pieces waiting"},
 	{Word: "deadline", Text: "the stages were not done while there was time for the rest", Next: "the calls in this time line: the one that took longest"},
+	{Word: "backlog", Text: "it could not be on time any more and would have waited long for a stage", Next: "timeline --kind callSent around that time: pieces waiting"},
 	{Word: "stageFailed", Text: "a stage failed, and its pieces could not be tried again within the allowance", Next: "the outcome of the calls in this time line"},
 	{Word: "suspect", Text: "requests with the same content crashed engines before", Next: "the time lines of the earlier ones"},
 	{Word: "noRetries", Text: "an engine turned the request away and the allowance of repeats was spent", Next: "metric coordinator.orderRefused, and what failed before"},
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -252,14 +252,40 @@
 		case j.Granted != "" && now > j.Limit+grantGrace:
 			c.table(j.Order.Service).Ended(now, j.Granted, id, bbhealth.OutcomeFull)
 			c.drop(j)
-		case j.Granted == "" && now+j.Tail(0) > j.Limit:
+		case j.Granted != "":
+		case now+j.Tail(0) > j.Limit:
 			c.refuse(id, "deadline", minRetryAfter, now-j.Arrived)
 			c.drop(j)
+		default:
+			if wait := c.lateWait(now, j); wait > maxLateWait {
+				c.refuse(id, "backlog", wait, now-j.Arrived)
+				c.drop(j)
+			}
 		}
 	}
 	return c.decide(now)
 }
 
+// maxLateWait is how long a request that can't be on time any more may wait for a stage: a
+// call and a half. Its results take the room that requests on time need, and after a few
+// seconds they expire and have to be made again.
+const maxLateWait = 500 * time.Millisecond
+
+// lateWait returns how long a request that can't be on time any more would wait for a stage.
+func (c *Coordinator) lateWait(now time.Duration, j *bbprogress.Job) time.Duration {
+	var longest time.Duration
+	for i := range j.Stages {
+		due := j.DueOf(i)
+		if !due.Late(now) || !j.Queued(i) {
+			continue
+		}
+		if p := c.pools[j.Order.Stages[i].Service]; p != nil {
+			longest = max(longest, p.Wait(now, due.Urgency(now)-1, 0))
+		}
+	}
+	return longest
+}
+
 // inputTime is how long after a grant the engine should have the inputs: the request's way
 // to its origin and to the engine, and the inputs' way.
 const inputTime = 200 * time.Millisecond
--- a/core/bbpool/group.go
+++ b/core/bbpool/group.go
@@ -43,13 +43,22 @@
 	Rank time.Duration
 }
 
-// Urgency orders work; the lowest goes first. Work that can't be on time any more goes by
+// lateStep is how much later work goes that can't be on time any more: some calls, so that
+// it is done once what can be on time doesn't fill the endpoints.
+const lateStep = time.Second
+
+// Urgency orders work; the lowest goes first. Work that can't be on time any more goes after
 // the time at which it could not be done at all, so that it doesn't hold up work that can.
 func (d Due) Urgency(now time.Duration) time.Duration {
-	if d.StartBy >= now {
-		return d.StartBy + d.Rank
+	if d.Late(now) {
+		return max(d.LastStart, now) + lateStep + d.Rank
 	}
-	return max(d.LastStart, now) + d.Rank
+	return d.StartBy + d.Rank
+}
+
+// Late tells whether the work can't be on time any more.
+func (d Due) Late(now time.Duration) bool {
+	return d.StartBy < now
 }
 
 // Piece names one piece in a call.
--- a/core/bbscene/scene.go
+++ b/core/bbscene/scene.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"strings"
 	"time"
 
 	"bluebellhall/core/bbcatalog"
@@ -29,6 +30,9 @@
 	Latency time.Duration
 	// RetrySlack is the number of repeats that is free in ten seconds.
 	RetrySlack float64
+	// Returns is true when callers that are refused come back once, as told, if their time
+	// allows.
+	Returns bool
 }
 
 // Pool is a service that works on stages.
@@ -225,7 +229,8 @@
 	}
 	s.Elsewhere = append(s.Elsewhere, out.Elsewhere...)
 	for _, r := range out.Refusals {
-		s.Outcomes[r.ID].Refused = r.Reason
+		s.outcome(r.ID).Refused = r.Reason
+		s.comeBack(r)
 	}
 	for _, f := range out.Frees {
 		s.after(s.settings.Latency, func() { s.workers[f.Address].free(f.Handles) })
@@ -238,9 +243,32 @@
 	}
 }
 
+// returned ends the ID of a caller's second try.
+const returned = "~"
+
+// outcome returns what became of an order, whichever try of its caller it was.
+func (s *Scene) outcome(id string) *Outcome {
+	return s.Outcomes[strings.TrimSuffix(id, returned)]
+}
+
+// comeBack lets a refused caller try again.
+func (s *Scene) comeBack(r bbjob.Refusal) {
+	o := s.orders[r.ID]
+	left := o.Limit - (s.Now - s.outcome(r.ID).Arrived)
+	if !s.settings.Returns || strings.HasSuffix(r.ID, returned) || left < 2*r.RetryAfter {
+		return
+	}
+	o.ID += returned
+	o.Limit = left - r.RetryAfter
+	s.at(s.Now+r.RetryAfter, func() {
+		s.orders[o.ID] = o
+		s.apply(s.Coordinator.Submit(s.Now, o))
+	})
+}
+
 // grant sends a request to its engine.
 func (s *Scene) grant(g bbjob.Grant) {
-	o := s.Outcomes[g.ID]
+	o := s.outcome(g.ID)
 	o.Grants++
 	e := s.engines[g.Endpoint]
 	s.after(3*s.settings.Latency, func() {
--- a/core/bbscene/scene_test.go
+++ b/core/bbscene/scene_test.go
@@ -168,6 +168,40 @@
 	wantShare(t, s, "draft", 0.7)
 }
 
+// hall has the pools of a deployment whose middle stage has little room: four results of each
+// request stay there until the last stage has read them.
+func hall() Settings {
+	s := fair()
+	s.Pools = []Pool{
+		testPool("portal", 3, 8, 21*ms, 18e6),
+		testPool("desk", 4, 8, 21*ms, 1.1e6),
+		testPool("board", 5, 16, 11*ms, 0.22e6),
+	}
+	s.Returns = true
+	return s
+}
+
+// Pattern: a burst by class that comes while workers of the last stage are slow. Requests that
+// can't be on time any more are turned away when they would wait long, since their results
+// fill the room of the stage before.
+func TestLateRequestsDontHoldRoomInABurst(t *testing.T) {
+	s := New(hall())
+	stages := func(int) []bbjob.Stage {
+		list := chain(0)
+		list[2].Pieces = 4
+		return list
+	}
+	steady(s, "brief", 0, 5, 0, 30*time.Second, stages)
+	steady(s, "digest", 1, 6.4, 50*ms, 30*time.Second, stages)
+	steady(s, "burst", 0, 14, 3*time.Second, 12*time.Second, stages)
+	s.At(4*time.Second, func() { s.Slow("board-0", 3); s.Slow("board-1", 3) })
+	s.At(12*time.Second, func() { s.Slow("board-0", 1); s.Slow("board-1", 1) })
+	s.Run(38 * time.Second)
+	// The burst lasts for less than a third of the time.
+	wantShare(t, s, "brief", 2./3)
+	wantShare(t, s, "digest", 2./3)
+}
+
 // Pattern: a worker turns slow and recovers. It must be used again afterwards.
 func TestSlowWorkerIsUsedAgain(t *testing.T) {
 	s := New(fair())
