Metrics of allowances, cold endpoints, queues, calls and connections; heads over the limit

On-call engineers could not see what is left of the allowance of repeats, how many endpoints are cold, how full queues and calls are, nor open connections. Values by service are collected when the metrics are read, within the bound on names. One table of windows serves the gateway and the coordinator. The configuration's limit on heads is kept with 431; until now only the server's 64 KB was.

--- a/bluebellctl/bblines/cause.go
+++ b/bluebellctl/bblines/cause.go
@@ -38,7 +38,7 @@
 	{Word: "unreachable", Text: "no connection to an endpoint could be made", Next: "timeline --endpoint of it"},
 	{Word: "full", Text: "the endpoints that were asked had no room", Next: "metric requests.once.refused.full over all VMs"},
 	{Word: "moved", Text: "other processes were at the endpoints' addresses", Next: "timeline --kind endpointsAdopted and storeLost"},
-	{Word: "noEndpoint", Text: "no endpoint of the service could be used", Next: "timeline --kind zoneEvacuation, storeLost; metric knowledge.endpoints"},
+	{Word: "noEndpoint", Text: "no endpoint of the service could be used", Next: "timeline --kind zoneEvacuation, storeLost; metric endpoints.SERVICE.usable"},
 	{Word: "noConfiguration", Text: "the VM had no configuration yet", Next: "timeline --kind entryStarted, catalogInForce, storeLost"},
 	{Word: "noRoute", Text: "no route of the configuration in force has that host and path", Next: "timeline --kind catalogInForce: the version"},
 	{Word: "unknownKey", Text: "no client account of the configuration in force has that key", Next: "timeline --kind catalogInForce: the version"},
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -241,7 +241,7 @@
 }
 
 // window returns this VM's part of the allowance for repeats of a service.
-func (e *Entry) window(string) *bballowance.Window {
+func (e *Entry) window() *bballowance.Window {
 	vms := 1
 	e.fleet.View(func(t *bbgossip.Table, _ time.Duration) {
 		vms += len(t.Known())
@@ -347,8 +347,12 @@
 		e.meter.Count("coordinator", entry.Title)
 	}
 	switch d.Number {
+	case bbevent.CallSent:
+		e.meter.Value(int64(d.Pieces), "coordinator", "callPieces", d.Service)
 	case bbevent.CallDone:
-		e.meter.Time(d.Value, "coordinator", "callMs")
+		e.meter.Time(d.Value, "coordinator", "callMs", d.Service)
+	case bbevent.StageDone:
+		e.meter.Time(d.Value, "coordinator", "stageDoneMs", d.Detail)
 	case bbevent.EngineGranted:
 		e.meter.Time(d.Value, "coordinator", "stagesMs")
 	}
@@ -382,23 +386,3 @@
 		e.meter.Count("requests", l.Kind, "onTime")
 	}
 }
-
-// addGauges shows the state of this VM in its metrics.
-func (e *Entry) addGauges() {
-	gauge := func(name string, read func(t *bbgossip.Table, now time.Duration) float64) {
-		e.meter.Gauge(name, func() float64 {
-			value := 0.0
-			e.fleet.View(func(t *bbgossip.Table, now time.Duration) { value = read(t, now) })
-			return value
-		})
-	}
-	gauge("members.present", func(t *bbgossip.Table, now time.Duration) float64 { return float64(1 + len(t.Present(now))) })
-	gauge("members.reachable", func(t *bbgossip.Table, now time.Duration) float64 { return float64(1 + len(t.Reachable(now))) })
-	e.meter.Gauge("coordinator.requests", func() float64 { return float64(e.hub.Len()) })
-	e.meter.Gauge("knowledge.version", func() float64 {
-		_, version, _ := e.Knowledge.ready()
-		return float64(version)
-	})
-	e.meter.Gauge("knowledge.storeAgeMs", func() float64 { return float64(e.Knowledge.storeAge().Milliseconds()) })
-	e.meter.Gauge("knowledge.endpoints", func() float64 { return float64(e.Knowledge.size()) })
-}
--- /dev/null
+++ b/bluebelld/bbentry/gauges.go
@@ -0,0 +1,50 @@
+package bbentry
+
+import (
+	"time"
+
+	"bluebellhall/core/bbgossip"
+)
+
+// addGauges shows the state of this VM in its metrics.
+func (e *Entry) addGauges() {
+	members := func(name string, read func(t *bbgossip.Table, now time.Duration) float64) {
+		e.meter.Gauge(name, func() float64 {
+			value := 0.0
+			e.fleet.View(func(t *bbgossip.Table, now time.Duration) { value = read(t, now) })
+			return value
+		})
+	}
+	members("members.present", func(t *bbgossip.Table, now time.Duration) float64 { return float64(1 + len(t.Present(now))) })
+	members("members.reachable", func(t *bbgossip.Table, now time.Duration) float64 { return float64(1 + len(t.Reachable(now))) })
+	members("members.silentMs", func(t *bbgossip.Table, now time.Duration) float64 { return float64(t.Silence(now).Milliseconds()) })
+	e.meter.Gauge("knowledge.version", func() float64 {
+		_, version, _ := e.Knowledge.ready()
+		return float64(version)
+	})
+	e.meter.Gauge("knowledge.storeAgeMs", func() float64 { return float64(e.Knowledge.storeAge().Milliseconds()) })
+	e.meter.Gauge("requests.open", func() float64 { return float64(e.Gateway.Open()) })
+	e.meter.Gauge("requests.exchanges", func() float64 { return float64(e.Gateway.Exchanges()) })
+	e.meter.Collect(e.showServices)
+}
+
+// showServices shows what is known of each service.
+func (e *Entry) showServices(show func(value float64, parts ...string)) {
+	for service, c := range e.Knowledge.counts() {
+		show(float64(c.Listed), "endpoints", service, "listed")
+		show(float64(c.Usable), "endpoints", service, "usable")
+		show(float64(c.Cold), "endpoints", service, "cold")
+	}
+	for service, left := range e.Gateway.RepeatsLeft() {
+		show(left, "requests", "repeatsLeft", service)
+	}
+	s := e.hub.Status()
+	show(float64(s.Requests), "coordinator", "requests")
+	show(float64(s.Ungranted), "coordinator", "ungranted")
+	for service, n := range s.Waiting {
+		show(float64(n), "coordinator", "waiting", service)
+	}
+	for service, left := range s.Repeats {
+		show(left, "coordinator", "repeatsLeft", service)
+	}
+}
--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -255,9 +255,9 @@
 	return k.now() - k.heardAt
 }
 
-// size returns the number of listed endpoints.
-func (k *Knowledge) size() int {
+// counts returns the number of endpoints by service.
+func (k *Knowledge) counts() map[string]bbregistry.Count {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.Len()
+	return k.table.Counts(k.now())
 }
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -117,8 +118,9 @@
 	// Note tells a coordinator of progress.
 	Note func(coordinator string, n bbjob.Note)
 	Log  func(l Logged)
-	// Window returns the allowance for repeats of a service; it is called under a lock.
-	Window func(service string) *bballowance.Window
+	// Window returns the allowance for repeats of a service that is new; it is called under
+	// a lock.
+	Window func() *bballowance.Window
 	// Leaving is true once this VM is stopping.
 	Leaving func() bool
 }
@@ -134,9 +136,12 @@
 	waiting     context.Context
 	stopWaiting context.CancelFunc
 
+	// open counts the requests in progress, exchanges the connections to endpoints.
+	open, exchanges atomic.Int64
+
 	mu      sync.Mutex
 	chooser *bbplain.Chooser
-	windows map[string]*bballowance.Window
+	windows bballowance.Windows
 }
 
 // New returns a gateway of a VM.
@@ -151,7 +156,9 @@
 		zone:        zone,
 		region:      region,
 		chooser:     bbplain.NewChooser(),
-		windows:     make(map[string]*bballowance.Window),
+		windows: bballowance.Windows{
+			New: s.Window,
+		},
 	}
 }
 
@@ -190,8 +197,41 @@
 	log  Logged
 }
 
+// Open returns the number of requests in progress.
+func (g *Gateway) Open() int64 {
+	return g.open.Load()
+}
+
+// Exchanges returns the number of open connections to endpoints.
+func (g *Gateway) Exchanges() int64 {
+	return g.exchanges.Load()
+}
+
+// RepeatsLeft returns the repeats that each plain service may have now.
+func (g *Gateway) RepeatsLeft() map[string]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.windows.Left(g.seams.Now())
+}
+
+// exchange sends a request to an endpoint.
+func (g *Gateway) exchange(ctx context.Context, address string, r *http.Request) (*bbchannel.Answer, func(), error) {
+	g.exchanges.Add(1)
+	answer, cleanup, err := bbchannel.Exchange(ctx, address, r)
+	if err != nil {
+		g.exchanges.Add(-1)
+		return nil, nil, err
+	}
+	return answer, func() {
+		cleanup()
+		g.exchanges.Add(-1)
+	}, nil
+}
+
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
 	x := &exchange{
 		w:     w,
 		r:     r,
@@ -229,6 +269,9 @@
 		return http.StatusServiceUnavailable, "noConfiguration"
 	}
 	x.log.Version = x.index.Catalog.Version
+	if most := x.index.Catalog.Limits.HeaderBytes; most > 0 && headBytes(x.r) > most {
+		return http.StatusRequestHeaderFieldsTooLarge, "headSize"
+	}
 	q, err := g.codec.Decode(x.r)
 	if err != nil {
 		return http.StatusBadRequest, "headers"
@@ -258,6 +301,18 @@
 	return 0, ""
 }
 
+// headBytes returns the size of a request's head, as it would be written without spaces that
+// mean nothing.
+func headBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len("Host: ") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // kinds are the words for kinds of routes in logs and metrics.
 var kinds = map[bbcatalog.Kind]string{
 	bbcatalog.KindIdempotent: "read",
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -125,6 +125,7 @@
 	Read: func(_ string, a *bbchannel.Answer) Reading {
 		return Reading{
 			NotRun: a.Header.Get("Notrun") != "",
+			Gone:   a.Header.Get("Gone") != "",
 			Signed: a.Header.Get("Signed") != "",
 		}
 	},
@@ -174,7 +175,7 @@
 		},
 		Services: []bbcatalog.Service{{Name: "s"}, {Name: "engine", Engine: &bbcatalog.Engine{}}},
 		Accounts: []bbcatalog.Account{{Name: "acme", Keys: []string{"k"}}},
-		Limits:   bbcatalog.Limits{BodyBytes: 100},
+		Limits:   bbcatalog.Limits{BodyBytes: 100, HeaderBytes: 1000},
 	})
 	began := time.Now()
 	grants := 0
@@ -205,7 +206,7 @@
 			defer f.mu.Unlock()
 			f.logged = append(f.logged, l)
 		},
-		Window: func(string) *bballowance.Window {
+		Window: func() *bballowance.Window {
 			return &bballowance.Window{
 				Span:  10 * time.Second,
 				Slack: 100,
@@ -315,6 +316,7 @@
 	if status, _, _ := ask(t, url+"/once/", strings.Repeat("x", 101)); status != http.StatusRequestEntityTooLarge {
 		t.Errorf("status %d for a body over the limit, want 413", status)
 	}
+	wantAnswer(t, url+"/once/", http.StatusRequestHeaderFieldsTooLarge, "", "X", strings.Repeat("x", 1000))
 	wantRequests(t, f, 0)
 	wantAnswer(t, url+"/keyed/", http.StatusOK, "done", "Key", "k")
 }
@@ -346,6 +348,30 @@
 	}
 }
 
+// An engine whose inputs are gone may get the request again, once they are made again.
+func TestInputsGoneIsToldToTheCoordinator(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, "HTTP/1.1 409 Gone\r\nNotrun: 1\r\nGone: 1\r\nContent-Length: 0\r\n\r\n"), newStandIn(t, stream("id: 1\ndata: a\n\n")))
+	wantAnswer(t, url+"/stream/", http.StatusOK, "id: 1\ndata: a\n\n")
+	if o := f.orders[1]; !o.InputsGone || len(o.Avoid) > 0 {
+		t.Errorf("second order says inputs gone %t, avoid %v; want true and none", o.InputsGone, o.Avoid)
+	}
+}
+
+func TestOpenRequestsAreCounted(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, answerNotRun, answerLost, answerOK))
+	for _, path := range []string{"/once/", "/read/", "/stream/", "/unknown/"} {
+		if _, _, err := ask(t, url+path, "hello"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if diff := cmp.Diff([2]int64{}, [2]int64{f.gateway.Open(), f.gateway.Exchanges()}); diff != "" {
+		t.Errorf("requests and exchanges that are open (-want +got):\n%s", diff)
+	}
+	if left := f.gateway.RepeatsLeft()["s"]; left <= 0 || left >= 100 {
+		t.Errorf("%v repeats left, want a part of the allowance", left)
+	}
+}
+
 func TestRefusalOfTheCoordinator(t *testing.T) {
 	_, url := newFixture(t)
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/stream/", nil)
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"bluebellhall/bluebelld/bbchannel"
-	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
@@ -194,7 +193,7 @@
 	if !g.seams.Usable(t.grant.Endpoint) {
 		return bbhealth.OutcomeFull, true
 	}
-	answer, cleanup, err := bbchannel.Exchange(ctx, t.grant.Address, g.outgoing(t.exchange, Forward{
+	answer, cleanup, err := g.exchange(ctx, t.grant.Address, g.outgoing(t.exchange, Forward{
 		Endpoint:  t.grant.Endpoint,
 		Priority:  bbcatalog.Priority(t.route, t.account),
 		Engine:    true,
@@ -293,13 +292,3 @@
 		}
 	}
 }
-
-// window returns the allowance of a service; the caller holds the lock.
-func (g *Gateway) window(service string) *bballowance.Window {
-	w := g.windows[service]
-	if w == nil {
-		w = g.seams.Window(service)
-		g.windows[service] = w
-	}
-	return w
-}
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -28,7 +28,7 @@
 func (g *Gateway) plain(ctx context.Context, x *exchange) {
 	now := g.seams.Now()
 	g.mu.Lock()
-	g.window(x.service).Request(now)
+	g.windows.Of(x.service).Request(now)
 	g.mu.Unlock()
 	avoid := make(map[string]bool)
 	runs := 0
@@ -92,7 +92,7 @@
 func (g *Gateway) mayRepeat(x *exchange) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.window(x.service).Take(g.seams.Now(), 1)
+	return g.windows.Of(x.service).Take(g.seams.Now(), 1)
 }
 
 // offer sends the request to one endpoint. Again tells whether another may get it.
@@ -109,7 +109,7 @@
 		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(firstTry*float64(x.route.Objective)))
 		defer cancel()
 	}
-	answer, cleanup, err := bbchannel.Exchange(tryCtx, e.Address, g.outgoing(x, Forward{
+	answer, cleanup, err := g.exchange(tryCtx, e.Address, g.outgoing(x, Forward{
 		Endpoint: e.ID,
 		Priority: bbcatalog.Priority(x.route, x.account),
 	}))
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -127,6 +127,13 @@
 	return h.coordinator.Len()
 }
 
+// Status returns the state of the coordinator.
+func (h *Hub) Status() bbcoordinator.Status {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.coordinator.Status(h.seams.Now())
+}
+
 // tick lets the coordinator do what is due.
 func (h *Hub) tick() {
 	h.mu.Lock()
--- a/bluebelld/bbmeter/meter.go
+++ b/bluebelld/bbmeter/meter.go
@@ -32,6 +32,8 @@
 	names    map[string]bool
 	// gauges are read when the metrics are shown.
 	gauges map[string]func() float64
+	// collectors are asked for values whose names change, such as those of services.
+	collectors []func(show func(value float64, parts ...string))
 }
 
 // NewMeter returns a meter without metrics.
@@ -66,6 +68,13 @@
 	m.gauges[name] = read
 }
 
+// Collect shows the values that a function passes on whenever the metrics are shown.
+func (m *Meter) Collect(read func(show func(value float64, parts ...string))) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.collectors = append(m.collectors, read)
+}
+
 // name joins the parts of a name, within the bound on names.
 func (m *Meter) name(parts []string) string {
 	name := strings.Join(parts, ".")
@@ -97,10 +106,16 @@
 	for name, read := range m.gauges {
 		gauges[name] = read
 	}
+	collectors := m.collectors
 	m.mu.Unlock()
 	for name, read := range gauges {
 		lines = append(lines, fmt.Sprintf("%s %g", name, read()))
 	}
+	for _, read := range collectors {
+		read(func(value float64, parts ...string) {
+			lines = append(lines, fmt.Sprintf("%s %g", m.name(parts), value))
+		})
+	}
 	sort.Strings(lines)
 	n, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
 	return int64(n), err
--- a/bluebelld/bbmeter/meter_test.go
+++ b/bluebelld/bbmeter/meter_test.go
@@ -30,6 +30,24 @@
 	}
 }
 
+// A service that is no longer collected is no longer shown.
+func TestCollectedValuesFollowTheirSource(t *testing.T) {
+	m := NewMeter()
+	services := []string{"a", "b"}
+	m.Collect(func(show func(value float64, parts ...string)) {
+		for i, s := range services {
+			show(float64(i), "waiting", s)
+		}
+	})
+	if diff := cmp.Diff("waiting.a 0\nwaiting.b 1\n", shown(t, m)); diff != "" {
+		t.Errorf("metrics (-want +got):\n%s", diff)
+	}
+	services = services[:1]
+	if diff := cmp.Diff("waiting.a 0\n", shown(t, m)); diff != "" {
+		t.Errorf("metrics (-want +got):\n%s", diff)
+	}
+}
+
 func TestNamesAreBounded(t *testing.T) {
 	m := NewMeter()
 	for i := range 3 * maxNames {
--- a/core/bballowance/allowance.go
+++ b/core/bballowance/allowance.go
@@ -36,17 +36,22 @@
 
 // Take tells whether n more repeats may be made now, and counts them.
 func (w *Window) Take(now time.Duration, n int) bool {
+	if float64(n) > w.Left(now) {
+		return false
+	}
+	w.repeats[w.head] += float64(n)
+	return true
+}
+
+// Left returns how many repeats may be made now; it may be negative.
+func (w *Window) Left(now time.Duration) float64 {
 	w.turn(now)
 	requests, repeats := 0.0, 0.0
 	for i := range slices {
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	if repeats+float64(n) > safety*(w.Ratio*requests+w.Slack) {
-		return false
-	}
-	w.repeats[w.head] += float64(n)
-	return true
+	return safety*(w.Ratio*requests+w.Slack) - repeats
 }
 
 // turn moves the window on to now.
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -1,6 +1,8 @@
 package bbcoordinator
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -29,6 +31,8 @@
 		Number:   bbevent.CallDone,
 		Call:     id,
 		Endpoint: call.Endpoint,
+		Service:  call.Service,
+		Pieces:   len(call.Pieces),
 		Detail:   bbdecision.Describe(call, o, results),
 		Value:    now - call.Sent,
 	})
@@ -61,8 +65,8 @@
 		}
 		retry[piece.Job][piece.Stage] = append(retry[piece.Job][piece.Stage], piece.Piece)
 	}
-	mayRepeat := len(retry) == 0 || full || o == bbhealth.OutcomeUnreachable || c.window(call.Service).Take(now, 1)
-	for _, job := range sortedKeys(retry) {
+	mayRepeat := len(retry) == 0 || full || o == bbhealth.OutcomeUnreachable || c.retries.Of(call.Service).Take(now, 1)
+	for _, job := range slices.Sorted(maps.Keys(retry)) {
 		c.retryPieces(now, job, retry[job], mayRepeat, !full)
 	}
 	for _, piece := range call.Pieces {
@@ -202,7 +206,7 @@
 		}
 		again[piece.Job][piece.Stage] = append(again[piece.Job][piece.Stage], piece.Piece)
 	}
-	for _, id := range sortedKeys(again) {
+	for _, id := range slices.Sorted(maps.Keys(again)) {
 		c.log(bbdecision.Event{
 			Number:   bbevent.CallOverdue,
 			Job:      id,
@@ -212,7 +216,7 @@
 		})
 		j := c.jobs[id]
 		for stage, pieces := range again[id] {
-			if j.Ready(stage) && j.InputsKept(stage) && c.window(j.Order.Stages[stage].Service).Take(now, 1) {
+			if j.Ready(stage) && j.InputsKept(stage) && c.retries.Of(j.Order.Stages[stage].Service).Take(now, 1) {
 				c.addGroup(j, stage, pieces)
 			}
 		}
@@ -230,7 +234,7 @@
 			sent[piece.Job]++
 		}
 	}
-	for _, id := range sortedKeys(sent) {
+	for _, id := range slices.Sorted(maps.Keys(sent)) {
 		c.log(bbdecision.Event{
 			Number:   bbevent.PiecesSent,
 			Job:      id,
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"bluebellhall/core/bballowance"
@@ -50,7 +52,7 @@
 	pools  map[string]*bbpool.Pool
 	// engines has a table for each service of engines.
 	engines map[string]*bbplacement.Table
-	retries map[string]*bballowance.Window
+	retries bballowance.Windows
 	calls   map[uint64]*bbpool.Call
 	// freed are results to be freed, by the address of their maker.
 	freed map[string][]string
@@ -82,10 +84,6 @@
 	minRetryAfter = 150 * time.Millisecond
 	// linkLead is the time of a round trip between regions and some work at both ends.
 	linkLead = 15 * time.Millisecond
-	// fullBurst bounds the grants to an engine that may be cold.
-	fullBurst = 3.0
-	// loneBurst is the burst when this VM may not be the only coordinator.
-	loneBurst = 1.0
 	// tidyPeriod is how often tables are freed of what is gone.
 	tidyPeriod = time.Second
 	// stuckCheck is how often calls are looked at for being overdue.
@@ -95,12 +93,20 @@
 // New returns a coordinator without requests.
 func New(k Knowledge, l Limits) *Coordinator {
 	return &Coordinator{
-		know:     k,
-		limits:   l,
-		jobs:     make(map[string]*bbprogress.Job),
-		pools:    make(map[string]*bbpool.Pool),
-		engines:  make(map[string]*bbplacement.Table),
-		retries:  make(map[string]*bballowance.Window),
+		know:    k,
+		limits:  l,
+		jobs:    make(map[string]*bbprogress.Job),
+		pools:   make(map[string]*bbpool.Pool),
+		engines: make(map[string]*bbplacement.Table),
+		retries: bballowance.Windows{
+			New: func() *bballowance.Window {
+				return &bballowance.Window{
+					Span:  l.RetrySpan,
+					Ratio: l.RetryRatio,
+					Slack: l.RetrySlack,
+				}
+			},
+		},
 		calls:    make(map[uint64]*bbpool.Call),
 		freed:    make(map[string][]string),
 		waiting:  make(map[string]*bbprogress.Job),
@@ -151,9 +157,9 @@
 	}
 	c.jobs[o.ID] = j
 	for _, s := range o.Stages {
-		c.window(s.Service).Request(now)
+		c.retries.Of(s.Service).Request(now)
 	}
-	c.window(o.Service).Request(now)
+	c.retries.Of(o.Service).Request(now)
 	accepted := bbevent.OrderAccepted
 	if j.Returning {
 		accepted = bbevent.OrderReturned
@@ -171,7 +177,7 @@
 // Leave hands all requests back that are in no call; others follow when their calls end.
 func (c *Coordinator) Leave() bbdecision.Output {
 	c.leaving = true
-	for _, id := range sortedKeys(c.jobs) {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		c.handBack(c.jobs[id])
 	}
 	return c.flush()
@@ -328,6 +334,8 @@
 				Number:   bbevent.CallSent,
 				Call:     call.ID,
 				Endpoint: call.Endpoint,
+				Service:  name,
+				Pieces:   len(call.Pieces),
 				Detail:   fmt.Sprintf("%s pieces=%d waiting=%d", name, len(call.Pieces), p.Waiting()),
 				Value:    call.Expected - now,
 			})
@@ -429,17 +437,3 @@
 	}
 	return t
 }
-
-// window returns the allowance of repeats for a service.
-func (c *Coordinator) window(service string) *bballowance.Window {
-	w := c.retries[service]
-	if w == nil {
-		w = &bballowance.Window{
-			Span:  c.limits.RetrySpan,
-			Ratio: c.limits.RetryRatio,
-			Slack: c.limits.RetrySlack,
-		}
-		c.retries[service] = w
-	}
-	return w
-}
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -257,6 +257,24 @@
 	}
 }
 
+func TestStatus(t *testing.T) {
+	c := newTestCoordinator()
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+		c.Submit(0, testOrder(id, 1))
+	}
+	got := c.Status(0)
+	ratio, requests := 0.2, 9.0
+	left := 0.8 * (ratio*requests + 10)
+	want := Status{
+		Requests: 9,
+		Waiting:  map[string]int{"first": 8, "second": 0},
+		Repeats:  map[string]float64{"first": left, "second": left, "engine": left},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+}
+
 func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
 	c := newTestCoordinator()
 	o := testOrder("a", 2)
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -45,14 +45,14 @@
 		c.release(j)
 		return
 	}
-	if j.Repeated && !c.window(service).Take(now, 1) {
+	if j.Repeated && !c.retries.Of(service).Take(now, 1) {
 		c.refuse(j.Order.ID, "noRetries", minRetryAfter, now-j.Arrived)
 		c.drop(j)
 		return
 	}
 	// The repeat is counted once, however long the request waits for its engine.
 	j.Repeated = false
-	e, ok := c.table(service).Choose(now, c.need(now, j), c.listEngines(service), c.pace(service))
+	e, ok := c.table(service).Choose(now, c.need(now, j), c.listEngines(service), bbplacement.PaceOf(c.know.Service(service), c.know.Majority()))
 	if !ok {
 		return
 	}
@@ -87,7 +87,7 @@
 		},
 		BodyBytes: j.Order.BodyBytes,
 		Inputs:    bytes,
-		Allowed:   c.allowed(j.Order),
+		Allowed:   j.Order.Allowed(c.know.Region),
 		Avoid:     j.Order.Avoid,
 		Alone:     c.suspects.Alone(now, j.Order),
 	}
@@ -108,28 +108,6 @@
 	return list
 }
 
-// pace returns how fast one engine may get requests. Warm engines are paced too, because
-// they may turn cold at any moment and tell it later.
-func (c *Coordinator) pace(service string) bbplacement.Pace {
-	s := c.know.Service(service)
-	if s == nil || s.ColdRate <= 0 {
-		return bbplacement.Pace{
-			Cold: true,
-		}
-	}
-	if c.know.Majority() {
-		return bbplacement.Pace{
-			PerSecond: s.ColdRate,
-			Burst:     fullBurst,
-			Cold:      true,
-		}
-	}
-	return bbplacement.Pace{
-		PerSecond: s.ColdRate / 2,
-		Burst:     loneBurst,
-	}
-}
-
 // Progress takes in a note of the VM that holds a request.
 func (c *Coordinator) Progress(now time.Duration, n bbjob.Note) bbdecision.Output {
 	j := c.jobs[n.ID]
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -1,9 +1,6 @@
 package bbcoordinator
 
 import (
-	"sort"
-
-	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
 )
@@ -58,26 +55,10 @@
 		Limit:       j.Limit,
 		Zone:        j.Home(stage),
 		MoveBytes:   j.MoveBytes(stage, len(pieces)),
-		Allowed:     c.allowed(j.Order),
+		Allowed:     j.Order.Allowed(c.know.Region),
 	})
 }
 
-// allowed returns the test of an order for failure domains.
-func (c *Coordinator) allowed(o bbjob.Order) func(zone string) bool {
-	return func(zone string) bool {
-		if len(o.Regions) == 0 {
-			return true
-		}
-		region := c.know.Region(zone)
-		for _, r := range o.Regions {
-			if r == region {
-				return true
-			}
-		}
-		return false
-	}
-}
-
 // PieceInputs returns what a call has to say of a piece: the key of its request or the
 // handles of its inputs. It is false when the request is gone.
 func (c *Coordinator) PieceInputs(p bbpool.Piece) (key string, inputs []string, ok bool) {
@@ -123,13 +104,3 @@
 		}
 	}
 }
-
-// sortedKeys returns the keys of a map in order, so that decisions can be replayed.
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/core/bbdecision/decision.go
+++ b/core/bbdecision/decision.go
@@ -38,7 +38,10 @@
 	// Call is the number of a call, Endpoint the one that it goes to.
 	Call     uint64
 	Endpoint string
-	Detail   string
+	// Service is the one that a call is to, Pieces the number of its pieces.
+	Service string
+	Pieces  int
+	Detail  string
 	// Value is the time that the event's text names.
 	Value time.Duration
 }
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -251,6 +251,17 @@
 	return t.list(func(e *entry) bool { return e.reachable(now) })
 }
 
+// Silence returns the longest time since a present member gave a sign of life.
+func (t *Table) Silence(now time.Duration) time.Duration {
+	var longest time.Duration
+	for _, e := range t.entries {
+		if e.Boot != 0 && e.present(now) {
+			longest = max(longest, now-e.heardAt)
+		}
+	}
+	return longest
+}
+
 // Leader returns the VM that coordinates shared work: of the largest that this VM reaches
 // the oldest, so that a restarted VM takes nothing over. It is this VM if there is no other.
 func (t *Table) Leader(now time.Duration) Member {
--- a/core/bbgossip/table_test.go
+++ b/core/bbgossip/table_test.go
@@ -77,6 +77,14 @@
 	})
 }
 
+func TestSilence(t *testing.T) {
+	table := three()
+	table.Answered(1200*time.Millisecond, member("a", 100, 2))
+	if got := table.Silence(1300 * time.Millisecond); got != 300*time.Millisecond {
+		t.Errorf("longest silence %v, want that of c, 300 ms", got)
+	}
+}
+
 func TestOthersPassOn(t *testing.T) {
 	table := three()
 	table.Merge(2*time.Second, []Member{member("d", 400, 5), member("b", 999, 9), {Name: "e", Boot: 1, Beat: 1}}, false)
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -3,6 +3,7 @@
 package bbjob
 
 import (
+	"slices"
 	"time"
 
 	"bluebellhall/core/bbhealth"
@@ -50,6 +51,14 @@
 	InputsGone bool `json:"inputsGone"`
 }
 
+// Allowed returns the test for failure domains in which the request may be served. Region
+// returns the region of a failure domain.
+func (o Order) Allowed(region func(zone string) string) func(zone string) bool {
+	return func(zone string) bool {
+		return len(o.Regions) == 0 || slices.Contains(o.Regions, region(zone))
+	}
+}
+
 // Stage is the work of one stage of a request.
 type Stage struct {
 	Service string `json:"service"`
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -81,6 +81,35 @@
 	Cold bool
 }
 
+const (
+	// fullBurst bounds the grants to an engine that may be cold.
+	fullBurst = 3.0
+	// loneBurst is the burst when this VM may not be the only coordinator.
+	loneBurst = 1.0
+)
+
+// PaceOf returns how fast one engine of a service may get requests. Warm engines are paced
+// too, because they may turn cold at any moment and tell it later. A coordinator that doesn't
+// reach most VMs may not be the only one.
+func PaceOf(s *bbcatalog.Service, majority bool) Pace {
+	switch {
+	case s == nil || s.ColdRate <= 0:
+		return Pace{
+			Cold: true,
+		}
+	case majority:
+		return Pace{
+			PerSecond: s.ColdRate,
+			Burst:     fullBurst,
+			Cold:      true,
+		}
+	}
+	return Pace{
+		PerSecond: s.ColdRate / 2,
+		Burst:     loneBurst,
+	}
+}
+
 // run is a request that was granted an engine.
 type run struct {
 	tokens  float64
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -214,6 +214,30 @@
 	return len(t.entries)
 }
 
+// Count has the endpoints of a service.
+type Count struct {
+	// Listed are all of them, Usable those that may get new work, Cold those of them that
+	// carry only a little.
+	Listed, Usable, Cold int
+}
+
+// Counts returns the number of endpoints by service.
+func (t *Table) Counts(now time.Duration) map[string]Count {
+	counts := make(map[string]Count)
+	for id, e := range t.entries {
+		c := counts[e.Service]
+		c.Listed++
+		if t.Usable(id) != nil {
+			c.Usable++
+			if e.ColdUntil > now {
+				c.Cold++
+			}
+		}
+		counts[e.Service] = c
+	}
+	return counts
+}
+
 // Snapshot returns the whole table for another VM.
 func (t *Table) Snapshot(now time.Duration) Snapshot {
 	s := Snapshot{
--- a/core/bbregistry/table_test.go
+++ b/core/bbregistry/table_test.go
@@ -103,6 +103,25 @@
 	}
 }
 
+func TestCounts(t *testing.T) {
+	table := testTable()
+	cold, leaving, other := endpoint("cold"), endpoint("leaving"), endpoint("other")
+	cold.Cold = time.Second
+	leaving.Leaving = true
+	other.Service = "o"
+	for _, e := range []Endpoint{cold, leaving, other} {
+		table.Put(0, e)
+	}
+	want := map[string]Count{"s": {Listed: 4, Usable: 3, Cold: 1}, "o": {Listed: 1, Usable: 1}}
+	if diff := cmp.Diff(want, table.Counts(0)); diff != "" {
+		t.Errorf("counts (-want +got):\n%s", diff)
+	}
+	want["s"] = Count{Listed: 4, Usable: 3}
+	if diff := cmp.Diff(want, table.Counts(2*time.Second)); diff != "" {
+		t.Errorf("counts once it is warm (-want +got):\n%s", diff)
+	}
+}
+
 func TestSnapshotGoesToAnotherVM(t *testing.T) {
 	table := testTable()
 	table.Evacuate("west", true)
