--- a/bluebellctl/bblines/cause.go
+++ b/bluebellctl/bblines/cause.go
@@ -32,7 +32,7 @@
 	{Word: "leaving", Text: "the VM was stopping and the request had not reached an engine", Next: "timeline --kind entryDraining"},
 	{Word: "noService", Text: "the coordinator's configuration has no such service", Next: "timeline --kind catalogInForce"},
 	{Word: "broken", Text: "the endpoint had the request and its answer broke off", Ran: true, Next: "timeline --endpoint of it"},
-	{Word: "timeOver", Text: "the caller's time limit or the route's timeout was over", Ran: true, Next: "the longest part of this time line"},
+	{Word: "timeOver", Text: "the caller's time limit or the route's timeout was over", Ran: true, Next: "the longest part of this time line; timeline --endpoint of it"},
 	{Word: "endpointBroke", Text: "the endpoint broke off in the middle of a long answer", Ran: true, Next: "timeline --endpoint of it"},
 	{Word: "callerGone", Text: "the caller closed its connection", Ran: true, Next: "the time that it had taken, against the route's objective"},
 	{Word: "unreachable", Text: "no connection to an endpoint could be made", Next: "timeline --endpoint of it"},
@@ -93,6 +93,10 @@
 	if l.Outcome == "answered" && l.Cause == "" {
 		return fmt.Sprintf("%s answered it with %d after %.0f ms (first part after %.0f ms).", l.VM, l.Status, l.Took, l.First)
 	}
+	limit := ""
+	if l.Limit > 0 {
+		limit = fmt.Sprintf(" It might take %.0f ms.", l.Limit)
+	}
 	for _, c := range causes {
 		if c.Word != l.Cause {
 			continue
@@ -101,7 +105,7 @@
 		if c.Ran {
 			ran = "It may have run."
 		}
-		return fmt.Sprintf("%s ended it as %s with status %d after %.0f ms: %s. %s Look next at: %s.", l.VM, l.Outcome, l.Status, l.Took, c.Text, ran, c.Next)
+		return fmt.Sprintf("%s ended it as %s with status %d after %.0f ms: %s. %s%s Look next at: %s.", l.VM, l.Outcome, l.Status, l.Took, c.Text, ran, limit, c.Next)
 	}
 	return fmt.Sprintf("%s ended it as %s with status %d after %.0f ms; cause %q.", l.VM, l.Outcome, l.Status, l.Took, l.Cause)
 }
--- a/bluebellctl/bblines/lines.go
+++ b/bluebellctl/bblines/lines.go
@@ -48,6 +48,8 @@
 	Granted     float64 `json:"granted"`
 	First       float64 `json:"first"`
 	Took        float64 `json:"took"`
+	// Limit is how long the request might take, by its caller and its route.
+	Limit float64 `json:"limit"`
 }
 
 // Read returns the lines of a log. What stands before the first brace of a line is passed
--- a/bluebellctl/bblines/lines_test.go
+++ b/bluebellctl/bblines/lines_test.go
@@ -15,7 +15,7 @@
 {"vm":"vm-1","event":834,"message":"piecesSent","id":"bb22","call":7,"endpoint":"w1","detail":"1","time":1010}
 {"vm":"vm-2","event":841,"message":"callSent","call":7,"endpoint":"w2","time":1011}
 {"vm":"vm-2","event":851,"message":"entryRequestEnded","id":"bb22","outcome":"answered","status":200,"took":12,"time":1500}
-{"vm":"vm-2","event":851,"message":"entryRequestEnded","id":"aa11","outcome":"refused","cause":"deadline","status":503,"took":4000,"time":5000}
+{"vm":"vm-2","event":851,"message":"entryRequestEnded","id":"aa11","outcome":"refused","cause":"deadline","status":503,"limit":4200,"took":4000,"time":5000}
 {"vm":"vm-1","event":842,"message":"callDone","call":7,"endpoint":"w1","value":290,"time":1300}
 {"vm":"vm-1","event":841,"message":"callSent","call":7,"endpoint":"w9","time":9000}
 `
@@ -60,7 +60,7 @@
 	want := []string{
 		"vm-1 coordinated it and expected the first token after 900 ms.",
 		"vm-2 ended it as refused with status 503 after 4000 ms: the stages were not done while there was time for the rest. " +
-			"It has not run. Look next at: the calls in this time line: the one that took longest.",
+			"It has not run. It might take 4200 ms. Look next at: the calls in this time line: the one that took longest.",
 		"Its longest part were the 3700 ms from callDone (vm-1) to entryRequestEnded (vm-2).",
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -373,6 +373,9 @@
 	if l.First != 0 {
 		line.Dur("first", l.First)
 	}
+	if l.Limit != 0 && l.Outcome != "answered" {
+		line.Dur("limit", l.Limit)
+	}
 	line.Int("status", l.Status).Uint64("version", l.Version).Dur("took", l.Took).Send()
 	e.meter.Count("requests", l.Kind, l.Outcome, l.Cause)
 	if l.Outcome != "answered" {
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -50,6 +50,7 @@
 	x.log.Cause = cause
 	x.log.Status = status
 	x.log.Took = g.seams.Now() - x.began
+	x.log.Limit = max(0, x.limit-x.began)
 	reached := x.log.First
 	if reached == 0 {
 		reached = x.log.Took
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -94,6 +94,8 @@
 	// Endpoint is the last one that got the request, Coordinator the VM that granted it.
 	Endpoint, Coordinator string
 	Status, Tries         int
+	// Limit is how long the request might take; 0 if it ended before that was known.
+	Limit time.Duration
 	// Granted, First and Took are the times from arrival to the grant of an engine, to the
 	// first part of the answer and to the end.
 	Granted, First, Took time.Duration
@@ -265,6 +267,8 @@
 // admit finds the route and the account and reads the body. It returns a status and a
 // cause if the request ends here.
 func (g *Gateway) admit(x *exchange) (int, string) {
+	q, err := g.codec.Decode(x.r)
+	x.Request = q
 	if x.index == nil {
 		return http.StatusServiceUnavailable, "noConfiguration"
 	}
@@ -272,11 +276,9 @@
 	if most := x.index.Catalog.Limits.HeaderBytes; most > 0 && headBytes(x.r) > most {
 		return http.StatusRequestHeaderFieldsTooLarge, "headSize"
 	}
-	q, err := g.codec.Decode(x.r)
 	if err != nil {
 		return http.StatusBadRequest, "headers"
 	}
-	x.Request = q
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	if !strings.HasPrefix(path, "/") {
 		return http.StatusBadRequest, "target"
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -321,6 +321,16 @@
 	wantAnswer(t, url+"/keyed/", http.StatusOK, "done", "Key", "k")
 }
 
+// A request that is refused before anything is known of it is logged with its ID.
+func TestRefusedRequestsAreLoggedWithTheirID(t *testing.T) {
+	f, url := newFixture(t)
+	f.gateway.seams.Index = func() *bbcatalog.Index { return nil }
+	wantAnswer(t, url+"/once/", http.StatusServiceUnavailable, "")
+	if diff := cmp.Diff([]string{"1 noConfiguration"}, []string{f.logged[0].ID + " " + f.logged[0].Cause}); diff != "" {
+		t.Errorf("ID and cause (-want +got):\n%s", diff)
+	}
+}
+
 func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
 	f, url := newFixture(t,
 		newStandIn(t, "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 999\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"),
