--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -280,13 +280,9 @@
 // lateWait returns how long a request that can't be on time any more would wait for a stage.
 func (c *Coordinator) lateWait(now time.Duration, j *bbprogress.Job) time.Duration {
 	var longest time.Duration
-	for i := range j.Stages {
-		due := j.DueOf(i)
-		if !due.Late(now) || !j.Queued(i) {
-			continue
-		}
+	for _, i := range j.LateStages(now) {
 		if p := c.pools[j.Order.Stages[i].Service]; p != nil {
-			longest = max(longest, p.Wait(now, due.Urgency(now)-1, 0))
+			longest = max(longest, p.Wait(now, j.DueOf(i).Urgency(now)-1, 0))
 		}
 	}
 	return longest
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -1,6 +1,7 @@
 package bbcoordinator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -257,6 +258,33 @@
 	}
 }
 
+// A late request of which some pieces of the last stage are left is not turned away for the
+// others that wait.
+func TestLateRequestKeepsItsBegunStage(t *testing.T) {
+	c := newTestCoordinator()
+	o := testOrder("a", 6)
+	o.Objective = 500 * ms
+	calls := toSecond(t, c, o)
+	if len(calls) != 2 {
+		t.Fatalf("%d calls, want the pieces in two", len(calls))
+	}
+	for i := range 30 {
+		other := testOrder(fmt.Sprint("other", i), 4)
+		other.Stages = []bbjob.Stage{{Service: "second", ResultBytes: 1e3, Pieces: 4}}
+		other.Objective = 6 * time.Second
+		other.Limit = 20 * time.Second
+		c.Submit(220*ms, other)
+	}
+	c.CallDone(600*ms, calls[0].ID, "east", bbhealth.OutcomeGood, good(calls[0]))
+	out := c.CallDone(610*ms, calls[1].ID, "east", bbhealth.OutcomeFull, nil)
+	out.Refusals = append(out.Refusals, c.Tick(640*ms).Refusals...)
+	for _, r := range out.Refusals {
+		if r.ID == "a" {
+			t.Errorf("refused with %s, want the rest to be made", r.Reason)
+		}
+	}
+}
+
 func TestStatus(t *testing.T) {
 	c := newTestCoordinator()
 	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
--- a/core/bbprogress/due.go
+++ b/core/bbprogress/due.go
@@ -26,6 +26,30 @@
 	}
 }
 
+// LateStages returns the stages that wait for their first call and can't be done in time for an
+// answer that is on time. What remains of a stage goes first and is not among them.
+func (j *Job) LateStages(now time.Duration) []int {
+	var late []int
+	for i, s := range j.Stages {
+		if s.Released && s.Left == len(s.Pieces) && s.queued() && j.DueOf(i).Late(now) {
+			late = append(late, i)
+		}
+	}
+	return late
+}
+
+// queued tells whether pieces wait for a call and none is in one.
+func (s *Stage) queued() bool {
+	some := false
+	for _, p := range s.Pieces {
+		if p.Calls > 0 {
+			return false
+		}
+		some = some || p.Queued
+	}
+	return some
+}
+
 // Rank is how much later a request of a priority goes.
 func Rank(priority int) time.Duration {
 	return time.Duration(priority) * rankStep
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -349,16 +349,3 @@
 	}
 	return true
 }
-
-// Queued tells whether a stage waits for its first call, or for the calls of pieces that have
-// to be made again.
-func (j *Job) Queued(stage int) bool {
-	some := false
-	for _, p := range j.Stages[stage].Pieces {
-		if p.Calls > 0 {
-			return false
-		}
-		some = some || p.Queued
-	}
-	return some
-}
