A soak of the real programs: processes, loopback proxies, signals and stand-ins

Entry VMs run as processes behind proxies that delay, reset, silence and cut one way; signals stop, pause, kill and reload them; stand-ins of the platform's store, plain services, stage workers and engines crash, leave, turn cold and misbehave, and hold what they see against what callers asked for.

--- /dev/null
+++ b/bluebellbench/bbsoak/check.go
@@ -0,0 +1,298 @@
+package bbsoak
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/platform/bbstand"
+)
+
+// The bounds that the users' platform states.
+const (
+	// contactTime is how long a VM has to be undisturbed for bounds on times to hold.
+	contactTime = 4 * time.Second
+	// configTime is how long a version may take to be in force.
+	configTime = 2500 * time.Millisecond
+	// rollbackTime is how long after a version was seen an older one may still show.
+	rollbackTime = 250 * time.Millisecond
+	// evacuateTime is how long a failure domain that was taken out may still get work.
+	evacuateTime = 5 * time.Second
+	// drainTime is the same for an endpoint that leaves; lingerTime is how long it serves on.
+	drainTime  = 2500 * time.Millisecond
+	lingerTime = 1500 * time.Millisecond
+	// coldOverrun and coldTolerance bound what a cold engine gets in a second.
+	coldOverrun   = 1.5
+	coldTolerance = 5
+	// servedShare is the least share of requests that are served once all is calm again.
+	servedShare = 0.25
+	// budgetRatio, budgetSlack and budgetTime bound the repeated requests to a service.
+	budgetRatio = 0.2
+	budgetSlack = 54
+	budgetTime  = 10 * time.Second
+)
+
+// noFaults is an endpoint that does what it should.
+var noFaults = bbstand.Faults{}
+
+// maxBroken bounds the broken promises that are told.
+const maxBroken = 40
+
+// checker holds what callers saw against what endpoints saw.
+type checker struct {
+	settings Settings
+	fleet    *Fleet
+	faults   []Fault
+	tries    []Try
+	// calm is when all should have recovered.
+	calm   time.Time
+	broken []string
+}
+
+func (c *checker) find(format string, arguments ...any) {
+	if len(c.broken) < maxBroken {
+		c.broken = append(c.broken, fmt.Sprintf(format, arguments...))
+	}
+}
+
+func (c *checker) check() Report {
+	r := Report{
+		Tries: len(c.tries),
+	}
+	c.broken = append(c.broken, c.fleet.Ledger.Wrong()...)
+	served := make(map[string][2]int)
+	for _, t := range c.tries {
+		c.checkTry(t)
+		switch {
+		case t.Reply.Status == http.StatusOK && t.Reply.Whole:
+			r.Answered++
+		case t.Reply.NotRun():
+			r.NotRun++
+		}
+		if t.Sent.After(c.calm) && t.Request.Version == 0 {
+			n := served[t.Request.Route.Name]
+			n[1]++
+			if t.Reply.Status == http.StatusOK && t.Reply.Whole {
+				n[0]++
+			}
+			served[t.Request.Route.Name] = n
+		}
+	}
+	for name, n := range served {
+		if float64(n[0]) < servedShare*float64(n[1]) {
+			c.find("only %d of %d requests of %s were served once all was calm", n[0], n[1], name)
+		}
+	}
+	arrivals := c.fleet.Ledger.Arrivals()
+	c.checkCold(arrivals)
+	c.checkBudget(arrivals)
+	c.checkRegress()
+	if c.settings.Timed {
+		c.checkBounds(arrivals)
+	}
+	r.Broken = c.broken
+	return r
+}
+
+// checkTry checks one attempt of a caller.
+func (c *checker) checkTry(t Try) {
+	q := t.Request
+	runs := c.fleet.Ledger.Runs(q.ID)
+	repeatable := q.Route.Kind == bbcatalog.KindIdempotent || q.Route.Resumable
+	switch {
+	case !repeatable && len(runs) > 1:
+		c.find("%s of %s ran %d times: %v", q.ID, q.Route.Name, len(runs), runs)
+	case len(runs) > q.Route.MaxAttempts:
+		c.find("%s of %s ran %d times, its route allows %d: %v", q.ID, q.Route.Name, len(runs), q.Route.MaxAttempts, runs)
+	case t.Reply.NotRun() && len(runs) > 0:
+		c.find("%s of %s was answered %d and ran: %v", q.ID, q.Route.Name, t.Reply.Status, runs)
+	}
+	if t.Reply.Status == http.StatusOK {
+		c.checkAnswer(t)
+	}
+	if t.Reply.Status == 0 && len(runs) > 0 && c.planned(t) {
+		c.find("%s of %s ran and lost its answer (%v) while entry-%d was stopped as planned", q.ID, q.Route.Name, t.Reply.Error, t.VM)
+	}
+}
+
+// checkAnswer checks that an answer is the endpoint's, whole and in order.
+func (c *checker) checkAnswer(t Try) {
+	q, body := t.Request, t.Reply.Body
+	if t.Reply.Whole && !t.Reply.Signed {
+		c.find("%s of %s was answered without a receipt of its own", q.ID, q.Route.Name)
+	}
+	want := "done " + q.ID
+	if q.Events > 0 {
+		var events strings.Builder
+		for i := range q.Events {
+			events.WriteString(bbstand.Event(q.ID, i+1, q.Events))
+		}
+		want = events.String()
+	}
+	switch {
+	case t.Reply.Whole && body != want:
+		c.find("%s of %s got %q, want %q", q.ID, q.Route.Name, body, want)
+	case !strings.HasPrefix(want, body):
+		c.find("%s of %s got %q, want the beginning of %q", q.ID, q.Route.Name, body, want)
+	}
+}
+
+// planned tells whether an attempt met the planned stop of its VM and nothing else.
+func (c *checker) planned(t Try) bool {
+	stopped := false
+	for _, f := range c.faults {
+		if f.VM == t.VM && f.Planned && strings.HasPrefix(f.Name, "stop") && t.Sent.Before(f.ended) && t.Ended.After(f.began) && t.Sent.Before(f.began.Add(3*time.Second)) && t.Ended.Before(f.began.Add(graceTime*5/6)) {
+			stopped = true
+		}
+	}
+	return stopped && !c.disturbed(t.Sent.Add(-contactTime), t.Ended, func(Fault) bool { return true })
+}
+
+// disturbed tells whether an unplanned fault of some kind lies in a time.
+func (c *checker) disturbed(from, until time.Time, which func(f Fault) bool) bool {
+	for _, f := range c.faults {
+		if !f.Planned && !f.began.IsZero() && f.began.Before(until) && (f.ended.IsZero() || f.ended.After(from)) && which(f) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkCold checks what cold engines got in any second.
+func (c *checker) checkCold(arrivals []bbstand.Arrival) {
+	recent := make(map[string][]time.Time)
+	for _, a := range arrivals {
+		if !a.Cold {
+			continue
+		}
+		list := append(recent[a.Endpoint], a.At)
+		for a.At.Sub(list[0]) >= time.Second {
+			list = list[1:]
+		}
+		recent[a.Endpoint] = list
+		if float64(len(list)) > coldRate*coldOverrun+coldTolerance {
+			c.find("%s was cold and got %d requests in a second", a.Endpoint, len(list))
+		}
+	}
+}
+
+// checkBudget checks the repeats of plain requests in any window.
+func (c *checker) checkBudget(arrivals []bbstand.Arrival) {
+	var sent, repeats []time.Time
+	for _, t := range c.tries {
+		if !t.Request.Route.Engine {
+			sent = append(sent, t.Sent)
+		}
+	}
+	sort.Slice(sent, func(i, j int) bool { return sent[i].Before(sent[j]) })
+	seen := make(map[string]bool)
+	for _, a := range arrivals {
+		if a.Service != plainService {
+			continue
+		}
+		if seen[a.Attempt] {
+			repeats = append(repeats, a.At)
+		}
+		seen[a.Attempt] = true
+	}
+	in := func(list []time.Time, from, until time.Time) int {
+		first := sort.Search(len(list), func(i int) bool { return !list[i].Before(from) })
+		return sort.Search(len(list), func(i int) bool { return list[i].After(until) }) - first
+	}
+	for _, end := range repeats {
+		// Requests are those of this window or the one before.
+		from := end.Add(-budgetTime)
+		requests := max(in(sent, from, end), in(sent, from.Add(-budgetTime), from))
+		if n := in(repeats, from, end); float64(n) > budgetRatio*float64(requests)+budgetSlack {
+			c.find("%d repeats in %v for %d requests", n, budgetTime, requests)
+			return
+		}
+	}
+}
+
+// probes are those of one program, in order.
+type program struct {
+	vm, boot int
+}
+
+// checkRegress checks that a program that has shown a version doesn't show an older one later.
+func (c *checker) checkRegress() {
+	shown := make(map[program]map[uint64]time.Time)
+	for _, t := range c.tries {
+		if t.Request.Version == 0 {
+			continue
+		}
+		p := program{
+			vm:   t.VM,
+			boot: t.Boot,
+		}
+		if shown[p] == nil {
+			shown[p] = make(map[uint64]time.Time)
+		}
+		if t.Reply.Status == http.StatusOK {
+			if at, ok := shown[p][t.Request.Version]; !ok || t.Ended.Before(at) {
+				shown[p][t.Request.Version] = t.Ended
+			}
+		}
+	}
+	for _, t := range c.tries {
+		p := program{
+			vm:   t.VM,
+			boot: t.Boot,
+		}
+		at, ok := shown[p][t.Request.Version]
+		if ok && t.Reply.Status == http.StatusNotFound && t.Sent.After(at.Add(rollbackTime)) {
+			c.find("entry-%d showed version %d and %v later an older one", t.VM, t.Request.Version, t.Sent.Sub(at))
+		}
+	}
+}
+
+// checkBounds checks bounds on times, where nothing unplanned happened for long enough.
+func (c *checker) checkBounds(arrivals []bbstand.Arrival) {
+	any := func(Fault) bool { return true }
+	left := make(map[string]time.Time)
+	for _, a := range arrivals {
+		for _, out := range c.fleet.out[a.Zone] {
+			late := a.At.After(out.from.Add(evacuateTime)) && (out.until.IsZero() || a.At.Before(out.until))
+			if late && !c.disturbed(a.At.Add(-contactTime-evacuateTime), a.At, any) {
+				c.find("%s got %s %v after %s was taken out", a.Endpoint, a.Attempt, a.At.Sub(out.from), a.Zone)
+			}
+		}
+		if !a.Left {
+			continue
+		}
+		if _, ok := left[a.Endpoint]; !ok {
+			left[a.Endpoint] = c.leftAt(a.Endpoint)
+		}
+		if since := a.At.Sub(left[a.Endpoint]); since > drainTime && !c.disturbed(a.At.Add(-contactTime-drainTime), a.At, any) {
+			c.find("%s got %q %v after it had said that it leaves", a.Endpoint, a.Attempt, since)
+		}
+	}
+	for _, t := range c.tries {
+		written := c.fleet.versions[t.Request.Version]
+		stale := t.Request.Version > 0 && t.Reply.Status == http.StatusNotFound && t.Sent.After(written.Add(configTime))
+		if stale && !c.disturbed(t.Sent.Add(-contactTime-configTime), t.Sent, any) && !c.restarted(t) {
+			c.find("entry-%d didn't know version %d %v after it was written", t.VM, t.Request.Version, t.Sent.Sub(written))
+		}
+	}
+}
+
+// restarted tells whether a VM was stopped or started shortly before an attempt.
+func (c *checker) restarted(t Try) bool {
+	for _, f := range c.faults {
+		if f.VM == t.VM && f.began.Before(t.Sent) && f.ended.After(t.Sent.Add(-contactTime)) {
+			return true
+		}
+	}
+	return false
+}
+
+// leftAt returns when an endpoint said that it leaves.
+func (c *checker) leftAt(endpoint string) time.Time {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	return c.fleet.left[endpoint]
+}
--- /dev/null
+++ b/bluebellbench/bbsoak/load.go
@@ -0,0 +1,160 @@
+package bbsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/platform/bbstand"
+)
+
+// Try is one attempt of a caller and what came of it.
+type Try struct {
+	Request bbstand.Request
+	Reply   bbstand.Reply
+	// VM is the one that was asked, Boot the number of its program at the time.
+	VM, Boot    int
+	Sent, Ended time.Time
+}
+
+// Load sends requests, as callers do: each asks now and then which addresses to use, keeps its
+// connections, and comes back after a refusal as it was told.
+type Load struct {
+	fleet *Fleet
+	mu    sync.Mutex
+	tries []Try
+}
+
+const (
+	// callers is the number of those that keep connections.
+	callers = 12
+	// addressLife is how long a caller keeps an answer of the directory.
+	addressLife = 2 * time.Second
+	// askTimeout bounds a question to the directory.
+	askTimeout = time.Second
+	// maxTries bounds the attempts for one request.
+	maxTries = 3
+)
+
+// Tries returns all attempts.
+func (l *Load) Tries() []Try {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Try(nil), l.tries...)
+}
+
+// Run sends requests at a rate until the context ends, and waits for their answers.
+func (l *Load) Run(ctx context.Context, seed uint64, perSecond float64) {
+	var group sync.WaitGroup
+	for i := range callers {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		client := &http.Client{
+			Transport: &http.Transport{
+				DisableCompression: true,
+			},
+		}
+		var addresses []string
+		var asked time.Time
+		group.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				pause := time.Duration(random.ExpFloat64() * callers / perSecond * float64(time.Second))
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(pause):
+				}
+				if time.Since(asked) > addressLife {
+					asked = time.Now()
+					addresses = l.ask(random, client, addresses)
+				}
+				if len(addresses) == 0 {
+					continue
+				}
+				q := request(random, fmt.Sprintf("%x-%d-%d", seed, i, n))
+				list := addresses
+				choice := random.Uint64()
+				group.Go(func() { l.send(client, q, list, choice) })
+			}
+		})
+	}
+	group.Wait()
+}
+
+// ask returns the addresses that a VM names, or the former ones.
+func (l *Load) ask(random *rand.Rand, client *http.Client, former []string) []string {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	vm := pick(random, l.fleet.processes).VM
+	if found, err := bbstand.Resolve(ctx, client, vm.Directory(), "region-of-"+vm.Zone); err == nil {
+		return found
+	}
+	return former
+}
+
+// request returns a random request.
+func request(random *rand.Rand, id string) bbstand.Request {
+	r := pick(random, routes())
+	q := bbstand.Request{
+		Attempt: bbstand.Attempt{
+			ID:      id,
+			Route:   r,
+			Key:     "input of " + id,
+			Account: accountName,
+		},
+		Method: http.MethodPost,
+		Host:   host,
+		Path:   r.Prefix + "x?y=" + id,
+		Body:   fmt.Sprintf("body of %s", id),
+		Key:    accountKey,
+		Wait:   3 * time.Second,
+	}
+	if r.Engine {
+		q.Wait = 8 * time.Second
+		q.Tokens = 200 + random.IntN(2000)
+		q.Events = 5 + random.IntN(40)
+		q.Pieces = []int{random.IntN(3), 1, 1 + random.IntN(12)}
+	}
+	return q
+}
+
+// send sends a request until it is answered, may not be repeated, or its time is over.
+func (l *Load) send(client *http.Client, q bbstand.Request, addresses []string, choice uint64) {
+	id := q.ID
+	until := time.Now().Add(q.Wait)
+	for n := range maxTries {
+		q.ID = fmt.Sprintf("%s-%d", id, n)
+		q.Content = bbstand.Content(q.Method, q.Path, []byte(q.Body))
+		q.Wait = time.Until(until)
+		l.fleet.Ledger.Expect(q.Attempt)
+		reply := l.Try(client, q, addresses[(choice+uint64(n))%uint64(len(addresses))])
+		again := reply.NotRun() || q.Route.Kind == bbcatalog.KindIdempotent && reply.Status != http.StatusOK
+		if !again || time.Until(until) < 2*reply.RetryAfter+100*time.Millisecond {
+			return
+		}
+		time.Sleep(reply.RetryAfter)
+	}
+}
+
+// Try sends one attempt to the VM with an address for callers and notes what came of it.
+func (l *Load) Try(client *http.Client, q bbstand.Request, address string) bbstand.Reply {
+	t := Try{
+		Request: q,
+		VM:      -1,
+		Sent:    time.Now(),
+	}
+	for i, p := range l.fleet.processes {
+		if p.VM.Front() == address {
+			t.VM, t.Boot = i, p.Boot()
+		}
+	}
+	t.Reply = bbstand.Send(context.Background(), client, address, q)
+	t.Ended = time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tries = append(l.tries, t)
+	return t.Reply
+}
--- /dev/null
+++ b/bluebellbench/bbsoak/soak.go
@@ -0,0 +1,206 @@
+// Package bbsoak runs the real programs of entry VMs against stand-ins on one machine, does
+// seeded harm to them from outside, and checks what callers and endpoints saw.
+package bbsoak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"bluebellhall/platform/bbstand"
+)
+
+// Settings of a soak.
+type Settings struct {
+	Seed uint64
+	// VMs is the number of entry VMs.
+	VMs int
+	// Duration is the time for which faults begin.
+	Duration time.Duration
+	// PerSecond is the rate of requests, Gap the mean time between faults.
+	PerSecond float64
+	Gap       time.Duration
+	// Program is the path of the entry VM's program, Dir where its logs and settings go.
+	Program, Dir string
+	// Timed is true when bounds on times are checked as well.
+	Timed bool
+	// Out takes in lines on what is done.
+	Out io.Writer
+}
+
+const (
+	// startTime is how long the programs may take until all are ready.
+	startTime = 20 * time.Second
+	// recoveryTime is how long the fleet may take to recover from all faults.
+	recoveryTime = 12 * time.Second
+	// calmTime is how long requests are sent after that.
+	calmTime = 4 * time.Second
+	// probeGap is the time between two probes of the configuration in force at a VM.
+	probeGap = 300 * time.Millisecond
+)
+
+// Report is what a soak found.
+type Report struct {
+	Faults []Fault
+	// Tries is the number of attempts, Answered that of whole answers, NotRun of truthful
+	// refusals.
+	Tries, Answered, NotRun int
+	// Broken has the promises that were broken.
+	Broken []string
+}
+
+// Run runs a soak.
+func Run(ctx context.Context, s Settings) (Report, error) {
+	f, cleanup, err := NewFleet(s)
+	if err != nil {
+		return Report{}, err
+	}
+	defer cleanup()
+	var broken []string
+	if late := f.unready(ctx, startTime); len(late) > 0 {
+		broken = append(broken, fmt.Sprintf("not ready %v after the start: %v", startTime, late))
+	}
+	faults := schedule(f, rand.New(rand.NewPCG(s.Seed, 1)), s.Duration, s.Gap)
+	l := &Load{
+		fleet: f,
+	}
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var group sync.WaitGroup
+	group.Go(func() { l.Run(loadCtx, s.Seed, s.PerSecond) })
+	for i := range f.processes {
+		group.Go(func() { l.probe(loadCtx, i) })
+	}
+	errs := f.play(ctx, faults, s.Out)
+	broken = append(broken, errs...)
+	wait(ctx, recoveryTime)
+	if late := f.unready(ctx, 0); len(late) > 0 {
+		broken = append(broken, fmt.Sprintf("not ready %v after all faults: %v", recoveryTime, late))
+	}
+	calm := time.Now()
+	wait(ctx, calmTime)
+	stopLoad()
+	group.Wait()
+	c := &checker{
+		settings: s,
+		fleet:    f,
+		faults:   faults,
+		tries:    l.Tries(),
+		calm:     calm,
+	}
+	r := c.check()
+	r.Broken = append(broken, r.Broken...)
+	r.Faults = faults
+	return r, ctx.Err()
+}
+
+// wait waits for a time or for the end of the context.
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// play does all faults and returns what could not be done.
+func (f *Fleet) play(ctx context.Context, faults []Fault, out io.Writer) []string {
+	began := time.Now()
+	var mu sync.Mutex
+	var failed []string
+	note := func(err error, fault Fault) {
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			failed = append(failed, fmt.Sprintf("%s: %v", fault.Name, err))
+		}
+	}
+	var group sync.WaitGroup
+	for i := range faults {
+		fault := &faults[i]
+		wait(ctx, time.Until(began.Add(fault.At)))
+		if ctx.Err() != nil {
+			break
+		}
+		fmt.Fprintln(out, fault)
+		fault.began = time.Now()
+		note(fault.begin(), *fault)
+		if fault.end == nil {
+			fault.ended = time.Now()
+			continue
+		}
+		group.Go(func() {
+			wait(ctx, fault.For)
+			note(fault.end(), *fault)
+			fault.ended = time.Now()
+		})
+	}
+	group.Wait()
+	return failed
+}
+
+// unready returns the VMs that don't say within a time that they are ready.
+func (f *Fleet) unready(ctx context.Context, within time.Duration) []string {
+	until := time.Now().Add(within)
+	for {
+		var names []string
+		for _, p := range f.processes {
+			if !ready(ctx, p.VM) {
+				names = append(names, p.VM.Name)
+			}
+		}
+		if len(names) == 0 || time.Now().After(until) {
+			return names
+		}
+		wait(ctx, probeGap)
+	}
+}
+
+func ready(ctx context.Context, vm bbstand.VM) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Readiness()+"/bluebellhall/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	// Nothing is read from it.
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// probe asks one VM again and again for the newest route of the configuration.
+func (l *Load) probe(ctx context.Context, vm int) {
+	client := &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
+	for n := 0; ctx.Err() == nil; n++ {
+		wait(ctx, probeGap)
+		l.fleet.mu.Lock()
+		version := l.fleet.version
+		l.fleet.mu.Unlock()
+		id := fmt.Sprintf("probe-%d-%d", vm, n)
+		q := bbstand.Request{
+			Attempt: bbstand.Attempt{
+				ID:    id,
+				Route: routes()[0],
+			},
+			Method:  http.MethodGet,
+			Host:    host,
+			Path:    probePrefix(version) + id,
+			Wait:    time.Second,
+			Version: version,
+		}
+		q.Content = bbstand.Content(q.Method, q.Path, nil)
+		l.fleet.Ledger.Expect(q.Attempt)
+		l.Try(client, q, l.fleet.processes[vm].VM.Front())
+	}
+}
--- a/bluebellbench/main.go
+++ b/bluebellbench/main.go
@@ -37,6 +37,7 @@
 			lostCommand(),
 			loadCommand(),
 			slopesCommand(),
+			soakCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/bluebellbench/soak.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"bluebellhall/bluebellbench/bbsoak"
+)
+
+// soakCommand returns the command that soaks the real programs.
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run entry VMs as processes, harm them from outside and check what callers and endpoints saw",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{
+				Name:  "seed",
+				Usage: "`SEED` of faults and requests",
+				Value: 1,
+			},
+			&cli.IntFlag{
+				Name:  "seeds",
+				Usage: "`NUMBER` of seeds, from the first one on",
+				Value: 1,
+			},
+			&cli.IntFlag{
+				Name:  "vms",
+				Usage: "`NUMBER` of entry VMs",
+				Value: 7,
+			},
+			&cli.DurationFlag{
+				Name:  "for",
+				Usage: "`TIME` for which faults begin",
+				Value: 30 * time.Second,
+			},
+			&cli.DurationFlag{
+				Name:  "gap",
+				Usage: "mean `TIME` between faults",
+				Value: time.Second,
+			},
+			&cli.FloatFlag{
+				Name:  "rate",
+				Usage: "`REQUESTS` a second",
+				Value: 60,
+			},
+			&cli.StringFlag{
+				Name:  "program",
+				Usage: "`PATH` of the program; it is built if there is none",
+			},
+			&cli.StringFlag{
+				Name:  "dir",
+				Usage: "`DIRECTORY` for logs and settings; a new one if there is none",
+			},
+			&cli.BoolFlag{
+				Name:  "untimed",
+				Usage: "don't check bounds on times",
+			},
+		},
+		Action: runSoaks,
+	}
+}
+
+func runSoaks(ctx context.Context, c *cli.Command) error {
+	dir := c.String("dir")
+	if dir == "" {
+		made, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return errors.Wrap(err, "directory")
+		}
+		dir = made
+	}
+	program := c.String("program")
+	if program == "" {
+		program = filepath.Join(dir, "platform")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "bluebellhall/platform").CombinedOutput(); err != nil {
+			return errors.Wrapf(err, "build: %s", out)
+		}
+	}
+	failed := 0
+	for seed := c.Uint64("seed"); seed < c.Uint64("seed")+uint64(c.Int("seeds")); seed++ {
+		logs := filepath.Join(dir, fmt.Sprint("seed-", seed))
+		if err := os.MkdirAll(logs, 0o755); err != nil {
+			return errors.Wrap(err, "directory")
+		}
+		report, err := bbsoak.Run(ctx, bbsoak.Settings{
+			Seed:      seed,
+			VMs:       c.Int("vms"),
+			Duration:  c.Duration("for"),
+			PerSecond: c.Float("rate"),
+			Gap:       c.Duration("gap"),
+			Program:   program,
+			Dir:       logs,
+			Timed:     !c.Bool("untimed"),
+			Out:       os.Stdout,
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d faults, %d attempts, %d answered, %d refused as not run, %d promises broken\n",
+			seed, len(report.Faults), report.Tries, report.Answered, report.NotRun, len(report.Broken))
+		for _, text := range report.Broken {
+			fmt.Println("  broken:", text)
+		}
+		if len(report.Broken) > 0 {
+			failed++
+			fmt.Println("  logs:", logs)
+		}
+	}
+	if failed > 0 {
+		return errors.Newf("%d seeds broke promises", failed)
+	}
+	return nil
+}
