--- /dev/null
+++ b/bluebellbench/bbdeployment/deployment.go
@@ -0,0 +1,143 @@
+// Package bbdeployment is the deployment that soaks run: its services, routes and failure domains.
+package bbdeployment
+
+import (
+	"fmt"
+	"time"
+
+	"bluebellhall/core/bbcatalog"
+)
+
+// The services of a soak.
+const (
+	PlainService  = "lookup"
+	FirstStage    = "portal"
+	SecondStage   = "board"
+	EngineService = "llm"
+)
+
+// Host is the host name of all routes.
+const Host = "soak.example"
+
+// AccountKey names the client account of all requests that need one.
+const (
+	AccountKey  = "key-of-acme"
+	AccountName = "acme"
+)
+
+// ColdRate is what a cold engine carries, in requests a second.
+const ColdRate = 9.4
+
+// Zones are the failure domains, one a region.
+var Zones = []string{"east", "west", "south"}
+
+// Services returns all services. Stages are quick, so that small soaks go through many.
+func Services() []bbcatalog.Service {
+	pool := func(name string, batch int, room float64) bbcatalog.Service {
+		return bbcatalog.Service{
+			Name:           name,
+			MaxConnections: 300,
+			Pool: &bbcatalog.Pool{
+				Slots:      1,
+				Queue:      2,
+				Batch:      batch,
+				CallTime:   60 * time.Millisecond,
+				PieceTime:  5 * time.Millisecond,
+				RoomBytes:  room,
+				ResultLife: 4 * time.Second,
+			},
+		}
+	}
+	return []bbcatalog.Service{
+		{
+			Name:           PlainService,
+			MaxConnections: 300,
+		},
+		pool(FirstStage, 8, 18e6),
+		pool(SecondStage, 16, 1e6),
+		{
+			Name:           EngineService,
+			MaxConnections: 300,
+			ColdRate:       ColdRate,
+			Engine: &bbcatalog.Engine{
+				Slots:  96,
+				Tokens: 250e3,
+			},
+		},
+	}
+}
+
+// Routes returns the routes that are always there.
+func Routes() []bbcatalog.Route {
+	plain := func(name string, kind bbcatalog.Kind, attempts int) bbcatalog.Route {
+		return bbcatalog.Route{
+			Name:        name,
+			Host:        Host,
+			Prefix:      "/" + name + "/",
+			Kind:        kind,
+			Timeout:     1500 * time.Millisecond,
+			Objective:   300 * time.Millisecond,
+			Priority:    1,
+			Shares:      []bbcatalog.Share{{Service: PlainService, Weight: 1}},
+			MaxAttempts: attempts,
+		}
+	}
+	chat := func(name string, resumable bool, attempts int) bbcatalog.Route {
+		return bbcatalog.Route{
+			Name:        name,
+			Host:        Host,
+			Prefix:      "/" + name + "/",
+			Kind:        bbcatalog.KindStream,
+			Timeout:     6 * time.Second,
+			Objective:   1500 * time.Millisecond,
+			Pause:       300 * time.Millisecond,
+			Shares:      []bbcatalog.Share{{Service: EngineService, Weight: 1}},
+			MaxAttempts: attempts,
+			Engine:      true,
+			Resumable:   resumable,
+			Stages: []bbcatalog.Stage{
+				{Service: FirstStage, ResultBytes: 1.5e6},
+				{Service: FirstStage, ResultBytes: 8e3},
+				{Service: SecondStage, After: []int{1}, ResultBytes: 6e3},
+			},
+		}
+	}
+	return []bbcatalog.Route{
+		plain("read", bbcatalog.KindIdempotent, 2),
+		plain("once", bbcatalog.KindOnce, 2),
+		chat("chat", true, 2),
+		chat("draft", false, 1),
+	}
+}
+
+// ProbePrefix is the path of the route that a version of the configuration adds.
+func ProbePrefix(version uint64) string {
+	return fmt.Sprintf("/v%d/", version)
+}
+
+// Catalog returns a version of the configuration. Each adds a route of its own.
+func Catalog(version uint64) bbcatalog.Catalog {
+	c := bbcatalog.Catalog{
+		Version:  version,
+		Routes:   Routes(),
+		Services: Services(),
+		Accounts: []bbcatalog.Account{
+			{
+				Name: AccountName,
+				Keys: []string{AccountKey},
+			},
+		},
+		Limits: bbcatalog.Limits{
+			HeaderBytes: 16 << 10,
+			BodyBytes:   1 << 20,
+		},
+	}
+	for v := range version {
+		probe := c.Routes[0]
+		probe.Name = fmt.Sprint("probe", v+1)
+		probe.Prefix = ProbePrefix(v + 1)
+		probe.Anonymous = true
+		c.Routes = append(c.Routes, probe)
+	}
+	return c
+}
--- a/bluebellbench/bbsoak/process.go
+++ b/bluebellbench/bbprocess/process.go
@@ -1,4 +1,5 @@
-package bbsoak
+// Package bbprocess runs entry VMs as processes.
+package bbprocess
 
 import (
 	"context"
@@ -18,10 +19,10 @@
 // Process is an entry VM: one program after another, of which at most one runs.
 type Process struct {
 	VM bbstand.VM
-	// listen is where the program listens for other VMs, behind their proxy.
-	listen  string
-	program string
-	dir     string
+	// Listen is where the program listens for other VMs, behind their proxy.
+	Listen string
+	// Program is the path of the program, Dir where its logs and settings go.
+	Program, Dir string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -44,7 +45,7 @@
 		return err
 	}
 	p.boots++
-	log, err := os.Create(filepath.Join(p.dir, fmt.Sprintf("%s-%d.log", p.VM.Name, p.boots)))
+	log, err := os.Create(filepath.Join(p.Dir, fmt.Sprintf("%s-%d.log", p.VM.Name, p.boots)))
 	if err != nil {
 		return errors.Wrap(err, "log")
 	}
@@ -52,7 +53,7 @@
 		// The program has a descriptor of its own.
 		_ = log.Close()
 	}()
-	command := exec.CommandContext(context.Background(), p.program, "--settings", p.path(), "--peer-listen", p.listen)
+	command := exec.CommandContext(context.Background(), p.Program, "--settings", p.path(), "--peer-listen", p.Listen)
 	command.Stdout, command.Stderr = log, log
 	command.Env = append(os.Environ(), "GOMAXPROCS=1")
 	// A soak that is ended leaves no programs behind.
@@ -73,7 +74,7 @@
 }
 
 func (p *Process) path() string {
-	return filepath.Join(p.dir, p.VM.Name+".conf")
+	return filepath.Join(p.Dir, p.VM.Name+".conf")
 }
 
 // write writes the settings file; the caller holds the lock.
--- a/bluebellbench/bbsoak/check.go
+++ b/bluebellbench/bbpromise/promise.go
@@ -1,4 +1,6 @@
-package bbsoak
+// Package bbpromise checks the promises of the users' platform against what callers and
+// endpoints saw.
+package bbpromise
 
 import (
 	"fmt"
@@ -13,17 +15,17 @@
 
 // The bounds that the users' platform states.
 const (
-	// contactTime is how long a VM has to be undisturbed for bounds on times to hold.
-	contactTime = 4 * time.Second
+	// ContactTime is how long a VM has to be undisturbed for bounds on times to hold.
+	ContactTime = 4 * time.Second
 	// configTime is how long a version may take to be in force.
 	configTime = 2500 * time.Millisecond
 	// rollbackTime is how long after a version was seen an older one may still show.
 	rollbackTime = 250 * time.Millisecond
-	// evacuateTime is how long a failure domain that was taken out may still get work.
-	evacuateTime = 5 * time.Second
-	// drainTime is the same for an endpoint that leaves; lingerTime is how long it serves on.
-	drainTime  = 2500 * time.Millisecond
-	lingerTime = 1500 * time.Millisecond
+	// EvacuateTime is how long a failure domain that was taken out may still get work.
+	EvacuateTime = 5 * time.Second
+	// DrainTime is the same for an endpoint that leaves; LingerTime is how long it serves on.
+	DrainTime  = 2500 * time.Millisecond
+	LingerTime = 1500 * time.Millisecond
 	// coldOverrun and coldTolerance bound what a cold engine gets in a second.
 	coldOverrun   = 1.5
 	coldTolerance = 5
@@ -35,20 +37,69 @@
 	budgetTime  = 10 * time.Second
 )
 
-// noFaults is an endpoint that does what it should.
-var noFaults = bbstand.Faults{}
-
 // maxBroken bounds the broken promises that are told.
 const maxBroken = 40
 
-// checker holds what callers saw against what endpoints saw.
+// Fault is one thing that was done to the fleet.
+type Fault struct {
+	Name string
+	// Planned faults are those that must not be felt by callers.
+	Planned bool
+	// Stop is true for a planned stop of a VM.
+	Stop bool
+	// VM is the number of the one concerned; -1 if it is none or all.
+	VM int
+	// Began and Ended are when it was done; Ended is zero while it lasts.
+	Began, Ended time.Time
+}
+
+// Try is one attempt of a caller and what came of it.
+type Try struct {
+	Request bbstand.Request
+	Reply   bbstand.Reply
+	// VM is the one that was asked, Boot the number of its program at the time.
+	VM, Boot    int
+	Sent, Ended time.Time
+}
+
+// Span is a time; it has no end yet if that is zero.
+type Span struct {
+	From, Until time.Time
+}
+
+// Record is what callers and endpoints saw in a run.
+type Record struct {
+	Ledger *bbstand.Ledger
+	Tries  []Try
+	Faults []Fault
+	// Versions has when each version was written, Out when failure domains were taken out and
+	// back, Left when endpoints said that they leave.
+	Versions map[uint64]time.Time
+	Out      map[string][]Span
+	Left     map[string]time.Time
+	// Calm is when all should have recovered.
+	Calm time.Time
+	// Plain is the service whose repeats are counted, ColdRate what a cold engine carries.
+	Plain    string
+	ColdRate float64
+	// Grace is the time from the signal to stop to the end by force.
+	Grace time.Duration
+	// Timed is true when bounds on times are checked as well.
+	Timed bool
+}
+
+// Report is what the checks found.
+type Report struct {
+	// Tries is the number of attempts, Answered that of whole answers, NotRun of refusals that
+	// promise that nothing ran.
+	Tries, Answered, NotRun int
+	// Broken has the promises that were broken.
+	Broken []string
+}
+
+// checker collects what is found.
 type checker struct {
-	settings Settings
-	fleet    *Fleet
-	faults   []Fault
-	tries    []Try
-	// calm is when all should have recovered.
-	calm   time.Time
+	Record
 	broken []string
 }
 
@@ -58,13 +109,17 @@
 	}
 }
 
-func (c *checker) check() Report {
+// Check checks all promises.
+func Check(record Record) Report {
+	c := &checker{
+		Record: record,
+		broken: record.Ledger.Wrong(),
+	}
 	r := Report{
-		Tries: len(c.tries),
+		Tries: len(c.Tries),
 	}
-	c.broken = append(c.broken, c.fleet.Ledger.Wrong()...)
 	served := make(map[string][2]int)
-	for _, t := range c.tries {
+	for _, t := range c.Tries {
 		c.checkTry(t)
 		switch {
 		case t.Reply.Status == http.StatusOK && t.Reply.Whole:
@@ -72,7 +127,7 @@
 		case t.Reply.NotRun():
 			r.NotRun++
 		}
-		if t.Sent.After(c.calm) && t.Request.Version == 0 {
+		if t.Sent.After(c.Calm) && t.Request.Version == 0 {
 			n := served[t.Request.Route.Name]
 			n[1]++
 			if t.Reply.Status == http.StatusOK && t.Reply.Whole {
@@ -86,11 +141,11 @@
 			c.find("only %d of %d requests of %s were served once all was calm", n[0], n[1], name)
 		}
 	}
-	arrivals := c.fleet.Ledger.Arrivals()
+	arrivals := c.Ledger.Arrivals()
 	c.checkCold(arrivals)
 	c.checkBudget(arrivals)
 	c.checkRegress()
-	if c.settings.Timed {
+	if c.Timed {
 		c.checkBounds(arrivals)
 	}
 	r.Broken = c.broken
@@ -100,7 +155,7 @@
 // checkTry checks one attempt of a caller.
 func (c *checker) checkTry(t Try) {
 	q := t.Request
-	runs := c.fleet.Ledger.Runs(q.ID)
+	runs := c.Ledger.Runs(q.ID)
 	repeatable := q.Route.Kind == bbcatalog.KindIdempotent || q.Route.Resumable
 	switch {
 	case !repeatable && len(runs) > 1:
@@ -143,18 +198,18 @@
 // planned tells whether an attempt met the planned stop of its VM and nothing else.
 func (c *checker) planned(t Try) bool {
 	stopped := false
-	for _, f := range c.faults {
-		if f.VM == t.VM && f.Planned && strings.HasPrefix(f.Name, "stop") && t.Sent.Before(f.ended) && t.Ended.After(f.began) && t.Sent.Before(f.began.Add(3*time.Second)) && t.Ended.Before(f.began.Add(graceTime*5/6)) {
+	for _, f := range c.Faults {
+		if f.Stop && f.VM == t.VM && t.Sent.Before(f.Ended) && t.Ended.After(f.Began) && t.Sent.Before(f.Began.Add(3*time.Second)) && t.Ended.Before(f.Began.Add(c.Grace*5/6)) {
 			stopped = true
 		}
 	}
-	return stopped && !c.disturbed(t.Sent.Add(-contactTime), t.Ended, func(Fault) bool { return true })
+	return stopped && !c.disturbed(t.Sent.Add(-ContactTime), t.Ended)
 }
 
-// disturbed tells whether an unplanned fault of some kind lies in a time.
-func (c *checker) disturbed(from, until time.Time, which func(f Fault) bool) bool {
-	for _, f := range c.faults {
-		if !f.Planned && !f.began.IsZero() && f.began.Before(until) && (f.ended.IsZero() || f.ended.After(from)) && which(f) {
+// disturbed tells whether an unplanned fault lies in a time.
+func (c *checker) disturbed(from, until time.Time) bool {
+	for _, f := range c.Faults {
+		if !f.Planned && !f.Began.IsZero() && f.Began.Before(until) && (f.Ended.IsZero() || f.Ended.After(from)) {
 			return true
 		}
 	}
@@ -173,7 +228,7 @@
 			list = list[1:]
 		}
 		recent[a.Endpoint] = list
-		if float64(len(list)) > coldRate*coldOverrun+coldTolerance {
+		if float64(len(list)) > c.ColdRate*coldOverrun+coldTolerance {
 			c.find("%s was cold and got %d requests in a second", a.Endpoint, len(list))
 		}
 	}
@@ -182,7 +237,7 @@
 // checkBudget checks the repeats of plain requests in any window.
 func (c *checker) checkBudget(arrivals []bbstand.Arrival) {
 	var sent, repeats []time.Time
-	for _, t := range c.tries {
+	for _, t := range c.Tries {
 		if !t.Request.Route.Engine {
 			sent = append(sent, t.Sent)
 		}
@@ -190,7 +245,7 @@
 	sort.Slice(sent, func(i, j int) bool { return sent[i].Before(sent[j]) })
 	seen := make(map[string]bool)
 	for _, a := range arrivals {
-		if a.Service != plainService {
+		if a.Service != c.Plain {
 			continue
 		}
 		if seen[a.Attempt] {
@@ -213,7 +268,7 @@
 	}
 }
 
-// probes are those of one program, in order.
+// program is one boot of a VM.
 type program struct {
 	vm, boot int
 }
@@ -221,7 +276,7 @@
 // checkRegress checks that a program that has shown a version doesn't show an older one later.
 func (c *checker) checkRegress() {
 	shown := make(map[program]map[uint64]time.Time)
-	for _, t := range c.tries {
+	for _, t := range c.Tries {
 		if t.Request.Version == 0 {
 			continue
 		}
@@ -238,7 +293,7 @@
 			}
 		}
 	}
-	for _, t := range c.tries {
+	for _, t := range c.Tries {
 		p := program{
 			vm:   t.VM,
 			boot: t.Boot,
@@ -252,29 +307,24 @@
 
 // checkBounds checks bounds on times, where nothing unplanned happened for long enough.
 func (c *checker) checkBounds(arrivals []bbstand.Arrival) {
-	any := func(Fault) bool { return true }
-	left := make(map[string]time.Time)
 	for _, a := range arrivals {
-		for _, out := range c.fleet.out[a.Zone] {
-			late := a.At.After(out.from.Add(evacuateTime)) && (out.until.IsZero() || a.At.Before(out.until))
-			if late && !c.disturbed(a.At.Add(-contactTime-evacuateTime), a.At, any) {
-				c.find("%s got %s %v after %s was taken out", a.Endpoint, a.Attempt, a.At.Sub(out.from), a.Zone)
+		for _, out := range c.Out[a.Zone] {
+			late := a.At.After(out.From.Add(EvacuateTime)) && (out.Until.IsZero() || a.At.Before(out.Until))
+			if late && !c.disturbed(a.At.Add(-ContactTime-EvacuateTime), a.At) {
+				c.find("%s got %s %v after %s was taken out", a.Endpoint, a.Attempt, a.At.Sub(out.From), a.Zone)
 			}
 		}
 		if !a.Left {
 			continue
 		}
-		if _, ok := left[a.Endpoint]; !ok {
-			left[a.Endpoint] = c.leftAt(a.Endpoint)
-		}
-		if since := a.At.Sub(left[a.Endpoint]); since > drainTime && !c.disturbed(a.At.Add(-contactTime-drainTime), a.At, any) {
+		if since := a.At.Sub(c.Left[a.Endpoint]); since > DrainTime && !c.disturbed(a.At.Add(-ContactTime-DrainTime), a.At) {
 			c.find("%s got %q %v after it had said that it leaves", a.Endpoint, a.Attempt, since)
 		}
 	}
-	for _, t := range c.tries {
-		written := c.fleet.versions[t.Request.Version]
+	for _, t := range c.Tries {
+		written := c.Versions[t.Request.Version]
 		stale := t.Request.Version > 0 && t.Reply.Status == http.StatusNotFound && t.Sent.After(written.Add(configTime))
-		if stale && !c.disturbed(t.Sent.Add(-contactTime-configTime), t.Sent, any) && !c.restarted(t) {
+		if stale && !c.disturbed(t.Sent.Add(-ContactTime-configTime), t.Sent) && !c.restarted(t) {
 			c.find("entry-%d didn't know version %d %v after it was written", t.VM, t.Request.Version, t.Sent.Sub(written))
 		}
 	}
@@ -282,17 +332,10 @@
 
 // restarted tells whether a VM was stopped or started shortly before an attempt.
 func (c *checker) restarted(t Try) bool {
-	for _, f := range c.faults {
-		if f.VM == t.VM && f.began.Before(t.Sent) && f.ended.After(t.Sent.Add(-contactTime)) {
+	for _, f := range c.Faults {
+		if f.VM == t.VM && f.Began.Before(t.Sent) && f.Ended.After(t.Sent.Add(-ContactTime)) {
 			return true
 		}
 	}
 	return false
 }
-
-// leftAt returns when an endpoint said that it leaves.
-func (c *checker) leftAt(endpoint string) time.Time {
-	c.fleet.mu.Lock()
-	defer c.fleet.mu.Unlock()
-	return c.fleet.left[endpoint]
-}
--- a/bluebellbench/bbsoak/proxy.go
+++ b/bluebellbench/bbproxy/proxy.go
@@ -1,4 +1,5 @@
-package bbsoak
+// Package bbproxy has a loopback proxy that harms the connections through it.
+package bbproxy
 
 import (
 	"io"
--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"time"
 
@@ -11,28 +12,15 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bluebellhall/bluebellbench/bbdeployment"
+	"bluebellhall/bluebellbench/bbprocess"
+	"bluebellhall/bluebellbench/bbpromise"
+	"bluebellhall/bluebellbench/bbproxy"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbregistry"
 	"bluebellhall/platform/bbstand"
 )
 
-// The services of a soak.
-const (
-	plainService  = "lookup"
-	firstStage    = "portal"
-	secondStage   = "board"
-	engineService = "llm"
-)
-
-// host is the host name of all routes.
-const host = "soak.example"
-
-// accountKey names the client account of all requests that need one.
-const (
-	accountKey  = "key-of-acme"
-	accountName = "acme"
-)
-
 const (
 	// heartbeats is how long the entry of an endpoint that has crashed stays.
 	heartbeats = 3600 * time.Millisecond
@@ -45,125 +33,11 @@
 	pageSize = 50
 )
 
-// zones are the failure domains, one a region.
-var zones = []string{"east", "west", "south"}
-
-// services returns all services. Stages are quick, so that small soaks go through many.
-func services() []bbcatalog.Service {
-	pool := func(name string, batch int, room float64) bbcatalog.Service {
-		return bbcatalog.Service{
-			Name:           name,
-			MaxConnections: 300,
-			Pool: &bbcatalog.Pool{
-				Slots:      1,
-				Queue:      2,
-				Batch:      batch,
-				CallTime:   60 * time.Millisecond,
-				PieceTime:  5 * time.Millisecond,
-				RoomBytes:  room,
-				ResultLife: 4 * time.Second,
-			},
-		}
-	}
-	return []bbcatalog.Service{
-		{
-			Name:           plainService,
-			MaxConnections: 300,
-		},
-		pool(firstStage, 8, 18e6),
-		pool(secondStage, 16, 1e6),
-		{
-			Name:           engineService,
-			MaxConnections: 300,
-			ColdRate:       coldRate,
-			Engine: &bbcatalog.Engine{
-				Slots:  96,
-				Tokens: 250e3,
-			},
-		},
-	}
-}
-
-// routes returns the routes that are always there.
-func routes() []bbcatalog.Route {
-	plain := func(name string, kind bbcatalog.Kind, attempts int) bbcatalog.Route {
-		return bbcatalog.Route{
-			Name:        name,
-			Host:        host,
-			Prefix:      "/" + name + "/",
-			Kind:        kind,
-			Timeout:     1500 * time.Millisecond,
-			Objective:   300 * time.Millisecond,
-			Priority:    1,
-			Shares:      []bbcatalog.Share{{Service: plainService, Weight: 1}},
-			MaxAttempts: attempts,
-		}
-	}
-	chat := func(name string, resumable bool, attempts int) bbcatalog.Route {
-		return bbcatalog.Route{
-			Name:        name,
-			Host:        host,
-			Prefix:      "/" + name + "/",
-			Kind:        bbcatalog.KindStream,
-			Timeout:     6 * time.Second,
-			Objective:   1500 * time.Millisecond,
-			Pause:       300 * time.Millisecond,
-			Shares:      []bbcatalog.Share{{Service: engineService, Weight: 1}},
-			MaxAttempts: attempts,
-			Engine:      true,
-			Resumable:   resumable,
-			Stages: []bbcatalog.Stage{
-				{Service: firstStage, ResultBytes: 1.5e6},
-				{Service: firstStage, ResultBytes: 8e3},
-				{Service: secondStage, After: []int{1}, ResultBytes: 6e3},
-			},
-		}
-	}
-	return []bbcatalog.Route{
-		plain("read", bbcatalog.KindIdempotent, 2),
-		plain("once", bbcatalog.KindOnce, 2),
-		chat("chat", true, 2),
-		chat("draft", false, 1),
-	}
-}
-
-// probePrefix is the path of the route that a version of the configuration adds.
-func probePrefix(version uint64) string {
-	return fmt.Sprintf("/v%d/", version)
-}
-
-// catalog returns a version of the configuration. Each adds a route of its own.
-func catalog(version uint64) bbcatalog.Catalog {
-	c := bbcatalog.Catalog{
-		Version:  version,
-		Routes:   routes(),
-		Services: services(),
-		Accounts: []bbcatalog.Account{
-			{
-				Name: accountName,
-				Keys: []string{accountKey},
-			},
-		},
-		Limits: bbcatalog.Limits{
-			HeaderBytes: 16 << 10,
-			BodyBytes:   1 << 20,
-		},
-	}
-	for v := range version {
-		probe := c.Routes[0]
-		probe.Name = fmt.Sprint("probe", v+1)
-		probe.Prefix = probePrefix(v + 1)
-		probe.Anonymous = true
-		c.Routes = append(c.Routes, probe)
-	}
-	return c
-}
-
 // backEnd is an endpoint behind its proxy; another one takes its place when it ends.
 type backEnd struct {
 	service bbcatalog.Service
 	zone    string
-	proxy   *Proxy
+	proxy   *bbproxy.Proxy
 	inner   string
 
 	mu      sync.Mutex
@@ -177,9 +51,9 @@
 type Fleet struct {
 	Ledger    *bbstand.Ledger
 	store     *bbstand.Store
-	processes []*Process
+	processes []*bbprocess.Process
 	// peers and stores are the proxies before each VM and before the store for each VM.
-	peers, stores []*Proxy
+	peers, stores []*bbproxy.Proxy
 	backEnds      []*backEnd
 
 	mu      sync.Mutex
@@ -187,24 +61,19 @@
 	// versions has when each version was written, out when failure domains were taken out
 	// and back.
 	versions map[uint64]time.Time
-	out      map[string][]span
+	out      map[string][]bbpromise.Span
 	// left has when endpoints said that they leave.
 	left map[string]time.Time
 	seed uint64
 }
 
-// span is a time; it has no end yet if that is zero.
-type span struct {
-	from, until time.Time
-}
-
 // NewFleet starts stand-ins and programs. The clean-up function ends all of them.
 func NewFleet(s Settings) (*Fleet, func(), error) {
 	f := &Fleet{
 		Ledger:   bbstand.NewLedger(),
 		store:    bbstand.NewStore(pageSize),
 		versions: make(map[uint64]time.Time),
-		out:      make(map[string][]span),
+		out:      make(map[string][]bbpromise.Span),
 		left:     make(map[string]time.Time),
 		seed:     s.Seed,
 	}
@@ -228,16 +97,16 @@
 		cleanup()
 		return nil, nil, err
 	}
-	for _, service := range services() {
+	for _, service := range bbdeployment.Services() {
 		for i := range endpointsOf(service) {
 			b := &backEnd{
 				service: service,
-				zone:    zones[i%len(zones)],
+				zone:    bbdeployment.Zones[i%len(bbdeployment.Zones)],
 				name:    fmt.Sprintf("%s-%d", service.Name, i),
 			}
 			if b.inner, err = freeAddress(); err == nil {
 				var end func()
-				if b.proxy, end, err = NewProxy("127.0.0.1:0", b.inner); err == nil {
+				if b.proxy, end, err = bbproxy.NewProxy("127.0.0.1:0", b.inner); err == nil {
 					cleanups = append(cleanups, end)
 					err = f.Restart(b, 0)
 				}
@@ -250,9 +119,10 @@
 			f.backEnds = append(f.backEnds, b)
 		}
 	}
-	base := 1 + int(s.Seed%100)
+	// Soaks that run beside each other differ by process or by seed.
+	network := fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 1+s.Seed%250)
 	for i := range s.VMs {
-		end, err := f.addVM(s, base, i, l.Addr().String())
+		end, err := f.addVM(s, network, i, l.Addr().String())
 		if err != nil {
 			cleanup()
 			return nil, nil, err
@@ -273,26 +143,26 @@
 // engines, one for others.
 func endpointsOf(s bbcatalog.Service) int {
 	if s.Engine != nil {
-		return 3 * len(zones)
+		return 3 * len(bbdeployment.Zones)
 	}
-	return len(zones)
+	return len(bbdeployment.Zones)
 }
 
 // firstPort is the first port of each VM; VMs differ by their loopback addresses.
 const firstPort = 8620
 
 // addVM prepares a VM and its proxies.
-func (f *Fleet) addVM(s Settings, base, i int, store string) (func(), error) {
+func (f *Fleet) addVM(s Settings, network string, i int, store string) (func(), error) {
 	inner, err := freeAddress()
 	if err != nil {
 		return nil, err
 	}
-	ip := fmt.Sprintf("127.0.%d.%d", base, i+1)
-	peer, endPeer, err := NewProxy(fmt.Sprintf("%s:%d", ip, firstPort+8), inner)
+	ip := fmt.Sprintf("%s.%d", network, i+1)
+	peer, endPeer, err := bbproxy.NewProxy(fmt.Sprintf("%s:%d", ip, firstPort+8), inner)
 	if err != nil {
 		return nil, err
 	}
-	way, endWay, err := NewProxy("127.0.0.1:0", store)
+	way, endWay, err := bbproxy.NewProxy("127.0.0.1:0", store)
 	if err != nil {
 		endPeer()
 		return nil, err
@@ -301,24 +171,24 @@
 	f.stores = append(f.stores, way)
 	var seeds []string
 	for k := range min(3, s.VMs) {
-		seeds = append(seeds, fmt.Sprintf("127.0.%d.%d:%d", base, k+1, firstPort+8))
+		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", network, k+1, firstPort+8))
 	}
-	f.processes = append(f.processes, &Process{
+	f.processes = append(f.processes, &bbprocess.Process{
 		VM: bbstand.VM{
 			Name:  fmt.Sprintf("entry-%d", i),
-			Zone:  zones[i%len(zones)],
+			Zone:  bbdeployment.Zones[i%len(bbdeployment.Zones)],
 			IP:    ip,
 			Port:  firstPort,
 			Peer:  peer.Address,
 			Store: way.Address,
 			Seeds: seeds,
-			Zones: zones,
+			Zones: bbdeployment.Zones,
 			Cores: 0.4,
 			Grace: graceTime,
 		},
-		listen:  inner,
-		program: s.Program,
-		dir:     s.Dir,
+		Listen:  inner,
+		Program: s.Program,
+		Dir:     s.Dir,
 	})
 	return func() {
 		endPeer()
@@ -341,7 +211,7 @@
 	defer f.mu.Unlock()
 	f.version++
 	f.versions[f.version] = time.Now()
-	return f.store.PutCatalog(catalog(f.version))
+	return f.store.PutCatalog(bbdeployment.Catalog(f.version))
 }
 
 // Evacuate takes a failure domain out or back, if it isn't so already.
@@ -349,18 +219,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	spans := f.out[zone]
-	isOut := len(spans) > 0 && spans[len(spans)-1].until.IsZero()
+	isOut := len(spans) > 0 && spans[len(spans)-1].Until.IsZero()
 	if isOut == out {
 		return
 	}
 	f.store.Evacuate(zone, out)
 	if out {
-		f.out[zone] = append(spans, span{
-			from: time.Now(),
+		f.out[zone] = append(spans, bbpromise.Span{
+			From: time.Now(),
 		})
 		return
 	}
-	spans[len(spans)-1].until = time.Now()
+	spans[len(spans)-1].Until = time.Now()
 }
 
 // Restart puts a new endpoint in the place of one that has ended, cold for a time.
--- a/bluebellbench/bbsoak/load.go
+++ b/bluebellbench/bbsoak/load.go
@@ -8,25 +8,18 @@
 	"sync"
 	"time"
 
+	"bluebellhall/bluebellbench/bbdeployment"
+	"bluebellhall/bluebellbench/bbpromise"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/platform/bbstand"
 )
 
-// Try is one attempt of a caller and what came of it.
-type Try struct {
-	Request bbstand.Request
-	Reply   bbstand.Reply
-	// VM is the one that was asked, Boot the number of its program at the time.
-	VM, Boot    int
-	Sent, Ended time.Time
-}
-
 // Load sends requests, as callers do: each asks now and then which addresses to use, keeps its
 // connections, and comes back after a refusal as it was told.
 type Load struct {
 	fleet *Fleet
 	mu    sync.Mutex
-	tries []Try
+	tries []bbpromise.Try
 }
 
 const (
@@ -41,10 +34,10 @@
 )
 
 // Tries returns all attempts.
-func (l *Load) Tries() []Try {
+func (l *Load) Tries() []bbpromise.Try {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]Try(nil), l.tries...)
+	return append([]bbpromise.Try(nil), l.tries...)
 }
 
 // Run sends requests at a rate until the context ends, and waits for their answers.
@@ -97,19 +90,19 @@
 
 // request returns a random request.
 func request(random *rand.Rand, id string) bbstand.Request {
-	r := pick(random, routes())
+	r := pick(random, bbdeployment.Routes())
 	q := bbstand.Request{
 		Attempt: bbstand.Attempt{
 			ID:      id,
 			Route:   r,
 			Key:     "input of " + id,
-			Account: accountName,
+			Account: bbdeployment.AccountName,
 		},
 		Method: http.MethodPost,
-		Host:   host,
+		Host:   bbdeployment.Host,
 		Path:   r.Prefix + "x?y=" + id,
 		Body:   fmt.Sprintf("body of %s", id),
-		Key:    accountKey,
+		Key:    bbdeployment.AccountKey,
 		Wait:   3 * time.Second,
 	}
 	if r.Engine {
@@ -141,7 +134,7 @@
 
 // Try sends one attempt to the VM with an address for callers and notes what came of it.
 func (l *Load) Try(client *http.Client, q bbstand.Request, address string) bbstand.Reply {
-	t := Try{
+	t := bbpromise.Try{
 		Request: q,
 		VM:      -1,
 		Sent:    time.Now(),
--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -6,22 +6,20 @@
 	"syscall"
 	"time"
 
+	"bluebellhall/bluebellbench/bbdeployment"
+	"bluebellhall/bluebellbench/bbprocess"
+	"bluebellhall/bluebellbench/bbpromise"
+	"bluebellhall/bluebellbench/bbproxy"
 	"bluebellhall/platform/bbstand"
 )
 
 // Fault is one thing that is done to the fleet, and undone after a time.
 type Fault struct {
-	Name string
+	bbpromise.Fault
 	// At is the time from the start, For how long it lasts.
 	At, For time.Duration
-	// Planned faults are those that must not be felt by callers.
-	Planned bool
-	// VM is the number of the one concerned; -1 if it is none or all.
-	VM    int
-	begin func() error
-	end   func() error
-	// began and ended are when it was done; ended is zero while it lasts.
-	began, ended time.Time
+	begin   func() error
+	end     func() error
 }
 
 func (f Fault) String() string {
@@ -42,6 +40,14 @@
 	return faults
 }
 
+// everywhere returns a fault that concerns no single VM.
+func everywhere(name string) bbpromise.Fault {
+	return bbpromise.Fault{
+		Name: name,
+		VM:   -1,
+	}
+}
+
 // short returns a random time of some seconds.
 func short(random *rand.Rand) time.Duration {
 	return time.Duration((0.3 + 3*random.Float64()) * float64(time.Second))
@@ -55,12 +61,14 @@
 }
 
 // onVM begins a fault of a random VM.
-func onVM(f *Fleet, random *rand.Rand, name string) (Fault, *Process) {
+func onVM(f *Fleet, random *rand.Rand, name string) (Fault, *bbprocess.Process) {
 	i := random.IntN(len(f.processes))
 	return Fault{
-		Name: fmt.Sprintf("%s entry-%d", name, i),
-		For:  short(random),
-		VM:   i,
+		Fault: bbpromise.Fault{
+			Name: fmt.Sprintf("%s entry-%d", name, i),
+			VM:   i,
+		},
+		For: short(random),
 	}, f.processes[i]
 }
 
@@ -89,7 +97,7 @@
 
 func stopVM(f *Fleet, random *rand.Rand) Fault {
 	fault, p := onVM(f, random, "stop")
-	fault.Planned = true
+	fault.Planned, fault.Stop = true, true
 	fault.For = graceTime + stopTime
 	boot := 0
 	fault.begin = func() error {
@@ -134,20 +142,20 @@
 }
 
 // trouble draws what a proxy does.
-func trouble(random *rand.Rand) (Trouble, string) {
+func trouble(random *rand.Rand) (bbproxy.Trouble, string) {
 	switch random.IntN(4) {
 	case 0:
-		return Trouble{Delay: time.Duration(random.IntN(300)) * time.Millisecond}, "delay"
+		return bbproxy.Trouble{Delay: time.Duration(random.IntN(300)) * time.Millisecond}, "delay"
 	case 1:
-		return Trouble{Reset: true}, "reset"
+		return bbproxy.Trouble{Reset: true}, "reset"
 	case 2:
-		return Trouble{OneWay: true}, "one way"
+		return bbproxy.Trouble{OneWay: true}, "one way"
 	}
-	return Trouble{Silent: true}, "silence"
+	return bbproxy.Trouble{Silent: true}, "silence"
 }
 
 // through returns a fault of a proxy.
-func through(fault Fault, p *Proxy, random *rand.Rand) Fault {
+func through(fault Fault, p *bbproxy.Proxy, random *rand.Rand) Fault {
 	t, name := trouble(random)
 	fault.Name += ": " + name
 	fault.begin = func() error {
@@ -155,7 +163,7 @@
 		return nil
 	}
 	fault.end = func() error {
-		p.Set(Trouble{})
+		p.Set(bbproxy.Trouble{})
 		return nil
 	}
 	return fault
@@ -173,9 +181,8 @@
 
 func storeDown(f *Fleet, random *rand.Rand) Fault {
 	return Fault{
-		Name: "store down",
-		For:  short(random),
-		VM:   -1,
+		Fault: everywhere("store down"),
+		For:   short(random),
 		begin: func() error {
 			f.store.SetDown(true)
 			return nil
@@ -189,8 +196,7 @@
 
 func compactStore(f *Fleet, _ *rand.Rand) Fault {
 	return Fault{
-		Name: "store forgets its history",
-		VM:   -1,
+		Fault: everywhere("store forgets its history"),
 		begin: func() error {
 			f.store.Compact()
 			return nil
@@ -202,9 +208,8 @@
 func onEndpoint(f *Fleet, random *rand.Rand, name string) (Fault, *backEnd) {
 	b := pick(random, f.backEnds)
 	return Fault{
-		Name: name + " " + b.name,
-		For:  short(random),
-		VM:   -1,
+		Fault: everywhere(name + " " + b.name),
+		For:   short(random),
 	}, b
 }
 
@@ -231,7 +236,7 @@
 func leaveEndpoint(f *Fleet, random *rand.Rand) Fault {
 	fault, b := onEndpoint(f, random, "leave")
 	fault.Planned = true
-	fault.For = drainTime + lingerTime
+	fault.For = bbpromise.DrainTime + bbpromise.LingerTime
 	fault.begin = func() error { return f.Leave(b) }
 	fault.end = func() error {
 		id := b.id()
@@ -250,7 +255,7 @@
 		return nil
 	}
 	fault.end = func() error {
-		b.setFaults(noFaults)
+		b.setFaults(bbstand.Faults{})
 		return nil
 	}
 	return fault
@@ -274,12 +279,10 @@
 }
 
 func evacuate(f *Fleet, random *rand.Rand) Fault {
-	zone := pick(random, zones)
-	return Fault{
-		Name:    "evacuate " + zone,
-		For:     evacuateTime + short(random),
-		Planned: true,
-		VM:      -1,
+	zone := pick(random, bbdeployment.Zones)
+	fault := Fault{
+		Fault: everywhere("evacuate " + zone),
+		For:   bbpromise.EvacuateTime + short(random),
 		begin: func() error {
 			f.Evacuate(zone, true)
 			return nil
@@ -289,13 +292,15 @@
 			return nil
 		},
 	}
+	fault.Planned = true
+	return fault
 }
 
 func configure(f *Fleet, _ *rand.Rand) Fault {
-	return Fault{
-		Name:    "new version of the configuration",
-		Planned: true,
-		VM:      -1,
-		begin:   f.Configure,
+	fault := Fault{
+		Fault: everywhere("new version of the configuration"),
+		begin: f.Configure,
 	}
+	fault.Planned = true
+	return fault
 }
--- a/bluebellbench/bbsoak/soak.go
+++ b/bluebellbench/bbsoak/soak.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"bluebellhall/bluebellbench/bbdeployment"
+	"bluebellhall/bluebellbench/bbpromise"
 	"bluebellhall/platform/bbstand"
 )
 
@@ -45,12 +47,8 @@
 
 // Report is what a soak found.
 type Report struct {
+	bbpromise.Report
 	Faults []Fault
-	// Tries is the number of attempts, Answered that of whole answers, NotRun of truthful
-	// refusals.
-	Tries, Answered, NotRun int
-	// Broken has the promises that were broken.
-	Broken []string
 }
 
 // Run runs a soak.
@@ -64,7 +62,7 @@
 	if late := f.unready(ctx, startTime); len(late) > 0 {
 		broken = append(broken, fmt.Sprintf("not ready %v after the start: %v", startTime, late))
 	}
-	faults := schedule(f, rand.New(rand.NewPCG(s.Seed, 1)), s.Duration, s.Gap)
+	faults := schedule(f, random(s.Seed), s.Duration, s.Gap)
 	l := &Load{
 		fleet: f,
 	}
@@ -85,19 +83,41 @@
 	wait(ctx, calmTime)
 	stopLoad()
 	group.Wait()
-	c := &checker{
-		settings: s,
-		fleet:    f,
-		faults:   faults,
-		tries:    l.Tries(),
-		calm:     calm,
-	}
-	r := c.check()
+	r := Report{
+		Report: bbpromise.Check(f.record(s, faults, l.Tries(), calm)),
+		Faults: faults,
+	}
 	r.Broken = append(broken, r.Broken...)
-	r.Faults = faults
 	return r, ctx.Err()
 }
 
+// random returns the source of the faults of a seed.
+func random(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, 1))
+}
+
+// record returns what callers and endpoints saw.
+func (f *Fleet) record(s Settings, faults []Fault, tries []bbpromise.Try, calm time.Time) bbpromise.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := bbpromise.Record{
+		Ledger:   f.Ledger,
+		Tries:    tries,
+		Versions: f.versions,
+		Out:      f.out,
+		Left:     f.left,
+		Calm:     calm,
+		Plain:    bbdeployment.PlainService,
+		ColdRate: bbdeployment.ColdRate,
+		Grace:    graceTime,
+		Timed:    s.Timed,
+	}
+	for _, fault := range faults {
+		r.Faults = append(r.Faults, fault.Fault)
+	}
+	return r
+}
+
 // wait waits for a time or for the end of the context.
 func wait(ctx context.Context, d time.Duration) {
 	select {
@@ -126,16 +146,16 @@
 			break
 		}
 		fmt.Fprintln(out, fault)
-		fault.began = time.Now()
+		fault.Began = time.Now()
 		note(fault.begin(), *fault)
 		if fault.end == nil {
-			fault.ended = time.Now()
+			fault.Ended = time.Now()
 			continue
 		}
 		group.Go(func() {
 			wait(ctx, fault.For)
 			note(fault.end(), *fault)
-			fault.ended = time.Now()
+			fault.Ended = time.Now()
 		})
 	}
 	group.Wait()
@@ -191,11 +211,11 @@
 		q := bbstand.Request{
 			Attempt: bbstand.Attempt{
 				ID:    id,
-				Route: routes()[0],
+				Route: bbdeployment.Routes()[0],
 			},
 			Method:  http.MethodGet,
-			Host:    host,
-			Path:    probePrefix(version) + id,
+			Host:    bbdeployment.Host,
+			Path:    bbdeployment.ProbePrefix(version) + id,
 			Wait:    time.Second,
 			Version: version,
 		}
