--- /dev/null
+++ b/bluebelld/bblog/bench_test.go
@@ -0,0 +1,74 @@
+package bblog
+
+import (
+	"io"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"bluebellhall/core/bbevent"
+)
+
+// linesOfARequest is about what a request through three stages leaves.
+const linesOfARequest = 15
+
+// stuck is an output that is never read.
+type stuck struct{}
+
+func (stuck) Write([]byte) (int, error) {
+	select {}
+}
+
+// countingWriter counts bytes.
+type countingWriter struct {
+	bytes int64
+}
+
+func (w *countingWriter) Write(b []byte) (int, error) {
+	w.bytes += int64(len(b))
+	return len(b), nil
+}
+
+func writeRequest(log Logger) {
+	for range linesOfARequest {
+		log.Event(bbevent.PiecesSent).Str("id", "967b413d1c34533d").Uint64("call", 7).Str("endpoint", "i-b95f232ea8").Str("detail", "5").Send()
+	}
+}
+
+// What the lines of one request cost: with logs, without, and with an output that isn't read.
+func BenchmarkLinesOfARequest(b *testing.B) {
+	b.Run("on", func(b *testing.B) {
+		out := &countingWriter{}
+		w, flush := NewWriter(out)
+		log := Logger{
+			Lines: zerolog.New(w).With().Timestamp().Str("vm", "vm-1").Logger(),
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			writeRequest(log)
+		}
+		flush()
+		b.ReportMetric(float64(out.bytes)/float64(b.N), "bytes/op")
+		b.ReportMetric(float64(w.Dropped())/float64(b.N), "dropped/op")
+	})
+	b.Run("off", func(b *testing.B) {
+		log := Logger{
+			Lines: zerolog.New(io.Discard).Level(zerolog.Disabled),
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			writeRequest(log)
+		}
+	})
+	b.Run("not read", func(b *testing.B) {
+		w, _ := NewWriter(stuck{})
+		log := Logger{
+			Lines: zerolog.New(w).With().Timestamp().Str("vm", "vm-1").Logger(),
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			writeRequest(log)
+		}
+		b.ReportMetric(float64(w.Dropped())/float64(b.N), "dropped/op")
+	})
+}
