Streams that may be resumed hold no room once they have begun

Those of resumable streams were kept to the end of the stream for the case that its engine breaks off; now they are made again in that case.

--- a/bluebellbench/bbpromise/promise_test.go
+++ b/bluebellbench/bbsoak/bbpromise/promise_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"bluebellhall/bluebellbench/bbdeployment"
+	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbregistry"
 	"bluebellhall/platform/bbstand"
--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -12,10 +12,10 @@
 
 	"github.com/cockroachdb/errors"
 
-	"bluebellhall/bluebellbench/bbdeployment"
-	"bluebellhall/bluebellbench/bbprocess"
-	"bluebellhall/bluebellbench/bbpromise"
-	"bluebellhall/bluebellbench/bbproxy"
+	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
+	"bluebellhall/bluebellbench/bbsoak/bbprocess"
+	"bluebellhall/bluebellbench/bbsoak/bbpromise"
+	"bluebellhall/bluebellbench/bbsoak/bbproxy"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbregistry"
 	"bluebellhall/platform/bbstand"
--- a/bluebellbench/bbsoak/load.go
+++ b/bluebellbench/bbsoak/load.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"bluebellhall/bluebellbench/bbdeployment"
-	"bluebellhall/bluebellbench/bbpromise"
+	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
+	"bluebellhall/bluebellbench/bbsoak/bbpromise"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/platform/bbstand"
 )
--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -6,10 +6,10 @@
 	"syscall"
 	"time"
 
-	"bluebellhall/bluebellbench/bbdeployment"
-	"bluebellhall/bluebellbench/bbprocess"
-	"bluebellhall/bluebellbench/bbpromise"
-	"bluebellhall/bluebellbench/bbproxy"
+	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
+	"bluebellhall/bluebellbench/bbsoak/bbprocess"
+	"bluebellhall/bluebellbench/bbsoak/bbpromise"
+	"bluebellhall/bluebellbench/bbsoak/bbproxy"
 	"bluebellhall/platform/bbstand"
 )
 
--- a/bluebellbench/bbsoak/soak_test.go
+++ b/bluebellbench/bbsoak/soak_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"bluebellhall/bluebellbench/bbprocess"
-	"bluebellhall/bluebellbench/bbproxy"
+	"bluebellhall/bluebellbench/bbsoak/bbprocess"
+	"bluebellhall/bluebellbench/bbsoak/bbproxy"
 
 	"github.com/google/go-cmp/cmp"
 )
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -285,6 +285,26 @@
 	}
 }
 
+// A stream that may be resumed holds no room once it has begun. When its engine breaks off, the
+// inputs are made again before another one is granted.
+func TestResumableStreamHoldsNoRoom(t *testing.T) {
+	c := newTestCoordinator()
+	o := testOrder("a", 1)
+	o.Resumable = true
+	calls := toSecond(t, c, o)
+	c.CallDone(430*ms, calls[0].ID, "east", bbhealth.OutcomeGood, good(calls[0]))
+	wantFreed(t, c.Progress(500*ms, bbjob.Note{
+		ID:       "a",
+		Endpoint: "e1",
+		Started:  true,
+	}), calls[0].Endpoint+"/a10")
+	o.Repeat = true
+	out := c.Submit(900*ms, o)
+	if len(out.Grants) > 0 || len(out.Calls) != 1 || out.Calls[0].Service != "first" {
+		t.Errorf("grants %+v, calls %+v once the stream broke off, want a call of the first stage", out.Grants, out.Calls)
+	}
+}
+
 func TestStatus(t *testing.T) {
 	c := newTestCoordinator()
 	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -118,7 +118,9 @@
 	if n.Started {
 		c.learned.Learn(now, j)
 		t.Started(n.Endpoint, n.ID)
-		if !n.Ended && !j.Order.Resumable {
+		if !n.Ended {
+			// A stream that has to go on elsewhere has its inputs made again: that is rare, and
+			// their room is needed.
 			c.freeUsed(j)
 		}
 	}
