Objectives count from the caller's first try

Callers say how long they still wait; where at least half of a route's callers wait equally long, one that waits for less has asked before. It is taken in as one that comes back, and goes by its first try. Ruled out: asking the coordinator, which remembers only what it refused itself. Load patterns as named files, played in virtual time with the present policy and two baselines at several times the load: 'bluebellbench experiment'.

--- /dev/null
+++ b/bluebellbench/bbexperiment/experiment_test.go
@@ -0,0 +1,114 @@
+package bbexperiment
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// patterns are those that come with the project.
+const patterns = "../../examples/patterns"
+
+func load(t *testing.T, name string) Pattern {
+	t.Helper()
+	p, err := Load(filepath.Join(patterns, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestAllPatternsAreValid(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(patterns, "*.json"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%d patterns, error %v", len(files), err)
+	}
+	for _, f := range files {
+		p := load(t, filepath.Base(f))
+		if p.Name+".json" != filepath.Base(f) || p.About == "" {
+			t.Errorf("%s is named %q and says %q of itself", f, p.Name, p.About)
+		}
+	}
+}
+
+// wantError checks that a pattern with a text replaced is refused for a reason.
+func wantError(t *testing.T, from, to, want string) {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(patterns, "calm.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(data), from, to, 1)
+	if changed == string(data) {
+		t.Fatalf("nothing to replace: %s", from)
+	}
+	path := filepath.Join(t.TempDir(), "p.json")
+	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), want) {
+		t.Errorf("error %v, want one with %q", err, want)
+	}
+}
+
+func TestBadPatternsAreRefusedWithTheirPlace(t *testing.T) {
+	t.Run("unknown field", func(t *testing.T) { wantError(t, `"engines"`, `"motors"`, "motors") })
+	t.Run("no workers", func(t *testing.T) { wantError(t, `"workers": 3`, `"workers": 0`, "pools[0]") })
+	t.Run("unknown service", func(t *testing.T) {
+		wantError(t, `"service": "desk",
+     "after"`, `"service": "table",
+     "after"`, "kinds[0].stages[2]")
+	})
+	t.Run("later stage", func(t *testing.T) {
+		wantError(t, `"after": [
+      1`, `"after": [
+      3`, "kinds[0].stages[2] comes after stage 3")
+	})
+	t.Run("limit before objective", func(t *testing.T) { wantError(t, `"limitMs": 6000`, `"limitMs": 100`, "kinds[0]") })
+}
+
+func TestPlaysRepeat(t *testing.T) {
+	p := load(t, "coordinator-lost.json")
+	p.DurationMs = 10000
+	first := Play(p, Policies[0], 1, 7)
+	if diff := cmp.Diff(first, Play(p, Policies[0], 1, 7)); diff != "" {
+		t.Errorf("the same play again (-first +second):\n%s", diff)
+	}
+	if first.Kinds["report"].Asked == 0 || first.Worth <= 0 || first.Worth > 1 {
+		t.Errorf("result %+v, want requests and a worth up to 1", first)
+	}
+}
+
+// Pattern: overload by half. Whatever the load, first come first served earns no more.
+func TestPresentPolicyBeatsArrivalOrderUnderOverload(t *testing.T) {
+	for _, name := range []string{"burst-by-class.json", "jump.json"} {
+		p := load(t, name)
+		if present, arrival := Play(p, Policies[0], 1.7, 1), Play(p, Policies[1], 1.7, 1); present.Worth <= arrival.Worth {
+			t.Errorf("%s: worth %.3f, and %.3f in the order of arrival", name, present.Worth, arrival.Worth)
+		}
+	}
+}
+
+func TestTable(t *testing.T) {
+	var b strings.Builder
+	result := Result{
+		Pattern: "p",
+		Policy:  "present",
+		Load:    1.7,
+		Kinds:   map[string]KindResult{"b": {Asked: 4, OnTime: 2, Late: 1}, "a": {Asked: 1, Refused: 1}},
+		Worth:   0.5,
+		Fill:    0.25,
+	}
+	other := result
+	other.Worth = 0.25
+	if err := Table(&b, []Result{result, other}); err != nil {
+		t.Fatal(err)
+	}
+	want := "| p | 1.7 | present | 0.375 | a 0.00, 0.00, 1.00; b 0.50, 0.25, 0.00 | 0.25 | 0.0% | 0.0% |\n"
+	if !strings.HasSuffix(b.String(), want) {
+		t.Errorf("table %q, want it to end with %q", b.String(), want)
+	}
+}
--- /dev/null
+++ b/bluebellbench/bbexperiment/table.go
@@ -0,0 +1,64 @@
+package bbexperiment
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Table writes the means over seeds as a table in Markdown: a line for each pattern, load and
+// policy.
+func Table(w io.Writer, results []Result) error {
+	if _, err := fmt.Fprint(w, "| pattern | load | policy | worth | on time, late, refused by kind | batch fill | inputs gone | no room |\n"+
+		"| --- | ---: | --- | ---: | --- | ---: | ---: | ---: |\n"); err != nil {
+		return err
+	}
+	for len(results) > 0 {
+		n := 1
+		for n < len(results) && results[n].Pattern == results[0].Pattern && results[n].Load == results[0].Load && results[n].Policy == results[0].Policy {
+			n++
+		}
+		if err := row(w, results[:n]); err != nil {
+			return err
+		}
+		results = results[n:]
+	}
+	return nil
+}
+
+// row writes the means of plays that differ by their seeds.
+func row(w io.Writer, plays []Result) error {
+	var sum Result
+	kinds := make(map[string]KindResult)
+	for _, r := range plays {
+		sum.Worth += r.Worth
+		sum.Fill += r.Fill
+		sum.Gone += r.Gone
+		sum.NoRoom += r.NoRoom
+		for name, k := range r.Kinds {
+			t := kinds[name]
+			t.Asked += k.Asked
+			t.OnTime += k.OnTime
+			t.Late += k.Late
+			t.Refused += k.Refused
+			kinds[name] = t
+		}
+	}
+	n := float64(len(plays))
+	_, err := fmt.Fprintf(w, "| %s | %g | %s | %.3f | %s | %.2f | %.1f%% | %.1f%% |\n", plays[0].Pattern, plays[0].Load, plays[0].Policy,
+		sum.Worth/n, shares(kinds), sum.Fill/n, 100*sum.Gone/n, 100*sum.NoRoom/n)
+	return err
+}
+
+// shares returns what became of each kind, in the order of their names.
+func shares(kinds map[string]KindResult) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(kinds)) {
+		k := kinds[name]
+		asked := float64(max(1, k.Asked))
+		parts = append(parts, fmt.Sprintf("%s %.2f, %.2f, %.2f", name, float64(k.OnTime)/asked, float64(k.Late)/asked, float64(k.Refused)/asked))
+	}
+	return strings.Join(parts, "; ")
+}
--- /dev/null
+++ b/bluebellbench/experiment.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"bluebellhall/bluebellbench/bbexperiment"
+)
+
+// experimentCommand returns the command that plays load patterns in virtual time.
+func experimentCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "experiment",
+		Usage:     "play load patterns in virtual time, with the present policy and with baselines",
+		ArgsUsage: "PATTERN...",
+		Flags: []cli.Flag{
+			&cli.FloatSliceFlag{
+				Name:  "load",
+				Usage: "times the `LOAD` of the pattern",
+				Value: []float64{0.5, 1, 1.7, 3},
+			},
+			&cli.IntFlag{
+				Name:  "seeds",
+				Usage: "`NUMBER` of seeds for each line",
+				Value: 5,
+			},
+			&cli.StringFlag{
+				Name:  "plot",
+				Usage: "write a plot of worth by load to `FILE`, PNG or SVG",
+			},
+		},
+		Action: runExperiment,
+	}
+}
+
+func runExperiment(_ context.Context, c *cli.Command) error {
+	if c.NArg() == 0 {
+		return errors.New("at least one pattern file is needed")
+	}
+	var results []bbexperiment.Result
+	for _, path := range c.Args().Slice() {
+		pattern, err := bbexperiment.Load(path)
+		if err != nil {
+			return err
+		}
+		for _, load := range c.FloatSlice("load") {
+			for _, policy := range bbexperiment.Policies {
+				for seed := range c.Int("seeds") {
+					results = append(results, bbexperiment.Play(pattern, policy, load, uint64(seed)))
+				}
+			}
+		}
+	}
+	if path := c.String("plot"); path != "" {
+		if err := bbexperiment.Plot(path, results); err != nil {
+			return err
+		}
+	}
+	return bbexperiment.Table(os.Stdout, results)
+}
--- a/bluebellbench/main.go
+++ b/bluebellbench/main.go
@@ -34,6 +34,7 @@
 		Commands: []*cli.Command{
 			compareCommand(),
 			demoCommand(),
+			experimentCommand(),
 			lostCommand(),
 			loadCommand(),
 			slopesCommand(),
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -18,6 +18,7 @@
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbpatience"
 	"bluebellhall/core/bbplain"
 	"bluebellhall/core/bbregistry"
 )
@@ -143,7 +144,9 @@
 
 	mu      sync.Mutex
 	chooser *bbplain.Chooser
-	windows bballowance.Windows
+	// patience has how long the callers of each route wait.
+	patience *bbpatience.Table
+	windows  bballowance.Windows
 }
 
 // New returns a gateway of a VM.
@@ -158,6 +161,7 @@
 		zone:        zone,
 		region:      region,
 		chooser:     bbplain.NewChooser(),
+		patience:    bbpatience.NewTable(),
 		windows: bballowance.Windows{
 			New: s.Window,
 		},
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -367,6 +367,24 @@
 	}
 }
 
+// A caller that waits for less than others has asked before, which the coordinator is told.
+func TestCoordinatorIsToldOfEarlierTries(t *testing.T) {
+	f, url := newFixture(t)
+	wait := 2 * time.Second
+	f.gateway.codec.Decode = func(*http.Request) (Request, error) {
+		return Request{
+			ID:   "1",
+			Wait: wait,
+		}, nil
+	}
+	for _, wait = range []time.Duration{2 * time.Second, 500 * time.Millisecond} {
+		wantAnswer(t, url+"/stream/", http.StatusServiceUnavailable, "")
+	}
+	if diff := cmp.Diff([]time.Duration{0, 1500 * time.Millisecond}, []time.Duration{f.orders[0].Elapsed, f.orders[1].Elapsed}); diff != "" {
+		t.Errorf("time since the first try (-want +got):\n%s", diff)
+	}
+}
+
 func TestOpenRequestsAreCounted(t *testing.T) {
 	f, url := newFixture(t, newStandIn(t, answerNotRun, answerLost, answerOK))
 	for _, path := range []string{"/once/", "/read/", "/stream/", "/unknown/"} {
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -76,6 +76,7 @@
 		Prompt:    x.Prompt,
 		Priority:  bbcatalog.Priority(x.route, x.account),
 		Objective: x.route.Objective,
+		Elapsed:   g.elapsed(x),
 		Resumable: x.route.Resumable,
 		Zone:      g.zone,
 		Region:    g.region,
@@ -97,6 +98,16 @@
 	return o
 }
 
+// elapsed returns how long ago the caller asked first, as far as it can be told.
+func (g *Gateway) elapsed(x *exchange) time.Duration {
+	if x.Wait <= 0 {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.patience.Elapsed(x.route.Name, x.Wait, x.route.Timeout)
+}
+
 // firstBy returns when the caller leaves if no part of the answer has arrived.
 func (x *exchange) firstBy() time.Duration {
 	within := x.route.FirstEventWithin()
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -305,6 +305,25 @@
 	}
 }
 
+// A caller that asked first long ago and comes to a coordinator that doesn't know it is taken in,
+// though it can't be on time, and goes behind one that can.
+func TestCallerThatAskedBeforeGoesByItsFirstTry(t *testing.T) {
+	c := newTestCoordinator()
+	c.Submit(0, testOrder("first", 1))
+	returning, fresh := testOrder("returning", 1), testOrder("fresh", 1)
+	returning.Elapsed = 2 * time.Second
+	returning.Stages[0].Pieces, fresh.Stages[0].Pieces = 4, 4
+	out := c.Submit(10*ms, returning)
+	out.Refusals = append(out.Refusals, c.Submit(20*ms, fresh).Refusals...)
+	if len(out.Refusals) > 0 {
+		t.Fatalf("refused %+v, want both to be taken in", out.Refusals)
+	}
+	calls := c.Tick(200 * ms).Calls
+	if len(calls) != 1 || calls[0].Pieces[0].Job != "fresh" {
+		t.Errorf("next call %+v, want the one that can be on time", calls)
+	}
+}
+
 func TestStatus(t *testing.T) {
 	c := newTestCoordinator()
 	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -30,6 +30,9 @@
 	Priority int `json:"priority"`
 	// Objective is the time left until the answer is late; it may be negative.
 	Objective time.Duration `json:"objective"`
+	// Elapsed is how long ago the caller asked first, as far as that is known; the objective
+	// counts from then.
+	Elapsed time.Duration `json:"elapsed"`
 	// Limit is the time left until the caller gives up.
 	Limit time.Duration `json:"limit"`
 	// Zone and Region are those of the origin.
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -63,7 +63,7 @@
 	Estimated time.Duration
 	// Started is true once the first token was made.
 	Started bool
-	// Returning is true when the caller was refused before and has come back.
+	// Returning is true when the caller has asked before.
 	Returning bool
 	// Repeated is true when the next grant is not the first.
 	Repeated bool
@@ -81,12 +81,13 @@
 	j := &Job{
 		Order:     o,
 		Arrived:   now,
-		Due:       now + o.Objective,
+		Due:       now + o.Objective - o.Elapsed,
 		Limit:     now + o.Limit,
 		Objective: o.Objective,
 		Stages:    make([]Stage, len(o.Stages)),
 		Tails:     make([]time.Duration, len(o.Stages)),
 		Repeated:  o.Repeat,
+		Returning: o.Elapsed > 0,
 	}
 	for i, s := range o.Stages {
 		j.Stages[i] = Stage{
--- a/core/bbscene/models.go
+++ b/core/bbscene/models.go
@@ -74,6 +74,7 @@
 	}
 	w := s.workers[c.Endpoint]
 	s.Totals.Calls++
+	s.Totals.Places += w.spec.Batch
 	s.after(2*s.settings.Latency, func() {
 		if len(w.queue) >= w.spec.Queue {
 			answer(bbhealth.OutcomeFull, nil)
--- a/core/bbscene/scene.go
+++ b/core/bbscene/scene.go
@@ -73,7 +73,11 @@
 
 // Totals count what the endpoints saw.
 type Totals struct {
-	Calls, Pieces, Gone, NoRoom, Unused int
+	// Calls have Places for pieces, of which Pieces were used.
+	Calls, Places, Pieces int
+	// Gone and NoRoom are pieces that were not made for want of inputs or of room, Unused
+	// results that nobody needed.
+	Gone, NoRoom, Unused int
 }
 
 // Scene is one run.
@@ -282,7 +286,9 @@
 					Again:    true,
 					Outcome:  bbhealth.OutcomeFull,
 				}))
-				s.apply(s.Coordinator.Submit(s.Now, s.orders[g.ID]))
+				again := s.orders[g.ID]
+				again.InputsGone = true
+				s.apply(s.Coordinator.Submit(s.Now, again))
 				return
 			}
 		}
