--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -290,7 +290,7 @@
 
 // inputTime is how long after a grant the engine should have the inputs: the request's way
 // to its origin and to the engine, and the inputs' way.
-const inputTime = 200 * time.Millisecond
+const inputTime = 100 * time.Millisecond
 
 // grantGrace is how long after its limit a granted request is remembered.
 const grantGrace = time.Second
