Soaks take a loopback network of their own

Two soaks that began at the same moment drew the same free ports and got each other's requests: found when mutants of the program were soaked beside each other.

--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -69,6 +69,9 @@
 
 // NewFleet starts stand-ins and programs. The clean-up function ends all of them.
 func NewFleet(s Settings) (*Fleet, func(), error) {
+	if s.VMs > mostVMs {
+		return nil, nil, errors.Newf("%d VMs are too many, %d is the most", s.VMs, mostVMs)
+	}
 	f := &Fleet{
 		Ledger:   bbstand.NewLedger(),
 		store:    bbstand.NewStore(pageSize),
@@ -83,9 +86,9 @@
 			cleanups[i]()
 		}
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	network, l, err := takeNetwork()
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "store")
+		return nil, nil, err
 	}
 	server := &http.Server{
 		Handler: f.store,
@@ -104,12 +107,12 @@
 				zone:    bbdeployment.Zones[i%len(bbdeployment.Zones)],
 				name:    fmt.Sprintf("%s-%d", service.Name, i),
 			}
-			if b.inner, err = freeAddress(); err == nil {
-				var end func()
-				if b.proxy, end, err = bbproxy.NewProxy("127.0.0.1:0", b.inner); err == nil {
-					cleanups = append(cleanups, end)
-					err = f.Restart(b, 0)
-				}
+			port := endpointPort + len(f.backEnds)
+			b.inner = fmt.Sprintf("%s.%d:%d", network, endpointHost, port)
+			var end func()
+			if b.proxy, end, err = bbproxy.NewProxy(fmt.Sprintf("%s.%d:%d", network, proxyHost, port), b.inner); err == nil {
+				cleanups = append(cleanups, end)
+				err = f.Restart(b, 0)
 			}
 			if err != nil {
 				cleanup()
@@ -119,8 +122,6 @@
 			f.backEnds = append(f.backEnds, b)
 		}
 	}
-	// Soaks that run beside each other differ by process or by seed.
-	network := fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 1+s.Seed%250)
 	for i := range s.VMs {
 		end, err := f.addVM(s, network, i, l.Addr().String())
 		if err != nil {
@@ -148,21 +149,34 @@
 	return len(bbdeployment.Zones)
 }
 
-// firstPort is the first port of each VM; VMs differ by their loopback addresses.
-const firstPort = 8620
+// Addresses of a soak: each VM has a loopback address of its own, counted from 1.
+const (
+	// networks is the number of loopback networks that soaks choose from.
+	networks = 50000
+	// firstPort is the first port of each VM; those of the proxy before its address for other
+	// VMs, of that address, and of the proxy before the store are counted from it.
+	firstPort = 8620
+	peerPort  = 8
+	innerPort = 9
+	storePort = 10
+	// The last numbers of the addresses of the store, of endpoints and of their proxies; most
+	// VMs is below them.
+	storeHost    = 250
+	endpointHost = 251
+	proxyHost    = 252
+	mostVMs      = 240
+	endpointPort = 9000
+)
 
 // addVM prepares a VM and its proxies.
 func (f *Fleet) addVM(s Settings, network string, i int, store string) (func(), error) {
-	inner, err := freeAddress()
-	if err != nil {
-		return nil, err
-	}
 	ip := fmt.Sprintf("%s.%d", network, i+1)
-	peer, endPeer, err := bbproxy.NewProxy(fmt.Sprintf("%s:%d", ip, firstPort+8), inner)
+	inner := fmt.Sprintf("%s:%d", ip, firstPort+innerPort)
+	peer, endPeer, err := bbproxy.NewProxy(fmt.Sprintf("%s:%d", ip, firstPort+peerPort), inner)
 	if err != nil {
 		return nil, err
 	}
-	way, endWay, err := bbproxy.NewProxy("127.0.0.1:0", store)
+	way, endWay, err := bbproxy.NewProxy(fmt.Sprintf("%s:%d", ip, firstPort+storePort), store)
 	if err != nil {
 		endPeer()
 		return nil, err
@@ -171,7 +185,7 @@
 	f.stores = append(f.stores, way)
 	var seeds []string
 	for k := range min(3, s.VMs) {
-		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", network, k+1, firstPort+8))
+		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", network, k+1, firstPort+peerPort))
 	}
 	f.processes = append(f.processes, &bbprocess.Process{
 		VM: bbstand.VM{
@@ -196,13 +210,17 @@
 	}, nil
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "free address")
+// takeNetwork returns the first three numbers of loopback addresses that no other soak uses, and
+// the listener of the store, which keeps them taken.
+func takeNetwork() (string, net.Listener, error) {
+	for i := range networks {
+		n := (os.Getpid() + i) % networks
+		network := fmt.Sprintf("127.%d.%d", 1+n/250, 1+n%250)
+		if l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, storeHost, firstPort)); err == nil {
+			return network, l, nil
+		}
 	}
-	return l.Addr().String(), l.Close()
+	return "", nil, errors.New("no free loopback network for the soak")
 }
 
 // Configure writes the next version of the configuration.
