Orders of a start wait until the view of the coordinator has settled

A VM that has started less than two seconds ago now waits until its view has been the same for 400 ms before it places orders.

--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -176,6 +176,15 @@
 	}
 	for try := 0; ; try++ {
 		leader, changed := f.Leader()
+		if wait := f.unsettled(); wait > 0 && try == 0 {
+			select {
+			case <-ctx.Done():
+				return verdict, leader, ctx.Err()
+			case <-time.After(wait):
+			}
+			try--
+			continue
+		}
 		o.Objective, o.Limit = objective-(f.Now()-started), limit-(f.Now()-started)
 		if f.IsSelf(leader) || try >= maxOrderTries {
 			leader = f.self()
@@ -210,6 +219,28 @@
 	orderPause = 60 * time.Millisecond
 )
 
+const (
+	// startTime is how long a VM that has started may not have heard of all others: some rounds
+	// of exchange, after the last of VMs that start together.
+	startTime = 2 * time.Second
+	// quietTime is how long its view of the coordinator has to stay the same before it counts:
+	// longer than a round.
+	quietTime = 400 * time.Millisecond
+)
+
+// unsettled returns how long to wait before this VM's view of the coordinator counts. VMs that
+// all start at once hear of each other one by one; were each to coordinate until then, they would
+// fill the stage workers with each other's calls.
+func (f *Fleet) unsettled() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	if now >= startTime {
+		return 0
+	}
+	return min(startTime-now, f.ledSince+quietTime-now)
+}
+
 // left notes that a coordinator hands its orders back because it is leaving.
 func (f *Fleet) left(m bbgossip.Member) {
 	f.mu.Lock()
