A VM that has just started and reached nobody waits for its seeds

Those that start first ask seeds that aren't up, ask again 350 ms later, and heard of the others after 710 ms, but placed orders after 402. With seeds and nobody reachable a VM now waits for two seconds from its start.

--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -238,9 +239,17 @@
 	if now >= startTime {
 		return 0
 	}
+	if len(f.table.Reachable(now)) == 0 && f.hasSeeds() {
+		return startTime - now
+	}
 	return min(startTime-now, f.ledSince+quietTime-now)
 }
 
+// hasSeeds tells whether other VMs may be found; the caller holds the lock.
+func (f *Fleet) hasSeeds() bool {
+	return slices.ContainsFunc(f.seeds, func(s string) bool { return s != f.table.Self().Peer })
+}
+
 // left notes that a coordinator hands its orders back because it is leaving.
 func (f *Fleet) left(m bbgossip.Member) {
 	f.mu.Lock()
--- a/bluebelld/bbpeer/fleet_test.go
+++ b/bluebelld/bbpeer/fleet_test.go
@@ -185,6 +185,8 @@
 	}
 	want(0, quietTime)
 	want(quietTime, 0)
+	f.seeds = []string{"peer of a"}
+	want(quietTime, startTime-quietTime)
 	now = 500 * time.Millisecond
 	f.table.Answered(now, bbgossip.Member{
 		Name:  "a",
