--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -18,6 +18,7 @@
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbregistry"
 )
 
 // Settings are what a VM is told of itself.
@@ -93,6 +94,7 @@
 	}
 	e.Knowledge = NewKnowledge(e.now)
 	e.Knowledge.changed = e.catalogChanged
+	e.Knowledge.table.Changed = e.endpointChanged
 	e.fleet = bbpeer.NewFleet(s.Self, s.Seeds, e.now, conns)
 	e.fleet.Log = e.peerChanged
 	e.fleet.LogLeader = e.coordinatorChanged
@@ -311,6 +313,10 @@
 	go e.refresh()
 }
 
+func (e *Entry) endpointChanged(endpoint bbregistry.Endpoint, c bbregistry.Change) {
+	e.log.Event(bbevent.EndpointChanged).Str("endpoint", endpoint.ID).Str("detail", string(c)).Str("zone", endpoint.Zone).Str("service", endpoint.Service).Send()
+}
+
 func (e *Entry) peerChanged(name string, up bool, why string) {
 	if up {
 		e.log.Event(bbevent.PeerBack).Str("peer", name).Str("why", why).Send()
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -100,6 +100,7 @@
 	EndpointUnreadable   Number = 816
 	EndpointsAdopted     Number = 817
 	FollowFailed         Number = 818
+	EndpointChanged      Number = 819
 	CoordinatorChanged   Number = 821
 	OrderAccepted        Number = 831
 	OrderReturned        Number = 832
@@ -190,6 +191,7 @@
 	{Number: EndpointUnreadable, Title: "endpointUnreadable", Severity: SeverityWarning, Text: "An entry of the platform's list can't be read and names no endpoint."},
 	{Number: EndpointsAdopted, Title: "endpointsAdopted", Severity: SeverityInfo, Text: "The endpoints were taken from another VM, because the store is away."},
 	{Number: FollowFailed, Title: "followFailed", Severity: SeverityInfo, Text: "Another VM did not tell what it knows."},
+	{Number: EndpointChanged, Title: "endpointChanged", Severity: SeverityInfo, Text: "An endpoint is listed, cold, warm, leaving, lapsed while the store was away, or gone, as this VM sees it; detail tells which."},
 	{Number: CoordinatorChanged, Title: "coordinatorChanged", Severity: SeverityInfo, Text: "Another VM coordinates stages and engines, as this one sees it."},
 	{Number: OrderAccepted, Title: "orderAccepted", Severity: SeverityInfo, Text: "The coordinator took a request in; value is the expected time to its first token."},
 	{Number: OrderReturned, Title: "orderReturned", Severity: SeverityInfo, Text: "As orderAccepted, for a caller that was refused before."},
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -61,6 +61,8 @@
 	entries          map[string]*Entry
 	evacuated        map[string]bool
 	changes          changes
+	// Changed is told of each change of an endpoint once the table was filled; nil for nobody.
+	Changed func(e Endpoint, c Change)
 	// evacuations counts the changes of evacuated.
 	evacuations uint64
 }
@@ -73,9 +75,44 @@
 	}
 }
 
+// Change is what happened to an endpoint.
+type Change string
+
+// The changes of endpoints. One that lapsed is used for a while, since the platform was away.
+const (
+	ChangeListed  Change = "listed"
+	ChangeCold    Change = "cold"
+	ChangeWarm    Change = "warm"
+	ChangeLeaving Change = "leaving"
+	ChangeLapsed  Change = "lapsed"
+	ChangeGone    Change = "gone"
+)
+
+// tell passes a change on.
+func (t *Table) tell(e Endpoint, c Change) {
+	if t.Changed != nil && t.Revision > 0 {
+		t.Changed(e, c)
+	}
+}
+
+// tellPut passes on what is new about an endpoint.
+func (t *Table) tellPut(former *Entry, e Endpoint) {
+	switch {
+	case former == nil || former.lapsed:
+		t.tell(e, ChangeListed)
+	case e.Leaving && !former.Leaving:
+		t.tell(e, ChangeLeaving)
+	case e.Cold > 0 && former.Cold == 0:
+		t.tell(e, ChangeCold)
+	case e.Cold == 0 && former.Cold > 0:
+		t.tell(e, ChangeWarm)
+	}
+}
+
 // Put adds or changes an entry. Beats that change nothing but their own count are no change.
 func (t *Table) Put(now time.Duration, e Endpoint) {
 	former := t.entries[e.ID]
+	t.tellPut(former, e)
 	t.entries[e.ID] = &Entry{
 		Endpoint:  e,
 		ColdUntil: now + e.Cold,
@@ -107,10 +144,12 @@
 	if !e.lapsed {
 		e.lapsed = true
 		e.lapsedAt = now
+		t.tell(e.Endpoint, ChangeLapsed)
 	}
 }
 
 func (t *Table) delete(id string) {
+	t.tell(t.entries[id].Endpoint, ChangeGone)
 	delete(t.entries, id)
 	t.changes.add(id)
 }
--- a/core/bbregistry/table_test.go
+++ b/core/bbregistry/table_test.go
@@ -103,6 +103,28 @@
 	}
 }
 
+// What operators of the platform do to endpoints is told once each, and nothing of the first list.
+func TestChangesAreTold(t *testing.T) {
+	table := NewTable()
+	var told []string
+	table.Changed = func(e Endpoint, c Change) { told = append(told, e.ID+" "+string(c)) }
+	table.ReplaceEndpoints(0, Snapshot{Revision: 5, Endpoints: []Endpoint{endpoint("a"), endpoint("b")}}, false)
+	cold, leaving := endpoint("a"), endpoint("b")
+	cold.Cold = 3 * time.Second
+	leaving.Leaving = true
+	for _, e := range []Endpoint{endpoint("a"), cold, cold, endpoint("a"), leaving, leaving, endpoint("c")} {
+		table.Put(0, e)
+	}
+	table.Remove(0, "b", false)
+	table.Remove(0, "c", true)
+	table.Remove(0, "c", true)
+	table.Expire(time.Minute)
+	want := []string{"a cold", "a warm", "b leaving", "c listed", "b gone", "c lapsed", "c gone"}
+	if diff := cmp.Diff(want, told); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
 func TestCounts(t *testing.T) {
 	table := testTable()
 	cold, leaving, other := endpoint("cold"), endpoint("leaving"), endpoint("other")
