The version of a long request line is read too

Found when the change was read again: the line is kept up to 96 bytes, so that chunks in HTTP/1.0 after a long path were not seen as ambiguous.

--- a/bluebelld/bbframing/framing.go
+++ b/bluebelld/bbframing/framing.go
@@ -19,6 +19,9 @@
 // shorter.
 const maxLine = 96
 
+// tailBytes is the length of the version and the end of the line after it.
+const tailBytes = len("HTTP/1.0\r")
+
 // part is what a scanner expects next.
 type part int
 
@@ -36,6 +39,8 @@
 	part part
 	// line is the line being read, without its end and cut at maxLine.
 	line []byte
+	// tail is the end of the line, which has the version if it is the first one.
+	tail []byte
 	// left is the number of bytes until the end of the body or of the chunk.
 	left int64
 	// started is true after the first line of a head.
@@ -77,6 +82,10 @@
 // keep adds to the line, as far as it is kept.
 func (s *Scanner) keep(data []byte) {
 	s.line = append(s.line, data[:min(len(data), maxLine-len(s.line))]...)
+	if !s.started {
+		s.tail = append(s.tail, data[max(0, len(data)-tailBytes):]...)
+		s.tail = s.tail[max(0, len(s.tail)-tailBytes):]
+	}
 }
 
 // next goes on after a body or a chunk.
@@ -87,6 +96,7 @@
 	}
 	*s = Scanner{
 		line: s.line[:0],
+		tail: s.tail[:0],
 	}
 }
 
@@ -115,7 +125,8 @@
 	if !s.started {
 		// Empty lines before a request are allowed.
 		s.started = line != ""
-		s.old = strings.HasSuffix(line, "HTTP/1.0")
+		s.old = strings.HasSuffix(strings.TrimSuffix(string(s.tail), "\r"), "HTTP/1.0")
+		s.tail = s.tail[:0]
 		return nil
 	}
 	if line == "" {
--- a/bluebelld/bbframing/framing_test.go
+++ b/bluebelld/bbframing/framing_test.go
@@ -87,6 +87,10 @@
 		seen, status := served(t, "POST /a HTTP/1.0\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
 		assertRefused(t, seen, status)
 	})
+	t.Run("chunks in HTTP/1.0 after a long path", func(t *testing.T) {
+		seen, status := served(t, "POST /"+strings.Repeat("a", 2*maxLine)+" HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n"+smuggled)
+		assertRefused(t, seen, status)
+	})
 }
 
 func assertRefused(t *testing.T, seen []string, status string) {
