Of an engine's inputs only those that are gone are made again

The check for expired inputs before a grant had a loop of its own beside the one for a request whose engine turned it away, and asked for all stages, not for the last ones: the stages between were made again though nothing needed them. Both call one function now. The new test failed before: a chain of three whose results were kept was begun anew.

--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -285,6 +285,37 @@
 	}
 }
 
+// Of the inputs of an engine only those are made again that are gone, with what they need.
+func TestOnlyGoneInputsAreMadeAgain(t *testing.T) {
+	c := newTestCoordinator()
+	o := testOrder("a", 1)
+	o.Stages = []bbjob.Stage{
+		{Service: "first", ResultBytes: 1e6, Pieces: 1},
+		{Service: "first", ResultBytes: 1e3, Pieces: 1},
+		{Service: "second", After: []int{1}, ResultBytes: 1e3, Pieces: 1},
+		{Service: "second", After: []int{2}, ResultBytes: 1e3, Pieces: 1},
+	}
+	o.Avoid = []string{"e1"}
+	calls := c.Submit(0, o).Calls
+	for now := 300 * ms; len(calls) > 0; now += 300 * ms {
+		call := calls[0]
+		calls = append(calls[1:], c.CallDone(now, call.ID, "east", bbhealth.OutcomeGood, good(call)).Calls...)
+	}
+	j := c.jobs["a"]
+	if !j.Done() {
+		t.Fatal("the stages are not done")
+	}
+	j.Order.Avoid = nil
+	j.Stages[0].Pieces[0].Expires = ms
+	out := c.Tick(1500 * ms)
+	if len(out.Grants) > 0 || len(out.Calls) != 1 {
+		t.Fatalf("grants %+v, calls %+v, want one call", out.Grants, out.Calls)
+	}
+	if diff := cmp.Diff([]bbpool.Piece{{Job: "a"}}, out.Calls[0].Pieces); diff != "" {
+		t.Errorf("pieces that are made again (-want +got):\n%s", diff)
+	}
+}
+
 // A stream that may be resumed holds no room once it has begun. When its engine breaks off, the
 // inputs are made again before another one is granted.
 func TestResumableStreamHoldsNoRoom(t *testing.T) {
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -39,9 +39,7 @@
 	service := j.Order.Service
 	if loseExpired(now, j) {
 		delete(c.waiting, j.Order.ID)
-		for i := range j.Stages {
-			j.Remake(i)
-		}
+		j.RemakeFinals()
 		c.release(j)
 		return
 	}
@@ -158,11 +156,7 @@
 		// Nobody knows which of them are gone.
 		j.LoseFinals(func(*bbprogress.Piece) bool { return true })
 	}
-	for i := range j.Stages {
-		if j.Final(i) {
-			j.Remake(i)
-		}
-	}
+	j.RemakeFinals()
 	c.release(j)
 }
 
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -339,6 +339,15 @@
 	}
 }
 
+// RemakeFinals makes the inputs of the engine be made again as far as they are gone.
+func (j *Job) RemakeFinals() {
+	for i := range j.Stages {
+		if j.Final(i) {
+			j.Remake(i)
+		}
+	}
+}
+
 // InputsKept tells whether all results that a stage needs still exist.
 func (j *Job) InputsKept(stage int) bool {
 	for _, before := range j.Order.Stages[stage].After {
