Work on the coordinator's way of a request that was done twice is done once

- The best engine and the wait for it were found by two loops over all engines with the same costs; Outlook returns both.
- Which stage workers are free was asked anew for each waiting group; now once for each call that is looked for, and nothing more is done when none is.
- The number for what a request asks was hashed four or five times a request; the job keeps it.
No decision changes.

--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -139,19 +139,19 @@
 		c.out.Elsewhere = append(c.out.Elsewhere, o.ID)
 		return c.flush()
 	}
-	if c.suspects.Refused(now, o) {
+	j := bbprogress.NewJob(now, o)
+	if c.suspects.Refused(now, j.Content) {
 		c.refuse(o.ID, "suspect", suspectRetryAfter, 0)
 		return c.flush()
 	}
-	j := bbprogress.NewJob(now, o)
 	c.adopt(now, j)
-	if first, ok := c.refused.Take(now, o); ok {
+	if first, ok := c.refused.Take(now, j.Content); ok {
 		j.Returning = true
 		j.Due = min(j.Due, first+o.Objective)
 	}
 	expected := c.estimate(now, j)
 	if retryAfter, reason := c.judge(j, expected); reason != "" {
-		c.refused.Add(now, o)
+		c.refused.Add(now, j.Content)
 		c.refuse(o.ID, reason, retryAfter, expected-now)
 		return c.flush()
 	}
@@ -259,7 +259,7 @@
 			c.table(j.Order.Service).Ended(now, j.Granted, id, bbhealth.OutcomeFull)
 			c.drop(j)
 		case j.Granted != "":
-		case now+j.Tail(0) > j.Limit:
+		case now+j.Tail() > j.Limit:
 			c.refuse(id, "deadline", minRetryAfter, now-j.Arrived)
 			c.drop(j)
 		default:
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -87,7 +87,7 @@
 		Inputs:    bytes,
 		Allowed:   j.Order.Allowed(c.know.Region),
 		Avoid:     j.Order.Avoid,
-		Alone:     c.suspects.Alone(now, j.Order),
+		Alone:     c.suspects.Alone(now, j.Content),
 	}
 }
 
@@ -125,7 +125,7 @@
 	if !n.Ended {
 		return c.decide(now)
 	}
-	c.suspects.Note(now, j.Order, n, t.Running(n.Endpoint)-1)
+	c.suspects.Note(now, j.Content, n, t.Running(n.Endpoint)-1)
 	t.Ended(now, n.Endpoint, n.ID, n.Outcome)
 	if n.Again && n.Outcome != bbhealth.OutcomeGood {
 		j.Order.Avoid = append(j.Order.Avoid, n.Endpoint)
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -36,10 +36,9 @@
 		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(p.UsualBatch(s.Pieces))
 		last = max(last, finished[i])
 	}
-	need := c.need(now, j)
-	engines := c.listEngines(o.Service)
-	j.Wish = c.table(o.Service).Best(now, need, engines)
-	j.Estimated = last + c.table(o.Service).Wait(now, need, engines)
+	wish, wait := c.table(o.Service).Outlook(now, c.need(now, j), c.listEngines(o.Service))
+	j.Wish = wish
+	j.Estimated = last + wait
 	return j.Estimated + learned.Bias
 }
 
--- a/core/bbhistory/history_test.go
+++ b/core/bbhistory/history_test.go
@@ -20,16 +20,16 @@
 func TestRefusedRequestIsKnownWhenItComesBack(t *testing.T) {
 	r := NewRefusals()
 	o := testOrder("a")
-	r.Add(time.Second, o)
+	r.Add(time.Second, o.Content())
 	again := testOrder("b")
 	again.Key = o.Key
-	if first, ok := r.Take(2*time.Second, again); !ok || first != time.Second {
+	if first, ok := r.Take(2*time.Second, again.Content()); !ok || first != time.Second {
 		t.Errorf("first came at %v, known %v; want 1s, true", first, ok)
 	}
-	if _, ok := r.Take(2*time.Second, testOrder("c")); ok {
+	if _, ok := r.Take(2*time.Second, testOrder("c").Content()); ok {
 		t.Error("another request counts as known, want it not to")
 	}
-	if _, ok := r.Take(time.Second+rememberRefusal+time.Millisecond, again); ok {
+	if _, ok := r.Take(time.Second+rememberRefusal+time.Millisecond, again.Content()); ok {
 		t.Error("a refusal of long ago is known, want it forgotten")
 	}
 }
--- a/core/bbhistory/refusals.go
+++ b/core/bbhistory/refusals.go
@@ -1,12 +1,7 @@
 package bbhistory
 
 import (
-	"strconv"
-	"strings"
 	"time"
-
-	"bluebellhall/core/bbhash"
-	"bluebellhall/core/bbjob"
 )
 
 const (
@@ -40,9 +35,8 @@
 }
 
 // Add notes that a request was refused.
-func (r *Refusals) Add(now time.Duration, o bbjob.Order) {
+func (r *Refusals) Add(now time.Duration, content uint64) {
 	r.expire(now)
-	content := contentOf(o)
 	if _, ok := r.first[content]; ok || len(r.order) >= maxRefusals {
 		return
 	}
@@ -54,9 +48,9 @@
 }
 
 // Take returns when a request came at first, if it was refused then.
-func (r *Refusals) Take(now time.Duration, o bbjob.Order) (time.Duration, bool) {
+func (r *Refusals) Take(now time.Duration, content uint64) (time.Duration, bool) {
 	r.expire(now)
-	first, ok := r.first[contentOf(o)]
+	first, ok := r.first[content]
 	return first, ok
 }
 
@@ -67,20 +61,3 @@
 		r.order = r.order[1:]
 	}
 }
-
-// contentOf returns a number for what a request asks.
-func contentOf(o bbjob.Order) uint64 {
-	var b strings.Builder
-	b.WriteString(o.Route)
-	b.WriteByte(0)
-	b.WriteString(o.Key)
-	for _, n := range []int{o.Prompt.Tokens, o.Prompt.Output} {
-		b.WriteByte(0)
-		b.WriteString(strconv.Itoa(n))
-	}
-	for _, p := range o.Prompt.Parts {
-		b.WriteByte(0)
-		b.WriteString(p.ID)
-	}
-	return bbhash.Name(b.String())
-}
--- a/core/bbhistory/suspects.go
+++ b/core/bbhistory/suspects.go
@@ -25,23 +25,23 @@
 }
 
 // Refused tells whether a request must not run.
-func (s *Suspects) Refused(now time.Duration, o bbjob.Order) bool {
-	return s.table.Verdict(now, contentOf(o)) == bbsuspect.Refused
+func (s *Suspects) Refused(now time.Duration, content uint64) bool {
+	return s.table.Verdict(now, content) == bbsuspect.Refused
 }
 
 // Alone tells whether a request may run only where nothing else does.
-func (s *Suspects) Alone(now time.Duration, o bbjob.Order) bool {
-	return s.table.Verdict(now, contentOf(o)) == bbsuspect.Alone
+func (s *Suspects) Alone(now time.Duration, content uint64) bool {
+	return s.table.Verdict(now, content) == bbsuspect.Alone
 }
 
 // Note takes in how a try at an engine ended that ran some others too.
-func (s *Suspects) Note(now time.Duration, o bbjob.Order, n bbjob.Note, others int) {
+func (s *Suspects) Note(now time.Duration, content uint64, n bbjob.Note, others int) {
 	switch n.Outcome {
 	case bbhealth.OutcomeGood:
-		s.table.Succeeded(now, contentOf(o))
+		s.table.Succeeded(now, content)
 	case bbhealth.OutcomeBroken:
 		s.table.Died(now, bbsuspect.Death{
-			Fingerprint: contentOf(o),
+			Fingerprint: content,
 			Endpoint:    n.Endpoint,
 			Others:      max(0, others),
 		})
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -4,8 +4,11 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
+	"bluebellhall/core/bbhash"
 	"bluebellhall/core/bbhealth"
 )
 
@@ -62,6 +65,23 @@
 	}
 }
 
+// Content returns a number for what a request asks, the same for each attempt of its caller.
+func (o Order) Content() uint64 {
+	var b strings.Builder
+	b.WriteString(o.Route)
+	b.WriteByte(0)
+	b.WriteString(o.Key)
+	for _, n := range []int{o.Prompt.Tokens, o.Prompt.Output} {
+		b.WriteByte(0)
+		b.WriteString(strconv.Itoa(n))
+	}
+	for _, p := range o.Prompt.Parts {
+		b.WriteByte(0)
+		b.WriteString(p.ID)
+	}
+	return bbhash.Name(b.String())
+}
+
 // Stage is the work of one stage of a request.
 type Stage struct {
 	Service string `json:"service"`
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -224,21 +224,23 @@
 	return tokens
 }
 
-// Best returns the failure domain of the engine that would be chosen now; empty if there is
-// none.
-func (t *Table) Best(now time.Duration, n Need, endpoints []Endpoint) string {
-	zone := ""
-	var best time.Duration
+// Outlook returns the failure domain of the engine that would be chosen for a request that came
+// now, and the time until its first token; an empty one and a long time if there is no engine.
+func (t *Table) Outlook(now time.Duration, n Need, endpoints []Endpoint) (zone string, wait time.Duration) {
+	found := false
 	for _, e := range endpoints {
 		g := t.engine(e.ID)
 		if !n.Allowed(e.Zone) || g.health.Paused(now) {
 			continue
 		}
-		if cost := t.cost(now, g, e, n); zone == "" || cost < best {
-			zone, best = e.Zone, cost
+		if cost := t.cost(now, g, e, n); !found || cost < wait {
+			found, zone, wait = true, e.Zone, cost
 		}
 	}
-	return zone
+	if !found {
+		return "", forgetAfter
+	}
+	return zone, wait
 }
 
 // Tidy forgets parts that were not used for long and engines that are no longer listed and
@@ -305,25 +307,6 @@
 	}
 }
 
-// Wait estimates the time until the first token of a request that came now.
-func (t *Table) Wait(now time.Duration, n Need, endpoints []Endpoint) time.Duration {
-	found := false
-	var best time.Duration
-	for _, e := range endpoints {
-		g := t.engine(e.ID)
-		if !n.Allowed(e.Zone) || g.health.Paused(now) {
-			continue
-		}
-		if cost := t.cost(now, g, e, n); !found || cost < best {
-			found, best = true, cost
-		}
-	}
-	if !found {
-		return forgetAfter
-	}
-	return best
-}
-
 func (t *Table) engine(id string) *engine {
 	g := t.engines[id]
 	if g == nil {
--- a/core/bbpool/compose.go
+++ b/core/bbpool/compose.go
@@ -14,22 +14,37 @@
 	sort.SliceStable(p.groups, func(i, j int) bool {
 		return p.groups[i].urgency(now) < p.groups[j].urgency(now)
 	})
+	free := p.freeEndpoints(now)
+	if len(free) == 0 {
+		return nil
+	}
 	for _, g := range p.groups {
-		if e, w := p.choose(now, g); w != nil {
+		if e, w := p.choose(now, g, free); w != nil {
 			return p.compose(now, g, e, w)
 		}
 	}
 	return nil
 }
 
-// choose returns the endpoint that should work on a group now, if there is one.
-func (p *Pool) choose(now time.Duration, g *Group) (Endpoint, *worker) {
+// freeEndpoints returns those that may get a call now.
+func (p *Pool) freeEndpoints(now time.Duration) []Endpoint {
+	var free []Endpoint
+	for _, e := range p.endpoints {
+		if p.free(now, p.workers[e.ID]) {
+			free = append(free, e)
+		}
+	}
+	return free
+}
+
+// choose returns which of the free endpoints should work on a group now, if there is one.
+func (p *Pool) choose(now time.Duration, g *Group, free []Endpoint) (Endpoint, *worker) {
 	var best Endpoint
 	var chosen *worker
 	var bestCost time.Duration
-	for _, e := range p.endpoints {
+	for _, e := range free {
 		w := p.workers[e.ID]
-		if !p.free(now, w) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
+		if g.Allowed != nil && !g.Allowed(e.Zone) {
 			continue
 		}
 		if p.room(w) < g.ResultBytes {
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -48,6 +48,8 @@
 // Job is a request in progress.
 type Job struct {
 	Order bbjob.Order
+	// Content is a number for what the order asks.
+	Content uint64
 	// Arrived, due and limit are by the steady clock of this VM.
 	Arrived time.Duration
 	Due     time.Duration
@@ -80,6 +82,7 @@
 func NewJob(now time.Duration, o bbjob.Order) *Job {
 	j := &Job{
 		Order:     o,
+		Content:   o.Content(),
 		Arrived:   now,
 		Due:       now + o.Objective - o.Elapsed,
 		Limit:     now + o.Limit,
@@ -283,11 +286,10 @@
 	return float64(pieces) * inputs
 }
 
-// Tail returns the least time from the start of what is left to the first token, for a
-// request whose stages from a number on are not done.
-func (j *Job) Tail(from int) time.Duration {
+// Tail returns the least time from the start of what is left to the first token.
+func (j *Job) Tail() time.Duration {
 	longest := EngineTime
-	for i := from; i < len(j.Stages); i++ {
+	for i := range j.Stages {
 		if j.Stages[i].Left > 0 && j.Ready(i) {
 			longest = max(longest, j.Tails[i])
 		}
