--- a/bluebellbench/bbexperiment/experiment_test.go
+++ b/bluebellbench/bbexperiment/experiment_test.go
@@ -77,6 +77,9 @@
 	if diff := cmp.Diff(first, Play(p, Policies[0], 1, 7)); diff != "" {
 		t.Errorf("the same play again (-first +second):\n%s", diff)
 	}
+	if diff := cmp.Diff(Play(p, Policies[0], 3, 7), Play(p, Policies[0], 3, 7)); diff != "" {
+		t.Errorf("the same play again at three times the load (-first +second):\n%s", diff)
+	}
 	if first.Kinds["report"].Asked == 0 || first.Worth <= 0 || first.Worth > 1 {
 		t.Errorf("result %+v, want requests and a worth up to 1", first)
 	}
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -219,7 +219,8 @@
 			Value:    now - call.Sent,
 		})
 		j := c.jobs[id]
-		for stage, pieces := range again[id] {
+		for _, stage := range slices.Sorted(maps.Keys(again[id])) {
+			pieces := again[id][stage]
 			if j.Ready(stage) && j.InputsKept(stage) && c.retries.Of(j.Order.Stages[stage].Service).Take(now, 1) {
 				c.addGroup(j, stage, pieces)
 			}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -233,7 +233,8 @@
 
 // Tick does what is due: calls that are overdue, requests whose time is over.
 func (c *Coordinator) Tick(now time.Duration) bbdecision.Output {
-	for _, p := range c.pools {
+	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
+		p := c.pools[name]
 		p.Expire(now)
 		for _, call := range p.Overdue(now) {
 			c.repeat(now, call)
@@ -251,7 +252,10 @@
 			t.Tidy(now, c.listEngines(service))
 		}
 	}
-	for id, j := range c.jobs {
+	// In a fixed order, so that decisions can be replayed: each refusal shortens the wait of
+	// the others.
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
 		switch {
 		case j.Granted != "" && !j.Order.Resumable && !j.Started && now-j.GrantedAt > inputTime:
 			c.freeUsed(j)
@@ -315,7 +319,8 @@
 		return c.flush()
 	}
 	c.place(now)
-	for name, p := range c.pools {
+	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
+		p := c.pools[name]
 		if p.Waiting() == 0 {
 			continue
 		}
@@ -356,10 +361,10 @@
 
 // flush returns the output that was gathered.
 func (c *Coordinator) flush() bbdecision.Output {
-	for address, handles := range c.freed {
+	for _, address := range slices.Sorted(maps.Keys(c.freed)) {
 		c.out.Frees = append(c.out.Frees, bbdecision.Free{
 			Address: address,
-			Handles: handles,
+			Handles: c.freed[address],
 		})
 	}
 	clear(c.freed)
