--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -128,7 +128,7 @@
 }
 
 // Status returns the state of the coordinator.
-func (h *Hub) Status() bbcoordinator.Status {
+func (h *Hub) Status() bbdecision.Status {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.coordinator.Status(h.seams.Now())
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -13,16 +13,6 @@
 	"bluebellhall/core/bbprogress"
 )
 
-// piecesByJob has the numbers of pieces by request and stage.
-type piecesByJob map[string]map[int][]int
-
-func (p piecesByJob) add(piece bbpool.Piece) {
-	if p[piece.Job] == nil {
-		p[piece.Job] = make(map[int][]int)
-	}
-	p[piece.Job][piece.Stage] = append(p[piece.Job][piece.Stage], piece.Piece)
-}
-
 // CallDone takes in the end of a call. Results are in the order of its pieces; there are
 // none unless the outcome is good.
 func (c *Coordinator) CallDone(now time.Duration, id uint64, zone string, o bbhealth.Outcome, results []bbdecision.PieceResult) bbdecision.Output {
@@ -46,7 +36,7 @@
 		Detail:   bbdecision.Describe(call, o, results),
 		Value:    now - call.Sent,
 	})
-	retry := make(piecesByJob)
+	retry := make(bbpool.ByJob)
 	for i, piece := range call.Pieces {
 		j := c.jobs[piece.Job]
 		if j != nil && !call.Overdue {
@@ -70,7 +60,7 @@
 		if !j.Stages[piece.Stage].Pieces[piece.Piece].Wanted() {
 			continue
 		}
-		retry.add(piece)
+		retry.Add(piece)
 	}
 	mayRepeat := len(retry) == 0 || full || o == bbhealth.OutcomeUnreachable || c.retries.Of(call.Service).Take(now, 1)
 	for _, job := range slices.Sorted(maps.Keys(retry)) {
@@ -197,7 +187,7 @@
 
 // repeat gives the pieces of an overdue call to other endpoints as well.
 func (c *Coordinator) repeat(now time.Duration, call *bbpool.Call) {
-	again := make(piecesByJob)
+	again := make(bbpool.ByJob)
 	for _, piece := range call.Pieces {
 		j := c.jobs[piece.Job]
 		if j == nil {
@@ -208,7 +198,7 @@
 		if !p.Wanted() {
 			continue
 		}
-		again.add(piece)
+		again.Add(piece)
 	}
 	for _, id := range slices.Sorted(maps.Keys(again)) {
 		c.log(bbdecision.Event{
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -252,30 +252,45 @@
 			t.Tidy(now, c.listEngines(service))
 		}
 	}
-	// In a fixed order, so that decisions can be replayed: each refusal shortens the wait of
-	// the others.
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		j := c.jobs[id]
+	var hopeless []string
+	for id, j := range c.jobs {
 		switch {
 		case j.Granted != "" && !j.Order.Resumable && !j.Started && now-j.GrantedAt > inputTime:
 			c.freeUsed(j)
 		case j.Granted != "" && now > j.Limit+grantGrace:
 			c.table(j.Order.Service).Ended(now, j.Granted, id, bbhealth.OutcomeFull)
 			c.drop(j)
-		case j.Granted != "":
-		case now+j.Tail() > j.Limit:
-			c.refuse(id, "deadline", minRetryAfter, now-j.Arrived)
-			c.drop(j)
-		default:
-			if wait := c.lateWait(now, j); wait > maxLateWait {
-				c.refuse(id, "backlog", wait, now-j.Arrived)
-				c.drop(j)
+		case j.Granted == "":
+			if cause, _ := c.hopeless(now, j); cause != "" {
+				hopeless = append(hopeless, id)
 			}
 		}
 	}
+	// In a fixed order, so that decisions can be replayed: each refusal shortens the wait of
+	// the others.
+	slices.Sort(hopeless)
+	for _, id := range hopeless {
+		j := c.jobs[id]
+		if cause, retryAfter := c.hopeless(now, j); cause != "" {
+			c.refuse(id, cause, retryAfter, now-j.Arrived)
+			c.drop(j)
+		}
+	}
 	return c.decide(now)
 }
 
+// hopeless tells why a request is given up, and when its caller should come back; the cause is
+// empty if it goes on.
+func (c *Coordinator) hopeless(now time.Duration, j *bbprogress.Job) (cause string, retryAfter time.Duration) {
+	if now+j.Tail() > j.Limit {
+		return "deadline", minRetryAfter
+	}
+	if wait := c.lateWait(now, j); wait > maxLateWait {
+		return "backlog", wait
+	}
+	return "", 0
+}
+
 // maxLateWait is how long a request that can't be on time any more may wait for a stage: a
 // call and a half. Its results take the room that requests on time need, and after a few
 // seconds they expire and have to be made again.
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -363,7 +363,7 @@
 	got := c.Status(0)
 	ratio, requests := 0.2, 9.0
 	left := 0.8 * (ratio*requests + 10)
-	want := Status{
+	want := bbdecision.Status{
 		Requests: 9,
 		Waiting:  map[string]int{"first": 8, "second": 0},
 		Repeats:  map[string]float64{"first": left, "second": left, "engine": left},
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -1,6 +1,8 @@
 package bbcoordinator
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -17,10 +19,7 @@
 	if len(c.waiting) == 0 {
 		return
 	}
-	list := make([]*bbprogress.Job, 0, len(c.waiting))
-	for _, j := range c.waiting {
-		list = append(list, j)
-	}
+	list := slices.Collect(maps.Values(c.waiting))
 	sort.Slice(list, func(i, k int) bool {
 		a, b := list[i], list[k]
 		ua, ub := a.Due+bbprogress.Rank(a.Order.Priority), b.Due+bbprogress.Rank(b.Order.Priority)
--- a/core/bbdecision/decision.go
+++ b/core/bbdecision/decision.go
@@ -57,3 +57,14 @@
 	// NoRoom is true when the endpoint had no room for the result.
 	NoRoom bool
 }
+
+// Status is the state of a coordinator, for metrics.
+type Status struct {
+	// Requests is the number of those in progress, Ungranted of those whose stages are done
+	// and that wait for an engine.
+	Requests, Ungranted int
+	// Waiting has the pieces that wait for a call, by service.
+	Waiting map[string]int
+	// Repeats has the repeats that each service may have now.
+	Repeats map[string]float64
+}
--- a/core/bbpool/group.go
+++ b/core/bbpool/group.go
@@ -67,3 +67,14 @@
 	Stage int
 	Piece int
 }
+
+// ByJob has the numbers of pieces by request and stage.
+type ByJob map[string]map[int][]int
+
+// Add adds a piece.
+func (b ByJob) Add(p Piece) {
+	if b[p.Job] == nil {
+		b[p.Job] = make(map[int][]int)
+	}
+	b[p.Job][p.Stage] = append(b[p.Job][p.Stage], p.Piece)
+}
