--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -175,17 +175,11 @@
 		}
 		return nil
 	}
+	if err := f.settle(ctx); err != nil {
+		return verdict, f.self(), err
+	}
 	for try := 0; ; try++ {
 		leader, changed := f.Leader()
-		if wait := f.unsettled(); wait > 0 && try == 0 {
-			select {
-			case <-ctx.Done():
-				return verdict, leader, ctx.Err()
-			case <-time.After(wait):
-			}
-			try--
-			continue
-		}
 		o.Objective, o.Limit = objective-(f.Now()-started), limit-(f.Now()-started)
 		if f.IsSelf(leader) || try >= maxOrderTries {
 			leader = f.self()
@@ -218,9 +212,6 @@
 	maxOrderTries = 6
 	// orderPause is the pause after a failed call to a coordinator.
 	orderPause = 60 * time.Millisecond
-)
-
-const (
 	// startTime is how long a VM that has started may not have heard of all others: some rounds
 	// of exchange, after the last of VMs that start together.
 	startTime = 2 * time.Second
@@ -229,6 +220,18 @@
 	quietTime = 400 * time.Millisecond
 )
 
+// settle waits until this VM's view of the coordinator counts.
+func (f *Fleet) settle(ctx context.Context) error {
+	for wait := f.unsettled(); wait > 0; wait = f.unsettled() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+	return nil
+}
+
 // unsettled returns how long to wait before this VM's view of the coordinator counts. VMs that
 // all start at once hear of each other one by one; were each to coordinate until then, they would
 // fill the stage workers with each other's calls.
