--- a/bluebelld/bbhub/hub_test.go
+++ b/bluebelld/bbhub/hub_test.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// place places an order and returns the results and the verdict that it was told of.
+func place(t *testing.T, h *Hub) (made []bbjob.Made, verdict *bbjob.Verdict, err error) {
+	t.Helper()
+	err = h.Order(t.Context(), testOrder(), func(u bbjob.Update) error {
+		made = u.Apply(made)
+		verdict = u.Verdict
+		return nil
+	})
+	return made, verdict, err
+}
+
 func TestOrderIsGrantedWithItsInputs(t *testing.T) {
 	h := newTestHub(t, func(pieces []Piece) ([]bbdecision.PieceResult, bbhealth.Outcome) {
 		results := make([]bbdecision.PieceResult, len(pieces))
@@ -79,13 +90,7 @@
 		}
 		return results, bbhealth.OutcomeGood
 	})
-	var made []bbjob.Made
-	var verdict *bbjob.Verdict
-	err := h.Order(t.Context(), testOrder(), func(u bbjob.Update) error {
-		made = u.Apply(made)
-		verdict = u.Verdict
-		return nil
-	})
+	made, verdict, err := place(t, h)
 	if err != nil || verdict == nil || verdict.Grant == nil {
 		t.Fatalf("verdict %+v, error %v; want a grant", verdict, err)
 	}
@@ -130,13 +135,7 @@
 		h.Leave()
 		close(release)
 	}()
-	var made []bbjob.Made
-	var verdict *bbjob.Verdict
-	err := h.Order(t.Context(), testOrder(), func(u bbjob.Update) error {
-		made = u.Apply(made)
-		verdict = u.Verdict
-		return nil
-	})
+	made, verdict, err := place(t, h)
 	if err != nil || verdict == nil || !verdict.Elsewhere || len(made) != 2 {
 		t.Errorf("verdict %+v with %d results, error %v; want to be sent elsewhere with 2", verdict, len(made), err)
 	}
