Soak: one way to replace an endpoint, one list of clean-ups, one wait

NewFleet gave up in four places with the same lines, VMs and endpoints undid their proxies by themselves, a leaving endpoint and a cold one were replaced by the same five lines, callers waited by a select of their own, and versions shown were kept in a map of maps.

--- a/bluebellbench/bbsoak/bbpromise/promise.go
+++ b/bluebellbench/bbsoak/bbpromise/promise.go
@@ -122,7 +122,7 @@
 	for _, t := range c.Tries {
 		c.checkTry(t)
 		switch {
-		case t.Reply.Status == http.StatusOK && t.Reply.Whole:
+		case t.Reply.Answered():
 			r.Answered++
 		case t.Reply.NotRun():
 			r.NotRun++
@@ -130,7 +130,7 @@
 		if t.Sent.After(c.Calm) && t.Request.Version == 0 {
 			n := served[t.Request.Route.Name]
 			n[1]++
-			if t.Reply.Status == http.StatusOK && t.Reply.Whole {
+			if t.Reply.Answered() {
 				n[0]++
 			}
 			served[t.Request.Route.Name] = n
@@ -268,37 +268,34 @@
 	}
 }
 
-// program is one boot of a VM.
-type program struct {
+// shown is a version of the configuration at one boot of a VM.
+type shown struct {
 	vm, boot int
+	version  uint64
+}
+
+// shownBy returns what a probe asks for.
+func shownBy(t Try) shown {
+	return shown{
+		vm:      t.VM,
+		boot:    t.Boot,
+		version: t.Request.Version,
+	}
 }
 
 // checkRegress checks that a program that has shown a version doesn't show an older one later.
 func (c *checker) checkRegress() {
-	shown := make(map[program]map[uint64]time.Time)
+	first := make(map[shown]time.Time)
 	for _, t := range c.Tries {
-		if t.Request.Version == 0 {
+		if t.Request.Version == 0 || t.Reply.Status != http.StatusOK {
 			continue
 		}
-		p := program{
-			vm:   t.VM,
-			boot: t.Boot,
-		}
-		if shown[p] == nil {
-			shown[p] = make(map[uint64]time.Time)
-		}
-		if t.Reply.Status == http.StatusOK {
-			if at, ok := shown[p][t.Request.Version]; !ok || t.Ended.Before(at) {
-				shown[p][t.Request.Version] = t.Ended
-			}
+		if at, ok := first[shownBy(t)]; !ok || t.Ended.Before(at) {
+			first[shownBy(t)] = t.Ended
 		}
 	}
 	for _, t := range c.Tries {
-		p := program{
-			vm:   t.VM,
-			boot: t.Boot,
-		}
-		at, ok := shown[p][t.Request.Version]
+		at, ok := first[shownBy(t)]
 		if ok && t.Reply.Status == http.StatusNotFound && t.Sent.After(at.Add(rollbackTime)) {
 			c.find("entry-%d showed version %d and %v later an older one", t.VM, t.Request.Version, t.Sent.Sub(at))
 		}
--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,6 +66,8 @@
 	// left has when endpoints said that they leave.
 	left map[string]time.Time
 	seed uint64
+	// cleanups end what was started, in its order.
+	cleanups []func()
 }
 
 // NewFleet starts stand-ins and programs. The clean-up function ends all of them.
@@ -80,64 +83,83 @@
 		left:     make(map[string]time.Time),
 		seed:     s.Seed,
 	}
-	var cleanups []func()
-	cleanup := func() {
-		for i := len(cleanups) - 1; i >= 0; i-- {
-			cleanups[i]()
-		}
+	if err := f.start(s); err != nil {
+		f.stop()
+		return nil, nil, err
+	}
+	return f, f.stop, nil
+}
+
+// stop ends all that was started, the last first.
+func (f *Fleet) stop() {
+	for _, end := range slices.Backward(f.cleanups) {
+		end()
 	}
+}
+
+// start starts the store, the endpoints and the programs.
+func (f *Fleet) start(s Settings) error {
 	network, l, err := takeNetwork()
 	if err != nil {
-		return nil, nil, err
+		return err
 	}
 	server := &http.Server{
 		Handler: f.store,
 	}
 	// Serve ends with the clean-up function only.
 	go func() { _ = server.Serve(l) }()
-	cleanups = append(cleanups, func() { _ = server.Close() })
+	f.cleanups = append(f.cleanups, func() { _ = server.Close() })
 	if err := f.Configure(); err != nil {
-		cleanup()
-		return nil, nil, err
+		return err
 	}
 	for _, service := range bbdeployment.Services() {
 		for i := range endpointsOf(service) {
-			b := &backEnd{
-				service: service,
-				zone:    bbdeployment.Zones[i%len(bbdeployment.Zones)],
-				name:    fmt.Sprintf("%s-%d", service.Name, i),
-			}
-			port := endpointPort + len(f.backEnds)
-			b.inner = fmt.Sprintf("%s.%d:%d", network, endpointHost, port)
-			var end func()
-			if b.proxy, end, err = bbproxy.NewProxy(fmt.Sprintf("%s.%d:%d", network, proxyHost, port), b.inner); err == nil {
-				cleanups = append(cleanups, end)
-				err = f.Restart(b, 0)
-			}
-			if err != nil {
-				cleanup()
-				return nil, nil, err
+			if err := f.addEndpoint(network, service, i); err != nil {
+				return err
 			}
-			cleanups = append(cleanups, b.end)
-			f.backEnds = append(f.backEnds, b)
 		}
 	}
 	for i := range s.VMs {
-		end, err := f.addVM(s, network, i, l.Addr().String())
-		if err != nil {
-			cleanup()
-			return nil, nil, err
+		if err := f.addVM(s, network, i, l.Addr().String()); err != nil {
+			return err
 		}
-		cleanups = append(cleanups, end)
 	}
 	for _, p := range f.processes {
 		if err := p.Start(); err != nil {
-			cleanup()
-			return nil, nil, err
+			return err
 		}
-		cleanups = append(cleanups, p.Kill)
+		f.cleanups = append(f.cleanups, p.Kill)
 	}
-	return f, cleanup, nil
+	return nil
+}
+
+// addProxy starts a proxy.
+func (f *Fleet) addProxy(address, target string) (*bbproxy.Proxy, error) {
+	p, end, err := bbproxy.NewProxy(address, target)
+	if err != nil {
+		return nil, err
+	}
+	f.cleanups = append(f.cleanups, end)
+	return p, nil
+}
+
+// addEndpoint starts an endpoint of a service behind its proxy.
+func (f *Fleet) addEndpoint(network string, service bbcatalog.Service, i int) error {
+	port := endpointPort + len(f.backEnds)
+	b := &backEnd{
+		service: service,
+		zone:    bbdeployment.Zones[i%len(bbdeployment.Zones)],
+		name:    fmt.Sprintf("%s-%d", service.Name, i),
+		inner:   fmt.Sprintf("%s.%d:%d", network, endpointHost, port),
+	}
+	proxy, err := f.addProxy(fmt.Sprintf("%s.%d:%d", network, proxyHost, port), b.inner)
+	if err != nil {
+		return err
+	}
+	b.proxy = proxy
+	f.backEnds = append(f.backEnds, b)
+	f.cleanups = append(f.cleanups, b.end)
+	return f.Restart(b, 0)
 }
 
 // endpointsOf returns how many endpoints a service has: three in each failure domain for
@@ -169,17 +191,16 @@
 )
 
 // addVM prepares a VM and its proxies.
-func (f *Fleet) addVM(s Settings, network string, i int, store string) (func(), error) {
+func (f *Fleet) addVM(s Settings, network string, i int, store string) error {
 	ip := fmt.Sprintf("%s.%d", network, i+1)
 	inner := fmt.Sprintf("%s:%d", ip, firstPort+innerPort)
-	peer, endPeer, err := bbproxy.NewProxy(fmt.Sprintf("%s:%d", ip, firstPort+peerPort), inner)
+	peer, err := f.addProxy(fmt.Sprintf("%s:%d", ip, firstPort+peerPort), inner)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	way, endWay, err := bbproxy.NewProxy(fmt.Sprintf("%s:%d", ip, firstPort+storePort), store)
+	way, err := f.addProxy(fmt.Sprintf("%s:%d", ip, firstPort+storePort), store)
 	if err != nil {
-		endPeer()
-		return nil, err
+		return err
 	}
 	f.peers = append(f.peers, peer)
 	f.stores = append(f.stores, way)
@@ -204,10 +225,7 @@
 		Program: s.Program,
 		Dir:     s.Dir,
 	})
-	return func() {
-		endPeer()
-		endWay()
-	}, nil
+	return nil
 }
 
 // takeNetwork returns the first three numbers of loopback addresses that no other soak uses, and
@@ -275,6 +293,22 @@
 	return f.store.PutEndpoint(entry)
 }
 
+// replace ends the present endpoint, takes out its entry and puts a new one in its place.
+func (f *Fleet) replace(b *backEnd) error {
+	id := b.id()
+	b.end()
+	f.store.RemoveEndpoint(id)
+	return f.Restart(b, b.coldTime())
+}
+
+// coldTime returns how long an endpoint is cold after its start.
+func (b *backEnd) coldTime() time.Duration {
+	if b.service.Engine == nil {
+		return 0
+	}
+	return coldTime
+}
+
 // end ends the present endpoint at once, if there is one.
 func (b *backEnd) end() {
 	b.mu.Lock()
--- a/bluebellbench/bbsoak/load.go
+++ b/bluebellbench/bbsoak/load.go
@@ -55,10 +55,8 @@
 		group.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				pause := time.Duration(random.ExpFloat64() * callers / perSecond * float64(time.Second))
-				select {
-				case <-ctx.Done():
+				if wait(ctx, pause); ctx.Err() != nil {
 					return
-				case <-time.After(pause):
 				}
 				if time.Since(asked) > addressLife {
 					asked = time.Now()
--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -221,29 +221,16 @@
 		time.AfterFunc(heartbeats, func() { f.store.RemoveEndpoint(id) })
 		return nil
 	}
-	fault.end = func() error { return f.Restart(b, cold(b)) }
+	fault.end = func() error { return f.Restart(b, b.coldTime()) }
 	return fault
 }
 
-// cold returns how long an endpoint is cold after its start.
-func cold(b *backEnd) time.Duration {
-	if b.service.Engine == nil {
-		return 0
-	}
-	return coldTime
-}
-
 func leaveEndpoint(f *Fleet, random *rand.Rand) Fault {
 	fault, b := onEndpoint(f, random, "leave")
 	fault.Planned = true
 	fault.For = bbpromise.DrainTime + bbpromise.LingerTime
 	fault.begin = func() error { return f.Leave(b) }
-	fault.end = func() error {
-		id := b.id()
-		b.end()
-		f.store.RemoveEndpoint(id)
-		return f.Restart(b, cold(b))
-	}
+	fault.end = func() error { return f.replace(b) }
 	return fault
 }
 
@@ -269,12 +256,7 @@
 func coldEngine(f *Fleet, random *rand.Rand) Fault {
 	fault, b := onEndpoint(f, random, "restart cold")
 	fault.For = 0
-	fault.begin = func() error {
-		id := b.id()
-		b.end()
-		f.store.RemoveEndpoint(id)
-		return f.Restart(b, cold(b))
-	}
+	fault.begin = func() error { return f.replace(b) }
 	return fault
 }
 
