--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -42,10 +42,7 @@
 		x.log.Tries++
 		x.log.Endpoint = e.ID
 		outcome, again := g.offer(ctx, x, e, runs)
-		if x.sent {
-			return
-		}
-		if !again {
+		if x.sent || !again {
 			return
 		}
 		if outcome == bbhealth.OutcomeBroken {
