--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -62,6 +62,8 @@
 	leaving  atomic.Bool
 	// source is the VM whose endpoints this one follows; used by followLoop only.
 	source source
+	// cell has the endpoints that this VM coordinates.
+	cell cell
 }
 
 // addressedNote is a note for the coordinator at an address.
@@ -95,15 +97,17 @@
 	e.Knowledge = NewKnowledge(e.now)
 	e.Knowledge.changed = e.catalogChanged
 	e.Knowledge.table.Changed = e.endpointChanged
-	e.fleet = bbpeer.NewFleet(s.Self, s.Seeds, e.now, conns)
+	e.fleet = bbpeer.NewFleet(s.Self, s.Seeds, s.Regions, e.now, conns)
 	e.fleet.Log = e.peerChanged
 	e.fleet.LogLeader = e.coordinatorChanged
 	coordinator := bbcoordinator.New(bbcoordinator.Knowledge{
 		Service:   e.service,
-		Endpoints: e.Knowledge.usable,
+		Endpoints: e.coordinated,
 		Region:    e.region,
 		Majority:  e.majority,
 		Alone:     e.fleet.LeadsAlone,
+		Share:     e.share,
+		Spill:     e.fleet.Spill,
 	}, s.Limits)
 	hub, stopHub := bbhub.New(coordinator, bbhub.Seams{
 		Now:         e.now,
@@ -116,7 +120,7 @@
 	stopPeers, err := bbpeer.Listen(s.PeerListen, bbpeer.Handlers{
 		Exchange:  e.fleet.Answer,
 		Published: e.published,
-		Order:     hub.Order,
+		Order:     e.coordinate,
 		Notes:     hub.Notes,
 	})
 	if err != nil {
@@ -139,6 +143,7 @@
 	e.addGauges()
 	go e.fleet.Run(ctx)
 	go e.followLoop(ctx)
+	go e.cellLoop(ctx)
 	go e.sendNotes(ctx)
 	return e, func() {
 		cancel()
@@ -257,7 +262,7 @@
 
 // order asks the coordinator for an engine.
 func (e *Entry) order(ctx context.Context, o bbjob.Order) (bbjob.Verdict, string, error) {
-	verdict, leader, err := e.fleet.Order(ctx, o, e.hub.Order)
+	verdict, leader, err := e.fleet.Order(ctx, o, e.coordinate)
 	return verdict, leader.Peer, err
 }
 
--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -16,9 +16,6 @@
 	followPeriod = 400 * time.Millisecond
 	// publishTimeout bounds a call for what another VM knows.
 	publishTimeout = 800 * time.Millisecond
-	// smallFleet is the number of other VMs up to which each reads the store itself: the
-	// calls are few then, and a reader that is turned away costs time.
-	smallFleet = 12
 )
 
 // source is how far this VM has followed the endpoints of another one.
@@ -93,12 +90,12 @@
 	_, version, _ := e.Knowledge.ready()
 	var peer bbgossip.Member
 	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
-		for _, m := range t.Reachable(now) {
-			if m.CatalogVersion > version {
+		t.EachReachable(now, func(m *bbgossip.Member) {
+			if m.CatalogVersion > version || (m.CatalogVersion == version && peer.Name > m.Name) {
 				version = m.CatalogVersion
-				peer = m
+				peer = *m
 			}
-		}
+		})
 	})
 	return peer, peer.Name != ""
 }
@@ -108,20 +105,19 @@
 func (e *Entry) reader() (bbgossip.Member, bool) {
 	_, _, revision := e.Knowledge.ready()
 	var best bbgossip.Member
-	reads := true
+	readers := e.fleet.Readers()
+	reads := len(readers) == 0 || readers[e.settings.Self.Name]
+	own := e.fleet.Hub().Name
 	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
-		reachable := t.Reachable(now)
-		readers := t.Readers(now)
-		reads = len(reachable) <= smallFleet || readers[e.settings.Self.Name]
-		for _, m := range reachable {
+		t.EachReachable(now, func(m *bbgossip.Member) {
 			switch {
-			case reads && m.EndpointRevision > revision:
+			case reads && (m.EndpointRevision > revision || (m.EndpointRevision == revision && best.Name > m.Name)):
 				revision = m.EndpointRevision
-				best = m
-			case !reads && readers[m.Name] && (best.Name == "" || m.Region == e.settings.Self.Region):
-				best = m
+				best = *m
+			case !reads && readers[m.Name] && (best.Name == "" || m.Name == own):
+				best = *m
 			}
-		}
+		})
 	})
 	if !reads && (best.Name == "" || e.Knowledge.unfollowed()) {
 		return best, true
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbcoordinator"
 	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbevent"
@@ -111,6 +112,20 @@
 	h.apply(h.coordinator.Leave())
 }
 
+// Resume takes orders again after Leave.
+func (h *Hub) Resume() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.coordinator.Resume()
+}
+
+// Outlook returns what the coordinator expects.
+func (h *Hub) Outlook() bbcell.Outlook {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.coordinator.Outlook(h.seams.Now())
+}
+
 // Notes takes in notes of progress.
 func (h *Hub) Notes(notes []bbjob.Note) {
 	h.mu.Lock()
@@ -176,9 +191,10 @@
 // verdictsOf returns the verdicts of an output by request.
 func verdictsOf(out bbdecision.Output) map[string]*bbjob.Verdict {
 	verdicts := make(map[string]*bbjob.Verdict)
-	for _, id := range out.Elsewhere {
-		verdicts[id] = &bbjob.Verdict{
+	for _, e := range out.Elsewhere {
+		verdicts[e.ID] = &bbjob.Verdict{
 			Elsewhere: true,
+			Cell:      e.Cell,
 		}
 	}
 	for i := range out.Grants {
--- /dev/null
+++ b/bluebelld/bbpeer/elect_test.go
@@ -0,0 +1,217 @@
+package bbpeer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbgossip"
+)
+
+// testRegions are the regions of the failure domains of the tests below.
+var testRegions = map[string]string{
+	"n1": "north",
+	"n2": "north",
+	"s1": "south",
+}
+
+// testMember returns a VM of the failure domain n1.
+func testMember(name string, boot int64, beat uint64) bbgossip.Member {
+	return bbgossip.Member{
+		Name:   name,
+		Boot:   boot,
+		Beat:   beat,
+		Peer:   "peer of " + name,
+		Zone:   "n1",
+		Region: "north",
+		Ready:  true,
+	}
+}
+
+// testFleet is a fleet under a manual clock that calls nobody.
+type testFleet struct {
+	*Fleet
+	now time.Duration
+}
+
+func newTestFleet(t *testing.T, self bbgossip.Member) *testFleet {
+	t.Helper()
+	conns, cleanup := NewConns()
+	t.Cleanup(cleanup)
+	f := new(testFleet)
+	f.Fleet = NewFleet(self, nil, testRegions, func() time.Duration { return f.now }, conns)
+	return f
+}
+
+// hear takes in that a member answered.
+func (f *testFleet) hear(now time.Duration, m bbgossip.Member) {
+	f.now = now
+	f.table.Answered(now, m)
+	f.look()
+}
+
+// fleetOfThree returns the fleet of b, which has heard a and c answer at 1 s.
+func fleetOfThree(t *testing.T) *testFleet {
+	t.Helper()
+	f := newTestFleet(t, testMember("b", 200, 1))
+	f.hear(time.Second, testMember("a", 100, 1))
+	f.hear(time.Second, testMember("c", 300, 1))
+	return f
+}
+
+func wantLeader(t *testing.T, f *testFleet, now time.Duration, want string) {
+	t.Helper()
+	f.now = now
+	if got, _ := f.Leader(); got.Name != want {
+		t.Errorf("coordinator at %v is %s, want %s", now, got.Name, want)
+	}
+}
+
+func TestLeader(t *testing.T) {
+	t.Run("the oldest", func(t *testing.T) {
+		wantLeader(t, fleetOfThree(t), time.Second, "a")
+	})
+	t.Run("the largest", func(t *testing.T) {
+		f := fleetOfThree(t)
+		large := testMember("d", 900, 1)
+		large.Weight = 2
+		f.hear(time.Second, large)
+		wantLeader(t, f, time.Second, "d")
+	})
+	t.Run("not one that doesn't answer", func(t *testing.T) {
+		wantLeader(t, fleetOfThree(t), 4*time.Second, "b")
+	})
+	t.Run("not one that is leaving", func(t *testing.T) {
+		f := fleetOfThree(t)
+		m := testMember("a", 100, 2)
+		m.Leaving = true
+		f.hear(1100*time.Millisecond, m)
+		wantLeader(t, f, 1200*time.Millisecond, "b")
+	})
+	t.Run("not one that nothing listens for", func(t *testing.T) {
+		f := fleetOfThree(t)
+		f.table.Lost("a")
+		wantLeader(t, f, 1100*time.Millisecond, "b")
+	})
+	t.Run("a restarted one takes nothing over", func(t *testing.T) {
+		f := fleetOfThree(t)
+		f.hear(1100*time.Millisecond, testMember("a", 900, 1))
+		wantLeader(t, f, 1200*time.Millisecond, "b")
+	})
+	t.Run("itself alone while it isn't ready", func(t *testing.T) {
+		self := testMember("b", 200, 1)
+		self.Ready = false
+		f := newTestFleet(t, self)
+		wantLeader(t, f, 0, "b")
+		f.hear(time.Second, testMember("c", 300, 1))
+		wantLeader(t, f, time.Second, "c")
+	})
+}
+
+// manyVMs returns the fleet of n1-000 with as many VMs as asked for, in turn in each failure
+// domain.
+func manyVMs(t *testing.T, n int) *testFleet {
+	t.Helper()
+	var f *testFleet
+	zones := []string{"n1", "n2", "s1"}
+	for i := range n {
+		zone := zones[i%len(zones)]
+		m := testMember(fmt.Sprintf("%s-%03d", zone, i), int64(100+i), 1)
+		m.Zone, m.Region = zone, testRegions[zone]
+		if f == nil {
+			f = newTestFleet(t, m)
+			continue
+		}
+		f.hear(time.Second, m)
+	}
+	return f
+}
+
+func TestCells(t *testing.T) {
+	t.Run("one of a small fleet", func(t *testing.T) {
+		f := manyVMs(t, 30)
+		for zone := range testRegions {
+			if _, m := f.Coordinates(zone); m.Name != "n1-000" {
+				t.Errorf("%s is coordinated by %s, want n1-000", zone, m.Name)
+			}
+		}
+	})
+	t.Run("one in each failure domain of a large fleet", func(t *testing.T) {
+		f := manyVMs(t, 300)
+		got := make(map[string]string)
+		for zone := range testRegions {
+			_, m := f.Coordinates(zone)
+			got[zone] = m.Name
+		}
+		want := map[string]string{"n1": "n1-000", "n2": "n2-001", "s1": "s1-002"}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("coordinators (-want +got):\n%s", diff)
+		}
+		split, mine, _ := f.Cells()
+		if !split || !mine("n1") || mine("n2") || mine("s1") {
+			t.Error("this VM doesn't coordinate just its own failure domain, want it to")
+		}
+	})
+	t.Run("a lost coordinator is followed by the next of its failure domain", func(t *testing.T) {
+		f := manyVMs(t, 300)
+		f.table.Lost("n2-001")
+		f.look()
+		if _, m := f.Coordinates("n2"); m.Name != "n2-004" {
+			t.Errorf("n2 is coordinated by %s, want n2-004", m.Name)
+		}
+		if _, m := f.Coordinates("s1"); m.Name != "s1-002" {
+			t.Errorf("s1 is coordinated by %s, want s1-002 as before", m.Name)
+		}
+	})
+}
+
+func TestReaders(t *testing.T) {
+	t.Run("all of a small fleet", func(t *testing.T) {
+		if got := manyVMs(t, smallFleet+1).Readers(); len(got) > 0 {
+			t.Errorf("readers of the store are %v, want each VM", got)
+		}
+	})
+	t.Run("the coordinator and one in each region", func(t *testing.T) {
+		want := map[string]bool{"n1-000": true, "s1-002": true}
+		if diff := cmp.Diff(want, manyVMs(t, 30).Readers()); diff != "" {
+			t.Errorf("readers of the store (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("the coordinators of cells", func(t *testing.T) {
+		want := map[string]bool{"n1-000": true, "n2-001": true, "s1-002": true}
+		if diff := cmp.Diff(want, manyVMs(t, 300).Readers()); diff != "" {
+			t.Errorf("readers of the store (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A VM of a large fleet calls few others, whatever the size of the fleet.
+func TestTargetsOfALargeFleet(t *testing.T) {
+	const rounds = 2 * otherEvery
+	count := func(t *testing.T, f *testFleet) int {
+		n := 0
+		for range rounds {
+			n += len(f.targets())
+		}
+		return n
+	}
+	t.Run("a hub calls the other hubs, and any VM now and then", func(t *testing.T) {
+		f := manyVMs(t, 300)
+		// Any VM may be a hub, which is called already.
+		if got := count(t, f); got < 2*rounds || got > 2*rounds+rounds/starEvery {
+			t.Errorf("%d calls in %d rounds, want 2 in each and up to %d", got, rounds, rounds/starEvery)
+		}
+	})
+	t.Run("others call their hub", func(t *testing.T) {
+		f := manyVMs(t, 300)
+		self := testMember("n1-999", 999, 1)
+		other := newTestFleet(t, self)
+		f.table.EachReachable(f.now, func(m *bbgossip.Member) { other.hear(time.Second, *m) })
+		other.hear(time.Second, f.table.Self())
+		if got := count(t, other); got < rounds/starEvery || got > rounds/starEvery+rounds/otherEvery {
+			t.Errorf("%d calls in %d rounds, want one in %d and up to %d", got, rounds, starEvery, rounds/otherEvery)
+		}
+	})
+}
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbjob"
 )
@@ -26,13 +28,23 @@
 	// round.
 	meshSize = 12
 	// starEvery is the number of rounds after which each VM of a larger fleet exchanges with
-	// the coordinator, and with one other so that parts of the fleet find each other.
+	// its hub.
 	starEvery = 3
+	// otherEvery is the number of rounds after which a VM of a larger fleet exchanges with any
+	// other, so that parts of the fleet find each other; hubs do so more often.
+	otherEvery = 24
+	// maxWants bounds the processes that are asked for in one exchange: some 10 KB in answer.
+	maxWants = 128
+	// maxCatchUp bounds the exchanges that follow one in which processes turned out to be
+	// unknown: a fleet of twice the planned size.
+	maxCatchUp = 6
 	// seedEvery is the number of rounds after which seeds are tried that no VM is known at.
 	seedEvery = 4
 )
 
-// Fleet is this VM's view of the others, kept up to date by rounds of exchange.
+// Fleet is this VM's view of the others, kept up to date by rounds of exchange. In a large
+// fleet each VM exchanges with the hub of its failure domain, and hubs with each other: the hub
+// vouches for the rest.
 type Fleet struct {
 	// Now returns the steady time.
 	Now func() time.Duration
@@ -43,40 +55,63 @@
 	// LogLeader tells of another coordinator, with the number of VMs that answer.
 	LogLeader func(name string, reachable int)
 
-	mu    sync.Mutex
-	table *bbgossip.Table
-	seeds []string
+	mu      sync.Mutex
+	table   *bbgossip.Table
+	seeds   []string
+	regions map[string]string
 	// rounds counts the rounds of exchange.
 	rounds int
 	// busy are the addresses with an exchange in progress.
 	busy map[string]bool
 	// introduced has the process of each VM that knows this one in full.
 	introduced map[string]int64
-	// reached are the names that were reachable in the last round.
+	// reached are the names that were reachable at the last look.
 	reached map[string]bool
-	// leader is the coordinator as of the last look, and changed is closed when it
-	// is another one or a VM is no longer reachable.
+	// split tells whether each failure domain is a cell, cells has their coordinators and hubs
+	// the VMs that vouch for others. They are as of the last look and of the given version of
+	// the table.
+	split   bbcell.Split
+	cells   bbcell.Map
+	hubs    bbcell.Map
+	version uint64
+	// expects is what this VM expects as a coordinator, neighbours what the others do.
+	expects    bbcell.Outlook
+	neighbours *bbcell.Neighbours
+	// leader is the coordinator of this VM's cell as of the last look, and changed is closed
+	// when a coordinator is another one or a VM is no longer reachable.
 	leader  bbgossip.Member
 	changed chan struct{}
-	// ledSince is when this VM became the coordinator.
-	ledSince time.Duration
+	// ledSince is when that coordinator became it, ownSince when the cells that this VM
+	// coordinates last changed.
+	ledSince, ownSince time.Duration
 }
 
-// NewFleet returns a fleet that knows only its own VM and the addresses of some seeds.
-func NewFleet(self bbgossip.Member, seeds []string, now func() time.Duration, conns *Conns) *Fleet {
-	return &Fleet{
+// NewFleet returns a fleet that knows only its own VM, the addresses of some seeds and the
+// region of each failure domain.
+func NewFleet(self bbgossip.Member, seeds []string, regions map[string]string, now func() time.Duration, conns *Conns) *Fleet {
+	all := map[string]string{
+		self.Zone: self.Region,
+	}
+	maps.Copy(all, regions)
+	f := &Fleet{
 		Now:        now,
 		Conns:      conns,
 		Log:        func(string, bool, string) {},
 		LogLeader:  func(string, int) {},
 		table:      bbgossip.NewTable(self),
 		seeds:      seeds,
+		regions:    all,
+		rounds:     rand.IntN(otherEvery),
 		busy:       make(map[string]bool),
 		introduced: make(map[string]int64),
 		reached:    make(map[string]bool),
+		neighbours: bbcell.NewNeighbours(),
 		leader:     self,
 		changed:    make(chan struct{}),
 	}
+	f.cells = bbcell.New([]bbgossip.Member{self}, all, false)
+	f.hubs = f.cells
+	return f
 }
 
 // Run makes rounds of exchange until the context ends.
@@ -120,7 +155,7 @@
 	look(f.table, f.Now())
 }
 
-// Leader returns the VM that coordinates shared work, and a channel that is closed when
+// Leader returns the VM that coordinates this VM's cell, and a channel that is closed when
 // it is another one.
 func (f *Fleet) Leader() (bbgossip.Member, <-chan struct{}) {
 	f.mu.Lock()
@@ -136,171 +171,145 @@
 	return m.Name == f.table.Self().Name
 }
 
-// Answer takes in the exchange of another VM and returns this VM's.
-func (f *Fleet) Answer(e Exchange) Exchange {
+// Coordinates tells whether this VM coordinates a cell, and which VM coordinates that of a
+// failure domain.
+func (f *Fleet) Coordinates(zone string) (bool, bbgossip.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.Now()
-	known := f.table.Heard(now, e.From)
-	f.table.Merge(now, e.Members, false)
-	answer := Exchange{
-		From:    f.table.Self(),
-		Digest:  f.table.Digest(now),
-		Vouches: f.leader.Name == f.table.Self().Name,
-		Unknown: !known,
-	}
-	if e.KnownBoot == answer.From.Boot {
-		answer.From = answer.From.Brief()
-	}
-	if e.Digest != answer.Digest {
-		answer.Members = f.table.Present(now)
-	}
-	f.look()
-	return answer
+	other, _ := f.cells.Of(zone)
+	return f.cells.WorksAny(f.table.Self().Name), other
 }
 
-// Local runs the coordinator of this VM.
-type Local func(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error
+// Cells tells whether the fleet has several cells and which failure domains this VM coordinates.
+// Version changes when they do.
+func (f *Fleet) Cells() (split bool, mine func(zone string) bool, version time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cells, name := f.cells, f.table.Self().Name
+	return f.split.ByZone, func(zone string) bool { return cells.Works(name, zone) }, f.ownSince
+}
 
-// Order asks the coordinator for an engine, and another one when the first is lost or
-// leaves. Results that were made so far go along. Local is used when this VM coordinates.
-func (f *Fleet) Order(ctx context.Context, o bbjob.Order, local Local) (bbjob.Verdict, bbgossip.Member, error) {
-	started := f.Now()
-	objective, limit := o.Objective, o.Limit
-	var verdict bbjob.Verdict
-	pass := func(u bbjob.Update) error {
-		o.Made = u.Apply(o.Made)
-		if u.Verdict != nil {
-			verdict = *u.Verdict
-		}
+// Coordinators returns the number of VMs that coordinate cells.
+func (f *Fleet) Coordinators() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(1, len(f.cells.VMs()))
+}
+
+// smallFleet is the number of other VMs up to which each reads the platform's store itself: the
+// calls are few then, and a reader that is turned away costs time.
+const smallFleet = 12
+
+// Readers returns the VMs that read the platform's store for all: the hubs, the coordinators and
+// a VM in each region. It is empty when each VM reads it.
+func (f *Fleet) Readers() map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.look()
+	if len(f.reached) <= smallFleet {
 		return nil
 	}
-	if err := f.settle(ctx); err != nil {
-		return verdict, f.self(), err
-	}
-	for try := 0; ; try++ {
-		leader, changed := f.Leader()
-		o.Objective, o.Limit = objective-(f.Now()-started), limit-(f.Now()-started)
-		if f.IsSelf(leader) || try >= maxOrderTries {
-			leader = f.self()
-			err := local(ctx, o, pass)
-			if !verdict.Elsewhere || err != nil {
-				return verdict, leader, err
-			}
-		} else {
-			err := f.orderFrom(ctx, leader, changed, o, pass)
-			if ctx.Err() != nil || (err == nil && !verdict.Elsewhere) {
-				return verdict, leader, err
-			}
-		}
-		if verdict.Elsewhere {
-			f.left(leader)
-		}
-		verdict = bbjob.Verdict{}
-		select {
-		case <-ctx.Done():
-			return verdict, leader, ctx.Err()
-		case <-changed:
-		case <-time.After(orderPause):
+	readers := make(map[string]bool)
+	for _, m := range append(f.hubs.VMs(), f.cells.VMs()...) {
+		readers[m.Name] = true
+	}
+	if f.split.ByZone {
+		return readers
+	}
+	best := make(map[string]bbgossip.Member)
+	take := func(m *bbgossip.Member) {
+		if b, ok := best[m.Region]; !m.Leaving && (!ok || bbgossip.Before(*m, b)) {
+			best[m.Region] = *m
 		}
 	}
+	self := f.table.Self()
+	take(&self)
+	f.table.EachReachable(f.Now(), take)
+	for _, m := range best {
+		readers[m.Name] = true
+	}
+	return readers
 }
 
-const (
-	// maxOrderTries is the number of failed calls to coordinators after which a VM decides
-	// by itself.
-	maxOrderTries = 6
-	// orderPause is the pause after a failed call to a coordinator.
-	orderPause = 60 * time.Millisecond
-	// startTime is how long a VM that has started may not have heard of all others: some rounds
-	// of exchange, after the last of VMs that start together.
-	startTime = 2 * time.Second
-	// quietTime is how long its view of the coordinator has to stay the same before it counts:
-	// longer than a round.
-	quietTime = 400 * time.Millisecond
-)
-
-// settle waits until this VM's view of the coordinator counts.
-func (f *Fleet) settle(ctx context.Context) error {
-	for wait := f.unsettled(); wait > 0; wait = f.unsettled() {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(wait):
-		}
-	}
-	return nil
+// Hub returns the VM that vouches for others to this one.
+func (f *Fleet) Hub() bbgossip.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hub()
 }
 
-// unsettled returns how long to wait before this VM's view of the coordinator counts. VMs that
-// all start at once hear of each other one by one; were each to coordinate until then, they would
-// fill the stage workers with each other's calls.
-func (f *Fleet) unsettled() time.Duration {
+// SetOutlook changes what this VM tells other coordinators that it expects.
+func (f *Fleet) SetOutlook(o bbcell.Outlook) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.Now()
-	if now >= startTime {
-		return 0
-	}
-	if len(f.table.Reachable(now)) == 0 && f.hasSeeds() {
-		return startTime - now
-	}
-	return min(startTime-now, f.ledSince+quietTime-now)
+	f.expects = o
 }
 
-// hasSeeds tells whether other VMs may be found; the caller holds the lock.
-func (f *Fleet) hasSeeds() bool {
-	return slices.ContainsFunc(f.seeds, func(s string) bool { return s != f.table.Self().Peer })
+// Spill returns the coordinator of another cell that should take an order; see
+// [bbcell.Neighbours.Spill].
+func (f *Fleet) Spill(o bbjob.Order, own time.Duration, allowed func(zone string) bool) (name string, expected time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.split.ByZone {
+		return "", 0
+	}
+	others := slices.DeleteFunc(f.cells.VMs(), func(m bbgossip.Member) bool { return m.Name == f.table.Self().Name })
+	return f.neighbours.Spill(f.Now(), o, own, others, allowed)
 }
 
-// left notes that a coordinator hands its orders back because it is leaving.
-func (f *Fleet) left(m bbgossip.Member) {
+// Answer takes in the exchange of another VM and returns this VM's.
+func (f *Fleet) Answer(e Exchange) Exchange {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.table.Left(m.Name)
+	now := f.Now()
+	known := f.table.Heard(now, e.From)
 	f.look()
+	self := f.table.Self()
+	answer := Exchange{
+		From:    self,
+		Digest:  f.table.Digest(now),
+		Vouches: f.isHub(),
+		Unknown: !known,
+		Members: f.table.Of(e.Wants[:min(len(e.Wants), maxWants)]),
+	}
+	if e.KnownBoot == self.Boot {
+		answer.From = self.Brief()
+	}
+	if e.Digest != answer.Digest {
+		answer.States = f.table.States(now)
+	}
+	f.hearOutlook(now, e)
+	if e.Outlook != nil {
+		answer.Outlook = f.outlook()
+	}
+	return answer
 }
 
-// orderFrom asks one coordinator, until it answers or can't be reached. One that is leaving
-// or no longer the oldest finishes what it has.
-func (f *Fleet) orderFrom(ctx context.Context, leader bbgossip.Member, changed <-chan struct{}, o bbjob.Order, pass func(u bbjob.Update) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		for {
-			select {
-			case <-changed:
-			case <-ctx.Done():
-				return
-			}
-			var reachable bool
-			if reachable, changed = f.stillReaches(leader); !reachable {
-				cancel()
-				return
-			}
-		}
-	}()
-	return f.Conns.Order(ctx, leader.Peer, o, pass)
+// isHub tells whether this VM vouches for others; the caller holds the lock.
+func (f *Fleet) isHub() bool {
+	return f.hubs.WorksAny(f.table.Self().Name)
 }
 
-// settleTime is how long after a change of the coordinator calls of the former one may be
-// in progress: the longest call on the users' sheets, and a wait behind another.
-const settleTime = 900 * time.Millisecond
+// hub returns the VM that vouches for others to this one; the caller holds the lock.
+func (f *Fleet) hub() bbgossip.Member {
+	m, _ := f.hubs.Of(f.table.Self().Zone)
+	return m
+}
 
-// LeadsAlone tells whether this VM coordinates and has done so for a while.
-func (f *Fleet) LeadsAlone() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Now()
-	return f.leader.Name == f.table.Self().Name && now-f.ledSince > settleTime && f.table.HasMajority(now)
+// outlook returns what this VM expects as a coordinator of one of several cells, else nil; the
+// caller holds the lock.
+func (f *Fleet) outlook() *bbcell.Outlook {
+	if !f.split.ByZone || !f.cells.WorksAny(f.table.Self().Name) {
+		return nil
+	}
+	return &f.expects
 }
 
-// stillReaches tells whether a process of another VM is reachable, and returns the channel
-// that is closed when that may have changed.
-func (f *Fleet) stillReaches(m bbgossip.Member) (bool, <-chan struct{}) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.reached[m.Name] && f.table.Boot(m.Name) == m.Boot, f.changed
+// hearOutlook takes in what another coordinator expects; the caller holds the lock.
+func (f *Fleet) hearOutlook(now time.Duration, e Exchange) {
+	if e.Outlook != nil {
+		f.neighbours.Hear(now, e.From.Name, *e.Outlook)
+	}
 }
 
 func (f *Fleet) self() bbgossip.Member {
@@ -316,17 +325,13 @@
 	f.table.Update(func(*bbgossip.Member) {})
 	f.table.Forget(f.Now())
 	for _, address := range f.targets() {
-		if f.busy[address] {
-			continue
-		}
-		f.busy[address] = true
-		go f.exchange(ctx, address)
+		f.startExchange(ctx, address)
 	}
 	f.look()
 }
 
-// targets returns the addresses for one round: all members of a small fleet, else now and
-// then the coordinator and one other, and seeds that no known member has.
+// targets returns the addresses for one round: all members of a small fleet, else those of
+// targetsOfMany, and seeds that no known member has.
 func (f *Fleet) targets() []string {
 	f.rounds++
 	known := f.table.Known()
@@ -339,14 +344,7 @@
 		addresses = append(addresses, m.Peer)
 	}
 	if len(addresses) >= meshSize {
-		other := addresses[rand.IntN(len(addresses))]
-		addresses = nil
-		if f.rounds%starEvery == 0 {
-			addresses = []string{other}
-			if f.leader.Name != f.table.Self().Name && f.leader.Peer != other {
-				addresses = append(addresses, f.leader.Peer)
-			}
-		}
+		addresses = f.targetsOfMany(addresses)
 	}
 	for _, seed := range f.seeds {
 		if !taken[seed] && (len(known) == 0 || f.rounds%seedEvery == 0) {
@@ -356,36 +354,118 @@
 	return addresses
 }
 
-// exchange makes one exchange with an address.
+// targetsOfMany returns the addresses for one round in a large fleet: the other hubs, for a hub
+// and for a coordinator, else now and then the own hub; and rarely any other VM.
+func (f *Fleet) targetsOfMany(known []string) []string {
+	name := f.table.Self().Name
+	var addresses []string
+	every := otherEvery
+	switch {
+	case f.isHub() || f.cells.WorksAny(name):
+		every = starEvery
+		for _, m := range append(f.hubs.VMs(), f.cells.VMs()...) {
+			if m.Name != name && !slices.Contains(addresses, m.Peer) {
+				addresses = append(addresses, m.Peer)
+			}
+		}
+	case f.rounds%starEvery == 0:
+		addresses = []string{f.hub().Peer}
+	}
+	if f.rounds%every == 0 {
+		if other := known[rand.IntN(len(known))]; !slices.Contains(addresses, other) {
+			addresses = append(addresses, other)
+		}
+	}
+	return addresses
+}
+
+// exchange makes an exchange with an address, and more while processes turn out to be unknown.
 func (f *Fleet) exchange(ctx context.Context, address string) {
+	var wants []uint64
+	for range maxCatchUp {
+		wants = f.exchangeOnce(ctx, address, wants)
+		if len(wants) == 0 {
+			break
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.busy, address)
+}
+
+// exchangeOnce makes one exchange with an address, in which it asks for some processes. It
+// returns the ones that are to be asked for next.
+func (f *Fleet) exchangeOnce(ctx context.Context, address string, wants []uint64) []uint64 {
 	question, name := f.question(address)
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	question.Wants = wants
+	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	answer, err := f.Conns.Exchange(ctx, address, question)
+	answer, err := f.Conns.Exchange(call, address, question)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.busy, address)
 	now := f.Now()
-	if err == nil {
-		if f.table.Answered(now, answer.From) && !answer.Unknown {
-			f.introduced[answer.From.Name] = answer.From.Boot
-		} else {
-			delete(f.introduced, name)
-		}
-		vouched := answer.Vouches && answer.From.Name == f.leader.Name
-		if vouched && answer.Digest == f.table.Digest(now) {
-			f.table.Vouch(now)
+	if err != nil {
+		f.table.Failed(now, name)
+		if status.Code(errors.UnwrapAll(err)) == codes.Unavailable && name != "" {
+			f.table.Lost(name)
 		}
-		f.table.Merge(now, answer.Members, vouched)
-		f.look()
+		go f.Conns.Reset(address)
+		f.lostHub(ctx, address)
+		return nil
+	}
+	if f.table.Answered(now, answer.From) && !answer.Unknown {
+		f.introduced[answer.From.Name] = answer.From.Boot
+	} else {
+		delete(f.introduced, name)
+	}
+	f.table.Merge(now, answer.Members)
+	f.look()
+	f.vouched(now, answer)
+	f.hearOutlook(now, answer)
+	f.look()
+	unknown := f.table.Unknown(answer.States)
+	return unknown[:min(len(unknown), maxWants)]
+}
+
+// vouched takes in for which VMs another one vouches: the own hub for all, other hubs for those
+// that they hear themselves.
+func (f *Fleet) vouched(now time.Duration, answer Exchange) {
+	if !answer.Vouches {
+		return
+	}
+	hub := answer.From.Name
+	of := func(m bbgossip.Member) bool { return m.Name != hub && f.hubs.Works(hub, m.Zone) }
+	if hub == f.hub().Name {
+		of = func(m bbgossip.Member) bool { return m.Name != hub }
+	}
+	if answer.Digest == f.table.Digest(now) {
+		f.table.VouchAll(now, of)
 		return
 	}
-	f.table.Failed(now, name)
-	if status.Code(errors.UnwrapAll(err)) == codes.Unavailable && name != "" {
-		f.table.Lost(name)
+	if len(answer.States) > 0 {
+		f.table.Vouch(now, answer.States, of)
 	}
-	go f.Conns.Reset(address)
+}
+
+// lostHub takes in that an exchange failed. When it was with this VM's hub, it goes to the next
+// one at once.
+func (f *Fleet) lostHub(ctx context.Context, address string) {
+	before := f.hub()
 	f.look()
+	next := f.hub()
+	if before.Peer == address && next.Peer != address {
+		f.startExchange(ctx, next.Peer)
+	}
+}
+
+// startExchange starts an exchange with an address unless one is in progress; the caller holds
+// the lock.
+func (f *Fleet) startExchange(ctx context.Context, address string) {
+	if f.busy[address] || address == f.table.Self().Peer {
+		return
+	}
+	f.busy[address] = true
+	go f.exchange(ctx, address)
 }
 
 // question returns what this VM tells the VM at an address, and that VM's name if known.
@@ -396,46 +476,96 @@
 		From:   f.table.Self(),
 		Digest: f.table.Digest(f.Now()),
 	}
-	for _, m := range f.table.Known() {
-		if m.Peer != address {
-			continue
-		}
-		q.KnownBoot = m.Boot
-		if f.introduced[m.Name] == m.Boot {
-			q.From = q.From.Brief()
-		}
-		return q, m.Name
+	m, ok := f.table.At(address)
+	if !ok {
+		return q, ""
+	}
+	q.KnownBoot = m.Boot
+	if f.introduced[m.Name] == m.Boot {
+		q.From = q.From.Brief()
+	}
+	if f.cells.WorksAny(m.Name) {
+		q.Outlook = f.outlook()
 	}
-	return q, ""
+	return q, m.Name
 }
 
-// look notes which VMs are reachable now and which one coordinates.
+// look notes which VMs are reachable now and which ones coordinate.
 func (f *Fleet) look() {
 	now := f.Now()
-	present := make(map[string]bool)
-	for _, m := range f.table.Reachable(now) {
-		present[m.Name] = true
+	gained, count := f.version != f.table.Version(), 0
+	f.table.EachReachable(now, func(m *bbgossip.Member) {
+		count++
 		if !f.reached[m.Name] {
 			f.reached[m.Name] = true
+			gained = true
 			f.Log(m.Name, true, "answers")
 		}
+	})
+	lost := count < len(f.reached)
+	if !gained && !lost {
+		return
+	}
+	f.version = f.table.Version()
+	reachable := f.table.Reachable(now)
+	if lost {
+		f.forgetLost(reachable)
+	}
+	if f.elect(now, reachable) || lost {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+// forgetLost notes which VMs are no longer reachable.
+func (f *Fleet) forgetLost(reachable []bbgossip.Member) {
+	present := make(map[string]bool, len(reachable))
+	for _, m := range reachable {
+		present[m.Name] = true
 	}
-	lost := false
 	for name := range f.reached {
 		if !present[name] {
 			delete(f.reached, name)
-			lost = true
 			f.Log(name, false, "silent")
 		}
 	}
-	leader := f.table.Leader(now)
-	if lost || leader.Name != f.leader.Name || leader.Boot != f.leader.Boot {
-		close(f.changed)
-		f.changed = make(chan struct{})
+}
+
+// elect works out the coordinators and hubs. It is true when a coordinator is another one.
+func (f *Fleet) elect(now time.Duration, reachable []bbgossip.Member) bool {
+	self := f.table.Self()
+	f.split.Resize(f.table.Size())
+	var staying, ready []bbgossip.Member
+	for _, m := range append(reachable, self) {
+		if m.Leaving {
+			continue
+		}
+		staying = append(staying, m)
+		if m.Ready {
+			ready = append(ready, m)
+		}
+	}
+	if len(ready) == 0 {
+		ready = []bbgossip.Member{self}
+	}
+	if len(staying) == 0 {
+		staying = []bbgossip.Member{self}
+	}
+	f.hubs = bbcell.New(staying, f.regions, f.split.ByZone)
+	cells := bbcell.New(ready, f.regions, f.split.ByZone)
+	changed := !cells.Equal(f.cells)
+	for zone := range f.regions {
+		if cells.Works(self.Name, zone) != f.cells.Works(self.Name, zone) {
+			f.ownSince = now
+		}
 	}
+	f.cells = cells
+	f.neighbours.Keep(cells.VMs())
+	leader, _ := cells.Of(self.Zone)
 	if leader.Name != f.leader.Name {
 		f.ledSince = now
-		f.LogLeader(leader.Name, len(present))
+		f.LogLeader(leader.Name, len(reachable))
 	}
 	f.leader = leader
+	return changed
 }
--- a/bluebelld/bbpeer/fleet_test.go
+++ b/bluebelld/bbpeer/fleet_test.go
@@ -55,7 +55,7 @@
 		Boot:  boot,
 		Peer:  address,
 		Ready: true,
-	}, seeds, func() time.Duration { return time.Since(began) }, conns)
+	}, seeds, nil, func() time.Duration { return time.Since(began) }, conns)
 	if order == nil {
 		order = v.grant
 	}
@@ -175,7 +175,7 @@
 	f := NewFleet(bbgossip.Member{
 		Name: "b",
 		Boot: 200,
-	}, nil, func() time.Duration { return now }, conns)
+	}, nil, nil, func() time.Duration { return now }, conns)
 	want := func(at, wait time.Duration) {
 		t.Helper()
 		now = at
--- /dev/null
+++ b/bluebelld/bbpeer/order.go
@@ -0,0 +1,230 @@
+package bbpeer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbjob"
+)
+
+// Local runs the coordinator of this VM.
+type Local func(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error
+
+// Order asks the coordinator of this VM's cell for an engine, and another one when the first is
+// lost, leaves or names another cell. Results that were made so far go along. Local is used when
+// this VM coordinates. An order that nobody has decided when it can't be served in time any more
+// is refused.
+func (f *Fleet) Order(ctx context.Context, o bbjob.Order, local Local) (bbjob.Verdict, bbgossip.Member, error) {
+	decide, cancel := context.WithTimeout(ctx, max(o.Limit-decideLead, 0))
+	defer cancel()
+	verdict, coordinator, err := f.order(decide, o, local)
+	if ctx.Err() == nil && decide.Err() != nil {
+		return undecided(o, "deadline"), coordinator, nil
+	}
+	return verdict, coordinator, err
+}
+
+// undecided returns the refusal of an order that no coordinator decided.
+func undecided(o bbjob.Order, reason string) bbjob.Verdict {
+	return bbjob.Verdict{
+		Refusal: &bbjob.Refusal{
+			ID:         o.ID,
+			Reason:     reason,
+			RetryAfter: undecidedRetryAfter,
+		},
+	}
+}
+
+func (f *Fleet) order(ctx context.Context, o bbjob.Order, local Local) (bbjob.Verdict, bbgossip.Member, error) {
+	started := f.Now()
+	objective, limit := o.Objective, o.Limit
+	var verdict bbjob.Verdict
+	pass := func(u bbjob.Update) error {
+		o.Made = u.Apply(o.Made)
+		if u.Verdict != nil {
+			verdict = *u.Verdict
+		}
+		return nil
+	}
+	if err := f.settle(ctx); err != nil {
+		return verdict, f.self(), err
+	}
+	cell := ""
+	for try := 0; ; try++ {
+		coordinator, changed := f.coordinator(o, cell)
+		o.Objective, o.Limit = objective-(f.Now()-started), limit-(f.Now()-started)
+		alone := try >= maxOrderTries
+		switch {
+		case alone && f.isLarge():
+			return undecided(o, "noCoordinator"), coordinator, nil
+		case alone || f.IsSelf(coordinator):
+			coordinator = f.self()
+			err := local(ctx, o, pass)
+			if !verdict.Elsewhere || err != nil {
+				return verdict, coordinator, err
+			}
+		default:
+			err := f.orderFrom(ctx, coordinator, changed, o, pass)
+			if ctx.Err() != nil || (err == nil && !verdict.Elsewhere) {
+				return verdict, coordinator, err
+			}
+			if err != nil {
+				f.check(ctx, coordinator)
+			}
+		}
+		cell = verdict.Cell
+		if cell != "" {
+			o.Spilled = true
+			verdict = bbjob.Verdict{}
+			continue
+		}
+		if verdict.Elsewhere {
+			f.left(coordinator)
+		}
+		verdict = bbjob.Verdict{}
+		select {
+		case <-ctx.Done():
+			return verdict, coordinator, ctx.Err()
+		case <-changed:
+		case <-time.After(orderPause):
+		}
+	}
+}
+
+// coordinator returns the VM to ask about an order: the named one if it is a coordinator, else
+// that of this VM's cell, or of another where the order may be served. The channel is closed
+// when that may have changed.
+func (f *Fleet) coordinator(o bbjob.Order, name string) (bbgossip.Member, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.look()
+	for _, m := range f.cells.VMs() {
+		if m.Name == name {
+			return m, f.changed
+		}
+	}
+	m, _ := f.cells.For(f.table.Self().Zone, func(zone string) bool {
+		return len(o.Regions) == 0 || slices.Contains(o.Regions, f.regions[zone])
+	})
+	return m, f.changed
+}
+
+// isLarge tells whether this VM exchanges with few of the others. In such a fleet VMs that
+// reach no coordinator would be many.
+func (f *Fleet) isLarge() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Size() > meshSize
+}
+
+// check exchanges with a coordinator that an order didn't reach, so that its loss is noticed
+// before the next round.
+func (f *Fleet) check(ctx context.Context, m bbgossip.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.startExchange(context.WithoutCancel(ctx), m.Peer)
+}
+
+const (
+	// maxOrderTries is the number of failed calls to coordinators after which a VM of a small
+	// fleet decides by itself, and one of a large fleet refuses.
+	maxOrderTries = 6
+	// decideLead is how long before its limit an order is refused that nobody has decided: an
+	// engine's usual time to the first token and the answer's way to the caller.
+	decideLead = 150 * time.Millisecond
+	// undecidedRetryAfter is when the next coordinator should have been found.
+	undecidedRetryAfter = 500 * time.Millisecond
+	// orderPause is the pause after a failed call to a coordinator.
+	orderPause = 60 * time.Millisecond
+	// startTime is how long a VM that has started may not have heard of all others: some rounds
+	// of exchange, after the last of VMs that start together.
+	startTime = 2 * time.Second
+	// quietTime is how long its view of the coordinator has to stay the same before it counts:
+	// longer than a round.
+	quietTime = 400 * time.Millisecond
+)
+
+// settle waits until this VM's view of the coordinator counts.
+func (f *Fleet) settle(ctx context.Context) error {
+	for wait := f.unsettled(); wait > 0; wait = f.unsettled() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+	return nil
+}
+
+// unsettled returns how long to wait before this VM's view of the coordinator counts. VMs that
+// all start at once hear of each other one by one; were each to coordinate until then, they would
+// fill the stage workers with each other's calls.
+func (f *Fleet) unsettled() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	if now >= startTime {
+		return 0
+	}
+	if len(f.table.Reachable(now)) == 0 && f.hasSeeds() {
+		return startTime - now
+	}
+	return min(startTime-now, f.ledSince+quietTime-now)
+}
+
+// hasSeeds tells whether other VMs may be found; the caller holds the lock.
+func (f *Fleet) hasSeeds() bool {
+	return slices.ContainsFunc(f.seeds, func(s string) bool { return s != f.table.Self().Peer })
+}
+
+// left notes that a coordinator hands its orders back because it is leaving.
+func (f *Fleet) left(m bbgossip.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.Left(m.Name)
+	f.look()
+}
+
+// orderFrom asks one coordinator, until it answers or can't be reached. One that is leaving
+// or no longer the oldest finishes what it has.
+func (f *Fleet) orderFrom(ctx context.Context, leader bbgossip.Member, changed <-chan struct{}, o bbjob.Order, pass func(u bbjob.Update) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+			var reachable bool
+			if reachable, changed = f.stillReaches(leader); !reachable {
+				cancel()
+				return
+			}
+		}
+	}()
+	return f.Conns.Order(ctx, leader.Peer, o, pass)
+}
+
+// settleTime is how long after a change of the coordinator calls of the former one may be
+// in progress: the longest call on the users' sheets, and a wait behind another.
+const settleTime = 900 * time.Millisecond
+
+// LeadsAlone tells whether this VM coordinates and has done so for a while.
+func (f *Fleet) LeadsAlone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	return f.cells.WorksAny(f.table.Self().Name) && now-f.ownSince > settleTime && f.table.HasMajority(now)
+}
+
+// stillReaches tells whether a process of another VM is reachable, and returns the channel
+// that is closed when that may have changed.
+func (f *Fleet) stillReaches(m bbgossip.Member) (bool, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reached[m.Name] && f.table.Boot(m.Name) == m.Boot, f.changed
+}
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
@@ -23,12 +24,19 @@
 	KnownBoot int64 `cbor:"2,keyasint,omitempty"`
 	// Digest is that of the sender's table.
 	Digest uint64 `cbor:"3,keyasint,omitempty"`
-	// Members are those that the sender knows; only where the tables differ.
+	// Members are those that the question wants, in an answer.
 	Members []bbgossip.Member `cbor:"4,keyasint,omitempty"`
-	// Vouches is true in an answer of the coordinator, as it sees itself.
-	Vouches bool `cbor:"6,keyasint,omitempty"`
 	// Unknown is true in an answer when the sender of the question wasn't known.
 	Unknown bool `cbor:"5,keyasint,omitempty"`
+	// Vouches is true in an answer of a hub, as it sees itself.
+	Vouches bool `cbor:"6,keyasint,omitempty"`
+	// States are those of the processes that the sender sees running; only in an answer, where
+	// the tables differ.
+	States []uint64 `cbor:"7,keyasint,omitempty"`
+	// Wants are states of processes that the sender doesn't know, in a question.
+	Wants []uint64 `cbor:"8,keyasint,omitempty"`
+	// Outlook is what a coordinator expects of its cell.
+	Outlook *bbcell.Outlook `cbor:"9,keyasint,omitempty"`
 }
 
 // Wanted names what a VM lacks of what the platform published.
--- a/core/bballowance/windows.go
+++ b/core/bballowance/windows.go
@@ -23,6 +23,13 @@
 	return window
 }
 
+// Grant changes the number of repeats that is free in each window.
+func (w *Windows) Grant(slack float64) {
+	for _, window := range w.all {
+		window.Slack = slack
+	}
+}
+
 // Left returns how many repeats each service may have now.
 func (w *Windows) Left(now time.Duration) map[string]float64 {
 	left := make(map[string]float64, len(w.all))
--- /dev/null
+++ b/core/bbcell/cell_test.go
@@ -0,0 +1,245 @@
+package bbcell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbjob"
+)
+
+// regions are those of the failure domains of the tests.
+var regions = map[string]string{
+	"n1": "north",
+	"n2": "north",
+	"s1": "south",
+	"s2": "south",
+}
+
+// vm returns a VM whose failure domain is the start of its name.
+func vm(name string, weight float64) bbgossip.Member {
+	return bbgossip.Member{
+		Name:   name,
+		Boot:   100,
+		Zone:   name[:2],
+		Region: regions[name[:2]],
+		Weight: weight,
+	}
+}
+
+// fleet is a fleet in which each failure domain has a large and a small VM.
+func fleet() []bbgossip.Member {
+	var vms []bbgossip.Member
+	for _, zone := range []string{"n1", "n2", "s1", "s2"} {
+		vms = append(vms, vm(zone+"-a", 0.2), vm(zone+"-b", 0.8))
+	}
+	return vms
+}
+
+// without returns the VMs of the fleet but those of some failure domains.
+func without(zones ...string) []bbgossip.Member {
+	var vms []bbgossip.Member
+	for _, m := range fleet() {
+		out := false
+		for _, zone := range zones {
+			out = out || m.Zone == zone
+		}
+		if !out {
+			vms = append(vms, m)
+		}
+	}
+	return vms
+}
+
+// wantZones checks which VM works for each failure domain.
+func wantZones(t *testing.T, m Map, want map[string]string) {
+	t.Helper()
+	got := make(map[string]string)
+	for zone, vm := range m.Zones {
+		got[zone] = vm.Name
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("VMs by failure domain (-want +got):\n%s", diff)
+	}
+}
+
+func TestMap(t *testing.T) {
+	t.Run("one cell", func(t *testing.T) {
+		wantZones(t, New(fleet(), regions, false), map[string]string{"n1": "n1-b", "n2": "n1-b", "s1": "n1-b", "s2": "n1-b"})
+	})
+	t.Run("a cell for each failure domain", func(t *testing.T) {
+		wantZones(t, New(fleet(), regions, true), map[string]string{"n1": "n1-b", "n2": "n2-b", "s1": "s1-b", "s2": "s2-b"})
+	})
+	t.Run("a failure domain without VMs falls to its region", func(t *testing.T) {
+		wantZones(t, New(without("n1"), regions, true), map[string]string{"n1": "n2-b", "n2": "n2-b", "s1": "s1-b", "s2": "s2-b"})
+	})
+	t.Run("a region without VMs falls to another", func(t *testing.T) {
+		m := New(without("n1", "n2"), regions, true)
+		for _, zone := range []string{"n1", "n2"} {
+			if region := m.Zones[zone].Region; region != "south" {
+				t.Errorf("failure domain %s falls to region %q, want south", zone, region)
+			}
+		}
+	})
+	t.Run("no VM at all", func(t *testing.T) {
+		wantZones(t, New(nil, regions, true), map[string]string{})
+	})
+	t.Run("a failure domain that settings don't name has one VM", func(t *testing.T) {
+		m := New(fleet(), regions, true)
+		works := 0
+		for _, vm := range fleet() {
+			if m.Works(vm.Name, "elsewhere") {
+				works++
+			}
+		}
+		if works != 1 {
+			t.Errorf("%d VMs work for a failure domain that settings don't name, want 1", works)
+		}
+	})
+}
+
+// Whatever VMs are lost, each failure domain has exactly one VM.
+func TestEachZoneHasOneVM(t *testing.T) {
+	all := fleet()
+	for lost := range 1<<len(all) - 1 {
+		var vms []bbgossip.Member
+		for i, m := range all {
+			if lost&(1<<i) == 0 {
+				vms = append(vms, m)
+			}
+		}
+		m := New(vms, regions, true)
+		for zone := range regions {
+			works := 0
+			for _, vm := range vms {
+				if m.Works(vm.Name, zone) {
+					works++
+				}
+			}
+			if works != 1 {
+				t.Fatalf("with %d VMs, %d work for %s, want 1", len(vms), works, zone)
+			}
+		}
+	}
+}
+
+func TestForAllowedZones(t *testing.T) {
+	m := New(fleet(), regions, true)
+	south := func(zone string) bool { return regions[zone] == "south" }
+	if got, _ := m.For("s1", south); got.Name != "s1-b" {
+		t.Errorf("request of s1 goes to %s, want s1-b", got.Name)
+	}
+	if got, _ := m.For("n1", south); got.Region != "south" {
+		t.Errorf("request that may be served in the south goes to %s in %s", got.Name, got.Region)
+	}
+	if got, _ := m.For("n1", func(string) bool { return false }); got.Name != "n1-b" {
+		t.Errorf("request that may be served nowhere goes to %s, want n1-b, which refuses it", got.Name)
+	}
+}
+
+func TestSplitHasHysteresis(t *testing.T) {
+	var s Split
+	for _, step := range []struct {
+		vms  int
+		want bool
+	}{{7, false}, {splitSize - 1, false}, {splitSize, true}, {joinSize, true}, {joinSize - 1, false}, {joinSize, false}} {
+		s.Resize(step.vms)
+		if s.ByZone != step.want {
+			t.Errorf("with %d VMs, a cell for each failure domain is %v, want %v", step.vms, s.ByZone, step.want)
+		}
+	}
+}
+
+// outlook returns that of a cell whose stage workers begin new work after some time.
+func outlook(wait time.Duration) Outlook {
+	return Outlook{
+		Services: map[string]Backlog{
+			"stage": {Wait: wait, PerSecond: 10, Call: 300 * time.Millisecond},
+		},
+		Engines: map[string]time.Duration{
+			"engine": 100 * time.Millisecond,
+		},
+	}
+}
+
+func order(pieces int) bbjob.Order {
+	return bbjob.Order{
+		ID:      "a",
+		Service: "engine",
+		Region:  "north",
+		Stages:  []bbjob.Stage{{Service: "stage", Pieces: pieces}},
+	}
+}
+
+// wantSpill checks to which cell an order goes that waits for some time in its own.
+func wantSpill(t *testing.T, n *Neighbours, now, own time.Duration, allowed func(zone string) bool, want string) {
+	t.Helper()
+	cells := New(without("n1"), regions, true).VMs()
+	if got, _ := n.Spill(now, order(4), own, cells, allowed); got != want {
+		t.Errorf("order that waits %v goes to %q, want %q", own, got, want)
+	}
+}
+
+func everywhere(string) bool {
+	return true
+}
+
+func TestSpill(t *testing.T) {
+	// newNeighbours returns one near and one far cell, with their waits.
+	newNeighbours := func(near, far time.Duration) *Neighbours {
+		n := NewNeighbours()
+		n.Pick = func(int) int { return 0 }
+		n.Hear(0, "n2-b", outlook(near))
+		n.Hear(0, "s1-b", outlook(far))
+		return n
+	}
+	t.Run("to the nearer of two alike", func(t *testing.T) {
+		wantSpill(t, newNeighbours(0, 0), 0, 2*time.Second, everywhere, "n2-b")
+	})
+	t.Run("farther if it is sooner there", func(t *testing.T) {
+		wantSpill(t, newNeighbours(time.Second, 0), 0, 2*time.Second, everywhere, "s1-b")
+	})
+	t.Run("not for a small gain", func(t *testing.T) {
+		wantSpill(t, newNeighbours(0, 0), 0, 400*time.Millisecond+spillGain, everywhere, "")
+	})
+	t.Run("not where it may not be served", func(t *testing.T) {
+		wantSpill(t, newNeighbours(time.Second, 0), 0, 2*time.Second, func(zone string) bool { return regions[zone] == "north" }, "n2-b")
+	})
+	t.Run("not by an old outlook", func(t *testing.T) {
+		wantSpill(t, newNeighbours(0, 0), outlookAge+1, 2*time.Second, everywhere, "")
+	})
+	t.Run("not to a cell without engines", func(t *testing.T) {
+		n := newNeighbours(0, 0)
+		n.Hear(0, "n2-b", Outlook{
+			Services: outlook(0).Services,
+		})
+		wantSpill(t, n, 0, 2*time.Second, everywhere, "s1-b")
+	})
+	t.Run("not to a VM that coordinates no more", func(t *testing.T) {
+		n := newNeighbours(0, 0)
+		n.Keep([]bbgossip.Member{vm("s1-b", 0.8)})
+		wantSpill(t, n, 0, 2*time.Second, everywhere, "s1-b")
+	})
+}
+
+// A burst in one cell spreads over the others between two of their outlooks.
+func TestBurstSpreadsOverCells(t *testing.T) {
+	n := NewNeighbours()
+	n.Hear(0, "n2-b", outlook(0))
+	n.Hear(0, "s1-b", outlook(0))
+	n.Hear(0, "s2-b", outlook(0))
+	cells := New(without("n1"), regions, true).VMs()
+	counts := make(map[string]int)
+	for range 30 {
+		name, _ := n.Spill(0, order(1), 3*time.Second, cells, everywhere)
+		counts[name]++
+	}
+	for _, c := range cells {
+		if counts[c.Name] < 5 {
+			t.Errorf("%s got %d of 30 orders, want at least 5: %v", c.Name, counts[c.Name], fmt.Sprint(counts))
+		}
+	}
+}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -32,8 +32,14 @@
 	Region func(zone string) string
 	// Majority tells whether this VM reaches most of the others.
 	Majority func() bool
-	// Alone tells whether no other VM coordinates or did so a moment ago.
+	// Alone tells whether no other VM coordinates these endpoints or did so a moment ago.
 	Alone func() bool
+	// Share returns the part of the fleet's allowance for repeats that this coordinator has;
+	// nil for all of it.
+	Share func() float64
+	// Spill returns the coordinator of another cell that is expected to serve an order sooner
+	// than within a time from now, empty if there is none; nil in a fleet of one cell.
+	Spill func(o bbjob.Order, own time.Duration, allowed func(zone string) bool) (name string, expected time.Duration)
 }
 
 // Limits are the bounds that the coordinator keeps.
@@ -60,6 +66,8 @@
 	waiting map[string]*bbprogress.Job
 	// learned has what requests of each route have taught.
 	learned bbhistory.Experiences
+	// latest has what the latest order for each service of engines needed.
+	latest  map[string]bbplacement.Need
 	refused *bbhistory.Refusals
 	// suspects has the content of requests under which engines broke off.
 	suspects *bbhistory.Suspects
@@ -92,6 +100,12 @@
 
 // New returns a coordinator without requests.
 func New(k Knowledge, l Limits) *Coordinator {
+	if k.Share == nil {
+		k.Share = func() float64 { return 1 }
+	}
+	if k.Spill == nil {
+		k.Spill = func(bbjob.Order, time.Duration, func(string) bool) (string, time.Duration) { return "", 0 }
+	}
 	return &Coordinator{
 		know:    k,
 		limits:  l,
@@ -103,7 +117,7 @@
 				return &bballowance.Window{
 					Span:  l.RetrySpan,
 					Ratio: l.RetryRatio,
-					Slack: l.RetrySlack,
+					Slack: l.RetrySlack * k.Share(),
 				}
 			},
 		},
@@ -111,6 +125,7 @@
 		freed:    make(map[string][]string),
 		waiting:  make(map[string]*bbprogress.Job),
 		learned:  make(bbhistory.Experiences),
+		latest:   make(map[string]bbplacement.Need),
 		refused:  bbhistory.NewRefusals(),
 		suspects: bbhistory.NewSuspects(),
 	}
@@ -136,7 +151,9 @@
 		return c.flush()
 	}
 	if c.leaving {
-		c.out.Elsewhere = append(c.out.Elsewhere, o.ID)
+		c.out.Elsewhere = append(c.out.Elsewhere, bbdecision.Elsewhere{
+			ID: o.ID,
+		})
 		return c.flush()
 	}
 	j := bbprogress.NewJob(now, o)
@@ -150,6 +167,9 @@
 		j.Due = min(j.Due, first+o.Objective)
 	}
 	expected := c.estimate(now, j)
+	if c.spill(now, j, expected) {
+		return c.flush()
+	}
 	if retryAfter, reason := c.judge(j, expected); reason != "" {
 		c.refused.Add(now, j.Content)
 		c.refuse(o.ID, reason, retryAfter, expected-now)
@@ -174,6 +194,34 @@
 	return c.decide(now)
 }
 
+// Resume takes orders again after Leave.
+func (c *Coordinator) Resume() {
+	c.leaving = false
+}
+
+// spill sends an order that would be late here to another cell, if one is expected to be sooner.
+// An order is sent on once; one that has results stays where they are.
+func (c *Coordinator) spill(now time.Duration, j *bbprogress.Job, expected time.Duration) bool {
+	if j.Order.Spilled || len(j.Order.Made) > 0 || expected <= j.Due {
+		return false
+	}
+	name, elsewhere := c.know.Spill(j.Order, j.Estimated-now, j.Order.Allowed(c.know.Region))
+	if name == "" {
+		return false
+	}
+	c.log(bbdecision.Event{
+		Number: bbevent.OrderSpilled,
+		Job:    j.Order.ID,
+		Detail: fmt.Sprintf("%s here=%dms there=%dms", name, (expected - now).Milliseconds(), elsewhere.Milliseconds()),
+		Value:  expected - now,
+	})
+	c.out.Elsewhere = append(c.out.Elsewhere, bbdecision.Elsewhere{
+		ID:   j.Order.ID,
+		Cell: name,
+	})
+	return true
+}
+
 // Leave hands all requests back that are in no call; others follow when their calls end.
 func (c *Coordinator) Leave() bbdecision.Output {
 	c.leaving = true
@@ -200,7 +248,9 @@
 		Number: bbevent.OrderElsewhere,
 		Job:    id,
 	})
-	c.out.Elsewhere = append(c.out.Elsewhere, id)
+	c.out.Elsewhere = append(c.out.Elsewhere, bbdecision.Elsewhere{
+		ID: id,
+	})
 }
 
 // judge tells whether a request is turned away, when the caller should come back, and why.
@@ -248,6 +298,7 @@
 	}
 	if now-c.tidied >= tidyPeriod {
 		c.tidied = now
+		c.retries.Grant(c.limits.RetrySlack * c.know.Share())
 		for service, t := range c.engines {
 			t.Tidy(now, c.listEngines(service))
 		}
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -1,8 +1,10 @@
 package bbcoordinator
 
 import (
+	"math"
 	"time"
 
+	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbprogress"
 )
@@ -36,7 +38,9 @@
 		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(p.UsualBatch(s.Pieces))
 		last = max(last, finished[i])
 	}
-	wish, wait := c.table(o.Service).Outlook(now, c.need(now, j), c.listEngines(o.Service))
+	need := c.need(now, j)
+	c.latest[o.Service] = need
+	wish, wait := c.table(o.Service).Outlook(now, need, c.listEngines(o.Service))
 	j.Wish = wish
 	j.Estimated = last + wait
 	return j.Estimated + learned.Bias
@@ -50,3 +54,30 @@
 	}
 	return f
 }
+
+// Outlook returns what other cells should know of this one. Only services that had an order are
+// in it.
+func (c *Coordinator) Outlook(now time.Duration) bbcell.Outlook {
+	o := bbcell.Outlook{
+		Services: make(map[string]bbcell.Backlog, len(c.pools)),
+		Engines:  make(map[string]time.Duration, len(c.latest)),
+	}
+	future := c.future(now)
+	for service, p := range c.pools {
+		c.listPool(service, p)
+		o.Services[service] = bbcell.Backlog{
+			Wait:      p.Wait(now, math.MaxInt64, future.Before(service, math.MaxInt64)),
+			PerSecond: p.PerSecond(now),
+			Call:      p.Duration(p.UsualBatch(1)),
+		}
+	}
+	for service, need := range c.latest {
+		need.Far = func(string) bool { return false }
+		need.Allowed = func(string) bool { return true }
+		need.Inputs = nil
+		if zone, wait := c.table(service).Outlook(now, need, c.listEngines(service)); zone != "" {
+			o.Engines[service] = wait
+		}
+	}
+	return o
+}
--- a/core/bbdecision/decision.go
+++ b/core/bbdecision/decision.go
@@ -18,12 +18,20 @@
 	Frees    []Free
 	// Updates are what the origins of requests should know of their results.
 	Updates map[string]bbjob.Update
-	// Elsewhere are requests that the next coordinator should take.
-	Elsewhere []string
+	// Elsewhere are requests that another coordinator should take.
+	Elsewhere []Elsewhere
 	// Events are decisions for the log.
 	Events []Event
 }
 
+// Elsewhere sends a request to another coordinator.
+type Elsewhere struct {
+	// ID is the request's.
+	ID string
+	// Cell is the name of the coordinator, empty for the next one of the same cell.
+	Cell string
+}
+
 // Free names results that are not needed any more.
 type Free struct {
 	Address string
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -1,20 +1,23 @@
 // Package bbgossip is the table of entry VMs that have found each other through a few
-// seeds and by passing on what they know. It decides which VM coordinates shared work.
+// seeds and by passing on what they know: which ones run, which ones this VM reaches.
 package bbgossip
 
 import (
 	"sort"
 	"strconv"
-	"strings"
 	"time"
 
 	"bluebellhall/core/bbhash"
 )
 
 const (
-	// presentFor is how long a VM counts as running after its last sign of life, directly
-	// or through the coordinator: three calls of a large fleet, with some slack.
+	// presentFor is how long a VM counts as running after it was last heard itself: two calls
+	// of a large fleet, with some slack.
 	presentFor = 2500 * time.Millisecond
+	// vouchedFor is how long a VM counts as running after a hub last vouched for it. A hub says
+	// at once when a VM is gone; the time is for the loss of the hub itself, until the next one
+	// has been found and vouches.
+	vouchedFor = 4 * time.Second
 	// failedFor is how long a VM that did not answer a call counts as out of reach.
 	failedFor = 3 * time.Second
 	// forgetAfter is how long a silent VM stays in the table and is still tried.
@@ -67,12 +70,25 @@
 	return m
 }
 
+// hash tells the states of processes apart that matter to all VMs.
+func (m Member) hash() uint64 {
+	state := strconv.AppendInt([]byte(m.Name+"/"), m.Boot, 36)
+	state = strconv.AppendBool(state, m.Ready)
+	state = strconv.AppendBool(state, m.Leaving)
+	return bbhash.Name(string(state))
+}
+
 // entry is a member with what this VM has seen of it.
 type entry struct {
 	Member
-	// heardAt is the last sign of life: the member itself, a newer beat through others, or
-	// the word of the coordinator.
+	// state is the member's hash.
+	state uint64
+	// heardAt is the last sign of life: the member itself, or a newer beat through others.
 	heardAt time.Duration
+	// vouchedAt is when a hub last vouched for the member, 0 once it did no longer.
+	vouchedAt time.Duration
+	// seenAt is the last sign of life of either kind.
+	seenAt time.Duration
 	// answeredAt and failedAt are when a call of this VM was last answered and last failed.
 	answeredAt, failedAt time.Duration
 	// lost is set when a call showed that nothing listens at the member's address.
@@ -85,6 +101,10 @@
 type Table struct {
 	self    Member
 	entries map[string]*entry
+	// states has the name of the entry with each state.
+	states map[uint64]string
+	// version counts the changes of states.
+	version uint64
 }
 
 // NewTable returns a table that knows only its own VM.
@@ -92,6 +112,7 @@
 	return &Table{
 		self:    self,
 		entries: make(map[string]*entry),
+		states:  make(map[uint64]string),
 	}
 }
 
@@ -102,8 +123,12 @@
 
 // Update changes what this VM tells of itself and counts a beat.
 func (t *Table) Update(change func(m *Member)) {
+	before := t.self
 	change(&t.self)
 	t.self.Beat++
+	if before.Ready != t.self.Ready || before.Leaving != t.self.Leaving {
+		t.version++
+	}
 }
 
 // Heard takes in what the member itself said, in a call or in an answer. A new boot
@@ -126,13 +151,31 @@
 		e.retire(e.Boot)
 	}
 	if e.Boot != m.Boot || m.Beat >= e.Beat {
-		e.Member = m
+		t.set(e, m)
 	}
-	e.heardAt = now
+	e.heardAt, e.seenAt = now, now
 	e.lost = false
 	return true
 }
 
+// set changes what is known of a member.
+func (t *Table) set(e *entry, m Member) {
+	e.Member = m
+	state := m.hash()
+	if state == e.state {
+		return
+	}
+	delete(t.states, e.state)
+	e.state = state
+	t.states[state] = m.Name
+	t.version++
+}
+
+// Version returns a number that changes when the state of a VM does, this one included.
+func (t *Table) Version() uint64 {
+	return t.version
+}
+
 // Answered notes that a member answered a call of this VM. It is false when the answer was
 // brief and the member isn't known.
 func (t *Table) Answered(now time.Duration, m Member) bool {
@@ -153,26 +196,58 @@
 	return 0
 }
 
-// Digest returns a number that is the same for VMs that know the same running processes.
+// Digest returns a number that is the same for VMs that know the same running processes in
+// the same states.
 func (t *Table) Digest(now time.Duration) uint64 {
-	names := []string{processName(t.self)}
+	digest := t.self.hash()
+	for _, e := range t.entries {
+		if e.Boot != 0 && e.present(now) {
+			digest += e.state
+		}
+	}
+	return digest
+}
+
+// States returns the states of the running processes that this VM knows, its own included.
+func (t *Table) States(now time.Duration) []uint64 {
+	states := make([]uint64, 0, len(t.entries)+1)
+	states = append(states, t.self.hash())
 	for _, e := range t.entries {
 		if e.Boot != 0 && e.present(now) {
-			names = append(names, processName(e.Member))
+			states = append(states, e.state)
+		}
+	}
+	return states
+}
+
+// Of returns the members with the given states, as far as they are known.
+func (t *Table) Of(states []uint64) []Member {
+	var found []Member
+	own := t.self.hash()
+	for _, s := range states {
+		if s == own {
+			found = append(found, t.self)
+		} else if name, ok := t.states[s]; ok {
+			found = append(found, t.entries[name].Member)
 		}
 	}
-	sort.Strings(names)
-	return bbhash.Name(strings.Join(names, " "))
+	return found
 }
 
-// processName tells the processes of all VMs apart.
-func processName(m Member) string {
-	return m.Name + "/" + strconv.FormatInt(m.Boot, 36)
+// Unknown returns those of some states in which this VM knows no process.
+func (t *Table) Unknown(states []uint64) []uint64 {
+	var unknown []uint64
+	own := t.self.hash()
+	for _, s := range states {
+		if _, ok := t.states[s]; !ok && s != own {
+			unknown = append(unknown, s)
+		}
+	}
+	return unknown
 }
 
-// Merge takes in what one member knows of others. A coordinator vouches for the members
-// that it names: all VMs of a large fleet call it, and few call each other.
-func (t *Table) Merge(now time.Duration, members []Member, vouched bool) {
+// Merge takes in what one member knows of others.
+func (t *Table) Merge(now time.Duration, members []Member) {
 	for _, m := range members {
 		if m.Name == t.self.Name || m.Name == "" || m.Peer == "" {
 			continue
@@ -181,26 +256,41 @@
 		if e == nil || e.isRetired(m.Boot) || (m.Boot == e.Boot && e.lost) {
 			continue
 		}
-		newer := e.Boot == 0 || m.Boot > e.Boot || (m.Boot == e.Boot && m.Beat > e.Beat)
-		if newer || (vouched && m.Boot == e.Boot) {
-			e.heardAt = now
-		}
-		if !newer {
+		if e.Boot != 0 && m.Boot <= e.Boot && (m.Boot < e.Boot || m.Beat <= e.Beat) {
 			continue
 		}
 		if e.Boot != 0 && e.Boot != m.Boot {
 			e.retire(e.Boot)
 			e.lost = false
 		}
-		e.Member = m
+		t.set(e, m)
+		e.heardAt, e.seenAt = now, now
+	}
+}
+
+// Vouch takes in which of some members a hub sees running. Those that it doesn't name have to
+// be heard by this VM itself.
+func (t *Table) Vouch(now time.Duration, states []uint64, of func(m Member) bool) {
+	named := make(map[uint64]bool, len(states))
+	for _, s := range states {
+		named[s] = true
+	}
+	for _, e := range t.entries {
+		switch {
+		case e.Boot == 0 || !of(e.Member):
+		case named[e.state] && !e.lost:
+			e.vouchedAt, e.seenAt = now, now
+		default:
+			e.vouchedAt = 0
+		}
 	}
 }
 
-// Vouch notes that the coordinator knows the same running VMs as this one.
-func (t *Table) Vouch(now time.Duration) {
+// VouchAll notes that a hub sees the same members running as this VM.
+func (t *Table) VouchAll(now time.Duration, of func(m Member) bool) {
 	for _, e := range t.entries {
-		if e.present(now) {
-			e.heardAt = now
+		if e.Boot != 0 && e.present(now) && of(e.Member) {
+			e.vouchedAt, e.seenAt = now, now
 		}
 	}
 }
@@ -222,19 +312,32 @@
 // Left notes that a member said that it is leaving, before its next beat tells all.
 func (t *Table) Left(name string) {
 	if e := t.entries[name]; e != nil {
-		e.Leaving = true
+		m := e.Member
+		m.Leaving = true
+		t.set(e, m)
 	}
 }
 
 // Forget drops members that have been silent for long.
 func (t *Table) Forget(now time.Duration) {
 	for name, e := range t.entries {
-		if now-e.heardAt > forgetAfter {
+		if now-e.seenAt > forgetAfter {
+			delete(t.states, e.state)
 			delete(t.entries, name)
 		}
 	}
 }
 
+// At returns the known member with an address for calls between VMs.
+func (t *Table) At(peer string) (Member, bool) {
+	for _, e := range t.entries {
+		if e.Boot != 0 && e.Peer == peer {
+			return e.Member, true
+		}
+	}
+	return Member{}, false
+}
+
 // Known returns all members but this VM, in the order of their names: running or not.
 func (t *Table) Known() []Member {
 	return t.list(func(*entry) bool { return true })
@@ -256,31 +359,29 @@
 	var longest time.Duration
 	for _, e := range t.entries {
 		if e.Boot != 0 && e.present(now) {
-			longest = max(longest, now-e.heardAt)
+			longest = max(longest, now-e.seenAt)
 		}
 	}
 	return longest
 }
 
-// Leader returns the VM that coordinates shared work: of the largest that this VM reaches
-// the oldest, so that a restarted VM takes nothing over. It is this VM if there is no other.
-func (t *Table) Leader(now time.Duration) Member {
-	leader := t.self
-	found := t.self.Ready && !t.self.Leaving
-	for _, m := range t.Reachable(now) {
-		if !m.Ready || m.Leaving {
-			continue
-		}
-		if !found || before(m, leader) {
-			leader = m
-			found = true
+// EachReachable passes on the members that Reachable returns, in any order.
+func (t *Table) EachReachable(now time.Duration, pass func(m *Member)) {
+	for _, e := range t.entries {
+		if e.Boot != 0 && e.reachable(now) {
+			pass(&e.Member)
 		}
 	}
-	return leader
 }
 
-// before tells whether a should coordinate rather than b.
-func before(a, b Member) bool {
+// Size returns the number of VMs that are known, running or not, this one included.
+func (t *Table) Size() int {
+	return len(t.entries) + 1
+}
+
+// Before tells whether a should rather work for others than b: the larger one, then the
+// older one, so that a restarted VM takes nothing over.
+func Before(a, b Member) bool {
 	switch {
 	case a.Weight != b.Weight:
 		return a.Weight > b.Weight
@@ -290,27 +391,6 @@
 	return a.Name < b.Name
 }
 
-// Readers returns the VMs that read the platform's store for all: the coordinator and of
-// each region the VM that would coordinate it. The others ask them.
-func (t *Table) Readers(now time.Duration) map[string]bool {
-	readers := map[string]bool{
-		t.Leader(now).Name: true,
-	}
-	best := make(map[string]Member)
-	for _, m := range append(t.Reachable(now), t.self) {
-		if m.Leaving {
-			continue
-		}
-		if b, ok := best[m.Region]; !ok || before(m, b) {
-			best[m.Region] = m
-		}
-	}
-	for _, m := range best {
-		readers[m.Name] = true
-	}
-	return readers
-}
-
 // HasMajority tells whether this VM reaches more than half of the VMs that seemed to run
 // lately, itself included.
 func (t *Table) HasMajority(now time.Duration) bool {
@@ -319,7 +399,7 @@
 		if e.Boot != 0 && e.reachable(now) {
 			reachable++
 		}
-		if now-e.heardAt <= forgetAfter {
+		if now-e.seenAt <= forgetAfter {
 			recent++
 		}
 	}
@@ -349,7 +429,8 @@
 }
 
 func (e *entry) present(now time.Duration) bool {
-	return !e.lost && now-e.heardAt <= presentFor
+	vouched := e.vouchedAt > 0 && now-e.vouchedAt <= vouchedFor
+	return !e.lost && (vouched || now-e.heardAt <= presentFor)
 }
 
 func (e *entry) reachable(now time.Duration) bool {
--- a/core/bbgossip/table_test.go
+++ b/core/bbgossip/table_test.go
@@ -25,13 +25,6 @@
 	return t
 }
 
-func wantLeader(t *testing.T, table *Table, now time.Duration, want string) {
-	t.Helper()
-	if got := table.Leader(now).Name; got != want {
-		t.Errorf("leader at %v is %s, want %s", now, got, want)
-	}
-}
-
 func wantNames(t *testing.T, members []Member, want ...string) {
 	t.Helper()
 	var got []string
@@ -43,40 +36,35 @@
 	}
 }
 
-func TestLeader(t *testing.T) {
-	t.Run("the oldest", func(t *testing.T) {
-		wantLeader(t, three(), time.Second, "a")
-	})
+func TestReachable(t *testing.T) {
 	t.Run("not one that doesn't answer", func(t *testing.T) {
-		wantLeader(t, three(), 4*time.Second, "b")
+		wantNames(t, three().Reachable(4*time.Second))
 	})
-	t.Run("not one that is leaving", func(t *testing.T) {
-		table := three()
-		m := member("a", 100, 2)
-		m.Leaving = true
-		table.Answered(1100*time.Millisecond, m)
-		wantLeader(t, table, 1200*time.Millisecond, "b")
-	})
-	t.Run("not one that nothing answers for", func(t *testing.T) {
+	t.Run("not one that nothing listens for", func(t *testing.T) {
 		table := three()
 		table.Lost("a")
-		wantLeader(t, table, 1100*time.Millisecond, "b")
+		wantNames(t, table.Reachable(1100*time.Millisecond), "c")
 	})
-	t.Run("a restarted one takes nothing over", func(t *testing.T) {
+	t.Run("one that has left a call open, for a while", func(t *testing.T) {
 		table := three()
-		table.Answered(1100*time.Millisecond, member("a", 900, 1))
-		wantLeader(t, table, 1200*time.Millisecond, "b")
-	})
-	t.Run("itself alone while it isn't ready", func(t *testing.T) {
-		self := member("b", 200, 1)
-		self.Ready = false
-		table := NewTable(self)
-		wantLeader(t, table, 0, "b")
-		table.Answered(time.Second, member("c", 300, 1))
-		wantLeader(t, table, time.Second, "c")
+		table.Failed(1100*time.Millisecond, "a")
+		wantNames(t, table.Reachable(1200*time.Millisecond), "c")
+		table.Answered(1300*time.Millisecond, member("a", 100, 2))
+		wantNames(t, table.Reachable(1400*time.Millisecond), "a", "c")
 	})
 }
 
+func TestBefore(t *testing.T) {
+	large := member("d", 900, 1)
+	large.Weight = 2
+	sorted := []Member{large, member("b", 100, 1), member("a", 200, 1), member("c", 200, 1)}
+	for i := range len(sorted) - 1 {
+		if !Before(sorted[i], sorted[i+1]) || Before(sorted[i+1], sorted[i]) {
+			t.Errorf("%s is not before %s, want the larger, then the older, then by name", sorted[i].Name, sorted[i+1].Name)
+		}
+	}
+}
+
 func TestSilence(t *testing.T) {
 	table := three()
 	table.Answered(1200*time.Millisecond, member("a", 100, 2))
@@ -87,60 +75,108 @@
 
 func TestOthersPassOn(t *testing.T) {
 	table := three()
-	table.Merge(2*time.Second, []Member{member("d", 400, 5), member("b", 999, 9), {Name: "e", Boot: 1, Beat: 1}}, false)
+	table.Merge(2*time.Second, []Member{member("d", 400, 5), member("b", 999, 9), {Name: "e", Boot: 1, Beat: 1}})
 	wantNames(t, table.Present(2*time.Second), "a", "c", "d")
 	table.Failed(2*time.Second, "d")
 	wantNames(t, table.Reachable(2*time.Second), "a", "c")
 	wantNames(t, table.Present(2*time.Second), "a", "c", "d")
 }
 
-func TestCoordinatorVouches(t *testing.T) {
+// all is true for every member.
+func all(Member) bool {
+	return true
+}
+
+// statesOf returns the states of members as others tell them.
+func statesOf(members ...Member) []uint64 {
+	var states []uint64
+	for _, m := range members {
+		states = append(states, m.hash())
+	}
+	return states
+}
+
+func TestHubVouches(t *testing.T) {
 	t.Run("for the members that it names", func(t *testing.T) {
 		table := three()
-		table.Merge(3*time.Second, []Member{member("c", 300, 1)}, true)
-		wantNames(t, table.Present(4*time.Second), "c")
+		table.Vouch(3*time.Second, statesOf(member("c", 300, 1)), all)
+		wantNames(t, table.Present(3*time.Second+vouchedFor), "c")
+		wantNames(t, table.Present(3*time.Second+vouchedFor+1))
 	})
-	t.Run("others do not", func(t *testing.T) {
+	t.Run("only for those that it hears itself", func(t *testing.T) {
 		table := three()
-		table.Merge(3*time.Second, []Member{member("c", 300, 1)}, false)
-		wantNames(t, table.Present(4*time.Second))
+		table.Vouch(3*time.Second, statesOf(member("a", 100, 1), member("c", 300, 1)), func(m Member) bool { return m.Name == "a" })
+		wantNames(t, table.Present(5*time.Second), "a")
+	})
+	t.Run("no longer for one that it stopped to name", func(t *testing.T) {
+		table := three()
+		table.Vouch(3*time.Second, statesOf(member("a", 100, 1), member("c", 300, 1)), all)
+		table.Vouch(4*time.Second, statesOf(member("a", 100, 1)), all)
+		wantNames(t, table.Present(4*time.Second), "a")
+	})
+	t.Run("without a say on one that this VM hears itself", func(t *testing.T) {
+		table := three()
+		table.Vouch(1100*time.Millisecond, nil, all)
+		wantNames(t, table.Present(1200*time.Millisecond), "a", "c")
 	})
 	t.Run("for all when it knows the same", func(t *testing.T) {
 		table := three()
-		table.Vouch(3 * time.Second)
+		table.VouchAll(3*time.Second, all)
 		wantNames(t, table.Present(5*time.Second), "a", "c")
 	})
 	t.Run("not for those that are silent already", func(t *testing.T) {
 		table := three()
-		table.Vouch(4 * time.Second)
+		table.VouchAll(4*time.Second, all)
 		wantNames(t, table.Present(4*time.Second))
 	})
 	t.Run("not for one that this VM found dead", func(t *testing.T) {
 		table := three()
 		table.Lost("c")
-		table.Merge(2*time.Second, []Member{member("c", 300, 1)}, true)
+		table.Merge(2*time.Second, []Member{member("c", 300, 1)})
+		table.Vouch(2*time.Second, statesOf(member("a", 100, 1), member("c", 300, 1)), all)
 		wantNames(t, table.Present(2*time.Second), "a")
 	})
+	t.Run("not for another process of the same VM", func(t *testing.T) {
+		table := three()
+		table.Vouch(3*time.Second, statesOf(member("c", 301, 1)), all)
+		wantNames(t, table.Present(4*time.Second))
+	})
 }
 
-func TestLargestVMCoordinates(t *testing.T) {
+func TestUnknownStates(t *testing.T) {
 	table := three()
-	large := member("d", 900, 1)
-	large.Weight = 2
-	table.Answered(time.Second, large)
-	wantLeader(t, table, time.Second, "d")
+	table.Merge(2*time.Second, []Member{member("d", 400, 1)})
+	leaving := member("c", 300, 2)
+	leaving.Leaving = true
+	unknown := statesOf(leaving, member("e", 500, 1))
+	got := table.Unknown(append(statesOf(member("a", 100, 9), member("b", 200, 1), member("d", 400, 1)), unknown...))
+	if diff := cmp.Diff(unknown, got); diff != "" {
+		t.Errorf("unknown states (-want +got):\n%s", diff)
+	}
+	wantNames(t, table.Of(statesOf(member("b", 200, 1), member("c", 300, 1), member("e", 500, 1))), "b", "c")
+	if diff := cmp.Diff([]uint64(nil), table.Unknown(table.States(2*time.Second))); diff != "" {
+		t.Errorf("own states that are unknown (-want +got):\n%s", diff)
+	}
 }
 
-func TestReaders(t *testing.T) {
-	table := NewTable(Member{Name: "b", Boot: 200, Region: "north", Ready: true})
-	for i, region := range []string{"north", "north", "south", "south"} {
-		m := member(string(rune('c'+i)), int64(300+i), 1)
-		m.Region = region
-		table.Answered(time.Second, m)
+func TestVersion(t *testing.T) {
+	table := three()
+	before := table.Version()
+	table.Answered(2*time.Second, member("a", 100, 2))
+	table.Update(func(m *Member) { m.CatalogVersion = 7 })
+	if got := table.Version(); got != before {
+		t.Errorf("version went from %d to %d by a beat, want it to stay", before, got)
 	}
-	want := map[string]bool{"b": true, "e": true}
-	if diff := cmp.Diff(want, table.Readers(time.Second)); diff != "" {
-		t.Errorf("readers of the store (-want +got):\n%s", diff)
+	for _, change := range []func(){
+		func() { table.Left("a") },
+		func() { table.Update(func(m *Member) { m.Leaving = true }) },
+		func() { table.Answered(3*time.Second, member("c", 301, 1)) },
+	} {
+		before = table.Version()
+		change()
+		if table.Version() == before {
+			t.Errorf("version stayed %d, want it to change with the state of a VM", before)
+		}
 	}
 }
 
@@ -148,7 +184,7 @@
 	table := three()
 	// The time of day was corrected: the new process has a smaller boot.
 	table.Answered(2*time.Second, member("a", 50, 1))
-	table.Merge(2*time.Second, []Member{member("a", 100, 99)}, false)
+	table.Merge(2*time.Second, []Member{member("a", 100, 99)})
 	if got := table.Boot("a"); got != 50 {
 		t.Errorf("process of a is %d, want 50, the one that answered last", got)
 	}
@@ -188,7 +224,7 @@
 func TestDigest(t *testing.T) {
 	other := NewTable(member("a", 100, 7))
 	other.Answered(0, member("b", 200, 3))
-	other.Merge(0, []Member{member("c", 300, 1)}, false)
+	other.Merge(0, []Member{member("c", 300, 1)})
 	if three().Digest(time.Second) != other.Digest(0) {
 		t.Error("digests of tables with the same processes differ, want them alike")
 	}
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -53,6 +53,8 @@
 	Avoid []string `json:"avoid"`
 	// Repeat is true when the request was offered to an engine before.
 	Repeat bool `json:"repeat"`
+	// Spilled is true when the coordinator of another cell named this one; it isn't sent on.
+	Spilled bool `json:"spilled"`
 	// InputsGone is true when that engine found that some of its inputs no longer exist.
 	InputsGone bool `json:"inputsGone"`
 }
@@ -150,9 +152,11 @@
 type Verdict struct {
 	Grant   *Grant   `json:"grant"`
 	Refusal *Refusal `json:"refusal"`
-	// Elsewhere is true when the coordinator is leaving and the order should go to the next
-	// one.
+	// Elsewhere is true when the order should go to another coordinator: the one named by Cell,
+	// or the next one because this one is leaving.
 	Elsewhere bool `json:"elsewhere"`
+	// Cell is the name of the VM that coordinates another cell; empty if there is none.
+	Cell string `json:"cell"`
 }
 
 // Update is what an origin hears of its order: results that were made, and at the end the
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -328,9 +328,22 @@
 			ahead += len(g.Left)
 		}
 	}
-	perSecond := 0.0
-	var soonest time.Duration
-	usable := 0
+	soonest, perSecond := p.capacity(now)
+	if perSecond == 0 {
+		return p.Spec.ResultLife
+	}
+	return soonest + time.Duration(float64(ahead)/perSecond*float64(time.Second))
+}
+
+// PerSecond returns the pieces that the endpoints make in a second with full calls.
+func (p *Pool) PerSecond(now time.Duration) float64 {
+	_, perSecond := p.capacity(now)
+	return perSecond
+}
+
+// capacity returns when the first endpoint takes a call, and the pieces that all make in a
+// second with full calls; 0 if there is none.
+func (p *Pool) capacity(now time.Duration) (soonest time.Duration, perSecond float64) {
 	full := p.Duration(p.Spec.Batch)
 	for _, e := range p.endpoints {
 		w := p.workers[e.ID]
@@ -338,16 +351,12 @@
 			continue
 		}
 		left := p.remaining(now, w)
-		if usable == 0 || left < soonest {
+		if perSecond == 0 || left < soonest {
 			soonest = left
 		}
-		usable++
 		perSecond += float64(p.Spec.Batch*max(1, p.Spec.Slots)) / (full.Seconds() * w.slow(now))
 	}
-	if usable == 0 {
-		return p.Spec.ResultLife
-	}
-	return soonest + time.Duration(float64(ahead)/perSecond*float64(time.Second))
+	return soonest, perSecond
 }
 
 // NextChange returns when a call should have its inputs, or when a worker that is left alone
--- a/core/bbscene/scene.go
+++ b/core/bbscene/scene.go
@@ -231,7 +231,9 @@
 	for id, u := range out.Updates {
 		s.Made[id] = u.Apply(s.Made[id])
 	}
-	s.Elsewhere = append(s.Elsewhere, out.Elsewhere...)
+	for _, e := range out.Elsewhere {
+		s.Elsewhere = append(s.Elsewhere, e.ID)
+	}
 	for _, r := range out.Refusals {
 		s.outcome(r.ID).Refused = r.Reason
 		s.comeBack(r)
