Start, takeover and healing of a large fleet, in virtual time at 300 VMs

Cause: in a start of 300 VMs up to four coordinated a failure domain at 0.4 s, each with a view of a part of the fleet; after a cut of a failure domain 252 of 300 were seen five seconds later.

Change: in a large fleet orders wait until the view of all VMs has settled; a VM goes on to its hub at once when that changes; hubs try the hubs of failure domains that they don't reach; an answer names the hub of the one that answers. A VM that takes a cell over paces engines as one that may not be the only coordinator, until the former one has noticed. An order whose coordinator isn't reached goes to another cell, and a silent coordinator is checked while an order waits.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -104,7 +104,7 @@
 		Service:   e.service,
 		Endpoints: e.coordinated,
 		Region:    e.region,
-		Majority:  e.majority,
+		Majority:  e.fleet.HasMajority,
 		Alone:     e.fleet.LeadsAlone,
 		Share:     e.share,
 		Spill:     e.fleet.Spill,
@@ -239,14 +239,6 @@
 	return e.settings.Regions[zone]
 }
 
-func (e *Entry) majority() bool {
-	has := false
-	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
-		has = t.HasMajority(now)
-	})
-	return has
-}
-
 // window returns this VM's part of the allowance for repeats of a service.
 func (e *Entry) window() *bballowance.Window {
 	vms := 1
--- a/bluebelld/bbpeer/elect_test.go
+++ b/bluebelld/bbpeer/elect_test.go
@@ -167,6 +167,35 @@
 	})
 }
 
+// A VM that takes a cell over paces its engines as one that may not be the only coordinator,
+// until the former one has noticed.
+func TestTakeover(t *testing.T) {
+	f := manyVMs(t, 300)
+	keep := func(now time.Duration) {
+		f.now = now
+		f.table.VouchAll(now, func(bbgossip.Member) bool { return true })
+		f.look()
+	}
+	want := func(now time.Duration, want bool) {
+		t.Helper()
+		keep(now)
+		if got := f.HasMajority(); got != want {
+			t.Errorf("at %v the coordinator may be the only one: %v, want %v", now, got, want)
+		}
+	}
+	keep(3 * time.Second)
+	want(6*time.Second, true)
+	// The coordinator of n2 and all others there are lost; n2 falls to its region's other cell.
+	f.table.EachReachable(f.now, func(m *bbgossip.Member) {
+		if m.Zone == "n2" {
+			f.table.Lost(m.Name)
+		}
+	})
+	want(7*time.Second, false)
+	want(7*time.Second+takeoverTime-1, false)
+	want(7*time.Second+takeoverTime, true)
+}
+
 func TestReaders(t *testing.T) {
 	t.Run("all of a small fleet", func(t *testing.T) {
 		if got := manyVMs(t, smallFleet+1).Readers(); len(got) > 0 {
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -50,6 +50,10 @@
 	Now func() time.Duration
 	// Conns are the connections to the others.
 	Conns *Conns
+	// Exchange makes an exchange with the VM at an address, and Reset makes the next one use a
+	// new connection.
+	Exchange func(ctx context.Context, address string, e Exchange) (Exchange, error)
+	Reset    func(address string)
 	// Log tells of a VM that was lost or is back; up is true when it is back.
 	Log func(name string, up bool, why string)
 	// LogLeader tells of another coordinator, with the number of VMs that answer.
@@ -74,6 +78,8 @@
 	cells   bbcell.Map
 	hubs    bbcell.Map
 	version uint64
+	// chased is the hub that this VM last went on to.
+	chased string
 	// expects is what this VM expects as a coordinator, neighbours what the others do.
 	expects    bbcell.Outlook
 	neighbours *bbcell.Neighbours
@@ -82,8 +88,8 @@
 	leader  bbgossip.Member
 	changed chan struct{}
 	// ledSince is when that coordinator became it, ownSince when the cells that this VM
-	// coordinates last changed.
-	ledSince, ownSince time.Duration
+	// coordinates last changed, and viewSince when the VMs that it reaches did.
+	ledSince, ownSince, viewSince time.Duration
 }
 
 // NewFleet returns a fleet that knows only its own VM, the addresses of some seeds and the
@@ -96,6 +102,8 @@
 	f := &Fleet{
 		Now:        now,
 		Conns:      conns,
+		Exchange:   conns.Exchange,
+		Reset:      conns.Reset,
 		Log:        func(string, bool, string) {},
 		LogLeader:  func(string, int) {},
 		table:      bbgossip.NewTable(self),
@@ -278,6 +286,9 @@
 	if e.Digest != answer.Digest {
 		answer.States = f.table.States(now)
 	}
+	if !answer.Vouches {
+		answer.Hub = f.hub().Peer
+	}
 	f.hearOutlook(now, e)
 	if e.Outlook != nil {
 		answer.Outlook = f.outlook()
@@ -371,6 +382,9 @@
 	case f.rounds%starEvery == 0:
 		addresses = []string{f.hub().Peer}
 	}
+	if f.rounds%starEvery == 0 && every == starEvery {
+		addresses = append(addresses, f.silentHubs()...)
+	}
 	if f.rounds%every == 0 {
 		if other := known[rand.IntN(len(known))]; !slices.Contains(addresses, other) {
 			addresses = append(addresses, other)
@@ -379,6 +393,22 @@
 	return addresses
 }
 
+// silentHubs returns the addresses of the VMs that would be hubs of the failure domains in which
+// none is reached, so that a cut is noticed to be over.
+func (f *Fleet) silentHubs() []string {
+	if !f.split.ByZone {
+		return nil
+	}
+	hubs := bbcell.New(f.table.Known(), f.regions, true)
+	var addresses []string
+	for zone, m := range f.hubs.Zones {
+		if silent := hubs.Zones[zone]; m.Zone != zone && silent.Zone == zone {
+			addresses = append(addresses, silent.Peer)
+		}
+	}
+	return addresses
+}
+
 // exchange makes an exchange with an address, and more while processes turn out to be unknown.
 func (f *Fleet) exchange(ctx context.Context, address string) {
 	var wants []uint64
@@ -400,7 +430,7 @@
 	question.Wants = wants
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	answer, err := f.Conns.Exchange(call, address, question)
+	answer, err := f.Exchange(call, address, question)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Now()
@@ -409,7 +439,7 @@
 		if status.Code(errors.UnwrapAll(err)) == codes.Unavailable && name != "" {
 			f.table.Lost(name)
 		}
-		go f.Conns.Reset(address)
+		go f.Reset(address)
 		f.lostHub(ctx, address)
 		return nil
 	}
@@ -423,10 +453,27 @@
 	f.vouched(now, answer)
 	f.hearOutlook(now, answer)
 	f.look()
+	f.chaseHub(ctx, answer)
 	unknown := f.table.Unknown(answer.States)
 	return unknown[:min(len(unknown), maxWants)]
 }
 
+// chaseHub goes on to the hub that an answer leads to, if this VM hears nothing of it: its own
+// hub has changed, or the one that answered has another.
+func (f *Fleet) chaseHub(ctx context.Context, answer Exchange) {
+	if f.table.Size() <= meshSize {
+		return
+	}
+	hub := f.hub()
+	if hub.Name != f.chased {
+		f.chased = hub.Name
+		f.startExchange(ctx, hub.Peer)
+	}
+	if m, ok := f.table.At(answer.Hub); ok && !f.reached[m.Name] {
+		f.startExchange(ctx, answer.Hub)
+	}
+}
+
 // vouched takes in for which VMs another one vouches: the own hub for all, other hubs for those
 // that they hear themselves.
 func (f *Fleet) vouched(now time.Duration, answer Exchange) {
@@ -507,6 +554,7 @@
 		return
 	}
 	f.version = f.table.Version()
+	f.viewSince = now
 	reachable := f.table.Reachable(now)
 	if lost {
 		f.forgetLost(reachable)
--- a/bluebelld/bbpeer/order.go
+++ b/bluebelld/bbpeer/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -72,13 +73,16 @@
 			}
 			if err != nil {
 				f.check(ctx, coordinator)
+				verdict.Cell = f.otherCell(coordinator)
 			}
 		}
 		cell = verdict.Cell
-		if cell != "" {
+		if cell != "" && !alone {
 			o.Spilled = true
 			verdict = bbjob.Verdict{}
-			continue
+			if try == 0 {
+				continue
+			}
 		}
 		if verdict.Elsewhere {
 			f.left(coordinator)
@@ -111,6 +115,30 @@
 	return m, f.changed
 }
 
+// otherCell returns the name of a coordinator to ask instead of one that was not reached, empty
+// if there is none: one of the same region if there is any.
+func (f *Fleet) otherCell(lost bbgossip.Member) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var near, all []string
+	for _, m := range f.cells.VMs() {
+		if m.Name == lost.Name {
+			continue
+		}
+		all = append(all, m.Name)
+		if m.Region == lost.Region {
+			near = append(near, m.Name)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	return near[rand.IntN(len(near))]
+}
+
 // isLarge tells whether this VM exchanges with few of the others. In such a fleet VMs that
 // reach no coordinator would be many.
 func (f *Fleet) isLarge() bool {
@@ -124,6 +152,9 @@
 func (f *Fleet) check(ctx context.Context, m bbgossip.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.table.AnsweredWithin(f.Now(), m.Name, checkAfter) {
+		return
+	}
 	f.startExchange(context.WithoutCancel(ctx), m.Peer)
 }
 
@@ -134,6 +165,9 @@
 	// decideLead is how long before its limit an order is refused that nobody has decided: an
 	// engine's usual time to the first token and the answer's way to the caller.
 	decideLead = 150 * time.Millisecond
+	// checkAfter is how long an order waits before its coordinator is checked: longer than most
+	// orders take to be decided.
+	checkAfter = 600 * time.Millisecond
 	// undecidedRetryAfter is when the next coordinator should have been found.
 	undecidedRetryAfter = 500 * time.Millisecond
 	// orderPause is the pause after a failed call to a coordinator.
@@ -141,8 +175,8 @@
 	// startTime is how long a VM that has started may not have heard of all others: some rounds
 	// of exchange, after the last of VMs that start together.
 	startTime = 2 * time.Second
-	// quietTime is how long its view of the coordinator has to stay the same before it counts:
-	// longer than a round.
+	// quietTime is how long its view of the coordinator, or in a large fleet of all VMs, has to
+	// stay the same before it counts: longer than a round.
 	quietTime = 400 * time.Millisecond
 )
 
@@ -171,7 +205,12 @@
 	if len(f.table.Reachable(now)) == 0 && f.hasSeeds() {
 		return startTime - now
 	}
-	return min(startTime-now, f.ledSince+quietTime-now)
+	since := f.ledSince
+	if f.table.Size() > meshSize {
+		// The VMs of a large fleet are learned of a part at a time.
+		since = f.viewSince
+	}
+	return min(startTime-now, since+quietTime-now)
 }
 
 // hasSeeds tells whether other VMs may be found; the caller holds the lock.
@@ -193,9 +232,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
+		silent := time.NewTimer(checkAfter)
+		defer silent.Stop()
 		for {
 			select {
 			case <-changed:
+			case <-silent.C:
+				f.check(ctx, leader)
+				continue
 			case <-ctx.Done():
 				return
 			}
@@ -221,6 +265,22 @@
 	return f.cells.WorksAny(f.table.Self().Name) && now-f.ownSince > settleTime && f.table.HasMajority(now)
 }
 
+// takeoverTime is how long after a change of the cells that this VM coordinates another one may
+// still believe that it coordinates them and reaches most VMs: as long as hubs' word counts.
+const takeoverTime = bbgossip.VouchedFor
+
+// HasMajority tells whether this VM reaches more than half of the VMs, and as one of several
+// coordinators has had its cells for long enough that no other one still works for them.
+func (f *Fleet) HasMajority() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	if f.split.ByZone && now-f.ownSince < takeoverTime {
+		return false
+	}
+	return f.table.HasMajority(now)
+}
+
 // stillReaches tells whether a process of another VM is reachable, and returns the channel
 // that is closed when that may have changed.
 func (f *Fleet) stillReaches(m bbgossip.Member) (bool, <-chan struct{}) {
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -35,6 +35,9 @@
 	States []uint64 `cbor:"7,keyasint,omitempty"`
 	// Wants are states of processes that the sender doesn't know, in a question.
 	Wants []uint64 `cbor:"8,keyasint,omitempty"`
+	// Hub is the address of the VM that vouches for others to the sender, in an answer of a VM
+	// that isn't a hub itself.
+	Hub string `cbor:"10,keyasint,omitempty"`
 	// Outlook is what a coordinator expects of its cell.
 	Outlook *bbcell.Outlook `cbor:"9,keyasint,omitempty"`
 }
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -461,3 +461,104 @@
 		}
 	}
 }
+
+// busyCoordinator returns a coordinator whose first stage has work for seconds. It is told of a
+// cell that is sooner, unless the name is empty.
+func busyCoordinator(t *testing.T, cell string) *Coordinator {
+	t.Helper()
+	c := newTestCoordinator()
+	for i := range 12 {
+		o := testOrder(fmt.Sprint("busy", i), 1)
+		// Callers that come back are taken in though they will be late.
+		o.Elapsed = ms
+		o.Limit = time.Minute
+		o.Stages[0].Pieces = 4
+		c.Submit(0, o)
+	}
+	c.know.Spill = func(bbjob.Order, time.Duration, func(string) bool) (string, time.Duration) {
+		return cell, 500 * ms
+	}
+	return c
+}
+
+// wantElsewhere checks where an order is sent instead of being taken in.
+func wantElsewhere(t *testing.T, out bbdecision.Output, want ...bbdecision.Elsewhere) {
+	t.Helper()
+	if diff := cmp.Diff(want, out.Elsewhere); diff != "" {
+		t.Errorf("orders sent elsewhere (-want +got):\n%s", diff)
+	}
+}
+
+func TestLateOrdersSpillToAnotherCell(t *testing.T) {
+	t.Run("once", func(t *testing.T) {
+		c := busyCoordinator(t, "next")
+		wantElsewhere(t, c.Submit(0, testOrder("a", 1)), bbdecision.Elsewhere{
+			ID:   "a",
+			Cell: "next",
+		})
+		o := testOrder("b", 1)
+		o.Spilled = true
+		wantElsewhere(t, c.Submit(0, o))
+	})
+	t.Run("not where none is sooner", func(t *testing.T) {
+		c := busyCoordinator(t, "")
+		out := c.Submit(0, testOrder("a", 1))
+		wantElsewhere(t, out)
+		if len(out.Refusals) != 1 || out.Refusals[0].Reason != "late" {
+			t.Errorf("refusals %+v, want one of an order that would be late", out.Refusals)
+		}
+	})
+	t.Run("not with results that were made here", func(t *testing.T) {
+		c := busyCoordinator(t, "next")
+		o := testOrder("a", 1)
+		o.Made = []bbjob.Made{{Stage: 0, Piece: 0, Handle: "h", Maker: "f1", Address: "address of f1", Zone: "east"}}
+		wantElsewhere(t, c.Submit(0, o))
+	})
+	t.Run("not while they can be on time here", func(t *testing.T) {
+		c := newTestCoordinator()
+		c.know.Spill = func(bbjob.Order, time.Duration, func(string) bool) (string, time.Duration) { return "next", 0 }
+		wantElsewhere(t, c.Submit(0, testOrder("a", 1)))
+	})
+}
+
+func TestResumedCoordinatorTakesOrders(t *testing.T) {
+	c := newTestCoordinator()
+	c.Leave()
+	wantElsewhere(t, c.Submit(0, testOrder("a", 1)), bbdecision.Elsewhere{
+		ID: "a",
+	})
+	c.Resume()
+	out := c.Submit(0, testOrder("b", 1))
+	wantElsewhere(t, out)
+	if len(out.Calls) != 1 {
+		t.Errorf("%d calls for an order after the coordinator resumed, want 1", len(out.Calls))
+	}
+}
+
+// What a cell tells of itself grows with the work that waits in it.
+func TestOutlook(t *testing.T) {
+	idle := newTestCoordinator()
+	toSecond(t, idle, testOrder("a", 1))
+	quiet, busy := idle.Outlook(0), busyCoordinator(t, "").Outlook(0)
+	if q, b := quiet.Services["first"].Wait, busy.Services["first"].Wait; b < q+time.Second {
+		t.Errorf("wait for the first stage is %v in an idle and %v in a busy cell, want a second more", q, b)
+	}
+	if _, ok := quiet.Engines["engine"]; !ok {
+		t.Error("outlook has no engines, want those of the service that had an order")
+	}
+}
+
+func TestShareOfRepeats(t *testing.T) {
+	c := newTestCoordinator()
+	share := 1.0
+	c.know.Share = func() float64 { return share }
+	toSecond(t, c, testOrder("a", 1))
+	left := func() float64 { return c.Status(5 * time.Second).Repeats["second"] }
+	c.Tick(2 * time.Second)
+	whole := left()
+	share = 0.25
+	c.Tick(4 * time.Second)
+	if got := whole - left(); got < 5.9 || got > 6.1 {
+		t.Errorf("a quarter of the allowance is %.1f repeats less, want 6: three quarters of 10, with a part held back", got)
+	}
+}
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -14,10 +14,10 @@
 	// presentFor is how long a VM counts as running after it was last heard itself: two calls
 	// of a large fleet, with some slack.
 	presentFor = 2500 * time.Millisecond
-	// vouchedFor is how long a VM counts as running after a hub last vouched for it. A hub says
+	// VouchedFor is how long a VM counts as running after a hub last vouched for it. A hub says
 	// at once when a VM is gone; the time is for the loss of the hub itself, until the next one
 	// has been found and vouches.
-	vouchedFor = 4 * time.Second
+	VouchedFor = 4 * time.Second
 	// failedFor is how long a VM that did not answer a call counts as out of reach.
 	failedFor = 3 * time.Second
 	// forgetAfter is how long a silent VM stays in the table and is still tried.
@@ -188,6 +188,12 @@
 	return true
 }
 
+// AnsweredWithin tells whether a member answered a call of this VM in a time before now.
+func (t *Table) AnsweredWithin(now time.Duration, name string, span time.Duration) bool {
+	e := t.entries[name]
+	return e != nil && e.answeredAt > e.failedAt && now-e.answeredAt <= span
+}
+
 // Boot returns the boot of a known member, or 0.
 func (t *Table) Boot(name string) int64 {
 	if e := t.entries[name]; e != nil {
@@ -429,7 +435,7 @@
 }
 
 func (e *entry) present(now time.Duration) bool {
-	vouched := e.vouchedAt > 0 && now-e.vouchedAt <= vouchedFor
+	vouched := e.vouchedAt > 0 && now-e.vouchedAt <= VouchedFor
 	return !e.lost && (vouched || now-e.heardAt <= presentFor)
 }
 
--- a/core/bbgossip/table_test.go
+++ b/core/bbgossip/table_test.go
@@ -100,8 +100,8 @@
 	t.Run("for the members that it names", func(t *testing.T) {
 		table := three()
 		table.Vouch(3*time.Second, statesOf(member("c", 300, 1)), all)
-		wantNames(t, table.Present(3*time.Second+vouchedFor), "c")
-		wantNames(t, table.Present(3*time.Second+vouchedFor+1))
+		wantNames(t, table.Present(3*time.Second+VouchedFor), "c")
+		wantNames(t, table.Present(3*time.Second+VouchedFor+1))
 	})
 	t.Run("only for those that it hears itself", func(t *testing.T) {
 		table := three()
