Home of a request by its own part of the prompt; a trace for requests over cold capacity

Change: the cell is chosen by rendezvous of the last part, in the region, or in the fleet where re-reading would cost more than the way.

--- a/bluebellbench/bbcluster/cluster_test.go
+++ b/bluebellbench/bbcluster/cluster_test.go
@@ -160,6 +160,7 @@
 	audit := bbaudit.Check(c.Fleet, results)
 	if audit.Broken() > 0 {
 		t.Errorf("broken promises: %+v", audit)
+		traceOverCold(t, c)
 	}
 	if audit.Answered == 0 {
 		t.Errorf("nothing was answered: %+v", audit)
--- a/bluebelld/bbentry/cell.go
+++ b/bluebelld/bbentry/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,6 +60,11 @@
 	return chosen
 }
 
+// serves tells whether a failure domain has endpoints of a service that may get work.
+func (e *Entry) serves(service, zone string) bool {
+	return slices.ContainsFunc(e.Knowledge.usable(service), func(entry *bbregistry.Entry) bool { return entry.Zone == zone })
+}
+
 // share returns the part of the fleet's allowance for repeats of this VM's coordinator.
 func (e *Entry) share() float64 {
 	return 1 / float64(e.fleet.Coordinators())
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -98,6 +98,7 @@
 	e.Knowledge.changed = e.catalogChanged
 	e.Knowledge.table.Changed = e.endpointChanged
 	e.fleet = bbpeer.NewFleet(s.Self, s.Seeds, s.Regions, e.now, conns)
+	e.fleet.Serves = e.serves
 	e.fleet.Log = e.peerChanged
 	e.fleet.LogLeader = e.coordinatorChanged
 	coordinator := bbcoordinator.New(bbcoordinator.Knowledge{
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -54,6 +54,9 @@
 	// new connection.
 	Exchange func(ctx context.Context, address string, e Exchange) (Exchange, error)
 	Reset    func(address string)
+	// Serves tells whether a failure domain has endpoints of a service that may get work. It is
+	// called under a lock.
+	Serves func(service, zone string) bool
 	// Log tells of a VM that was lost or is back; up is true when it is back.
 	Log func(name string, up bool, why string)
 	// LogLeader tells of another coordinator, with the number of VMs that answer.
@@ -104,6 +107,7 @@
 		Conns:      conns,
 		Exchange:   conns.Exchange,
 		Reset:      conns.Reset,
+		Serves:     func(string, string) bool { return true },
 		Log:        func(string, bool, string) {},
 		LogLeader:  func(string, int) {},
 		table:      bbgossip.NewTable(self),
--- a/bluebelld/bbpeer/order.go
+++ b/bluebelld/bbpeer/order.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbjob"
 )
@@ -98,8 +99,7 @@
 }
 
 // coordinator returns the VM to ask about an order: the named one if it is a coordinator, else
-// that of this VM's cell, or of another where the order may be served. The channel is closed
-// when that may have changed.
+// that of the order's home. The channel is closed when that may have changed.
 func (f *Fleet) coordinator(o bbjob.Order, name string) (bbgossip.Member, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -109,12 +109,31 @@
 			return m, f.changed
 		}
 	}
-	m, _ := f.cells.For(f.table.Self().Zone, func(zone string) bool {
-		return len(o.Regions) == 0 || slices.Contains(o.Regions, f.regions[zone])
-	})
+	home := f.table.Self().Zone
+	if f.split.ByZone {
+		home = bbcell.Home(o, f.regions, func(zone string) bool {
+			return f.allows(o, zone) && f.serves(o, zone)
+		})
+	}
+	m, _ := f.cells.Of(home)
 	return m, f.changed
 }
 
+// serves tells whether a failure domain has endpoints for all that an order needs.
+func (f *Fleet) serves(o bbjob.Order, zone string) bool {
+	for _, s := range o.Stages {
+		if s.Pieces > 0 && !f.Serves(s.Service, zone) {
+			return false
+		}
+	}
+	return f.Serves(o.Service, zone)
+}
+
+// allows tells whether an order may be served in a failure domain.
+func (f *Fleet) allows(o bbjob.Order, zone string) bool {
+	return len(o.Regions) == 0 || slices.Contains(o.Regions, f.regions[zone])
+}
+
 // otherCell returns the name of a coordinator to ask instead of one that was not reached, empty
 // if there is none: one of the same region if there is any.
 func (f *Fleet) otherCell(lost bbgossip.Member) string {
--- a/bluebellfake/bbendpoint/settings.go
+++ b/bluebellfake/bbendpoint/settings.go
@@ -143,4 +143,8 @@
 	BytesOut int64 `json:"bytesOut"`
 	// Done is true when it ran to its end.
 	Done bool `json:"done"`
+	// OverCold is true for one over the cold capacity, and ShownAt is when the endpoint had
+	// shown by then that it is cold; zero if it had not.
+	OverCold bool      `json:"overCold,omitempty"`
+	ShownAt  time.Time `json:"shownAt,omitzero"`
 }
--- a/bluebellfake/bbendpoint/work.go
+++ b/bluebellfake/bbendpoint/work.go
@@ -117,6 +117,10 @@
 	e.addExchange(j)
 	if e.cold && e.inFlight >= e.Settings.ColdSlots {
 		e.counts.OverCold++
+		if j.exchange < len(e.exchanges) {
+			e.exchanges[j.exchange].OverCold = true
+			e.exchanges[j.exchange].ShownAt = e.shownAt
+		}
 		if !e.warned() {
 			e.counts.OverColdUnwarned++
 		}
--- a/core/bbcell/cell.go
+++ b/core/bbcell/cell.go
@@ -100,26 +100,6 @@
 	return m.Zones[other], ok
 }
 
-// For returns the VM for a request that arrived in a failure domain: that of the failure domain
-// if the request may be served there, else that of another where it may.
-func (m Map) For(zone string, allowed func(zone string) bool) (bbgossip.Member, bool) {
-	if allowed(zone) {
-		return m.Of(zone)
-	}
-	var others []string
-	for other := range m.Zones {
-		if allowed(other) {
-			others = append(others, other)
-		}
-	}
-	slices.Sort(others)
-	other, ok := bbhash.Pick(others, zone)
-	if !ok {
-		return m.Of(zone)
-	}
-	return m.Of(other)
-}
-
 // Works tells whether a VM works for a failure domain.
 func (m Map) Works(name, zone string) bool {
 	vm, ok := m.Of(zone)
--- a/core/bbcell/cell_test.go
+++ b/core/bbcell/cell_test.go
@@ -126,18 +126,67 @@
 	}
 }
 
-func TestForAllowedZones(t *testing.T) {
-	m := New(fleet(), regions, true)
-	south := func(zone string) bool { return regions[zone] == "south" }
-	if got, _ := m.For("s1", south); got.Name != "s1-b" {
-		t.Errorf("request of s1 goes to %s, want s1-b", got.Name)
-	}
-	if got, _ := m.For("n1", south); got.Region != "south" {
-		t.Errorf("request that may be served in the south goes to %s in %s", got.Name, got.Region)
-	}
-	if got, _ := m.For("n1", func(string) bool { return false }); got.Name != "n1-b" {
-		t.Errorf("request that may be served nowhere goes to %s, want n1-b, which refuses it", got.Name)
+// prompted returns an order that arrived in n1, with a last part of some tokens.
+func prompted(part string, tokens int) bbjob.Order {
+	o := order(1)
+	o.Zone = "n1"
+	o.BodyBytes = 9000
+	o.Prompt.Parts = []bbjob.Part{{ID: "shared", Tokens: 2500}, {ID: part, Tokens: tokens}}
+	return o
+}
+
+// homes returns the failure domains that are homes of orders with different parts.
+func homes(tokens int, serves func(zone string) bool) map[string]int {
+	counts := make(map[string]int)
+	for i := range 200 {
+		counts[Home(prompted(fmt.Sprint("part", i), tokens), regions, serves)]++
 	}
+	return counts
+}
+
+func TestHome(t *testing.T) {
+	t.Run("orders that share a part meet wherever they arrive", func(t *testing.T) {
+		first := prompted("p", 4000)
+		second := first
+		second.Zone, second.Region = "s2", "south"
+		if a, b := Home(first, regions, everywhere), Home(second, regions, everywhere); a != b {
+			t.Errorf("orders with the same part have homes %s and %s, want one", a, b)
+		}
+	})
+	t.Run("long parts spread over all failure domains", func(t *testing.T) {
+		for zone, n := range homes(4000, everywhere) {
+			if n < 25 {
+				t.Errorf("%s is the home of %d of 200 orders, want a quarter or so", zone, n)
+			}
+		}
+	})
+	t.Run("short parts stay in the region", func(t *testing.T) {
+		got := homes(100, everywhere)
+		if got["n1"]+got["n2"] != 200 || got["n1"] < 50 || got["n2"] < 50 {
+			t.Errorf("homes %v, want n1 and n2 alike", got)
+		}
+	})
+	t.Run("not where the order can't be served", func(t *testing.T) {
+		got := homes(4000, func(zone string) bool { return zone == "n2" || zone == "s1" })
+		if got["n2"]+got["s1"] != 200 {
+			t.Errorf("homes %v, want n2 and s1 alone", got)
+		}
+	})
+	t.Run("another region where the own one can't serve", func(t *testing.T) {
+		got := homes(100, func(zone string) bool { return regions[zone] == "south" })
+		if got["s1"]+got["s2"] != 200 {
+			t.Errorf("homes %v, want s1 and s2 alone", got)
+		}
+	})
+	t.Run("that of the arrival without a prompt, or where nobody serves", func(t *testing.T) {
+		plain := order(1)
+		plain.Zone = "n1"
+		for _, got := range []string{Home(plain, regions, everywhere), Home(prompted("p", 4000), regions, func(string) bool { return false })} {
+			if got != "n1" {
+				t.Errorf("home is %s, want n1", got)
+			}
+		}
+	})
 }
 
 func TestSplitHasHysteresis(t *testing.T) {
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -188,14 +188,14 @@
 		unread += r.waiting(now)
 	}
 	cost := time.Duration(unread/readRate*float64(time.Second)) + time.Duration(len(g.runs))*neighbourCost
-	cost += time.Duration(t.reread(now, g, n.Prompt) / 1000 * float64(rereadCost))
+	cost += RereadCost(int(t.reread(now, g, n.Prompt)))
 	cost += time.Duration(g.health.Failures(now) * float64(failureCost))
 	if e.Cold {
 		cost += coldCost
 	}
 	switch {
 	case n.Far(e.Zone):
-		cost += regionCost + time.Duration(n.BodyBytes/1000)*bodyCost
+		cost += FarCost(n.BodyBytes)
 	case e.Zone != n.Zone:
 		cost += zoneCost
 	}
@@ -207,6 +207,16 @@
 	return cost
 }
 
+// FarCost is the cost of an engine in another region than the caller, for a body of a size.
+func FarCost(bodyBytes int) time.Duration {
+	return regionCost + time.Duration(bodyBytes/1000)*bodyCost
+}
+
+// RereadCost is the cost of reading some tokens again that another engine keeps.
+func RereadCost(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / 1000 * float64(rereadCost))
+}
+
 // reread returns the tokens of a prompt that an engine would read though another one kept
 // them.
 func (t *Table) reread(now time.Duration, g *engine, p bbjob.Prompt) float64 {
