Hubs of a starting fleet ask the seeds until they have been up for two seconds

Cause: in some starts of 300 VMs a dozen found each other first, took one of them for their hub and coordinated for themselves for more than four seconds (TestLargeFleetStarts, 2 of 12 runs): they knew the seeds, so that nobody asked these again. Also, VMs that start read the store only once another VM has answered or 250 ms have passed: at a start of 295 VMs each read it (1,788 calls in 18 s).

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -96,6 +96,7 @@
 	}
 	e.Knowledge = NewKnowledge(e.now)
 	e.Knowledge.changed = e.catalogChanged
+	e.Knowledge.setReading(false)
 	e.Knowledge.table.Changed = e.endpointChanged
 	e.fleet = bbpeer.NewFleet(s.Self, s.Seeds, s.Regions, e.now, conns)
 	e.fleet.Serves = e.serves
--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -14,6 +14,10 @@
 	publishPeriod = 150 * time.Millisecond
 	// followPeriod is how often a VM that doesn't read the store asks one that does.
 	followPeriod = 400 * time.Millisecond
+	// meetTime is how long a VM that has started waits for the answer of another one before it
+	// reads the platform: several round trips between regions. In a large fleet it then
+	// knows that others read.
+	meetTime = 250 * time.Millisecond
 	// publishTimeout bounds a call for what another VM knows.
 	publishTimeout = 800 * time.Millisecond
 )
@@ -37,7 +41,7 @@
 	if x := e.Knowledge.Index(); w.Catalog && x != nil {
 		p.Catalog = &x.Catalog
 	}
-	if w.Endpoints {
+	if w.Endpoints && e.Knowledge.hasListed() {
 		sequence := w.Sequence
 		if w.Boot != p.Boot {
 			sequence = 0
@@ -53,11 +57,15 @@
 	ticker := time.NewTicker(publishPeriod)
 	defer ticker.Stop()
 	var asked time.Duration
-	for {
-		select {
-		case <-ctx.Done():
+	select {
+	case <-ctx.Done():
+		return
+	case <-e.fleet.Met():
+	case <-time.After(meetTime):
+	}
+	for ; ; waitTick(ctx, ticker) {
+		if ctx.Err() != nil {
 			return
-		case <-ticker.C:
 		}
 		e.refresh()
 		reader, reads := e.reader()
@@ -85,6 +93,14 @@
 	}
 }
 
+// waitTick waits for the next tick, or until the context ends.
+func waitTick(ctx context.Context, t *time.Ticker) {
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // ahead returns a VM that has a newer configuration in force.
 func (e *Entry) ahead() (bbgossip.Member, bool) {
 	_, version, _ := e.Knowledge.ready()
--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -174,6 +174,13 @@
 	return k.table.Since(k.now(), sequence)
 }
 
+// hasListed tells whether the endpoints were read.
+func (k *Knowledge) hasListed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.listed
+}
+
 // Reading tells whether this VM reads the platform itself, or another does it for it.
 func (k *Knowledge) Reading() bool {
 	k.mu.Lock()
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -62,6 +62,10 @@
 	// LogLeader tells of another coordinator, with the number of VMs that answer.
 	LogLeader func(name string, reachable int)
 
+	// met is closed when another VM has answered for the first time.
+	met  chan struct{}
+	once sync.Once
+
 	mu      sync.Mutex
 	table   *bbgossip.Table
 	seeds   []string
@@ -120,6 +124,7 @@
 		neighbours: bbcell.NewNeighbours(),
 		leader:     self,
 		changed:    make(chan struct{}),
+		met:        make(chan struct{}),
 	}
 	f.cells = bbcell.New([]bbgossip.Member{self}, all, false)
 	f.hubs = f.cells
@@ -183,6 +188,11 @@
 	return m.Name == f.table.Self().Name
 }
 
+// Met returns a channel that is closed when another VM has answered for the first time.
+func (f *Fleet) Met() <-chan struct{} {
+	return f.met
+}
+
 // Coordinates tells whether this VM coordinates a cell, and which VM coordinates that of a
 // failure domain.
 func (f *Fleet) Coordinates(zone string) (bool, bbgossip.Member) {
@@ -346,7 +356,8 @@
 }
 
 // targets returns the addresses for one round: all members of a small fleet, else those of
-// targetsOfMany, and seeds that no known member has.
+// targetsOfMany, and seeds that no known member has. Hubs of a large fleet go on to ask all seeds,
+// so that parts of the fleet that have formed apart find each other.
 func (f *Fleet) targets() []string {
 	f.rounds++
 	known := f.table.Known()
@@ -361,8 +372,10 @@
 	if len(addresses) >= meshSize {
 		addresses = f.targetsOfMany(addresses)
 	}
+	asksAll := len(known) >= meshSize && f.isHub()
 	for _, seed := range f.seeds {
-		if !taken[seed] && (len(known) == 0 || f.rounds%seedEvery == 0) {
+		due := len(known) == 0 || f.rounds%seedEvery == 0 || (asksAll && f.Now() < startTime)
+		if due && (asksAll || !taken[seed]) && !slices.Contains(addresses, seed) {
 			addresses = append(addresses, seed)
 		}
 	}
@@ -458,6 +471,7 @@
 	f.hearOutlook(now, answer)
 	f.look()
 	f.chaseHub(ctx, answer)
+	f.once.Do(func() { close(f.met) })
 	unknown := f.table.Unknown(answer.States)
 	return unknown[:min(len(unknown), maxWants)]
 }
--- a/bluebelld/bbpeer/large_test.go
+++ b/bluebelld/bbpeer/large_test.go
@@ -172,7 +172,7 @@
 func (l *largeFleet) coordinators() (all, full map[string]int) {
 	all, full = make(map[string]int), make(map[string]int)
 	for _, v := range l.running() {
-		if wait := v.unsettled(); wait > 0 {
+		if works, _ := v.Coordinates("z0"); !works || v.unsettled() > 0 {
 			continue
 		}
 		majority := v.HasMajority()
@@ -234,12 +234,29 @@
 		var n int
 		v.View(func(t *bbgossip.Table, now time.Duration) { n = 1 + len(t.Present(now)) })
 		if n != len(vms) {
-			l.t.Errorf("%s sees %d VMs, want %d", v.self.Name, n, len(vms))
+			l.t.Errorf("%s sees %d VMs, want %d; it doesn't see %v", v.self.Name, n, len(vms), l.missing(v))
 			return
 		}
 	}
 }
 
+// missing returns the running VMs that a VM doesn't see, with the hubs that they follow.
+func (l *largeFleet) missing(v *largeVM) []string {
+	var missing []string
+	seen := make(map[string]bool)
+	v.View(func(t *bbgossip.Table, now time.Duration) {
+		for _, m := range t.Present(now) {
+			seen[m.Name] = true
+		}
+	})
+	for _, other := range l.running() {
+		if other != v && !seen[other.self.Name] {
+			missing = append(missing, other.self.Name+" of "+other.Hub().Name)
+		}
+	}
+	return missing
+}
+
 func TestLargeFleetStarts(t *testing.T) {
 	inVirtualTime(t, func(l *largeFleet) {
 		l.run(3 * time.Second)
