Hints of VMs that only others reach; who may be the only coordinator is checked by the model checker

Cause: two VMs that don't reach each other, but reach all others, both coordinated a failure domain at the full pace for as long as that lasted (TestLargeFleetWithTwoThatDontReachEachOther, failed before); a third joined when the first was cut off from all, since its hub had never named the second.

Also: a call that is given up on a cold endpoint counts until it has ended there, whatever becomes of this VM's connection.

--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -141,7 +141,7 @@
 func (k *Knowledge) follow(d bbregistry.Delta, storeAge time.Duration, zones map[string]string) (turned map[string]bool, taken bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.followedAt = k.now() - storeAge
+	k.followedAt = max(k.followedAt, k.now()-storeAge)
 	if k.listed && d.Revision < k.table.Revision {
 		return nil, false
 	}
@@ -255,11 +255,11 @@
 	return ""
 }
 
-// storeAge returns the time since the platform last answered.
+// storeAge returns the time since the platform last answered this VM or the one that it follows.
 func (k *Knowledge) storeAge() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.now() - k.heardAt
+	return k.now() - max(k.heardAt, k.followedAt)
 }
 
 // counts returns the number of endpoints by service.
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbpeer/fleet.go
@@ -33,6 +33,9 @@
 	// otherEvery is the number of rounds after which a VM of a larger fleet exchanges with any
 	// other, so that parts of the fleet find each other; hubs do so more often.
 	otherEvery = 24
+	// blindFor is how long a coordinator may be without an answer of any other VM before it no
+	// longer counts as one that would know of another coordinator: four rounds of a hub.
+	blindFor = 1500 * time.Millisecond
 	// maxWants bounds the processes that are asked for in one exchange: some 10 KB in answer.
 	maxWants = 128
 	// maxCatchUp bounds the exchanges that follow one in which processes turned out to be
@@ -97,6 +100,9 @@
 	// ledSince is when that coordinator became it, ownSince when the cells that this VM
 	// coordinates last changed, and viewSince when the VMs that it reaches did.
 	ledSince, ownSince, viewSince time.Duration
+	// contestedAt is when another VM last seemed to run that may coordinate the same cells, or
+	// when nobody would have told, and answeredAt is when another VM last answered.
+	contestedAt, answeredAt time.Duration
 }
 
 // NewFleet returns a fleet that knows only its own VM, the addresses of some seeds and the
@@ -292,6 +298,7 @@
 		Digest:  f.table.Digest(now),
 		Vouches: f.isHub(),
 		Unknown: !known,
+		Hints:   f.table.Hints(now),
 		Members: f.table.Of(e.Wants[:min(len(e.Wants), maxWants)]),
 	}
 	if e.KnownBoot == self.Boot {
@@ -460,6 +467,7 @@
 		f.lostHub(ctx, address)
 		return nil
 	}
+	f.answeredAt = now
 	if f.table.Answered(now, answer.From) && !answer.Unknown {
 		f.introduced[answer.From.Name] = answer.From.Boot
 	} else {
@@ -467,6 +475,7 @@
 	}
 	f.table.Merge(now, answer.Members)
 	f.look()
+	f.table.Named(now, answer.States, answer.Hints)
 	f.vouched(now, answer)
 	f.hearOutlook(now, answer)
 	f.look()
@@ -567,6 +576,9 @@
 			f.Log(m.Name, true, "answers")
 		}
 	})
+	if f.split.ByZone && (now-f.answeredAt > blindFor || f.contested(now)) {
+		f.contestedAt = now
+	}
 	lost := count < len(f.reached)
 	if !gained && !lost {
 		return
@@ -583,6 +595,18 @@
 	}
 }
 
+// contested tells whether a VM that this one doesn't reach, but that others vouch for, would
+// coordinate a cell of this VM. Two VMs that only don't reach each other both have a majority.
+func (f *Fleet) contested(now time.Duration) bool {
+	self := f.table.Self()
+	contested := false
+	f.table.EachUnreached(now, func(m *bbgossip.Member) {
+		before := m.Zone != self.Zone || bbgossip.Before(*m, self)
+		contested = contested || (m.Ready && !m.Leaving && before && f.cells.Works(self.Name, m.Zone))
+	})
+	return contested
+}
+
 // forgetLost notes which VMs are no longer reachable.
 func (f *Fleet) forgetLost(reachable []bbgossip.Member) {
 	present := make(map[string]bool, len(reachable))
--- a/bluebelld/bbpeer/order.go
+++ b/bluebelld/bbpeer/order.go
@@ -289,12 +289,13 @@
 const takeoverTime = bbgossip.VouchedFor
 
 // HasMajority tells whether this VM reaches more than half of the VMs, and as one of several
-// coordinators has had its cells for long enough that no other one still works for them.
+// coordinators has been the only one of its cells for long enough that no other one still works
+// for them.
 func (f *Fleet) HasMajority() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Now()
-	if f.split.ByZone && now-f.ownSince < takeoverTime {
+	if f.split.ByZone && now-max(f.ownSince, f.contestedAt) < takeoverTime {
 		return false
 	}
 	return f.table.HasMajority(now)
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -33,6 +33,8 @@
 	// States are those of the processes that the sender sees running; only in an answer, where
 	// the tables differ.
 	States []uint64 `cbor:"7,keyasint,omitempty"`
+	// Hints are those of the processes that only others see running.
+	Hints []uint64 `cbor:"11,keyasint,omitempty"`
 	// Wants are states of processes that the sender doesn't know, in a question.
 	Wants []uint64 `cbor:"8,keyasint,omitempty"`
 	// Hub is the address of the VM that vouches for others to the sender, in an answer of a VM
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -18,6 +18,9 @@
 	// at once when a VM is gone; the time is for the loss of the hub itself, until the next one
 	// has been found and vouches.
 	VouchedFor = 4 * time.Second
+	// namedFor is how long a VM may run after another one named it: some exchanges of hubs. A hint
+	// counts as long as a hub's word.
+	namedFor = 1500 * time.Millisecond
 	// failedFor is how long a VM that did not answer a call counts as out of reach.
 	failedFor = 3 * time.Second
 	// forgetAfter is how long a silent VM stays in the table and is still tried.
@@ -87,6 +90,10 @@
 	heardAt time.Duration
 	// vouchedAt is when a hub last vouched for the member, 0 once it did no longer.
 	vouchedAt time.Duration
+	// namedAt is when a VM that sees the member running last named it, and hintedAt when one did
+	// that had only been told. Neither is a sign of life, and a hint isn't passed on: VMs would
+	// keep each other's word alive.
+	namedAt, hintedAt time.Duration
 	// seenAt is the last sign of life of either kind.
 	seenAt time.Duration
 	// answeredAt and failedAt are when a call of this VM was last answered and last failed.
@@ -354,8 +361,8 @@
 	return t.list(func(e *entry) bool { return e.present(now) })
 }
 
-// Reachable returns the other members that run and don't leave calls of this VM without an
-// answer, in the order of their names.
+// Reachable returns the other members that run, to this VM or to one that named them a moment
+// ago, and don't leave calls of this VM without an answer, in the order of their names.
 func (t *Table) Reachable(now time.Duration) []Member {
 	return t.list(func(e *entry) bool { return e.reachable(now) })
 }
@@ -380,6 +387,41 @@
 	}
 }
 
+// Named notes the processes that another VM sees running, and those of which it was told.
+func (t *Table) Named(now time.Duration, states, hints []uint64) {
+	for _, s := range states {
+		if e := t.entries[t.states[s]]; e != nil {
+			e.namedAt = now
+		}
+	}
+	for _, s := range hints {
+		if e := t.entries[t.states[s]]; e != nil {
+			e.hintedAt = now
+		}
+	}
+}
+
+// Hints returns the states of the processes that others see running and this VM doesn't.
+func (t *Table) Hints(now time.Duration) []uint64 {
+	var hints []uint64
+	for _, e := range t.entries {
+		if e.Boot != 0 && !e.lost && !e.present(now) && recent(now, e.namedAt, namedFor) {
+			hints = append(hints, e.state)
+		}
+	}
+	return hints
+}
+
+// EachUnreached passes on the members that this VM doesn't reach though they seem to run, to
+// this VM or to others, in any order.
+func (t *Table) EachUnreached(now time.Duration, pass func(m *Member)) {
+	for _, e := range t.entries {
+		if e.Boot != 0 && !e.reachable(now) && (e.named(now) || e.present(now)) {
+			pass(&e.Member)
+		}
+	}
+}
+
 // Size returns the number of VMs that are known, running or not, this one included.
 func (t *Table) Size() int {
 	return len(t.entries) + 1
@@ -441,7 +483,17 @@
 
 func (e *entry) reachable(now time.Duration) bool {
 	failing := e.failedAt > e.answeredAt && now-e.failedAt <= failedFor
-	return e.present(now) && !failing
+	return (e.present(now) || e.named(now)) && !failing
+}
+
+// named tells whether another VM saw the member running a moment ago.
+func (e *entry) named(now time.Duration) bool {
+	return !e.lost && (recent(now, e.namedAt, namedFor) || recent(now, e.hintedAt, VouchedFor))
+}
+
+// recent tells whether the word of another VM still counts; 0 is none.
+func recent(now, at, span time.Duration) bool {
+	return at > 0 && now-at <= span
 }
 
 func (e *entry) isRetired(boot int64) bool {
--- a/core/bbgossip/table_test.go
+++ b/core/bbgossip/table_test.go
@@ -241,3 +241,40 @@
 	table.Forget(time.Second + forgetAfter + 1)
 	wantNames(t, table.Known())
 }
+
+func TestNamedMembers(t *testing.T) {
+	// At 5 s a and c are silent for this VM.
+	const silent = 5 * time.Second
+	named := func() *Table {
+		table := three()
+		table.Named(silent, statesOf(member("a", 100, 1)), statesOf(member("c", 300, 1)))
+		return table
+	}
+	t.Run("are tried", func(t *testing.T) {
+		wantNames(t, named().Reachable(silent+namedFor), "a", "c")
+		wantNames(t, named().Reachable(silent+VouchedFor), "c")
+		wantNames(t, named().Reachable(silent+VouchedFor+1))
+	})
+	t.Run("are not told to callers", func(t *testing.T) {
+		wantNames(t, named().Present(silent))
+	})
+	t.Run("are not in the states, and only what was seen is passed on as a hint", func(t *testing.T) {
+		table := named()
+		if diff := cmp.Diff(statesOf(member("b", 200, 1)), table.States(silent)); diff != "" {
+			t.Errorf("states (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(statesOf(member("a", 100, 1)), table.Hints(silent)); diff != "" {
+			t.Errorf("hints (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("that don't answer are known to run", func(t *testing.T) {
+		table := named()
+		table.Failed(silent, "a")
+		wantNames(t, table.Reachable(silent), "c")
+		var unreached []string
+		table.EachUnreached(silent, func(m *Member) { unreached = append(unreached, m.Name) })
+		if diff := cmp.Diff([]string{"a"}, unreached); diff != "" {
+			t.Errorf("unreached members that run (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/core/bbowner/news.go
+++ b/core/bbowner/news.go
@@ -20,7 +20,7 @@
 	e := t.Endpoints[w.Dispatch.Endpoint]
 	e.dirty = true
 	if w.State == bbbacklog.Stopped {
-		if n.Kind != bbmsg.NewsTokens {
+		if ended(n.Kind) || (n.Kind == bbmsg.NewsBroken && !e.Cold()) {
 			t.release(now, e, w)
 		}
 		return
@@ -41,6 +41,12 @@
 	}
 }
 
+// ended tells whether news shows that an endpoint no longer works on a call. A connection that
+// broke, by this VM's doing or not, doesn't.
+func ended(k bbmsg.NewsKind) bool {
+	return k != bbmsg.NewsTokens && k != bbmsg.NewsBroken
+}
+
 // takeTokens passes tokens on in order, each once. After a gap the call is stopped.
 func (t *Table) takeTokens(now time.Duration, e *Endpoint, w *bbbacklog.Work, n bbmsg.EndpointNews) bool {
 	if n.Offset > w.Next {
@@ -183,6 +189,22 @@
 // stop ends a running call at the endpoint. It counts until news of its end, or for a
 // while; on a cold endpoint as long as it could run on behind a silent connection.
 func (t *Table) stop(now time.Duration, e *Endpoint, w *bbbacklog.Work) {
+	t.linger(now, e, w)
+	t.outputs = append(t.outputs, bbmsg.Output{Stop: &bbmsg.EndpointStop{Call: w.Number}})
+}
+
+// abandon gives up a running call whose result nobody wants. A cold endpoint is left to finish
+// it: nothing tells when it has noticed that the connection was closed.
+func (t *Table) abandon(now time.Duration, e *Endpoint, w *bbbacklog.Work) {
+	if e.Cold() {
+		t.linger(now, e, w)
+		return
+	}
+	t.stop(now, e, w)
+}
+
+// linger makes a call count on for a while though its result is not wanted.
+func (t *Table) linger(now time.Duration, e *Endpoint, w *bbbacklog.Work) {
 	delete(t.active, w.Key)
 	t.ended.Add(now, w.Key, false)
 	w.State = bbbacklog.Stopped
@@ -191,7 +213,6 @@
 		w.Linger = max(w.Linger, w.Deadline)
 	}
 	e.dirty = true
-	t.outputs = append(t.outputs, bbmsg.Output{Stop: &bbmsg.EndpointStop{Call: w.Number}})
 }
 
 // broken gives the result of a call that this node gave up.
--- a/core/bbowner/offer.go
+++ b/core/bbowner/offer.go
@@ -154,7 +154,7 @@
 		e.Remove(w)
 		t.drop(now, w, true)
 	case bbbacklog.Running:
-		t.stop(now, e, w)
+		t.abandon(now, e, w)
 	case bbbacklog.Broken:
 		e.Finish(now, w)
 		t.drop(now, w, false)
--- a/core/bbowner/table_test.go
+++ b/core/bbowner/table_test.go
@@ -553,6 +553,40 @@
 		r.news(1, bbmsg.NewsBroken)
 		r.wantCalls(5)
 	})
+	// On its own connection a cancelled call ends at once for this VM; the endpoint notices later.
+	coldWithCancelled := func(t *testing.T) *rig {
+		r := settledRig(t)
+		r.report(bbmsg.LoadReport{Boot: 1, Cold: true})
+		r.wantState(bbmsg.StateCold)
+		d := r.dispatch("engine")
+		r.table.Offer(r.now, d, "home")
+		r.settle()
+		r.wantCalls(1)
+		never, ok := cancel(r, d, testProcess)
+		check(t, never, ok, false, true)
+		// The other slot is taken as well.
+		r.offer("engine", 1)
+		r.wantCalls(2)
+		return r
+	}
+	t.Run("running on a cold endpoint, which may go on after the connection broke", func(t *testing.T) {
+		r := coldWithCancelled(t)
+		r.news(1, bbmsg.NewsBroken)
+		r.offer("engine", 1)
+		r.advance(500 * time.Millisecond)
+		r.wantCalls(2)
+	})
+	t.Run("running on a cold endpoint, which is left to finish", func(t *testing.T) {
+		r := coldWithCancelled(t)
+		if diff := cmp.Diff([]uint64(nil), r.stops); diff != "" {
+			t.Errorf("stops (-want +got):\n%s", diff)
+		}
+		r.offer("engine", 1)
+		r.advance(100 * time.Millisecond)
+		r.wantCalls(2)
+		r.news(1, bbmsg.NewsDone)
+		r.wantCalls(3)
+	})
 	t.Run("not known: never sent later", func(t *testing.T) {
 		r := warmRig(t)
 		d := r.dispatch("engine")
--- /dev/null
+++ b/spec/cells.pml
@@ -0,0 +1,96 @@
+/*
+ * Cold pace of one endpoint while two VMs may both coordinate its cell: A, which does all the
+ * time, and B, which takes over when it doesn't reach A. R stands for the other VMs. Every link may be
+ * cut and mended at any time; a VM has a majority while it has heard R lately.
+ *
+ * A step is a quarter of a second. A full pace is one request a step and three at once, half a pace
+ * is one in two steps and one at once. The endpoint bears BOUND requests in any second: 1.5 x 4 + 5.
+ *
+ * Guards, each of which can be left out:
+ *   NO_HOLD     B paces fully as soon as it coordinates, not only after HOLD steps
+ *   NO_CONTEST  B doesn't ask whether others see A running
+ *   NO_ALONE    a time in which B hears nobody counts as one in which it is the only one
+ *   NO_MAJORITY a VM that has lost the others goes on at the full pace
+ */
+#define WINDOW 4
+#define BOUND 11
+/* How long a VM counts others as running after it last heard them. */
+#define LAPSE 3
+/* How long R sees A running after it last heard it; less than LAPSE, as hubs hear their VMs. */
+#define SEEN 2
+/* How long B must have been the only one, and how long it may hear nobody in that time. */
+#define HOLD 4
+#define BLIND 1
+#define MOST 5
+
+bool linkAB = true, linkAR = true, linkBR = true;
+byte aHeardR, bHeardR, rHeardA;
+bool bWorks;
+byte bSole;
+byte aBucket = 6, bBucket = 2;       /* in halves of a request */
+byte sent[WINDOW];
+byte total;
+
+inline older(age) { if :: age < MOST -> age++ :: else fi }
+
+inline send(bucket) {
+  if
+  :: bucket >= 2 -> now_sent = now_sent + bucket / 2; bucket = bucket % 2
+  :: true
+  fi
+}
+
+inline refill(bucket, isFull) {
+  if
+  :: isFull -> bucket = (bucket + 2 > 6 -> 6 : bucket + 2)
+  :: else -> bucket = (bucket + 1 > 2 -> 2 : bucket + 1)
+  fi
+}
+
+active proctype steps() {
+  byte now_sent;
+  bool aFull, bFull, contested, alone;
+  do
+  :: d_step { now_sent = 0; older(aHeardR); older(bHeardR); older(rHeardA) }
+     /* Any link may change. */
+     if :: linkAB = !linkAB :: true fi;
+     if :: linkAR = !linkAR :: true fi;
+     if :: linkBR = !linkBR :: true fi;
+     d_step {
+       if :: linkAR -> aHeardR = 0; rHeardA = 0 :: else fi;
+       if :: linkBR -> bHeardR = 0 :: else fi;
+       /* R names A to B while it sees A running. */
+       contested = linkBR && rHeardA <= SEEN;
+#ifdef NO_CONTEST
+       contested = false;
+#endif
+       if
+       :: linkAB -> bWorks = false; bSole = 0
+       :: else ->
+          alone = bHeardR > BLIND;
+#ifdef NO_ALONE
+          alone = false;
+#endif
+          if :: contested || alone || !bWorks -> bSole = 0 :: else -> older(bSole) fi;
+          bWorks = true
+       fi;
+       aFull = aHeardR <= LAPSE;
+       bFull = bHeardR <= LAPSE && bSole >= HOLD;
+#ifdef NO_HOLD
+       bFull = bHeardR <= LAPSE && !contested;
+#endif
+#ifdef NO_MAJORITY
+       aFull = true;
+#endif
+       refill(aBucket, aFull);
+       refill(bBucket, bFull)
+     };
+     send(aBucket);
+     if :: bWorks -> send(bBucket) :: else fi;
+     d_step {
+       total = total - sent[0] + now_sent;
+       sent[0] = sent[1]; sent[1] = sent[2]; sent[2] = sent[3]; sent[3] = now_sent
+     };
+     assert(total <= BOUND)
+  od
+}
