--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -18,6 +18,9 @@
 	// reads the platform: several round trips between regions. In a large fleet it then
 	// knows that others read.
 	meetTime = 250 * time.Millisecond
+	// deputies is the number of VMs of a failure domain, its reader included, after which one tries
+	// to read the store while those before it can't.
+	deputies = 2
 	// publishTimeout bounds a call for what another VM knows.
 	publishTimeout = 800 * time.Millisecond
 )
@@ -117,28 +120,47 @@
 }
 
 // reader returns the VM to ask for endpoints, and whether this one reads the store itself.
-// One that can't reach the store asks the VM that knows the newest endpoints.
+// One that can't reach the store asks the VM that knows the newest endpoints. While nobody reads
+// the store for this VM, a few of each failure domain try, so that not all do when the store is
+// away.
 func (e *Entry) reader() (bbgossip.Member, bool) {
+	readers := e.fleet.Readers()
+	if len(readers) == 0 || readers[e.settings.Self.Name] {
+		return e.newest(readers), true
+	}
+	var best bbgossip.Member
+	hub := e.fleet.Hub().Name
+	ahead := 0
+	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
+		self := t.Self()
+		t.EachReachable(now, func(m *bbgossip.Member) {
+			if readers[m.Name] && (best.Name == "" || m.Name == hub) {
+				best = *m
+			}
+			if m.Zone == self.Zone && bbgossip.Before(*m, self) {
+				ahead++
+			}
+		})
+	})
+	untold, outdated := e.Knowledge.unfollowed()
+	return best, best.Name == "" || untold || (outdated && ahead <= deputies)
+}
+
+// newest returns the VM that knows the newest endpoints, if they are not older than this VM's: of
+// several one that reads the store.
+func (e *Entry) newest(readers map[string]bool) bbgossip.Member {
 	_, _, revision := e.Knowledge.ready()
 	var best bbgossip.Member
-	readers := e.fleet.Readers()
-	reads := len(readers) == 0 || readers[e.settings.Self.Name]
-	own := e.fleet.Hub().Name
 	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
 		t.EachReachable(now, func(m *bbgossip.Member) {
-			switch {
-			case reads && (m.EndpointRevision > revision || (m.EndpointRevision == revision && best.Name > m.Name)):
+			same := m.EndpointRevision == revision && readers[m.Name] && (best.Name == "" || m.Name < best.Name)
+			if m.EndpointRevision > revision || same {
 				revision = m.EndpointRevision
 				best = *m
-			case !reads && readers[m.Name] && (best.Name == "" || m.Name == own):
-				best = *m
 			}
 		})
 	})
-	if !reads && (best.Name == "" || e.Knowledge.unfollowed()) {
-		return best, true
-	}
-	return best, reads
+	return best
 }
 
 // follow asks one VM for what it knows.
@@ -153,6 +175,9 @@
 	if p.Catalog != nil {
 		e.Knowledge.OfferCatalog(*p.Catalog, peer.Name)
 	}
+	if w.Endpoints {
+		e.Knowledge.told()
+	}
 	if p.Endpoints == nil {
 		return
 	}
--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -14,7 +14,7 @@
 	// staleAfter is when a VM that hears nothing of the platform asks others for its
 	// endpoints: a little more than the usual time between two readings.
 	staleAfter = 1200 * time.Millisecond
-	// unfollowedAfter is when a VM that follows another one's endpoints reads the platform
+	// unfollowedAfter is when a VM that follows another one's endpoints may read the platform
 	// itself: some readings of the other one and calls to it, and half of the least bound for
 	// leaving endpoints in fleets of that size.
 	unfollowedAfter = 2 * time.Second
@@ -40,8 +40,9 @@
 	// heardAt is when the platform last answered; failing is true since a call failed.
 	heardAt time.Duration
 	failing bool
-	// followedAt is when the platform last answered the VM that this one follows.
-	followedAt time.Duration
+	// followedAt is when the platform last answered the VM that this one follows, and toldAt when
+	// that VM last answered.
+	followedAt, toldAt time.Duration
 	// notReading is true while another VM reads the platform for this one.
 	notReading bool
 	// outageEnd is when the platform answered again after an outage.
@@ -160,11 +161,20 @@
 	return turned, true
 }
 
-// unfollowed tells whether the VM that this one follows is silent or lost the platform.
-func (k *Knowledge) unfollowed() bool {
+// told notes that the VM that this one follows answered.
+func (k *Knowledge) told() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.now()-k.followedAt > unfollowedAfter
+	k.toldAt = k.now()
+}
+
+// unfollowed tells whether the VM that this one follows is silent, and whether it lost the
+// platform.
+func (k *Knowledge) unfollowed() (silent, outdated bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	return now-k.toldAt > unfollowedAfter, now-k.followedAt > unfollowedAfter
 }
 
 // since returns the changes of endpoints after a number of them.
--- a/bluebelld/bbentry/knowledge_test.go
+++ b/bluebelld/bbentry/knowledge_test.go
@@ -102,13 +102,37 @@
 
 func TestReadingByItself(t *testing.T) {
 	k, c := newTestKnowledge()
-	k.follow(bbregistry.Delta{Revision: 1}, 100*time.Millisecond, nil)
-	if k.unfollowed() {
-		t.Error("a VM that was just followed counts as silent, want not")
+	want := func(when string, silent, outdated bool) {
+		t.Helper()
+		gotSilent, gotOutdated := k.unfollowed()
+		if diff := cmp.Diff([]bool{silent, outdated}, []bool{gotSilent, gotOutdated}); diff != "" {
+			t.Errorf("%s: the VM that is followed is silent, has lost the platform (-want +got):\n%s", when, diff)
+		}
 	}
+	k.told()
+	k.follow(bbregistry.Delta{Revision: 1}, 100*time.Millisecond, nil)
+	want("just followed", false, false)
 	c.now += unfollowedAfter
-	if !k.unfollowed() {
-		t.Error("a VM that is silent does not count as such")
+	want("silent for a moment less", false, true)
+	c.now++
+	want("silent", true, true)
+	k.told()
+	want("back without the platform", false, true)
+	k.follow(bbregistry.Delta{Revision: 1}, 0, nil)
+	want("back", false, false)
+}
+
+// What a VM tells of the platform is as old as what it was told itself.
+func TestStoreAge(t *testing.T) {
+	k, c := newTestKnowledge()
+	k.Heard()
+	c.now += 3 * time.Second
+	if got := k.storeAge(); got != 3*time.Second {
+		t.Errorf("age %v of a VM that the platform turns away, want 3s", got)
+	}
+	k.follow(bbregistry.Delta{Revision: 1}, 200*time.Millisecond, nil)
+	if got := k.storeAge(); got != 200*time.Millisecond {
+		t.Errorf("age %v of a VM that follows another, want 200ms", got)
 	}
 }
 
