--- a/bluebelld/bbpeer/order.go
+++ b/bluebelld/bbpeer/order.go
@@ -74,7 +74,7 @@
 			}
 			if err != nil {
 				f.check(ctx, coordinator)
-				verdict.Cell = f.otherCell(coordinator)
+				verdict.Cell = f.otherCell(o, coordinator)
 			}
 		}
 		cell = verdict.Cell
@@ -135,13 +135,13 @@
 }
 
 // otherCell returns the name of a coordinator to ask instead of one that was not reached, empty
-// if there is none: one of the same region if there is any.
-func (f *Fleet) otherCell(lost bbgossip.Member) string {
+// if there is none: one where the order may be served, in the same region if there is any.
+func (f *Fleet) otherCell(o bbjob.Order, lost bbgossip.Member) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var near, all []string
 	for _, m := range f.cells.VMs() {
-		if m.Name == lost.Name {
+		if m.Name == lost.Name || !f.allows(o, m.Zone) {
 			continue
 		}
 		all = append(all, m.Name)
@@ -191,52 +191,8 @@
 	undecidedRetryAfter = 500 * time.Millisecond
 	// orderPause is the pause after a failed call to a coordinator.
 	orderPause = 60 * time.Millisecond
-	// startTime is how long a VM that has started may not have heard of all others: some rounds
-	// of exchange, after the last of VMs that start together.
-	startTime = 2 * time.Second
-	// quietTime is how long its view of the coordinator, or in a large fleet of all VMs, has to
-	// stay the same before it counts: longer than a round.
-	quietTime = 400 * time.Millisecond
 )
 
-// settle waits until this VM's view of the coordinator counts.
-func (f *Fleet) settle(ctx context.Context) error {
-	for wait := f.unsettled(); wait > 0; wait = f.unsettled() {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(wait):
-		}
-	}
-	return nil
-}
-
-// unsettled returns how long to wait before this VM's view of the coordinator counts. VMs that
-// all start at once hear of each other one by one; were each to coordinate until then, they would
-// fill the stage workers with each other's calls.
-func (f *Fleet) unsettled() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Now()
-	if now >= startTime {
-		return 0
-	}
-	if len(f.table.Reachable(now)) == 0 && f.hasSeeds() {
-		return startTime - now
-	}
-	since := f.ledSince
-	if f.table.Size() > meshSize {
-		// The VMs of a large fleet are learned of a part at a time.
-		since = f.viewSince
-	}
-	return min(startTime-now, since+quietTime-now)
-}
-
-// hasSeeds tells whether other VMs may be found; the caller holds the lock.
-func (f *Fleet) hasSeeds() bool {
-	return slices.ContainsFunc(f.seeds, func(s string) bool { return s != f.table.Self().Peer })
-}
-
 // left notes that a coordinator hands its orders back because it is leaving.
 func (f *Fleet) left(m bbgossip.Member) {
 	f.mu.Lock()
@@ -272,35 +228,6 @@
 	return f.Conns.Order(ctx, leader.Peer, o, pass)
 }
 
-// settleTime is how long after a change of the coordinator calls of the former one may be
-// in progress: the longest call on the users' sheets, and a wait behind another.
-const settleTime = 900 * time.Millisecond
-
-// LeadsAlone tells whether this VM coordinates and has done so for a while.
-func (f *Fleet) LeadsAlone() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Now()
-	return f.cells.WorksAny(f.table.Self().Name) && now-f.ownSince > settleTime && f.table.HasMajority(now)
-}
-
-// takeoverTime is how long after a change of the cells that this VM coordinates another one may
-// still believe that it coordinates them and reaches most VMs: as long as hubs' word counts.
-const takeoverTime = bbgossip.VouchedFor
-
-// HasMajority tells whether this VM reaches more than half of the VMs, and as one of several
-// coordinators has been the only one of its cells for long enough that no other one still works
-// for them.
-func (f *Fleet) HasMajority() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Now()
-	if f.split.ByZone && now-max(f.ownSince, f.contestedAt) < takeoverTime {
-		return false
-	}
-	return f.table.HasMajority(now)
-}
-
 // stillReaches tells whether a process of another VM is reachable, and returns the channel
 // that is closed when that may have changed.
 func (f *Fleet) stillReaches(m bbgossip.Member) (bool, <-chan struct{}) {
