--- a/bluebelld/bbpeer/exchange.go
+++ b/bluebelld/bbpeer/exchange.go
@@ -82,7 +82,8 @@
 	if !f.split.ByZone || !f.cells.WorksAny(f.table.Self().Name) {
 		return nil
 	}
-	return &f.expects
+	expects := f.expects
+	return &expects
 }
 
 // hearOutlook takes in what another coordinator expects; the caller holds the lock.
--- a/core/bbcell/spill.go
+++ b/core/bbcell/spill.go
@@ -1,6 +1,7 @@
 package bbcell
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -65,6 +66,7 @@
 
 // Hear takes in the outlook of a coordinator.
 func (n *Neighbours) Hear(now time.Duration, name string, o Outlook) {
+	o.Services = maps.Clone(o.Services)
 	n.told[name] = told{
 		Outlook: o,
 		at:      now,
