A malformed message ends its call, not the process

Cause, found by reading for what similar systems met: a caller's header with 1,000,000,000 pieces made the coordinator take memory for each (the VM and all orders of its cell with it); a number of tokens near the largest made the memory count of engines wrap; an order with a stage that doesn't exist, and any panic in a handler of calls between VMs or in the coordinator, ended the process. Change: bounds where such bytes are read, a check of each order at the coordinator, handlers and the coordinator recover, log handlerFailed and go on. Ruled out: the readers of heads and of rules, which had fuzz targets; HTTP handlers, which recover by library.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -124,6 +124,7 @@
 		Published: e.published,
 		Order:     e.coordinate,
 		Notes:     hub.Notes,
+		Failed:    e.handlerFailed,
 	})
 	if err != nil {
 		cancel()
@@ -155,6 +156,11 @@
 	}, nil
 }
 
+// handlerFailed notes an unexpected error that ended a call.
+func (e *Entry) handlerFailed(method string, err error) {
+	e.log.Event(bbevent.HandlerFailed).Str("method", method).Str("detail", err.Error()).Send()
+}
+
 // now returns the steady time since the start.
 func (e *Entry) now() time.Duration {
 	return time.Since(e.began)
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -4,9 +4,13 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbcoordinator"
 	"bluebellhall/core/bbdecision"
@@ -19,6 +23,9 @@
 const (
 	// freeTimeout bounds a call that frees results; results also end by themselves.
 	freeTimeout = time.Second
+	// failedPause is the time until the coordinator is asked again after an unexpected error in
+	// its regular work: long enough that a repeated one fills no log.
+	failedPause = 200 * time.Millisecond
 	// callSlack is what a call may take beyond the time that its requests have.
 	callSlack = 500 * time.Millisecond
 )
@@ -81,10 +88,13 @@
 // context ends first, the request is forgotten.
 func (h *Hub) Order(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error {
 	c := make(chan bbjob.Update, maxUpdates)
-	h.mu.Lock()
-	h.waiters[o.ID] = c
-	h.apply(h.coordinator.Submit(h.seams.Now(), o))
-	h.mu.Unlock()
+	if err := h.do("submit "+o.ID, func() bbdecision.Output {
+		h.waiters[o.ID] = c
+		return h.coordinator.Submit(h.seams.Now(), o)
+	}); err != nil {
+		h.forget(o.ID)
+		return err
+	}
 	for {
 		select {
 		case u := <-c:
@@ -96,20 +106,47 @@
 		}
 		break
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.waiters[o.ID] == c {
+	if err := h.do("cancel "+o.ID, func() bbdecision.Output {
+		if h.waiters[o.ID] != c {
+			return bbdecision.Output{}
+		}
 		delete(h.waiters, o.ID)
-		h.apply(h.coordinator.Cancel(h.seams.Now(), o.ID))
+		return h.coordinator.Cancel(h.seams.Now(), o.ID)
+	}); err != nil {
+		return err
 	}
 	return ctx.Err()
 }
 
-// Leave hands all requests back for the next coordinator.
-func (h *Hub) Leave() {
+// forget drops an order that nobody waits for any more.
+func (h *Hub) forget(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.waiters, id)
+}
+
+// do lets the coordinator decide and carries that out. An unexpected error ends what led to it
+// and is logged; requests that it left undecided are refused at their origins in time.
+func (h *Hub) do(what string, decide func() bbdecision.Output) (err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.apply(h.coordinator.Leave())
+	defer func() {
+		if v := recover(); v != nil {
+			err = errors.Newf("unexpected error: %v", v)
+			h.seams.Log(bbdecision.Event{
+				Number: bbevent.HandlerFailed,
+				Detail: fmt.Sprintf("%s: %v\n%s", what, v, debug.Stack()),
+			})
+		}
+	}()
+	h.apply(decide())
+	return nil
+}
+
+// Leave hands all requests back for the next coordinator.
+func (h *Hub) Leave() {
+	// What fails is in the log.
+	_ = h.do("leave", h.coordinator.Leave)
 }
 
 // Resume takes orders again after Leave.
@@ -128,10 +165,9 @@
 
 // Notes takes in notes of progress.
 func (h *Hub) Notes(notes []bbjob.Note) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	for _, n := range notes {
-		h.apply(h.coordinator.Progress(h.seams.Now(), n))
+		// What fails is in the log.
+		_ = h.do("note "+n.ID, func() bbdecision.Output { return h.coordinator.Progress(h.seams.Now(), n) })
 	}
 }
 
@@ -151,10 +187,13 @@
 
 // tick lets the coordinator do what is due.
 func (h *Hub) tick() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.due = 0
-	h.apply(h.coordinator.Tick(h.seams.Now()))
+	err := h.do("tick", func() bbdecision.Output {
+		h.due = 0
+		return h.coordinator.Tick(h.seams.Now())
+	})
+	if err != nil {
+		h.timer.Reset(failedPause)
+	}
 }
 
 // apply carries out what the coordinator decided.
@@ -262,9 +301,10 @@
 		for i := range min(len(answered), len(places)) {
 			results[places[i]] = answered[i]
 		}
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.apply(h.coordinator.CallDone(h.seams.Now(), c.ID, zone, outcome, results))
+		// What fails is in the log.
+		_ = h.do("end of a call", func() bbdecision.Output {
+			return h.coordinator.CallDone(h.seams.Now(), c.ID, zone, outcome, results)
+		})
 	}()
 }
 
--- a/bluebelld/bbhub/hub_test.go
+++ b/bluebelld/bbhub/hub_test.go
@@ -10,6 +10,7 @@
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbcoordinator"
 	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
@@ -36,7 +37,12 @@
 		},
 	}
 	h, cleanup := New(bbcoordinator.New(bbcoordinator.Knowledge{
-		Service: func(name string) *bbcatalog.Service { return services[name] },
+		Service: func(name string) *bbcatalog.Service {
+			if name == "poison" {
+				panic("no such service")
+			}
+			return services[name]
+		},
 		Endpoints: func(service string) []*bbregistry.Entry {
 			return []*bbregistry.Entry{
 				{Endpoint: bbregistry.Endpoint{ID: service + "1", Service: service, Zone: "z"}},
@@ -140,3 +146,31 @@
 		t.Errorf("verdict %+v with %d results, error %v; want to be sent elsewhere with 2", verdict, len(made), err)
 	}
 }
+
+// An unexpected error ends the order that led to it; others go on.
+func TestUnexpectedError(t *testing.T) {
+	h := newTestHub(t, func(pieces []Piece) ([]bbdecision.PieceResult, bbhealth.Outcome) {
+		return make([]bbdecision.PieceResult, len(pieces)), bbhealth.OutcomeBroken
+	})
+	logged := make(chan bbevent.Number, 8)
+	h.seams.Log = func(e bbdecision.Event) {
+		if e.Number == bbevent.HandlerFailed {
+			logged <- e.Number
+		}
+	}
+	o := testOrder()
+	o.Service = "poison"
+	if err := h.Order(t.Context(), o, func(bbjob.Update) error { return nil }); err == nil {
+		t.Error("an order that led to an unexpected error was decided, want an error")
+	}
+	if got := <-logged; got != bbevent.HandlerFailed {
+		t.Errorf("event %d, want %d", got, bbevent.HandlerFailed)
+	}
+	if n := len(h.waiters); n != 0 {
+		t.Errorf("%d orders wait, want none", n)
+	}
+	_, verdict, err := place(t, h)
+	if err != nil || verdict == nil || verdict.Refusal == nil {
+		t.Errorf("verdict %+v, error %v; want the refusal of an order whose pieces fail", verdict, err)
+	}
+}
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -5,9 +5,13 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbcell"
@@ -81,6 +85,9 @@
 	// Order passes on what becomes of an order until its verdict.
 	Order func(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error
 	Notes func(n []bbjob.Note)
+	// Failed is told of an unexpected error in one of the others, with its place; the call
+	// ends with an error and the process goes on.
+	Failed func(method string, err error)
 }
 
 // The full names of the calls.
@@ -114,11 +121,29 @@
 			if err := decode(q); err != nil {
 				return nil, err
 			}
-			return call(ctx, srv.(entryService).handlers(), q)
+			h := srv.(entryService).handlers()
+			var r *R
+			err := guard(h, name, func() (err error) {
+				r, err = call(ctx, h, q)
+				return err
+			})
+			return r, err
 		},
 	}
 }
 
+// guard runs a handler and turns a panic into an error.
+func guard(h *Handlers, method string, handle func() error) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			failure := errors.Newf("%v\n%s", v, debug.Stack())
+			h.Failed(method, failure)
+			err = status.Error(codes.Internal, "unexpected error")
+		}
+	}()
+	return handle()
+}
+
 // serviceDesc describes the service to grpc. It is written by hand because the messages
 // are plain structs and need no generator.
 var serviceDesc = grpc.ServiceDesc{
@@ -147,8 +172,9 @@
 				if err := stream.RecvMsg(o); err != nil {
 					return err
 				}
-				return srv.(entryService).handlers().Order(stream.Context(), *o, func(u bbjob.Update) error {
-					return stream.SendMsg(&u)
+				h := srv.(entryService).handlers()
+				return guard(h, "Order", func() error {
+					return h.Order(stream.Context(), *o, func(u bbjob.Update) error { return stream.SendMsg(&u) })
 				})
 			},
 		},
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -138,6 +138,15 @@
 
 // Submit takes in an order. A verdict follows in this output or a later one.
 func (c *Coordinator) Submit(now time.Duration, o bbjob.Order) bbdecision.Output {
+	if err := o.Check(); err != nil {
+		c.log(bbdecision.Event{
+			Number: bbevent.OrderMalformed,
+			Job:    o.ID,
+			Detail: err.Error(),
+		})
+		c.refuse(o.ID, "malformed", suspectRetryAfter, 0)
+		return c.flush()
+	}
 	if j := c.jobs[o.ID]; j != nil {
 		c.resubmit(now, j, o)
 		return c.decide(now)
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -562,3 +562,26 @@
 		t.Errorf("a quarter of the allowance is %.1f repeats less, want 6: three quarters of 10, with a part held back", got)
 	}
 }
+
+// Orders that make no sense are refused, whoever sent them.
+func TestMalformedOrders(t *testing.T) {
+	for name, spoil := range map[string]func(o *bbjob.Order){
+		"no pieces to be counted":   func(o *bbjob.Order) { o.Stages[0].Pieces = -1 },
+		"more pieces than memory":   func(o *bbjob.Order) { o.Stages[0].Pieces = 1 << 40 },
+		"a stage after none":        func(o *bbjob.Order) { o.Stages[1].After = []int{7} },
+		"a stage after itself":      func(o *bbjob.Order) { o.Stages[1].After = []int{1} },
+		"a prompt of negative size": func(o *bbjob.Order) { o.Prompt.Tokens = -5 },
+		"an answer beyond counting": func(o *bbjob.Order) { o.Prompt.Output = 1 << 62 },
+		"a result that is nowhere":  func(o *bbjob.Order) { o.Made = []bbjob.Made{{Stage: -1}} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCoordinator()
+			o := testOrder("a", 1)
+			spoil(&o)
+			out := c.Submit(0, o)
+			if len(out.Refusals) != 1 || out.Refusals[0].Reason != "malformed" || c.Len() != 0 {
+				t.Errorf("refusals %+v and %d requests in progress, want the order refused as malformed", out.Refusals, c.Len())
+			}
+		})
+	}
+}
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -113,6 +113,7 @@
 	EngineGranted        Number = 837
 	OrderCancelled       Number = 838
 	OrderRefused         Number = 839
+	OrderMalformed       Number = 840
 	CallSent             Number = 841
 	CallDone             Number = 842
 	CallOverdue          Number = 843
@@ -121,6 +122,7 @@
 	NotesLost            Number = 862
 	UpdateDropped        Number = 863
 	LogLinesDropped      Number = 871
+	HandlerFailed        Number = 872
 )
 
 // Catalogue lists every kind of event by number.
@@ -206,6 +208,7 @@
 	{Number: EngineGranted, Title: "engineGranted", Severity: SeverityInfo, Text: "The request may be sent to an engine; value is the time since the order arrived."},
 	{Number: OrderCancelled, Title: "orderCancelled", Severity: SeverityInfo, Text: "The caller left or its VM is gone; results are given up."},
 	{Number: OrderRefused, Title: "orderRefused", Severity: SeverityInfo, Text: "The coordinator turned a request away; it has not run. Value is the expected time."},
+	{Number: OrderMalformed, Title: "orderMalformed", Severity: SeverityWarning, Text: "An order can't be worked on whatever the endpoints; it is refused, and detail tells why."},
 	{Number: CallSent, Title: "callSent", Severity: SeverityInfo, Text: "A call to a stage worker; value is the time until the answer is expected."},
 	{Number: CallDone, Title: "callDone", Severity: SeverityInfo, Text: "The answer of a stage worker; value is the time that it took."},
 	{Number: CallOverdue, Title: "callOverdue", Severity: SeverityWarning, Text: "A call is late; its pieces go to another endpoint too."},
@@ -214,6 +217,7 @@
 	{Number: NotesLost, Title: "notesLost", Severity: SeverityInfo, Text: "A coordinator could not be told of progress."},
 	{Number: UpdateDropped, Title: "updateDropped", Severity: SeverityWarning, Text: "An origin lags behind; results are made again if this coordinator is lost."},
 	{Number: LogLinesDropped, Title: "logLinesDropped", Severity: SeverityWarning, Text: "The log's reader is too slow; lines counts those that were dropped."},
+	{Number: HandlerFailed, Title: "handlerFailed", Severity: SeverityError, Text: "An unexpected error; the call that led to it ends, and the process goes on. Detail has the error and its place."},
 }
 
 // byNumber has the catalogue by number: entries are looked up for each line of a log.
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bluebellhall/core/bbhash"
 	"bluebellhall/core/bbhealth"
 )
@@ -59,6 +61,43 @@
 	InputsGone bool `json:"inputsGone"`
 }
 
+const (
+	// MaxStages and MaxPieces bound the stages of an order and the pieces of a stage: many times
+	// those of the users' sheets, which have 4 and 25.
+	MaxStages = 64
+	MaxPieces = 1000
+	// MaxTokens bounds a prompt and an answer, each: a hundred times the memory of an engine.
+	MaxTokens = 1 << 25
+)
+
+// Check returns an error if an order can't be worked on, whatever the endpoints.
+func (o Order) Check() error {
+	if len(o.Stages) > MaxStages {
+		return errors.Newf("order has %d stages, more than %d", len(o.Stages), MaxStages)
+	}
+	for i, s := range o.Stages {
+		if s.Pieces < 0 || s.Pieces > MaxPieces {
+			return errors.Newf("stage %d has %d pieces, not 0 to %d", i, s.Pieces, MaxPieces)
+		}
+		for _, before := range s.After {
+			if before < 0 || before >= len(o.Stages) || before == i {
+				return errors.Newf("stage %d needs the results of stage %d, which is none", i, before)
+			}
+		}
+	}
+	for _, m := range o.Made {
+		if m.Stage < 0 || m.Piece < 0 {
+			return errors.Newf("result of stage %d, piece %d", m.Stage, m.Piece)
+		}
+	}
+	for _, n := range []int{o.Prompt.Tokens, o.Prompt.Output} {
+		if n < 0 || n > MaxTokens {
+			return errors.Newf("prompt or answer of %d tokens, not 0 to %d", n, MaxTokens)
+		}
+	}
+	return nil
+}
+
 // Allowed returns the test for failure domains in which the request may be served. Region
 // returns the region of a failure domain.
 func (o Order) Allowed(region func(zone string) string) func(zone string) bool {
