--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -8,6 +8,7 @@
 	"bluebellhall/bluebelld/bbgateway"
 	"bluebellhall/bluebelld/bbhub"
 	"bluebellhall/bluebelld/bblog"
+	"bluebellhall/bluebelld/bbmembership"
 	"bluebellhall/bluebelld/bbmeter"
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bballowance"
@@ -55,7 +56,7 @@
 	log      bblog.Logger
 	meter    *bbmeter.Meter
 	began    time.Time
-	fleet    *bbpeer.Fleet
+	fleet    *bbmembership.Fleet
 	conns    *bbpeer.Conns
 	hub      *bbhub.Hub
 	notes    chan addressedNote
@@ -98,7 +99,7 @@
 	e.Knowledge.changed = e.catalogChanged
 	e.Knowledge.setReading(false)
 	e.Knowledge.table.Changed = e.endpointChanged
-	e.fleet = bbpeer.NewFleet(s.Self, s.Seeds, s.Regions, e.now, conns)
+	e.fleet = bbmembership.NewFleet(s.Self, s.Seeds, s.Regions, e.now, conns)
 	e.fleet.Serves = e.serves
 	e.fleet.Log = e.peerChanged
 	e.fleet.LogLeader = e.coordinatorChanged
--- a/bluebelld/bbpeer/cells.go
+++ b/bluebelld/bbmembership/cells.go
@@ -1,4 +1,4 @@
-package bbpeer
+package bbmembership
 
 import (
 	"context"
--- a/bluebelld/bbpeer/exchange.go
+++ b/bluebelld/bbmembership/exchange.go
@@ -1,4 +1,4 @@
-package bbpeer
+package bbmembership
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbgossip"
 )
@@ -34,14 +35,14 @@
 )
 
 // Answer takes in the exchange of another VM and returns this VM's.
-func (f *Fleet) Answer(e Exchange) Exchange {
+func (f *Fleet) Answer(e bbpeer.Exchange) bbpeer.Exchange {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Now()
 	known := f.table.Heard(now, e.From)
 	f.look()
 	self := f.table.Self()
-	answer := Exchange{
+	answer := bbpeer.Exchange{
 		From:    self,
 		Digest:  f.table.Digest(now),
 		Vouches: f.isHub(),
@@ -87,7 +88,7 @@
 }
 
 // hearOutlook takes in what another coordinator expects; the caller holds the lock.
-func (f *Fleet) hearOutlook(now time.Duration, e Exchange) {
+func (f *Fleet) hearOutlook(now time.Duration, e bbpeer.Exchange) {
 	if e.Outlook != nil {
 		f.neighbours.Hear(now, e.From.Name, *e.Outlook)
 	}
@@ -236,7 +237,7 @@
 
 // chaseHub goes on to the hub that an answer leads to, if this VM hears nothing of it: its own
 // hub has changed, or the one that answered has another.
-func (f *Fleet) chaseHub(ctx context.Context, answer Exchange) {
+func (f *Fleet) chaseHub(ctx context.Context, answer bbpeer.Exchange) {
 	if f.table.Size() <= meshSize {
 		return
 	}
@@ -253,7 +254,7 @@
 // vouched takes in for which VMs another one vouches: the own hub for all, other hubs for those of
 // their failure domain, which they hear themselves. Were they believed on others, two hubs could
 // keep each other's word on a lost VM alive.
-func (f *Fleet) vouched(now time.Duration, answer Exchange) {
+func (f *Fleet) vouched(now time.Duration, answer bbpeer.Exchange) {
 	if !answer.Vouches {
 		return
 	}
@@ -295,10 +296,10 @@
 }
 
 // question returns what this VM tells the VM at an address, and that VM's name if known.
-func (f *Fleet) question(address string) (Exchange, string) {
+func (f *Fleet) question(address string) (bbpeer.Exchange, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q := Exchange{
+	q := bbpeer.Exchange{
 		From:   f.table.Self(),
 		Digest: f.table.Digest(f.Now()),
 	}
--- a/bluebelld/bbpeer/fleet.go
+++ b/bluebelld/bbmembership/fleet.go
@@ -1,4 +1,7 @@
-package bbpeer
+// Package bbmembership is how entry VMs that find each other by themselves know which ones run and
+// which ones coordinate: rounds of exchange, cells and their coordinators, and the orders that
+// go to them.
+package bbmembership
 
 import (
 	"context"
@@ -7,6 +10,7 @@
 	"sync"
 	"time"
 
+	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbgossip"
 )
@@ -27,10 +31,10 @@
 	// Now returns the steady time.
 	Now func() time.Duration
 	// Conns are the connections to the others.
-	Conns *Conns
+	Conns *bbpeer.Conns
 	// Exchange makes an exchange with the VM at an address, and Reset makes the next one use a
 	// new connection.
-	Exchange func(ctx context.Context, address string, e Exchange) (Exchange, error)
+	Exchange func(ctx context.Context, address string, e bbpeer.Exchange) (bbpeer.Exchange, error)
 	Reset    func(address string)
 	// Serves tells whether a failure domain has endpoints of a service that may get work. It is
 	// called under a lock.
@@ -82,7 +86,7 @@
 
 // NewFleet returns a fleet that knows only its own VM, the addresses of some seeds and the
 // region of each failure domain.
-func NewFleet(self bbgossip.Member, seeds []string, regions map[string]string, now func() time.Duration, conns *Conns) *Fleet {
+func NewFleet(self bbgossip.Member, seeds []string, regions map[string]string, now func() time.Duration, conns *bbpeer.Conns) *Fleet {
 	all := map[string]string{
 		self.Zone: self.Region,
 	}
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -62,9 +62,9 @@
 }
 
 const (
-	// MaxStages and MaxPieces bound the stages of an order and the pieces of a stage: many times
-	// those of the users' sheets, which have 4 and 25.
+	// MaxStages bounds the stages of an order: many times the 4 of the users' sheets.
 	MaxStages = 64
+	// MaxPieces bounds the pieces of a stage: many times the 25 of the users' sheets.
 	MaxPieces = 1000
 	// MaxTokens bounds a prompt and an answer, each: a hundred times the memory of an engine.
 	MaxTokens = 1 << 25
