A leaving coordinator's word on its successor counts before this VM has heard of it

Cause, found by reading: a coordinator of one of several cells that leaves sends orders to its successor, which their origins don't know as a coordinator yet; they went back to the leaving one, six times in a third of a second, and were refused as noCoordinator. Change: the VM that a coordinator names is asked if it is reached. TestCoordinatorOfAnOrder failed first.

--- a/bluebelld/bbmembership/cells_test.go
+++ b/bluebelld/bbmembership/cells_test.go
@@ -9,6 +9,7 @@
 
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbjob"
 )
 
 // testRegions are the regions of the failure domains of the tests below.
@@ -255,3 +256,31 @@
 		}
 	})
 }
+
+// A coordinator that leaves names its successor before the others know of it.
+func TestCoordinatorOfAnOrder(t *testing.T) {
+	f := manyVMs(t, 300)
+	order := bbjob.Order{
+		ID:     "a",
+		Zone:   "n1",
+		Region: "north",
+	}
+	want := func(name, want string) {
+		t.Helper()
+		if got, _ := f.coordinator(order, name); got.Name != want {
+			t.Errorf("order for the cell of %q goes to %s, want %s", name, got.Name, want)
+		}
+	}
+	want("", "n1-000")
+	want("s1-002", "s1-002")
+	want("n2-004", "n2-004")
+	want("nobody", "n1-000")
+	f.table.Left("n2-004")
+	f.look()
+	want("n2-004", "n1-000")
+	f.table.Lost("s1-002")
+	f.look()
+	want("s1-002", "n1-000")
+	order.Regions = []string{"south"}
+	want("", "s1-005")
+}
--- a/bluebelld/bbmembership/exchange.go
+++ b/bluebelld/bbmembership/exchange.go
@@ -260,8 +260,8 @@
 	}
 	f.table.Named(now, answer.States, answer.Hints)
 	hub := answer.From.Name
-	zone := f.table.Zone(hub)
-	of := func(m bbgossip.Member) bool { return m.Name != hub && m.Zone == zone }
+	known, _ := f.table.Member(hub)
+	of := func(m bbgossip.Member) bool { return m.Name != hub && m.Zone == known.Zone }
 	if hub == f.hub().Name {
 		of = func(m bbgossip.Member) bool { return m.Name != hub }
 	}
--- a/bluebelld/bbmembership/order.go
+++ b/bluebelld/bbmembership/order.go
@@ -98,16 +98,15 @@
 	}
 }
 
-// coordinator returns the VM to ask about an order: the named one if it is a coordinator, else
-// that of the order's home. The channel is closed when that may have changed.
+// coordinator returns the VM to ask about an order: the named one if it is reached, since the VM
+// that named it may know of a change of the cells before this one does, else that of the order's
+// home. The channel is closed when that may have changed.
 func (f *Fleet) coordinator(o bbjob.Order, name string) (bbgossip.Member, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.look()
-	for _, m := range f.cells.VMs() {
-		if m.Name == name {
-			return m, f.changed
-		}
+	if m, ok := f.table.Member(name); ok && f.reached[name] && m.Ready && !m.Leaving {
+		return m, f.changed
 	}
 	home := f.table.Self().Zone
 	if f.split.ByZone {
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -203,12 +203,12 @@
 	return e != nil && e.answeredAt > e.failedAt && now-e.answeredAt <= span
 }
 
-// Zone returns the failure domain of a known member, or none.
-func (t *Table) Zone(name string) string {
-	if e := t.entries[name]; e != nil {
-		return e.Zone
+// Member returns the known member of a name.
+func (t *Table) Member(name string) (Member, bool) {
+	if e := t.entries[name]; e != nil && e.Boot != 0 {
+		return e.Member, true
 	}
-	return ""
+	return Member{}, false
 }
 
 // Boot returns the boot of a known member, or 0.
