--- a/bluebelld/bbmembership/exchange.go
+++ b/bluebelld/bbmembership/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -154,7 +153,7 @@
 		addresses = append(addresses, f.silentHubs()...)
 	}
 	if f.rounds%every == 0 {
-		if other := known[rand.IntN(len(known))]; !slices.Contains(addresses, other) {
+		if other := known[f.Pick(len(known))]; !slices.Contains(addresses, other) {
 			addresses = append(addresses, other)
 		}
 	}
--- a/bluebelld/bbmembership/fleet.go
+++ b/bluebelld/bbmembership/fleet.go
@@ -36,6 +36,8 @@
 	// new connection.
 	Exchange func(ctx context.Context, address string, e bbpeer.Exchange) (bbpeer.Exchange, error)
 	Reset    func(address string)
+	// Pick returns a random number below n.
+	Pick func(n int) int
 	// Serves tells whether a failure domain has endpoints of a service that may get work. It is
 	// called under a lock.
 	Serves func(service, zone string) bool
@@ -96,13 +98,13 @@
 		Conns:      conns,
 		Exchange:   conns.Exchange,
 		Reset:      conns.Reset,
+		Pick:       rand.IntN,
 		Serves:     func(string, string) bool { return true },
 		Log:        func(string, bool, string) {},
 		LogLeader:  func(string, int) {},
 		table:      bbgossip.NewTable(self),
 		seeds:      seeds,
 		regions:    all,
-		rounds:     rand.IntN(otherEvery),
 		busy:       make(map[string]bool),
 		introduced: make(map[string]int64),
 		reached:    make(map[string]bool),
@@ -118,6 +120,7 @@
 
 // Run makes rounds of exchange until the context ends.
 func (f *Fleet) Run(ctx context.Context) {
+	f.spreadRounds()
 	ticker := time.NewTicker(round)
 	defer ticker.Stop()
 	for {
@@ -130,6 +133,13 @@
 	}
 }
 
+// spreadRounds makes the VMs of a large fleet exchange with their hub in different rounds.
+func (f *Fleet) spreadRounds() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rounds = f.Pick(otherEvery)
+}
+
 // SetSeeds replaces the addresses of the seeds.
 func (f *Fleet) SetSeeds(seeds []string) {
 	f.mu.Lock()
--- a/bluebelld/bbmembership/large_test.go
+++ b/bluebelld/bbmembership/large_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -115,6 +116,7 @@
 	began := time.Now()
 	// Only one of the seeds is a VM at all times of the tests.
 	f := NewFleet(self, []string{nameOf(290), nameOf(291), "nobody"}, regions, func() time.Duration { return time.Since(began) }, l.conns)
+	f.Pick = rand.New(rand.NewPCG(1, uint64(l.boots))).IntN
 	f.Reset = func(string) {}
 	f.Exchange = func(ctx context.Context, address string, e bbpeer.Exchange) (bbpeer.Exchange, error) {
 		return l.exchange(ctx, self, address, e)
--- a/bluebelld/bbmembership/order.go
+++ b/bluebelld/bbmembership/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -154,7 +153,7 @@
 	if len(near) == 0 {
 		return ""
 	}
-	return near[rand.IntN(len(near))]
+	return near[f.Pick(len(near))]
 }
 
 // isLarge tells whether this VM exchanges with few of the others. In such a fleet VMs that
