--- a/bluebelld/bbmembership/exchange.go
+++ b/bluebelld/bbmembership/exchange.go
@@ -136,23 +136,23 @@
 // and for a coordinator, else now and then the own hub; and rarely any other VM.
 func (f *Fleet) targetsOfMany(known []string) []string {
 	name := f.table.Self().Name
+	central := f.isHub() || f.cells.WorksAny(name)
+	due := f.rounds%starEvery == 0
 	var addresses []string
-	every := otherEvery
 	switch {
-	case f.isHub() || f.cells.WorksAny(name):
-		every = starEvery
+	case central:
 		for _, m := range append(f.hubs.VMs(), f.cells.VMs()...) {
 			if m.Name != name && !slices.Contains(addresses, m.Peer) {
 				addresses = append(addresses, m.Peer)
 			}
 		}
-	case f.rounds%starEvery == 0:
+	case due:
 		addresses = []string{f.hub().Peer}
 	}
-	if f.rounds%starEvery == 0 && every == starEvery {
+	if central && due {
 		addresses = append(addresses, f.silentHubs()...)
 	}
-	if f.rounds%every == 0 {
+	if (central && due) || f.rounds%otherEvery == 0 {
 		if other := known[f.Pick(len(known))]; !slices.Contains(addresses, other) {
 			addresses = append(addresses, other)
 		}
@@ -226,12 +226,12 @@
 	f.look()
 	f.chaseHub(ctx, answer)
 	unknown := f.table.Unknown(answer.States)
-	unknown = unknown[:min(len(unknown), maxWants)]
-	if len(wants) > 0 && answer.From.Region != f.table.Self().Region && !f.isHub() {
+	teller, _ := f.table.Member(answer.From.Name)
+	if len(wants) > 0 && teller.Region != f.table.Self().Region && !f.isHub() {
 		// The rest comes from a hub that is nearer.
 		return nil
 	}
-	return unknown
+	return unknown[:min(len(unknown), maxWants)]
 }
 
 // chaseHub goes on to the hub that an answer leads to, if this VM hears nothing of it: its own
