One way to send a request elsewhere, one choice of what is near; outlooks are guarded too

Found by reading the change: the coordinator wrote the same answer in three places, two choices preferred a region in the same way, and tests in virtual time had the same loop four times. The outlook of a coordinator went past the recovery that all its other entry points have. Decisions are the same.

--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -158,9 +158,13 @@
 
 // Outlook returns what the coordinator expects.
 func (h *Hub) Outlook() bbcell.Outlook {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.coordinator.Outlook(h.seams.Now())
+	var o bbcell.Outlook
+	// What fails is in the log.
+	_ = h.do("outlook", func() bbdecision.Output {
+		o = h.coordinator.Outlook(h.seams.Now())
+		return bbdecision.Output{}
+	})
+	return o
 }
 
 // Notes takes in notes of progress.
--- a/bluebelld/bbmembership/large_test.go
+++ b/bluebelld/bbmembership/large_test.go
@@ -70,9 +70,7 @@
 			vms:   make(map[string]*largeVM),
 			cut:   func(_, _ bbgossip.Member) bool { return false },
 		}
-		for i := range largeZones * largeZoneSize {
-			l.start(i)
-		}
+		l.each("", l.start)
 		defer func() {
 			for _, v := range l.running() {
 				v.stop()
@@ -130,6 +128,15 @@
 	go f.Run(ctx)
 }
 
+// each does something to each VM of a region, or to all if none is named.
+func (l *largeFleet) each(region string, do func(i int)) {
+	for i := range largeZones * largeZoneSize {
+		if _, r := zoneOf(i); region == "" || r == region {
+			do(i)
+		}
+	}
+}
+
 // kill ends a VM without a word.
 func (l *largeFleet) kill(i int) {
 	l.mu.Lock()
@@ -324,19 +331,11 @@
 func TestLargeFleetLosesARegion(t *testing.T) {
 	inVirtualTime(t, func(l *largeFleet) {
 		l.run(9 * time.Second)
-		for i := range largeZones * largeZoneSize {
-			if _, region := zoneOf(i); region == "r0" {
-				l.kill(i)
-			}
-		}
+		l.each("r0", l.kill)
 		l.run(staleFor)
 		l.wantAgreed()
 		l.wantPresent()
-		for i := range largeZones * largeZoneSize {
-			if _, region := zoneOf(i); region == "r0" {
-				l.start(i)
-			}
-		}
+		l.each("r0", l.start)
 		l.run(6 * time.Second)
 		l.wantAgreed()
 		l.wantPresent()
@@ -384,13 +383,9 @@
 func TestLargeFleetStartsAnewAtOnce(t *testing.T) {
 	inVirtualTime(t, func(l *largeFleet) {
 		l.run(9 * time.Second)
-		for i := range largeZones * largeZoneSize {
-			l.kill(i)
-		}
+		l.each("", l.kill)
 		time.Sleep(time.Second)
-		for i := range largeZones * largeZoneSize {
-			l.start(i)
-		}
+		l.each("", l.start)
 		l.run(5 * time.Second)
 		l.wantAgreed()
 		l.wantPresent()
--- a/bluebelld/bbmembership/order.go
+++ b/bluebelld/bbmembership/order.go
@@ -137,23 +137,14 @@
 func (f *Fleet) otherCell(o bbjob.Order, lost bbgossip.Member) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var near, all []string
-	for _, m := range f.cells.VMs() {
-		if m.Name == lost.Name || !f.allows(o, m.Zone) {
-			continue
-		}
-		all = append(all, m.Name)
-		if m.Region == lost.Region {
-			near = append(near, m.Name)
-		}
-	}
-	if len(near) == 0 {
-		near = all
-	}
-	if len(near) == 0 {
+	others := slices.DeleteFunc(f.cells.VMs(), func(m bbgossip.Member) bool {
+		return m.Name == lost.Name || !f.allows(o, m.Zone)
+	})
+	others = bbcell.PreferNear(others, func(m bbgossip.Member) bool { return m.Region == lost.Region })
+	if len(others) == 0 {
 		return ""
 	}
-	return near[f.Pick(len(near))]
+	return others[f.Pick(len(others))].Name
 }
 
 // isLarge tells whether this VM exchanges with few of the others. In such a fleet VMs that
--- a/core/bbcell/cell.go
+++ b/core/bbcell/cell.go
@@ -76,18 +76,23 @@
 	if vm, ok := best[zone]; ok {
 		return vm, true
 	}
-	var near, all []string
-	for _, other := range slices.Sorted(maps.Keys(best)) {
-		all = append(all, other)
-		if best[other].Region == region {
-			near = append(near, other)
+	others := PreferNear(slices.Sorted(maps.Keys(best)), func(other string) bool { return best[other].Region == region })
+	other, ok := bbhash.Pick(others, zone)
+	return best[other], ok
+}
+
+// PreferNear returns those that are near, or all if none is.
+func PreferNear[T any](all []T, isNear func(T) bool) []T {
+	var near []T
+	for _, one := range all {
+		if isNear(one) {
+			near = append(near, one)
 		}
 	}
 	if len(near) == 0 {
-		near = all
+		return all
 	}
-	other, ok := bbhash.Pick(near, zone)
-	return best[other], ok
+	return near
 }
 
 // Of returns the VM of a failure domain. One that isn't in the map falls to the same VM on all
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -160,9 +160,7 @@
 		return c.flush()
 	}
 	if c.leaving {
-		c.out.Elsewhere = append(c.out.Elsewhere, bbdecision.Elsewhere{
-			ID: o.ID,
-		})
+		c.sendElsewhere(o.ID, "")
 		return c.flush()
 	}
 	j := bbprogress.NewJob(now, o)
@@ -224,10 +222,7 @@
 		Detail: fmt.Sprintf("%s here=%dms there=%dms", name, (expected - now).Milliseconds(), elsewhere.Milliseconds()),
 		Value:  expected - now,
 	})
-	c.out.Elsewhere = append(c.out.Elsewhere, bbdecision.Elsewhere{
-		ID:   j.Order.ID,
-		Cell: name,
-	})
+	c.sendElsewhere(j.Order.ID, name)
 	return true
 }
 
@@ -257,9 +252,7 @@
 		Number: bbevent.OrderElsewhere,
 		Job:    id,
 	})
-	c.out.Elsewhere = append(c.out.Elsewhere, bbdecision.Elsewhere{
-		ID: id,
-	})
+	c.sendElsewhere(id, "")
 }
 
 // judge tells whether a request is turned away, when the caller should come back, and why.
@@ -464,6 +457,14 @@
 	})
 }
 
+// sendElsewhere makes another coordinator take a request: the named one, or the next of this cell.
+func (c *Coordinator) sendElsewhere(id, cell string) {
+	c.out.Elsewhere = append(c.out.Elsewhere, bbdecision.Elsewhere{
+		ID:   id,
+		Cell: cell,
+	})
+}
+
 // update tells the origin of a request of the results of a stage, and of those that were
 // given up since the last time. That alone is not worth a message.
 func (c *Coordinator) update(j *bbprogress.Job, made []bbjob.Made) {
