Runs without a whole answer are logged with what was asked

Cause: no line told whether two broken requests asked for the same, so the hypotheses of the incident could not be told apart. Each broken run has a line runBroke with a hash of method, target, caller and body; entryRequestEnded has the hash too. No decision is changed.

Test: TestBrokenRunsAreToldWithTheirContent.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -141,6 +142,7 @@
 		Order:     e.order,
 		Note:      e.note,
 		Log:       e.requestEnded,
+		Broke:     e.runBroke,
 		Window:    e.window,
 		Leaving:   e.leaving.Load,
 	})
@@ -388,6 +390,9 @@
 	if l.Limit != 0 && l.Outcome != "answered" {
 		line.Dur("limit", l.Limit)
 	}
+	if l.Content != 0 {
+		line.Str("content", formatContent(l.Content))
+	}
 	line.Int("status", l.Status).Uint64("version", l.Version).Dur("took", l.Took).Send()
 	e.meter.Count("requests", l.Kind, l.Outcome, l.Cause)
 	if l.Outcome != "answered" {
@@ -401,3 +406,15 @@
 		e.meter.Count("requests", l.Kind, "onTime")
 	}
 }
+
+// runBroke logs a run without a whole answer.
+func (e *Entry) runBroke(b bbgateway.Broken) {
+	e.log.Event(bbevent.RunBroke).Str("id", b.ID).Str("content", formatContent(b.Content)).Str("endpoint", b.Endpoint).
+		Dur("ran", b.Ran).Bool("silent", b.Silent).Bool("begun", b.Begun).Str("cause", b.Cause.Error()).Send()
+	e.meter.Count("requests", "runsBroken")
+}
+
+// formatContent returns a content as logs show it.
+func formatContent(content uint64) string {
+	return strconv.FormatUint(content, 16)
+}
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -46,6 +46,7 @@
 // ended writes the line on a request that has ended.
 func (g *Gateway) ended(x *exchange, outcome, cause string, status int) {
 	x.log.ID = x.ID
+	x.log.Content = x.content
 	x.log.Outcome = outcome
 	x.log.Cause = cause
 	x.log.Status = status
@@ -107,6 +108,25 @@
 	return bbhealth.OutcomeGood
 }
 
+// broke tells of a run that gave no whole answer; ctx is the one that bounded it.
+func (g *Gateway) broke(ctx context.Context, x *exchange, endpoint string, began time.Duration, begun bool, cause error) {
+	if errors.Is(x.r.Context().Err(), context.Canceled) {
+		return
+	}
+	g.seams.Broke(Broken{
+		ID:       x.ID,
+		Content:  x.content,
+		Endpoint: endpoint,
+		Cause:    cause,
+		Ran:      g.seams.Now() - began,
+		Silent:   ctx.Err() != nil,
+		Begun:    begun,
+	})
+}
+
+// errNoReceipt is the cause when an answer is of another request or bears no receipt.
+var errNoReceipt = errors.New("answer without the endpoint's receipt")
+
 // start sends the head of an endpoint's answer to the caller.
 func (g *Gateway) start(x *exchange, a *bbchannel.Answer, length int64) {
 	h := x.w.Header()
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -17,6 +17,7 @@
 	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbhash"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpatience"
 	"bluebellhall/core/bbplain"
@@ -104,6 +105,24 @@
 	OnTime bool
 	// Version is the configuration that was in force.
 	Version uint64
+	// Content names what the request asks, the same for each attempt of its caller; 0 if it
+	// ended before that was known.
+	Content uint64
+}
+
+// Broken is a run of a request at an endpoint that gave no whole answer.
+type Broken struct {
+	ID      string
+	Content uint64
+	// Endpoint is its ID, Cause how the exchange ended.
+	Endpoint string
+	Cause    error
+	// Ran is the time since the request was sent.
+	Ran time.Duration
+	// Silent is true when the time was over, rather than the connection.
+	Silent bool
+	// Begun is true when a part of the answer had arrived.
+	Begun bool
 }
 
 // Seams are the gateway's effects on the outside.
@@ -121,6 +140,8 @@
 	// Note tells a coordinator of progress.
 	Note func(coordinator string, n bbjob.Note)
 	Log  func(l Logged)
+	// Broke tells of a run without a whole answer, unless the caller left.
+	Broke func(b Broken)
 	// Window returns the allowance for repeats of a service that is new; it is called under
 	// a lock.
 	Window func() *bballowance.Window
@@ -195,6 +216,8 @@
 	account *bbcatalog.Account
 	service string
 	body    []byte
+	// content names what is asked.
+	content uint64
 	// began and limit are by the steady clock.
 	began time.Duration
 	limit time.Duration
@@ -302,11 +325,21 @@
 	if status, cause := x.readBody(); status != 0 {
 		return status, cause
 	}
+	x.content = x.hashContent()
 	x.limit = x.began + g.wait(x)
 	x.service = x.route.Pick(rand.Float64())
 	return 0, ""
 }
 
+// hashContent returns the hash of what is asked and by whom, without what is new for each attempt.
+func (x *exchange) hashContent() uint64 {
+	caller := x.Key
+	if x.account != nil {
+		caller = x.account.Name
+	}
+	return bbhash.Content([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI), []byte(caller), x.body)
+}
+
 // headBytes returns the size of a request's head, as it would be written without spaces that
 // mean nothing.
 func headBytes(r *http.Request) int {
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -102,6 +104,7 @@
 	logged   []Logged
 	orders   []bbjob.Order
 	notes    []bbjob.Note
+	broken   []Broken
 }
 
 var testCodec = Codec{
@@ -206,6 +209,11 @@
 			defer f.mu.Unlock()
 			f.logged = append(f.logged, l)
 		},
+		Broke: func(b Broken) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.broken = append(f.broken, b)
+		},
 		Window: func() *bballowance.Window {
 			return &bballowance.Window{
 				Span:  10 * time.Second,
@@ -295,6 +303,38 @@
 	}
 }
 
+// Runs that end without an answer can be told apart by what was asked, whatever the request's ID.
+func TestBrokenRunsAreToldWithTheirContent(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, answerLost))
+	for _, ask := range []struct{ path, body, id string }{
+		{"/once/a", "hello", "1"},
+		{"/once/a", "hello", "2"},
+		{"/once/a", "other", "3"},
+		{"/once/b", "hello", "4"},
+	} {
+		wantBroken(t, url+ask.path, ask.body, ask.id)
+	}
+	contents := make(map[uint64][]string)
+	for i, b := range f.broken {
+		contents[b.Content] = append(contents[b.Content], b.ID)
+		if f.logged[i].Content != b.Content {
+			t.Errorf("the line on request %s has content %x, want %x", b.ID, f.logged[i].Content, b.Content)
+		}
+	}
+	got := slices.SortedFunc(maps.Values(contents), slices.Compare)
+	if diff := cmp.Diff([][]string{{"1", "2"}, {"3"}, {"4"}}, got); diff != "" {
+		t.Errorf("requests by content (-want +got):\n%s", diff)
+	}
+}
+
+// wantBroken sends a request and checks that it ends without an endpoint's answer.
+func wantBroken(t *testing.T, url, body, id string) {
+	t.Helper()
+	if status, _, err := ask(t, url, body, "Id", id); status != http.StatusBadGateway || err != nil {
+		t.Errorf("status %d, error %v; want 502", status, err)
+	}
+}
+
 func TestFailureOfTheEndpointIsPassedOn(t *testing.T) {
 	f, url := newFixture(t, newStandIn(t, answerFailed))
 	wantAnswer(t, url+"/once/", http.StatusInternalServerError, "fail")
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -204,6 +204,7 @@
 	if !g.seams.Usable(t.grant.Endpoint) {
 		return bbhealth.OutcomeFull, true
 	}
+	began := g.seams.Now()
 	answer, cleanup, err := g.exchange(ctx, t.grant.Address, g.outgoing(t.exchange, Forward{
 		Endpoint:  t.grant.Endpoint,
 		Priority:  bbcatalog.Priority(t.route, t.account),
@@ -214,6 +215,9 @@
 	}))
 	if err != nil {
 		outcome = classify(err, Reading{})
+		if outcome == bbhealth.OutcomeBroken {
+			g.broke(ctx, t.exchange, t.grant.Endpoint, began, false, err)
+		}
 		return outcome, g.lost(ctx, t, outcome, runs)
 	}
 	defer cleanup()
@@ -226,9 +230,11 @@
 	case outcome == bbhealth.OutcomeFull || outcome == bbhealth.OutcomeMoved:
 		return outcome, true
 	case outcome == bbhealth.OutcomeBroken || (!reading.Signed && answer.Status < http.StatusMultipleChoices):
+		g.broke(ctx, t.exchange, t.grant.Endpoint, began, false, errNoReceipt)
 		return bbhealth.OutcomeBroken, g.lost(ctx, t, bbhealth.OutcomeBroken, runs)
 	}
 	if err := g.stream(ctx, t, answer); err != nil {
+		g.broke(ctx, t.exchange, t.grant.Endpoint, began, t.started, err)
 		if g.seams.Now() >= t.limit || errors.Is(t.r.Context().Err(), context.Canceled) {
 			// The time was over or the caller left; that says nothing of the engine.
 			g.give(ctx, t.exchange, runs+1, "timeOver")
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -106,12 +106,16 @@
 		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(firstTry*float64(x.route.Objective)))
 		defer cancel()
 	}
+	began := g.seams.Now()
 	answer, cleanup, err := g.exchange(tryCtx, e.Address, g.outgoing(x, Forward{
 		Endpoint: e.ID,
 		Priority: bbcatalog.Priority(x.route, x.account),
 	}))
 	if err != nil {
-		return g.broken(ctx, x, classify(err, Reading{}), repeatable)
+		if outcome = classify(err, Reading{}); outcome == bbhealth.OutcomeBroken {
+			g.broke(tryCtx, x, e.ID, began, false, err)
+		}
+		return g.broken(ctx, x, outcome, repeatable)
 	}
 	defer cleanup()
 	reading := g.codec.Read(x.ID, answer)
@@ -120,15 +124,18 @@
 	case bbhealth.OutcomeFull, bbhealth.OutcomeMoved:
 		return outcome, true
 	case bbhealth.OutcomeBroken:
+		g.broke(tryCtx, x, e.ID, began, false, errNoReceipt)
 		return g.broken(ctx, x, outcome, repeatable)
 	}
 	if answer.Status >= http.StatusInternalServerError && repeatable && g.mayRepeat(x) {
 		return bbhealth.OutcomeGood, g.again(ctx, x, answer)
 	}
 	if !reading.Signed && answer.Status < http.StatusMultipleChoices {
+		g.broke(tryCtx, x, e.ID, began, false, errNoReceipt)
 		return g.broken(ctx, x, bbhealth.OutcomeBroken, repeatable)
 	}
 	if err := g.deliver(ctx, x, answer); err != nil {
+		g.broke(tryCtx, x, e.ID, began, true, err)
 		return g.broken(ctx, x, bbhealth.OutcomeBroken, repeatable)
 	}
 	g.ended(x, "answered", "", answer.Status)
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -118,6 +118,7 @@
 	CallDone             Number = 842
 	CallOverdue          Number = 843
 	EntryRequestEnded    Number = 851
+	RunBroke             Number = 852
 	NoteDropped          Number = 861
 	NotesLost            Number = 862
 	UpdateDropped        Number = 863
@@ -212,7 +213,8 @@
 	{Number: CallSent, Title: "callSent", Severity: SeverityInfo, Text: "A call to a stage worker; value is the time until the answer is expected."},
 	{Number: CallDone, Title: "callDone", Severity: SeverityInfo, Text: "The answer of a stage worker; value is the time that it took."},
 	{Number: CallOverdue, Title: "callOverdue", Severity: SeverityWarning, Text: "A call is late; its pieces go to another endpoint too."},
-	{Number: EntryRequestEnded, Title: "entryRequestEnded", Severity: SeverityInfo, Text: "A caller's request ended: route, outcome, cause, endpoint, tries and times."},
+	{Number: EntryRequestEnded, Title: "entryRequestEnded", Severity: SeverityInfo, Text: "A caller's request ended: route, outcome, cause, endpoint, tries and times. Content is the same for requests of one caller that ask for the same."},
+	{Number: RunBroke, Title: "runBroke", Severity: SeverityInfo, Text: "An endpoint gave no whole answer to a request. Content names what was asked, cause how the exchange ended; silent tells that its time was over."},
 	{Number: NoteDropped, Title: "noteDropped", Severity: SeverityWarning, Text: "Too many notes of progress wait; the coordinator notices by the request's limit."},
 	{Number: NotesLost, Title: "notesLost", Severity: SeverityInfo, Text: "A coordinator could not be told of progress."},
 	{Number: UpdateDropped, Title: "updateDropped", Severity: SeverityWarning, Text: "An origin lags behind; results are made again if this coordinator is lost."},
--- a/core/bbhash/hash.go
+++ b/core/bbhash/hash.go
@@ -3,7 +3,11 @@
 // change of one name moves only the keys that it won or would win.
 package bbhash
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Name returns the hash of a name for use with Score.
 func Name(name string) uint64 {
@@ -34,3 +38,17 @@
 	}
 	return best, len(names) > 0
 }
+
+// Content returns the hash of some parts in order; where one part ends and the next begins
+// matters.
+func Content(parts ...[]byte) uint64 {
+	d := xxhash.New()
+	var length [8]byte
+	for _, part := range parts {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		// A hash takes all bytes.
+		_, _ = d.Write(length[:])
+		_, _ = d.Write(part)
+	}
+	return d.Sum64()
+}
