--- a/bluebellbench/bbsoak/bbpromise/promise.go
+++ b/bluebellbench/bbsoak/bbpromise/promise.go
@@ -35,6 +35,10 @@
 	budgetRatio = 0.2
 	budgetSlack = 54
 	budgetTime  = 10 * time.Second
+	// crashesKnown is the number of endpoints that a content may crash before it counts as one
+	// that does, and crashRetries how often it may reach endpoints later than ContactTime after.
+	crashesKnown = 3
+	crashRetries = 3
 )
 
 // maxBroken bounds the broken promises that are told.
@@ -127,7 +131,7 @@
 		case t.Reply.NotRun():
 			r.NotRun++
 		}
-		if t.Sent.After(c.Calm) && t.Request.Version == 0 {
+		if t.Sent.After(c.Calm) && t.Request.Version == 0 && t.Request.Crashes == "" {
 			n := served[t.Request.Route.Name]
 			n[1]++
 			if t.Reply.Answered() {
@@ -144,6 +148,7 @@
 	arrivals := c.Ledger.Arrivals()
 	c.checkCold(arrivals)
 	c.checkBudget(arrivals)
+	c.checkCrashers(c.Ledger.Reaches())
 	c.checkRegress()
 	if c.Timed {
 		c.checkBounds(arrivals)
@@ -268,6 +273,46 @@
 	}
 }
 
+// checkCrashers checks that requests which ask for what has crashed endpoints reach few more.
+func (c *checker) checkCrashers(reaches []bbstand.Reach) {
+	vms := make(map[string]int)
+	for _, t := range c.Tries {
+		vms[t.Request.ID] = t.VM
+	}
+	crashes := make(map[string][]time.Time)
+	late := make(map[string]map[string]bool)
+	for _, r := range reaches {
+		if known := crashes[r.Content]; len(known) >= crashesKnown && r.At.After(known[crashesKnown-1].Add(ContactTime)) && !c.disturbedVM(vms[r.Attempt], r.At) {
+			retry := r.Attempt
+			if !r.Call {
+				retry += " at " + r.Endpoint
+			}
+			if late[r.Content] == nil {
+				late[r.Content] = make(map[string]bool)
+			}
+			late[r.Content][retry] = true
+		}
+		if r.Crashed {
+			crashes[r.Content] = append(crashes[r.Content], r.At)
+		}
+	}
+	for content, retries := range late {
+		if len(retries) > crashRetries {
+			c.find("%q reached endpoints in %d retries more than %v after it had crashed %d; %d crashed in all", content, len(retries), ContactTime, crashesKnown, len(crashes[content]))
+		}
+	}
+}
+
+// disturbedVM tells whether a VM was stopped, paused, cut off or started shortly before a time.
+func (c *checker) disturbedVM(vm int, at time.Time) bool {
+	for _, f := range c.Faults {
+		if f.VM == vm && !f.Began.IsZero() && f.Began.Before(at) && (f.Ended.IsZero() || f.Ended.After(at.Add(-ContactTime))) {
+			return true
+		}
+	}
+	return false
+}
+
 // shown is a version of the configuration at one boot of a VM.
 type shown struct {
 	vm, boot int
@@ -329,10 +374,5 @@
 
 // restarted tells whether a VM was stopped or started shortly before an attempt.
 func (c *checker) restarted(t Try) bool {
-	for _, f := range c.Faults {
-		if f.VM == t.VM && f.Began.Before(t.Sent) && f.Ended.After(t.Sent.Add(-ContactTime)) {
-			return true
-		}
-	}
-	return false
+	return c.disturbedVM(t.VM, t.Sent)
 }
--- a/bluebellbench/bbsoak/bbpromise/promise_test.go
+++ b/bluebellbench/bbsoak/bbpromise/promise_test.go
@@ -62,7 +62,7 @@
 			Service: service,
 			Zone:    "east",
 			Cold:    cold,
-		}, s, f.Ledger, 1)
+		}, s, f.Ledger, 1, func() {})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -27,6 +27,8 @@
 	heartbeats = 3600 * time.Millisecond
 	// graceTime is the time from the signal to stop to the end by force.
 	graceTime = 8 * time.Second
+	// crashTime is how long an endpoint is away that a request has crashed.
+	crashTime = 1500 * time.Millisecond
 	// coldTime is how long engines are cold after a start, coldRate what they carry then.
 	coldTime = 3 * time.Second
 	coldRate = 9.4
@@ -65,7 +67,11 @@
 	out      map[string][]bbpromise.Span
 	// left has when endpoints said that they leave.
 	left map[string]time.Time
-	seed uint64
+	// failed has what could not be started again.
+	failed []string
+	// stopped is true once endpoints are started no more.
+	stopped bool
+	seed    uint64
 	// cleanups end what was started, in its order.
 	cleanups []func()
 }
@@ -92,6 +98,9 @@
 
 // stop ends all that was started, the last first.
 func (f *Fleet) stop() {
+	f.mu.Lock()
+	f.stopped = true
+	f.mu.Unlock()
 	for _, end := range slices.Backward(f.cleanups) {
 		end()
 	}
@@ -158,7 +167,7 @@
 	}
 	b.proxy = proxy
 	f.backEnds = append(f.backEnds, b)
-	f.cleanups = append(f.cleanups, b.end)
+	f.cleanups = append(f.cleanups, func() { b.end() })
 	return f.Restart(b, 0)
 }
 
@@ -285,7 +294,7 @@
 		Born:    time.Now().UnixMilli(),
 		Cold:    cold,
 	}
-	e, cleanup, err := bbstand.NewEndpoint(b.inner, entry, b.service, f.Ledger, f.seed+uint64(b.boots))
+	e, cleanup, err := bbstand.NewEndpoint(b.inner, entry, b.service, f.Ledger, f.seed+uint64(b.boots), func() { f.crash(b) })
 	if err != nil {
 		return err
 	}
@@ -293,6 +302,25 @@
 	return f.store.PutEndpoint(entry)
 }
 
+// crash ends the present endpoint, as a crash would, and starts another one in its place.
+func (f *Fleet) crash(b *backEnd) {
+	id := b.id()
+	if !b.end() {
+		return
+	}
+	time.AfterFunc(heartbeats, func() { f.store.RemoveEndpoint(id) })
+	time.AfterFunc(crashTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.stopped {
+			return
+		}
+		if err := f.Restart(b, b.coldTime()); err != nil {
+			f.failed = append(f.failed, fmt.Sprintf("restart of %s: %v", b.name, err))
+		}
+	})
+}
+
 // replace ends the present endpoint, takes out its entry and puts a new one in its place.
 func (f *Fleet) replace(b *backEnd) error {
 	id := b.id()
@@ -309,14 +337,16 @@
 	return coldTime
 }
 
-// end ends the present endpoint at once, if there is one.
-func (b *backEnd) end() {
+// end ends the present endpoint at once; false if there is none.
+func (b *backEnd) end() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.cleanup != nil {
-		b.cleanup()
-		b.cleanup = nil
+	if b.cleanup == nil {
+		return false
 	}
+	b.cleanup()
+	b.cleanup = nil
+	return true
 }
 
 // Leave tells that the present endpoint leaves.
--- a/bluebellbench/bbsoak/load.go
+++ b/bluebellbench/bbsoak/load.go
@@ -88,7 +88,11 @@
 
 // request returns a random request.
 func request(random *rand.Rand, id string) bbstand.Request {
-	r := pick(random, bbdeployment.Routes())
+	return requestOn(random, pick(random, bbdeployment.Routes()), id)
+}
+
+// requestOn returns a random request on a route.
+func requestOn(random *rand.Rand, r bbcatalog.Route, id string) bbstand.Request {
 	q := bbstand.Request{
 		Attempt: bbstand.Attempt{
 			ID:      id,
@@ -112,6 +116,30 @@
 	return q
 }
 
+// Crash sends requests that ask for the same until the context ends, each to another VM: they end
+// every endpoint of a service that begins to work on one.
+func (l *Load) Crash(ctx context.Context, random *rand.Rand, route bbcatalog.Route, service string, gap time.Duration) {
+	client := &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
+	name := fmt.Sprintf("crash-%s-%s-%x", route.Name, service, random.Uint32())
+	q := requestOn(random, route, name)
+	q.Crashes = service
+	q.Content = bbstand.Content(q.Method, q.Path, []byte(q.Body))
+	vms := random.Perm(len(l.fleet.processes))
+	var group sync.WaitGroup
+	defer group.Wait()
+	for n := 0; ctx.Err() == nil; n++ {
+		q.ID = fmt.Sprintf("%s-%d", name, n)
+		l.fleet.Ledger.Expect(q.Attempt)
+		front := l.fleet.processes[vms[n%len(vms)]].VM.Front()
+		group.Go(func() { l.Try(client, q, front) })
+		wait(ctx, gap)
+	}
+}
+
 // send sends a request until it is answered, may not be repeated, or its time is over.
 func (l *Load) send(client *http.Client, q bbstand.Request, addresses []string, choice uint64) {
 	id := q.ID
--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -216,8 +216,8 @@
 func crashEndpoint(f *Fleet, random *rand.Rand) Fault {
 	fault, b := onEndpoint(f, random, "crash")
 	fault.begin = func() error {
-		b.end()
 		id := b.id()
+		b.end()
 		time.AfterFunc(heartbeats, func() { f.store.RemoveEndpoint(id) })
 		return nil
 	}
--- a/bluebellbench/bbsoak/soak_test.go
+++ b/bluebellbench/bbsoak/soak_test.go
@@ -1,17 +1,21 @@
 package bbsoak
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
 	"bluebellhall/bluebellbench/bbsoak/bbprocess"
+	"bluebellhall/bluebellbench/bbsoak/bbpromise"
 	"bluebellhall/bluebellbench/bbsoak/bbproxy"
-
-	"github.com/google/go-cmp/cmp"
 )
 
 // regressions are seeds that broke a promise once, each with its cause.
@@ -26,10 +30,7 @@
 	if testing.Short() {
 		t.Skip("runs for half a minute")
 	}
-	program := filepath.Join(t.TempDir(), "platform")
-	if out, err := exec.Command("go", "build", "-o", program, "bluebellhall/platform").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	program := buildProgram(t)
 	seeds := []uint64{1}
 	for _, r := range regressions {
 		seeds = append(seeds, r.seed)
@@ -60,6 +61,91 @@
 	}
 }
 
+// buildProgram builds the program of an entry VM and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "platform")
+	if out, err := exec.Command("go", "build", "-o", program, "bluebellhall/platform").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
+// Requests that ask for what has crashed three endpoints reached endpoints again and again, from
+// every VM.
+func TestContentThatCrashesEndpointsIsStopped(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for half a minute")
+	}
+	program := buildProgram(t)
+	for _, c := range []struct{ route, service string }{
+		{"read", bbdeployment.PlainService},
+		{"once", bbdeployment.PlainService},
+		{"chat", bbdeployment.EngineService},
+		{"draft", bbdeployment.EngineService},
+		{"chat", bbdeployment.SecondStage},
+	} {
+		t.Run(c.route+" at "+c.service, func(t *testing.T) {
+			t.Parallel()
+			record, failed := crashRun(t, program, c.route, c.service)
+			if diff := cmp.Diff([]string(nil), append(failed, bbpromise.Check(record).Broken...)); diff != "" {
+				t.Errorf("broken promises (-want +got):\n%s", diff)
+			}
+			crashed := 0
+			for _, r := range record.Ledger.Reaches() {
+				if r.Crashed {
+					crashed++
+				}
+			}
+			if crashed < 2 {
+				t.Errorf("%d endpoints crashed, want some", crashed)
+			}
+		})
+	}
+}
+
+// crashTest is how long a content is sent that crashes endpoints, crashGap how often.
+const (
+	crashTest = 14 * time.Second
+	crashGap  = 400 * time.Millisecond
+)
+
+// crashRun runs a small fleet with some load and one content that crashes the endpoints of a
+// service, and returns what was seen and what failed of the run itself.
+func crashRun(t *testing.T, program, route, service string) (bbpromise.Record, []string) {
+	t.Helper()
+	s := Settings{
+		VMs:     4,
+		Program: program,
+		Dir:     t.TempDir(),
+	}
+	f, cleanup, err := NewFleet(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanup)
+	if late := f.unready(t.Context(), startTime); len(late) > 0 {
+		t.Fatalf("not ready %v after the start: %v", startTime, late)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), crashTest)
+	defer cancel()
+	l := &Load{
+		fleet: f,
+	}
+	var group sync.WaitGroup
+	group.Go(func() { l.Run(ctx, 1, 15) })
+	for _, r := range bbdeployment.Routes() {
+		if r.Name == route {
+			group.Go(func() { l.Crash(ctx, random(1), r, service, crashGap) })
+		}
+	}
+	group.Wait()
+	f.mu.Lock()
+	failed := f.failed
+	f.mu.Unlock()
+	return f.record(s, nil, l.Tries(), time.Now()), failed
+}
+
 // The same seed gives the same faults.
 func TestScheduleFollowsItsSeed(t *testing.T) {
 	names := func(seed uint64) []string {
