Requests that may crash endpoints begin apart from each other

Callers saw streams of others end with an engine that a suspect request had crashed, again and again, and pieces of others in each call that it took down. Cause: a request that was to run alone got an engine without runs, but others joined it there a moment later, so its crash counted as shared; pieces of a failed call waited together and went into the next call together.

An engine that a suspect was granted gets nothing else until the suspect has begun; two that are watched don't begin at the same engine; pieces of a suspect share no call with those of other requests.

Tests failed before: TestNothingJoinsASuspectThatHasNotBegun, TestWatchedRequestsBeginApart, TestSuspectPiecesShareNoCall (needs the new fields).

--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -60,7 +60,10 @@
 	Allowed func(zone string) bool
 	// Avoid are endpoints at which an earlier try ended.
 	Avoid []string
-	// Alone requests may have crashed engines and get one that runs nothing else.
+	// Watched requests may have crashed an engine and get one where no other of them begins.
+	Watched bool
+	// Alone requests may have crashed several and get one that runs nothing else. Until they have
+	// begun it gets nothing else either.
 	Alone bool
 }
 
@@ -116,6 +119,8 @@
 	unread  float64
 	at      time.Duration
 	started bool
+	// watched and alone are those of the need.
+	watched, alone bool
 }
 
 // engine is what is remembered of an endpoint.
@@ -163,7 +168,7 @@
 			continue
 		}
 		g.expire(now)
-		if n.Alone && len(g.runs) > 0 {
+		if !g.isolates(n) {
 			continue
 		}
 		if len(g.runs) >= max(1, t.Spec.Slots) || (len(g.runs) > 0 && g.tokens+need > memoryPart*t.Spec.Tokens) {
@@ -278,9 +283,11 @@
 	g := t.engine(id)
 	g.bucket--
 	g.runs[n.Job] = &run{
-		tokens: need,
-		unread: float64(n.Prompt.Tokens) - g.kept.prefix(n.Prompt),
-		at:     now,
+		tokens:  need,
+		unread:  float64(n.Prompt.Tokens) - g.kept.prefix(n.Prompt),
+		at:      now,
+		watched: n.Watched,
+		alone:   n.Alone,
 	}
 	g.tokens += need
 	g.kept.add(n.Prompt, t.Spec.Tokens-g.tokens)
@@ -343,6 +350,20 @@
 	return g.bucket >= 1
 }
 
+// isolates tells whether a request may go to an engine without sharing the blame for a crash: one
+// that may have crashed engines does so, if at all, when it begins.
+func (g *engine) isolates(n Need) bool {
+	if n.Alone && len(g.runs) > 0 {
+		return false
+	}
+	for _, r := range g.runs {
+		if !r.started && (r.alone || r.watched && n.Watched) {
+			return false
+		}
+	}
+	return true
+}
+
 // expire drops runs of which nothing was heard for long.
 func (g *engine) expire(now time.Duration) {
 	for job, r := range g.runs {
--- a/core/bbplacement/table_test.go
+++ b/core/bbplacement/table_test.go
@@ -155,6 +155,39 @@
 	wantChoice(t, table, 0, suspect, free, "")
 }
 
+// needAtFirst is as need, for the first engine only.
+func needAtFirst(job string) Need {
+	n := need(job, "one")
+	n.Avoid = []string{"e2"}
+	return n
+}
+
+// Requests joined one that was to run alone before it had begun, and shared the blame for its
+// crash.
+func TestNothingJoinsASuspectThatHasNotBegun(t *testing.T) {
+	table := newTestTable()
+	suspect := needAtFirst("a")
+	suspect.Alone = true
+	wantChoice(t, table, 0, suspect, free, "e1")
+	wantChoice(t, table, 0, needAtFirst("b"), free, "")
+	table.Started("e1", "a")
+	wantChoice(t, table, 0, needAtFirst("b"), free, "e1")
+}
+
+func TestWatchedRequestsBeginApart(t *testing.T) {
+	table := newTestTable()
+	watched := func(job string) Need {
+		n := needAtFirst(job)
+		n.Watched = true
+		return n
+	}
+	wantChoice(t, table, 0, watched("a"), free, "e1")
+	wantChoice(t, table, 0, watched("b"), free, "")
+	wantChoice(t, table, 0, needAtFirst("c"), free, "e1")
+	table.Started("e1", "a")
+	wantChoice(t, table, 0, watched("b"), free, "e1")
+}
+
 func TestTidyForgetsWhatIsGone(t *testing.T) {
 	table := newTestTable()
 	wantChoice(t, table, 0, need("a", "one"), free, "e1")
--- a/core/bbpool/compose.go
+++ b/core/bbpool/compose.go
@@ -145,7 +145,7 @@
 		if space <= 0 {
 			break
 		}
-		if g == first || len(g.Left) == 0 || (g.Allowed != nil && !g.Allowed(e.Zone)) {
+		if g == first || len(g.Left) == 0 || (g.Job != first.Job && (g.Alone || first.Alone)) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
 			continue
 		}
 		if len(g.Left) > space && g.ResultBytes >= splitBytes {
--- a/core/bbpool/group.go
+++ b/core/bbpool/group.go
@@ -16,6 +16,8 @@
 	// Begun is true once other pieces of the same stage are in a call or done. Such groups go
 	// first: results of half a stage take room and serve nobody.
 	Begun bool
+	// Alone groups share no call with pieces of other requests.
+	Alone bool
 	// Limit is when the request is given up.
 	Limit time.Duration
 	// Zone is where the inputs are or the results are wanted; empty if it doesn't matter.
--- a/core/bbpool/pool_test.go
+++ b/core/bbpool/pool_test.go
@@ -86,6 +86,23 @@
 	wantJobs(t, made[0], map[string]int{"a": 2, "b": 2})
 }
 
+// Pieces of a request that may crash endpoints took those of others with them.
+func TestSuspectPiecesShareNoCall(t *testing.T) {
+	p := newTestPool()
+	p.Add(group("a", 1, 500*ms))
+	suspect := group("b", 1, 510*ms)
+	suspect.Alone = true
+	p.Add(suspect)
+	p.Add(group("c", 1, 520*ms))
+	second := group("b", 1, 530*ms)
+	second.Alone = true
+	second.Stage = 1
+	p.Add(second)
+	made := calls(p, 0)
+	wantJobs(t, made[0], map[string]int{"a": 1, "c": 1})
+	wantJobs(t, made[1], map[string]int{"b": 2})
+}
+
 func TestMostUrgentGoesFirst(t *testing.T) {
 	p := newTestPool()
 	p.Add(group("late", 4, 900*ms))
