--- a/bluebelld/bbchannel/channel.go
+++ b/bluebelld/bbchannel/channel.go
@@ -44,11 +44,9 @@
 	Length int64
 }
 
-// Exchange sends a request to an address and reads the head of the answer. The clean-up
-// function closes the connection; it is nil when there is an error. The connection also
-// closes when the context ends.
-func Exchange(ctx context.Context, address string, r *http.Request) (*Answer, func(), error) {
-	d := net.Dialer{
+// dialer returns the one for connections to endpoints.
+func dialer() net.Dialer {
+	return net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
@@ -57,6 +55,25 @@
 			Count:    keepAliveCount,
 		},
 	}
+}
+
+// TakesConnections tells whether an address takes a connection, and sends nothing on it.
+func TakesConnections(ctx context.Context, address string) bool {
+	d := dialer()
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	// Nothing was sent.
+	_ = conn.Close()
+	return true
+}
+
+// Exchange sends a request to an address and reads the head of the answer. The clean-up
+// function closes the connection; it is nil when there is an error. The connection also
+// closes when the context ends.
+func Exchange(ctx context.Context, address string, r *http.Request) (*Answer, func(), error) {
+	d := dialer()
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreachable)
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +11,7 @@
 	"bluebellhall/bluebelld/bbmembership"
 	"bluebellhall/bluebelld/bbmeter"
 	"bluebellhall/bluebelld/bbpeer"
+	"bluebellhall/bluebelld/bbquarantine"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbcoordinator"
@@ -60,8 +60,12 @@
 	fleet    *bbmembership.Fleet
 	conns    *bbpeer.Conns
 	hub      *bbhub.Hub
-	notes    chan addressedNote
-	leaving  atomic.Bool
+	// quarantine has the contents that crash endpoints, and checks the checks in progress of
+	// endpoints that fell silent.
+	quarantine *bbquarantine.Quarantine
+	checks     chan struct{}
+	notes      chan addressedNote
+	leaving    atomic.Bool
 	// source is the VM whose endpoints this one follows; used by followLoop only.
 	source source
 	// cell has the endpoints that this VM coordinates.
@@ -94,6 +98,7 @@
 		meter:    seams.Meter,
 		began:    time.Now(),
 		conns:    conns,
+		checks:   make(chan struct{}, maxChecks),
 		notes:    make(chan addressedNote, maxNotes),
 	}
 	e.Knowledge = NewKnowledge(e.now)
@@ -104,12 +109,22 @@
 	e.fleet.Serves = e.serves
 	e.fleet.Log = e.peerChanged
 	e.fleet.LogLeader = e.coordinatorChanged
+	e.quarantine = bbquarantine.New(bbquarantine.Seams{
+		Now:     e.now,
+		Keepers: e.fleet.Keepers,
+		Relays:  e.fleet.Relays,
+		Tell:    conns.Suspects,
+		Judged:  e.contentJudged,
+		Untold:  e.suspectsUntold,
+	})
 	coordinator := bbcoordinator.New(bbcoordinator.Knowledge{
 		Service:   e.service,
 		Endpoints: e.coordinated,
 		Region:    e.region,
 		Majority:  e.fleet.HasMajority,
 		Alone:     e.fleet.LeadsAlone,
+		Suspicion: e.quarantine.Verdict,
+		Lost:      e.quarantine.Lost,
 		Share:     e.share,
 		Spill:     e.fleet.Spill,
 	}, s.Limits)
@@ -126,6 +141,7 @@
 		Published: e.published,
 		Order:     e.coordinate,
 		Notes:     hub.Notes,
+		Suspects:  e.quarantine.Take,
 		Failed:    e.handlerFailed,
 	})
 	if err != nil {
@@ -143,6 +159,8 @@
 		Note:      e.note,
 		Log:       e.requestEnded,
 		Broke:     e.runBroke,
+		Succeeded: e.quarantine.Succeeded,
+		Suspicion: e.quarantine.Verdict,
 		Window:    e.window,
 		Leaving:   e.leaving.Load,
 	})
@@ -151,6 +169,7 @@
 	go e.followLoop(ctx)
 	go e.cellLoop(ctx)
 	go e.sendNotes(ctx)
+	go e.quarantine.Run(ctx)
 	return e, func() {
 		cancel()
 		stopHub()
@@ -406,15 +425,3 @@
 		e.meter.Count("requests", l.Kind, "onTime")
 	}
 }
-
-// runBroke logs a run without a whole answer.
-func (e *Entry) runBroke(b bbgateway.Broken) {
-	e.log.Event(bbevent.RunBroke).Str("id", b.ID).Str("content", formatContent(b.Content)).Str("endpoint", b.Endpoint).
-		Dur("ran", b.Ran).Bool("silent", b.Silent).Bool("begun", b.Begun).Str("cause", b.Cause.Error()).Send()
-	e.meter.Count("requests", "runsBroken")
-}
-
-// formatContent returns a content as logs show it.
-func formatContent(content uint64) string {
-	return strconv.FormatUint(content, 16)
-}
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -25,6 +25,14 @@
 	e.meter.Gauge("knowledge.storeAgeMs", func() float64 { return float64(e.Knowledge.storeAge().Milliseconds()) })
 	e.meter.Gauge("requests.open", func() float64 { return float64(e.Gateway.Open()) })
 	e.meter.Gauge("requests.exchanges", func() float64 { return float64(e.Gateway.Exchanges()) })
+	e.meter.Gauge("suspects.watched", func() float64 {
+		watched, _ := e.quarantine.Counts()
+		return float64(watched)
+	})
+	e.meter.Gauge("suspects.refused", func() float64 {
+		_, refused := e.quarantine.Counts()
+		return float64(refused)
+	})
 	e.meter.Collect(e.showServices)
 }
 
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -13,6 +13,7 @@
 
 	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbsuspect"
 )
 
 const (
@@ -108,22 +109,48 @@
 	return bbhealth.OutcomeGood
 }
 
-// broke tells of a run that gave no whole answer; ctx is the one that bounded it.
-func (g *Gateway) broke(ctx context.Context, x *exchange, endpoint string, began time.Duration, begun bool, cause error) {
+// run is one try of a request at an endpoint.
+type run struct {
+	endpoint, address string
+	began             time.Duration
+	// begun is true once a part of the answer has arrived.
+	begun bool
+}
+
+// broke tells of a run that gave no whole answer, unless the caller left; ctx is the one that
+// bounded it.
+func (g *Gateway) broke(ctx context.Context, x *exchange, r run, cause error) {
 	if errors.Is(x.r.Context().Err(), context.Canceled) {
 		return
 	}
 	g.seams.Broke(Broken{
 		ID:       x.ID,
 		Content:  x.content,
-		Endpoint: endpoint,
+		Endpoint: r.endpoint,
+		Address:  r.address,
 		Cause:    cause,
-		Ran:      g.seams.Now() - began,
+		Ran:      g.seams.Now() - r.began,
 		Silent:   ctx.Err() != nil,
-		Begun:    begun,
+		Begun:    r.begun,
 	})
 }
 
+// suspect is the cause of refusals of content that crashes endpoints.
+const suspect = "suspect"
+
+// retryAfter returns when the caller of a request that has not run should come back.
+func retryAfter(cause string) time.Duration {
+	if cause == suspect {
+		return bbsuspect.RetryAfter
+	}
+	return startRetryAfter
+}
+
+// isRefused tells whether the content of a request must not reach an endpoint.
+func (g *Gateway) isRefused(x *exchange) bool {
+	return g.seams.Suspicion(x.content) == bbsuspect.Refused
+}
+
 // errNoReceipt is the cause when an answer is of another request or bears no receipt.
 var errNoReceipt = errors.New("answer without the endpoint's receipt")
 
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -22,6 +22,7 @@
 	"bluebellhall/core/bbpatience"
 	"bluebellhall/core/bbplain"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbsuspect"
 )
 
 // Request is what a caller's headers say.
@@ -115,8 +116,8 @@
 	ID      string
 	Content uint64
 	// Endpoint is its ID, Cause how the exchange ended.
-	Endpoint string
-	Cause    error
+	Endpoint, Address string
+	Cause             error
 	// Ran is the time since the request was sent.
 	Ran time.Duration
 	// Silent is true when the time was over, rather than the connection.
@@ -142,6 +143,10 @@
 	Log  func(l Logged)
 	// Broke tells of a run without a whole answer, unless the caller left.
 	Broke func(b Broken)
+	// Succeeded tells of a run of a content that came to a good end, and when it began.
+	Succeeded func(content uint64, began time.Duration)
+	// Suspicion tells how a content is to be treated that may crash endpoints.
+	Suspicion func(content uint64) bbsuspect.Verdict
 	// Window returns the allowance for repeats of a service that is new; it is called under
 	// a lock.
 	Window func() *bballowance.Window
@@ -271,7 +276,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if status, cause := g.admit(x); status != 0 {
-		g.fail(x, status, cause, startRetryAfter)
+		g.fail(x, status, cause, retryAfter(cause))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.limit-x.began)
@@ -326,6 +331,9 @@
 		return status, cause
 	}
 	x.content = x.hashContent()
+	if g.isRefused(x) {
+		return http.StatusServiceUnavailable, suspect
+	}
 	x.limit = x.began + g.wait(x)
 	x.service = x.route.Pick(rand.Float64())
 	return 0, ""
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbsuspect"
 )
 
 // standIn is an endpoint whose answers are raw texts, one for each request in turn; the
@@ -105,6 +106,10 @@
 	orders   []bbjob.Order
 	notes    []bbjob.Note
 	broken   []Broken
+	// verdicts are the answers on contents, in turn; the last one stays. None means clear.
+	verdicts []bbsuspect.Verdict
+	// good has the contents that came to a good end.
+	good []uint64
 }
 
 var testCodec = Codec{
@@ -214,6 +219,12 @@
 			defer f.mu.Unlock()
 			f.broken = append(f.broken, b)
 		},
+		Succeeded: func(content uint64, _ time.Duration) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.good = append(f.good, content)
+		},
+		Suspicion: func(uint64) bbsuspect.Verdict { return f.judge() },
 		Window: func() *bballowance.Window {
 			return &bballowance.Window{
 				Span:  10 * time.Second,
@@ -227,6 +238,20 @@
 	return f, server.URL
 }
 
+// judge returns the next verdict.
+func (f *fixture) judge() bbsuspect.Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.verdicts) == 0 {
+		return bbsuspect.Clear
+	}
+	v := f.verdicts[0]
+	if len(f.verdicts) > 1 {
+		f.verdicts = f.verdicts[1:]
+	}
+	return v
+}
+
 // ask sends a request and returns status, body and the error of reading it.
 func ask(t *testing.T, url, body string, header ...string) (int, string, error) {
 	t.Helper()
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -24,6 +24,7 @@
 	for x.log.Tries < maxGrants {
 		now := g.seams.Now()
 		order.Limit = x.firstBy() - now
+		order.Suspicion = g.seams.Suspicion(x.content)
 		verdict, coordinator, err := g.place(ctx, order)
 		if err != nil || verdict.Grant == nil {
 			g.unplaced(ctx, x, runs, verdict)
@@ -82,6 +83,8 @@
 		Region:    g.region,
 		BodyBytes: len(x.body),
 		Regions:   regions(x.route, x.account),
+
+		Fingerprint: x.content,
 	}
 	for i, s := range x.route.Stages {
 		pieces := 1
@@ -173,7 +176,7 @@
 	case runs > 0:
 		g.fail(x, http.StatusBadGateway, cause, 0)
 	default:
-		g.fail(x, http.StatusServiceUnavailable, cause, startRetryAfter)
+		g.fail(x, http.StatusServiceUnavailable, cause, retryAfter(cause))
 	}
 }
 
@@ -201,10 +204,18 @@
 		note.Again = again
 		g.seams.Note(t.coordinator, note)
 	}()
+	if g.isRefused(t.exchange) {
+		g.give(ctx, t.exchange, runs, suspect)
+		return bbhealth.OutcomeFull, false
+	}
 	if !g.seams.Usable(t.grant.Endpoint) {
 		return bbhealth.OutcomeFull, true
 	}
-	began := g.seams.Now()
+	r := run{
+		endpoint: t.grant.Endpoint,
+		address:  t.grant.Address,
+		began:    g.seams.Now(),
+	}
 	answer, cleanup, err := g.exchange(ctx, t.grant.Address, g.outgoing(t.exchange, Forward{
 		Endpoint:  t.grant.Endpoint,
 		Priority:  bbcatalog.Priority(t.route, t.account),
@@ -216,7 +227,7 @@
 	if err != nil {
 		outcome = classify(err, Reading{})
 		if outcome == bbhealth.OutcomeBroken {
-			g.broke(ctx, t.exchange, t.grant.Endpoint, began, false, err)
+			g.broke(ctx, t.exchange, r, err)
 		}
 		return outcome, g.lost(ctx, t, outcome, runs)
 	}
@@ -230,11 +241,12 @@
 	case outcome == bbhealth.OutcomeFull || outcome == bbhealth.OutcomeMoved:
 		return outcome, true
 	case outcome == bbhealth.OutcomeBroken || (!reading.Signed && answer.Status < http.StatusMultipleChoices):
-		g.broke(ctx, t.exchange, t.grant.Endpoint, began, false, errNoReceipt)
+		g.broke(ctx, t.exchange, r, errNoReceipt)
 		return bbhealth.OutcomeBroken, g.lost(ctx, t, bbhealth.OutcomeBroken, runs)
 	}
 	if err := g.stream(ctx, t, answer); err != nil {
-		g.broke(ctx, t.exchange, t.grant.Endpoint, began, t.started, err)
+		r.begun = t.started
+		g.broke(ctx, t.exchange, r, err)
 		if g.seams.Now() >= t.limit || errors.Is(t.r.Context().Err(), context.Canceled) {
 			// The time was over or the caller left; that says nothing of the engine.
 			g.give(ctx, t.exchange, runs+1, "timeOver")
@@ -242,6 +254,7 @@
 		}
 		return bbhealth.OutcomeBroken, g.lost(ctx, t, bbhealth.OutcomeBroken, runs)
 	}
+	g.seams.Succeeded(t.content, r.began)
 	g.ended(t.exchange, "answered", "", answer.Status)
 	return bbhealth.OutcomeGood, false
 }
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -49,6 +49,10 @@
 			runs++
 		}
 		cause = outcome.String()
+		if g.isRefused(x) {
+			cause = suspect
+			break
+		}
 		if outcome != bbhealth.OutcomeUnreachable && !g.mayRepeat(x) {
 			break
 		}
@@ -57,7 +61,11 @@
 		g.fail(x, http.StatusBadGateway, cause, 0)
 		return
 	}
-	g.fail(x, http.StatusServiceUnavailable, cause, shedRetryAfter)
+	after := shedRetryAfter
+	if cause == suspect {
+		after = retryAfter(cause)
+	}
+	g.fail(x, http.StatusServiceUnavailable, cause, after)
 }
 
 // choose picks an endpoint for the request.
@@ -106,14 +114,18 @@
 		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(firstTry*float64(x.route.Objective)))
 		defer cancel()
 	}
-	began := g.seams.Now()
+	r := run{
+		endpoint: e.ID,
+		address:  e.Address,
+		began:    g.seams.Now(),
+	}
 	answer, cleanup, err := g.exchange(tryCtx, e.Address, g.outgoing(x, Forward{
 		Endpoint: e.ID,
 		Priority: bbcatalog.Priority(x.route, x.account),
 	}))
 	if err != nil {
 		if outcome = classify(err, Reading{}); outcome == bbhealth.OutcomeBroken {
-			g.broke(tryCtx, x, e.ID, began, false, err)
+			g.broke(tryCtx, x, r, err)
 		}
 		return g.broken(ctx, x, outcome, repeatable)
 	}
@@ -124,20 +136,22 @@
 	case bbhealth.OutcomeFull, bbhealth.OutcomeMoved:
 		return outcome, true
 	case bbhealth.OutcomeBroken:
-		g.broke(tryCtx, x, e.ID, began, false, errNoReceipt)
+		g.broke(tryCtx, x, r, errNoReceipt)
 		return g.broken(ctx, x, outcome, repeatable)
 	}
 	if answer.Status >= http.StatusInternalServerError && repeatable && g.mayRepeat(x) {
 		return bbhealth.OutcomeGood, g.again(ctx, x, answer)
 	}
 	if !reading.Signed && answer.Status < http.StatusMultipleChoices {
-		g.broke(tryCtx, x, e.ID, began, false, errNoReceipt)
+		g.broke(tryCtx, x, r, errNoReceipt)
 		return g.broken(ctx, x, bbhealth.OutcomeBroken, repeatable)
 	}
 	if err := g.deliver(ctx, x, answer); err != nil {
-		g.broke(tryCtx, x, e.ID, began, true, err)
+		r.begun = true
+		g.broke(tryCtx, x, r, err)
 		return g.broken(ctx, x, bbhealth.OutcomeBroken, repeatable)
 	}
+	g.seams.Succeeded(x.content, r.began)
 	g.ended(x, "answered", "", answer.Status)
 	return bbhealth.OutcomeGood, false
 }
@@ -148,7 +162,7 @@
 	e, ok := g.choose(x, map[string]bool{
 		x.log.Endpoint: true,
 	})
-	if ok {
+	if ok && !g.isRefused(x) {
 		x.log.Tries++
 		x.log.Endpoint = e.ID
 		if _, again := g.offer(ctx, x, e, x.route.MaxAttempts); x.sent || !again {
--- /dev/null
+++ b/bluebelld/bbgateway/suspect_test.go
@@ -0,0 +1,93 @@
+package bbgateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbsuspect"
+)
+
+// wantSuspect sends a request and checks that it is refused as suspect, with the time to come back.
+func wantSuspect(t *testing.T, f *fixture, url string) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader("hello"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", "1")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	last := f.logged[len(f.logged)-1]
+	got := []string{response.Status[:3], response.Header.Get("Retry-After"), last.Outcome, last.Cause}
+	if diff := cmp.Diff([]string{"503", "5.000", "refused", suspect}, got); diff != "" {
+		t.Errorf("status, time to come back, outcome and cause (-want +got):\n%s", diff)
+	}
+}
+
+// Content that crashes endpoints was sent to plain endpoints as often as its callers asked.
+func TestRefusedContentReachesNoEndpoint(t *testing.T) {
+	for _, path := range []string{"/read/", "/once/", "/resume/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			f, url := newFixture(t, newStandIn(t, answerOK))
+			f.verdicts = []bbsuspect.Verdict{bbsuspect.Refused}
+			wantSuspect(t, f, url+path)
+			wantRequests(t, f, 0)
+		})
+	}
+}
+
+// A request that had its grant was sent though its content had been found out in the meantime.
+func TestVerdictIsAskedForBeforeEachSend(t *testing.T) {
+	t.Run("with a grant", func(t *testing.T) {
+		f, url := newFixture(t, newStandIn(t, stream("id: 1\ndata: a\n\n")))
+		// On arrival, with the order, and before it is sent.
+		f.verdicts = []bbsuspect.Verdict{bbsuspect.Alone, bbsuspect.Alone, bbsuspect.Refused}
+		wantSuspect(t, f, url+"/stream/")
+		wantRequests(t, f, 0)
+		if diff := cmp.Diff(bbsuspect.Alone, f.orders[0].Suspicion); diff != "" {
+			t.Errorf("suspicion that the coordinator is told of (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("for a plain repeat", func(t *testing.T) {
+		f, url := newFixture(t, newStandIn(t, answerLost), newStandIn(t, answerOK))
+		f.verdicts = []bbsuspect.Verdict{bbsuspect.Alone, bbsuspect.Refused}
+		wantAnswer(t, url+"/read/", http.StatusBadGateway, "")
+		wantRequests(t, f, 1, 0)
+	})
+	t.Run("for one that was not run at first", func(t *testing.T) {
+		f, url := newFixture(t, newStandIn(t, answerNotRun), newStandIn(t, answerOK))
+		f.verdicts = []bbsuspect.Verdict{bbsuspect.Alone, bbsuspect.Refused}
+		wantSuspect(t, f, url+"/once/")
+		wantRequests(t, f, 1, 0)
+	})
+	t.Run("for a repeat after a failure", func(t *testing.T) {
+		f, url := newFixture(t, newStandIn(t, answerFailed), newStandIn(t, answerOK))
+		f.verdicts = []bbsuspect.Verdict{bbsuspect.Alone, bbsuspect.Refused}
+		wantAnswer(t, url+"/read/", http.StatusInternalServerError, "fail")
+		wantRequests(t, f, 1, 0)
+	})
+	t.Run("for a stream that would go on elsewhere", func(t *testing.T) {
+		f, url := newFixture(t, newStandIn(t, answerLost), newStandIn(t, stream("id: 1\ndata: a\n\n")))
+		f.verdicts = []bbsuspect.Verdict{bbsuspect.Clear, bbsuspect.Clear, bbsuspect.Alone, bbsuspect.Refused}
+		wantAnswer(t, url+"/resume/", http.StatusBadGateway, "")
+		wantRequests(t, f, 1, 0)
+	})
+}
+
+func TestGoodRunsAreTold(t *testing.T) {
+	f, url := newFixture(t, newStandIn(t, answerLost, answerOK))
+	wantAnswer(t, url+"/once/", http.StatusBadGateway, "")
+	if len(f.good) > 0 {
+		t.Errorf("contents %x came to a good end, want none", f.good)
+	}
+	wantAnswer(t, url+"/once/", http.StatusOK, "done")
+	if diff := cmp.Diff([]uint64{f.broken[0].Content}, f.good); diff != "" {
+		t.Errorf("contents that came to a good end (-want +got):\n%s", diff)
+	}
+}
--- a/bluebelld/bbpeer/conn.go
+++ b/bluebelld/bbpeer/conn.go
@@ -115,6 +115,11 @@
 	}, new(Nothing))
 }
 
+// Suspects tells a VM of contents that may crash endpoints.
+func (c *Conns) Suspects(ctx context.Context, address string, s Suspects) error {
+	return c.invoke(ctx, address, suspectsMethod, &s, new(Nothing))
+}
+
 // Reset closes the connection to an address, so that the next call opens a new one: the
 // old one may be silent for good.
 func (c *Conns) Reset(address string) {
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -17,6 +17,7 @@
 	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbregistry"
 )
 
@@ -75,6 +76,14 @@
 	Notes []bbjob.Note `json:"notes"`
 }
 
+// Suspects are contents that may crash endpoints.
+type Suspects struct {
+	Suspects []bbmsg.Suspect `json:"suspects"`
+	// Relayed is true when the sender passes on what is for all VMs, rather than reports what it
+	// saw itself.
+	Relayed bool `json:"relayed"`
+}
+
 // Nothing is an empty answer.
 type Nothing struct{}
 
@@ -85,6 +94,8 @@
 	// Order passes on what becomes of an order until its verdict.
 	Order func(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error
 	Notes func(n []bbjob.Note)
+	// Suspects takes in what another VM knows of contents that may crash endpoints.
+	Suspects func(s Suspects)
 	// Failed is told of an unexpected error in one of the others, with its place; the call
 	// ends with an error and the process goes on.
 	Failed func(method string, err error)
@@ -97,6 +108,7 @@
 	publishedMethod = "/bluebell.Entry/Published"
 	orderMethod     = "/bluebell.Entry/Order"
 	notesMethod     = "/bluebell.Entry/Notes"
+	suspectsMethod  = "/bluebell.Entry/Suspects"
 )
 
 // entryService is what grpc requires a server to implement.
@@ -162,6 +174,10 @@
 			h.Notes(q.Notes)
 			return new(Nothing), nil
 		}),
+		unary("Suspects", func(_ context.Context, h *Handlers, q *Suspects) (*Nothing, error) {
+			h.Suspects(*q)
+			return new(Nothing), nil
+		}),
 	},
 	Streams: []grpc.StreamDesc{
 		{
--- /dev/null
+++ b/bluebelld/bbquarantine/quarantine.go
@@ -0,0 +1,311 @@
+// Package bbquarantine keeps content that crashes endpoints from them, whichever VM it arrives at.
+// What a VM sees of a content it tells the keepers of that content, two VMs that all others agree
+// on; once endpoints were lost twice, all VMs are told. Each VM decides by its own table, so that
+// neither the loss of a VM nor a partition undoes a refusal that is known.
+package bbquarantine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bluebellhall/bluebelld/bbpeer"
+	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbsuspect"
+)
+
+const (
+	// maxContents bounds the contents that are watched.
+	maxContents = 4096
+	// gatherTime is how long news is gathered before it is sent.
+	gatherTime = 20 * time.Millisecond
+	// refreshPeriod is how often VMs that have started are looked for.
+	refreshPeriod = time.Second
+	// tellTimeout bounds a call with news.
+	tellTimeout = time.Second
+	// retryFor is how long news that could not be told is tried again.
+	retryFor = 5 * time.Second
+	// maxNews bounds the contents in one call.
+	maxNews = 256
+)
+
+// Seams are the effects of a quarantine on the outside.
+type Seams struct {
+	// Now returns the steady time.
+	Now func() time.Duration
+	// Keepers returns the other VMs that gather what is known of a content.
+	Keepers func(fingerprint uint64) []bbgossip.Member
+	// Relays returns the other VMs that this one passes news on to; relayed is true for news that
+	// another VM has passed on.
+	Relays func(relayed bool) []bbgossip.Member
+	// Tell sends news to a VM.
+	Tell func(ctx context.Context, peer string, s bbpeer.Suspects) error
+	// Judged tells of another verdict on a content.
+	Judged func(fingerprint uint64, former, present bbsuspect.Verdict)
+	// Untold tells of news that a VM did not take.
+	Untold func(peer string, contents int, err error)
+}
+
+// Quarantine is what one VM knows of such content.
+type Quarantine struct {
+	seams Seams
+	wake  chan struct{}
+
+	mu    sync.Mutex
+	table *bbsuspect.Table
+	goods recent
+	// reports are contents to be reported to their keepers, relays those to be passed on; these
+	// are true unless another VM has passed them on.
+	reports map[uint64]bool
+	relays  map[uint64]bool
+	// told has the process of each VM that was told of all active contents.
+	told map[string]int64
+}
+
+// New returns a quarantine without content.
+func New(s Seams) *Quarantine {
+	return &Quarantine{
+		seams:   s,
+		wake:    make(chan struct{}, 1),
+		table:   bbsuspect.New(maxContents),
+		reports: make(map[uint64]bool),
+		relays:  make(map[uint64]bool),
+		told:    make(map[string]int64),
+	}
+}
+
+// Verdict returns how a content is to be treated.
+func (q *Quarantine) Verdict(fingerprint uint64) bbsuspect.Verdict {
+	if fingerprint == 0 {
+		return bbsuspect.Clear
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Verdict(q.seams.Now(), fingerprint)
+}
+
+// Counts returns the contents that are watched, and of these the ones that are refused.
+func (q *Quarantine) Counts() (watched, refused int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.seams.Now()
+	for _, fingerprint := range q.table.Active(now) {
+		if q.table.Verdict(now, fingerprint) == bbsuspect.Refused {
+			refused++
+		}
+	}
+	return q.table.Len(), refused
+}
+
+// Lost takes in a run that ended with its endpoint, as this VM saw it.
+func (q *Quarantine) Lost(fingerprint uint64, run bbsuspect.Run) {
+	if fingerprint == 0 {
+		return
+	}
+	q.change(fingerprint, func(now time.Duration) (bool, source) {
+		_, noted := q.table.Lost(now, fingerprint, run)
+		q.exonerate(now, fingerprint)
+		return noted, seen
+	})
+}
+
+// Succeeded takes in a run that came to a good end.
+func (q *Quarantine) Succeeded(fingerprint uint64, began time.Duration) {
+	if fingerprint == 0 {
+		return
+	}
+	q.change(fingerprint, func(now time.Duration) (bool, source) {
+		q.goods.add(now, fingerprint, began)
+		return q.table.Succeeded(now, fingerprint, began), seen
+	})
+}
+
+// Take takes in what another VM tells.
+func (q *Quarantine) Take(told bbpeer.Suspects) {
+	from := reported
+	if told.Relayed {
+		from = relayed
+	}
+	for _, s := range told.Suspects[:min(len(told.Suspects), maxNews)] {
+		q.change(s.Fingerprint, func(now time.Duration) (bool, source) {
+			news := q.table.Merge(now, s)
+			if q.exonerate(now, s.Fingerprint) {
+				return true, seen
+			}
+			return news, from
+		})
+	}
+}
+
+// exonerate applies a good run of which the table knew nothing; true if that changes anything.
+func (q *Quarantine) exonerate(now time.Duration, fingerprint uint64) bool {
+	began, ok := q.goods.of(fingerprint)
+	return ok && q.table.Succeeded(now, fingerprint, began)
+}
+
+// source is where news comes from. It decides who is told.
+type source uint8
+
+const (
+	// seen news is this VM's own: keepers are told, and all VMs if it matters to them.
+	seen source = iota
+	// reported news came to this VM as a keeper: all VMs are told if it matters to them.
+	reported
+	// relayed news is passed on where a fleet is too large for its origin to tell all.
+	relayed
+)
+
+// change changes what is known of a content and notes whom to tell. Apply tells whether there is
+// news, and where it comes from.
+func (q *Quarantine) change(fingerprint uint64, apply func(now time.Duration) (news bool, from source)) {
+	q.mu.Lock()
+	now := q.seams.Now()
+	former := q.table.Verdict(now, fingerprint)
+	news, from := apply(now)
+	present := q.table.Verdict(now, fingerprint)
+	if news && from == seen {
+		q.reports[fingerprint] = true
+	}
+	if news && max(former, present) >= bbsuspect.Alone {
+		q.relays[fingerprint] = q.relays[fingerprint] || from != relayed
+	}
+	waits := len(q.reports)+len(q.relays) > 0
+	q.mu.Unlock()
+	if former != present {
+		q.seams.Judged(fingerprint, former, present)
+	}
+	if waits {
+		select {
+		case q.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run sends what is to be told until the context ends.
+func (q *Quarantine) Run(ctx context.Context) {
+	ticker := time.NewTicker(refreshPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.wake:
+			time.Sleep(gatherTime)
+		case <-ticker.C:
+		}
+		for _, m := range q.gather() {
+			go q.tell(ctx, m)
+		}
+	}
+}
+
+// message is news for one VM.
+type message struct {
+	to       bbgossip.Member
+	contents map[uint64]bool
+	relayed  bool
+}
+
+// gather returns what is to be sent now.
+func (q *Quarantine) gather() []message {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	reports := make(map[string]*message)
+	relays := make(map[string]*message)
+	add := func(messages map[string]*message, to bbgossip.Member, relayed bool, fingerprint uint64) {
+		m := messages[to.Name]
+		if m == nil {
+			m = &message{
+				to:       to,
+				contents: make(map[uint64]bool),
+				relayed:  relayed,
+			}
+			messages[to.Name] = m
+		}
+		m.contents[fingerprint] = true
+	}
+	for fingerprint := range q.reports {
+		for _, keeper := range q.seams.Keepers(fingerprint) {
+			add(reports, keeper, false, fingerprint)
+		}
+	}
+	for fingerprint, own := range q.relays {
+		for _, m := range q.seams.Relays(!own) {
+			add(relays, m, true, fingerprint)
+		}
+	}
+	clear(q.reports)
+	clear(q.relays)
+	q.addStarted(func(to bbgossip.Member, fingerprint uint64) { add(relays, to, true, fingerprint) })
+	var all []message
+	for _, messages := range []map[string]*message{reports, relays} {
+		for _, m := range messages {
+			all = append(all, *m)
+		}
+	}
+	return all
+}
+
+// addStarted adds all active contents for VMs that have started since they were told.
+func (q *Quarantine) addStarted(add func(to bbgossip.Member, fingerprint uint64)) {
+	active := q.table.Active(q.seams.Now())
+	if len(active) == 0 {
+		clear(q.told)
+		return
+	}
+	present := make(map[string]bool)
+	for _, m := range q.seams.Relays(false) {
+		present[m.Name] = true
+		if boot, ok := q.told[m.Name]; ok && boot == m.Boot {
+			continue
+		}
+		q.told[m.Name] = m.Boot
+		for _, fingerprint := range active {
+			add(m, fingerprint)
+		}
+	}
+	for name := range q.told {
+		if !present[name] {
+			delete(q.told, name)
+		}
+	}
+}
+
+// tell sends a message. One that is not taken is sent again for a while; a VM that wasn't told is
+// told of all when it is reached again.
+func (q *Quarantine) tell(ctx context.Context, m message) {
+	deadline := q.seams.Now() + retryFor
+	for {
+		err := q.tellOnce(ctx, m)
+		if err == nil {
+			return
+		}
+		q.seams.Untold(m.to.Name, len(m.contents), err)
+		if q.seams.Now() >= deadline || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(gatherTime + refreshPeriod/4)
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.told, m.to.Name)
+}
+
+func (q *Quarantine) tellOnce(ctx context.Context, m message) error {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	news := bbpeer.Suspects{
+		Relayed: m.relayed,
+	}
+	q.mu.Lock()
+	now := q.seams.Now()
+	for fingerprint := range m.contents {
+		if len(news.Suspects) == maxNews {
+			break
+		}
+		news.Suspects = append(news.Suspects, q.table.Snapshot(now, fingerprint))
+	}
+	q.mu.Unlock()
+	return q.seams.Tell(ctx, m.to.Peer, news)
+}
--- /dev/null
+++ b/bluebelld/bbquarantine/quarantine_test.go
@@ -0,0 +1,365 @@
+package bbquarantine
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/bluebelld/bbpeer"
+	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbhash"
+	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbsuspect"
+)
+
+// world is some VMs that tell each other in virtual time.
+type world struct {
+	t      *testing.T
+	mu     sync.Mutex
+	random *rand.Rand
+	vms    []*vm
+	// silent are the VMs that take no news.
+	silent map[string]bool
+	// messages counts those that were taken.
+	messages int
+	runs     uint64
+}
+
+// vm is one VM of a world.
+type vm struct {
+	*Quarantine
+	member bbgossip.Member
+	began  time.Time
+	stop   func()
+}
+
+// inWorld runs a test with some VMs.
+func inWorld(t *testing.T, vms int, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{
+			t:      t,
+			random: rand.New(rand.NewPCG(1, 1)),
+			silent: make(map[string]bool),
+		}
+		for i := range vms {
+			w.vms = append(w.vms, nil)
+			w.start(i)
+			// Their clocks differ.
+			time.Sleep(10 * time.Millisecond)
+		}
+		defer func() {
+			for _, v := range w.vms {
+				v.stop()
+			}
+			time.Sleep(retryFor + tellTimeout)
+		}()
+		test(w)
+	})
+}
+
+// start starts a VM that knows nothing, in the place of the one that ran before.
+func (w *world) start(i int) {
+	if w.vms[i] != nil {
+		w.vms[i].stop()
+	}
+	name := fmt.Sprint("vm", i)
+	v := &vm{
+		began: time.Now(),
+		member: bbgossip.Member{
+			Name: name,
+			Peer: name,
+			Boot: time.Now().UnixMilli(),
+		},
+	}
+	v.Quarantine = New(Seams{
+		Now:     func() time.Duration { return time.Since(v.began) },
+		Keepers: func(hash uint64) []bbgossip.Member { return w.keepers(name, hash) },
+		Relays: func(relayed bool) []bbgossip.Member {
+			if relayed {
+				return nil
+			}
+			return w.others(name)
+		},
+		Tell:   w.tell,
+		Judged: func(uint64, bbsuspect.Verdict, bbsuspect.Verdict) {},
+		Untold: func(string, int, error) {},
+	})
+	ctx, cancel := context.WithCancel(w.t.Context())
+	v.stop = cancel
+	w.mu.Lock()
+	w.vms[i] = v
+	w.mu.Unlock()
+	go v.Run(ctx)
+}
+
+func (w *world) others(name string) []bbgossip.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var others []bbgossip.Member
+	for _, v := range w.vms {
+		if v.member.Name != name {
+			others = append(others, v.member)
+		}
+	}
+	return others
+}
+
+// keepers are two VMs by rendezvous hash, without the one that asks.
+func (w *world) keepers(name string, hash uint64) []bbgossip.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []bbgossip.Member
+	for _, v := range w.vms {
+		all = append(all, v.member)
+	}
+	slices.SortFunc(all, func(a, b bbgossip.Member) int {
+		if bbhash.Score(bbhash.Name(a.Name), hash) > bbhash.Score(bbhash.Name(b.Name), hash) {
+			return -1
+		}
+		return 1
+	})
+	return slices.DeleteFunc(all[:2], func(m bbgossip.Member) bool { return m.Name == name })
+}
+
+var errSilent = errors.New("no answer")
+
+func (w *world) tell(_ context.Context, peer string, s bbpeer.Suspects) error {
+	w.mu.Lock()
+	delay := time.Duration(1+w.random.IntN(14)) * time.Millisecond
+	silent := w.silent[peer]
+	w.mu.Unlock()
+	time.Sleep(delay)
+	if silent {
+		return errSilent
+	}
+	w.mu.Lock()
+	w.messages++
+	i := slices.IndexFunc(w.vms, func(v *vm) bool { return v.member.Name == peer })
+	v := w.vms[i]
+	w.mu.Unlock()
+	v.Take(s)
+	return nil
+}
+
+// lose lets a VM see an endpoint end under a content, after a run of 50 ms.
+func (w *world) lose(i int, content uint64) {
+	time.Sleep(50 * time.Millisecond)
+	v := w.vms[i]
+	now := time.Since(v.began)
+	w.runs++
+	v.Lost(content, bbsuspect.Run{
+		ID:       w.runs,
+		Endpoint: fmt.Sprint("e", w.runs),
+		Began:    now - 50*time.Millisecond,
+		Ended:    now,
+	})
+}
+
+// succeed lets a VM see a run of a content come to a good end.
+func (w *world) succeed(i int, content uint64) {
+	time.Sleep(50 * time.Millisecond)
+	v := w.vms[i]
+	v.Succeeded(content, time.Since(v.began)-50*time.Millisecond)
+}
+
+// wantAll checks the verdict of all VMs on a content.
+func (w *world) wantAll(content uint64, want bbsuspect.Verdict) {
+	w.t.Helper()
+	got := make(map[string]string)
+	wanted := make(map[string]string)
+	for _, v := range w.vms {
+		got[v.member.Name] = v.Verdict(content).String()
+		wanted[v.member.Name] = want.String()
+	}
+	if diff := cmp.Diff(wanted, got); diff != "" {
+		w.t.Errorf("verdicts on content %d (-want +got):\n%s", content, diff)
+	}
+}
+
+// wantAtMost checks that no VM judges a content more strictly.
+func (w *world) wantAtMost(content uint64, most bbsuspect.Verdict) {
+	w.t.Helper()
+	for _, v := range w.vms {
+		if got := v.Verdict(content); got > most {
+			w.t.Errorf("verdict of %s on content %d is %v, want at most %v", v.member.Name, content, got, most)
+		}
+	}
+}
+
+// spread is how long news takes to reach all VMs.
+const spread = 200 * time.Millisecond
+
+// Each VM counted for itself, so that a content which came to another VM each time crashed an
+// endpoint for each of them.
+func TestLossesAtDifferentVMsAddUp(t *testing.T) {
+	for content := range uint64(20) {
+		content++
+		inWorld(t, 7, func(w *world) {
+			for i := range 2 {
+				w.lose(i, content)
+				time.Sleep(spread)
+			}
+			w.wantAll(content, bbsuspect.Alone)
+			w.lose(2, content)
+			time.Sleep(spread)
+			w.wantAll(content, bbsuspect.Refused)
+			w.wantAll(content+1, bbsuspect.Clear)
+		})
+	}
+}
+
+// What was known of a content was lost with the coordinator.
+func TestKnowledgeOutlivesVMs(t *testing.T) {
+	t.Run("the keepers, after the first loss one of them", func(t *testing.T) {
+		inWorld(t, 7, func(w *world) {
+			w.lose(0, 1)
+			time.Sleep(spread)
+			keeper := w.keepers("", 1)[0].Name
+			w.start(slices.IndexFunc(w.vms, func(v *vm) bool { return v.member.Name == keeper }))
+			w.lose(1, 1)
+			time.Sleep(spread)
+			for _, k := range w.keepers("", 1) {
+				w.start(slices.IndexFunc(w.vms, func(v *vm) bool { return v.member.Name == k.Name }))
+			}
+			w.lose(2, 1)
+			time.Sleep(spread + 2*refreshPeriod)
+			w.wantAll(1, bbsuspect.Refused)
+		})
+	})
+	t.Run("all but one", func(t *testing.T) {
+		inWorld(t, 7, func(w *world) {
+			for i := range 3 {
+				w.lose(i, 1)
+				time.Sleep(spread)
+			}
+			for i := range 6 {
+				w.start(i)
+			}
+			time.Sleep(spread + 2*refreshPeriod)
+			w.wantAll(1, bbsuspect.Refused)
+		})
+	})
+	t.Run("one that could not be told", func(t *testing.T) {
+		inWorld(t, 3, func(w *world) {
+			w.mu.Lock()
+			w.silent["vm2"] = true
+			w.mu.Unlock()
+			for range 3 {
+				w.lose(0, 1)
+			}
+			time.Sleep(2 * retryFor)
+			w.mu.Lock()
+			w.silent["vm2"] = false
+			w.mu.Unlock()
+			time.Sleep(retryFor)
+			w.wantAll(1, bbsuspect.Refused)
+		})
+	})
+}
+
+// Many callers ask for the same, and an outage ends several endpoints at once.
+func TestContentOfManyCallersIsNotBlamedForAnOutage(t *testing.T) {
+	t.Run("endpoints that end at the same time", func(t *testing.T) {
+		inWorld(t, 7, func(w *world) {
+			time.Sleep(50 * time.Millisecond)
+			for i, v := range w.vms {
+				now := time.Since(v.began)
+				for k := range 3 {
+					v.Lost(1, bbsuspect.Run{
+						ID:       uint64(10*i + k + 1),
+						Endpoint: fmt.Sprint("e", k),
+						Began:    now - 50*time.Millisecond,
+						Ended:    now,
+					})
+				}
+			}
+			time.Sleep(spread)
+			w.wantAtMost(1, bbsuspect.Watched)
+		})
+	})
+	t.Run("good runs between", func(t *testing.T) {
+		inWorld(t, 7, func(w *world) {
+			for i := range 12 {
+				w.lose(i%7, 1)
+				time.Sleep(spread)
+				w.succeed((i+1)%7, 1)
+				time.Sleep(spread)
+				w.wantAtMost(1, bbsuspect.Watched)
+			}
+		})
+	})
+	t.Run("a VM that is cut off from endpoints", func(t *testing.T) {
+		inWorld(t, 7, func(w *world) {
+			for _, v := range w.vms {
+				w.silent[v.member.Name] = true
+			}
+			for i := range 3 {
+				w.lose(0, 1)
+				time.Sleep(spread)
+				w.succeed(1+i, 1)
+			}
+			w.mu.Lock()
+			clear(w.silent)
+			w.mu.Unlock()
+			time.Sleep(retryFor)
+			w.wantAll(1, bbsuspect.Clear)
+		})
+	})
+}
+
+// The loss of an endpoint that ran many requests isn't told to all VMs.
+func TestOneLossIsToldToKeepersOnly(t *testing.T) {
+	inWorld(t, 12, func(w *world) {
+		v := w.vms[0]
+		now := time.Since(v.began)
+		for content := range uint64(90) {
+			v.Lost(content+1, bbsuspect.Run{
+				ID:       content + 1,
+				Endpoint: "e",
+				Began:    now - 50*time.Millisecond,
+				Ended:    now,
+			})
+		}
+		time.Sleep(spread)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.messages > 2*len(w.vms) {
+			t.Errorf("%d messages on one lost endpoint, want at most two for each VM", w.messages)
+		}
+	})
+}
+
+func TestNewsIsBounded(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		var news bbpeer.Suspects
+		for i := range 3 * maxContents {
+			news.Suspects = append(news.Suspects, bbmsg.Suspect{
+				Fingerprint: uint64(i + 1),
+				Runs:        []bbmsg.SuspectRun{{ID: 1, BeganAgo: time.Second}},
+			})
+		}
+		w.vms[0].Take(news)
+		if watched, _ := w.vms[0].Counts(); watched > maxNews {
+			t.Errorf("%d contents of one message are watched, want at most %d", watched, maxNews)
+		}
+	})
+}
+
+func TestContentThatIsNotKnownIsClear(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		for range 5 {
+			w.lose(0, 0)
+		}
+		time.Sleep(spread)
+		w.wantAll(0, bbsuspect.Clear)
+	})
+}
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -11,6 +11,7 @@
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
+	"bluebellhall/core/bbsuspect"
 )
 
 // CallDone takes in the end of a call. Results are in the order of its pieces; there are
@@ -36,6 +37,9 @@
 		Detail:   bbdecision.Describe(call, o, results),
 		Value:    now - call.Sent,
 	})
+	if o == bbhealth.OutcomeBroken {
+		c.callLost(now, call)
+	}
 	retry := make(bbpool.ByJob)
 	for i, piece := range call.Pieces {
 		j := c.jobs[piece.Job]
@@ -78,6 +82,24 @@
 	return c.decide(now)
 }
 
+// callLost notes that the requests with pieces in a call may have crashed its endpoint.
+func (c *Coordinator) callLost(now time.Duration, call *bbpool.Call) {
+	told := make(map[string]bool)
+	for _, piece := range call.Pieces {
+		j := c.jobs[piece.Job]
+		if j == nil || told[piece.Job] {
+			continue
+		}
+		told[piece.Job] = true
+		c.know.Lost(j.Order.Fingerprint, bbsuspect.Run{
+			ID:       bbsuspect.RunID(piece.Job, strconv.FormatUint(call.ID, 10)+" at "+call.Endpoint),
+			Endpoint: call.Endpoint,
+			Began:    call.Sent,
+			Ended:    now,
+		})
+	}
+}
+
 // loseInputs gives up the results that a stage needs, so that they are made again.
 func (c *Coordinator) loseInputs(j *bbprogress.Job, stage int) {
 	c.log(bbdecision.Event{
@@ -182,6 +204,11 @@
 		c.drop(j)
 		return
 	}
+	if c.suspicion(j) == bbsuspect.Refused {
+		c.refuse(id, suspectReason, bbsuspect.RetryAfter, now-j.Arrived)
+		c.drop(j)
+		return
+	}
 	c.release(j)
 }
 
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -20,6 +20,7 @@
 	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbsuspect"
 )
 
 // Knowledge is what the coordinator asks of its VM.
@@ -34,6 +35,10 @@
 	Majority func() bool
 	// Alone tells whether no other VM coordinates these endpoints or did so a moment ago.
 	Alone func() bool
+	// Suspicion tells how a content is treated that may crash endpoints; nil means like any other.
+	Suspicion func(fingerprint uint64) bbsuspect.Verdict
+	// Lost takes in a run that ended with its endpoint; nil ignores it.
+	Lost func(fingerprint uint64, run bbsuspect.Run)
 	// Share returns the part of the fleet's allowance for repeats that this coordinator has;
 	// nil for all of it.
 	Share func() float64
@@ -67,10 +72,8 @@
 	// learned has what requests of each route have taught.
 	learned bbhistory.Experiences
 	// latest has what the latest order for each service of engines needed.
-	latest  map[string]bbplacement.Need
-	refused *bbhistory.Refusals
-	// suspects has the content of requests under which engines broke off.
-	suspects *bbhistory.Suspects
+	latest   map[string]bbplacement.Need
+	refused  *bbhistory.Refusals
 	lastCall uint64
 	// tidied is when the tables of engines were last freed of what is gone.
 	tidied time.Duration
@@ -85,9 +88,8 @@
 	// lateness is the part of its objective by which a request may be expected too late
 	// and still be taken in.
 	lateness = 0.25
-	// suspectRetryAfter is for requests that have crashed engines; nothing will have changed
-	// sooner.
-	suspectRetryAfter = 5 * time.Second
+	// malformedRetryAfter is for orders that no coordinator of this version can work on.
+	malformedRetryAfter = 5 * time.Second
 	// minRetryAfter keeps refused callers from coming back before anything has changed.
 	minRetryAfter = 150 * time.Millisecond
 	// linkLead is the time of a round trip between regions and some work at both ends.
@@ -103,6 +105,12 @@
 	if k.Share == nil {
 		k.Share = func() float64 { return 1 }
 	}
+	if k.Suspicion == nil {
+		k.Suspicion = func(uint64) bbsuspect.Verdict { return bbsuspect.Clear }
+	}
+	if k.Lost == nil {
+		k.Lost = func(uint64, bbsuspect.Run) {}
+	}
 	if k.Spill == nil {
 		k.Spill = func(bbjob.Order, time.Duration, func(string) bool) (string, time.Duration) { return "", 0 }
 	}
@@ -121,13 +129,12 @@
 				}
 			},
 		},
-		calls:    make(map[uint64]*bbpool.Call),
-		freed:    make(map[string][]string),
-		waiting:  make(map[string]*bbprogress.Job),
-		learned:  make(bbhistory.Experiences),
-		latest:   make(map[string]bbplacement.Need),
-		refused:  bbhistory.NewRefusals(),
-		suspects: bbhistory.NewSuspects(),
+		calls:   make(map[uint64]*bbpool.Call),
+		freed:   make(map[string][]string),
+		waiting: make(map[string]*bbprogress.Job),
+		learned: make(bbhistory.Experiences),
+		latest:  make(map[string]bbplacement.Need),
+		refused: bbhistory.NewRefusals(),
 	}
 }
 
@@ -144,7 +151,7 @@
 			Job:    o.ID,
 			Detail: err.Error(),
 		})
-		c.refuse(o.ID, "malformed", suspectRetryAfter, 0)
+		c.refuse(o.ID, "malformed", malformedRetryAfter, 0)
 		return c.flush()
 	}
 	if j := c.jobs[o.ID]; j != nil {
@@ -164,8 +171,8 @@
 		return c.flush()
 	}
 	j := bbprogress.NewJob(now, o)
-	if c.suspects.Refused(now, j.Content) {
-		c.refuse(o.ID, "suspect", suspectRetryAfter, 0)
+	if c.suspicion(j) == bbsuspect.Refused {
+		c.refuse(o.ID, suspectReason, bbsuspect.RetryAfter, 0)
 		return c.flush()
 	}
 	c.adopt(now, j)
@@ -335,6 +342,9 @@
 // hopeless tells why a request is given up, and when its caller should come back; the cause is
 // empty if it goes on.
 func (c *Coordinator) hopeless(now time.Duration, j *bbprogress.Job) (cause string, retryAfter time.Duration) {
+	if c.suspicion(j) == bbsuspect.Refused {
+		return suspectReason, bbsuspect.RetryAfter
+	}
 	if now+j.Tail() > j.Limit {
 		return "deadline", minRetryAfter
 	}
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -416,36 +416,6 @@
 	wantFreed(t, c.CallDone(1900*ms, third.ID, "east", bbhealth.OutcomeGood, late), late[0].Handle)
 }
 
-func TestRequestThatCrashesEnginesIsRefusedInTheEnd(t *testing.T) {
-	c := newTestCoordinator()
-	granted := 0
-	for try := range 8 {
-		now := time.Duration(try) * 10 * time.Second
-		o := testOrder("a", 0)
-		o.ID += string(rune('0' + try))
-		o.Stages = nil
-		out := c.Submit(now, o)
-		if len(out.Refusals) > 0 {
-			break
-		}
-		for _, g := range out.Grants {
-			granted++
-			c.Progress(now, bbjob.Note{
-				ID:       g.ID,
-				Endpoint: g.Endpoint,
-				Ended:    true,
-				Outcome:  bbhealth.OutcomeBroken,
-			})
-		}
-	}
-	if granted > 4 {
-		t.Errorf("a request that crashes engines was granted one %d times, want at most 4", granted)
-	}
-	if out := c.Submit(90*time.Second, testOrder("b", 1)); len(out.Refusals) > 0 {
-		t.Errorf("another request was refused: %+v", out.Refusals)
-	}
-}
-
 func TestRepeatThatWaitsIsCountedOnce(t *testing.T) {
 	c := newTestCoordinator()
 	c.know.Endpoints = func(string) []*bbregistry.Entry { return nil }
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -12,6 +12,7 @@
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbplacement"
 	"bluebellhall/core/bbprogress"
+	"bluebellhall/core/bbsuspect"
 )
 
 // place grants engines to the requests whose stages are done, the most urgent first.
@@ -49,7 +50,12 @@
 	}
 	// The repeat is counted once, however long the request waits for its engine.
 	j.Repeated = false
-	e, ok := c.table(service).Choose(now, c.need(now, j), c.listEngines(service), bbplacement.PaceOf(c.know.Service(service), c.know.Majority()))
+	if c.suspicion(j) == bbsuspect.Refused {
+		c.refuse(j.Order.ID, suspectReason, bbsuspect.RetryAfter, now-j.Arrived)
+		c.drop(j)
+		return
+	}
+	e, ok := c.table(service).Choose(now, c.need(j), c.listEngines(service), bbplacement.PaceOf(c.know.Service(service), c.know.Majority()))
 	if !ok {
 		return
 	}
@@ -72,7 +78,7 @@
 }
 
 // need returns what a request asks of an engine.
-func (c *Coordinator) need(now time.Duration, j *bbprogress.Job) bbplacement.Need {
+func (c *Coordinator) need(j *bbprogress.Job) bbplacement.Need {
 	_, bytes := j.Finals()
 	delete(bytes, "")
 	return bbplacement.Need{
@@ -86,7 +92,8 @@
 		Inputs:    bytes,
 		Allowed:   j.Order.Allowed(c.know.Region),
 		Avoid:     j.Order.Avoid,
-		Alone:     c.suspects.Alone(now, j.Content),
+		Watched:   c.suspicion(j) >= bbsuspect.Watched,
+		Alone:     c.suspicion(j) >= bbsuspect.Alone,
 	}
 }
 
@@ -124,7 +131,6 @@
 	if !n.Ended {
 		return c.decide(now)
 	}
-	c.suspects.Note(now, j.Content, n, t.Running(n.Endpoint)-1)
 	t.Ended(now, n.Endpoint, n.ID, n.Outcome)
 	if n.Again && n.Outcome != bbhealth.OutcomeGood {
 		j.Order.Avoid = append(j.Order.Avoid, n.Endpoint)
@@ -150,6 +156,7 @@
 	c.table(o.Service).Ended(now, j.Granted, o.ID, bbhealth.OutcomeFull)
 	j.Granted = ""
 	j.Order.Avoid = o.Avoid
+	j.Order.Suspicion = o.Suspicion
 	j.Repeated = o.Repeat
 	if o.InputsGone && !loseExpired(now, j) {
 		// Nobody knows which of them are gone.
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -38,7 +38,7 @@
 		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(p.UsualBatch(s.Pieces))
 		last = max(last, finished[i])
 	}
-	need := c.need(now, j)
+	need := c.need(j)
 	c.latest[o.Service] = need
 	wish, wait := c.table(o.Service).Outlook(now, need, c.listEngines(o.Service))
 	j.Wish = wish
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -3,6 +3,7 @@
 import (
 	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
+	"bluebellhall/core/bbsuspect"
 )
 
 // maxPieceTries bounds the calls that one piece may be in.
@@ -32,6 +33,15 @@
 	}
 }
 
+// suspectReason is the reason of refusals of content that crashes endpoints.
+const suspectReason = "suspect"
+
+// suspicion tells how the content of a request is to be treated, by what this VM or the request's
+// origin knows.
+func (c *Coordinator) suspicion(j *bbprogress.Job) bbsuspect.Verdict {
+	return max(c.know.Suspicion(j.Order.Fingerprint), j.Order.Suspicion)
+}
+
 // addGroup puts pieces of a stage into its pool.
 func (c *Coordinator) addGroup(j *bbprogress.Job, stage int, pieces []int) {
 	s := j.Order.Stages[stage]
@@ -52,6 +62,7 @@
 		ResultBytes: s.ResultBytes,
 		Due:         j.DueOf(stage),
 		Begun:       len(pieces) < s.Pieces,
+		Alone:       c.suspicion(j) >= bbsuspect.Watched,
 		Limit:       j.Limit,
 		Zone:        j.Home(stage),
 		MoveBytes:   j.MoveBytes(stage, len(pieces)),
--- /dev/null
+++ b/core/bbcoordinator/suspect_test.go
@@ -0,0 +1,166 @@
+package bbcoordinator
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bbsuspect"
+)
+
+// newWatchfulCoordinator returns a coordinator with what its VM knows of contents, as of the time
+// that is set.
+func newWatchfulCoordinator(second ...string) (c *Coordinator, table *bbsuspect.Table, now *time.Duration) {
+	c = newTestCoordinator(second...)
+	table, now = bbsuspect.New(100), new(time.Duration)
+	c.know.Suspicion = func(content uint64) bbsuspect.Verdict { return table.Verdict(*now, content) }
+	c.know.Lost = func(content uint64, run bbsuspect.Run) { table.Lost(*now, content, run) }
+	return c, table, now
+}
+
+// orderOf returns an order for a content, without stages if it has no pieces of the second.
+func orderOf(id string, content uint64, second int) bbjob.Order {
+	o := testOrder(id, second)
+	o.Fingerprint = content
+	if second == 0 {
+		o.Stages = nil
+	}
+	return o
+}
+
+// lose notes that a content lost some endpoints, one after the other, until a time.
+func lose(table *bbsuspect.Table, now time.Duration, content uint64, times int) {
+	for i := range times {
+		ended := now - time.Duration(times-1-i)*100*ms
+		table.Lost(now, content, bbsuspect.Run{
+			ID:       uint64(ended),
+			Endpoint: "e1",
+			Began:    ended - 50*ms,
+			Ended:    ended,
+		})
+	}
+}
+
+// wantRefused checks that some orders, and only these, are refused as suspect.
+func wantRefused(t *testing.T, out bbdecision.Output, ids ...string) {
+	t.Helper()
+	var got []string
+	for _, r := range out.Refusals {
+		if r.Reason == suspectReason && r.RetryAfter == bbsuspect.RetryAfter {
+			got = append(got, r.ID)
+		}
+	}
+	slices.Sort(got)
+	if diff := cmp.Diff(ids, got); diff != "" {
+		t.Errorf("orders refused as suspect (-want +got):\n%s\nall refusals: %+v", diff, out.Refusals)
+	}
+}
+
+// A request that crashes each engine it runs on was granted engines without end.
+func TestContentThatCrashesEnginesIsRefused(t *testing.T) {
+	c, table, now := newWatchfulCoordinator()
+	granted := 0
+	for try := range 8 {
+		*now = time.Duration(try) * 10 * time.Second
+		out := c.Submit(*now, orderOf(string(rune('0'+try)), 1, 0))
+		if try >= 3 {
+			wantRefused(t, out, string(rune('0'+try)))
+		}
+		for _, g := range out.Grants {
+			granted++
+			*now += 50 * ms
+			lose(table, *now, 1, 1)
+			c.Progress(*now, bbjob.Note{
+				ID:       g.ID,
+				Endpoint: g.Endpoint,
+				Ended:    true,
+				Outcome:  bbhealth.OutcomeBroken,
+			})
+		}
+	}
+	if granted != 3 {
+		t.Errorf("a request that crashes engines was granted one %d times, want 3", granted)
+	}
+	if out := c.Submit(*now, orderOf("b", 2, 1)); len(out.Refusals) > 0 {
+		t.Errorf("another request was refused: %+v", out.Refusals)
+	}
+}
+
+// A request was sent to an engine though its content had been found out while it waited.
+func TestVerdictBindsRequestsThatWait(t *testing.T) {
+	t.Run("for an engine", func(t *testing.T) {
+		c, table, now := newWatchfulCoordinator()
+		o := orderOf("a", 1, 0)
+		o.Avoid = []string{"e1"}
+		if out := c.Submit(0, o); len(out.Refusals)+len(out.Grants) > 0 {
+			t.Fatalf("output %+v, want the order to wait", out)
+		}
+		lose(table, 0, 1, 3)
+		out := c.Submit(*now, orderOf("b", 2, 0))
+		wantRefused(t, out, "a")
+		if len(out.Grants) != 1 || out.Grants[0].ID != "b" {
+			t.Errorf("grants %+v, want one for the other request", out.Grants)
+		}
+	})
+	t.Run("for a stage", func(t *testing.T) {
+		c, table, now := newWatchfulCoordinator()
+		calls := toSecond(t, c, orderOf("a", 1, 1))
+		c.CallDone(300*ms, calls[0].ID, "east", bbhealth.OutcomeFull, nil)
+		*now = 310 * ms
+		lose(table, *now, 1, 3)
+		wantRefused(t, c.Tick(*now), "a")
+	})
+	t.Run("as the origin knows it", func(t *testing.T) {
+		c, _, _ := newWatchfulCoordinator()
+		o := orderOf("a", 1, 0)
+		o.Suspicion = bbsuspect.Refused
+		wantRefused(t, c.Submit(0, o), "a")
+	})
+}
+
+// Pieces under which a stage worker ended were sent to the next one, together with those that had
+// been in the same call, until no worker was left.
+func TestContentThatCrashesStageWorkersIsRefusedAndOthersAreServed(t *testing.T) {
+	c, _, now := newWatchfulCoordinator("s1", "s2", "s3", "s4")
+	var open []*bbpool.Call
+	for i, id := range []string{"a", "b", "c"} {
+		open = append(open, c.Submit(0, orderOf(id, uint64(i+1), 1)).Calls...)
+	}
+	const crasher = "b"
+	var granted []string
+	refused, crashed := false, 0
+	for len(open) > 0 {
+		call := open[0]
+		open = open[1:]
+		*now += 200 * ms
+		crashes := slices.ContainsFunc(call.Pieces, func(p bbpool.Piece) bool { return p.Job == crasher && p.Stage == 1 })
+		var out bbdecision.Output
+		if crashes {
+			crashed++
+			out = c.CallDone(*now, call.ID, "", bbhealth.OutcomeBroken, nil)
+		} else {
+			out = c.CallDone(*now, call.ID, "east", bbhealth.OutcomeGood, good(call))
+		}
+		for _, g := range out.Grants {
+			granted = append(granted, g.ID)
+		}
+		for _, r := range out.Refusals {
+			refused = refused || r.ID == crasher && r.Reason == suspectReason
+		}
+		open = append(open, out.Calls...)
+		open = append(open, c.Tick(*now+60*ms).Calls...)
+	}
+	slices.Sort(granted)
+	if diff := cmp.Diff([]string{"a", "c"}, granted); diff != "" {
+		t.Errorf("requests that went on to an engine (-want +got):\n%s", diff)
+	}
+	if !refused || crashed != 3 {
+		t.Errorf("refused %t after %d crashes, want true after 3", refused, crashed)
+	}
+}
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -119,6 +119,9 @@
 	CallOverdue          Number = 843
 	EntryRequestEnded    Number = 851
 	RunBroke             Number = 852
+	SilentChecked        Number = 853
+	ContentJudged        Number = 854
+	SuspectsUntold       Number = 855
 	NoteDropped          Number = 861
 	NotesLost            Number = 862
 	UpdateDropped        Number = 863
@@ -215,6 +218,9 @@
 	{Number: CallOverdue, Title: "callOverdue", Severity: SeverityWarning, Text: "A call is late; its pieces go to another endpoint too."},
 	{Number: EntryRequestEnded, Title: "entryRequestEnded", Severity: SeverityInfo, Text: "A caller's request ended: route, outcome, cause, endpoint, tries and times. Content is the same for requests of one caller that ask for the same."},
 	{Number: RunBroke, Title: "runBroke", Severity: SeverityInfo, Text: "An endpoint gave no whole answer to a request. Content names what was asked, cause how the exchange ended; silent tells that its time was over."},
+	{Number: SilentChecked, Title: "silentChecked", Severity: SeverityInfo, Text: "An endpoint under which a request's time was over was asked for a connection; gone tells that it takes none, so that the run counts as lost."},
+	{Number: ContentJudged, Title: "contentJudged", Severity: SeverityWarning, Text: "Content that ended endpoints is treated in another way, as far as this VM knows: clear, watched, alone (only where nothing else runs) or refused."},
+	{Number: SuspectsUntold, Title: "suspectsUntold", Severity: SeverityInfo, Text: "Another VM could not be told of content that ended endpoints; it is told again."},
 	{Number: NoteDropped, Title: "noteDropped", Severity: SeverityWarning, Text: "Too many notes of progress wait; the coordinator notices by the request's limit."},
 	{Number: NotesLost, Title: "notesLost", Severity: SeverityInfo, Text: "A coordinator could not be told of progress."},
 	{Number: UpdateDropped, Title: "updateDropped", Severity: SeverityWarning, Text: "An origin lags behind; results are made again if this coordinator is lost."},
--- a/core/bbflow/flow.go
+++ b/core/bbflow/flow.go
@@ -185,9 +185,9 @@
 	Observe func(now time.Duration, service string, took time.Duration)
 	// Died is called when an endpoint died under an attempt, with the number of
 	// other attempts on it. It tells how the content is to be treated from now on.
-	Died func(now time.Duration, r *bbhome.Record, endpoint string, others int) bbsuspect.Verdict
-	// Survived is called when the last stage has succeeded.
-	Survived func(r *bbhome.Record)
+	Died func(now time.Duration, r *bbhome.Record, stage int, a Attempt, others int) bbsuspect.Verdict
+	// Survived is called when the last stage has succeeded, in an attempt that was sent at a time.
+	Survived func(r *bbhome.Record, sent time.Duration)
 }
 
 // Table holds the runs of one node. It is not safe for concurrent use.
--- a/core/bbflow/flow_test.go
+++ b/core/bbflow/flow_test.go
@@ -105,10 +105,10 @@
 		},
 		HedgeDelay: func(time.Duration, time.Duration, string) (time.Duration, bool) { return testHedge, r.hedges },
 		Observe:    func(time.Duration, string, time.Duration) {},
-		Died: func(time.Duration, *bbhome.Record, string, int) bbsuspect.Verdict {
+		Died: func(time.Duration, *bbhome.Record, int, Attempt, int) bbsuspect.Verdict {
 			return r.verdict
 		},
-		Survived: func(*bbhome.Record) {},
+		Survived: func(*bbhome.Record, time.Duration) {},
 	}
 }
 
--- a/core/bbflow/result.go
+++ b/core/bbflow/result.go
@@ -91,7 +91,7 @@
 	t.emit(r, bbevent.StageAnswered, *a, r.step().Service)
 	t.Seams.Observe(now, r.step().Service, now-a.Sent)
 	if r.last() {
-		t.Seams.Survived(r.Record)
+		t.Seams.Survived(r.Record, a.Sent)
 		r.Record.Body = m.Body
 		t.end(r, bbmsg.OutcomeAnswered, bbmsg.ReasonNone)
 		return
@@ -164,8 +164,8 @@
 
 // suspected notes the death of an endpoint and tells whether the run must end.
 func (t *Table) suspected(now time.Duration, r *Run, a *Attempt, others int) bool {
-	verdict := t.Seams.Died(now, r.Record, a.Endpoint, others)
-	if verdict == bbsuspect.Clear {
+	verdict := t.Seams.Died(now, r.Record, r.Stage, *a, others)
+	if verdict < bbsuspect.Alone {
 		return false
 	}
 	r.Alone = true
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -12,6 +12,7 @@
 
 	"bluebellhall/core/bbhash"
 	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbsuspect"
 )
 
 // Order tells a coordinator what a request needs. Times are durations that are left when
@@ -57,6 +58,11 @@
 	Repeat bool `json:"repeat"`
 	// Spilled is true when the coordinator of another cell named this one; it isn't sent on.
 	Spilled bool `json:"spilled"`
+	// Fingerprint is a hash of what the caller asks, the same for each of its attempts; 0 if it
+	// isn't known. It tells contents that crash endpoints.
+	Fingerprint uint64 `json:"fingerprint"`
+	// Suspicion is how the origin would treat that content.
+	Suspicion bbsuspect.Verdict `json:"suspicion"`
 	// InputsGone is true when that engine found that some of its inputs no longer exist.
 	InputsGone bool `json:"inputsGone"`
 }
--- a/core/bbmsg/envelope.go
+++ b/core/bbmsg/envelope.go
@@ -1,6 +1,10 @@
 package bbmsg
 
-import "bluebellhall/core/bbevent"
+import (
+	"time"
+
+	"bluebellhall/core/bbevent"
+)
 
 // Batch is what one send on a link carries, in order.
 type Batch struct {
@@ -302,19 +306,27 @@
 	KeepMillis int64 `json:"keepMillis"`
 }
 
-// Suspect tells peers of content that killed endpoints.
+// Suspect tells other processes of content that lost endpoints. Times are ages, so that no clocks
+// are compared.
 type Suspect struct {
-	// Fingerprint is a hash of target and body.
+	// Fingerprint is a hash of target, caller and body.
 	Fingerprint uint64 `json:"fingerprint"`
-	// Deaths counts the deaths of endpoints under it, Sole those with nothing else on
-	// the endpoint.
-	Deaths int `json:"deaths"`
-	Sole   int `json:"sole,omitempty"`
-	// Endpoint is the endpoint that died last, with Others attempts of other content.
-	Endpoint string `json:"endpoint,omitempty"`
-	Others   int    `json:"others,omitempty"`
-	// KeepMillis is how long the suspicion lasts from now.
-	KeepMillis int64 `json:"keepMillis"`
+	// Runs are those that ended with their endpoint.
+	Runs []SuspectRun `json:"runs,omitempty"`
+	// Good is the age of the beginning of the newest run that came to a good end; nil if there
+	// was none.
+	Good *time.Duration `json:"good,omitempty"`
+}
+
+// SuspectRun is a run that ended with its endpoint.
+type SuspectRun struct {
+	// ID is unique for each run.
+	ID       uint64        `json:"id"`
+	Endpoint string        `json:"endpoint"`
+	BeganAgo time.Duration `json:"beganAgo"`
+	EndedAgo time.Duration `json:"endedAgo"`
+	// Alone is true when nothing else was on the endpoint.
+	Alone bool `json:"alone,omitempty"`
 }
 
 // RulesText is one revision of the rules as published.
--- a/core/bbnode/suspects.go
+++ b/core/bbnode/suspects.go
@@ -1,8 +1,11 @@
 package bbnode
 
 import (
+	"strconv"
 	"time"
 
+	"bluebellhall/core/bbflow"
+	"bluebellhall/core/bbhash"
 	"bluebellhall/core/bbhome"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbsuspect"
@@ -12,25 +15,30 @@
 const maxSuspects = 4096
 
 // endpointDied notes that an endpoint died under a request and tells the peers.
-func (n *Node) endpointDied(now time.Duration, r *bbhome.Record, endpoint string, others int) bbsuspect.Verdict {
-	verdict, _, _ := n.suspects.Died(now, bbsuspect.Death{
-		Fingerprint: r.Fingerprint,
-		Endpoint:    endpoint,
-		Others:      others,
+func (n *Node) endpointDied(now time.Duration, r *bbhome.Record, stage int, a bbflow.Attempt, others int) bbsuspect.Verdict {
+	verdict, noted := n.suspects.Lost(now, r.Fingerprint, bbsuspect.Run{
+		ID:       bbhash.Name(r.ID + " " + strconv.Itoa(stage) + "." + strconv.Itoa(a.Number)),
+		Endpoint: a.Endpoint,
+		Began:    a.Sent,
+		Ended:    now,
+		Alone:    others == 0,
 	})
-	for _, s := range n.suspects.Outbox() {
-		n.tellSuspect(s)
+	if noted {
+		n.tellSuspect(now, r.Fingerprint)
 	}
 	return verdict
 }
 
-// survived clears content that went through a stage.
-func (n *Node) survived(r *bbhome.Record) {
-	n.suspects.Succeeded(n.now, r.Fingerprint)
+// survived clears content that went through its last stage.
+func (n *Node) survived(r *bbhome.Record, sent time.Duration) {
+	if n.suspects.Succeeded(n.now, r.Fingerprint, sent) {
+		n.tellSuspect(n.now, r.Fingerprint)
+	}
 }
 
-// tellSuspect tells all peers that answer of content that kills endpoints.
-func (n *Node) tellSuspect(s bbmsg.Suspect) {
+// tellSuspect tells all peers that answer what is known of a content that kills endpoints.
+func (n *Node) tellSuspect(now time.Duration, fingerprint uint64) {
+	s := n.suspects.Snapshot(now, fingerprint)
 	for _, name := range n.Members.AlivePeers() {
 		n.send(name, bbmsg.Envelope{
 			Suspect: &s,
--- a/core/bbsuspect/suspect.go
+++ b/core/bbsuspect/suspect.go
@@ -1,12 +1,11 @@
 // Package bbsuspect finds requests that crash the endpoints they run on. Content is
-// known by its fingerprint, a hash of target and body, so that a new request id
+// known by its fingerprint, a hash of target, caller and body, so that a new request id
 // changes nothing.
 //
-// An attempt that was on an endpoint with others when it died shares the blame: after
-// two deaths its content is retried alone, on an endpoint that carries nothing else,
-// and a success clears it. Only a death with nothing else on the endpoint proves
-// something; content that has caused two of them, or one after other deaths, is
-// refused until it expires.
+// What counts is a run that ended with its endpoint. Others on the endpoint share the blame:
+// after two such runs, one after the other, content is run alone, on an endpoint that carries
+// nothing else, and a good end clears it. After the third it is refused until it expires,
+// whoever was there. Two are enough where nothing else was on the endpoints.
 package bbsuspect
 
 import (
@@ -16,89 +15,12 @@
 )
 
 const (
-	// sharedKeep is how long content is remembered whose deaths were all shared.
-	sharedKeep = 30 * time.Second
-	// soleKeep is how long other content is remembered that is not refused.
-	soleKeep = 5 * time.Minute
-	// refusedKeep is how long content is refused after its last death.
-	refusedKeep = 10 * time.Minute
-	// sameDeath is the time within which news of the same content and endpoint tells
-	// of the same death.
-	sameDeath = 2 * time.Second
 	// sweepInterval is how often expired rows are looked for.
 	sweepInterval = time.Second
-	// maxOutbox bounds the news that wait for the peers.
-	maxOutbox = 64
-	// seenEndpoints is how many dead endpoints a row remembers.
-	seenEndpoints = 4
-	// aloneDeaths is the number of deaths after which content runs alone only.
-	aloneDeaths = 2
-	// sameEndpointDeaths is the number of sole deaths that count as proof when all
-	// were of one endpoint, which may be at fault itself.
-	sameEndpointDeaths = 3
+	// maxActive bounds the rows that Active returns.
+	maxActive = 256
 )
 
-// Verdict tells how to treat content. Later values are stricter.
-type Verdict uint8
-
-// The verdicts on content.
-const (
-	// Clear content runs like any other.
-	Clear Verdict = iota
-	// Alone content runs only on an endpoint that carries nothing else.
-	Alone
-	// Refused content does not run.
-	Refused
-)
-
-// String returns the verdict as a word.
-func (v Verdict) String() string {
-	return [...]string{"clear", "alone", "refused"}[v]
-}
-
-// Death tells that an endpoint died while an attempt was on it.
-type Death struct {
-	// Fingerprint is the hash of target and body of the request.
-	Fingerprint uint64
-	// Endpoint is the name of the endpoint.
-	Endpoint string
-	// Others counts the other attempts on the endpoint.
-	Others int
-}
-
-// Row is what is known of one content.
-type Row struct {
-	// Deaths counts deaths under the content, Sole those with nothing else there.
-	Deaths int
-	Sole   int
-	// Until is when the row expires.
-	Until time.Duration
-	// endpoints has the last endpoints that died and when, newest last.
-	endpoints [seenEndpoints]seenDeath
-	// distinct counts different endpoints, up to seenEndpoints.
-	distinct int
-}
-
-// seenDeath is an endpoint with the time of its last death under the content.
-type seenDeath struct {
-	endpoint string
-	at       time.Duration
-}
-
-// Verdict returns how to treat the content.
-func (r *Row) Verdict() Verdict {
-	switch {
-	case r.Sole >= 2 && r.distinct >= 2,
-		r.Sole >= 1 && r.Deaths > aloneDeaths && r.distinct >= 2,
-		r.Sole >= sameEndpointDeaths:
-		return Refused
-	case r.Deaths >= aloneDeaths:
-		return Alone
-	default:
-		return Clear
-	}
-}
-
 // Table holds what is known of suspect content. It is bounded: when it is full, new
 // content takes the place of the row that is least suspect, the first to expire among
 // equals. If all rows are refused content, new content is not noted.
@@ -107,8 +29,6 @@
 	rows map[uint64]*Row
 	// limit bounds rows.
 	limit int
-	// outbox has the news for peers, at most maxOutbox.
-	outbox []bbmsg.Suspect
 	// lastSweep is when expired rows were last looked for.
 	lastSweep time.Duration
 }
@@ -130,179 +50,175 @@
 	if r == nil {
 		return Clear
 	}
-	return r.Verdict()
+	return r.Verdict(now)
 }
 
-// Died takes in a death that this node's own request saw. It returns the verdict and
-// whether that got stricter; noted is false when the table is full for it.
-func (t *Table) Died(now time.Duration, d Death) (verdict Verdict, stricter, noted bool) {
-	before := t.Verdict(now, d.Fingerprint)
-	r := t.note(now, d)
+// Lost takes in a run that ended with its endpoint. It returns the verdict; noted is false
+// when the run was known or the table is full for it.
+func (t *Table) Lost(now time.Duration, fingerprint uint64, run Run) (verdict Verdict, noted bool) {
+	r := t.open(now, fingerprint)
 	if r == nil {
-		return before, false, false
+		return Clear, false
 	}
-	verdict = r.Verdict()
-	t.tell(now, d, r)
-	return verdict, verdict > before, true
+	noted = r.add(run)
+	t.tidy(now, fingerprint, r)
+	return t.Verdict(now, fingerprint), noted
 }
 
-// Merge takes in what a peer tells.
-func (t *Table) Merge(now time.Duration, s bbmsg.Suspect) {
-	d := Death{
-		Fingerprint: s.Fingerprint,
-		Endpoint:    s.Endpoint,
-		Others:      s.Others,
-	}
-	r := t.note(now, d)
+// Succeeded takes in a run that came to a good end: what the content lost before it began is
+// forgotten. It is true if there was any. Runs from before a loss clear nothing of it.
+func (t *Table) Succeeded(now time.Duration, fingerprint uint64, began time.Duration) bool {
+	r := t.row(now, fingerprint)
 	if r == nil {
-		return
+		return false
 	}
-	r.Deaths = max(r.Deaths, s.Deaths)
-	r.Sole = max(r.Sole, s.Sole)
-	keep := min(bbmsg.Millis(s.KeepMillis), refusedKeep)
-	r.Until = max(r.Until, now+keep)
+	cleared := r.clear(began)
+	t.tidy(now, fingerprint, r)
+	return cleared
 }
 
-// Succeeded clears content that ran to its end. Refused content stays refused, since
-// the run may have been that of an attempt from before.
-func (t *Table) Succeeded(now time.Duration, fingerprint uint64) {
-	if r := t.row(now, fingerprint); r != nil && r.Verdict() != Refused {
-		delete(t.rows, fingerprint)
+// Merge takes in what another process tells. It is true if that was news. What can't be true is
+// passed over.
+func (t *Table) Merge(now time.Duration, s bbmsg.Suspect) bool {
+	r := t.open(now, s.Fingerprint)
+	if r == nil {
+		return false
 	}
-}
-
-// Outbox returns the news for all peers since the last call.
-func (t *Table) Outbox() []bbmsg.Suspect {
-	news := t.outbox
-	t.outbox = nil
+	news := false
+	if s.Good != nil && *s.Good >= 0 {
+		news = r.clear(now - *s.Good)
+	}
+	for _, run := range s.Runs[:min(len(s.Runs), maxRuns)] {
+		if run.EndedAgo < 0 || run.BeganAgo < run.EndedAgo || run.BeganAgo > refusedKeep+suspectKeep {
+			continue
+		}
+		news = r.add(Run{
+			ID:       run.ID,
+			Endpoint: run.Endpoint,
+			Began:    now - run.BeganAgo,
+			Ended:    now - run.EndedAgo,
+			Alone:    run.Alone,
+		}) || news
+	}
+	t.tidy(now, s.Fingerprint, r)
 	return news
 }
 
-// row returns the row of content, nil if nothing is known. Refused content whose time
-// is over stays as content to run alone, so that one more sole death refuses it again.
-func (t *Table) row(now time.Duration, fingerprint uint64) *Row {
-	r := t.rows[fingerprint]
-	if r == nil || now < r.Until {
-		return r
+// Snapshot returns what is known of content, for other processes.
+func (t *Table) Snapshot(now time.Duration, fingerprint uint64) bbmsg.Suspect {
+	s := bbmsg.Suspect{
+		Fingerprint: fingerprint,
 	}
-	if r.Verdict() != Refused {
-		delete(t.rows, fingerprint)
-		return nil
-	}
-	r.Sole = 0
-	r.Deaths = aloneDeaths
-	r.Until += soleKeep
-	return t.row(now, fingerprint)
-}
-
-// note counts a death, and returns nil when the table is full for the content.
-func (t *Table) note(now time.Duration, d Death) *Row {
-	t.sweep(now)
-	r := t.row(now, d.Fingerprint)
+	r := t.row(now, fingerprint)
 	if r == nil {
-		if !t.makeRoom() {
-			return nil
-		}
-		r = &Row{}
-		t.rows[d.Fingerprint] = r
+		return s
 	}
-	if r.seen(now, d.Endpoint) {
-		return r
+	if r.good != noGood {
+		ago := now - r.good
+		s.Good = &ago
 	}
-	r.Deaths++
-	if d.Others == 0 {
-		r.Sole++
+	for _, run := range r.runs {
+		s.Runs = append(s.Runs, bbmsg.SuspectRun{
+			ID:       run.ID,
+			Endpoint: run.Endpoint,
+			BeganAgo: now - run.Began,
+			EndedAgo: now - run.Ended,
+			Alone:    run.Alone,
+		})
 	}
-	r.Until = max(r.Until, now+r.keep())
-	return r
+	return s
 }
 
-// seen notes a dead endpoint and tells whether this death is known already.
-func (r *Row) seen(now time.Duration, endpoint string) bool {
-	for i := range r.distinct {
-		e := &r.endpoints[i]
-		if e.endpoint != endpoint {
-			continue
+// Active returns the contents that don't run like any other, at most maxActive of them, refused
+// ones first.
+func (t *Table) Active(now time.Duration) []uint64 {
+	var refused, alone []uint64
+	for fingerprint := range t.rows {
+		switch t.Verdict(now, fingerprint) {
+		case Refused:
+			refused = append(refused, fingerprint)
+		case Alone:
+			alone = append(alone, fingerprint)
+		default:
 		}
-		known := now-e.at < sameDeath
-		e.at = now
-		return known
-	}
-	if r.distinct == seenEndpoints {
-		copy(r.endpoints[:], r.endpoints[1:])
-		r.distinct--
 	}
-	r.endpoints[r.distinct] = seenDeath{
-		endpoint: endpoint,
-		at:       now,
-	}
-	r.distinct++
-	return false
+	all := append(refused, alone...)
+	return all[:min(len(all), maxActive)]
 }
 
-// keep returns how long the row is kept after a death.
-func (r *Row) keep() time.Duration {
-	switch {
-	case r.Verdict() == Refused:
-		return refusedKeep
-	case r.Sole > 0:
-		return soleKeep
-	default:
-		return sharedKeep
+// row returns the row of content, nil if nothing is known.
+func (t *Table) row(now time.Duration, fingerprint uint64) *Row {
+	r := t.rows[fingerprint]
+	if r != nil && now >= r.until() {
+		delete(t.rows, fingerprint)
+		return nil
 	}
+	return r
 }
 
-// tell puts a death into the outbox. When that is full, a first shared death gives
-// way, and other news take the place of the oldest.
-func (t *Table) tell(now time.Duration, d Death, r *Row) {
-	if len(t.outbox) >= maxOutbox {
-		if r.Verdict() == Clear {
-			return
+// open returns the row of content, a new one if nothing is known, and nil when the table is full
+// for it.
+func (t *Table) open(now time.Duration, fingerprint uint64) *Row {
+	t.sweep(now)
+	r := t.row(now, fingerprint)
+	if r == nil && t.makeRoom(now) {
+		r = &Row{
+			good: noGood,
 		}
-		t.outbox = append(t.outbox[:0], t.outbox[1:]...)
+		t.rows[fingerprint] = r
+	}
+	return r
+}
+
+// tidy forgets a row that says nothing.
+func (t *Table) tidy(now time.Duration, fingerprint uint64, r *Row) {
+	if now >= r.until() {
+		delete(t.rows, fingerprint)
 	}
-	t.outbox = append(t.outbox, bbmsg.Suspect{
-		Fingerprint: d.Fingerprint,
-		Deaths:      r.Deaths,
-		Sole:        r.Sole,
-		Endpoint:    d.Endpoint,
-		Others:      d.Others,
-		KeepMillis:  (r.Until - now).Milliseconds(),
-	})
 }
 
 // makeRoom removes the least suspect row if the table is full, and tells whether
 // there is room.
-func (t *Table) makeRoom() bool {
+func (t *Table) makeRoom(now time.Duration) bool {
 	if len(t.rows) < t.limit {
 		return true
 	}
-	var weakest uint64
-	var least *Row
+	var least *rank
 	for fingerprint, r := range t.rows {
-		if least == nil || weaker(fingerprint, r, weakest, least) {
-			weakest, least = fingerprint, r
+		if k := r.rank(now, fingerprint); least == nil || k.less(*least) {
+			least = &k
 		}
 	}
-	if least.Verdict() == Refused {
+	if least.verdict == Refused {
 		return false
 	}
-	delete(t.rows, weakest)
+	delete(t.rows, least.fingerprint)
 	return true
 }
 
-// weaker orders rows by verdict, sole deaths, expiry and fingerprint.
-func weaker(aPrint uint64, a *Row, bPrint uint64, b *Row) bool {
-	if a.Verdict() != b.Verdict() {
-		return a.Verdict() < b.Verdict()
+// rank orders rows by verdict, expiry and fingerprint.
+type rank struct {
+	verdict     Verdict
+	until       time.Duration
+	fingerprint uint64
+}
+
+func (r *Row) rank(now time.Duration, fingerprint uint64) rank {
+	return rank{
+		verdict:     r.Verdict(now),
+		until:       r.until(),
+		fingerprint: fingerprint,
 	}
-	if a.Sole != b.Sole {
-		return a.Sole < b.Sole
+}
+
+func (a rank) less(b rank) bool {
+	if a.verdict != b.verdict {
+		return a.verdict < b.verdict
 	}
-	if a.Until != b.Until {
-		return a.Until < b.Until
+	if a.until != b.until {
+		return a.until < b.until
 	}
-	return aPrint < bPrint
+	return a.fingerprint < b.fingerprint
 }
 
 // sweep removes expired rows, at most once per sweepInterval.
--- a/core/bbsuspect/suspect_test.go
+++ b/core/bbsuspect/suspect_test.go
@@ -7,47 +7,84 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbmsg"
 )
 
-// step is a death of content 1 at a time, with the verdict wanted after it.
+// step is a run of content 1 that ends with its endpoint, with the verdict wanted after it. It
+// lasts for half a second unless it began earlier.
 type step struct {
 	at       time.Duration
 	endpoint string
 	others   int
 	want     Verdict
+	ran      time.Duration
+}
+
+// run is the run of a step. Its ID follows from its place and time.
+func (s step) run() Run {
+	ran := s.ran
+	if ran == 0 {
+		ran = 500 * time.Millisecond
+	}
+	return Run{
+		ID:       RunID(s.endpoint, s.at.String()),
+		Endpoint: s.endpoint,
+		Began:    s.at - ran,
+		Ended:    s.at,
+		Alone:    s.others == 0,
+	}
 }
 
 func TestVerdicts(t *testing.T) {
+	const sec = time.Second
 	cases := []struct {
 		name  string
 		steps []step
 	}{
-		{"one death proves nothing", []step{{0, "a", 0, Clear}}},
-		{"two sole deaths are proof", []step{{0, "a", 0, Clear}, {5 * time.Second, "b", 0, Refused}}},
-		{"two shared deaths are suspect", []step{{0, "a", 4, Clear}, {5 * time.Second, "b", 4, Alone}}},
-		{"shared deaths alone never prove", []step{
-			{0, "a", 4, Clear}, {5 * time.Second, "b", 4, Alone}, {9 * time.Second, "c", 1, Alone}, {12 * time.Second, "d", 1, Alone},
-			{15 * time.Second, "e", 1, Alone},
+		{"one death proves nothing", []step{{at: 0, endpoint: "a", want: Watched}}},
+		{"two sole deaths are proof", []step{{at: 0, endpoint: "a", want: Watched}, {at: 5 * sec, endpoint: "b", want: Refused}}},
+		{"two shared deaths are suspect", []step{
+			{at: 0, endpoint: "a", others: 4, want: Watched}, {at: 5 * sec, endpoint: "b", others: 4, want: Alone},
+		}},
+		{"three shared deaths in turn are proof", []step{
+			{at: 0, endpoint: "a", others: 4, want: Watched}, {at: 5 * sec, endpoint: "b", others: 4, want: Alone},
+			{at: 9 * sec, endpoint: "c", others: 1, want: Refused},
 		}},
 		{"a sole death after shared ones is proof", []step{
-			{0, "a", 4, Clear}, {5 * time.Second, "b", 4, Alone}, {9 * time.Second, "c", 0, Refused},
+			{at: 0, endpoint: "a", others: 4, want: Watched}, {at: 5 * sec, endpoint: "b", others: 4, want: Alone},
+			{at: 9 * sec, endpoint: "c", others: 0, want: Refused},
+		}},
+		{"deaths at the same time count once", []step{
+			{at: 0, endpoint: "a", others: 4, want: Watched}, {at: 10 * time.Millisecond, endpoint: "b", others: 4, want: Watched},
+			{at: 20 * time.Millisecond, endpoint: "c", others: 4, want: Watched}, {at: 30 * time.Millisecond, endpoint: "d", others: 4, want: Watched},
+		}},
+		{"a long run that saw others die counts with them", []step{
+			{at: 0, endpoint: "a", others: 4, want: Watched}, {at: sec, endpoint: "b", others: 4, want: Alone},
+			{at: 2 * sec, endpoint: "c", others: 4, want: Alone, ran: 10 * sec},
 		}},
-		{"the same death told twice counts once", []step{{0, "a", 0, Clear}, {time.Second, "a", 0, Clear}}},
 		{"one endpoint may be at fault itself", []step{
-			{0, "a", 0, Clear}, {5 * time.Second, "a", 0, Alone}, {10 * time.Second, "a", 0, Refused},
+			{at: 0, endpoint: "a", want: Watched}, {at: 5 * sec, endpoint: "a", want: Alone}, {at: 10 * sec, endpoint: "a", want: Refused},
+		}},
+		{"an endpoint that is back at once dies each time", []step{
+			{at: 0, endpoint: "a", others: 4, want: Watched}, {at: sec, endpoint: "a", others: 4, want: Alone},
+			{at: 2 * sec, endpoint: "a", others: 4, want: Refused},
 		}},
-		{"shared deaths are forgotten soon", []step{{0, "a", 4, Clear}, {sharedKeep, "b", 4, Clear}}},
-		{"sole deaths are forgotten later", []step{{0, "a", 0, Clear}, {sharedKeep, "b", 0, Refused}}},
-		{"sole deaths are forgotten at last", []step{{0, "a", 0, Clear}, {soleKeep, "b", 0, Clear}}},
-		{"after a refusal one sole death is enough", []step{
-			{0, "a", 0, Clear}, {5 * time.Second, "b", 0, Refused}, {6*time.Second + refusedKeep, "c", 0, Refused},
+		{"deaths are forgotten", []step{
+			{at: 0, endpoint: "a", others: 4, want: Watched}, {at: suspectKeep, endpoint: "b", others: 4, want: Watched},
+		}},
+		{"deaths are not forgotten before", []step{
+			{at: 0, endpoint: "a", others: 4, want: Watched}, {at: suspectKeep - 1, endpoint: "b", others: 4, want: Alone},
+		}},
+		{"after a refusal one more death is enough", []step{
+			{at: 0, endpoint: "a", want: Watched}, {at: 5 * sec, endpoint: "b", want: Refused}, {at: 6*sec + refusedKeep, endpoint: "c", want: Refused},
 		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			table := New(8)
 			for _, s := range c.steps {
-				got, _, noted := table.Died(s.at, Death{Fingerprint: 1, Endpoint: s.endpoint, Others: s.others})
+				got, noted := table.Lost(s.at, 1, s.run())
 				checkSame(t, fmt.Sprint("noted at ", s.at), true, noted)
 				checkSame(t, fmt.Sprint("verdict at ", s.at), s.want.String(), got.String())
 			}
@@ -55,76 +92,182 @@
 	}
 }
 
+// A run that is told of twice counts once, however late the second time.
+func TestRunToldTwiceCountsOnce(t *testing.T) {
+	table := New(8)
+	s := step{endpoint: "a"}
+	for _, at := range []time.Duration{0, time.Second, time.Minute} {
+		verdict, noted := table.Lost(at, 1, s.run())
+		checkSame(t, fmt.Sprint("noted at ", at), at == 0, noted)
+		checkSame(t, "verdict", Watched, verdict)
+	}
+}
+
+// However often content dies at several endpoints at the same time, its row stays small, and the
+// deaths that count stay in it.
+func TestRowsAreBounded(t *testing.T) {
+	table := New(8)
+	for i := range 50 {
+		at := time.Duration(i) * time.Millisecond
+		table.Lost(at, 1, step{at: at, endpoint: "a", others: 1, ran: time.Second}.run())
+	}
+	checkSame(t, "runs", maxRuns, len(table.rows[1].runs))
+	for i, want := range []Verdict{Alone, Refused} {
+		at := time.Duration(i+2) * time.Second
+		table.Lost(at, 1, step{at: at, endpoint: "b", others: 1}.run())
+		checkSame(t, fmt.Sprint("verdict at ", at), want, table.Verdict(at, 1))
+	}
+	checkSame(t, "runs", maxRuns, len(table.rows[1].runs))
+}
+
 func TestRefusalExpiresToAlone(t *testing.T) {
 	table := New(8)
 	refuse(table, 0, 1)
-	checkSame(t, "before", Refused, table.Verdict(refusedKeep-1, 1))
-	checkSame(t, "after", Alone, table.Verdict(refusedKeep, 1))
-	table.Succeeded(refusedKeep, 1)
-	checkSame(t, "after a success", Clear, table.Verdict(refusedKeep, 1))
+	const last = time.Second
+	checkSame(t, "before", Refused, table.Verdict(last+refusedKeep-1, 1))
+	checkSame(t, "after", Alone, table.Verdict(last+refusedKeep, 1))
+	table.Succeeded(last+refusedKeep, 1, last+refusedKeep)
+	checkSame(t, "after a success", Clear, table.Verdict(last+refusedKeep, 1))
 }
 
 func TestSucceeded(t *testing.T) {
 	table := New(8)
-	table.Died(0, Death{Fingerprint: 1, Endpoint: "a", Others: 3})
-	table.Died(0, Death{Fingerprint: 1, Endpoint: "b", Others: 3})
-	table.Succeeded(0, 1)
-	checkSame(t, "innocent content", Clear, table.Verdict(0, 1))
+	table.Lost(0, 1, step{at: 0, endpoint: "a", others: 3}.run())
+	table.Lost(time.Second, 1, step{at: time.Second, endpoint: "b", others: 3}.run())
+	checkSame(t, "a run from before clears nothing", false, table.Succeeded(2*time.Second, 1, -time.Second))
+	checkSame(t, "suspect content", Alone, table.Verdict(2*time.Second, 1))
+	checkSame(t, "a run after a death clears it", true, table.Succeeded(2*time.Second, 1, 500*time.Millisecond))
+	checkSame(t, "half cleared content", Watched, table.Verdict(2*time.Second, 1))
+	checkSame(t, "a run after all deaths clears them", true, table.Succeeded(2*time.Second, 1, time.Second))
+	checkSame(t, "innocent content", Clear, table.Verdict(2*time.Second, 1))
 	refuse(table, 0, 2)
-	table.Succeeded(0, 2)
-	checkSame(t, "refused content", Refused, table.Verdict(0, 2))
+	table.Succeeded(2*time.Second, 2, -time.Second)
+	checkSame(t, "content that was refused after the run had begun", Refused, table.Verdict(2*time.Second, 2))
+}
+
+// A run that ended well doesn't clear the deaths that follow it.
+func TestDeathsAfterASuccessCount(t *testing.T) {
+	table := New(8)
+	table.Lost(0, 1, step{at: 0, endpoint: "a", others: 3}.run())
+	table.Succeeded(time.Second, 1, 0)
+	for i, want := range []Verdict{Watched, Alone, Refused} {
+		at := time.Duration(i+2) * time.Second
+		table.Lost(at, 1, step{at: at, endpoint: "a", others: 3}.run())
+		checkSame(t, fmt.Sprint("verdict at ", at), want, table.Verdict(at, 1))
+	}
 }
 
 func TestPeers(t *testing.T) {
-	t.Run("deaths at two homes add up", func(t *testing.T) {
+	t.Run("deaths at two processes add up", func(t *testing.T) {
+		a, b := New(8), New(8)
+		a.Lost(0, 1, step{at: 0, endpoint: "a"}.run())
+		checkSame(t, "news", true, pass(a, 0, b))
+		b.Lost(time.Second, 1, step{at: time.Second, endpoint: "b"}.run())
+		checkSame(t, "at the second", Refused, b.Verdict(time.Second, 1))
+		pass(b, time.Second, a)
+		checkSame(t, "at the first", Refused, a.Verdict(time.Second, 1))
+		checkSame(t, "deaths", 2, len(a.rows[1].runs))
+	})
+	t.Run("news told again changes nothing and is no news", func(t *testing.T) {
 		a, b := New(8), New(8)
-		a.Died(0, Death{Fingerprint: 1, Endpoint: "a"})
-		pass(a, 0, b)
-		b.Died(0, Death{Fingerprint: 1, Endpoint: "b"})
-		checkSame(t, "at the second", Refused, b.Verdict(0, 1))
-		pass(b, 0, a)
-		checkSame(t, "at the first", Refused, a.Verdict(0, 1))
-		checkSame(t, "deaths", 2, a.rows[1].Deaths)
+		a.Lost(0, 1, step{at: 0, endpoint: "a"}.run())
+		checkSame(t, "first time", true, pass(a, 0, b))
+		checkSame(t, "second time", false, pass(a, time.Second, b))
+		checkSame(t, "back", false, pass(b, time.Second, a))
+		checkSame(t, "deaths", 1, len(b.rows[1].runs))
 	})
-	t.Run("news told again changes nothing and is not passed on", func(t *testing.T) {
+	t.Run("a good run is told too", func(t *testing.T) {
 		a, b := New(8), New(8)
-		a.Died(0, Death{Fingerprint: 1, Endpoint: "a"})
-		news := a.Outbox()
-		b.Merge(0, news[0])
-		b.Merge(time.Second, news[0])
-		checkSame(t, "deaths", 1, b.rows[1].Deaths)
-		checkSame(t, "outbox", 0, len(b.Outbox()))
+		for i, endpoint := range []string{"a", "b"} {
+			at := time.Duration(i) * time.Second
+			a.Lost(at, 1, step{at: at, endpoint: endpoint, others: 2}.run())
+		}
+		pass(a, time.Second, b)
+		checkSame(t, "before", Alone, b.Verdict(time.Second, 1))
+		a.Succeeded(3*time.Second, 1, 2*time.Second)
+		checkSame(t, "news", true, pass(a, 3*time.Second, b))
+		checkSame(t, "after", Clear, b.Verdict(3*time.Second, 1))
+		checkSame(t, "rows after a while", Clear, b.Verdict(3*time.Second+clearedKeep, 1))
+		checkSame(t, "rows that are left", 0, b.Len())
 	})
-	t.Run("a peer can't make content stay for ever", func(t *testing.T) {
+	t.Run("what can't be true is passed over", func(t *testing.T) {
 		table := New(8)
-		refuse(table, 0, 1)
-		news := table.Outbox()[1]
-		news.KeepMillis = 1 << 50
-		table.Merge(0, news)
-		checkSame(t, "verdict", Clear, table.Verdict(refusedKeep+soleKeep, 1))
+		good := -time.Hour
+		table.Merge(0, bbmsg.Suspect{
+			Fingerprint: 1,
+			Good:        &good,
+			Runs: []bbmsg.SuspectRun{
+				{ID: 1, BeganAgo: time.Second, EndedAgo: -1},
+				{ID: 2, BeganAgo: time.Second, EndedAgo: 2 * time.Second},
+				{ID: 3, BeganAgo: 1 << 62, EndedAgo: 0},
+				{ID: 4, BeganAgo: -1 << 62, EndedAgo: -1 << 62},
+			},
+		})
+		checkSame(t, "rows", 0, table.Len())
 	})
-	t.Run("the outbox is bounded and keeps what is suspect", func(t *testing.T) {
-		table := New(2 * maxOutbox)
-		refuse(table, 0, 1)
-		for i := range uint64(2 * maxOutbox) {
-			table.Died(0, Death{Fingerprint: 100 + i, Endpoint: "e", Others: 9})
+}
+
+// The verdict follows from the set of what is known: it doesn't matter in which order processes
+// tell each other, or how often.
+func TestOrderOfNewsDoesNotMatter(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		var runs []Run
+		for i := range 1 + random.IntN(maxRuns) {
+			at := time.Duration(random.IntN(5000)) * time.Millisecond
+			runs = append(runs, step{at: at, endpoint: fmt.Sprint("e", i), others: random.IntN(2), ran: time.Duration(1+random.IntN(2000)) * time.Millisecond}.run())
 		}
-		refuse(table, 0, 2)
-		news := table.Outbox()
-		checkSame(t, "length", maxOutbox, len(news))
-		checkSame(t, "last", uint64(2), news[maxOutbox-1].Fingerprint)
-		checkSame(t, "first", uint64(1), news[0].Fingerprint)
-	})
+		good := time.Duration(random.IntN(5000)) * time.Millisecond
+		const now = 6 * time.Second
+		var want Verdict
+		for turn := range 4 {
+			tables := []*Table{New(8), New(8), New(8)}
+			random.Shuffle(len(runs), func(i, k int) { runs[i], runs[k] = runs[k], runs[i] })
+			for i, run := range runs {
+				tables[random.IntN(3)].Lost(now, 1, run)
+				if i == len(runs)/2 {
+					for _, table := range tables {
+						table.Succeeded(now, 1, good)
+					}
+				}
+				if random.IntN(3) == 0 {
+					pass(tables[random.IntN(3)], now, tables[random.IntN(3)])
+				}
+			}
+			for range 2 {
+				for i := range tables {
+					pass(tables[i], now, tables[(i+1)%3])
+				}
+			}
+			for i, table := range tables {
+				if turn == 0 && i == 0 {
+					want = table.Verdict(now, 1)
+				}
+				checkSame(t, fmt.Sprintf("seed %d, order %d, verdict of process %d", seed, turn, i), want, table.Verdict(now, 1))
+			}
+		}
+	}
+}
+
+func TestActive(t *testing.T) {
+	table := New(8)
+	table.Lost(0, 1, step{at: 0, endpoint: "a", others: 3}.run())
+	refuse(table, 0, 2)
+	for i, endpoint := range []string{"a", "b"} {
+		at := time.Duration(i) * time.Second
+		table.Lost(at, 3, step{at: at, endpoint: endpoint, others: 3}.run())
+	}
+	checkSame(t, "contents", []uint64{2, 3}, table.Active(time.Second))
 }
 
 func TestFull(t *testing.T) {
 	table := New(2)
 	refuse(table, 0, 1)
-	table.Died(0, Death{Fingerprint: 2, Endpoint: "a", Others: 9})
-	refuse(table, 0, 3)
-	checkSame(t, "the weaker row gave way", Clear, table.Verdict(0, 2))
-	checkSame(t, "the refused stay", Refused, table.Verdict(0, 1))
-	_, _, noted := table.Died(0, Death{Fingerprint: 4, Endpoint: "a"})
+	table.Lost(time.Second, 2, step{at: time.Second, endpoint: "a", others: 9}.run())
+	refuse(table, time.Second, 3)
+	checkSame(t, "the weaker row gave way", Clear, table.Verdict(time.Second, 2))
+	checkSame(t, "the refused stay", Refused, table.Verdict(time.Second, 1))
+	_, noted := table.Lost(time.Second, 4, step{at: time.Second, endpoint: "a"}.run())
 	checkSame(t, "noted among refused ones only", false, noted)
 	checkSame(t, "length", 2, table.Len())
 }
@@ -180,26 +323,26 @@
 	}
 	for _, i := range contents {
 		if died == 1 {
-			table.Died(now, Death{Fingerprint: i, Endpoint: endpoint, Others: len(contents) - 1})
+			table.Lost(now, i, step{at: now, endpoint: endpoint, others: len(contents) - 1}.run())
 			continue
 		}
-		table.Succeeded(now, i)
+		table.Succeeded(now, i, now-500*time.Millisecond)
 		open[i] = false
 	}
 	return died
 }
 
-// refuse makes content refused by two sole deaths.
+// refuse makes content refused by two sole deaths, the second a second after now.
 func refuse(table *Table, now time.Duration, fingerprint uint64) {
-	for _, endpoint := range []string{"x", "y"} {
-		table.Died(now, Death{Fingerprint: fingerprint, Endpoint: endpoint})
+	for i, endpoint := range []string{"x", "y"} {
+		at := now + time.Duration(i)*time.Second
+		table.Lost(at, fingerprint, step{at: at, endpoint: endpoint}.run())
 	}
 }
 
-func pass(from *Table, now time.Duration, to *Table) {
-	for _, news := range from.Outbox() {
-		to.Merge(now, news)
-	}
+// pass tells a process what another one knows of content 1.
+func pass(from *Table, now time.Duration, to *Table) bool {
+	return to.Merge(now, from.Snapshot(now, 1))
 }
 
 func checkSame(t *testing.T, what string, want, got any) {
