The soak sends content that crashes endpoints, also while VMs are killed

A kind of fault for the soak, and three more cases of TestContentThatCrashesEndpointsIsStopped in which each VM is killed in turn.

--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -54,6 +54,7 @@
 type Fleet struct {
 	Ledger    *bbstand.Ledger
 	store     *bbstand.Store
+	load      *Load
 	processes []*bbprocess.Process
 	// peers and stores are the proxies before each VM and before the store for each VM.
 	peers, stores []*bbproxy.Proxy
@@ -89,6 +90,9 @@
 		left:     make(map[string]time.Time),
 		seed:     s.Seed,
 	}
+	f.load = &Load{
+		fleet: f,
+	}
 	if err := f.start(s); err != nil {
 		f.stop()
 		return nil, nil, err
--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -1,6 +1,7 @@
 package bbsoak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"syscall"
@@ -57,7 +58,7 @@
 var kinds = []func(f *Fleet, random *rand.Rand) Fault{
 	killVM, killVM, pauseVM, stopVM, stopVM, reloadVM, cutPeers, cutPeers, cutStore, cutStore,
 	storeDown, compactStore, crashEndpoint, crashEndpoint, leaveEndpoint, faultyEndpoint,
-	faultyEndpoint, cutEndpoint, coldEngine, evacuate, configure, configure,
+	faultyEndpoint, cutEndpoint, coldEngine, evacuate, configure, configure, crashContent,
 }
 
 // onVM begins a fault of a random VM.
@@ -260,6 +261,43 @@
 	return fault
 }
 
+// crashContent is a content under which the endpoints of a service end, sent to one VM after the
+// other.
+func crashContent(f *Fleet, random *rand.Rand) Fault {
+	route := pick(random, bbdeployment.Routes())
+	services := []string{route.Shares[0].Service}
+	for _, s := range route.Stages {
+		services = append(services, s.Service)
+	}
+	service := pick(random, services)
+	seed := random.Uint64()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	return Fault{
+		Fault: everywhere(fmt.Sprintf("content of %s that crashes %s", route.Name, service)),
+		For:   crashTimes * short(random),
+		begin: func() error {
+			go func() {
+				defer close(done)
+				f.load.Crash(ctx, rand.New(rand.NewPCG(seed, 2)), route, service, crashGap)
+			}()
+			return nil
+		},
+		end: func() error {
+			cancel()
+			<-done
+			return nil
+		},
+	}
+}
+
+const (
+	// crashGap is the time between two requests for a content that crashes endpoints.
+	crashGap = 400 * time.Millisecond
+	// crashTimes is how many times as long as other faults such content is sent.
+	crashTimes = 4
+)
+
 func evacuate(f *Fleet, random *rand.Rand) Fault {
 	zone := pick(random, bbdeployment.Zones)
 	fault := Fault{
--- a/bluebellbench/bbsoak/soak.go
+++ b/bluebellbench/bbsoak/soak.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,9 +64,7 @@
 		broken = append(broken, fmt.Sprintf("not ready %v after the start: %v", startTime, late))
 	}
 	faults := schedule(f, random(s.Seed), s.Duration, s.Gap)
-	l := &Load{
-		fleet: f,
-	}
+	l := f.load
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	var group sync.WaitGroup
@@ -73,8 +72,7 @@
 	for i := range f.processes {
 		group.Go(func() { l.probe(loadCtx, i) })
 	}
-	errs := f.play(ctx, faults, s.Out)
-	broken = append(broken, errs...)
+	broken = append(broken, f.play(ctx, faults, s.Out)...)
 	wait(ctx, recoveryTime)
 	if late := f.unready(ctx, 0); len(late) > 0 {
 		broken = append(broken, fmt.Sprintf("not ready %v after all faults: %v", recoveryTime, late))
@@ -87,7 +85,9 @@
 		Report: bbpromise.Check(f.record(s, faults, l.Tries(), calm)),
 		Faults: faults,
 	}
-	r.Broken = append(broken, r.Broken...)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.Broken = slices.Concat(broken, f.failed, r.Broken)
 	return r, ctx.Err()
 }
 
--- a/bluebellbench/bbsoak/soak_test.go
+++ b/bluebellbench/bbsoak/soak_test.go
@@ -78,16 +78,26 @@
 		t.Skip("runs for half a minute")
 	}
 	program := buildProgram(t)
-	for _, c := range []struct{ route, service string }{
-		{"read", bbdeployment.PlainService},
-		{"once", bbdeployment.PlainService},
-		{"chat", bbdeployment.EngineService},
-		{"draft", bbdeployment.EngineService},
-		{"chat", bbdeployment.SecondStage},
+	for _, c := range []struct {
+		route, service string
+		kills          bool
+	}{
+		{"read", bbdeployment.PlainService, false},
+		{"once", bbdeployment.PlainService, false},
+		{"chat", bbdeployment.EngineService, false},
+		{"draft", bbdeployment.EngineService, false},
+		{"chat", bbdeployment.SecondStage, false},
+		{"once", bbdeployment.PlainService, true},
+		{"chat", bbdeployment.EngineService, true},
+		{"chat", bbdeployment.SecondStage, true},
 	} {
-		t.Run(c.route+" at "+c.service, func(t *testing.T) {
+		name := c.route + " at " + c.service
+		if c.kills {
+			name += " while VMs are killed"
+		}
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			record, failed := crashRun(t, program, c.route, c.service)
+			record, failed := crashRun(t, program, c.route, c.service, c.kills)
 			if diff := cmp.Diff([]string(nil), append(failed, bbpromise.Check(record).Broken...)); diff != "" {
 				t.Errorf("broken promises (-want +got):\n%s", diff)
 			}
@@ -104,15 +114,18 @@
 	}
 }
 
-// crashTest is how long a content is sent that crashes endpoints, crashGap how often.
 const (
+	// crashTest is how long a content is sent that crashes endpoints.
 	crashTest = 14 * time.Second
-	crashGap  = 400 * time.Millisecond
+	// killGap is the time between two VMs that are killed, killedFor how long each is away.
+	killGap   = 1500 * time.Millisecond
+	killedFor = 700 * time.Millisecond
 )
 
 // crashRun runs a small fleet with some load and one content that crashes the endpoints of a
-// service, and returns what was seen and what failed of the run itself.
-func crashRun(t *testing.T, program, route, service string) (bbpromise.Record, []string) {
+// service, and returns what was seen and what failed of the run itself. Kills ends one VM after
+// the other in the meantime.
+func crashRun(t *testing.T, program, route, service string, kills bool) (bbpromise.Record, []string) {
 	t.Helper()
 	s := Settings{
 		VMs:     4,
@@ -129,9 +142,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), crashTest)
 	defer cancel()
-	l := &Load{
-		fleet: f,
-	}
+	l := f.load
 	var group sync.WaitGroup
 	group.Go(func() { l.Run(ctx, 1, 15) })
 	for _, r := range bbdeployment.Routes() {
@@ -139,11 +150,28 @@
 			group.Go(func() { l.Crash(ctx, random(1), r, service, crashGap) })
 		}
 	}
+	var faults []Fault
+	for i := 0; kills && i < len(f.processes); i++ {
+		wait(ctx, killGap)
+		fault := Fault{
+			Fault: bbpromise.Fault{
+				VM:    i,
+				Began: time.Now(),
+			},
+		}
+		f.processes[i].Kill()
+		wait(ctx, killedFor)
+		if err := f.processes[i].Start(); err != nil {
+			t.Error(err)
+		}
+		fault.Ended = time.Now()
+		faults = append(faults, fault)
+	}
 	group.Wait()
 	f.mu.Lock()
 	failed := f.failed
 	f.mu.Unlock()
-	return f.record(s, nil, l.Tries(), time.Now()), failed
+	return f.record(s, faults, l.Tries(), time.Now()), failed
 }
 
 // The same seed gives the same faults.
