What is sent to an endpoint that is gone already isn't blamed for its loss

Cause: connections to a worker that was gone were taken and reset at once, as by anything that listens in its place; each counted as a run that ended its endpoint, and three of them in a few milliseconds led to a refusal. Tests, the first failed before: TestWhatIsSentToALostEndpointIsNotBlamed, TestLostEndpointsAreBounded.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -125,6 +125,7 @@
 		Alone:     e.fleet.LeadsAlone,
 		Suspicion: e.quarantine.Verdict,
 		Lost:      e.quarantine.Lost,
+		Answered:  e.quarantine.Answered,
 		Share:     e.share,
 		Spill:     e.fleet.Spill,
 	}, s.Limits)
@@ -159,6 +160,7 @@
 		Note:      e.note,
 		Log:       e.requestEnded,
 		Broke:     e.runBroke,
+		Answered:  e.quarantine.Answered,
 		Succeeded: e.quarantine.Succeeded,
 		Suspicion: e.quarantine.Verdict,
 		Window:    e.window,
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -143,6 +143,8 @@
 	Log  func(l Logged)
 	// Broke tells of a run without a whole answer, unless the caller left.
 	Broke func(b Broken)
+	// Answered tells that an endpoint answered.
+	Answered func(endpoint string)
 	// Succeeded tells of a run of a content that came to a good end, and when it began.
 	Succeeded func(content uint64, began time.Duration)
 	// Suspicion tells how a content is to be treated that may crash endpoints.
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -219,6 +219,7 @@
 			defer f.mu.Unlock()
 			f.broken = append(f.broken, b)
 		},
+		Answered: func(string) {},
 		Succeeded: func(content uint64, _ time.Duration) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -234,6 +234,9 @@
 	defer cleanup()
 	reading := g.codec.Read(t.ID, answer)
 	outcome = classify(nil, reading)
+	if outcome == bbhealth.OutcomeGood || outcome == bbhealth.OutcomeFull {
+		g.seams.Answered(t.grant.Endpoint)
+	}
 	switch {
 	case reading.Gone:
 		t.gone = true
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -132,6 +132,9 @@
 	defer cleanup()
 	reading := g.codec.Read(x.ID, answer)
 	outcome = classify(nil, reading)
+	if outcome == bbhealth.OutcomeGood || outcome == bbhealth.OutcomeFull {
+		g.seams.Answered(e.ID)
+	}
 	switch outcome {
 	case bbhealth.OutcomeFull, bbhealth.OutcomeMoved:
 		return outcome, true
--- a/bluebelld/bbquarantine/quarantine.go
+++ b/bluebelld/bbquarantine/quarantine.go
@@ -54,6 +54,7 @@
 	mu    sync.Mutex
 	table *bbsuspect.Table
 	goods recent
+	lives lives
 	// reports are contents to be reported to their keepers, relays those to be passed on; these
 	// are true unless another VM has passed them on.
 	reports map[uint64]bool
@@ -68,6 +69,7 @@
 		seams:   s,
 		wake:    make(chan struct{}, 1),
 		table:   bbsuspect.New(maxContents),
+		lives:   make(lives),
 		reports: make(map[uint64]bool),
 		relays:  make(map[uint64]bool),
 		told:    make(map[string]int64),
@@ -103,12 +105,22 @@
 		return
 	}
 	q.change(fingerprint, func(now time.Duration) (bool, source) {
+		if !q.lives.lost(run) {
+			return false, seen
+		}
 		_, noted := q.table.Lost(now, fingerprint, run)
 		q.exonerate(now, fingerprint)
 		return noted, seen
 	})
 }
 
+// Answered takes in that an endpoint gave some answer.
+func (q *Quarantine) Answered(endpoint string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lives.answered(q.seams.Now(), endpoint)
+}
+
 // Succeeded takes in a run that came to a good end.
 func (q *Quarantine) Succeeded(fingerprint uint64, began time.Duration) {
 	if fingerprint == 0 {
--- a/bluebelld/bbquarantine/quarantine_test.go
+++ b/bluebelld/bbquarantine/quarantine_test.go
@@ -127,7 +127,7 @@
 		}
 		return 1
 	})
-	return slices.DeleteFunc(all[:2], func(m bbgossip.Member) bool { return m.Name == name })
+	return slices.DeleteFunc(all[:min(2, len(all))], func(m bbgossip.Member) bool { return m.Name == name })
 }
 
 var errSilent = errors.New("no answer")
@@ -316,6 +316,62 @@
 	})
 }
 
+// Requests that were sent to an endpoint which was gone already, and whose connections were reset,
+// were blamed for it: three of them in a few milliseconds led to a refusal.
+func TestWhatIsSentToALostEndpointIsNotBlamed(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		v := w.vms[0]
+		run := func(content uint64, endpoint string, began time.Duration) {
+			w.runs++
+			v.Lost(content, bbsuspect.Run{
+				ID:       w.runs,
+				Endpoint: endpoint,
+				Began:    began,
+				Ended:    began + time.Millisecond,
+			})
+		}
+		want := func(content uint64, want bbsuspect.Verdict) {
+			t.Helper()
+			if got := v.Verdict(content); got != want {
+				t.Errorf("verdict on content %d is %v, want %v", content, got, want)
+			}
+		}
+		now := time.Since(v.began)
+		// Three endpoints end under content 1. Content 2 was at the first of them.
+		for i, endpoint := range []string{"a", "b", "c"} {
+			run(1, endpoint, now+time.Duration(i)*time.Millisecond)
+		}
+		run(2, "a", now)
+		want(1, bbsuspect.Refused)
+		want(2, bbsuspect.Watched)
+		// Content 3 comes to all three when they are gone.
+		for i, endpoint := range []string{"a", "b", "c", "a", "b", "c"} {
+			run(3, endpoint, now+time.Duration(10+2*i)*time.Millisecond)
+		}
+		want(3, bbsuspect.Clear)
+		// One of them is back, as its answer or the time shows.
+		time.Sleep(100 * time.Millisecond)
+		v.Answered("a")
+		run(3, "a", now+200*time.Millisecond)
+		want(3, bbsuspect.Watched)
+		run(3, "b", now+revivalTime+10*time.Millisecond)
+		want(3, bbsuspect.Alone)
+	})
+}
+
+func TestLostEndpointsAreBounded(t *testing.T) {
+	l := make(lives)
+	for i := range 3 * maxLives {
+		l.lost(bbsuspect.Run{
+			Endpoint: fmt.Sprint("e", i),
+			Ended:    time.Duration(i),
+		})
+	}
+	if len(l) > maxLives {
+		t.Errorf("%d endpoints are remembered, want at most %d", len(l), maxLives)
+	}
+}
+
 // The loss of an endpoint that ran many requests isn't told to all VMs.
 func TestOneLossIsToldToKeepersOnly(t *testing.T) {
 	inWorld(t, 12, func(w *world) {
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -37,8 +37,11 @@
 		Detail:   bbdecision.Describe(call, o, results),
 		Value:    now - call.Sent,
 	})
-	if o == bbhealth.OutcomeBroken {
+	switch o {
+	case bbhealth.OutcomeBroken:
 		c.callLost(now, call)
+	case bbhealth.OutcomeGood, bbhealth.OutcomeFull:
+		c.know.Answered(call.Endpoint)
 	}
 	retry := make(bbpool.ByJob)
 	for i, piece := range call.Pieces {
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -39,6 +39,8 @@
 	Suspicion func(fingerprint uint64) bbsuspect.Verdict
 	// Lost takes in a run that ended with its endpoint; nil ignores it.
 	Lost func(fingerprint uint64, run bbsuspect.Run)
+	// Answered takes in that an endpoint answered; nil ignores it.
+	Answered func(endpoint string)
 	// Share returns the part of the fleet's allowance for repeats that this coordinator has;
 	// nil for all of it.
 	Share func() float64
@@ -111,6 +113,9 @@
 	if k.Lost == nil {
 		k.Lost = func(uint64, bbsuspect.Run) {}
 	}
+	if k.Answered == nil {
+		k.Answered = func(string) {}
+	}
 	if k.Spill == nil {
 		k.Spill = func(bbjob.Order, time.Duration, func(string) bool) (string, time.Duration) { return "", 0 }
 	}
