Bytes without end from an endpoint end the exchange

Cause: http.ReadResponse reads heads without a bound; the splitter of events and long plain answers had none either.

Heads with their interim answers end at 16 KB, an event at 128 KB, a plain answer that doesn't say its length at 64 MB: the exchange is closed and the run counts as broken. Streams may be as long as they like, event by event.

--- a/bluebelld/bbbackend/client.go
+++ b/bluebelld/bbbackend/client.go
@@ -44,6 +44,8 @@
 }
 
 const (
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 16 << 10
 	// dialTimeout bounds the making of a connection.
 	dialTimeout = time.Second
 	// pollTimeout bounds the fetch of a load report.
@@ -105,6 +107,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/bluebelld/bbchannel/channel.go
+++ b/bluebelld/bbchannel/channel.go
@@ -21,6 +21,9 @@
 	dialTimeout = 400 * time.Millisecond
 	// readBuffer holds the head of an answer.
 	readBuffer = 4 << 10
+	// maxHead bounds the head of an answer, with the interim ones before it, in bytes: many times
+	// what endpoints send.
+	maxHead = 16 << 10
 	// keepAliveIdle and keepAliveInterval find peers that are gone while nothing is sent.
 	keepAliveIdle     = 1500 * time.Millisecond
 	keepAliveInterval = 700 * time.Millisecond
@@ -89,11 +92,16 @@
 	// The endpoint may answer before it has read a long body. A failed write shows in the
 	// answer that doesn't come.
 	go func() { _ = write(conn, r) }()
-	response, err := readHead(bufio.NewReaderSize(conn, readBuffer), r)
+	source := &headReader{
+		inner: conn,
+		left:  maxHead,
+	}
+	response, err := readHead(bufio.NewReaderSize(source, readBuffer), r)
 	if err != nil {
 		cleanup()
 		return nil, nil, errors.Mark(errors.Wrapf(err, "answer of %s", address), ErrBroken)
 	}
+	source.whole = true
 	return &Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -111,6 +119,29 @@
 	return w.Flush()
 }
 
+// errLongHead is the cause when a head is longer than maxHead.
+var errLongHead = errors.New("head of the answer is too long")
+
+// headReader bounds what is read until the head is whole.
+type headReader struct {
+	inner io.Reader
+	// left is the number of bytes that may still come before the head is whole.
+	left  int
+	whole bool
+}
+
+func (r *headReader) Read(p []byte) (int, error) {
+	if r.whole {
+		return r.inner.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, errLongHead
+	}
+	n, err := r.inner.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // maxInterim bounds the interim answers before the final one.
 const maxInterim = 5
 
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -174,8 +174,15 @@
 	x.sent = true
 }
 
+// maxAnswer bounds an answer that isn't a stream and doesn't say its length, in bytes.
+const maxAnswer = 64 << 20
+
+// errLongAnswer is the cause when an answer is longer than maxAnswer.
+var errLongAnswer = errors.New("answer is too long")
+
 // deliver passes a whole answer on. It holds back short ones until they are whole, so
-// that a broken one can still be repeated; the error is the endpoint's.
+// that a broken one can still be repeated; the error is the endpoint's. A part of the answer may
+// have been sent before it.
 func (g *Gateway) deliver(ctx context.Context, x *exchange, a *bbchannel.Answer) error {
 	held, err := io.ReadAll(io.LimitReader(a.Body, maxHeld))
 	if err != nil {
@@ -193,14 +200,17 @@
 	g.start(x, a, a.Length)
 	g.write(ctx, x, held)
 	buffer := make([]byte, copyBuffer)
-	for {
+	for sent := len(held); ; {
 		n, err := a.Body.Read(buffer)
+		if sent += n; a.Length < 0 && sent > maxAnswer {
+			return errLongAnswer
+		}
 		g.write(ctx, x, buffer[:n])
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			g.abort(x, "endpointBroke")
+			return err
 		}
 	}
 }
--- /dev/null
+++ b/bluebelld/bbgateway/endless_test.go
@@ -0,0 +1,144 @@
+package bbgateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// newEndless returns an endpoint that writes a text and then another one again and again, until
+// the connection is closed.
+func newEndless(t *testing.T, text, again string) *standIn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	block := strings.Repeat(again, 1+32<<10/len(again))
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, text)
+				for err == nil {
+					_, err = io.WriteString(conn, block)
+				}
+			}()
+		}
+	}()
+	return &standIn{
+		address: l.Addr().String(),
+	}
+}
+
+// mostMemory is what one endless answer may hold in memory, in bytes.
+const mostMemory = 16 << 20
+
+// An answer without end filled the memory, or went on until the caller's time was over.
+func TestEndlessAnswersEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nSigned: yes\r\n\r\n"
+	for name, test := range map[string]struct {
+		path, text, again string
+		// cause is why the run counts as broken.
+		cause error
+	}{
+		"event":              {"/resume/", head, "x", errLongEvent},
+		"event after others": {"/resume/", head + "id: 1\ndata: a\n\n", "data: x\n", errLongEvent},
+		"plain answer":       {"/once/", head, "x", errLongAnswer},
+		"unsigned answer":    {"/once/", "HTTP/1.1 200 OK\r\n\r\n", "x", errNoReceipt},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, _ := newFixture(t, newEndless(t, test.text, test.again))
+			peak := uint64(0)
+			w := &discarder{
+				header: make(http.Header),
+				look: func() {
+					var m runtime.MemStats
+					runtime.ReadMemStats(&m)
+					peak = max(peak, m.HeapAlloc)
+				},
+			}
+			w.look()
+			before := peak
+			r := httptest.NewRequest(http.MethodPost, test.path, strings.NewReader("hello"))
+			r.Host = "127.0.0.1"
+			r.Header.Set("Id", "1")
+			func() {
+				// An answer that has begun is cut by a panic, as net/http wants it.
+				defer func() { _ = recover() }()
+				f.gateway.ServeHTTP(w, r)
+			}()
+			w.look()
+			if peak-min(peak, before) > mostMemory {
+				t.Errorf("the heap grew by %d bytes, want at most %d", peak-before, mostMemory)
+			}
+			if len(f.broken) != 1 || !errors.Is(f.broken[0].Cause, test.cause) {
+				t.Errorf("broken runs %+v, want one because of: %v", f.broken, test.cause)
+			}
+			if len(f.good) > 0 {
+				t.Error("the run counts as good")
+			}
+		})
+	}
+}
+
+// discarder takes an answer and looks at the memory now and then.
+type discarder struct {
+	header http.Header
+	writes int
+	look   func()
+}
+
+func (d *discarder) Header() http.Header { return d.header }
+
+func (d *discarder) WriteHeader(int) {}
+
+func (d *discarder) Write(p []byte) (int, error) {
+	if d.writes++; d.writes%64 == 0 {
+		d.look()
+	}
+	return len(p), nil
+}
+
+func (d *discarder) Flush() {}
+
+// Whatever an endpoint streams, events are passed on whole and in order, and what is held is
+// bounded.
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n"), uint8(3))
+	f.Add([]byte("\n\n\n\nid:\n\n"), uint8(1))
+	f.Fuzz(func(t *testing.T, data []byte, step uint8) {
+		s := newSplitter(true)
+		var got []byte
+		for rest := data; len(rest) > 0; {
+			n := min(len(rest), 1+int(step))
+			whole, err := s.add(rest[:n])
+			if err != nil {
+				return
+			}
+			got = append(got, whole...)
+			rest = rest[n:]
+		}
+		if string(got)+string(s.rest()) != string(data) {
+			t.Errorf("%q and %q are passed on and held of %q", got, s.rest(), data)
+		}
+		if len(got) > 0 && !strings.HasSuffix(string(got), "\n\n") {
+			t.Errorf("%q doesn't end with an event", got)
+		}
+	})
+}
--- a/bluebelld/bbgateway/event.go
+++ b/bluebelld/bbgateway/event.go
@@ -1,6 +1,17 @@
 package bbgateway
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEvent bounds one event of a stream that may be resumed, in bytes: many times what engines
+// send.
+const maxEvent = 128 << 10
+
+// errLongEvent is the cause when an event is longer than maxEvent.
+var errLongEvent = errors.New("event of the stream is too long")
 
 // splitter finds the whole events of a stream, so that one that is cut in the middle is
 // never passed on.
@@ -26,15 +37,21 @@
 
 // add takes in bytes and returns those that may be passed on. They are valid until the
 // next call.
-func (s *splitter) add(data []byte) []byte {
+func (s *splitter) add(data []byte) ([]byte, error) {
 	if !s.whole {
-		return data
+		return data, nil
 	}
+	// The end of an event may lie across what was held and what is new.
+	from := max(0, len(s.held)-len(eventEnd)+1)
 	s.held = append(s.held, data...)
-	end := bytes.LastIndex(s.held, eventEnd)
+	end := bytes.LastIndex(s.held[from:], eventEnd)
 	if end < 0 {
-		return nil
+		if len(s.held) > maxEvent {
+			return nil, errLongEvent
+		}
+		return nil, nil
 	}
+	end += from
 	end += len(eventEnd)
 	events := bytes.Clone(s.held[:end])
 	s.held = append(s.held[:0], s.held[end:]...)
@@ -43,7 +60,7 @@
 			s.last = string(bytes.TrimSpace(id))
 		}
 	}
-	return events
+	return events, nil
 }
 
 // rest returns what is left at the end of a whole stream.
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -301,7 +301,11 @@
 				Started:  true,
 			})
 		}
-		if whole := events.add(buffer[:n]); len(whole) > 0 {
+		whole, long := events.add(buffer[:n])
+		if long != nil {
+			return long
+		}
+		if len(whole) > 0 {
 			if !t.sent {
 				g.start(t.exchange, a, -1)
 			}
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -152,6 +152,10 @@
 	if err := g.deliver(ctx, x, answer); err != nil {
 		r.begun = true
 		g.broke(tryCtx, x, r, err)
+		if x.sent {
+			outcome = bbhealth.OutcomeBroken
+			g.abort(x, "endpointBroke")
+		}
 		return g.broken(ctx, x, bbhealth.OutcomeBroken, repeatable)
 	}
 	g.seams.Succeeded(x.content, r.began)
@@ -173,6 +177,9 @@
 		}
 	}
 	if err := g.deliver(ctx, x, failed); err != nil {
+		if x.sent {
+			g.abort(x, "endpointBroke")
+		}
 		g.fail(x, http.StatusBadGateway, "broken", 0)
 		return false
 	}
--- a/bluebelld/bbwatch/watch.go
+++ b/bluebelld/bbwatch/watch.go
@@ -43,6 +43,8 @@
 	// shortestRetry and longestRetry bound the wait after a failed poll.
 	shortestRetry = 100 * time.Millisecond
 	longestRetry  = 2 * time.Second
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
 	// maxValueBytes bounds a published value.
 	maxValueBytes = 4 << 20
 )
@@ -87,7 +89,9 @@
 // the next address.
 func (w *Watch) follow(ctx context.Context, name string, take func([]byte) (int64, error)) {
 	client := &http.Client{
-		Transport: &http.Transport{},
+		Transport: &http.Transport{
+			MaxResponseHeaderBytes: maxHeadBytes,
+		},
 	}
 	var after int64
 	wait := shortestRetry
