What an endpoint says of itself binds whoever sends to it

Knowledge.maySend is asked before each send of the gateway and each call of a stage; lists for new work leave out endpoints that leave, those of stage workers also the ones that rest. A grant that may not be used is no repeat and no failure (outcome held). Other VMs are told of endpoints that leave. While all endpoints of a service rest, requests are refused at once with the earliest return, spread over a quarter more.

Tests, failed before (the names and seams they use are new): TestEndpointThatSaysThatItLeavesGetsNothing, TestEndpointThatAsksForRest, TestStageWorkersAreHeardAndHeld, TestEndpointsThatRestGetNothing, TestAllEndpointsRest, TestGrantOfAnEndpointThatIsHeldIsNotUsed, TestStageWorkersThatRestGetNoCalls, TestWord, TestWordOfStageWorkers.

--- a/bluebelld/bbchannel/channel.go
+++ b/bluebelld/bbchannel/channel.go
@@ -41,6 +41,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Interim are the headers of the answers before the final one.
+	Interim []http.Header
 	// Body ends with io.EOF only when the whole body was read.
 	Body io.Reader
 	// Length is that of the body, or -1 if the endpoint didn't say.
@@ -96,7 +98,7 @@
 		inner: conn,
 		left:  maxHead,
 	}
-	response, err := readHead(bufio.NewReaderSize(source, readBuffer), r)
+	response, interim, err := readHead(bufio.NewReaderSize(source, readBuffer), r)
 	if err != nil {
 		cleanup()
 		return nil, nil, errors.Mark(errors.Wrapf(err, "answer of %s", address), ErrBroken)
@@ -107,6 +109,8 @@
 		Header: response.Header,
 		Body:   response.Body,
 		Length: response.ContentLength,
+
+		Interim: interim,
 	}, cleanup, nil
 }
 
@@ -145,16 +149,18 @@
 // maxInterim bounds the interim answers before the final one.
 const maxInterim = 5
 
-// readHead reads the head of the final answer.
-func readHead(b *bufio.Reader, r *http.Request) (*http.Response, error) {
+// readHead reads the head of the final answer, and the headers of those before it.
+func readHead(b *bufio.Reader, r *http.Request) (*http.Response, []http.Header, error) {
+	var interim []http.Header
 	for range maxInterim {
 		response, err := http.ReadResponse(b, r)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
-			return response, nil
+			return response, interim, nil
 		}
+		interim = append(interim, response.Header)
 	}
-	return nil, errors.New("too many interim answers")
+	return nil, nil, errors.New("too many interim answers")
 }
--- a/bluebelld/bbchannel/endless_test.go
+++ b/bluebelld/bbchannel/endless_test.go
@@ -134,7 +134,7 @@
 			inner: strings.NewReader(string(data)),
 			left:  maxHead,
 		}
-		response, err := readHead(bufio.NewReaderSize(source, readBuffer), request(""))
+		response, _, err := readHead(bufio.NewReaderSize(source, readBuffer), request(""))
 		if err != nil {
 			return
 		}
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -18,9 +18,9 @@
 	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbgossip"
-	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbstanding"
 )
 
 // Settings are what a VM is told of itself.
@@ -37,11 +37,18 @@
 	Limits bbcoordinator.Limits
 }
 
+// RunPieces makes a call of a stage worker.
+type RunPieces func(ctx context.Context, address, endpoint string, pieces []bbhub.Piece) bbhub.Answer
+
+// FreeResults tells a stage worker that results are needed no more, and returns what it says of
+// itself.
+type FreeResults func(ctx context.Context, address string, handles []string) bbstanding.Word
+
 // Seams are what a platform's adapter does for the VM.
 type Seams struct {
 	Codec       bbgateway.Codec
-	RunPieces   func(ctx context.Context, address, endpoint string, pieces []bbhub.Piece) ([]bbdecision.PieceResult, bbhealth.Outcome)
-	FreeResults func(ctx context.Context, address string, handles []string)
+	RunPieces   RunPieces
+	FreeResults FreeResults
 	Log         bblog.Logger
 	Meter       *bbmeter.Meter
 }
@@ -126,13 +133,14 @@
 		Suspicion: e.quarantine.Verdict,
 		Lost:      e.quarantine.Lost,
 		Answered:  e.quarantine.Answered,
+		RestUntil: e.Knowledge.restUntil,
 		Share:     e.share,
 		Spill:     e.fleet.Spill,
 	}, s.Limits)
 	hub, stopHub := bbhub.New(coordinator, bbhub.Seams{
 		Now:         e.now,
-		RunPieces:   seams.RunPieces,
-		FreeResults: seams.FreeResults,
+		RunPieces:   e.runPieces(seams.RunPieces),
+		FreeResults: e.freeResults(seams.FreeResults),
 		Zone:        e.Knowledge.zoneOf,
 		Log:         e.decided,
 	})
@@ -143,6 +151,7 @@
 		Order:     e.coordinate,
 		Notes:     hub.Notes,
 		Suspects:  e.quarantine.Take,
+		Leaving:   e.heardLeaving,
 		Failed:    e.handlerFailed,
 	})
 	if err != nil {
@@ -154,7 +163,9 @@
 		Now:       e.now,
 		Index:     e.Knowledge.Index,
 		Endpoints: e.Knowledge.usable,
-		Usable:    e.Knowledge.mayUse,
+		MaySend:   e.Knowledge.maySend,
+		Heard:     e.heard,
+		RestUntil: e.Knowledge.restUntil,
 		Region:    e.region,
 		Order:     e.order,
 		Note:      e.note,
--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbentry/knowledge.go
@@ -3,11 +3,13 @@
 package bbentry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbstanding"
 )
 
 const (
@@ -33,6 +35,8 @@
 	mu    sync.Mutex
 	index *bbcatalog.Index
 	table *bbregistry.Table
+	// standing has what endpoints said of themselves to this VM.
+	standing *bbstanding.Table
 	// lookups has the usable endpoints of services, as they were looked up last.
 	lookups map[string]cached
 	// listed is true once the endpoints were read.
@@ -53,10 +57,11 @@
 // NewKnowledge returns the knowledge of a VM that has read nothing.
 func NewKnowledge(now func() time.Duration) *Knowledge {
 	return &Knowledge{
-		now:     now,
-		changed: func(bbcatalog.Catalog, string) {},
-		table:   bbregistry.NewTable(),
-		lookups: make(map[string]cached),
+		now:      now,
+		changed:  func(bbcatalog.Catalog, string) {},
+		table:    bbregistry.NewTable(),
+		standing: bbstanding.NewTable(),
+		lookups:  make(map[string]cached),
 	}
 }
 
@@ -222,7 +227,7 @@
 	defer k.mu.Unlock()
 	now := k.now()
 	k.table.Expire(now)
-	state := k.table.State()
+	state := k.table.State() + k.standing.Leavings()
 	if c, ok := k.lookups[service]; ok && c.state == state && now-c.at < cachedFor {
 		return c.entries
 	}
@@ -230,7 +235,7 @@
 		clear(k.lookups)
 	}
 	c := cached{
-		entries: k.table.Of(now, service),
+		entries: slices.DeleteFunc(k.table.Of(now, service), func(e *bbregistry.Entry) bool { return k.standing.Leaving(process(e.Endpoint)) }),
 		state:   state,
 		at:      now,
 	}
@@ -238,13 +243,6 @@
 	return c.entries
 }
 
-// mayUse tells whether an endpoint may get new work.
-func (k *Knowledge) mayUse(id string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.table.Usable(id) != nil
-}
-
 // ready tells whether this VM can serve, and what it knows.
 func (k *Knowledge) ready() (ready bool, version, revision uint64) {
 	k.mu.Lock()
--- /dev/null
+++ b/bluebelld/bbentry/standing_test.go
@@ -0,0 +1,163 @@
+package bbentry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bluebellhall/bluebelld/bbhub"
+	"bluebellhall/bluebelld/bblog"
+	"bluebellhall/bluebelld/bbmembership"
+	"bluebellhall/bluebelld/bbpeer"
+	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbstanding"
+)
+
+// newStandingEntry returns a VM without others that knows two endpoints of the service s, and its
+// clock.
+func newStandingEntry(t *testing.T) (*Entry, *clock) {
+	t.Helper()
+	conns, cleanup := bbpeer.NewConns()
+	t.Cleanup(cleanup)
+	knowledge, c := newTestKnowledge()
+	self := bbgossip.Member{
+		Name: "self",
+		Peer: "peer of self",
+		Zone: "z0",
+	}
+	e := &Entry{
+		Knowledge: knowledge,
+		conns:     conns,
+		settings: Settings{
+			Self: self,
+		},
+		log: bblog.Logger{
+			Lines: zerolog.Nop(),
+		},
+	}
+	e.fleet = bbmembership.NewFleet(self, nil, testRegions, func() time.Duration { return c.now }, conns)
+	listProcesses(e, 1)
+	return e, c
+}
+
+// listProcesses lists the endpoints a and b, whose processes started at a time.
+func listProcesses(e *Entry, born int64) {
+	var s bbregistry.Snapshot
+	for _, id := range []string{"a", "b"} {
+		s.Endpoints = append(s.Endpoints, bbregistry.Endpoint{
+			ID:      id,
+			Service: "s",
+			Address: "address of " + id,
+			Zone:    "z0",
+			Born:    born,
+		})
+	}
+	e.Knowledge.Endpoints(func(table *bbregistry.Table, now time.Duration, grace bool) {
+		table.ReplaceEndpoints(now, s, grace)
+	})
+}
+
+// wantMaySend checks whether the endpoint a may get something, and whether it is named for new work.
+func wantMaySend(t *testing.T, e *Entry, may, named bool) {
+	t.Helper()
+	if _, got := e.Knowledge.maySend("a"); got != may {
+		t.Errorf("a may get something: %t, want %t", got, may)
+	}
+	got := false
+	for _, entry := range e.Knowledge.usable("s") {
+		got = got || entry.ID == "a"
+	}
+	if got != named {
+		t.Errorf("a is named for new work: %t, want %t", got, named)
+	}
+}
+
+var leaves = bbstanding.Word{Leaving: true}
+
+// Endpoints that said in their answers that they leave got new work until a list said so.
+func TestEndpointThatSaysThatItLeavesGetsNothing(t *testing.T) {
+	e, _ := newStandingEntry(t)
+	wantMaySend(t, e, true, true)
+	p, _ := e.Knowledge.maySend("a")
+	e.heard(p, leaves)
+	wantMaySend(t, e, false, false)
+	t.Run("though a list says that it runs", func(t *testing.T) {
+		listProcesses(e, 1)
+		wantMaySend(t, e, false, false)
+	})
+	t.Run("though its entry had lapsed", func(t *testing.T) {
+		e.Knowledge.Endpoints(func(table *bbregistry.Table, now time.Duration, _ bool) { table.Remove(now, "a", false) })
+		listProcesses(e, 1)
+		wantMaySend(t, e, false, false)
+	})
+	t.Run("until its next process is listed", func(t *testing.T) {
+		listProcesses(e, 2)
+		wantMaySend(t, e, true, true)
+	})
+}
+
+func TestAnotherVMTellsOfAnEndpointThatLeaves(t *testing.T) {
+	e, _ := newStandingEntry(t)
+	e.heardLeaving(bbpeer.Leaving{
+		From:      "other",
+		Processes: []bbstanding.Process{{ID: "a", Born: 1}},
+	})
+	wantMaySend(t, e, false, false)
+}
+
+// Rest is between one VM and one endpoint: the coordinator goes on to name it for others.
+func TestEndpointThatAsksForRest(t *testing.T) {
+	e, c := newStandingEntry(t)
+	p, _ := e.Knowledge.maySend("a")
+	e.heard(p, bbstanding.Word{RetryAfter: 3 * time.Second})
+	wantMaySend(t, e, false, true)
+	if got := e.Knowledge.restUntil("a"); got != c.now+3*time.Second {
+		t.Errorf("a rests until %v, want 3 s from %v", got, c.now)
+	}
+	c.now += 3 * time.Second
+	wantMaySend(t, e, true, true)
+	if got := e.Knowledge.restUntil("a"); got != 0 {
+		t.Errorf("a rests until %v, want it to rest no more", got)
+	}
+}
+
+// Calls of stage workers and freed results obey what the worker has said, and hear what it says.
+func TestStageWorkersAreHeardAndHeld(t *testing.T) {
+	e, c := newStandingEntry(t)
+	calls, frees := 0, 0
+	word := bbstanding.Word{RetryAfter: 2 * time.Second}
+	run := e.runPieces(func(context.Context, string, string, []bbhub.Piece) bbhub.Answer {
+		calls++
+		return bbhub.Answer{
+			Outcome: bbhealth.OutcomeFull,
+			Word:    word,
+		}
+	})
+	free := e.freeResults(func(context.Context, string, []string) bbstanding.Word {
+		frees++
+		return leaves
+	})
+	call := func(want bbhealth.Outcome) {
+		t.Helper()
+		if got := run(t.Context(), "address of a", "a", nil).Outcome; got != want {
+			t.Errorf("outcome %v, want %v", got, want)
+		}
+	}
+	call(bbhealth.OutcomeFull)
+	call(bbhealth.OutcomeHeld)
+	free(t.Context(), "address of a", nil)
+	if calls != 1 || frees != 0 {
+		t.Errorf("%d calls and %d frees, want the first call only", calls, frees)
+	}
+	c.now += 2 * time.Second
+	free(t.Context(), "address of a", nil)
+	if frees != 1 {
+		t.Errorf("%d frees after the rest, want 1", frees)
+	}
+	call(bbhealth.OutcomeHeld)
+	wantMaySend(t, e, false, false)
+}
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -21,8 +21,10 @@
 	maxHeld = 128 << 10
 	// copyBuffer is the size of the pieces in which longer answers are passed on.
 	copyBuffer = 8 << 10
-	// maxRetryAfter bounds what a refused caller is told.
+	// maxRetryAfter bounds what a refused caller is told; maxRestAfter does where endpoints have
+	// said how long they want nothing.
 	maxRetryAfter = 5 * time.Second
+	maxRestAfter  = 5 * time.Minute
 )
 
 // fail ends a request with an answer of this VM. Statuses 429 and 503 promise that the
@@ -31,7 +33,11 @@
 	h := x.w.Header()
 	h["Date"] = nil
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		seconds := min(retryAfter, maxRetryAfter).Seconds()
+		most := maxRetryAfter
+		if cause == resting {
+			most = maxRestAfter
+		}
+		seconds := min(retryAfter, most).Seconds()
 		h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	}
 	h.Set("Content-Length", "0")
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -22,6 +22,7 @@
 	"bluebellhall/core/bbpatience"
 	"bluebellhall/core/bbplain"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbstanding"
 	"bluebellhall/core/bbsuspect"
 )
 
@@ -76,6 +77,8 @@
 	Signed bool
 	// Gone is true when an input of the request no longer exists.
 	Gone bool
+	// Word is what the endpoint says of itself.
+	Word bbstanding.Word
 }
 
 // Codec translates headers.
@@ -133,9 +136,15 @@
 	Index func() *bbcatalog.Index
 	// Endpoints returns the endpoints of a service that may get new work.
 	Endpoints func(service string) []*bbregistry.Entry
-	// Usable tells whether an endpoint may still get new work.
-	Usable func(id string) bool
-	Region func(zone string) string
+	// MaySend tells whether this VM may send something to an endpoint now, and which of its
+	// processes gets it.
+	MaySend func(id string) (bbstanding.Process, bool)
+	// Heard takes in what a process of an endpoint says of itself.
+	Heard func(p bbstanding.Process, w bbstanding.Word)
+	// RestUntil returns when an endpoint that wants nothing of this VM may get something again; 0
+	// if it may now.
+	RestUntil func(id string) time.Duration
+	Region    func(zone string) string
 	// Order asks the coordinator for an engine and names who answered.
 	Order func(ctx context.Context, o bbjob.Order) (bbjob.Verdict, string, error)
 	// Note tells a coordinator of progress.
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbstanding"
 	"bluebellhall/core/bbsuspect"
 )
 
@@ -108,10 +109,21 @@
 	broken   []Broken
 	// verdicts are the answers on contents, in turn; the last one stays. None means clear.
 	verdicts []bbsuspect.Verdict
+	// held are the endpoints to which nothing may be sent, rests those that rest until a time.
+	held  map[string]bool
+	rests map[string]time.Duration
+	// heard has what endpoints said of themselves.
+	heard []heard
 	// good has the contents that came to a good end.
 	good []uint64
 }
 
+// heard is what an endpoint said of itself.
+type heard struct {
+	endpoint string
+	word     bbstanding.Word
+}
+
 var testCodec = Codec{
 	Decode: func(r *http.Request) (Request, error) {
 		if r.Header.Get("Id") == "" {
@@ -191,7 +203,13 @@
 		Now:       func() time.Duration { return time.Since(began) },
 		Index:     func() *bbcatalog.Index { return index },
 		Endpoints: func(string) []*bbregistry.Entry { return entries },
-		Usable:    func(string) bool { return true },
+		MaySend:   func(id string) (bbstanding.Process, bool) { return bbstanding.Process{ID: id}, !f.held[id] },
+		Heard: func(p bbstanding.Process, w bbstanding.Word) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.heard = append(f.heard, heard{p.ID, w})
+		},
+		RestUntil: func(id string) time.Duration { return f.rests[id] },
 		Region:    func(string) string { return "r" },
 		Order: func(_ context.Context, o bbjob.Order) (bbjob.Verdict, string, error) {
 			f.mu.Lock()
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -19,12 +19,17 @@
 
 // pipeline serves a request that goes through stages to an engine.
 func (g *Gateway) pipeline(ctx context.Context, x *exchange) {
+	if g.allRest(x) {
+		return
+	}
 	order := g.order(x)
+	var avoid []string
 	runs := 0
 	for x.log.Tries < maxGrants {
 		now := g.seams.Now()
 		order.Limit = x.firstBy() - now
 		order.Suspicion = g.seams.Suspicion(x.content)
+		order.Avoid = g.withResting(x, avoid)
 		verdict, coordinator, err := g.place(ctx, order)
 		if err != nil || verdict.Grant == nil {
 			g.unplaced(ctx, x, runs, verdict)
@@ -51,9 +56,9 @@
 		order.Objective -= g.seams.Now() - now
 		order.InputsGone = t.gone
 		if !t.gone {
-			order.Avoid = append(order.Avoid, t.grant.Endpoint)
+			avoid = append(avoid, t.grant.Endpoint)
 		}
-		order.Repeat = outcome != bbhealth.OutcomeUnreachable
+		order.Repeat = outcome.Sent()
 	}
 	g.give(ctx, x, runs, "tries")
 }
@@ -208,8 +213,9 @@
 		g.give(ctx, t.exchange, runs, suspect)
 		return bbhealth.OutcomeFull, false
 	}
-	if !g.seams.Usable(t.grant.Endpoint) {
-		return bbhealth.OutcomeFull, true
+	process, may := g.seams.MaySend(t.grant.Endpoint)
+	if !may {
+		return bbhealth.OutcomeHeld, true
 	}
 	r := run{
 		endpoint: t.grant.Endpoint,
@@ -233,6 +239,7 @@
 	}
 	defer cleanup()
 	reading := g.codec.Read(t.ID, answer)
+	g.seams.Heard(process, reading.Word)
 	outcome = classify(nil, reading)
 	if outcome == bbhealth.OutcomeGood || outcome == bbhealth.OutcomeFull {
 		g.seams.Answered(t.grant.Endpoint)
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -26,6 +26,9 @@
 
 // plain serves a request that one endpoint answers by itself.
 func (g *Gateway) plain(ctx context.Context, x *exchange) {
+	if g.allRest(x) {
+		return
+	}
 	now := g.seams.Now()
 	g.mu.Lock()
 	g.windows.Of(x.service).Request(now)
@@ -53,7 +56,7 @@
 			cause = suspect
 			break
 		}
-		if outcome != bbhealth.OutcomeUnreachable && !g.mayRepeat(x) {
+		if outcome.Sent() && !g.mayRepeat(x) {
 			break
 		}
 	}
@@ -74,7 +77,7 @@
 	list := make([]bbplain.Endpoint, 0, len(entries))
 	for _, e := range entries {
 		region := g.seams.Region(e.Zone)
-		if !bbcatalog.Allowed(x.route, x.account, region) {
+		if !bbcatalog.Allowed(x.route, x.account, region) || g.seams.RestUntil(e.ID) > 0 {
 			continue
 		}
 		list = append(list, bbplain.Endpoint{
@@ -114,6 +117,10 @@
 		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(firstTry*float64(x.route.Objective)))
 		defer cancel()
 	}
+	process, may := g.seams.MaySend(e.ID)
+	if !may {
+		return bbhealth.OutcomeHeld, true
+	}
 	r := run{
 		endpoint: e.ID,
 		address:  e.Address,
@@ -131,6 +138,7 @@
 	}
 	defer cleanup()
 	reading := g.codec.Read(x.ID, answer)
+	g.seams.Heard(process, reading.Word)
 	outcome = classify(nil, reading)
 	if outcome == bbhealth.OutcomeGood || outcome == bbhealth.OutcomeFull {
 		g.seams.Answered(e.ID)
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -18,6 +18,7 @@
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bbstanding"
 )
 
 const (
@@ -42,12 +43,21 @@
 	Left time.Duration
 }
 
+// Answer is what became of a call.
+type Answer struct {
+	// Results are in the order of the pieces; there are none unless the outcome is good.
+	Results []bbdecision.PieceResult
+	Outcome bbhealth.Outcome
+	// Word is what the endpoint says of itself, for whoever makes the call.
+	Word bbstanding.Word
+}
+
 // Seams are the effects of the hub on the outside.
 type Seams struct {
 	// Now returns the steady time.
 	Now func() time.Duration
 	// RunPieces makes a call and returns the results in the order of the pieces.
-	RunPieces func(ctx context.Context, address, endpoint string, pieces []Piece) ([]bbdecision.PieceResult, bbhealth.Outcome)
+	RunPieces func(ctx context.Context, address, endpoint string, pieces []Piece) Answer
 	// FreeResults tells an endpoint that results are needed no more.
 	FreeResults func(ctx context.Context, address string, handles []string)
 	// Zone returns the failure domain of an endpoint.
@@ -300,14 +310,14 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), longest+callSlack)
 		defer cancel()
-		answered, outcome := h.seams.RunPieces(ctx, c.Address, c.Endpoint, pieces)
+		answer := h.seams.RunPieces(ctx, c.Address, c.Endpoint, pieces)
 		results := make([]bbdecision.PieceResult, len(c.Pieces))
-		for i := range min(len(answered), len(places)) {
-			results[places[i]] = answered[i]
+		for i := range min(len(answer.Results), len(places)) {
+			results[places[i]] = answer.Results[i]
 		}
 		// What fails is in the log.
 		_ = h.do("end of a call", func() bbdecision.Output {
-			return h.coordinator.CallDone(h.seams.Now(), c.ID, zone, outcome, results)
+			return h.coordinator.CallDone(h.seams.Now(), c.ID, zone, answer.Outcome, results)
 		})
 	}()
 }
--- a/bluebelld/bbhub/hub_test.go
+++ b/bluebelld/bbhub/hub_test.go
@@ -55,8 +55,12 @@
 		RetrySpan: time.Second,
 	}), Seams{
 		Now: func() time.Duration { return time.Since(began) },
-		RunPieces: func(_ context.Context, _, _ string, pieces []Piece) ([]bbdecision.PieceResult, bbhealth.Outcome) {
-			return run(pieces)
+		RunPieces: func(_ context.Context, _, _ string, pieces []Piece) Answer {
+			results, outcome := run(pieces)
+			return Answer{
+				Results: results,
+				Outcome: outcome,
+			}
 		},
 		FreeResults: func(context.Context, string, []string) {},
 		Zone:        func(string) string { return "z" },
--- a/bluebelld/bbpeer/conn.go
+++ b/bluebelld/bbpeer/conn.go
@@ -120,6 +120,11 @@
 	return c.invoke(ctx, address, suspectsMethod, &s, new(Nothing))
 }
 
+// Leaving tells a VM which endpoints leave.
+func (c *Conns) Leaving(ctx context.Context, address string, l Leaving) error {
+	return c.invoke(ctx, address, leavingMethod, &l, new(Nothing))
+}
+
 // Reset closes the connection to an address, so that the next call opens a new one: the
 // old one may be silent for good.
 func (c *Conns) Reset(address string) {
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -19,6 +19,7 @@
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbstanding"
 )
 
 // Exchange is what one VM tells another of itself and of the rest.
@@ -84,6 +85,13 @@
 	Relayed bool `json:"relayed"`
 }
 
+// Leaving names processes of endpoints that have said that they leave.
+type Leaving struct {
+	// From is the VM that tells it.
+	From      string               `json:"from"`
+	Processes []bbstanding.Process `json:"processes"`
+}
+
 // Nothing is an empty answer.
 type Nothing struct{}
 
@@ -96,6 +104,8 @@
 	Notes func(n []bbjob.Note)
 	// Suspects takes in what another VM knows of contents that may crash endpoints.
 	Suspects func(s Suspects)
+	// Leaving takes in which endpoints leave.
+	Leaving func(l Leaving)
 	// Failed is told of an unexpected error in one of the others, with its place; the call
 	// ends with an error and the process goes on.
 	Failed func(method string, err error)
@@ -109,6 +119,7 @@
 	orderMethod     = "/bluebell.Entry/Order"
 	notesMethod     = "/bluebell.Entry/Notes"
 	suspectsMethod  = "/bluebell.Entry/Suspects"
+	leavingMethod   = "/bluebell.Entry/Leaving"
 )
 
 // entryService is what grpc requires a server to implement.
@@ -178,6 +189,10 @@
 			h.Suspects(*q)
 			return new(Nothing), nil
 		}),
+		unary("Leaving", func(_ context.Context, h *Handlers, q *Leaving) (*Nothing, error) {
+			h.Leaving(*q)
+			return new(Nothing), nil
+		}),
 	},
 	Streams: []grpc.StreamDesc{
 		{
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -43,6 +43,10 @@
 	case bbhealth.OutcomeGood, bbhealth.OutcomeFull:
 		c.know.Answered(call.Endpoint)
 	}
+	if o == bbhealth.OutcomeFull || o == bbhealth.OutcomeHeld {
+		// The endpoint may have asked for rest.
+		c.listPool(call.Service, p)
+	}
 	retry := make(bbpool.ByJob)
 	for i, piece := range call.Pieces {
 		j := c.jobs[piece.Job]
@@ -69,9 +73,9 @@
 		}
 		retry.Add(piece)
 	}
-	mayRepeat := len(retry) == 0 || full || o == bbhealth.OutcomeUnreachable || c.retries.Of(call.Service).Take(now, 1)
+	mayRepeat := len(retry) == 0 || full || !o.Sent() || c.retries.Of(call.Service).Take(now, 1)
 	for _, job := range slices.Sorted(maps.Keys(retry)) {
-		c.retryPieces(now, job, retry[job], mayRepeat, !full)
+		c.retryPieces(now, job, retry[job], mayRepeat, !full && o != bbhealth.OutcomeHeld)
 	}
 	for _, piece := range call.Pieces {
 		if j := c.jobs[piece.Job]; j != nil {
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -41,6 +41,9 @@
 	Lost func(fingerprint uint64, run bbsuspect.Run)
 	// Answered takes in that an endpoint answered; nil ignores it.
 	Answered func(endpoint string)
+	// RestUntil returns when an endpoint that wants nothing of this VM, which makes the calls of
+	// stages, may get some again; 0 if it may now. Nil means that all may.
+	RestUntil func(endpoint string) time.Duration
 	// Share returns the part of the fleet's allowance for repeats that this coordinator has;
 	// nil for all of it.
 	Share func() float64
@@ -116,6 +119,9 @@
 	if k.Answered == nil {
 		k.Answered = func(string) {}
 	}
+	if k.RestUntil == nil {
+		k.RestUntil = func(string) time.Duration { return 0 }
+	}
 	if k.Spill == nil {
 		k.Spill = func(bbjob.Order, time.Duration, func(string) bool) (string, time.Duration) { return "", 0 }
 	}
@@ -353,12 +359,27 @@
 	if now+j.Tail() > j.Limit {
 		return "deadline", minRetryAfter
 	}
+	if back := c.backAt(j); back > j.Limit {
+		return "resting", back - now
+	}
 	if wait := c.lateWait(now, j); wait > maxLateWait {
 		return "backlog", wait
 	}
 	return "", 0
 }
 
+// backAt returns when all stages of a request have an endpoint again, where they have none because
+// all rest; 0 if they have some.
+func (c *Coordinator) backAt(j *bbprogress.Job) time.Duration {
+	var back time.Duration
+	for i, s := range j.Order.Stages {
+		if p := c.pools[s.Service]; p != nil && j.Stages[i].Left > 0 && j.Needed(i) {
+			back = max(back, p.BackAt)
+		}
+	}
+	return back
+}
+
 // maxLateWait is how long a request that can't be on time any more may wait for a stage: a
 // call and a half. Its results take the room that requests on time need, and after a few
 // seconds they expire and have to be made again.
@@ -432,13 +453,24 @@
 func (c *Coordinator) listPool(name string, p *bbpool.Pool) {
 	entries := c.know.Endpoints(name)
 	list := make([]bbpool.Endpoint, 0, len(entries))
+	var back time.Duration
 	for _, e := range entries {
+		if until := c.know.RestUntil(e.ID); until > 0 {
+			if back == 0 || until < back {
+				back = until
+			}
+			continue
+		}
 		list = append(list, bbpool.Endpoint{
 			ID:      e.ID,
 			Address: e.Address,
 			Zone:    e.Zone,
 		})
 	}
+	if len(list) > 0 {
+		back = 0
+	}
+	p.BackAt = back
 	p.Endpoints(list)
 }
 
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -33,6 +33,9 @@
 		if s.Pieces == 0 || p == nil {
 			continue
 		}
+		if p.BackAt > 0 {
+			c.listPool(s.Service, p)
+		}
 		urgency := j.DueOf(i).Urgency(now)
 		wait := p.Wait(now, urgency, future.Before(s.Service, urgency))
 		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(p.UsualBatch(s.Pieces))
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -101,6 +101,9 @@
 	EndpointsAdopted     Number = 817
 	FollowFailed         Number = 818
 	EndpointChanged      Number = 819
+	EndpointLeaves       Number = 820
+	EndpointRests        Number = 824
+	LeavingUntold        Number = 825
 	CoordinatorChanged   Number = 821
 	CellsChanged         Number = 822
 	OrderSpilled         Number = 823
@@ -200,9 +203,12 @@
 	{Number: EndpointsAdopted, Title: "endpointsAdopted", Severity: SeverityInfo, Text: "The endpoints were taken from another VM, because the store is away."},
 	{Number: FollowFailed, Title: "followFailed", Severity: SeverityInfo, Text: "Another VM did not tell what it knows."},
 	{Number: EndpointChanged, Title: "endpointChanged", Severity: SeverityInfo, Text: "An endpoint is listed, cold, warm, leaving, lapsed while the store was away, or gone, as this VM sees it; detail tells which."},
+	{Number: EndpointLeaves, Title: "endpointLeaves", Severity: SeverityInfo, Text: "An endpoint has said in an answer that it leaves, to this VM or to the one that source names. It gets nothing new, whatever is listed."},
 	{Number: CoordinatorChanged, Title: "coordinatorChanged", Severity: SeverityInfo, Text: "Another VM coordinates this VM's cell, as this one sees it."},
 	{Number: CellsChanged, Title: "cellsChanged", Severity: SeverityInfo, Text: "This VM coordinates other cells than before; works tells whether it coordinates any."},
 	{Number: OrderSpilled, Title: "orderSpilled", Severity: SeverityInfo, Text: "The coordinator sent a request to another cell that expects to be sooner; value is the time expected here."},
+	{Number: EndpointRests, Title: "endpointRests", Severity: SeverityInfo, Text: "An endpoint turned a request of this VM away and wants nothing from it for the time in value."},
+	{Number: LeavingUntold, Title: "leavingUntold", Severity: SeverityInfo, Text: "Another VM could not be told that an endpoint leaves; it hears that from the endpoint or the platform."},
 	{Number: OrderAccepted, Title: "orderAccepted", Severity: SeverityInfo, Text: "The coordinator took a request in; value is the expected time to its first token."},
 	{Number: OrderReturned, Title: "orderReturned", Severity: SeverityInfo, Text: "As orderAccepted, for a caller that was refused before."},
 	{Number: OrderElsewhere, Title: "orderElsewhere", Severity: SeverityInfo, Text: "A leaving coordinator handed a request back with the results made so far."},
--- a/core/bbhealth/health.go
+++ b/core/bbhealth/health.go
@@ -33,6 +33,8 @@
 	OutcomeFull
 	// OutcomeMoved calls found another endpoint at the address.
 	OutcomeMoved
+	// OutcomeHeld calls were not made: the endpoint must get nothing at present.
+	OutcomeHeld
 )
 
 // String returns the word for an outcome in logs and metrics.
@@ -48,6 +50,8 @@
 		return "full"
 	case OutcomeMoved:
 		return "moved"
+	case OutcomeHeld:
+		return "held"
 	}
 	return "unknown"
 }
@@ -81,10 +85,15 @@
 		r.until = max(r.until, now+min(pause, maxPause))
 	case OutcomeBroken:
 		r.bad = min(weightCap, r.bad+1)
-	case OutcomeFull:
+	case OutcomeFull, OutcomeHeld:
 	}
 }
 
+// Sent tells whether calls with this outcome may have reached their endpoint.
+func (o Outcome) Sent() bool {
+	return o != OutcomeUnreachable && o != OutcomeHeld
+}
+
 // Paused tells whether the endpoint should be left alone for now.
 func (r *Record) Paused(now time.Duration) bool {
 	return now < r.until
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -91,7 +91,9 @@
 	Spec bbcatalog.Pool
 	// Lead is how long before the expected end of a call the next one is sent, so that
 	// the endpoint doesn't wait for the network.
-	Lead    time.Duration
+	Lead time.Duration
+	// BackAt is when an endpoint may get calls again, where none may and that is known; otherwise 0.
+	BackAt  time.Duration
 	groups  []*Group
 	workers map[string]*worker
 	// endpoints are those that may get calls, as last told.
@@ -249,7 +251,7 @@
 	}
 	w.health.Note(now, o)
 	switch o {
-	case bbhealth.OutcomeFull:
+	case bbhealth.OutcomeFull, bbhealth.OutcomeHeld:
 		w.pausedUntil = now + fullPause
 	case bbhealth.OutcomeGood:
 		w.learn(now, float64(now-max(c.Sent, c.turnAt))/float64(p.Duration(len(c.Pieces))))
@@ -330,7 +332,7 @@
 	}
 	soonest, perSecond := p.capacity(now)
 	if perSecond == 0 {
-		return p.Spec.ResultLife
+		return max(p.Spec.ResultLife, p.BackAt-now)
 	}
 	return soonest + time.Duration(float64(ahead)/perSecond*float64(time.Second))
 }
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -232,6 +232,26 @@
 	return e
 }
 
+// Listed returns the endpoint of that ID, whether it may get new work or not.
+func (t *Table) Listed(id string) (Endpoint, bool) {
+	e := t.entries[id]
+	if e == nil {
+		return Endpoint{}, false
+	}
+	return e.Endpoint, true
+}
+
+// At returns the endpoint that is listed with an address; of several the one that started last.
+func (t *Table) At(address string) (Endpoint, bool) {
+	var found Endpoint
+	for _, e := range t.entries {
+		if e.Address == address && (found.ID == "" || e.Born > found.Born || e.Born == found.Born && e.ID > found.ID) {
+			found = e.Endpoint
+		}
+	}
+	return found, found.ID != ""
+}
+
 // Of returns copies of the endpoints of a service that may get new work, in the order of
 // their IDs, with the cold time that they have left.
 func (t *Table) Of(now time.Duration, service string) []*Entry {
