Watched pieces share calls with those that aren't watched

Cause: after one lost call the pieces of each of its requests went in a call of their own, 200 ms each, though all but one were innocent. Test: TestWatchedPiecesShareNoCall.

--- a/core/bbpool/compose.go
+++ b/core/bbpool/compose.go
@@ -1,6 +1,7 @@
 package bbpool
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -140,12 +141,13 @@
 		Sent:     now,
 	}
 	p.take(now, c, first, w)
+	taken := []*Group{first}
 	for _, g := range p.nearFirst(now, e.Zone) {
 		space := p.Spec.Batch - len(c.Pieces)
 		if space <= 0 {
 			break
 		}
-		if g == first || len(g.Left) == 0 || (g.Job != first.Job && (g.Alone || first.Alone)) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
+		if g == first || len(g.Left) == 0 || slices.ContainsFunc(taken, g.apart) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
 			continue
 		}
 		if len(g.Left) > space && g.ResultBytes >= splitBytes {
@@ -155,6 +157,7 @@
 			continue
 		}
 		p.take(now, c, g, w)
+		taken = append(taken, g)
 	}
 	kept := p.groups[:0]
 	for _, g := range p.groups {
--- a/core/bbpool/group.go
+++ b/core/bbpool/group.go
@@ -16,8 +16,9 @@
 	// Begun is true once other pieces of the same stage are in a call or done. Such groups go
 	// first: results of half a stage take room and serve nobody.
 	Begun bool
-	// Alone groups share no call with pieces of other requests.
-	Alone bool
+	// Watched groups may have ended an endpoint; they share no call with those of other requests
+	// that are watched too. Alone groups share no call with other requests at all.
+	Watched, Alone bool
 	// Limit is when the request is given up.
 	Limit time.Duration
 	// Zone is where the inputs are or the results are wanted; empty if it doesn't matter.
@@ -37,6 +38,11 @@
 	return u
 }
 
+// apart tells whether pieces of two groups may not be in one call.
+func (g *Group) apart(o *Group) bool {
+	return g.Job != o.Job && (g.Alone || o.Alone || g.Watched && o.Watched)
+}
+
 // Due says when work has to begin.
 type Due struct {
 	// StartBy is the latest begin for an answer that is on time, LastStart for one at all.
--- a/core/bbpool/pool_test.go
+++ b/core/bbpool/pool_test.go
@@ -103,6 +103,19 @@
 	wantJobs(t, made[1], map[string]int{"b": 2})
 }
 
+// Pieces that were in a lost call together went into the next one together.
+func TestWatchedPiecesShareNoCall(t *testing.T) {
+	p := newTestPool()
+	for i, job := range []string{"a", "b", "c"} {
+		g := group(job, 1, 500*ms+time.Duration(i)*ms)
+		g.Watched = job != "b"
+		p.Add(g)
+	}
+	made := calls(p, 0)
+	wantJobs(t, made[0], map[string]int{"a": 1, "b": 1})
+	wantJobs(t, made[1], map[string]int{"c": 1})
+}
+
 func TestMostUrgentGoesFirst(t *testing.T) {
 	p := newTestPool()
 	p.Add(group("late", 4, 900*ms))
