--- a/bluebellbench/bbsoak/bbpromise/promise.go
+++ b/bluebellbench/bbsoak/bbpromise/promise.go
@@ -149,6 +149,7 @@
 	c.checkCold(arrivals)
 	c.checkBudget(arrivals)
 	c.checkCrashers(c.Ledger.Reaches())
+	c.checkWords(c.Ledger.Said(), arrivals)
 	c.checkRegress()
 	if c.Timed {
 		c.checkBounds(arrivals)
--- /dev/null
+++ b/bluebellbench/bbsoak/bbpromise/word.go
@@ -0,0 +1,83 @@
+package bbpromise
+
+import (
+	"strings"
+	"time"
+
+	"bluebellhall/platform/bbstand"
+)
+
+const (
+	// restSlack is how long after an endpoint has asked for rest a VM may still send to it, and
+	// restMost how many requests may reach it from that VM from then on.
+	restSlack = 500 * time.Millisecond
+	restMost  = 2
+)
+
+// between is a VM and an endpoint.
+type between struct {
+	vm       int
+	endpoint string
+}
+
+// checkWords checks that what endpoints say of themselves binds the VM that they answered. Calls of
+// stages are left out, since their VM isn't known.
+func (c *checker) checkWords(said []bbstand.Said, arrivals []bbstand.Arrival) {
+	tries := make(map[string]Try)
+	for _, t := range c.Tries {
+		tries[t.Request.ID] = t
+	}
+	leaving := make(map[between]time.Time)
+	var rests []bbstand.Said
+	for _, s := range said {
+		t, known := tries[s.Attempt]
+		if !known {
+			continue
+		}
+		pair := between{t.VM, s.Endpoint}
+		if _, told := leaving[pair]; s.Leaving && !told {
+			leaving[pair] = s.At
+		}
+		if s.Rest > 0 {
+			rests = append(rests, s)
+		}
+	}
+	got := make(map[between][]time.Time)
+	for _, a := range arrivals {
+		t, known := tries[a.Attempt]
+		if !known {
+			continue
+		}
+		pair := between{t.VM, a.Endpoint}
+		got[pair] = append(got[pair], a.At)
+		at, told := leaving[pair]
+		if told && t.Sent.After(at.Add(DrainTime)) && !c.harmed(pair, at, a.At) {
+			c.find("%s got %s from entry-%d, which had passed on %v before that it leaves", a.Endpoint, a.Attempt, t.VM, t.Sent.Sub(at))
+		}
+	}
+	for _, s := range rests {
+		pair := between{tries[s.Attempt].VM, s.Endpoint}
+		n := 0
+		for _, at := range got[pair] {
+			if at.After(s.At.Add(restSlack)) && at.Before(s.At.Add(s.Rest)) {
+				n++
+			}
+		}
+		if n > restMost && !c.harmed(pair, s.At, s.At.Add(s.Rest)) {
+			c.find("%s got %d requests from entry-%d in the %v for which it wanted none", s.Endpoint, n, pair.vm, s.Rest)
+		}
+	}
+}
+
+// harmed tells whether a VM, or its way to an endpoint, was harmed in a time.
+func (c *checker) harmed(pair between, from, until time.Time) bool {
+	for _, f := range c.Faults {
+		to, cut := strings.CutPrefix(f.Name, "to ")
+		name, _, _ := strings.Cut(to, ":")
+		concerned := f.VM == pair.vm || cut && strings.HasPrefix(pair.endpoint, name+"-")
+		if concerned && !f.Began.IsZero() && f.Began.Before(until) && (f.Ended.IsZero() || f.Ended.After(from)) {
+			return true
+		}
+	}
+	return false
+}
