--- a/bluebelld/bbentry/cell.go
+++ b/bluebelld/bbentry/cell.go
@@ -15,6 +15,9 @@
 // whether it still has one.
 const cellPeriod = 150 * time.Millisecond
 
+// maxChosen bounds the services whose endpoints are kept as chosen.
+const maxChosen = 1000
+
 // cell has the endpoints that this VM coordinates, as they were last chosen.
 type cell struct {
 	mu sync.Mutex
@@ -32,7 +35,7 @@
 // coordinated returns the endpoints of a service that this VM coordinates and that may get new
 // work. Callers must not change them.
 func (e *Entry) coordinated(service string) []*bbregistry.Entry {
-	all := e.Knowledge.usable(service)
+	all := e.Knowledge.Usable(service)
 	split, mine, version := e.fleet.Cells()
 	if !split || len(all) == 0 {
 		return all
@@ -40,7 +43,7 @@
 	c := &e.cell
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.version != version || c.services == nil || len(c.services) >= maxLookups {
+	if c.version != version || c.services == nil || len(c.services) >= maxChosen {
 		c.version = version
 		c.services = make(map[string]coordinated)
 	}
@@ -62,7 +65,7 @@
 
 // serves tells whether a failure domain has endpoints of a service that may get work.
 func (e *Entry) serves(service, zone string) bool {
-	return slices.ContainsFunc(e.Knowledge.usable(service), func(entry *bbregistry.Entry) bool { return entry.Zone == zone })
+	return slices.ContainsFunc(e.Knowledge.Usable(service), func(entry *bbregistry.Entry) bool { return entry.Zone == zone })
 }
 
 // share returns the part of the fleet's allowance for repeats of this VM's coordinator.
--- a/bluebelld/bbentry/cell_test.go
+++ b/bluebelld/bbentry/cell_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"bluebellhall/bluebelld/bbknowledge"
 	"bluebellhall/bluebelld/bbmembership"
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bbgossip"
@@ -15,6 +16,18 @@
 	"bluebellhall/core/bbregistry"
 )
 
+// clock is a manual clock.
+type clock struct {
+	now time.Duration
+}
+
+func newTestKnowledge() (*bbknowledge.Knowledge, *clock) {
+	c := &clock{
+		now: time.Second,
+	}
+	return bbknowledge.NewKnowledge(func() time.Duration { return c.now }), c
+}
+
 var testRegions = map[string]string{
 	"z0": "north",
 	"z1": "north",
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -1,3 +1,5 @@
+// Package bbentry puts an entry VM together for platforms that publish endpoints and
+// configuration: what the VM knows, the fleet, the coordinator and the gateway.
 package bbentry
 
 import (
@@ -7,6 +9,7 @@
 
 	"bluebellhall/bluebelld/bbgateway"
 	"bluebellhall/bluebelld/bbhub"
+	"bluebellhall/bluebelld/bbknowledge"
 	"bluebellhall/bluebelld/bblog"
 	"bluebellhall/bluebelld/bbmembership"
 	"bluebellhall/bluebelld/bbmeter"
@@ -56,7 +59,7 @@
 // Entry is a running entry VM.
 type Entry struct {
 	// Knowledge is what the platform published.
-	Knowledge *Knowledge
+	Knowledge *bbknowledge.Knowledge
 	// Gateway serves callers.
 	Gateway *bbgateway.Gateway
 
@@ -108,10 +111,10 @@
 		checks:   make(chan struct{}, maxChecks),
 		notes:    make(chan addressedNote, maxNotes),
 	}
-	e.Knowledge = NewKnowledge(e.now)
-	e.Knowledge.changed = e.catalogChanged
-	e.Knowledge.setReading(false)
-	e.Knowledge.table.Changed = e.endpointChanged
+	e.Knowledge = bbknowledge.NewKnowledge(e.now)
+	e.Knowledge.Changed = e.catalogChanged
+	e.Knowledge.SetReading(false)
+	e.Knowledge.Observe(e.endpointChanged)
 	e.fleet = bbmembership.NewFleet(s.Self, s.Seeds, s.Regions, e.now, conns)
 	e.fleet.Serves = e.serves
 	e.fleet.Log = e.peerChanged
@@ -133,7 +136,7 @@
 		Suspicion: e.quarantine.Verdict,
 		Lost:      e.quarantine.Lost,
 		Answered:  e.quarantine.Answered,
-		RestUntil: e.Knowledge.restUntil,
+		RestUntil: e.Knowledge.RestUntil,
 		Share:     e.share,
 		Spill:     e.fleet.Spill,
 	}, s.Limits)
@@ -141,7 +144,7 @@
 		Now:         e.now,
 		RunPieces:   e.runPieces(seams.RunPieces),
 		FreeResults: e.freeResults(seams.FreeResults),
-		Zone:        e.Knowledge.zoneOf,
+		Zone:        e.Knowledge.ZoneOf,
 		Log:         e.decided,
 	})
 	e.hub = hub
@@ -162,10 +165,10 @@
 	e.Gateway = bbgateway.New(s.Self.Name, s.Self.Zone, s.Self.Region, seams.Codec, bbgateway.Seams{
 		Now:       e.now,
 		Index:     e.Knowledge.Index,
-		Endpoints: e.Knowledge.usable,
-		MaySend:   e.Knowledge.maySend,
+		Endpoints: e.Knowledge.Usable,
+		MaySend:   e.Knowledge.MaySend,
 		Heard:     e.heard,
-		RestUntil: e.Knowledge.restUntil,
+		RestUntil: e.Knowledge.RestUntil,
 		Region:    e.region,
 		Order:     e.order,
 		Note:      e.note,
@@ -203,7 +206,7 @@
 
 // Ready tells whether this VM takes new callers.
 func (e *Entry) Ready() bool {
-	ready, _, _ := e.Knowledge.ready()
+	ready, _, _ := e.Knowledge.Ready()
 	return ready && !e.leaving.Load()
 }
 
@@ -261,7 +264,7 @@
 
 // refresh updates what this VM tells of itself.
 func (e *Entry) refresh() {
-	ready, version, revision := e.Knowledge.ready()
+	ready, version, revision := e.Knowledge.Ready()
 	e.fleet.Update(func(m *bbgossip.Member) {
 		m.Ready = ready
 		m.Leaving = e.leaving.Load()
--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -35,21 +35,21 @@
 
 // published answers another VM that knows less than this one.
 func (e *Entry) published(w bbpeer.Wanted) bbpeer.Published {
-	_, version, _ := e.Knowledge.ready()
+	_, version, _ := e.Knowledge.Ready()
 	p := bbpeer.Published{
 		Boot:           e.settings.Self.Boot,
 		CatalogVersion: version,
-		StoreAge:       e.Knowledge.storeAge(),
+		StoreAge:       e.Knowledge.StoreAge(),
 	}
 	if x := e.Knowledge.Index(); w.Catalog && x != nil {
 		p.Catalog = &x.Catalog
 	}
-	if w.Endpoints && e.Knowledge.hasListed() {
+	if w.Endpoints && e.Knowledge.HasListed() {
 		sequence := w.Sequence
 		if w.Boot != p.Boot {
 			sequence = 0
 		}
-		d := e.Knowledge.since(sequence)
+		d := e.Knowledge.Since(sequence)
 		p.Endpoints = &d
 	}
 	return p
@@ -72,7 +72,7 @@
 		}
 		e.refresh()
 		reader, reads := e.reader()
-		e.Knowledge.setReading(reads)
+		e.Knowledge.SetReading(reads)
 		if peer, ok := e.ahead(); ok {
 			e.follow(ctx, peer, bbpeer.Wanted{
 				Catalog: true,
@@ -80,7 +80,7 @@
 		}
 		switch {
 		case !reads && e.now()-asked >= followPeriod:
-		case reads && e.Knowledge.stale() && reader.Name != "":
+		case reads && e.Knowledge.IsStale() && reader.Name != "":
 		default:
 			continue
 		}
@@ -106,7 +106,7 @@
 
 // ahead returns a VM that has a newer configuration in force.
 func (e *Entry) ahead() (bbgossip.Member, bool) {
-	_, version, _ := e.Knowledge.ready()
+	_, version, _ := e.Knowledge.Ready()
 	var peer bbgossip.Member
 	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
 		t.EachReachable(now, func(m *bbgossip.Member) {
@@ -142,14 +142,14 @@
 			}
 		})
 	})
-	untold, outdated := e.Knowledge.unfollowed()
+	untold, outdated := e.Knowledge.Unfollowed()
 	return best, best.Name == "" || untold || (outdated && ahead <= deputies)
 }
 
 // newest returns the VM that knows the newest endpoints, if they are not older than this VM's: of
 // several one that reads the store.
 func (e *Entry) newest(readers map[string]bool) bbgossip.Member {
-	_, _, revision := e.Knowledge.ready()
+	_, _, revision := e.Knowledge.Ready()
 	var best bbgossip.Member
 	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
 		t.EachReachable(now, func(m *bbgossip.Member) {
@@ -176,12 +176,12 @@
 		e.Knowledge.OfferCatalog(*p.Catalog, peer.Name)
 	}
 	if w.Endpoints {
-		e.Knowledge.told()
+		e.Knowledge.Told()
 	}
 	if p.Endpoints == nil {
 		return
 	}
-	turned, taken := e.Knowledge.follow(*p.Endpoints, p.StoreAge, e.settings.Regions)
+	turned, taken := e.Knowledge.Follow(*p.Endpoints, p.StoreAge, e.settings.Regions)
 	if !taken {
 		return
 	}
@@ -196,7 +196,7 @@
 		boot:     p.Boot,
 		sequence: p.Endpoints.Sequence,
 	}
-	_, version, _ := e.Knowledge.ready()
+	_, version, _ := e.Knowledge.Ready()
 	if p.CatalogVersion > version {
 		e.follow(ctx, peer, bbpeer.Wanted{
 			Catalog: true,
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -19,10 +19,10 @@
 	members("members.reachable", func(t *bbgossip.Table, now time.Duration) float64 { return float64(1 + len(t.Reachable(now))) })
 	members("members.silentMs", func(t *bbgossip.Table, now time.Duration) float64 { return float64(t.Silence(now).Milliseconds()) })
 	e.meter.Gauge("knowledge.version", func() float64 {
-		_, version, _ := e.Knowledge.ready()
+		_, version, _ := e.Knowledge.Ready()
 		return float64(version)
 	})
-	e.meter.Gauge("knowledge.storeAgeMs", func() float64 { return float64(e.Knowledge.storeAge().Milliseconds()) })
+	e.meter.Gauge("knowledge.storeAgeMs", func() float64 { return float64(e.Knowledge.StoreAge().Milliseconds()) })
 	e.meter.Gauge("requests.open", func() float64 { return float64(e.Gateway.Open()) })
 	e.meter.Gauge("requests.exchanges", func() float64 { return float64(e.Gateway.Exchanges()) })
 	e.meter.Gauge("suspects.watched", func() float64 {
@@ -38,7 +38,7 @@
 
 // showServices shows what is known of each service.
 func (e *Entry) showServices(show func(value float64, parts ...string)) {
-	for service, c := range e.Knowledge.counts() {
+	for service, c := range e.Knowledge.Counts() {
 		show(float64(c.Listed), "endpoints", service, "listed")
 		show(float64(c.Usable), "endpoints", service, "usable")
 		show(float64(c.Cold), "endpoints", service, "cold")
--- a/bluebelld/bbentry/standing.go
+++ b/bluebelld/bbentry/standing.go
@@ -8,70 +8,12 @@
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
-	"bluebellhall/core/bbregistry"
 	"bluebellhall/core/bbstanding"
 )
 
-// process names the process of a listed endpoint.
-func process(e bbregistry.Endpoint) bbstanding.Process {
-	return bbstanding.Process{
-		ID:   e.ID,
-		Born: e.Born,
-	}
-}
-
-// maySend tells whether this VM may send something to an endpoint now, and which of its processes
-// gets it. It is asked before each send.
-func (k *Knowledge) maySend(id string) (bbstanding.Process, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	e := k.table.Usable(id)
-	if e == nil {
-		return bbstanding.Process{
-			ID: id,
-		}, false
-	}
-	p := process(e.Endpoint)
-	return p, !k.standing.Leaving(p) && k.standing.Rest(k.now(), p) == 0
-}
-
-// heard takes in what a process of an endpoint says of itself.
-func (k *Knowledge) heard(p bbstanding.Process, w bbstanding.Word) (leaves, rests bool) {
-	if w == (bbstanding.Word{}) {
-		return false, false
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.standing.Hear(k.now(), p, w)
-}
-
-// restUntil returns when an endpoint that wants nothing of this VM may get something again; 0 if
-// it may now.
-func (k *Knowledge) restUntil(id string) time.Duration {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	e, ok := k.table.Listed(id)
-	if !ok {
-		return 0
-	}
-	now := k.now()
-	if rest := k.standing.Rest(now, process(e)); rest > 0 {
-		return now + rest
-	}
-	return 0
-}
-
-// at returns the process of the endpoint that is listed with an address.
-func (k *Knowledge) at(address string) (bbstanding.Process, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	e, ok := k.table.At(address)
-	return process(e), ok
-}
-
 // heard takes in what a process of an endpoint says of itself, and tells other VMs if it leaves.
 func (e *Entry) heard(p bbstanding.Process, w bbstanding.Word) {
-	leaves, rests := e.Knowledge.heard(p, w)
+	leaves, rests := e.Knowledge.HearWord(p, w)
 	if rests {
 		e.log.Event(bbevent.EndpointRests).Str("endpoint", p.ID).Dur("value", w.RetryAfter).Send()
 	}
@@ -84,7 +26,7 @@
 // heardLeaving takes in that other VMs heard of endpoints that leave.
 func (e *Entry) heardLeaving(l bbpeer.Leaving) {
 	for _, p := range l.Processes[:min(len(l.Processes), maxLeaving)] {
-		leaves, _ := e.Knowledge.heard(p, bbstanding.Word{
+		leaves, _ := e.Knowledge.HearWord(p, bbstanding.Word{
 			Leaving: true,
 		})
 		if leaves {
@@ -122,7 +64,7 @@
 // runPieces makes a call of a stage worker, unless that must get nothing now.
 func (e *Entry) runPieces(run RunPieces) RunPieces {
 	return func(ctx context.Context, address, endpoint string, pieces []bbhub.Piece) bbhub.Answer {
-		p, may := e.Knowledge.maySend(endpoint)
+		p, may := e.Knowledge.MaySend(endpoint)
 		if !may {
 			return bbhub.Answer{
 				Outcome: bbhealth.OutcomeHeld,
@@ -138,8 +80,8 @@
 // VM: they end by themselves.
 func (e *Entry) freeResults(free FreeResults) func(ctx context.Context, address string, handles []string) {
 	return func(ctx context.Context, address string, handles []string) {
-		p, listed := e.Knowledge.at(address)
-		if listed && e.Knowledge.restUntil(p.ID) > 0 {
+		p, listed := e.Knowledge.ProcessAt(address)
+		if listed && e.Knowledge.RestUntil(p.ID) > 0 {
 			return
 		}
 		word := free(ctx, address, handles)
--- a/bluebelld/bbentry/standing_test.go
+++ b/bluebelld/bbentry/standing_test.go
@@ -64,11 +64,11 @@
 // wantMaySend checks whether the endpoint a may get something, and whether it is named for new work.
 func wantMaySend(t *testing.T, e *Entry, may, named bool) {
 	t.Helper()
-	if _, got := e.Knowledge.maySend("a"); got != may {
+	if _, got := e.Knowledge.MaySend("a"); got != may {
 		t.Errorf("a may get something: %t, want %t", got, may)
 	}
 	got := false
-	for _, entry := range e.Knowledge.usable("s") {
+	for _, entry := range e.Knowledge.Usable("s") {
 		got = got || entry.ID == "a"
 	}
 	if got != named {
@@ -82,7 +82,7 @@
 func TestEndpointThatSaysThatItLeavesGetsNothing(t *testing.T) {
 	e, _ := newStandingEntry(t)
 	wantMaySend(t, e, true, true)
-	p, _ := e.Knowledge.maySend("a")
+	p, _ := e.Knowledge.MaySend("a")
 	e.heard(p, leaves)
 	wantMaySend(t, e, false, false)
 	t.Run("though a list says that it runs", func(t *testing.T) {
@@ -112,15 +112,15 @@
 // Rest is between one VM and one endpoint: the coordinator goes on to name it for others.
 func TestEndpointThatAsksForRest(t *testing.T) {
 	e, c := newStandingEntry(t)
-	p, _ := e.Knowledge.maySend("a")
+	p, _ := e.Knowledge.MaySend("a")
 	e.heard(p, bbstanding.Word{RetryAfter: 3 * time.Second})
 	wantMaySend(t, e, false, true)
-	if got := e.Knowledge.restUntil("a"); got != c.now+3*time.Second {
+	if got := e.Knowledge.RestUntil("a"); got != c.now+3*time.Second {
 		t.Errorf("a rests until %v, want 3 s from %v", got, c.now)
 	}
 	c.now += 3 * time.Second
 	wantMaySend(t, e, true, true)
-	if got := e.Knowledge.restUntil("a"); got != 0 {
+	if got := e.Knowledge.RestUntil("a"); got != 0 {
 		t.Errorf("a rests until %v, want it to rest no more", got)
 	}
 }
--- a/bluebelld/bbentry/knowledge.go
+++ b/bluebelld/bbknowledge/knowledge.go
@@ -1,6 +1,6 @@
-// Package bbentry puts an entry VM together for platforms that publish endpoints and
-// configuration: what the VM knows, the fleet, the coordinator and the gateway.
-package bbentry
+// Package bbknowledge has what an entry VM knows of the platform: the configuration in force, the
+// endpoints, and what these said of themselves.
+package bbknowledge
 
 import (
 	"slices"
@@ -29,8 +29,8 @@
 // Knowledge is what the platform published, as far as this VM knows it.
 type Knowledge struct {
 	now func() time.Duration
-	// changed is called after a newer catalog came into force.
-	changed func(c bbcatalog.Catalog, source string)
+	// Changed is called after a newer catalog came into force.
+	Changed func(c bbcatalog.Catalog, source string)
 
 	mu    sync.Mutex
 	index *bbcatalog.Index
@@ -58,13 +58,20 @@
 func NewKnowledge(now func() time.Duration) *Knowledge {
 	return &Knowledge{
 		now:      now,
-		changed:  func(bbcatalog.Catalog, string) {},
+		Changed:  func(bbcatalog.Catalog, string) {},
 		table:    bbregistry.NewTable(),
 		standing: bbstanding.NewTable(),
 		lookups:  make(map[string]cached),
 	}
 }
 
+// Observe makes a function hear of each change of an endpoint.
+func (k *Knowledge) Observe(changed func(e bbregistry.Endpoint, c bbregistry.Change)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table.Changed = changed
+}
+
 // OfferCatalog brings a catalog into force if it is newer than the present one.
 func (k *Knowledge) OfferCatalog(c bbcatalog.Catalog, source string) bool {
 	k.mu.Lock()
@@ -74,7 +81,7 @@
 	}
 	k.mu.Unlock()
 	if newer {
-		k.changed(c, source)
+		k.Changed(c, source)
 	}
 	return newer
 }
@@ -134,17 +141,17 @@
 	return k.table.Revision
 }
 
-// stale tells whether this VM should ask others for the endpoints.
-func (k *Knowledge) stale() bool {
+// IsStale tells whether this VM should ask others for the endpoints.
+func (k *Knowledge) IsStale() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return !k.listed || k.now()-k.heardAt > staleAfter
 }
 
-// follow takes in the endpoints of another VM, which heard of the platform some time ago. It
+// Follow takes in the endpoints of another VM, which heard of the platform some time ago. It
 // is false if this VM knows newer ones. Turned are the failure domains that were taken out or
 // brought back by it.
-func (k *Knowledge) follow(d bbregistry.Delta, storeAge time.Duration, zones map[string]string) (turned map[string]bool, taken bool) {
+func (k *Knowledge) Follow(d bbregistry.Delta, storeAge time.Duration, zones map[string]string) (turned map[string]bool, taken bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.followedAt = max(k.followedAt, k.now()-storeAge)
@@ -166,31 +173,31 @@
 	return turned, true
 }
 
-// told notes that the VM that this one follows answered.
-func (k *Knowledge) told() {
+// Told notes that the VM that this one follows answered.
+func (k *Knowledge) Told() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.toldAt = k.now()
 }
 
-// unfollowed tells whether the VM that this one follows is silent, and whether it lost the
+// Unfollowed tells whether the VM that this one follows is silent, and whether it lost the
 // platform.
-func (k *Knowledge) unfollowed() (silent, outdated bool) {
+func (k *Knowledge) Unfollowed() (silent, outdated bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
 	return now-k.toldAt > unfollowedAfter, now-k.followedAt > unfollowedAfter
 }
 
-// since returns the changes of endpoints after a number of them.
-func (k *Knowledge) since(sequence uint64) bbregistry.Delta {
+// Since returns the changes of endpoints after a number of them.
+func (k *Knowledge) Since(sequence uint64) bbregistry.Delta {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.table.Since(k.now(), sequence)
 }
 
-// hasListed tells whether the endpoints were read.
-func (k *Knowledge) hasListed() bool {
+// HasListed tells whether the endpoints were read.
+func (k *Knowledge) HasListed() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.listed
@@ -203,7 +210,7 @@
 	return !k.notReading
 }
 
-func (k *Knowledge) setReading(reads bool) {
+func (k *Knowledge) SetReading(reads bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.notReading = !reads
@@ -220,9 +227,9 @@
 	at      time.Duration
 }
 
-// usable returns the endpoints of a service that may get new work. Callers must not change
+// Usable returns the endpoints of a service that may get new work. Callers must not change
 // them.
-func (k *Knowledge) usable(service string) []*bbregistry.Entry {
+func (k *Knowledge) Usable(service string) []*bbregistry.Entry {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
@@ -243,8 +250,8 @@
 	return c.entries
 }
 
-// ready tells whether this VM can serve, and what it knows.
-func (k *Knowledge) ready() (ready bool, version, revision uint64) {
+// Ready tells whether this VM can serve, and what it knows.
+func (k *Knowledge) Ready() (ready bool, version, revision uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.index == nil {
@@ -253,8 +260,8 @@
 	return k.listed, k.index.Catalog.Version, k.table.Revision
 }
 
-// zoneOf returns the failure domain of an endpoint, empty if it is not known.
-func (k *Knowledge) zoneOf(id string) string {
+// ZoneOf returns the failure domain of an endpoint, empty if it is not known.
+func (k *Knowledge) ZoneOf(id string) string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if e := k.table.Usable(id); e != nil {
@@ -263,15 +270,15 @@
 	return ""
 }
 
-// storeAge returns the time since the platform last answered this VM or the one that it follows.
-func (k *Knowledge) storeAge() time.Duration {
+// StoreAge returns the time since the platform last answered this VM or the one that it follows.
+func (k *Knowledge) StoreAge() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.now() - max(k.heardAt, k.followedAt)
 }
 
-// counts returns the number of endpoints by service.
-func (k *Knowledge) counts() map[string]bbregistry.Count {
+// Counts returns the number of endpoints by service.
+func (k *Knowledge) Counts() map[string]bbregistry.Count {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.table.Counts(k.now())
--- a/bluebelld/bbentry/knowledge_test.go
+++ b/bluebelld/bbknowledge/knowledge_test.go
@@ -1,4 +1,4 @@
-package bbentry
+package bbknowledge
 
 import (
 	"testing"
@@ -40,7 +40,7 @@
 func wantUsable(t *testing.T, k *Knowledge, want ...string) {
 	t.Helper()
 	var got []string
-	for _, e := range k.usable("s") {
+	for _, e := range k.Usable("s") {
 		got = append(got, e.ID)
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
@@ -86,13 +86,13 @@
 	k.Endpoints(func(table *bbregistry.Table, _ time.Duration, _ bool) { table.Revision = 10 })
 	zones := map[string]string{"z": "r"}
 	t.Run("older endpoints are not taken", func(t *testing.T) {
-		if _, taken := k.follow(bbregistry.Delta{Revision: 9, Removed: []string{"a"}}, 0, zones); taken {
+		if _, taken := k.Follow(bbregistry.Delta{Revision: 9, Removed: []string{"a"}}, 0, zones); taken {
 			t.Error("endpoints of an older revision were taken, want them refused")
 		}
 		wantUsable(t, k, "a")
 	})
 	t.Run("a failure domain that is out is told", func(t *testing.T) {
-		turned, taken := k.follow(bbregistry.Delta{Revision: 11, OperatorRevision: 11, Evacuated: []string{"z"}}, 0, zones)
+		turned, taken := k.Follow(bbregistry.Delta{Revision: 11, OperatorRevision: 11, Evacuated: []string{"z"}}, 0, zones)
 		if diff := cmp.Diff(map[string]bool{"z": true}, turned); diff != "" || !taken {
 			t.Errorf("taken %v, failure domains that turned (-want +got):\n%s", taken, diff)
 		}
@@ -104,21 +104,21 @@
 	k, c := newTestKnowledge()
 	want := func(when string, silent, outdated bool) {
 		t.Helper()
-		gotSilent, gotOutdated := k.unfollowed()
+		gotSilent, gotOutdated := k.Unfollowed()
 		if diff := cmp.Diff([]bool{silent, outdated}, []bool{gotSilent, gotOutdated}); diff != "" {
 			t.Errorf("%s: the VM that is followed is silent, has lost the platform (-want +got):\n%s", when, diff)
 		}
 	}
-	k.told()
-	k.follow(bbregistry.Delta{Revision: 1}, 100*time.Millisecond, nil)
+	k.Told()
+	k.Follow(bbregistry.Delta{Revision: 1}, 100*time.Millisecond, nil)
 	want("just followed", false, false)
 	c.now += unfollowedAfter
 	want("silent for a moment less", false, true)
 	c.now++
 	want("silent", true, true)
-	k.told()
+	k.Told()
 	want("back without the platform", false, true)
-	k.follow(bbregistry.Delta{Revision: 1}, 0, nil)
+	k.Follow(bbregistry.Delta{Revision: 1}, 0, nil)
 	want("back", false, false)
 }
 
@@ -127,11 +127,11 @@
 	k, c := newTestKnowledge()
 	k.Heard()
 	c.now += 3 * time.Second
-	if got := k.storeAge(); got != 3*time.Second {
+	if got := k.StoreAge(); got != 3*time.Second {
 		t.Errorf("age %v of a VM that the platform turns away, want 3s", got)
 	}
-	k.follow(bbregistry.Delta{Revision: 1}, 200*time.Millisecond, nil)
-	if got := k.storeAge(); got != 200*time.Millisecond {
+	k.Follow(bbregistry.Delta{Revision: 1}, 200*time.Millisecond, nil)
+	if got := k.StoreAge(); got != 200*time.Millisecond {
 		t.Errorf("age %v of a VM that follows another, want 200ms", got)
 	}
 }
@@ -142,11 +142,11 @@
 		Version: 1,
 	}, "test")
 	k.Operators(func(t *bbregistry.Table) { t.Evacuate("z", true) })
-	if ready, _, _ := k.ready(); ready {
+	if ready, _, _ := k.Ready(); ready {
 		t.Error("ready before the endpoints are known, want not")
 	}
 	list(k, "a")
-	if ready, _, _ := k.ready(); !ready {
+	if ready, _, _ := k.Ready(); !ready {
 		t.Error("not ready though all is known")
 	}
 }
