Admission and the codec's types are packages of their own

Moved: what headers say is bbcodec, finding route and account and reading the body is bbadmission. No decision is changed.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bluebellhall/bluebelld/bbcodec"
 	"bluebellhall/bluebelld/bbgateway"
 	"bluebellhall/bluebelld/bbhub"
 	"bluebellhall/bluebelld/bbknowledge"
@@ -49,7 +50,7 @@
 
 // Seams are what a platform's adapter does for the VM.
 type Seams struct {
-	Codec       bbgateway.Codec
+	Codec       bbcodec.Codec
 	RunPieces   RunPieces
 	FreeResults FreeResults
 	Log         bblog.Logger
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/bluebelld/bbcodec"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbsuspect"
 )
@@ -53,7 +54,7 @@
 // ended writes the line on a request that has ended.
 func (g *Gateway) ended(x *exchange, outcome, cause string, status int) {
 	x.log.ID = x.ID
-	x.log.Content = x.content
+	x.log.Content = x.Content
 	x.log.Outcome = outcome
 	x.log.Cause = cause
 	x.log.Status = status
@@ -63,7 +64,7 @@
 	if reached == 0 {
 		reached = x.log.Took
 	}
-	x.log.OnTime = outcome == "answered" && x.route != nil && reached <= x.route.Objective
+	x.log.OnTime = outcome == "answered" && x.Route != nil && reached <= x.Route.Objective
 	if x.log.Kind == "" {
 		x.log.Kind = "none"
 	}
@@ -78,11 +79,11 @@
 }
 
 // outgoing returns the request as an endpoint gets it.
-func (g *Gateway) outgoing(x *exchange, f Forward) *http.Request {
+func (g *Gateway) outgoing(x *exchange, f bbcodec.Forward) *http.Request {
 	f.Left = x.limit - g.seams.Now()
-	f.HasAccounts = len(x.index.Catalog.Accounts) > 0
-	if x.account != nil {
-		f.Account = x.account.Name
+	f.HasAccounts = len(x.Index.Catalog.Accounts) > 0
+	if x.Account != nil {
+		f.Account = x.Account.Name
 	}
 	r := &http.Request{
 		Method: x.r.Method,
@@ -92,16 +93,16 @@
 		Host:   x.r.Host,
 		Header: g.codec.Encode(x.r.Header, f),
 	}
-	if len(x.body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(x.body))
-		r.ContentLength = int64(len(x.body))
+	if len(x.Body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(x.Body))
+		r.ContentLength = int64(len(x.Body))
 	}
 	return r
 }
 
 // classify tells what an exchange with an endpoint says of it; answer is nil if there was
 // an error.
-func classify(err error, reading Reading) bbhealth.Outcome {
+func classify(err error, reading bbcodec.Reading) bbhealth.Outcome {
 	switch {
 	case errors.Is(err, bbchannel.ErrUnreachable):
 		return bbhealth.OutcomeUnreachable
@@ -131,7 +132,7 @@
 	}
 	g.seams.Broke(Broken{
 		ID:       x.ID,
-		Content:  x.content,
+		Content:  x.Content,
 		Endpoint: r.endpoint,
 		Address:  r.address,
 		Cause:    cause,
@@ -154,7 +155,7 @@
 
 // isRefused tells whether the content of a request must not reach an endpoint.
 func (g *Gateway) isRefused(x *exchange) bool {
-	return g.seams.Suspicion(x.content) == bbsuspect.Refused
+	return g.seams.Suspicion(x.Content) == bbsuspect.Refused
 }
 
 // errNoReceipt is the cause when an answer is of another request or bears no receipt.
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -4,20 +4,17 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"bluebellhall/bluebelld/bbadmission"
 	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/bluebelld/bbcodec"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
-	"bluebellhall/core/bbhash"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpatience"
 	"bluebellhall/core/bbplain"
@@ -26,70 +23,6 @@
 	"bluebellhall/core/bbsuspect"
 )
 
-// Request is what a caller's headers say.
-type Request struct {
-	// ID is new for each attempt of the caller.
-	ID string
-	// Key names the client account; empty if there is none.
-	Key string
-	// Wait is how long the caller waits; 0 if it doesn't say.
-	Wait time.Duration
-	// Prompt is set for requests that generate tokens.
-	Prompt bbjob.Prompt
-	// Pieces has the number of pieces of each stage; a stage beyond its end has one.
-	Pieces []int
-	// PieceKey names the input of the stages that need no results.
-	PieceKey string
-	// LastEvent is set when a caller goes on with a stream that broke off.
-	LastEvent string
-}
-
-// Forward is what an endpoint is told besides the caller's own headers.
-type Forward struct {
-	// Endpoint is the one that should run the request; another one must turn it away.
-	Endpoint string
-	// Left is the time until the caller gives up.
-	Left time.Duration
-	// Account is the name of the client account; empty if there is none.
-	Account string
-	// HasAccounts is true when keys are in use, so that the caller's must not be passed on.
-	HasAccounts bool
-	// Priority is the rank of the request; 0 is the most urgent.
-	Priority int
-	// Engine is true when the endpoint generates tokens.
-	Engine bool
-	// Staged is true when the route has stages; Inputs are the handles of their results.
-	Staged bool
-	Inputs []string
-	// LastEvent is the last event that the caller has; empty if the answer begins anew.
-	LastEvent string
-}
-
-// Reading is what an endpoint's answer says besides its status.
-type Reading struct {
-	// NotRun is true when the endpoint says that it didn't run the request.
-	NotRun bool
-	// Moved is true when another endpoint is at the address now.
-	Moved bool
-	// Other is true when the answer belongs to another request.
-	Other bool
-	// Signed is true when the answer bears the endpoint's receipt.
-	Signed bool
-	// Gone is true when an input of the request no longer exists.
-	Gone bool
-	// Word is what the endpoint says of itself.
-	Word bbstanding.Word
-}
-
-// Codec translates headers.
-type Codec struct {
-	Decode func(r *http.Request) (Request, error)
-	Encode func(caller http.Header, f Forward) http.Header
-	Read   func(id string, a *bbchannel.Answer) Reading
-	// Pass returns the headers of an endpoint's answer that the caller gets.
-	Pass func(h http.Header) http.Header
-}
-
 // Logged is one line on a request, written when it ends.
 type Logged struct {
 	ID, Route string
@@ -167,7 +100,7 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	codec Codec
+	codec bbcodec.Codec
 	seams Seams
 	// name, zone and region are those of this VM.
 	name, zone, region string
@@ -187,7 +120,7 @@
 }
 
 // New returns a gateway of a VM.
-func New(name, zone, region string, c Codec, s Seams) *Gateway {
+func New(name, zone, region string, c bbcodec.Codec, s Seams) *Gateway {
 	waiting, stopWaiting := context.WithCancel(context.Background())
 	return &Gateway{
 		waiting:     waiting,
@@ -211,29 +144,15 @@
 	g.stopWaiting()
 }
 
-const (
-	// startRetryAfter is for callers of a VM that knows no configuration yet.
-	startRetryAfter = 500 * time.Millisecond
-	// defaultWait is the wait of callers that name none on routes without a timeout.
-	defaultWait = 30 * time.Second
-	// defaultBody bounds bodies while no configuration sets a limit.
-	defaultBody = 4 << 20
-	// bodyTimeout bounds the reading of a caller's body.
-	bodyTimeout = 10 * time.Second
-)
+// startRetryAfter is for callers of a VM that knows no configuration yet.
+const startRetryAfter = 500 * time.Millisecond
 
 // exchange is one request of a caller in progress.
 type exchange struct {
-	Request
+	bbadmission.Admitted
 	w       http.ResponseWriter
 	r       *http.Request
-	index   *bbcatalog.Index
-	route   *bbcatalog.Route
-	account *bbcatalog.Account
 	service string
-	body    []byte
-	// content names what is asked.
-	content uint64
 	// began and limit are by the steady clock.
 	began time.Duration
 	limit time.Duration
@@ -280,7 +199,6 @@
 	x := &exchange{
 		w:     w,
 		r:     r,
-		index: g.seams.Index(),
 		began: g.seams.Now(),
 	}
 	if g.seams.Leaving() {
@@ -301,74 +219,31 @@
 	g.plain(ctx, x)
 }
 
-// staged tells whether the request goes through the coordinator.
-func (x *exchange) staged() bool {
-	s := x.index.Service(x.service)
-	return len(x.route.Stages) > 0 || (s != nil && s.Engine != nil)
-}
-
-// admit finds the route and the account and reads the body. It returns a status and a
-// cause if the request ends here.
-func (g *Gateway) admit(x *exchange) (int, string) {
-	q, err := g.codec.Decode(x.r)
-	x.Request = q
-	if x.index == nil {
-		return http.StatusServiceUnavailable, "noConfiguration"
-	}
-	x.log.Version = x.index.Catalog.Version
-	if most := x.index.Catalog.Limits.HeaderBytes; most > 0 && headBytes(x.r) > most {
-		return http.StatusRequestHeaderFieldsTooLarge, "headSize"
-	}
-	if err != nil {
-		return http.StatusBadRequest, "headers"
-	}
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
-	if !strings.HasPrefix(path, "/") {
-		return http.StatusBadRequest, "target"
-	}
-	x.route = x.index.Route(hostName(x.r.Host), path)
-	if x.route == nil {
-		return http.StatusNotFound, "noRoute"
+// admit takes a request in. It returns a status and a cause if the request ends here.
+func (g *Gateway) admit(x *exchange) (status int, cause string) {
+	x.Admitted, status, cause = bbadmission.Admit(x.w, x.r, g.seams.Index(), g.codec.Decode)
+	if x.Index != nil {
+		x.log.Version = x.Index.Catalog.Version
 	}
-	x.log.Route = x.route.Name
-	x.log.Kind = kinds[x.route.Kind]
-	if x.index.NeedsKey(x.route) {
-		x.account = x.index.Account(x.Key)
-		if x.account == nil {
-			return http.StatusUnauthorized, "unknownKey"
-		}
+	if x.Route != nil {
+		x.log.Route = x.Route.Name
+		x.log.Kind = kinds[x.Route.Kind]
 	}
-	if status, cause := x.readBody(); status != 0 {
+	switch {
+	case status != 0:
 		return status, cause
-	}
-	x.content = x.hashContent()
-	if g.isRefused(x) {
+	case g.isRefused(x):
 		return http.StatusServiceUnavailable, suspect
 	}
-	x.limit = x.began + g.wait(x)
-	x.service = x.route.Pick(rand.Float64())
+	x.limit = x.began + x.MostWait()
+	x.service = x.Route.Pick(rand.Float64())
 	return 0, ""
 }
 
-// hashContent returns the hash of what is asked and by whom, without what is new for each attempt.
-func (x *exchange) hashContent() uint64 {
-	caller := x.Key
-	if x.account != nil {
-		caller = x.account.Name
-	}
-	return bbhash.Content([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI), []byte(caller), x.body)
-}
-
-// headBytes returns the size of a request's head, as it would be written without spaces that
-// mean nothing.
-func headBytes(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len("Host: ") + len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return n
+// staged tells whether the request goes through the coordinator.
+func (x *exchange) staged() bool {
+	s := x.Index.Service(x.service)
+	return len(x.Route.Stages) > 0 || (s != nil && s.Engine != nil)
 }
 
 // kinds are the words for kinds of routes in logs and metrics.
@@ -377,50 +252,3 @@
 	bbcatalog.KindOnce:       "once",
 	bbcatalog.KindStream:     "stream",
 }
-
-// wait returns the time that the caller may be kept waiting.
-func (g *Gateway) wait(x *exchange) time.Duration {
-	wait := x.Wait
-	if wait <= 0 {
-		wait = defaultWait
-	}
-	if x.route.Timeout > 0 {
-		wait = min(wait, x.route.Timeout)
-	}
-	return wait
-}
-
-// readBody reads the caller's body whole, so that it can be sent again.
-func (x *exchange) readBody() (int, string) {
-	most := x.index.Catalog.Limits.BodyBytes
-	if most <= 0 {
-		most = defaultBody
-	}
-	if x.r.ContentLength > most {
-		return http.StatusRequestEntityTooLarge, "bodySize"
-	}
-	if x.r.Body == nil || x.r.Body == http.NoBody {
-		return 0, ""
-	}
-	// A reader that can't have a deadline has its connection's.
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, most))
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return http.StatusRequestEntityTooLarge, "bodySize"
-	}
-	if err != nil {
-		return http.StatusBadRequest, "bodyBroken"
-	}
-	x.body = body
-	return 0, ""
-}
-
-// hostName returns a host without its port.
-func hostName(host string) string {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		return host[:i]
-	}
-	return host
-}
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/bluebelld/bbcodec"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbjob"
@@ -124,26 +125,26 @@
 	word     bbstanding.Word
 }
 
-var testCodec = Codec{
-	Decode: func(r *http.Request) (Request, error) {
+var testCodec = bbcodec.Codec{
+	Decode: func(r *http.Request) (bbcodec.Request, error) {
 		if r.Header.Get("Id") == "" {
-			return Request{}, errors.New("no ID")
+			return bbcodec.Request{}, errors.New("no ID")
 		}
-		return Request{
+		return bbcodec.Request{
 			ID:   r.Header.Get("Id"),
 			Key:  r.Header.Get("Key"),
 			Wait: 2 * time.Second,
 		}, nil
 	},
-	Encode: func(caller http.Header, f Forward) http.Header {
+	Encode: func(caller http.Header, f bbcodec.Forward) http.Header {
 		h := caller.Clone()
 		if f.LastEvent != "" {
 			h.Set("Last", f.LastEvent)
 		}
 		return h
 	},
-	Read: func(_ string, a *bbchannel.Answer) Reading {
-		return Reading{
+	Read: func(_ string, a *bbchannel.Answer) bbcodec.Reading {
+		return bbcodec.Reading{
 			NotRun: a.Header.Get("Notrun") != "",
 			Gone:   a.Header.Get("Gone") != "",
 			Signed: a.Header.Get("Signed") != "",
@@ -455,8 +456,8 @@
 func TestCoordinatorIsToldOfEarlierTries(t *testing.T) {
 	f, url := newFixture(t)
 	wait := 2 * time.Second
-	f.gateway.codec.Decode = func(*http.Request) (Request, error) {
-		return Request{
+	f.gateway.codec.Decode = func(*http.Request) (bbcodec.Request, error) {
+		return bbcodec.Request{
 			ID:   "1",
 			Wait: wait,
 		}, nil
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/bluebelld/bbcodec"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
@@ -28,7 +29,7 @@
 	for x.log.Tries < maxGrants {
 		now := g.seams.Now()
 		order.Limit = x.firstBy() - now
-		order.Suspicion = g.seams.Suspicion(x.content)
+		order.Suspicion = g.seams.Suspicion(x.Content)
 		order.Avoid = g.withResting(x, avoid)
 		verdict, coordinator, err := g.place(ctx, order)
 		if err != nil || verdict.Grant == nil {
@@ -76,22 +77,22 @@
 	o := bbjob.Order{
 		ID:        x.ID,
 		Origin:    g.name,
-		Route:     x.route.Name,
+		Route:     x.Route.Name,
 		Service:   x.service,
 		Key:       x.PieceKey,
 		Prompt:    x.Prompt,
-		Priority:  bbcatalog.Priority(x.route, x.account),
-		Objective: x.route.Objective,
+		Priority:  bbcatalog.Priority(x.Route, x.Account),
+		Objective: x.Route.Objective,
 		Elapsed:   g.elapsed(x),
-		Resumable: x.route.Resumable,
+		Resumable: x.Route.Resumable,
 		Zone:      g.zone,
 		Region:    g.region,
-		BodyBytes: len(x.body),
-		Regions:   regions(x.route, x.account),
+		BodyBytes: len(x.Body),
+		Regions:   regions(x.Route, x.Account),
 
-		Fingerprint: x.content,
+		Fingerprint: x.Content,
 	}
-	for i, s := range x.route.Stages {
+	for i, s := range x.Route.Stages {
 		pieces := 1
 		if i < len(x.Pieces) {
 			pieces = x.Pieces[i]
@@ -113,12 +114,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.patience.Elapsed(x.route.Name, x.Wait, x.route.Timeout)
+	return g.patience.Elapsed(x.Route.Name, x.Wait, x.Route.Timeout)
 }
 
 // firstBy returns when the caller leaves if no part of the answer has arrived.
 func (x *exchange) firstBy() time.Duration {
-	within := x.route.FirstEventWithin()
+	within := x.Route.FirstEventWithin()
 	if within == 0 || x.sent {
 		return x.limit
 	}
@@ -222,16 +223,16 @@
 		address:  t.grant.Address,
 		began:    g.seams.Now(),
 	}
-	answer, cleanup, err := g.exchange(ctx, t.grant.Address, g.outgoing(t.exchange, Forward{
+	answer, cleanup, err := g.exchange(ctx, t.grant.Address, g.outgoing(t.exchange, bbcodec.Forward{
 		Endpoint:  t.grant.Endpoint,
-		Priority:  bbcatalog.Priority(t.route, t.account),
+		Priority:  bbcatalog.Priority(t.Route, t.Account),
 		Engine:    true,
-		Staged:    len(t.route.Stages) > 0,
+		Staged:    len(t.Route.Stages) > 0,
 		Inputs:    t.grant.Inputs,
 		LastEvent: t.LastEvent,
 	}))
 	if err != nil {
-		outcome = classify(err, Reading{})
+		outcome = classify(err, bbcodec.Reading{})
 		if outcome == bbhealth.OutcomeBroken {
 			g.broke(ctx, t.exchange, r, err)
 		}
@@ -264,7 +265,7 @@
 		}
 		return bbhealth.OutcomeBroken, g.lost(ctx, t, bbhealth.OutcomeBroken, runs)
 	}
-	g.seams.Succeeded(t.content, r.began)
+	g.seams.Succeeded(t.Content, r.began)
 	g.ended(t.exchange, "answered", "", answer.Status)
 	return bbhealth.OutcomeGood, false
 }
@@ -275,8 +276,8 @@
 	if ctx.Err() == nil && o == bbhealth.OutcomeUnreachable {
 		return true
 	}
-	repeatable := t.route.Kind == bbcatalog.KindIdempotent || (t.route.Kind == bbcatalog.KindStream && t.route.Resumable)
-	if ctx.Err() == nil && repeatable && runs+1 < t.route.MaxAttempts {
+	repeatable := t.Route.Kind == bbcatalog.KindIdempotent || (t.Route.Kind == bbcatalog.KindStream && t.Route.Resumable)
+	if ctx.Err() == nil && repeatable && runs+1 < t.Route.MaxAttempts {
 		return true
 	}
 	if o == bbhealth.OutcomeBroken {
@@ -292,7 +293,7 @@
 	if a.Status >= http.StatusMultipleChoices {
 		return g.deliver(ctx, t.exchange, a)
 	}
-	events := newSplitter(t.route.Resumable)
+	events := newSplitter(t.Route.Resumable)
 	flusher := http.NewResponseController(t.w)
 	buffer := make([]byte, copyBuffer)
 	for {
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/bluebelld/bbcodec"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbplain"
@@ -77,7 +78,7 @@
 	list := make([]bbplain.Endpoint, 0, len(entries))
 	for _, e := range entries {
 		region := g.seams.Region(e.Zone)
-		if !bbcatalog.Allowed(x.route, x.account, region) || g.seams.RestUntil(e.ID) > 0 {
+		if !bbcatalog.Allowed(x.Route, x.Account, region) || g.seams.RestUntil(e.ID) > 0 {
 			continue
 		}
 		list = append(list, bbplain.Endpoint{
@@ -110,11 +111,11 @@
 		defer g.mu.Unlock()
 		g.chooser.Done(g.seams.Now(), e.ID, outcome)
 	}()
-	repeatable := x.route.Kind == bbcatalog.KindIdempotent && runs+1 < x.route.MaxAttempts
+	repeatable := x.Route.Kind == bbcatalog.KindIdempotent && runs+1 < x.Route.MaxAttempts
 	tryCtx := ctx
 	if repeatable {
 		var cancel context.CancelFunc
-		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(firstTry*float64(x.route.Objective)))
+		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(firstTry*float64(x.Route.Objective)))
 		defer cancel()
 	}
 	process, may := g.seams.MaySend(e.ID)
@@ -126,12 +127,12 @@
 		address:  e.Address,
 		began:    g.seams.Now(),
 	}
-	answer, cleanup, err := g.exchange(tryCtx, e.Address, g.outgoing(x, Forward{
+	answer, cleanup, err := g.exchange(tryCtx, e.Address, g.outgoing(x, bbcodec.Forward{
 		Endpoint: e.ID,
-		Priority: bbcatalog.Priority(x.route, x.account),
+		Priority: bbcatalog.Priority(x.Route, x.Account),
 	}))
 	if err != nil {
-		if outcome = classify(err, Reading{}); outcome == bbhealth.OutcomeBroken {
+		if outcome = classify(err, bbcodec.Reading{}); outcome == bbhealth.OutcomeBroken {
 			g.broke(tryCtx, x, r, err)
 		}
 		return g.broken(ctx, x, outcome, repeatable)
@@ -166,7 +167,7 @@
 		}
 		return g.broken(ctx, x, bbhealth.OutcomeBroken, repeatable)
 	}
-	g.seams.Succeeded(x.content, r.began)
+	g.seams.Succeeded(x.Content, r.began)
 	g.ended(x, "answered", "", answer.Status)
 	return bbhealth.OutcomeGood, false
 }
@@ -180,7 +181,7 @@
 	if ok && !g.isRefused(x) {
 		x.log.Tries++
 		x.log.Endpoint = e.ID
-		if _, again := g.offer(ctx, x, e, x.route.MaxAttempts); x.sent || !again {
+		if _, again := g.offer(ctx, x, e, x.Route.MaxAttempts); x.sent || !again {
 			return false
 		}
 	}
--- a/bluebelld/bbgateway/rest_test.go
+++ b/bluebelld/bbgateway/rest_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bluebellhall/bluebelld/bbchannel"
+	"bluebellhall/bluebelld/bbcodec"
 	"bluebellhall/core/bbstanding"
 )
 
@@ -25,7 +26,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f, url := newFixture(t, newStandIn(t, strings.Replace(test.answer, "\r\n", "\r\nLeaving: yes\r\n", 1)))
-			f.gateway.codec.Read = func(id string, a *bbchannel.Answer) Reading {
+			f.gateway.codec.Read = func(id string, a *bbchannel.Answer) bbcodec.Reading {
 				r := testCodec.Read(id, a)
 				r.Word.Leaving = a.Header.Get("Leaving") != ""
 				return r
