--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -10,6 +10,7 @@
 
 	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/bluebelld/bbcodec"
+	"bluebellhall/bluebelld/bbstream"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
@@ -293,7 +294,7 @@
 	if a.Status >= http.StatusMultipleChoices {
 		return g.deliver(ctx, t.exchange, a)
 	}
-	events := newSplitter(t.Route.Resumable)
+	events := bbstream.New(t.Route.Resumable)
 	flusher := http.NewResponseController(t.w)
 	buffer := make([]byte, copyBuffer)
 	for {
@@ -309,7 +310,7 @@
 				Started:  true,
 			})
 		}
-		whole, long := events.add(buffer[:n])
+		whole, long := events.Add(buffer[:n])
 		if long != nil {
 			return long
 		}
@@ -318,8 +319,8 @@
 				g.start(t.exchange, a, -1)
 			}
 			g.write(ctx, t.exchange, whole)
-			if events.last != "" {
-				t.LastEvent = events.last
+			if events.Last != "" {
+				t.LastEvent = events.Last
 			}
 			if err := flusher.Flush(); err != nil {
 				g.abort(t.exchange, "callerGone")
@@ -329,7 +330,7 @@
 			if !t.sent {
 				g.start(t.exchange, a, a.Length)
 			}
-			g.write(ctx, t.exchange, events.rest())
+			g.write(ctx, t.exchange, events.Rest())
 			return nil
 		}
 		if err != nil {
--- a/bluebelld/bbgateway/event.go
+++ b/bluebelld/bbstream/stream.go
@@ -1,4 +1,5 @@
-package bbgateway
+// Package bbstream splits streams of events, so that none is passed on in part.
+package bbstream
 
 import (
 	"bytes"
@@ -10,21 +11,21 @@
 // send.
 const maxEvent = 128 << 10
 
-// errLongEvent is the cause when an event is longer than maxEvent.
-var errLongEvent = errors.New("event of the stream is too long")
+// ErrLongEvent is the cause when an event is longer than maxEvent.
+var ErrLongEvent = errors.New("event of the stream is too long")
 
-// splitter finds the whole events of a stream, so that one that is cut in the middle is
+// Splitter finds the whole events of a stream, so that one that is cut in the middle is
 // never passed on.
-type splitter struct {
+type Splitter struct {
 	// whole is false where bytes are passed on as they come.
 	whole bool
 	held  []byte
-	// last is the ID of the last whole event; empty if none had one.
-	last string
+	// Last is the ID of the last whole event; empty if none had one.
+	Last string
 }
 
-func newSplitter(whole bool) *splitter {
-	return &splitter{
+func New(whole bool) *Splitter {
+	return &Splitter{
 		whole: whole,
 	}
 }
@@ -35,9 +36,9 @@
 // idField begins the line with an event's ID.
 var idField = []byte("id:")
 
-// add takes in bytes and returns those that may be passed on. They are valid until the
+// Add takes in bytes and returns those that may be passed on. They are valid until the
 // next call.
-func (s *splitter) add(data []byte) ([]byte, error) {
+func (s *Splitter) Add(data []byte) ([]byte, error) {
 	if !s.whole {
 		return data, nil
 	}
@@ -47,7 +48,7 @@
 	end := bytes.LastIndex(s.held[from:], eventEnd)
 	if end < 0 {
 		if len(s.held) > maxEvent {
-			return nil, errLongEvent
+			return nil, ErrLongEvent
 		}
 		return nil, nil
 	}
@@ -57,13 +58,13 @@
 	s.held = append(s.held[:0], s.held[end:]...)
 	for _, line := range bytes.Split(events, []byte("\n")) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
-			s.last = string(bytes.TrimSpace(id))
+			s.Last = string(bytes.TrimSpace(id))
 		}
 	}
 	return events, nil
 }
 
-// rest returns what is left at the end of a whole stream.
-func (s *splitter) rest() []byte {
+// Rest returns what is left at the end of a whole stream.
+func (s *Splitter) Rest() []byte {
 	return s.held
 }
