--- a/bluebellctl/bbcommand/command_test.go
+++ b/bluebellctl/bbcommand/command_test.go
@@ -78,6 +78,7 @@
 		{arguments: "check --nonsense x", want: "see bluebellctl check --help"},
 		{arguments: "status", want: `"nodes" not set`},
 		{arguments: "status --nodes here", want: `"here" is not host:port`},
+		{arguments: "timeline --nodes a:1 --content 7f", want: "--content needs --logs"},
 		{arguments: "timeline --nodes a:1 --kind x", want: `no event has the title "x"`},
 		{arguments: "explain --domain khovd " + small, want: "one of --pipeline and --call"},
 		{arguments: "explain --domain x --pipeline quality " + small, want: `failure domain "x" is not declared`},
--- a/bluebellctl/bbcommand/logs.go
+++ b/bluebellctl/bbcommand/logs.go
@@ -27,6 +27,7 @@
 		Endpoint: c.String(flagEndpoint),
 		Node:     c.String(flagNode),
 		Kind:     c.String(flagKind),
+		Content:  c.String(flagContent),
 		Warnings: c.Bool(flagWarnings),
 	})
 	if err != nil {
--- a/bluebellctl/bbcommand/timeline.go
+++ b/bluebellctl/bbcommand/timeline.go
@@ -18,6 +18,7 @@
 	flagEndpoint = "endpoint"
 	flagNode     = "node"
 	flagKind     = "kind"
+	flagContent  = "content"
 	flagWarnings = "warnings"
 	flagSince    = "since"
 )
@@ -46,6 +47,7 @@
 			&cli.StringFlag{Name: flagEndpoint, Usage: "only events of the endpoint with this `NAME`"},
 			&cli.StringFlag{Name: flagNode, Usage: "only events of or about the entry VM with this `NAME`"},
 			&cli.StringFlag{Name: flagKind, Usage: "only events with this `TITLE`, such as rulesRefused"},
+			&cli.StringFlag{Name: flagContent, Usage: "with --logs, only lines with this `HASH` of what was asked"},
 			&cli.BoolFlag{Name: flagWarnings, Usage: "only warnings and errors"},
 			&cli.DurationFlag{Name: flagSince, Usage: "only events of the latest `DURATION`; 0 means all that are held"},
 			timeoutFlag(),
@@ -61,6 +63,9 @@
 	if c.String(flagLogs) != "" {
 		return timelineOfLogs(env, c)
 	}
+	if c.String(flagContent) != "" {
+		return errors.New("--content needs --logs")
+	}
 	if c.String(flagNodes) == "" {
 		return errors.New("one of --nodes and --logs is needed")
 	}
--- a/bluebellctl/bbincident/incident.go
+++ b/bluebellctl/bbincident/incident.go
@@ -3,10 +3,12 @@
 package bbincident
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -27,6 +29,8 @@
 	Endpoint, Node string
 	// Kind selects by the title of the catalogue.
 	Kind string
+	// Content selects by what was asked, of those lines that name it.
+	Content string
 	// Warnings selects lines of warnings and errors only.
 	Warnings bool
 }
@@ -81,11 +85,13 @@
 	for _, l := range lines {
 		if (f.Kind == "" || l.Title == f.Kind) &&
 			(f.Endpoint == "" || l.Endpoint == f.Endpoint) &&
+			(f.Content == "" || l.Content == f.Content) &&
 			(f.Node == "" || l.VM == f.Node || l.Peer == f.Node) &&
 			(!f.Warnings || l.Level != "info") {
 			found = append(found, l)
 		}
 	}
+	slices.SortStableFunc(found, func(a, b bblines.Line) int { return cmp.Compare(a.Time, b.Time) })
 	if len(found) == 0 {
 		return nil, errors.New("no line of the logs is selected")
 	}
@@ -125,6 +131,12 @@
 	if l.Outcome != "" {
 		return fmt.Sprintf("%s %s %s status=%d tries=%d version=%d took=%.0fms", l.Route, l.Outcome, l.Cause, l.Status, l.Tries, l.Version, l.Took)
 	}
+	if l.Cause != "" {
+		return l.Content + " " + l.Cause
+	}
+	if l.Content != "" {
+		return l.Content + " " + l.Detail
+	}
 	if l.Value != 0 {
 		return fmt.Sprintf("%s %.0fms", l.Detail, l.Value)
 	}
--- a/bluebellctl/bbincident/incident_test.go
+++ b/bluebellctl/bbincident/incident_test.go
@@ -17,7 +17,8 @@
 	dir := t.TempDir()
 	for name, text := range map[string]string{
 		"a.log": `{"level":"info","vm":"a","event":831,"message":"orderAccepted","id":"aa11","value":900,"time":1000}` + "\n",
-		"b.log": `{"level":"warn","vm":"b","event":851,"message":"entryRequestEnded","id":"aa11","outcome":"refused","cause":"late","status":503,"time":1001}` + "\n",
+		"b.log": `{"level":"warn","vm":"b","event":851,"message":"entryRequestEnded","id":"aa11","outcome":"refused","cause":"late","status":503,"content":"7f","time":1001}` + "\n",
+		"0.log": `{"level":"info","vm":"c","event":852,"message":"runBroke","id":"bb22","content":"7f","cause":"EOF","time":1002}` + "\n",
 	} {
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
@@ -52,8 +53,9 @@
 }
 
 func TestSelect(t *testing.T) {
-	wantSelected(t, Filter{}, "a", "b")
+	wantSelected(t, Filter{}, "a", "b", "c")
 	wantSelected(t, Filter{Request: "aa"}, "a", "b")
+	wantSelected(t, Filter{Content: "7f"}, "b", "c")
 	wantSelected(t, Filter{Kind: "orderAccepted"}, "a")
 	wantSelected(t, Filter{Node: "b"}, "b")
 	wantSelected(t, Filter{Warnings: true}, "b")
--- a/bluebellctl/bblines/lines.go
+++ b/bluebellctl/bblines/lines.go
@@ -34,6 +34,8 @@
 	Endpoint string `json:"endpoint"`
 	Peer     string `json:"peer"`
 	Detail   string `json:"detail"`
+	// Content names what a request asks, the same for all of its caller's requests for it.
+	Content string `json:"content"`
 	// Value is in milliseconds; the event tells of what.
 	Value float64 `json:"value"`
 
