A good run is told to all who may believe otherwise

Found by TestContentOfManyCallersIsNotBlamedForAnOutage, once in some thirty runs: a VM that was told of three losses knew a good run that clears them, and told the keepers only, since it had never judged the content itself; a keeper that heard of the good run before the losses had no news to pass on. The other VMs went on to watch the content. News is weighed by what others may believe, and whoever tells of losses that a known good run clears is told of it, with all others.

--- a/bluebelld/bbquarantine/quarantine.go
+++ b/bluebelld/bbquarantine/quarantine.go
@@ -104,13 +104,16 @@
 	if fingerprint == 0 {
 		return
 	}
-	q.change(fingerprint, func(now time.Duration) (bool, source) {
+	q.change(fingerprint, func(now time.Duration) news {
 		if !q.lives.lost(run) {
-			return false, seen
+			return news{}
 		}
-		_, noted := q.table.Lost(now, fingerprint, run)
+		verdict, noted := q.table.Lost(now, fingerprint, run)
 		q.exonerate(now, fingerprint)
-		return noted, seen
+		return news{
+			is:      noted,
+			verdict: verdict,
+		}
 	})
 }
 
@@ -126,9 +129,11 @@
 	if fingerprint == 0 {
 		return
 	}
-	q.change(fingerprint, func(now time.Duration) (bool, source) {
+	q.change(fingerprint, func(now time.Duration) news {
 		q.goods.add(now, fingerprint, began)
-		return q.table.Succeeded(now, fingerprint, began), seen
+		return news{
+			is: q.table.Succeeded(now, fingerprint, began),
+		}
 	})
 }
 
@@ -139,12 +144,23 @@
 		from = relayed
 	}
 	for _, s := range told.Suspects[:min(len(told.Suspects), maxNews)] {
-		q.change(s.Fingerprint, func(now time.Duration) (bool, source) {
-			news := q.table.Merge(now, s)
+		q.change(s.Fingerprint, func(now time.Duration) news {
+			is, outdated := q.table.Merge(now, s)
+			n := news{
+				is:      is || outdated,
+				from:    from,
+				verdict: q.table.Verdict(now, s.Fingerprint),
+			}
 			if q.exonerate(now, s.Fingerprint) {
-				return true, seen
+				n.is = true
+				n.from = seen
 			}
-			return news, from
+			if outdated {
+				// The sender, and whoever else was told, lacks a good run.
+				n.from = seen
+				n.verdict = bbsuspect.Refused
+			}
+			return n
 		})
 	}
 }
@@ -167,19 +183,27 @@
 	relayed
 )
 
-// change changes what is known of a content and notes whom to tell. Apply tells whether there is
-// news, and where it comes from.
-func (q *Quarantine) change(fingerprint uint64, apply func(now time.Duration) (news bool, from source)) {
+// news is what a change of a content means to others.
+type news struct {
+	// is is true if there is any.
+	is   bool
+	from source
+	// verdict is the strictest one that others may have on what they were told.
+	verdict bbsuspect.Verdict
+}
+
+// change changes what is known of a content and notes whom to tell.
+func (q *Quarantine) change(fingerprint uint64, apply func(now time.Duration) news) {
 	q.mu.Lock()
 	now := q.seams.Now()
 	former := q.table.Verdict(now, fingerprint)
-	news, from := apply(now)
+	n := apply(now)
 	present := q.table.Verdict(now, fingerprint)
-	if news && from == seen {
+	if n.is && n.from == seen {
 		q.reports[fingerprint] = true
 	}
-	if news && max(former, present) >= bbsuspect.Alone {
-		q.relays[fingerprint] = q.relays[fingerprint] || from != relayed
+	if n.is && max(former, present, n.verdict) >= bbsuspect.Alone {
+		q.relays[fingerprint] = q.relays[fingerprint] || n.from != relayed
 	}
 	waits := len(q.reports)+len(q.relays) > 0
 	q.mu.Unlock()
@@ -307,17 +331,17 @@
 func (q *Quarantine) tellOnce(ctx context.Context, m message) error {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	news := bbpeer.Suspects{
+	told := bbpeer.Suspects{
 		Relayed: m.relayed,
 	}
 	q.mu.Lock()
 	now := q.seams.Now()
 	for fingerprint := range m.contents {
-		if len(news.Suspects) == maxNews {
+		if len(told.Suspects) == maxNews {
 			break
 		}
-		news.Suspects = append(news.Suspects, q.table.Snapshot(now, fingerprint))
+		told.Suspects = append(told.Suspects, q.table.Snapshot(now, fingerprint))
 	}
 	q.mu.Unlock()
-	return q.seams.Tell(ctx, m.to.Peer, news)
+	return q.seams.Tell(ctx, m.to.Peer, told)
 }
--- a/bluebelld/bbquarantine/quarantine_test.go
+++ b/bluebelld/bbquarantine/quarantine_test.go
@@ -314,6 +314,27 @@
 			w.wantAll(1, bbsuspect.Clear)
 		})
 	})
+	t.Run("a VM that wasn't told of the good run", func(t *testing.T) {
+		inWorld(t, 7, func(w *world) {
+			for range 3 {
+				w.lose(0, 1)
+			}
+			time.Sleep(spread)
+			w.wantAll(1, bbsuspect.Refused)
+			w.mu.Lock()
+			w.silent["vm0"] = true
+			w.mu.Unlock()
+			w.succeed(3, 1)
+			time.Sleep(2 * retryFor)
+			w.mu.Lock()
+			clear(w.silent)
+			w.mu.Unlock()
+			// It tells what it knows with its next loss.
+			w.lose(0, 1)
+			time.Sleep(spread)
+			w.wantAtMost(1, bbsuspect.Watched)
+		})
+	})
 }
 
 // Requests that were sent to an endpoint which was gone already, and whose connections were reset,
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -96,6 +96,9 @@
 			return errors.Newf("result of stage %d, piece %d", m.Stage, m.Piece)
 		}
 	}
+	if o.Suspicion > bbsuspect.Refused {
+		return errors.Newf("suspicion is %d, more than %d", o.Suspicion, bbsuspect.Refused)
+	}
 	for _, n := range []int{o.Prompt.Tokens, o.Prompt.Output} {
 		if n < 0 || n > MaxTokens {
 			return errors.Newf("prompt or answer of %d tokens, not 0 to %d", n, MaxTokens)
--- a/core/bbsuspect/row.go
+++ b/core/bbsuspect/row.go
@@ -53,6 +53,9 @@
 
 // String returns the verdict as a word.
 func (v Verdict) String() string {
+	if v > Refused {
+		return "unknown"
+	}
 	return [...]string{"clear", "watched", "alone", "refused"}[v]
 }
 
--- a/core/bbsuspect/suspect.go
+++ b/core/bbsuspect/suspect.go
@@ -17,6 +17,8 @@
 const (
 	// sweepInterval is how often expired rows are looked for.
 	sweepInterval = time.Second
+	// maxName bounds the name of an endpoint that another process tells of, in bytes.
+	maxName = 256
 	// maxActive bounds the rows that Active returns.
 	maxActive = 256
 )
@@ -77,21 +79,21 @@
 	return cleared
 }
 
-// Merge takes in what another process tells. It is true if that was news. What can't be true is
-// passed over.
-func (t *Table) Merge(now time.Duration, s bbmsg.Suspect) bool {
+// Merge takes in what another process tells. News is true if something of it was, outdated if a
+// good run is known here that clears some of it. What can't be true is passed over.
+func (t *Table) Merge(now time.Duration, s bbmsg.Suspect) (news, outdated bool) {
 	r := t.open(now, s.Fingerprint)
 	if r == nil {
-		return false
+		return false, false
 	}
-	news := false
 	if s.Good != nil && *s.Good >= 0 {
 		news = r.clear(now - *s.Good)
 	}
 	for _, run := range s.Runs[:min(len(s.Runs), maxRuns)] {
-		if run.EndedAgo < 0 || run.BeganAgo < run.EndedAgo || run.BeganAgo > refusedKeep+suspectKeep {
+		if run.EndedAgo < 0 || run.BeganAgo < run.EndedAgo || run.BeganAgo > refusedKeep+suspectKeep || len(run.Endpoint) > maxName {
 			continue
 		}
+		outdated = outdated || now-run.EndedAgo <= r.good
 		news = r.add(Run{
 			ID:       run.ID,
 			Endpoint: run.Endpoint,
@@ -101,7 +103,7 @@
 		}) || news
 	}
 	t.tidy(now, s.Fingerprint, r)
-	return news
+	return news, outdated
 }
 
 // Snapshot returns what is known of content, for other processes.
--- a/core/bbsuspect/suspect_test.go
+++ b/core/bbsuspect/suspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -201,6 +202,7 @@
 				{ID: 2, BeganAgo: time.Second, EndedAgo: 2 * time.Second},
 				{ID: 3, BeganAgo: 1 << 62, EndedAgo: 0},
 				{ID: 4, BeganAgo: -1 << 62, EndedAgo: -1 << 62},
+				{ID: 5, BeganAgo: time.Second, Endpoint: strings.Repeat("e", maxName+1)},
 			},
 		})
 		checkSame(t, "rows", 0, table.Len())
@@ -342,7 +344,8 @@
 
 // pass tells a process what another one knows of content 1.
 func pass(from *Table, now time.Duration, to *Table) bool {
-	return to.Merge(now, from.Snapshot(now, 1))
+	news, _ := to.Merge(now, from.Snapshot(now, 1))
+	return news
 }
 
 func checkSame(t *testing.T, what string, want, got any) {
