Pieces wait for inputs that are made again

Cause: two calls of one stage had the same input when its maker ended. The first answer made the input be made again; the late answer of the second lost the new input too, though it never had it, while pieces of the first were back in the pool, and these were sent without it. Inputs are lost only if they were made before the call was sent, and pieces whose stage isn't ready any more are taken out of the pool until it is. Tests, both failed before: TestPiecesWaitForInputsThatAreMadeAgain, TestLateAnswerLosesNoNewerInput.

--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		if i < len(results) && results[i].Gone {
-			c.loseInputs(j, piece.Stage)
+			c.loseInputs(j, piece.Stage, call.Sent)
 		}
 		if !j.Stages[piece.Stage].Pieces[piece.Piece].Wanted() {
 			continue
@@ -107,17 +107,35 @@
 	}
 }
 
-// loseInputs gives up the results that a stage needs, so that they are made again.
-func (c *Coordinator) loseInputs(j *bbprogress.Job, stage int) {
-	c.log(bbdecision.Event{
-		Number: bbevent.InputsGone,
-		Job:    j.Order.ID,
-		Detail: strconv.Itoa(stage),
-	})
+// loseInputs gives up the results that a stage needs, so that they are made again: some of those
+// that a call had which was sent at a time are gone, and nobody knows which.
+func (c *Coordinator) loseInputs(j *bbprogress.Job, stage int, sent time.Duration) {
+	lost := false
 	for _, before := range j.Order.Stages[stage].After {
-		c.freeStage(j, before)
+		lost = c.free(j, before, func(p *bbprogress.Piece) bool { return p.MadeAt <= sent }) || lost
+	}
+	if lost {
+		c.log(bbdecision.Event{
+			Number: bbevent.InputsGone,
+			Job:    j.Order.ID,
+			Detail: strconv.Itoa(stage),
+		})
+	}
+}
+
+// withdraw takes pieces out of their pools that wait for a worker though their inputs are being
+// made again. They are put back when these are there.
+func (c *Coordinator) withdraw(j *bbprogress.Job) {
+	for i, s := range j.Order.Stages {
+		p := c.pools[s.Service]
+		if p == nil || j.Ready(i) {
+			continue
+		}
+		for _, k := range p.Withdraw(j.Order.ID, i) {
+			j.Stages[i].Pieces[k].Queued = false
+			j.Stages[i].Released = false
+		}
 	}
-	j.Lose(stage)
 }
 
 // adopt takes in the results of a former coordinator.
@@ -134,6 +152,7 @@
 		p.Maker = m.Maker
 		p.Address = m.Address
 		p.Zone = m.Zone
+		p.MadeAt = now
 		p.Freed = m.Freed || (j.Order.InputsGone && j.Final(m.Stage))
 		j.Stages[m.Stage].Left--
 		if pool := c.pool(j.Order.Stages[m.Stage].Service); pool != nil && !m.Freed {
@@ -165,6 +184,7 @@
 	made.Maker = call.Endpoint
 	made.Address = call.Address
 	made.Zone = zone
+	made.MadeAt = now
 	made.Expires = now + c.pool(call.Service).Spec.ResultLife
 	st.Left--
 	if st.Left > 0 {
@@ -202,6 +222,7 @@
 		}
 		j.Rewind(stage)
 	}
+	c.withdraw(j)
 	if c.leaving {
 		c.handBack(j)
 		return
--- /dev/null
+++ b/core/bbcoordinator/inputs_test.go
@@ -0,0 +1,100 @@
+package bbcoordinator
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbpool"
+)
+
+// gone answers a call whose inputs no longer exist.
+func gone(c *bbpool.Call) []bbdecision.PieceResult {
+	results := make([]bbdecision.PieceResult, len(c.Pieces))
+	for i := range results {
+		results[i].Gone = true
+	}
+	return results
+}
+
+// wantInputs checks that all pieces of calls have all of their inputs.
+func wantInputs(t *testing.T, c *Coordinator, calls []*bbpool.Call) {
+	t.Helper()
+	for _, call := range calls {
+		for _, p := range call.Pieces {
+			if _, inputs, ok := c.PieceInputs(p); !ok || p.Stage > 0 && (len(inputs) == 0 || slices.Contains(inputs, "")) {
+				t.Errorf("call %d to %s has %+v with inputs %q", call.ID, call.Endpoint, p, inputs)
+			}
+		}
+	}
+}
+
+// twoCalls returns a coordinator with two calls for the second stage of a request that share their
+// input. Until it is woken the workers of that stage get no others.
+func twoCalls(t *testing.T) (c *Coordinator, first, second *bbpool.Call, wake func()) {
+	t.Helper()
+	c = newTestCoordinator()
+	resting := false
+	c.know.RestUntil = func(endpoint string) time.Duration {
+		if resting && endpoint != "f1" && endpoint != "e1" {
+			return time.Second
+		}
+		return 0
+	}
+	calls := toSecond(t, c, testOrder("a", 6))
+	if len(calls) != 2 {
+		t.Fatalf("calls %+v, want two for six pieces", calls)
+	}
+	resting = true
+	return c, calls[0], calls[1], func() { resting = false }
+}
+
+// Pieces that waited for a worker while their input was made again were sent without it. Found by the
+// soak: seed 301 on a program that told nobody of suspects.
+func TestPiecesWaitForInputsThatAreMadeAgain(t *testing.T) {
+	c, first, second, wake := twoCalls(t)
+	out := c.CallDone(300*ms, first.ID, "east", bbhealth.OutcomeGood, gone(first))
+	if len(out.Calls) != 1 || out.Calls[0].Service != "first" {
+		t.Fatalf("calls %+v, want one that makes the input again", out.Calls)
+	}
+	// The pieces of the first call wait for a worker when the input is there again.
+	remade := out.Calls[0]
+	out = c.CallDone(500*ms, remade.ID, "east", bbhealth.OutcomeGood, good(remade))
+	wantInputs(t, c, out.Calls)
+	// That input is lost too.
+	c.jobs["a"].Stages[0].Pieces[0].MadeAt = 0
+	out = c.CallDone(510*ms, second.ID, "east", bbhealth.OutcomeGood, gone(second))
+	wantInputs(t, c, out.Calls)
+	wake()
+	out2 := c.Tick(520 * ms)
+	wantInputs(t, c, out2.Calls)
+	for _, call := range append(out.Calls, out2.Calls...) {
+		if call.Service == "first" {
+			out = c.CallDone(800*ms, call.ID, "east", bbhealth.OutcomeGood, good(call))
+		}
+	}
+	wantInputs(t, c, out.Calls)
+	pieces := 0
+	for _, call := range out.Calls {
+		pieces += len(call.Pieces)
+	}
+	if pieces != 6 {
+		t.Errorf("%d pieces are sent once the input is there, want all 6", pieces)
+	}
+}
+
+// The late answer of a call that had an older input made a newer one be made again.
+func TestLateAnswerLosesNoNewerInput(t *testing.T) {
+	c, first, second, wake := twoCalls(t)
+	remade := c.CallDone(300*ms, first.ID, "east", bbhealth.OutcomeGood, gone(first)).Calls[0]
+	c.CallDone(500*ms, remade.ID, "east", bbhealth.OutcomeGood, good(remade))
+	out := c.CallDone(510*ms, second.ID, "east", bbhealth.OutcomeGood, gone(second))
+	wake()
+	for _, call := range append(out.Calls, c.Tick(520*ms).Calls...) {
+		if call.Service == "first" {
+			t.Errorf("call %+v makes an input again that is there", call)
+		}
+	}
+}
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -86,10 +86,16 @@
 
 // freeStage gives up the results of a stage.
 func (c *Coordinator) freeStage(j *bbprogress.Job, stage int) {
+	c.free(j, stage, func(*bbprogress.Piece) bool { return true })
+}
+
+// free gives up those results of a stage of which a function is true. It tells whether there are
+// any.
+func (c *Coordinator) free(j *bbprogress.Job, stage int, which func(p *bbprogress.Piece) bool) bool {
 	some := false
 	for k := range j.Stages[stage].Pieces {
 		p := &j.Stages[stage].Pieces[k]
-		if p.Handle == "" || p.Freed {
+		if p.Handle == "" || p.Freed || !which(p) {
 			continue
 		}
 		p.Freed = true
@@ -102,6 +108,7 @@
 	if some {
 		j.Untold = append(j.Untold, stage)
 	}
+	return some
 }
 
 // drop forgets a request and gives up its results.
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -4,6 +4,7 @@
 package bbpool
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -126,6 +127,20 @@
 	p.groups = kept
 }
 
+// Withdraw takes the waiting pieces of a stage of a request out of the pool and returns their
+// numbers.
+func (p *Pool) Withdraw(job string, stage int) []int {
+	var numbers []int
+	p.groups = slices.DeleteFunc(p.groups, func(g *Group) bool {
+		if g.Job != job || g.Stage != stage {
+			return false
+		}
+		numbers = append(numbers, g.Left...)
+		return true
+	})
+	return numbers
+}
+
 // Scarce tells whether results of a size take a notable part of an endpoint's room.
 func (p *Pool) Scarce(bytes float64) bool {
 	return bytes*scarceParts > p.Spec.RoomBytes
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -18,6 +18,8 @@
 	Zone    string
 	// Expires is when its maker gives the result up; 0 if that is not known.
 	Expires time.Duration
+	// MadeAt is when the result was made, or taken over from a former coordinator.
+	MadeAt time.Duration
 	// Freed is true once the result was given up.
 	Freed bool
 	// Tries counts the calls that the piece was in.
@@ -113,15 +115,6 @@
 	return false
 }
 
-// Lose gives up what a stage needs, because some of it is gone and nobody knows which.
-func (j *Job) Lose(stage int) {
-	for _, before := range j.Order.Stages[stage].After {
-		for k := range j.Stages[before].Pieces {
-			j.Stages[before].Pieces[k].Freed = true
-		}
-	}
-}
-
 // LoseFinals gives up those inputs of the engine of which a function is true. It tells
 // whether there are any.
 func (j *Job) LoseFinals(gone func(p *Piece) bool) bool {
