--- a/bluebelld/bbknowledge/knowledge.go
+++ b/bluebelld/bbknowledge/knowledge.go
@@ -210,6 +210,7 @@
 	return !k.notReading
 }
 
+// SetReading notes whether this VM reads the platform itself.
 func (k *Knowledge) SetReading(reads bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/bluebelld/bbstream/stream.go
+++ b/bluebelld/bbstream/stream.go
@@ -24,6 +24,7 @@
 	Last string
 }
 
+// New returns a splitter; whole is false where bytes are passed on as they come.
 func New(whole bool) *Splitter {
 	return &Splitter{
 		whole: whole,
