--- a/bluebellbench/bbsoak/bbload/load.go
+++ b/bluebellbench/bbsoak/bbload/load.go
@@ -141,7 +141,8 @@
 		q.ID = fmt.Sprintf("%s-%d", name, n)
 		l.Ledger.Expect(q.Attempt)
 		front := l.Processes[vms[n%len(vms)]].VM.Front()
-		group.Go(func() { l.Try(client, q, front) })
+		attempt := q
+		group.Go(func() { l.Try(client, attempt, front) })
 		Wait(ctx, gap)
 	}
 }
--- a/bluebellbench/bbsoak/bbprocess/process.go
+++ b/bluebellbench/bbsoak/bbprocess/process.go
@@ -18,13 +18,16 @@
 
 // Process is an entry VM: one program after another, of which at most one runs.
 type Process struct {
+	// VM is as it was at first: its settings may name other seeds since.
 	VM bbstand.VM
 	// Listen is where the program listens for other VMs, behind their proxy.
 	Listen string
 	// Program is the path of the program, Dir where its logs and settings go.
 	Program, Dir string
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// seeds are those of the last reload, nil if there was none.
+	seeds   []string
 	command *exec.Cmd
 	exited  chan struct{}
 	boots   int
@@ -79,7 +82,11 @@
 
 // write writes the settings file; the caller holds the lock.
 func (p *Process) write() error {
-	return errors.Wrap(os.WriteFile(p.path(), []byte(p.VM.Settings()), 0o600), "settings")
+	vm := p.VM
+	if p.seeds != nil {
+		vm.Seeds = p.seeds
+	}
+	return errors.Wrap(os.WriteFile(p.path(), []byte(vm.Settings()), 0o600), "settings")
 }
 
 // Boot returns the number of the present program.
@@ -100,7 +107,7 @@
 // Reload changes the seeds and tells the program.
 func (p *Process) Reload(seeds []string) error {
 	p.mu.Lock()
-	p.VM.Seeds = seeds
+	p.seeds = seeds
 	err := p.write()
 	p.mu.Unlock()
 	p.Signal(syscall.SIGHUP)
