One message to a VM at a time; what can't be told is gathered

A VM has one report and one relay in progress, sent in parts; what comes meanwhile is added. One line when a VM begins not to take it. Test, failed before: TestNewsForASilentVMIsGathered. Tests of the gateway and of membership share what they repeated.

--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -292,6 +292,22 @@
 	return response.StatusCode, string(data), err
 }
 
+// headOf sends a request and returns the answer without its body.
+func headOf(t *testing.T, url string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader("hello"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", "1")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	return response
+}
+
 // wantAnswer checks status and body of an answer.
 func wantAnswer(t *testing.T, url string, status int, body string, header ...string) {
 	t.Helper()
@@ -487,16 +503,7 @@
 
 func TestRefusalOfTheCoordinator(t *testing.T) {
 	_, url := newFixture(t)
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/stream/", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Header.Set("Id", "1")
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
+	response := headOf(t, url+"/stream/")
 	got := [2]string{response.Status[:3], response.Header.Get("Retry-After")}
 	if diff := cmp.Diff([2]string{"503", "0.700"}, got); diff != "" {
 		t.Errorf("status and time to come back (-want +got):\n%s", diff)
--- a/bluebelld/bbgateway/rest_test.go
+++ b/bluebelld/bbgateway/rest_test.go
@@ -74,16 +74,7 @@
 			f.rests = map[string]time.Duration{"e0": rest, "e1": 2 * rest}
 			times := make(map[string]bool)
 			for range 4 {
-				r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+path, strings.NewReader("hello"))
-				if err != nil {
-					t.Fatal(err)
-				}
-				r.Header.Set("Id", "1")
-				response, err := http.DefaultClient.Do(r)
-				if err != nil {
-					t.Fatal(err)
-				}
-				response.Body.Close()
+				response := headOf(t, url+path)
 				after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 				if response.StatusCode != http.StatusServiceUnavailable || err != nil || after < 70 || after > (1+restSpread)*rest.Seconds() {
 					t.Errorf("status %d, to come back in %v s; want 503 and about 100 to 125", response.StatusCode, after)
--- a/bluebelld/bbgateway/suspect_test.go
+++ b/bluebelld/bbgateway/suspect_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -13,16 +12,7 @@
 // wantSuspect sends a request and checks that it is refused as suspect, with the time to come back.
 func wantSuspect(t *testing.T, f *fixture, url string) {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader("hello"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Header.Set("Id", "1")
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
+	response := headOf(t, url)
 	last := f.logged[len(f.logged)-1]
 	got := []string{response.Status[:3], response.Header.Get("Retry-After"), last.Outcome, last.Cause}
 	if diff := cmp.Diff([]string{"503", "5.000", "refused", suspect}, got); diff != "" {
--- a/bluebelld/bbmembership/keepers_test.go
+++ b/bluebelld/bbmembership/keepers_test.go
@@ -19,19 +19,26 @@
 	return names
 }
 
+// fleetsOf returns the fleet of each VM, which has heard all others answer at 1 s.
+func fleetsOf(t *testing.T, members []bbgossip.Member) map[string]*testFleet {
+	t.Helper()
+	fleets := make(map[string]*testFleet)
+	for _, self := range members {
+		f := newTestFleet(t, self)
+		for _, m := range members {
+			if m.Name != self.Name {
+				f.hear(time.Second, m)
+			}
+		}
+		fleets[self.Name] = f
+	}
+	return fleets
+}
+
 func TestKeepers(t *testing.T) {
 	t.Run("all VMs agree", func(t *testing.T) {
-		fleets := make(map[string]*testFleet)
 		members := []bbgossip.Member{testMember("a", 100, 1), testMember("b", 200, 1), testMember("c", 300, 1), testMember("d", 400, 1)}
-		for _, self := range members {
-			f := newTestFleet(t, self)
-			for _, m := range members {
-				if m.Name != self.Name {
-					f.hear(time.Second, m)
-				}
-			}
-			fleets[self.Name] = f
-		}
+		fleets := fleetsOf(t, members)
 		chosen := make(map[string]bool)
 		for hash := range uint64(50) {
 			// A VM that is a keeper leaves itself out.
@@ -90,16 +97,7 @@
 			m.Region = testRegions[m.Zone]
 			members = append(members, m)
 		}
-		fleets := make(map[string]*testFleet)
-		for _, self := range members {
-			f := newTestFleet(t, self)
-			for _, m := range members {
-				if m.Name != self.Name {
-					f.hear(time.Second, m)
-				}
-			}
-			fleets[self.Name] = f
-		}
+		fleets := fleetsOf(t, members)
 		told := map[string]bool{"m150": true}
 		messages, most := 0, 0
 		pass := namesOf(fleets["m150"].Relays(false))
--- a/bluebelld/bbquarantine/quarantine.go
+++ b/bluebelld/bbquarantine/quarantine.go
@@ -25,6 +25,8 @@
 	tellTimeout = time.Second
 	// retryFor is how long news that could not be told is tried again.
 	retryFor = 5 * time.Second
+	// retryPause is the time between two tries.
+	retryPause = 300 * time.Millisecond
 	// maxNews bounds the contents in one call.
 	maxNews = 256
 )
@@ -59,6 +61,8 @@
 	// are true unless another VM has passed them on.
 	reports map[uint64]bool
 	relays  map[uint64]bool
+	// sending are the messages in progress.
+	sending map[recipient]*message
 	// told has the process of each VM that was told of all active contents.
 	told map[string]int64
 }
@@ -72,6 +76,7 @@
 		lives:   make(lives),
 		reports: make(map[uint64]bool),
 		relays:  make(map[uint64]bool),
+		sending: make(map[recipient]*message),
 		told:    make(map[string]int64),
 	}
 }
@@ -199,10 +204,10 @@
 	former := q.table.Verdict(now, fingerprint)
 	n := apply(now)
 	present := q.table.Verdict(now, fingerprint)
-	if n.is && n.from == seen {
+	if n.is && n.from == seen && len(q.reports) < maxContents {
 		q.reports[fingerprint] = true
 	}
-	if n.is && max(former, present, n.verdict) >= bbsuspect.Alone {
+	if n.is && max(former, present, n.verdict) >= bbsuspect.Alone && len(q.relays) < maxContents {
 		q.relays[fingerprint] = q.relays[fingerprint] || n.from != relayed
 	}
 	waits := len(q.reports)+len(q.relays) > 0
@@ -236,51 +241,58 @@
 	}
 }
 
-// message is news for one VM.
+// recipient is a VM that is told, as a keeper or as one of all.
+type recipient struct {
+	name    string
+	relayed bool
+}
+
+// message is news for one VM. The fields after the first are guarded by the quarantine's lock.
 type message struct {
-	to       bbgossip.Member
+	recipient
+	// peer is the VM's address for calls.
+	peer     string
 	contents map[uint64]bool
-	relayed  bool
+	// deadline is when the VM is given up that doesn't take it.
+	deadline time.Duration
 }
 
-// gather returns what is to be sent now.
-func (q *Quarantine) gather() []message {
+// gather adds what is to be told to the messages that are being sent, and returns the new ones.
+func (q *Quarantine) gather() []*message {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	reports := make(map[string]*message)
-	relays := make(map[string]*message)
-	add := func(messages map[string]*message, to bbgossip.Member, relayed bool, fingerprint uint64) {
-		m := messages[to.Name]
+	var added []*message
+	add := func(to bbgossip.Member, relayed bool, fingerprint uint64) {
+		key := recipient{to.Name, relayed}
+		m := q.sending[key]
 		if m == nil {
 			m = &message{
-				to:       to,
-				contents: make(map[uint64]bool),
-				relayed:  relayed,
+				recipient: key,
+				contents:  make(map[uint64]bool),
 			}
-			messages[to.Name] = m
+			q.sending[key] = m
+			added = append(added, m)
+		}
+		m.peer = to.Peer
+		m.deadline = q.seams.Now() + retryFor
+		if len(m.contents) < maxContents {
+			m.contents[fingerprint] = true
 		}
-		m.contents[fingerprint] = true
 	}
 	for fingerprint := range q.reports {
 		for _, keeper := range q.seams.Keepers(fingerprint) {
-			add(reports, keeper, false, fingerprint)
+			add(keeper, false, fingerprint)
 		}
 	}
 	for fingerprint, own := range q.relays {
 		for _, m := range q.seams.Relays(!own) {
-			add(relays, m, true, fingerprint)
+			add(m, true, fingerprint)
 		}
 	}
 	clear(q.reports)
 	clear(q.relays)
-	q.addStarted(func(to bbgossip.Member, fingerprint uint64) { add(relays, to, true, fingerprint) })
-	var all []message
-	for _, messages := range []map[string]*message{reports, relays} {
-		for _, m := range messages {
-			all = append(all, *m)
-		}
-	}
-	return all
+	q.addStarted(func(to bbgossip.Member, fingerprint uint64) { add(to, true, fingerprint) })
+	return added
 }
 
 // addStarted adds all active contents for VMs that have started since they were told.
@@ -308,40 +320,72 @@
 	}
 }
 
-// tell sends a message. One that is not taken is sent again for a while; a VM that wasn't told is
-// told of all when it is reached again.
-func (q *Quarantine) tell(ctx context.Context, m message) {
-	deadline := q.seams.Now() + retryFor
-	for {
-		err := q.tellOnce(ctx, m)
+// tell sends a message in parts, and what is added to it meanwhile. A part that is not taken is
+// sent again for a while; a VM that wasn't told is told of all when it is reached again.
+func (q *Quarantine) tell(ctx context.Context, m *message) {
+	for tries := 0; ; tries++ {
+		part := q.nextPart(m)
+		if len(part) == 0 {
+			return
+		}
+		err := q.tellOnce(ctx, m, part)
 		if err == nil {
+			continue
+		}
+		if tries == 0 {
+			q.seams.Untold(m.name, len(part), err)
+		}
+		if q.putBack(m, part) || ctx.Err() != nil {
 			return
 		}
-		q.seams.Untold(m.to.Name, len(m.contents), err)
-		if q.seams.Now() >= deadline || ctx.Err() != nil {
+		time.Sleep(retryPause)
+	}
+}
+
+// nextPart takes contents out of a message; none ends it.
+func (q *Quarantine) nextPart(m *message) []uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var part []uint64
+	for fingerprint := range m.contents {
+		if len(part) == maxNews {
 			break
 		}
-		time.Sleep(gatherTime + refreshPeriod/4)
+		part = append(part, fingerprint)
+		delete(m.contents, fingerprint)
 	}
+	if len(part) == 0 {
+		delete(q.sending, m.recipient)
+	}
+	return part
+}
+
+// putBack puts contents back into a message that was not taken. It is true if the VM is given up.
+func (q *Quarantine) putBack(m *message, part []uint64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	delete(q.told, m.to.Name)
+	for _, fingerprint := range part {
+		m.contents[fingerprint] = true
+	}
+	if q.seams.Now() < m.deadline {
+		return false
+	}
+	delete(q.sending, m.recipient)
+	delete(q.told, m.name)
+	return true
 }
 
-func (q *Quarantine) tellOnce(ctx context.Context, m message) error {
+func (q *Quarantine) tellOnce(ctx context.Context, m *message, part []uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	told := bbpeer.Suspects{
 		Relayed: m.relayed,
 	}
 	q.mu.Lock()
-	now := q.seams.Now()
-	for fingerprint := range m.contents {
-		if len(told.Suspects) == maxNews {
-			break
-		}
+	now, peer := q.seams.Now(), m.peer
+	for _, fingerprint := range part {
 		told.Suspects = append(told.Suspects, q.table.Snapshot(now, fingerprint))
 	}
 	q.mu.Unlock()
-	return q.seams.Tell(ctx, m.to.Peer, told)
+	return q.seams.Tell(ctx, peer, told)
 }
--- a/bluebelld/bbquarantine/quarantine_test.go
+++ b/bluebelld/bbquarantine/quarantine_test.go
@@ -415,6 +415,46 @@
 	})
 }
 
+// While a VM takes no news, what is for it is gathered in one message, and told in the end.
+func TestNewsForASilentVMIsGathered(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.mu.Lock()
+		w.silent["vm1"] = true
+		w.mu.Unlock()
+		const contents = 2*maxNews + 10
+		v := w.vms[0]
+		for i := range uint64(contents) {
+			now := time.Since(v.began)
+			for k := range uint64(2) {
+				v.Lost(i+1, bbsuspect.Run{
+					ID:       2*i + k + 1,
+					Endpoint: fmt.Sprint("e", 2*i+k),
+					Began:    now + time.Duration(2*k)*time.Microsecond,
+					Ended:    now + time.Duration(2*k+1)*time.Microsecond,
+				})
+			}
+			if i%50 == 0 {
+				time.Sleep(2 * gatherTime)
+			}
+		}
+		v.mu.Lock()
+		sending := len(v.sending)
+		v.mu.Unlock()
+		if sending > 2 {
+			t.Errorf("%d messages are being sent to one VM, want a report and a relay at most", sending)
+		}
+		w.mu.Lock()
+		clear(w.silent)
+		w.mu.Unlock()
+		time.Sleep(retryFor)
+		for i := range uint64(contents) {
+			if got := w.vms[1].Verdict(i + 1); got != bbsuspect.Alone {
+				t.Fatalf("verdict on content %d is %v at the VM that was silent, want %v", i+1, got, bbsuspect.Alone)
+			}
+		}
+	})
+}
+
 func TestNewsIsBounded(t *testing.T) {
 	inWorld(t, 2, func(w *world) {
 		var news bbpeer.Suspects
