A new stage worker ends the wait for those that rest

Cause, found by reading: whether all workers of a stage rest was looked at when work for it waited, so a request whose next stage had nothing waiting was refused though a new worker had been listed since. Test, failed before: TestNewStageWorkerEndsTheWait.

--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -373,9 +373,13 @@
 func (c *Coordinator) backAt(j *bbprogress.Job) time.Duration {
 	var back time.Duration
 	for i, s := range j.Order.Stages {
-		if p := c.pools[s.Service]; p != nil && j.Stages[i].Left > 0 && j.Needed(i) {
-			back = max(back, p.BackAt)
+		p := c.pools[s.Service]
+		if p == nil || p.BackAt == 0 || j.Stages[i].Left == 0 || !j.Needed(i) {
+			continue
 		}
+		// Another endpoint may be there since.
+		c.listPool(s.Service, p)
+		back = max(back, p.BackAt)
 	}
 	return back
 }
--- a/core/bbcoordinator/rest_test.go
+++ b/core/bbcoordinator/rest_test.go
@@ -6,6 +6,7 @@
 
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bbregistry"
 )
 
 // Stage workers that had asked for rest were called again at once, and when all had, requests waited
@@ -47,3 +48,28 @@
 		t.Errorf("refused as %s once a worker rests no more", out.Refusals[0].Reason)
 	}
 }
+
+// A request whose next stage had no worker awake was refused though another worker had come since.
+func TestNewStageWorkerEndsTheWait(t *testing.T) {
+	c := newTestCoordinator("s1")
+	rests := true
+	c.know.RestUntil = func(endpoint string) time.Duration {
+		if rests && endpoint == "s1" {
+			return time.Minute
+		}
+		return 0
+	}
+	c.Submit(0, testOrder("a", 1))
+	usable := c.know.Endpoints
+	c.pools["second"].BackAt = time.Minute
+	c.know.Endpoints = func(service string) []*bbregistry.Entry {
+		list := usable(service)
+		if service == "second" {
+			list = append(list, &bbregistry.Entry{Endpoint: bbregistry.Endpoint{ID: "s2", Service: "second", Zone: "east"}})
+		}
+		return list
+	}
+	if out := c.Tick(100 * ms); len(out.Refusals) > 0 {
+		t.Errorf("refused as %s though a worker is awake", out.Refusals[0].Reason)
+	}
+}
