--- a/core/bbcoordinator/rest_test.go
+++ b/core/bbcoordinator/rest_test.go
@@ -52,14 +52,17 @@
 // A request whose next stage had no worker awake was refused though another worker had come since.
 func TestNewStageWorkerEndsTheWait(t *testing.T) {
 	c := newTestCoordinator("s1")
-	rests := true
+	rests := false
 	c.know.RestUntil = func(endpoint string) time.Duration {
 		if rests && endpoint == "s1" {
 			return time.Minute
 		}
 		return 0
 	}
-	c.Submit(0, testOrder("a", 1))
+	if out := c.Submit(0, testOrder("a", 1)); len(out.Refusals) > 0 {
+		t.Fatalf("refused as %s, want the order to be taken", out.Refusals[0].Reason)
+	}
+	rests = true
 	usable := c.know.Endpoints
 	c.pools["second"].BackAt = time.Minute
 	c.know.Endpoints = func(service string) []*bbregistry.Entry {
