One way to name the run of a request for suspects

The node of the ticketed design built the ID of a run by itself, beside RunID of bbsuspect, which separates its parts. No decision depends on the value.

--- a/core/bbnode/suspects.go
+++ b/core/bbnode/suspects.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"bluebellhall/core/bbflow"
-	"bluebellhall/core/bbhash"
 	"bluebellhall/core/bbhome"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbsuspect"
@@ -17,7 +16,7 @@
 // endpointDied notes that an endpoint died under a request and tells the peers.
 func (n *Node) endpointDied(now time.Duration, r *bbhome.Record, stage int, a bbflow.Attempt, others int) bbsuspect.Verdict {
 	verdict, noted := n.suspects.Lost(now, r.Fingerprint, bbsuspect.Run{
-		ID:       bbhash.Name(r.ID + " " + strconv.Itoa(stage) + "." + strconv.Itoa(a.Number)),
+		ID:       bbsuspect.RunID(r.ID, strconv.Itoa(stage)+"."+strconv.Itoa(a.Number)),
 		Endpoint: a.Endpoint,
 		Began:    a.Sent,
 		Ended:    now,
