Metrics and an event tell when a coordinator falls behind

Nothing told whether a coordinator is late or its stage workers are busy. coordinator.delayMs and the event coordinatorLate (at most one a second) tell how much later than planned its timer work runs, coordinator.examined how many requests, queued groups and engines its decisions look at.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -147,6 +147,7 @@
 		RunPieces:   e.runPieces(h.RunPieces),
 		FreeResults: e.freeResults(h.FreeResults),
 		Zone:        e.Knowledge.ZoneOf,
+		Late:        func(delay time.Duration) { e.meter.Time(delay, "coordinator", "delayMs") },
 		Log:         e.logDecision,
 	})
 	e.hub = hub
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -51,6 +51,7 @@
 	s := e.hub.Status()
 	show(float64(s.Requests), "coordinator", "requests")
 	show(float64(s.AwaitingEngine), "coordinator", "ungranted")
+	show(float64(s.Examined), "coordinator", "examined")
 	for service, n := range s.Waiting {
 		show(float64(n), "coordinator", "waiting", service)
 	}
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -29,6 +29,9 @@
 	failedTickDelay = 200 * time.Millisecond
 	// callSlack is how much longer a call may take than the longest time limit of its requests.
 	callSlack = 500 * time.Millisecond
+	// notableDelay is the delay of the timer work from which it is logged, at most once in delayLogPeriod.
+	notableDelay   = 50 * time.Millisecond
+	delayLogPeriod = time.Second
 )
 
 // Piece is one piece of a stage in a call to an endpoint.
@@ -62,6 +65,8 @@
 	FreeResults func(ctx context.Context, address string, handles []string)
 	// Zone returns the failure domain of an endpoint.
 	Zone func(endpoint string) string
+	// Late records how much later than planned the coordinator's timer work ran; nil ignores it.
+	Late func(delay time.Duration)
 	// Log records an event.
 	Log func(e bbdecision.Event)
 }
@@ -77,10 +82,17 @@
 	timer   *time.Timer
 	// due is when the timer fires; 0 if it is not set.
 	due time.Duration
+	// longestDelay is the longest delay of the timer work since delayLoggedAt, examinedBefore the count of
+	// Status.Examined when a delay was last logged.
+	longestDelay, delayLoggedAt time.Duration
+	examinedBefore              uint64
 }
 
 // New returns a hub and its clean-up function.
 func New(c *bbcoordinator.Coordinator, hooks Hooks) (*Hub, func()) {
+	if hooks.Late == nil {
+		hooks.Late = func(time.Duration) {}
+	}
 	h := &Hub{
 		hooks:       hooks,
 		coordinator: c,
@@ -202,14 +214,40 @@
 // tick runs the coordinator's work that is due.
 func (h *Hub) tick() {
 	err := h.do("tick", func() bbdecision.Output {
+		now := h.hooks.Now()
+		h.observeDelay(now)
 		h.due = 0
-		return h.coordinator.Tick(h.hooks.Now())
+		return h.coordinator.Tick(now)
 	})
 	if err != nil {
 		h.timer.Reset(failedTickDelay)
 	}
 }
 
+// observeDelay reports how late the timer work runs, and logs the longest delay of each second.
+func (h *Hub) observeDelay(now time.Duration) {
+	if h.due == 0 {
+		return
+	}
+	delay := max(0, now-h.due)
+	h.hooks.Late(delay)
+	h.longestDelay = max(h.longestDelay, delay)
+	if now-h.delayLoggedAt < delayLogPeriod {
+		return
+	}
+	if h.longestDelay >= notableDelay {
+		s := h.coordinator.Status(now)
+		h.hooks.Log(bbdecision.Event{
+			Number: bbevent.CoordinatorLate,
+			Detail: fmt.Sprintf("requests=%d ungranted=%d examined=%d", s.Requests, s.AwaitingEngine, s.Examined-h.examinedBefore),
+			Value:  h.longestDelay,
+		})
+		h.examinedBefore = s.Examined
+	}
+	h.longestDelay = 0
+	h.delayLoggedAt = now
+}
+
 // apply carries out the coordinator's decisions; the caller holds the lock.
 func (h *Hub) apply(out bbdecision.Output) {
 	for _, e := range out.Events {
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -86,7 +86,9 @@
 	lastEviction time.Duration
 	// leaving is true while this coordinator drains and returns its requests to their origins.
 	leaving bool
-	out     bbdecision.Output
+	// examined counts the requests that decisions have looked at.
+	examined uint64
+	out      bbdecision.Output
 }
 
 const (
@@ -330,6 +332,7 @@
 			t.EvictStale(now, c.listEngines(service))
 		}
 	}
+	c.examined += uint64(len(c.jobs))
 	var expired []string
 	for id, j := range c.jobs {
 		switch {
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -368,6 +368,10 @@
 		Waiting:       map[string]int{"first": 8, "second": 0},
 		RepeatBudgets: map[string]float64{"first": left, "second": left, "engine": left},
 	}
+	if got.Examined == 0 {
+		t.Error("nothing was examined, want the requests and groups that decisions looked at")
+	}
+	got.Examined = 0
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("status (-want +got):\n%s", diff)
 	}
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -51,6 +51,7 @@
 
 // future returns the pieces that requests in progress will add to pools later.
 func (c *Coordinator) future(now time.Duration) bbprogress.Future {
+	c.examined += uint64(len(c.jobs))
 	f := make(bbprogress.Future)
 	for _, j := range c.jobs {
 		f.Add(now, j)
--- a/core/bbcoordinator/status.go
+++ b/core/bbcoordinator/status.go
@@ -13,9 +13,14 @@
 		AwaitingEngine: len(c.waiting),
 		Waiting:        make(map[string]int, len(c.pools)),
 		RepeatBudgets:  c.retries.Left(now),
+		Examined:       c.examined,
 	}
 	for service, p := range c.pools {
 		s.Waiting[service] = p.Waiting()
+		s.Examined += p.Examined
+	}
+	for _, t := range c.engines {
+		s.Examined += t.Examined
 	}
 	return s
 }
--- a/core/bbdecision/decision.go
+++ b/core/bbdecision/decision.go
@@ -76,4 +76,7 @@
 	Waiting map[string]int
 	// RepeatBudgets is the number of repeats that each service may have now.
 	RepeatBudgets map[string]float64
+	// Examined counts the requests, queued groups of pieces and engines that decisions have looked at. How
+	// fast it grows tells what decisions cost.
+	Examined uint64
 }
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -120,6 +120,7 @@
 	CallSent             Number = 841
 	CallDone             Number = 842
 	CallOverdue          Number = 843
+	CoordinatorLate      Number = 844
 	EntryRequestEnded    Number = 851
 	RunBroke             Number = 852
 	SilentChecked        Number = 853
@@ -222,6 +223,7 @@
 	{Number: CallSent, Title: "callSent", Severity: SeverityInfo, Text: "A call was sent to a stage worker; value is the time until its answer is expected."},
 	{Number: CallDone, Title: "callDone", Severity: SeverityInfo, Text: "A stage worker answered a call; value is the duration of the call."},
 	{Number: CallOverdue, Title: "callOverdue", Severity: SeverityWarning, Text: "A call is late; its pieces are sent to another endpoint as well."},
+	{Number: CoordinatorLate, Title: "coordinatorLate", Severity: SeverityWarning, Text: "The coordinator acts later than planned, because the processor is busy; value is the longest delay in the last second, detail its load."},
 	{Number: EntryRequestEnded, Title: "entryRequestEnded", Severity: SeverityInfo, Text: "A caller's request ended: route, outcome, cause, endpoint, attempts and times. Content is the same for requests of one caller that ask for the same."},
 	{Number: RunBroke, Title: "runBroke", Severity: SeverityInfo, Text: "An endpoint gave no complete answer to a request. Content identifies what was asked, cause is how the exchange ended; silent is true when the time limit expired."},
 	{Number: SilentChecked, Title: "silentChecked", Severity: SeverityInfo, Text: "After the time limit of a request expired, a connection to its endpoint was attempted; gone is true when the endpoint accepts none, so that the run counts as lost."},
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -139,8 +139,10 @@
 
 // Table holds the engines of one service.
 type Table struct {
-	Spec    bbcatalog.Engine
-	engines map[string]*engine
+	Spec bbcatalog.Engine
+	// Examined counts the engines that decisions and estimates have looked at.
+	Examined uint64
+	engines  map[string]*engine
 	// lastUsed has when each prompt part was last in a request granted to any engine.
 	lastUsed map[partKey]time.Duration
 }
@@ -160,6 +162,7 @@
 	best := -1
 	var bestCost time.Duration
 	need := float64(n.Prompt.Tokens + n.Prompt.Output)
+	t.Examined += uint64(len(endpoints))
 	for i, e := range endpoints {
 		g := t.engine(e.ID)
 		if avoided(n.Avoid, e.ID) || !n.Allowed(e.Zone) || g.health.Paused(now) {
@@ -244,6 +247,7 @@
 // arrived now, and that cost as a time; an empty one and runExpiry if there is no engine.
 func (t *Table) EstimateFirstToken(now time.Duration, n Need, endpoints []Endpoint) (zone string, wait time.Duration) {
 	found := false
+	t.Examined += uint64(len(endpoints))
 	for _, e := range endpoints {
 		g := t.engine(e.ID)
 		if !n.Allowed(e.Zone) || g.health.Paused(now) {
--- a/core/bbpool/compose.go
+++ b/core/bbpool/compose.go
@@ -11,6 +11,7 @@
 	if len(p.groups) == 0 {
 		return nil
 	}
+	p.Examined += uint64(len(p.groups))
 	sort.SliceStable(p.groups, func(i, j int) bool {
 		return p.groups[i].urgency(now) < p.groups[j].urgency(now)
 	})
@@ -173,6 +174,7 @@
 // groupsByLocality returns the groups in the order in which an endpoint in a failure domain should take
 // them: by urgency, with groups that prefer another failure domain moved back by the transfer cost.
 func (p *Pool) groupsByLocality(now time.Duration, zone string) []*Group {
+	p.Examined += uint64(len(p.groups))
 	list := append([]*Group(nil), p.groups...)
 	key := func(g *Group) time.Duration {
 		u := g.urgency(now)
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -96,8 +96,10 @@
 	// AvailableAt is when an endpoint may get calls again, if none may now and the time is known;
 	// otherwise 0.
 	AvailableAt time.Duration
-	groups      []*Group
-	workers     map[string]*worker
+	// Examined counts the queued groups that decisions and estimates have looked at.
+	Examined uint64
+	groups   []*Group
+	workers  map[string]*worker
 	// endpoints are those that may get calls, as last passed to SetEndpoints.
 	endpoints []Endpoint
 }
@@ -339,6 +341,7 @@
 // Wait estimates the queueing delay of new work of a given urgency, when future more pieces of requests
 // in progress will be queued ahead of it.
 func (p *Pool) Wait(now, urgency time.Duration, future int) time.Duration {
+	p.Examined += uint64(len(p.groups))
 	queued := future
 	for _, g := range p.groups {
 		if g.urgency(now) <= urgency {
