--- a/core/bbscene/models.go
+++ b/core/bbscene/models.go
@@ -68,7 +68,7 @@
 	answer := func(o bbhealth.Outcome, results []bbdecision.PieceResult) {
 		s.after(s.settings.Latency, func() {
 			if s.Coordinator == coordinator {
-				s.apply(coordinator.CallDone(s.Now, c.ID, s.zoneOf(c), o, results))
+				s.decide(func() bbdecision.Output { return coordinator.CallDone(s.Now, c.ID, s.zoneOf(c), o, results) })
 			}
 		})
 	}
--- a/core/bbscene/scene.go
+++ b/core/bbscene/scene.go
@@ -33,6 +33,9 @@
 	// RetryRefused is true if refused callers retry once, after the delay in the refusal, provided that
 	// their deadline allows it.
 	RetryRefused bool
+	// InputCost is the processor time that the coordinator needs for each input, and ExaminationCost what it
+	// needs more for each item in Status.Examined. Inputs wait for each other. Both may be 0.
+	InputCost, ExaminationCost time.Duration
 }
 
 // Pool is a service that runs stages.
@@ -105,6 +108,11 @@
 	events   events
 	sequence int
 	alone    bool
+	// inputs are those that wait for the coordinator's processor; deciding is true while it is busy, and
+	// tickWaits while a tick is among the inputs.
+	inputs    []func() bbdecision.Output
+	deciding  bool
+	tickWaits bool
 }
 
 // New returns a scene with a coordinator that knows all endpoints.
@@ -196,7 +204,7 @@
 			}
 		}
 		s.orders[o.ID] = o
-		s.apply(s.Coordinator.Submit(s.Now, o))
+		s.decide(func() bbdecision.Output { return s.Coordinator.Submit(s.Now, o) })
 	})
 }
 
@@ -205,13 +213,13 @@
 	s.at(at, run)
 }
 
-// tick is the interval of the coordinator's Tick.
-const tick = 10 * time.Millisecond
+// tickInterval is the interval of the coordinator's Tick.
+const tickInterval = 10 * time.Millisecond
 
 // Run runs the simulation until a time.
 func (s *Scene) Run(until time.Duration) {
-	for at := s.Now; at < until; at += tick {
-		s.at(at, func() { s.apply(s.Coordinator.Tick(s.Now)) })
+	for at := s.Now; at < until; at += tickInterval {
+		s.at(at, s.tick)
 	}
 	for len(s.events) > 0 && s.events[0].at <= until {
 		e := heap.Pop(&s.events).(event)
@@ -221,6 +229,48 @@
 	s.Now = until
 }
 
+// tick runs the coordinator's timer work, unless an earlier tick still waits for the processor.
+func (s *Scene) tick() {
+	if s.tickWaits {
+		return
+	}
+	s.tickWaits = true
+	s.decide(func() bbdecision.Output {
+		s.tickWaits = false
+		return s.Coordinator.Tick(s.Now)
+	})
+}
+
+// decide gives the coordinator an input, and executes its decisions after the time that they take.
+func (s *Scene) decide(input func() bbdecision.Output) {
+	if s.settings.InputCost == 0 && s.settings.ExaminationCost == 0 {
+		s.apply(input())
+		return
+	}
+	s.inputs = append(s.inputs, input)
+	if !s.deciding {
+		s.deciding = true
+		s.decideNext()
+	}
+}
+
+// decideNext handles the first waiting input.
+func (s *Scene) decideNext() {
+	if len(s.inputs) == 0 {
+		s.deciding = false
+		return
+	}
+	input := s.inputs[0]
+	s.inputs = s.inputs[1:]
+	before := s.Coordinator.Status(s.Now).Examined
+	out := input()
+	examined := s.Coordinator.Status(s.Now).Examined - before
+	s.after(s.settings.InputCost+time.Duration(examined)*s.settings.ExaminationCost, func() {
+		s.apply(out)
+		s.decideNext()
+	})
+}
+
 // Leave makes the coordinator hand back its requests.
 func (s *Scene) Leave() {
 	s.apply(s.Coordinator.Leave())
@@ -268,7 +318,7 @@
 	o.Limit = left - r.RetryAfter
 	s.at(s.Now+r.RetryAfter, func() {
 		s.orders[o.ID] = o
-		s.apply(s.Coordinator.Submit(s.Now, o))
+		s.decide(func() bbdecision.Output { return s.Coordinator.Submit(s.Now, o) })
 	})
 }
 
@@ -281,16 +331,18 @@
 		for _, handle := range g.Inputs {
 			if !s.exists(handle) {
 				s.Totals.MissingInputs++
-				s.apply(s.Coordinator.Progress(s.Now, bbjob.Note{
-					ID:       g.ID,
-					Endpoint: g.Endpoint,
-					Ended:    true,
-					Again:    true,
-					Outcome:  bbhealth.OutcomeFull,
-				}))
+				s.decide(func() bbdecision.Output {
+					return s.Coordinator.Progress(s.Now, bbjob.Note{
+						ID:       g.ID,
+						Endpoint: g.Endpoint,
+						Ended:    true,
+						Again:    true,
+						Outcome:  bbhealth.OutcomeFull,
+					})
+				})
 				again := s.orders[g.ID]
 				again.InputsGone = true
-				s.apply(s.Coordinator.Submit(s.Now, again))
+				s.decide(func() bbdecision.Output { return s.Coordinator.Submit(s.Now, again) })
 				return
 			}
 		}
@@ -304,13 +356,15 @@
 
 // reportProgress reports a request's progress at its engine to the coordinator.
 func (s *Scene) reportProgress(g bbjob.Grant, started, ended bool) {
-	s.apply(s.Coordinator.Progress(s.Now, bbjob.Note{
-		ID:       g.ID,
-		Endpoint: g.Endpoint,
-		Started:  started,
-		Ended:    ended,
-		Outcome:  bbhealth.OutcomeGood,
-	}))
+	s.decide(func() bbdecision.Output {
+		return s.Coordinator.Progress(s.Now, bbjob.Note{
+			ID:       g.ID,
+			Endpoint: g.Endpoint,
+			Started:  started,
+			Ended:    ended,
+			Outcome:  bbhealth.OutcomeGood,
+		})
+	})
 }
 
 // exists reports whether a result is stored at any worker.
--- a/core/bbscene/scene_test.go
+++ b/core/bbscene/scene_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,7 +81,7 @@
 // onTime counts the orders of a kind that were on time.
 func onTime(s *Scene, kind string) (served, all int) {
 	for id, o := range s.Outcomes {
-		if id[:len(kind)] != kind {
+		if !strings.HasPrefix(id, kind) {
 			continue
 		}
 		all++
