A decision of the coordinator costs the same however many requests wait

Callers of season-digest saw late answers and refusals from the second second of a burst until after its end, while stage workers had places left. Cause: each input of the coordinator walked all requests in progress (future), sorted the queues of all pools, listed all endpoints anew and walked the runs of all engines; each tick walked a queue once for each late request. With a thousand requests waiting that took its whole processor; late decisions left the stage workers idle, answers of calls were read late and their pieces computed again, and the backlog grew.

--- a/bluebelld/bbknowledge/knowledge.go
+++ b/bluebelld/bbknowledge/knowledge.go
@@ -238,11 +238,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
-	k.table.Expire(now)
 	generation := k.table.Generation() + k.standing.DrainCount()
 	if c, ok := k.lookups[service]; ok && c.generation == generation && now-c.at < lookupTTL {
 		return c.entries
 	}
+	k.table.Expire(now)
+	generation = k.table.Generation() + k.standing.DrainCount()
 	if len(k.lookups) >= maxLookups {
 		clear(k.lookups)
 	}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -84,6 +84,20 @@
 	lastCall uint64
 	// lastEviction is the time of the last periodic eviction, see evictionInterval.
 	lastEviction time.Duration
+	// sweptAt is when all requests were last checked for having to be refused, expiredAt when results were last
+	// checked for having expired.
+	sweptAt, expiredAt time.Duration
+	// placedAt is when the requests that wait for an engine were last placed.
+	placedAt time.Duration
+	// lastFuture is the last result of future, as of futureAt.
+	lastFuture map[string]bbpool.Profile
+	futureAt   time.Duration
+	// unread are the granted requests whose engines may not have fetched their inputs yet.
+	unread map[string]*bbprogress.Job
+	// poolEntries has the entries from which the endpoints of each pool were listed, unless some of these
+	// rested. engineLists has the last list of the engines of each service.
+	poolEntries map[string][]*bbregistry.Entry
+	engineLists map[string]engineList
 	// leaving is true while this coordinator drains and returns its requests to their origins.
 	leaving bool
 	// examined counts the requests that decisions have looked at.
@@ -106,6 +120,8 @@
 	// evictionInterval is how often expired entries are removed from the engine tables and the share of
 	// the retry budget is updated.
 	evictionInterval = time.Second
+	// resultExpiryInterval is how often the pools drop results that have expired after some seconds.
+	resultExpiryInterval = 10 * time.Millisecond
 	// overdueCheckInterval is how often calls are checked for being overdue.
 	overdueCheckInterval = 50 * time.Millisecond
 )
@@ -148,9 +164,13 @@
 		calls:   make(map[uint64]*bbpool.Call),
 		freed:   make(map[string][]string),
 		waiting: make(map[string]*bbprogress.Job),
+		unread:  make(map[string]*bbprogress.Job),
 		learned: make(bbhistory.RouteStatsTable),
 		latest:  make(map[string]bbplacement.Need),
 		refused: bbhistory.NewRefusals(),
+
+		poolEntries: make(map[string][]*bbregistry.Entry),
+		engineLists: make(map[string]engineList),
 	}
 }
 
@@ -311,9 +331,15 @@
 
 // Tick handles what has become due: overdue calls, and requests whose time limit has passed.
 func (c *Coordinator) Tick(now time.Duration) bbdecision.Output {
+	expires := now-c.expiredAt >= resultExpiryInterval
+	if expires {
+		c.expiredAt = now
+	}
 	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
 		p := c.pools[name]
-		p.Expire(now)
+		if expires {
+			p.Expire(now)
+		}
 		for _, call := range p.TakeOverdue(now) {
 			c.hedge(now, call)
 		}
@@ -332,12 +358,33 @@
 			t.EvictStale(now, c.listEngines(service))
 		}
 	}
+	c.freeRead(now)
+	if now-c.sweptAt >= bbpool.RefreshInterval(len(c.jobs)) {
+		c.sweptAt = now
+		c.sweep(now)
+	}
+	return c.decide(now)
+}
+
+// freeRead releases the inputs that engines should have fetched.
+func (c *Coordinator) freeRead(now time.Duration) {
+	for id, j := range c.unread {
+		switch {
+		case c.jobs[id] != j || j.Granted == "" || j.Started:
+			delete(c.unread, id)
+		case now-j.GrantedAt > inputTransferTime:
+			delete(c.unread, id)
+			c.freeUsed(j)
+		}
+	}
+}
+
+// sweep drops the requests that have ended unnoticed, and refuses those that can no longer be served.
+func (c *Coordinator) sweep(now time.Duration) {
 	c.examined += uint64(len(c.jobs))
 	var expired []string
 	for id, j := range c.jobs {
 		switch {
-		case j.Granted != "" && !j.Order.Resumable && !j.Started && now-j.GrantedAt > inputTransferTime:
-			c.freeUsed(j)
 		case j.Granted != "" && now > j.Limit+grantGrace:
 			c.table(j.Order.Service).Ended(now, j.Granted, id, bbhealth.OutcomeFull)
 			c.drop(j)
@@ -357,7 +404,6 @@
 			c.drop(j)
 		}
 	}
-	return c.decide(now)
 }
 
 // dropReason returns why a request is refused after its admission and when its caller should retry;
@@ -424,6 +470,9 @@
 		return 0, false
 	}
 	next := now + overdueCheckInterval
+	if len(c.waiting) > 0 {
+		next = now + placementInterval
+	}
 	for _, p := range c.pools {
 		if at, ok := p.NextChange(now); ok && at < next {
 			next = at
@@ -467,28 +516,58 @@
 // listPool updates the endpoints that a pool may use.
 func (c *Coordinator) listPool(name string, p *bbpool.Pool) {
 	entries := c.env.Endpoints(name)
+	resting, end := c.resting(entries)
+	if len(resting) == 0 && sameEntries(entries, c.poolEntries[name]) {
+		return
+	}
 	list := make([]bbpool.Endpoint, 0, len(entries))
-	var end time.Duration
 	for _, e := range entries {
-		if until := c.env.BackoffUntil(e.ID); until > 0 {
-			if end == 0 || until < end {
-				end = until
-			}
-			continue
+		if !resting[e.ID] {
+			list = append(list, bbpool.Endpoint{
+				ID:      e.ID,
+				Address: e.Address,
+				Zone:    e.Zone,
+			})
 		}
-		list = append(list, bbpool.Endpoint{
-			ID:      e.ID,
-			Address: e.Address,
-			Zone:    e.Zone,
-		})
 	}
-	if len(list) > 0 {
-		end = 0
+	c.poolEntries[name] = entries
+	if len(resting) > 0 {
+		delete(c.poolEntries, name)
+	}
+	p.AvailableAt = 0
+	if len(list) == 0 {
+		p.AvailableAt = end
 	}
-	p.AvailableAt = end
 	p.SetEndpoints(list)
 }
 
+// resting returns the endpoints that have requested backoff, and when the first backoff ends; 0 if there are
+// none.
+func (c *Coordinator) resting(entries []*bbregistry.Entry) (map[string]bool, time.Duration) {
+	var ids map[string]bool
+	var end time.Duration
+	for _, e := range entries {
+		until := c.env.BackoffUntil(e.ID)
+		if until == 0 {
+			continue
+		}
+		if ids == nil {
+			ids = make(map[string]bool)
+		}
+		ids[e.ID] = true
+		if end == 0 || until < end {
+			end = until
+		}
+	}
+	return ids, end
+}
+
+// sameEntries reports whether two lists of entries are the same slice. Entries are never changed, so a list
+// derived from one of them holds for the other.
+func sameEntries(a, b []*bbregistry.Entry) bool {
+	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
+}
+
 // flush returns and resets the output collected so far.
 func (c *Coordinator) flush() bbdecision.Output {
 	for _, address := range slices.Sorted(maps.Keys(c.freed)) {
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -11,15 +11,22 @@
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbplacement"
+	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
+	"bluebellhall/core/bbregistry"
 	"bluebellhall/core/bbsuspect"
 )
 
+// placementInterval is the time between two attempts to place a request for which no engine was available.
+const placementInterval = 10 * time.Millisecond
+
 // place grants engines to the requests whose stages are done, in order of urgency.
 func (c *Coordinator) place(now time.Duration) {
-	if len(c.waiting) == 0 {
+	if len(c.waiting) == 0 || now-c.placedAt < bbpool.RefreshInterval(len(c.waiting)) {
 		return
 	}
+	c.placedAt = now
+	c.examined += uint64(len(c.waiting))
 	list := slices.Collect(maps.Values(c.waiting))
 	sort.Slice(list, func(i, k int) bool {
 		a, b := list[i], list[k]
@@ -55,12 +62,19 @@
 		c.drop(j)
 		return
 	}
+	if now < j.NextPlacement {
+		return
+	}
 	e, ok := c.table(service).Choose(now, c.need(j), c.listEngines(service), bbplacement.RateLimitOf(c.env.Service(service), c.env.Majority()))
 	if !ok {
+		j.NextPlacement = now + placementInterval
 		return
 	}
 	j.Granted = e.ID
 	j.GrantedAt = now
+	if !j.Order.Resumable {
+		c.unread[j.Order.ID] = j
+	}
 	delete(c.waiting, j.Order.ID)
 	inputs, _ := j.EngineInputs()
 	c.log(bbdecision.Event{
@@ -100,6 +114,9 @@
 // listEngines returns the engines of a service that accept work.
 func (c *Coordinator) listEngines(service string) []bbplacement.Endpoint {
 	entries := c.env.Endpoints(service)
+	if last := c.engineLists[service]; sameEntries(entries, last.entries) {
+		return last.list
+	}
 	list := make([]bbplacement.Endpoint, 0, len(entries))
 	for _, e := range entries {
 		list = append(list, bbplacement.Endpoint{
@@ -109,9 +126,25 @@
 			Cold:    e.Cold > 0,
 		})
 	}
+	if len(c.engineLists) >= maxEngineLists {
+		clear(c.engineLists)
+	}
+	c.engineLists[service] = engineList{
+		entries: entries,
+		list:    list,
+	}
 	return list
 }
 
+// engineList is the list of engines derived from the entries of a service.
+type engineList struct {
+	entries []*bbregistry.Entry
+	list    []bbplacement.Endpoint
+}
+
+// maxEngineLists bounds the cached lists.
+const maxEngineLists = 1000
+
 // Progress handles a progress note of the VM that holds a request.
 func (c *Coordinator) Progress(now time.Duration, n bbjob.Note) bbdecision.Output {
 	j := c.jobs[n.ID]
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -6,6 +6,7 @@
 
 	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
 )
 
@@ -37,7 +38,7 @@
 			c.listPool(s.Service, p)
 		}
 		urgency := j.DueOf(i).Urgency(now)
-		wait := p.Wait(now, urgency, future.Before(s.Service, urgency))
+		wait := p.Wait(now, urgency, future[s.Service].Before(urgency))
 		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(p.ExpectedBatchSize(s.Pieces))
 		last = max(last, finished[i])
 	}
@@ -49,14 +50,23 @@
 	return j.Estimated + learned.Bias
 }
 
-// future returns the pieces that requests in progress will add to pools later.
-func (c *Coordinator) future(now time.Duration) bbprogress.Future {
+// future returns the pieces that requests in progress will add to pools later, by service. While many
+// requests are in progress it is a recent view.
+func (c *Coordinator) future(now time.Duration) map[string]bbpool.Profile {
+	if interval := bbpool.RefreshInterval(len(c.jobs)); interval > 0 && now-c.futureAt < interval {
+		return c.lastFuture
+	}
 	c.examined += uint64(len(c.jobs))
 	f := make(bbprogress.Future)
 	for _, j := range c.jobs {
 		f.Add(now, j)
 	}
-	return f
+	c.lastFuture = make(map[string]bbpool.Profile, len(f))
+	for service, list := range f {
+		c.lastFuture[service] = bbpool.NewProfile(list)
+	}
+	c.futureAt = now
+	return c.lastFuture
 }
 
 // LoadEstimate returns the load of this cell as published to other cells. It covers only services that
@@ -70,7 +80,7 @@
 	for service, p := range c.pools {
 		c.listPool(service, p)
 		o.Services[service] = bbcell.Backlog{
-			Wait:      p.Wait(now, math.MaxInt64, future.Before(service, math.MaxInt64)),
+			Wait:      p.Wait(now, math.MaxInt64, future[service].Before(math.MaxInt64)),
 			PerSecond: p.PerSecond(now),
 			Call:      p.Duration(p.ExpectedBatchSize(1)),
 		}
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -170,6 +170,15 @@
 	Parts []Part `json:"parts"`
 }
 
+// Prefix returns the number of tokens in the first parts of the prompt.
+func (p Prompt) Prefix(parts int) float64 {
+	tokens := 0
+	for _, part := range p.Parts[:parts] {
+		tokens += part.Tokens
+	}
+	return float64(min(tokens, p.Tokens))
+}
+
 // Part is a part of a prompt that requests may share.
 type Part struct {
 	ID     string `json:"id"`
--- a/core/bbplacement/cache.go
+++ b/core/bbplacement/cache.go
@@ -36,15 +36,6 @@
 	return len(p.Parts)
 }
 
-// prefix returns the number of leading tokens of a prompt that are cached without a gap.
-func (c *prefixCache) prefix(p bbjob.Prompt) float64 {
-	kept := 0.0
-	for _, part := range p.Parts[:c.parts(p)] {
-		kept += float64(part.Tokens)
-	}
-	return min(kept, float64(p.Tokens))
-}
-
 // add records that a prompt is processed, and evicts parts beyond the space in tokens.
 func (c *prefixCache) add(p bbjob.Prompt, space float64) {
 	if c.entries == nil {
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -119,16 +119,17 @@
 	tokens        float64
 	prefillTokens float64
 	at            time.Duration
-	started       bool
 	// watched and alone are copied from the Need.
 	watched, alone bool
 }
 
 // engine is the state kept for one engine.
 type engine struct {
-	runs   map[string]*run
-	cache  prefixCache
-	health bbhealth.Record
+	runs map[string]*run
+	// unstarted are those runs whose prompts may not have been processed yet.
+	unstarted map[string]*run
+	cache     prefixCache
+	health    bbhealth.Record
 	// tokens is the memory reserved for all runs, in tokens.
 	tokens float64
 	// bucket is the token bucket of the rate limit: the grants that may be made at once, as of bucketAt.
@@ -163,6 +164,7 @@
 	var bestCost time.Duration
 	need := float64(n.Prompt.Tokens + n.Prompt.Output)
 	t.Examined += uint64(len(endpoints))
+	recent := t.recentTokens(now, n.Prompt)
 	for i, e := range endpoints {
 		g := t.engine(e.ID)
 		if avoided(n.Avoid, e.ID) || !n.Allowed(e.Zone) || g.health.Paused(now) {
@@ -171,14 +173,13 @@
 		if e.Cold && !limit.AllowCold || !g.allowsGrant(now, limit) {
 			continue
 		}
-		g.expire(now)
 		if !g.isolates(n) {
 			continue
 		}
 		if len(g.runs) >= max(1, t.Spec.Slots) || (len(g.runs) > 0 && g.tokens+need > memoryUtilization*t.Spec.Tokens) {
 			continue
 		}
-		cost := t.cost(now, g, e, n)
+		cost := t.cost(now, g, e, n, recent)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -190,14 +191,20 @@
 	return endpoints[best], true
 }
 
-// cost is the expected time to first token, plus the cost of recomputation, failures and data transfer.
-func (t *Table) cost(now time.Duration, g *engine, e Endpoint, n Need) time.Duration {
-	unread := float64(n.Prompt.Tokens) - g.cache.prefix(n.Prompt)
-	for _, r := range g.runs {
+// cost is the expected time to first token, plus the cost of recomputation, failures and data transfer. Recent
+// is the result of recentTokens for the prompt.
+func (t *Table) cost(now time.Duration, g *engine, e Endpoint, n Need, recent []float64) time.Duration {
+	kept := g.cache.parts(n.Prompt)
+	unread := float64(n.Prompt.Tokens) - n.Prompt.Prefix(kept)
+	for _, r := range g.unstarted {
 		unread += r.pendingPrefill(now)
 	}
 	cost := time.Duration(unread/prefillRate*float64(time.Second)) + time.Duration(len(g.runs))*concurrencyCost
-	cost += RecomputeCost(int(t.recomputedTokens(now, g, n.Prompt)))
+	recomputed := 0.0
+	for _, tokens := range recent[kept:] {
+		recomputed += tokens
+	}
+	cost += RecomputeCost(int(recomputed))
 	cost += time.Duration(g.health.Failures(now) * float64(failureCost))
 	if e.Cold {
 		cost += coldCost
@@ -226,18 +233,16 @@
 	return time.Duration(float64(tokens) / 1000 * float64(recomputeCost))
 }
 
-// recomputedTokens returns the tokens of a prompt that an engine would have to process although another
-// engine has cached them.
-func (t *Table) recomputedTokens(now time.Duration, g *engine, p bbjob.Prompt) float64 {
-	tokens := 0.0
-	kept := g.cache.parts(p)
-	for _, part := range p.Parts[kept:] {
+// recentTokens returns the tokens of each part of a prompt that some engine has cached, and 0 for the others.
+func (t *Table) recentTokens(now time.Duration, p bbjob.Prompt) []float64 {
+	tokens := make([]float64, len(p.Parts))
+	for i, part := range p.Parts {
 		at, ok := t.lastUsed[partKey{
 			model: p.Model,
 			id:    part.ID,
 		}]
 		if ok && now-at <= recomputeWindow {
-			tokens += float64(part.Tokens)
+			tokens[i] = float64(part.Tokens)
 		}
 	}
 	return tokens
@@ -248,12 +253,13 @@
 func (t *Table) EstimateFirstToken(now time.Duration, n Need, endpoints []Endpoint) (zone string, wait time.Duration) {
 	found := false
 	t.Examined += uint64(len(endpoints))
+	recent := t.recentTokens(now, n.Prompt)
 	for _, e := range endpoints {
 		g := t.engine(e.ID)
 		if !n.Allowed(e.Zone) || g.health.Paused(now) {
 			continue
 		}
-		if cost := t.cost(now, g, e, n); !found || cost < wait {
+		if cost := t.cost(now, g, e, n, recent); !found || cost < wait {
 			found, zone, wait = true, e.Zone, cost
 		}
 	}
@@ -287,13 +293,15 @@
 func (t *Table) grant(now time.Duration, id string, n Need, need float64) {
 	g := t.engine(id)
 	g.bucket--
-	g.runs[n.Job] = &run{
+	r := &run{
 		tokens:        need,
-		prefillTokens: float64(n.Prompt.Tokens) - g.cache.prefix(n.Prompt),
+		prefillTokens: float64(n.Prompt.Tokens) - n.Prompt.Prefix(g.cache.parts(n.Prompt)),
 		at:            now,
 		watched:       n.Watched,
 		alone:         n.Alone,
 	}
+	g.runs[n.Job] = r
+	g.unstarted[n.Job] = r
 	g.tokens += need
 	g.cache.add(n.Prompt, t.Spec.Tokens-g.tokens)
 	for _, part := range n.Prompt.Parts {
@@ -311,9 +319,7 @@
 
 // Started records that an engine has finished the prefill of a request.
 func (t *Table) Started(id, job string) {
-	if r := t.engine(id).runs[job]; r != nil {
-		r.started = true
-	}
+	delete(t.engine(id).unstarted, job)
 }
 
 // Ended records that a request no longer runs at an engine. The prefix cache counts as lost if the engine
@@ -322,8 +328,7 @@
 	g := t.engine(id)
 	g.health.Observe(now, o)
 	if r := g.runs[job]; r != nil {
-		g.tokens -= r.tokens
-		delete(g.runs, job)
+		g.remove(job, r)
 	}
 	if o == bbhealth.OutcomeUnreachable || o == bbhealth.OutcomeMoved {
 		g.cache = prefixCache{}
@@ -334,7 +339,8 @@
 	g := t.engines[id]
 	if g == nil {
 		g = &engine{
-			runs: make(map[string]*run),
+			runs:      make(map[string]*run),
+			unstarted: make(map[string]*run),
 		}
 		t.engines[id] = g
 	}
@@ -362,8 +368,8 @@
 	if n.Alone && len(g.runs) > 0 {
 		return false
 	}
-	for _, r := range g.runs {
-		if !r.started && (r.alone || r.watched && n.Watched) {
+	for _, r := range g.unstarted {
+		if r.alone || r.watched && n.Watched {
 			return false
 		}
 	}
@@ -374,15 +380,21 @@
 func (g *engine) expire(now time.Duration) {
 	for job, r := range g.runs {
 		if now-r.at > runExpiry {
-			g.tokens -= r.tokens
-			delete(g.runs, job)
+			g.remove(job, r)
 		}
 	}
 }
 
+// remove removes a run.
+func (g *engine) remove(job string, r *run) {
+	g.tokens -= r.tokens
+	delete(g.runs, job)
+	delete(g.unstarted, job)
+}
+
 // pendingPrefill returns the tokens of a run's prompt that are still to be processed.
 func (r *run) pendingPrefill(now time.Duration) float64 {
-	if r.started || now-r.at > assumeStartedAfter {
+	if now-r.at > assumeStartedAfter {
 		return 0
 	}
 	return r.prefillTokens
--- a/core/bbpool/compose.go
+++ b/core/bbpool/compose.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -11,15 +10,13 @@
 	if len(p.groups) == 0 {
 		return nil
 	}
-	p.Examined += uint64(len(p.groups))
-	sort.SliceStable(p.groups, func(i, j int) bool {
-		return p.groups[i].urgency(now) < p.groups[j].urgency(now)
-	})
 	free := p.freeEndpoints(now)
 	if len(free) == 0 {
 		return nil
 	}
+	p.order(now)
 	for _, g := range p.groups {
+		p.Examined++
 		if e, w := p.choose(now, g, free); w != nil {
 			return p.compose(now, g, e, w)
 		}
@@ -27,11 +24,12 @@
 	return nil
 }
 
-// freeEndpoints returns the endpoints that may get a call now.
+// freeEndpoints returns the endpoints that may get a call now and have memory for a queued group.
 func (p *Pool) freeEndpoints(now time.Duration) []Endpoint {
 	var free []Endpoint
+	smallest := p.smallestResult()
 	for _, e := range p.endpoints {
-		if p.free(now, p.workers[e.ID]) {
+		if w := p.workers[e.ID]; p.freeMemory(w) >= smallest && p.free(now, w) {
 			free = append(free, e)
 		}
 	}
@@ -143,7 +141,7 @@
 	}
 	p.addPieces(now, c, first, w)
 	taken := []*Group{first}
-	for _, g := range p.groupsByLocality(now, e.Zone) {
+	for _, g := range p.candidates(now, e.Zone) {
 		space := p.Spec.Batch - len(c.Pieces)
 		if space <= 0 {
 			break
@@ -160,31 +158,56 @@
 		p.addPieces(now, c, g, w)
 		taken = append(taken, g)
 	}
-	kept := p.groups[:0]
-	for _, g := range p.groups {
+	// A group that is left in part is queued anew, since its urgency has changed.
+	p.remove(func(g *Group) bool { return slices.Contains(taken, g) })
+	for _, g := range taken {
 		if len(g.Left) > 0 {
-			kept = append(kept, g)
+			p.Add(g)
 		}
 	}
-	clear(p.groups[len(kept):])
-	p.groups = kept
 	return c
 }
 
-// groupsByLocality returns the groups in the order in which an endpoint in a failure domain should take
-// them: by urgency, with groups that prefer another failure domain moved back by the transfer cost.
-func (p *Pool) groupsByLocality(now time.Duration, zone string) []*Group {
-	p.Examined += uint64(len(p.groups))
-	list := append([]*Group(nil), p.groups...)
-	key := func(g *Group) time.Duration {
-		u := g.urgency(now)
+// candidateBatches is the number of full calls for which candidates are taken from the queue.
+const candidateBatches = 4
+
+// candidates returns groups in the order in which an endpoint in a failure domain should take them: by
+// urgency, with groups that prefer another failure domain moved back by the transfer cost. Of a long queue
+// they are the first few calls' worth, and all that the transfer cost might move before these.
+func (p *Pool) candidates(now time.Duration, zone string) []*Group {
+	type candidate struct {
+		group *Group
+		key   time.Duration
+	}
+	var list []candidate
+	var last time.Duration
+	pieces := 0
+	for _, g := range p.groups {
+		urgency := g.urgency(now)
+		enough := pieces >= candidateBatches*p.Spec.Batch
+		if enough && urgency > last+p.Spec.CallTime {
+			break
+		}
+		if !enough {
+			pieces += len(g.Left)
+			last = urgency
+		}
+		key := urgency
 		if g.Zone != "" && g.Zone != zone {
-			u += p.crossZoneCost(g)
+			key += p.crossZoneCost(g)
 		}
-		return u
+		list = append(list, candidate{
+			group: g,
+			key:   key,
+		})
+	}
+	p.Examined += uint64(len(list))
+	slices.SortStableFunc(list, func(a, b candidate) int { return int(a.key - b.key) })
+	groups := make([]*Group, 0, len(list))
+	for _, c := range list {
+		groups = append(groups, c.group)
 	}
-	sort.SliceStable(list, func(i, j int) bool { return key(list[i]) < key(list[j]) })
-	return list
+	return groups
 }
 
 // idleIn reports whether a worker in a failure domain could take a call now.
@@ -213,6 +236,7 @@
 		c.Sizes = append(c.Sizes, g.ResultBytes)
 		c.Bytes += g.ResultBytes
 		g.Left = g.Left[1:]
+		p.waiting--
 		g.Started = true
 	}
 }
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -4,7 +4,6 @@
 package bbpool
 
 import (
-	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -98,8 +97,16 @@
 	AvailableAt time.Duration
 	// Examined counts the queued groups that decisions and estimates have looked at.
 	Examined uint64
-	groups   []*Group
-	workers  map[string]*worker
+	// groups are the queue. The first ordered of them are in the order of urgency as of orderedAt, and profile
+	// is that of the queue then. The others have been added since.
+	groups    []*Group
+	ordered   int
+	orderedAt time.Duration
+	profile   Profile
+	// waiting counts the queued pieces, resultSizes the queued groups by the size of their results.
+	waiting     int
+	resultSizes map[float64]int
+	workers     map[string]*worker
 	// endpoints are those that may get calls, as last passed to SetEndpoints.
 	endpoints []Endpoint
 }
@@ -110,30 +117,20 @@
 		Service: service,
 		Spec:    spec,
 		workers: make(map[string]*worker),
-	}
-}
 
-// Add queues a group.
-func (p *Pool) Add(g *Group) {
-	p.groups = append(p.groups, g)
+		resultSizes: make(map[float64]int),
+	}
 }
 
 // Drop removes all queued work of a request.
 func (p *Pool) Drop(job string) {
-	kept := p.groups[:0]
-	for _, g := range p.groups {
-		if g.Job != job {
-			kept = append(kept, g)
-		}
-	}
-	clear(p.groups[len(kept):])
-	p.groups = kept
+	p.remove(func(g *Group) bool { return g.Job == job })
 }
 
 // Withdraw removes the queued pieces of one stage of a request and returns their numbers.
 func (p *Pool) Withdraw(job string, stage int) []int {
 	var numbers []int
-	p.groups = slices.DeleteFunc(p.groups, func(g *Group) bool {
+	p.remove(func(g *Group) bool {
 		if g.Job != job || g.Stage != stage {
 			return false
 		}
@@ -150,11 +147,7 @@
 
 // Waiting returns the number of queued pieces, which are in no call.
 func (p *Pool) Waiting() int {
-	n := 0
-	for _, g := range p.groups {
-		n += len(g.Left)
-	}
-	return n
+	return p.waiting
 }
 
 // SetEndpoints replaces the list of endpoints that may get calls.
@@ -341,13 +334,7 @@
 // Wait estimates the queueing delay of new work of a given urgency, when future more pieces of requests
 // in progress will be queued ahead of it.
 func (p *Pool) Wait(now, urgency time.Duration, future int) time.Duration {
-	p.Examined += uint64(len(p.groups))
-	queued := future
-	for _, g := range p.groups {
-		if g.urgency(now) <= urgency {
-			queued += len(g.Left)
-		}
-	}
+	queued := future + p.queuedBefore(now, urgency)
 	soonest, perSecond := p.capacity(now)
 	if perSecond == 0 {
 		return max(p.Spec.ResultTTL, p.AvailableAt-now)
--- a/core/bbprogress/due.go
+++ b/core/bbprogress/due.go
@@ -56,12 +56,7 @@
 }
 
 // Future holds, by service, the pieces of stages that have not been released yet.
-type Future map[string][]futurePieces
-
-type futurePieces struct {
-	urgency time.Duration
-	pieces  int
-}
+type Future map[string][]bbpool.Pieces
 
 // Add adds the stages of a request that have not been released yet.
 func (f Future) Add(now time.Duration, j *Job) {
@@ -69,24 +64,13 @@
 		if j.Stages[i].Released || s.Pieces == 0 {
 			continue
 		}
-		f[s.Service] = append(f[s.Service], futurePieces{
-			urgency: j.DueOf(i).Urgency(now),
-			pieces:  s.Pieces,
+		f[s.Service] = append(f[s.Service], bbpool.Pieces{
+			Urgency: j.DueOf(i).Urgency(now),
+			Count:   s.Pieces,
 		})
 	}
 }
 
-// Before counts the pieces for a service that are at least as urgent as the given urgency.
-func (f Future) Before(service string, urgency time.Duration) int {
-	n := 0
-	for _, w := range f[service] {
-		if w.urgency <= urgency {
-			n += w.pieces
-		}
-	}
-	return n
-}
-
 // EstimateStageToFirstToken sets the time from the start of each stage to the first token, from the
 // average time of an engine and of a call of each stage.
 func (j *Job) EstimateStageToFirstToken(engine time.Duration, call func(s bbjob.Stage) time.Duration) {
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -63,6 +63,8 @@
 	Granted string
 	// GrantedAt is the time of the grant.
 	GrantedAt time.Duration
+	// NextPlacement is when a request for which no engine was available is placed again.
+	NextPlacement time.Duration
 	// Estimated is when the first token was expected at arrival, without the correction by the bias of
 	// the route.
 	Estimated time.Duration
