Failing test: endpoints that name a limit get requests by load

Stand-ins name a limit in their answers, and the soak's checks count what reaches them from all VMs.

--- a/bluebellbench/bbsoak/bbpromise/promise.go
+++ b/bluebellbench/bbsoak/bbpromise/promise.go
@@ -155,6 +155,7 @@
 	c.checkRetryBudget(arrivals)
 	c.checkPoison(c.Ledger.PoisonArrivals())
 	c.checkSignals(c.Ledger.Signals(), arrivals)
+	c.checkLimits(c.Ledger.Signals(), arrivals)
 	c.checkRollback()
 	if c.CheckTiming {
 		c.checkTiming(arrivals)
--- a/bluebellbench/bbsoak/endpoint_test.go
+++ b/bluebellbench/bbsoak/endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -162,3 +163,35 @@
 		})
 	}
 }
+
+// Guards against a fault in which endpoints that had named the rate that they take got requests by load, from all
+// VMs and by all ways to send: engines, stage workers and plain services.
+func TestVMsObeyEndpointLimits(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for fourteen seconds")
+	}
+	program := buildProgram(t)
+	for _, limit := range []float64{0.5, 1, 5} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			t.Parallel()
+			f, s := startSmallFleet(t, program)
+			limited := make(map[string]bool)
+			for _, b := range f.backEnds {
+				if !limited[b.service.Name] {
+					limited[b.service.Name] = true
+					b.setFaults(bbstand.Faults{Limit: limit})
+				}
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), limitTestTime)
+			defer cancel()
+			f.load.Run(ctx, 1, 60)
+			record := f.record(s, nil, f.load.Tries(), time.Now())
+			if diff := cmp.Diff([]string(nil), bbpromise.Check(record).Violations); diff != "" {
+				t.Errorf("violations (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// limitTestTime is how long endpoints name their limits: two windows of the check after its notice.
+const limitTestTime = 13 * time.Second
