A request for a permit doesn't replace a limit that the deciding VM knows

A VM that asks may have an outdated limit; it would have been counted at the old rate until the next answer. Found by reading. TestPermitDoesNotReplaceAKnownLimit fails without the change.

--- a/bluebelld/bbentry/limits.go
+++ b/bluebelld/bbentry/limits.go
@@ -144,7 +144,8 @@
 
 // decidePermit decides on a request of this or another VM to an endpoint with a limit.
 func (e *Entry) decidePermit(p bbpeer.Permit) bbpeer.Permitted {
-	if p.Limit.Process.ID == p.Endpoint {
+	// A limit that this VM knows may be newer than that of the VM which asks.
+	if known, _, _ := e.Knowledge.Limit(p.Endpoint); !known.Named && p.Limit.Process.ID == p.Endpoint {
 		e.learnLimit(p.Limit, e.settings.Self.Name)
 	}
 	rate, limited := e.limitRate(p.Endpoint)
--- a/bluebelld/bbentry/limits_test.go
+++ b/bluebelld/bbentry/limits_test.go
@@ -132,3 +132,21 @@
 		t.Errorf("%d calls that free results, want that of the worker without a limit only", frees)
 	}
 }
+
+// An outdated limit in a request for a permit must not replace a newer one.
+func TestPermitDoesNotReplaceAKnownLimit(t *testing.T) {
+	e, _, p := newLimitedEntry(t)
+	e.decidePermit(bbpeer.Permit{
+		Endpoint: "a",
+		Limit: bbpeer.EndpointLimit{
+			Process: p,
+			Limit: bbstanding.Limit{
+				Named:     true,
+				PerSecond: 100,
+			},
+		},
+	})
+	if l, _, _ := e.Knowledge.Limit("a"); l != oneASecond {
+		t.Errorf("limit %+v after a request for a permit, want the one known before", l)
+	}
+}
