Limits of endpoints are a package of their own

bbentry and bbgateway had grown beyond the size of a package. bblimit has what counts, decides and reports; one hook of the gateway records all that an answer says of its endpoint's load. No behaviour changes but one: an answer of another endpoint at the address counts as one without a limit, since the process that named it is gone.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -11,6 +11,7 @@
 	"bluebellhall/bluebelld/bbgateway"
 	"bluebellhall/bluebelld/bbhub"
 	"bluebellhall/bluebelld/bbknowledge"
+	"bluebellhall/bluebelld/bblimit"
 	"bluebellhall/bluebelld/bblog"
 	"bluebellhall/bluebelld/bbmembership"
 	"bluebellhall/bluebelld/bbmeter"
@@ -82,8 +83,8 @@
 	cursor followCursor
 	// cell caches the endpoints that this VM coordinates.
 	cell cell
-	// limits counts the requests to endpoints that have named a limit.
-	limits limits
+	// limits keeps requests within the limits that endpoints have named.
+	limits *bblimit.Limits
 }
 
 // addressedNote is a progress note for the coordinator at an address.
@@ -131,6 +132,7 @@
 		VerdictChanged: e.verdictChanged,
 		SendFailed:     e.suspectsSendFailed,
 	})
+	e.limits = e.newLimits()
 	coordinator := bbcoordinator.New(bbcoordinator.Environment{
 		Service:         e.service,
 		Endpoints:       e.coordinated,
@@ -141,7 +143,7 @@
 		RecordLoss:      e.quarantine.RecordLoss,
 		Answered:        e.quarantine.RecordAnswer,
 		BackoffUntil:    e.Knowledge.BackoffUntil,
-		Pace:            e.pace(),
+		Pace:            e.limits.Pace(),
 		Share:           e.budgetShare,
 		Spill:           e.fleet.Spill,
 	}, s.Limits)
@@ -161,8 +163,8 @@
 		Notes:         hub.Notes,
 		Suspects:      e.quarantine.Merge,
 		Leaving:       e.recordLeaving,
-		Limits:        e.recordLimits,
-		Permit:        e.decidePermit,
+		Limits:        e.limits.Merge,
+		Permit:        e.limits.Decide,
 		HandlerFailed: e.handlerFailed,
 	})
 	if err != nil {
@@ -176,10 +178,9 @@
 		Endpoints:    e.Knowledge.Usable,
 		MaySend:      e.Knowledge.MaySend,
 		RecordSignal: e.recordSignal,
-		RecordLimit:  e.recordLimit,
-		GrantHolds:   e.grantHolds,
-		Permit:       e.permit,
-		BackoffUntil: e.backoffUntil,
+		GrantHolds:   e.limits.GrantHolds,
+		Permit:       e.limits.Permit,
+		BackoffUntil: e.limits.BackoffUntil,
 		Region:       e.region,
 		Order:        e.order,
 		Note:         e.note,
--- a/bluebelld/bbentry/limits_test.go
+++ b/bluebelld/bbentry/limits_test.go
@@ -24,7 +24,7 @@
 	e, c := newStandingEntry(t)
 	e.began = time.Now()
 	p, _ := e.Knowledge.MaySend("a")
-	e.recordLimit(p, oneASecond, 0)
+	e.recordSignal(p, bbstanding.Signal{Limit: oneASecond}, 0)
 	return e, c, p
 }
 
@@ -33,7 +33,7 @@
 	t.Helper()
 	n := 0
 	for range asks {
-		if e.permit(t.Context(), endpoint) {
+		if e.limits.Permit(t.Context(), endpoint) {
 			n++
 		}
 	}
@@ -49,12 +49,12 @@
 	if n := permits(t, e, "b", 100); n != 100 {
 		t.Errorf("%d of 100 requests to an endpoint without a limit", n)
 	}
-	if e.backoffUntil("a") == 0 || e.backoffUntil("b") != 0 {
+	if e.limits.BackoffUntil("a") == 0 || e.limits.BackoffUntil("b") != 0 {
 		t.Error("an endpoint without a permit is not left alone, or another one is")
 	}
 	t.Run("until two answers name none", func(t *testing.T) {
-		e.recordLimit(p, bbstanding.Limit{}, time.Hour)
-		e.recordLimit(p, bbstanding.Limit{}, time.Hour)
+		e.recordSignal(p, bbstanding.Signal{}, time.Hour)
+		e.recordSignal(p, bbstanding.Signal{}, time.Hour)
 		if n := permits(t, e, "a", 100); n != 100 {
 			t.Errorf("%d of 100 requests after the end of the limit", n)
 		}
@@ -67,14 +67,14 @@
 	grant := bbjob.Grant{
 		Endpoint: "a",
 	}
-	if e.grantHolds(grant, "") {
+	if e.limits.GrantHolds(grant, "") {
 		t.Error("a grant that was not counted against the limit holds")
 	}
 	grant.Paced = true
-	if !e.grantHolds(grant, "") {
+	if !e.limits.GrantHolds(grant, "") {
 		t.Error("a grant that was counted against the limit doesn't hold")
 	}
-	if grant.Endpoint, grant.Paced = "b", false; !e.grantHolds(grant, "") {
+	if grant.Endpoint, grant.Paced = "b", false; !e.limits.GrantHolds(grant, "") {
 		t.Error("a grant of an endpoint without a limit doesn't hold")
 	}
 }
@@ -83,21 +83,21 @@
 	e, _ := newStandingEntry(t)
 	p, _ := e.Knowledge.MaySend("a")
 	report := func(l bbstanding.Limit) {
-		e.recordLimits(bbpeer.Limits{
+		e.limits.Merge(bbpeer.Limits{
 			From:   "other",
 			Limits: []bbpeer.EndpointLimit{{Process: p, Limit: l}},
 		})
 	}
 	report(oneASecond)
-	if _, limited := e.limitRate("a"); !limited {
+	if _, limited := e.limits.Rate("a"); !limited {
 		t.Error("a limit that another VM reports is not known")
 	}
 	report(bbstanding.Limit{})
-	if _, limited := e.limitRate("a"); limited {
+	if _, limited := e.limits.Rate("a"); limited {
 		t.Error("a limit that has ended according to another VM is still in force")
 	}
 	t.Run("with the request for a permit", func(t *testing.T) {
-		answer := e.decidePermit(bbpeer.Permit{
+		answer := e.limits.Decide(bbpeer.Permit{
 			Endpoint: "a",
 			Limit:    bbpeer.EndpointLimit{Process: p, Limit: oneASecond},
 		})
@@ -123,7 +123,7 @@
 		return bbstanding.Signal{}
 	})
 	run(t.Context(), "address of a", "a", nil)
-	if _, limited := e.limitRate("a"); !limited {
+	if _, limited := e.limits.Rate("a"); !limited {
 		t.Error("the limit in the answer to a call is not known")
 	}
 	free(t.Context(), "address of a", nil)
@@ -136,7 +136,7 @@
 // An outdated limit in a request for a permit must not replace a newer one.
 func TestPermitDoesNotReplaceAKnownLimit(t *testing.T) {
 	e, _, p := newLimitedEntry(t)
-	e.decidePermit(bbpeer.Permit{
+	e.limits.Decide(bbpeer.Permit{
 		Endpoint: "a",
 		Limit: bbpeer.EndpointLimit{
 			Process: p,
--- a/bluebelld/bbentry/signals.go
+++ b/bluebelld/bbentry/signals.go
@@ -5,14 +5,37 @@
 	"time"
 
 	"bluebellhall/bluebelld/bbhub"
+	"bluebellhall/bluebelld/bblimit"
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbstanding"
 )
 
-// recordSignal records the load signal of an endpoint's process, and reports to other VMs that it drains.
-func (e *Entry) recordSignal(p bbstanding.Process, s bbstanding.Signal) {
+// noAnswer stands for the time when a request was sent that may have had no answer: that it names no limit says
+// nothing.
+const noAnswer time.Duration = 0
+
+// newLimits returns the limits of this VM.
+func (e *Entry) newLimits() *bblimit.Limits {
+	return bblimit.New(e.settings.Self, e.Knowledge, e.log, bblimit.Hooks{
+		Now:   e.now,
+		Share: e.fleet.LimitShare,
+		Coordinator: func(zone string) bbgossip.Member {
+			_, coordinator := e.fleet.Coordinates(zone)
+			return coordinator
+		},
+		Relays: e.fleet.Relays,
+		Send:   e.conns.Limits,
+		Ask:    e.conns.Permit,
+	})
+}
+
+// recordSignal records the load signal of an endpoint's process in the answer to a request that was sent at the
+// given time, and reports to other VMs that it drains or what it names as its limit.
+func (e *Entry) recordSignal(p bbstanding.Process, s bbstanding.Signal, sent time.Duration) {
+	e.limits.Record(p, s.Limit, sent)
 	newlyLeaving, extended := e.Knowledge.RecordSignal(p, s)
 	if extended {
 		e.log.Event(bbevent.EndpointRests).Str("endpoint", p.ID).Dur("value", s.RetryAfter).Send()
@@ -72,10 +95,10 @@
 		}
 		sent := e.now()
 		answer := run(ctx, address, endpoint, pieces)
-		e.recordSignal(p, answer.Signal)
-		if answer.Outcome == bbhealth.OutcomeGood || answer.Outcome == bbhealth.OutcomeFull {
-			e.recordLimit(p, answer.Signal.Limit, sent)
+		if answer.Outcome != bbhealth.OutcomeGood && answer.Outcome != bbhealth.OutcomeFull {
+			sent = noAnswer
 		}
+		e.recordSignal(p, answer.Signal, sent)
 		return answer
 	}
 }
@@ -85,13 +108,12 @@
 func (e *Entry) freeResults(free FreeResults) func(ctx context.Context, address string, handles []string) {
 	return func(ctx context.Context, address string, handles []string) {
 		p, listed := e.Knowledge.ProcessAt(address)
-		if listed && (e.Knowledge.BackoffUntil(p.ID) > 0 || !e.mayFree(p.ID)) {
+		if listed && (e.Knowledge.BackoffUntil(p.ID) > 0 || !e.limits.MayFree(p.ID)) {
 			return
 		}
 		signal := free(ctx, address, handles)
 		if listed {
-			e.recordSignal(p, signal)
-			e.recordNamedLimit(p, signal.Limit)
+			e.recordSignal(p, signal, noAnswer)
 		}
 	}
 }
--- a/bluebelld/bbentry/signals_test.go
+++ b/bluebelld/bbentry/signals_test.go
@@ -40,6 +40,7 @@
 		},
 	}
 	e.fleet = bbmembership.NewFleet(self, nil, testRegions, func() time.Duration { return c.now }, conns)
+	e.limits = e.newLimits()
 	listProcesses(e, 1)
 	return e, c
 }
@@ -83,7 +84,7 @@
 	e, _ := newStandingEntry(t)
 	wantMaySend(t, e, true, true)
 	p, _ := e.Knowledge.MaySend("a")
-	e.recordSignal(p, leavingSignal)
+	e.recordSignal(p, leavingSignal, noAnswer)
 	wantMaySend(t, e, false, false)
 	t.Run("though the list shows it as running", func(t *testing.T) {
 		listProcesses(e, 1)
@@ -113,7 +114,7 @@
 func TestEndpointRequestsBackoff(t *testing.T) {
 	e, c := newStandingEntry(t)
 	p, _ := e.Knowledge.MaySend("a")
-	e.recordSignal(p, bbstanding.Signal{RetryAfter: 3 * time.Second})
+	e.recordSignal(p, bbstanding.Signal{RetryAfter: 3 * time.Second}, noAnswer)
 	wantMaySend(t, e, false, true)
 	if got := e.Knowledge.BackoffUntil("a"); got != c.now+3*time.Second {
 		t.Errorf("backoff of a lasts until %v, want 3 s from %v", got, c.now)
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -73,11 +73,9 @@
 	// MaySend reports whether this VM may send a request to an endpoint now, and which process of the
 	// endpoint receives it.
 	MaySend func(id string) (bbstanding.Process, bool)
-	// RecordSignal records the load signal in an answer of an endpoint's process.
-	RecordSignal func(p bbstanding.Process, w bbstanding.Signal)
-	// RecordLimit records the limit that an answer of an endpoint's process names, if any; sent is when the
-	// request was sent.
-	RecordLimit func(p bbstanding.Process, l bbstanding.Limit, sent time.Duration)
+	// RecordSignal records the load signal in an answer of an endpoint's process to a request that was sent at
+	// the given time.
+	RecordSignal func(p bbstanding.Process, w bbstanding.Signal, sent time.Duration)
 	// GrantHolds reports whether a grant of a coordinator is within the limit that its engine has named.
 	GrantHolds func(grant bbjob.Grant, coordinator string) bool
 	// Permit reports whether one more request is within the limit that an endpoint of a plain service has named.
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -201,14 +201,13 @@
 	began := time.Now()
 	grants := 0
 	f.gateway = New("vm", "z", "r", testCodec, Hooks{
-		Now:         func() time.Duration { return time.Since(began) },
-		Index:       func() *bbcatalog.Index { return index },
-		Endpoints:   func(string) []*bbregistry.Entry { return entries },
-		MaySend:     func(id string) (bbstanding.Process, bool) { return bbstanding.Process{ID: id}, !f.blocked[id] },
-		RecordLimit: func(bbstanding.Process, bbstanding.Limit, time.Duration) {},
-		GrantHolds:  func(bbjob.Grant, string) bool { return true },
-		Permit:      func(context.Context, string) bool { return true },
-		RecordSignal: func(p bbstanding.Process, w bbstanding.Signal) {
+		Now:        func() time.Duration { return time.Since(began) },
+		Index:      func() *bbcatalog.Index { return index },
+		Endpoints:  func(string) []*bbregistry.Entry { return entries },
+		MaySend:    func(id string) (bbstanding.Process, bool) { return bbstanding.Process{ID: id}, !f.blocked[id] },
+		GrantHolds: func(bbjob.Grant, string) bool { return true },
+		Permit:     func(context.Context, string) bool { return true },
+		RecordSignal: func(p bbstanding.Process, w bbstanding.Signal, _ time.Duration) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.signals = append(f.signals, recordedSignal{p.ID, w})
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -242,7 +242,7 @@
 	}
 	defer cleanup()
 	reading := g.codec.Read(t.ID, answer)
-	g.recordSignal(process, reading, r.began)
+	g.hooks.RecordSignal(process, reading.Signal, r.began)
 	outcome = classify(nil, reading)
 	if outcome == bbhealth.OutcomeGood || outcome == bbhealth.OutcomeFull {
 		g.hooks.Answered(t.grant.Endpoint)
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -142,7 +142,7 @@
 	}
 	defer cleanup()
 	reading := g.codec.Read(x.ID, answer)
-	g.recordSignal(process, reading, r.began)
+	g.hooks.RecordSignal(process, reading.Signal, r.began)
 	outcome = classify(nil, reading)
 	if outcome == bbhealth.OutcomeGood || outcome == bbhealth.OutcomeFull {
 		g.hooks.Answered(e.ID)
--- a/bluebelld/bbgateway/rest.go
+++ b/bluebelld/bbgateway/rest.go
@@ -5,9 +5,6 @@
 	"net/http"
 	"slices"
 	"time"
-
-	"bluebellhall/bluebelld/bbcodec"
-	"bluebellhall/core/bbstanding"
 )
 
 // backoffJitter is the fraction by which Retry-After is extended at random, so that an endpoint doesn't get
@@ -48,12 +45,3 @@
 	}
 	return avoid
 }
-
-// recordSignal records what an answer says of the load of its endpoint's process. Sent is when the request was
-// sent.
-func (g *Gateway) recordSignal(p bbstanding.Process, a bbcodec.AnswerInfo, sent time.Duration) {
-	g.hooks.RecordSignal(p, a.Signal)
-	if !a.OtherEndpoint && !a.OtherRequest {
-		g.hooks.RecordLimit(p, a.Signal.Limit, sent)
-	}
-}
