--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -107,8 +107,8 @@
 	futureAt   time.Duration
 	// unread are the granted requests whose engines may not have fetched their inputs yet.
 	unread map[string]*bbprogress.Job
-	// poolEntries has the entries from which the endpoints of each pool were listed, unless some of these
-	// rested. engineLists has the last list of the engines of each service.
+	// poolEntries has the entries from which the endpoints of each pool were listed, unless some of these were
+	// restricted. engineLists has the last list of the engines of each service.
 	poolEntries map[string][]*bbregistry.Entry
 	engineLists map[string]engineList
 	// leaving is true while this coordinator drains and returns its requests to their origins.
@@ -550,9 +550,9 @@
 	if unrestricted && sameEntries(entries, c.poolEntries[name]) {
 		return
 	}
-	c.poolEntries[name] = entries
-	if !unrestricted {
-		delete(c.poolEntries, name)
+	delete(c.poolEntries, name)
+	if unrestricted {
+		c.poolEntries[name] = entries
 	}
 	list := make([]bbpool.Endpoint, 0, len(entries))
 	p.LimitedCallsPerSecond = 0
@@ -575,7 +575,7 @@
 	p.SetEndpoints(list)
 }
 
-// restrictions are what endpoints have asked for.
+// restrictions tell which endpoints of a service take no calls now, or only some.
 type restrictions struct {
 	// unavailable are the endpoints that take no calls now, since they have requested backoff or named a limit,
 	// and end is when the first of them takes calls again.
@@ -585,7 +585,7 @@
 	rates map[string]float64
 }
 
-// restrictionsOf returns what endpoints have asked for.
+// restrictionsOf returns the restrictions that endpoints have asked for.
 func (c *Coordinator) restrictionsOf(entries []*bbregistry.Entry) restrictions {
 	var r restrictions
 	for _, e := range entries {
