--- a/bluebelld/bbmembership/cells_test.go
+++ b/bluebelld/bbmembership/cells_test.go
@@ -207,6 +207,35 @@
 	want(f.now+time.Second, false)
 }
 
+// Two VMs that both took over an endpoint would let it have twice its limit.
+func TestLimitShare(t *testing.T) {
+	f := manyVMs(t, 300)
+	want := func(now time.Duration, zone string, want float64) {
+		t.Helper()
+		f.now = now
+		f.table.MarkAllSeenByHub(now, func(bbgossip.Member) bool { return true })
+		f.answeredAt = now
+		f.refresh()
+		if got := f.LimitShare(zone); got != want {
+			t.Errorf("at %v this VM may use %g of the limits in %s, want %g", now, got, zone, want)
+		}
+	}
+	own := f.table.Self().Zone
+	for now := 2 * time.Second; now < 6*time.Second; now += time.Second {
+		want(now, "n2", 0)
+	}
+	want(6*time.Second, own, 1)
+	// The coordinator of n2 and all others there are lost; n2 falls to its region's other cell.
+	f.table.EachReachable(f.now, func(m *bbgossip.Member) {
+		if m.Zone == "n2" {
+			f.table.RecordRefusal(m.Name)
+		}
+	})
+	want(7*time.Second, "n2", 0.5)
+	want(7*time.Second, own, 0.5)
+	want(7*time.Second+takeoverTime, "n2", 1)
+}
+
 func TestReaders(t *testing.T) {
 	t.Run("all VMs of a small fleet", func(t *testing.T) {
 		if got := manyVMs(t, maxDirectReaders+1).Readers(); len(got) > 0 {
