--- a/bluebelld/bblimit/limits.go
+++ b/bluebelld/bblimit/limits.go
@@ -11,12 +11,12 @@
 	"bluebellhall/bluebelld/bbknowledge"
 	"bluebellhall/bluebelld/bblog"
 	"bluebellhall/bluebelld/bbpeer"
-	"bluebellhall/core/bbcoordinator"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpace"
 	"bluebellhall/core/bbstanding"
+	"bluebellhall/core/bbsupply"
 )
 
 const (
@@ -88,8 +88,8 @@
 }
 
 // Pace returns the functions by which the coordinator of this VM keeps to the limits.
-func (l *Limits) Pace() bbcoordinator.Pace {
-	return bbcoordinator.Pace{
+func (l *Limits) Pace() bbsupply.Pace {
+	return bbsupply.Pace{
 		Rate:        l.Rate,
 		AvailableAt: l.availableAt,
 		Take:        l.take,
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -45,7 +45,7 @@
 	}
 	if o == bbhealth.OutcomeFull || o == bbhealth.OutcomeHeld {
 		// The endpoint may have requested backoff.
-		c.listPool(call.Service, p)
+		c.supply.Update(call.Service, p)
 	}
 	retry := make(bbpool.ByJob)
 	for i, piece := range call.Pieces {
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -20,6 +20,7 @@
 	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbsupply"
 	"bluebellhall/core/bbsuspect"
 )
 
@@ -46,7 +47,7 @@
 	// the calls of stages; 0 if there is none. Nil means that no endpoint has requested any.
 	BackoffUntil func(endpoint string) time.Duration
 	// Pace counts the requests to endpoints that have named a limit.
-	Pace Pace
+	Pace bbsupply.Pace
 	// Share returns the fraction of the fleet's retry budget that this coordinator may use;
 	// nil for all of it.
 	Share func() float64
@@ -56,17 +57,6 @@
 	Spill func(o bbjob.Order, own time.Duration, allowed func(zone string) bool) (name string, expected time.Duration)
 }
 
-// Pace bounds the requests to endpoints that have named the rate that they take.
-type Pace struct {
-	// Rate returns the rate at which this coordinator may use an endpoint, in requests per second; false if the
-	// endpoint has no limit.
-	Rate func(endpoint string) (perSecond float64, limited bool)
-	// AvailableAt returns when an endpoint takes one more request; 0 if it does now.
-	AvailableAt func(endpoint string) time.Duration
-	// Take counts a request to an endpoint.
-	Take func(endpoint string)
-}
-
 // Limits configure the retry budget of the coordinator.
 type Limits struct {
 	// RetryRatio, RetrySlack and RetrySpan bound the retried calls to a service.
@@ -107,10 +97,8 @@
 	futureAt   time.Duration
 	// unread are the granted requests whose engines may not have fetched their inputs yet.
 	unread map[string]*bbprogress.Job
-	// poolEntries has the entries from which the endpoints of each pool were listed, unless some of these were
-	// restricted. engineLists has the last list of the engines of each service.
-	poolEntries map[string][]*bbregistry.Entry
-	engineLists map[string]engineList
+	// supply lists the endpoints that may get work.
+	supply *bbsupply.Supply
 	// leaving is true while this coordinator drains and returns its requests to their origins.
 	leaving bool
 	// examined counts the requests that decisions have looked at.
@@ -157,7 +145,7 @@
 		k.BackoffUntil = func(string) time.Duration { return 0 }
 	}
 	if k.Pace.Rate == nil {
-		k.Pace = Pace{
+		k.Pace = bbsupply.Pace{
 			Rate:        func(string) (float64, bool) { return 0, false },
 			AvailableAt: func(string) time.Duration { return 0 },
 			Take:        func(string) {},
@@ -166,7 +154,7 @@
 	if k.Spill == nil {
 		k.Spill = func(bbjob.Order, time.Duration, func(string) bool) (string, time.Duration) { return "", 0 }
 	}
-	return &Coordinator{
+	c := &Coordinator{
 		env:     k,
 		limits:  l,
 		jobs:    make(map[string]*bbprogress.Job),
@@ -188,10 +176,13 @@
 		learned: make(bbhistory.RouteStatsTable),
 		latest:  make(map[string]bbplacement.Need),
 		refused: bbhistory.NewRefusals(),
-
-		poolEntries: make(map[string][]*bbregistry.Entry),
-		engineLists: make(map[string]engineList),
 	}
+	c.supply = bbsupply.New(bbsupply.Hooks{
+		Endpoints:    func(service string) []*bbregistry.Entry { return c.env.Endpoints(service) },
+		BackoffUntil: func(endpoint string) time.Duration { return c.env.BackoffUntil(endpoint) },
+		Pace:         func() bbsupply.Pace { return c.env.Pace },
+	})
+	return c
 }
 
 // Len returns the number of requests in progress.
@@ -375,7 +366,7 @@
 		c.lastEviction = now
 		c.retries.SetSlack(c.limits.RetrySlack * c.env.Share())
 		for service, t := range c.engines {
-			t.EvictStale(now, c.listEngines(service))
+			t.EvictStale(now, c.supply.Engines(service))
 		}
 	}
 	c.freeRead(now)
@@ -439,7 +430,7 @@
 		return "resting", end - now
 	}
 	if c.waiting[j.Order.ID] != nil {
-		if wait := c.limitWait(j.Order.Service); now+wait > j.Limit {
+		if wait := c.supply.EngineWait(j.Order.Service, c.ungranted); now+wait > j.Limit {
 			return "limited", wait
 		}
 	}
@@ -459,7 +450,7 @@
 			continue
 		}
 		// Another endpoint may have joined since.
-		c.listPool(s.Service, p)
+		c.supply.Update(s.Service, p)
 		end = max(end, p.AvailableAt)
 	}
 	return end
@@ -517,14 +508,14 @@
 		if p.Waiting() == 0 {
 			continue
 		}
-		c.listPool(name, p)
+		c.supply.Update(name, p)
 		for call := p.Next(now); call != nil && len(call.Pieces) > 0; call = p.Next(now) {
 			c.lastCall++
 			p.Start(now, call, c.lastCall)
 			c.calls[call.ID] = call
 			if _, limited := c.env.Pace.Rate(call.Endpoint); limited {
 				c.env.Pace.Take(call.Endpoint)
-				c.listPool(name, p)
+				c.supply.Update(name, p)
 			}
 			c.recordCallStart(call)
 			c.out.Calls = append(c.out.Calls, call)
@@ -542,81 +533,6 @@
 	return c.flush()
 }
 
-// listPool updates the endpoints that a pool may use.
-func (c *Coordinator) listPool(name string, p *bbpool.Pool) {
-	entries := c.env.Endpoints(name)
-	r := c.restrictionsOf(entries)
-	unrestricted := len(r.unavailable) == 0 && len(r.rates) == 0
-	if unrestricted && sameEntries(entries, c.poolEntries[name]) {
-		return
-	}
-	delete(c.poolEntries, name)
-	if unrestricted {
-		c.poolEntries[name] = entries
-	}
-	list := make([]bbpool.Endpoint, 0, len(entries))
-	p.LimitedCallsPerSecond = 0
-	for _, e := range entries {
-		rate, limited := r.rates[e.ID]
-		p.LimitedCallsPerSecond += rate
-		if !r.unavailable[e.ID] {
-			list = append(list, bbpool.Endpoint{
-				ID:      e.ID,
-				Address: e.Address,
-				Zone:    e.Zone,
-				Limited: limited,
-			})
-		}
-	}
-	p.AvailableAt = 0
-	if len(list) == 0 {
-		p.AvailableAt = r.end
-	}
-	p.SetEndpoints(list)
-}
-
-// restrictions tell which endpoints of a service take no calls now, or only some.
-type restrictions struct {
-	// unavailable are the endpoints that take no calls now, since they have requested backoff or named a limit,
-	// and end is when the first of them takes calls again.
-	unavailable map[string]bool
-	end         time.Duration
-	// rates has the rates of those that have named a limit, in calls per second.
-	rates map[string]float64
-}
-
-// restrictionsOf returns the restrictions that endpoints have asked for.
-func (c *Coordinator) restrictionsOf(entries []*bbregistry.Entry) restrictions {
-	var r restrictions
-	for _, e := range entries {
-		until := c.env.BackoffUntil(e.ID)
-		if rate, limited := c.env.Pace.Rate(e.ID); limited {
-			if r.rates == nil {
-				r.rates = make(map[string]float64)
-			}
-			r.rates[e.ID] = rate
-			until = max(until, c.env.Pace.AvailableAt(e.ID))
-		}
-		if until == 0 {
-			continue
-		}
-		if r.unavailable == nil {
-			r.unavailable = make(map[string]bool)
-		}
-		r.unavailable[e.ID] = true
-		if r.end == 0 || until < r.end {
-			r.end = until
-		}
-	}
-	return r
-}
-
-// sameEntries reports whether two lists of entries are the same slice. Entries are never changed, so a list
-// derived from one of them holds for the other.
-func sameEntries(a, b []*bbregistry.Entry) bool {
-	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
-}
-
 // flush returns and resets the output collected so far.
 func (c *Coordinator) flush() bbdecision.Output {
 	for _, address := range slices.Sorted(maps.Keys(c.freed)) {
@@ -684,7 +600,7 @@
 		p = bbpool.NewPool(service, *s.Pool)
 		p.Lead = interRegionLead
 		c.pools[service] = p
-		c.listPool(service, p)
+		c.supply.Update(service, p)
 	} else if s != nil && s.Pool != nil {
 		p.Spec = *s.Pool
 	}
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -13,7 +13,6 @@
 	"bluebellhall/core/bbplacement"
 	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
-	"bluebellhall/core/bbregistry"
 	"bluebellhall/core/bbsuspect"
 )
 
@@ -65,7 +64,7 @@
 	if now < j.NextPlacement {
 		return
 	}
-	e, ok := c.table(service).Choose(now, c.need(j), c.listEngines(service), bbplacement.RateLimitOf(c.env.Service(service), c.env.Majority()))
+	e, ok := c.table(service).Choose(now, c.need(j), c.supply.Engines(service), bbplacement.RateLimitOf(c.env.Service(service), c.env.Majority()))
 	if !ok {
 		j.NextPlacement = now + placementInterval
 		return
@@ -117,40 +116,6 @@
 	}
 }
 
-// listEngines returns the engines of a service that accept work.
-func (c *Coordinator) listEngines(service string) []bbplacement.Endpoint {
-	entries := c.env.Endpoints(service)
-	if last := c.engineLists[service]; sameEntries(entries, last.entries) {
-		return last.list
-	}
-	list := make([]bbplacement.Endpoint, 0, len(entries))
-	for _, e := range entries {
-		list = append(list, bbplacement.Endpoint{
-			ID:      e.ID,
-			Address: e.Address,
-			Zone:    e.Zone,
-			Cold:    e.Cold > 0,
-		})
-	}
-	if len(c.engineLists) >= maxEngineLists {
-		clear(c.engineLists)
-	}
-	c.engineLists[service] = engineList{
-		entries: entries,
-		list:    list,
-	}
-	return list
-}
-
-// engineList is the list of engines derived from the entries of a service.
-type engineList struct {
-	entries []*bbregistry.Entry
-	list    []bbplacement.Endpoint
-}
-
-// maxEngineLists bounds the cached lists.
-const maxEngineLists = 1000
-
 // Progress handles a progress note of the VM that holds a request.
 func (c *Coordinator) Progress(now time.Duration, n bbjob.Note) bbdecision.Output {
 	j := c.jobs[n.ID]
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		if p.AvailableAt > 0 {
-			c.listPool(s.Service, p)
+			c.supply.Update(s.Service, p)
 		}
 		urgency := j.DueOf(i).Urgency(now)
 		wait := p.Wait(now, urgency, future[s.Service].Before(urgency))
@@ -44,32 +44,17 @@
 	}
 	need := c.need(j)
 	c.latest[o.Service] = need
-	zone, wait := c.table(o.Service).EstimateFirstToken(now, need, c.listEngines(o.Service))
+	zone, wait := c.table(o.Service).EstimateFirstToken(now, need, c.supply.Engines(o.Service))
 	j.PreferredZone = zone
-	j.Estimated = last + wait + c.limitWait(o.Service)
+	j.Estimated = last + wait + c.supply.EngineWait(o.Service, c.ungranted)
 	return j.Estimated + learned.Bias
 }
 
-// limitWait returns how long a new request waits for an engine because all engines of a service have named a
-// limit; 0 if some haven't.
-func (c *Coordinator) limitWait(service string) time.Duration {
-	perSecond := 0.0
-	for _, e := range c.env.Endpoints(service) {
-		rate, limited := c.env.Pace.Rate(e.ID)
-		if !limited {
-			return 0
-		}
-		perSecond += rate
-	}
-	if perSecond == 0 {
-		return 0
-	}
-	return min(maxLimitWait, time.Duration(float64(len(c.waiting))/perSecond*float64(time.Second)))
+// ungranted returns the number of requests that wait for an engine.
+func (c *Coordinator) ungranted() int {
+	return len(c.waiting)
 }
 
-// maxLimitWait bounds the result of limitWait: longer than callers wait.
-const maxLimitWait = time.Minute
-
 // future returns the pieces that requests in progress will add to pools later, by service. While many
 // requests are in progress it is a recent view.
 func (c *Coordinator) future(now time.Duration) map[string]bbpool.Profile {
@@ -98,7 +83,7 @@
 	}
 	future := c.future(now)
 	for service, p := range c.pools {
-		c.listPool(service, p)
+		c.supply.Update(service, p)
 		o.Services[service] = bbcell.Backlog{
 			Wait:      p.Wait(now, math.MaxInt64, future[service].Before(math.MaxInt64)),
 			PerSecond: p.PerSecond(now),
@@ -109,7 +94,7 @@
 		need.OtherRegion = func(string) bool { return false }
 		need.Allowed = func(string) bool { return true }
 		need.Inputs = nil
-		if zone, wait := c.table(service).EstimateFirstToken(now, need, c.listEngines(service)); zone != "" {
+		if zone, wait := c.table(service).EstimateFirstToken(now, need, c.supply.Engines(service)); zone != "" {
 			o.Engines[service] = wait
 		}
 	}
--- a/core/bbcoordinator/limit_test.go
+++ b/core/bbcoordinator/limit_test.go
@@ -7,6 +7,7 @@
 
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpace"
+	"bluebellhall/core/bbsupply"
 )
 
 // limitEndpoints makes the named endpoints take a rate, in requests per second, and returns the clock.
@@ -17,7 +18,7 @@
 	for _, id := range ids {
 		limited[id] = true
 	}
-	c.env.Pace = Pace{
+	c.env.Pace = bbsupply.Pace{
 		Rate: func(id string) (float64, bool) { return perSecond, limited[id] },
 		AvailableAt: func(id string) time.Duration {
 			if wait := table.Wait(*now, id, perSecond); limited[id] && wait > 0 {
