Requests with stages before them count in the wait for engines with limits

While all engines of a service have named limits, requests were admitted by the number of those that had their stages done already. Those that still had them to run came on top, and were refused as limited after their stages had run.

--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -430,7 +430,7 @@
 		return "resting", end - now
 	}
 	if c.waiting[j.Order.ID] != nil {
-		if wait := c.supply.EngineWait(j.Order.Service, c.ungranted); now+wait > j.Limit {
+		if wait := c.supply.EngineWait(j.Order.Service, func() int { return len(c.waiting) }); now+wait > j.Limit {
 			return "limited", wait
 		}
 	}
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -46,13 +46,20 @@
 	c.latest[o.Service] = need
 	zone, wait := c.table(o.Service).EstimateFirstToken(now, need, c.supply.Engines(o.Service))
 	j.PreferredZone = zone
-	j.Estimated = last + wait + c.supply.EngineWait(o.Service, c.ungranted)
+	j.Estimated = last + wait + c.supply.EngineWait(o.Service, func() int { return c.ungranted(o.Service) })
 	return j.Estimated + learned.Bias
 }
 
-// ungranted returns the number of requests that wait for an engine.
-func (c *Coordinator) ungranted() int {
-	return len(c.waiting)
+// ungranted returns the number of requests in progress that a service has not granted an engine yet.
+func (c *Coordinator) ungranted(service string) int {
+	c.examined += uint64(len(c.jobs))
+	n := 0
+	for _, j := range c.jobs {
+		if j.Granted == "" && j.Order.Service == service {
+			n++
+		}
+	}
+	return n
 }
 
 // future returns the pieces that requests in progress will add to pools later, by service. While many
--- a/core/bbcoordinator/limit_test.go
+++ b/core/bbcoordinator/limit_test.go
@@ -118,3 +118,16 @@
 		t.Errorf("the worker with a limit of 2 a second got %d calls in 10 s, want between 10 and 20", calls)
 	}
 }
+
+// Requests were admitted without regard to those that still had stages before them; they were refused after
+// their stages had run.
+func TestRequestsInStagesCountAgainstTheLimitsOfEngines(t *testing.T) {
+	c := newTestCoordinator()
+	limitEndpoints(c, 1, "e1")
+	for i := range 40 {
+		c.Submit(0, testOrder(fmt.Sprint(i), 1))
+	}
+	if n := c.Len(); n < 1 || n > 4 {
+		t.Errorf("%d of 40 requests are admitted to one engine that takes one a second, within 2.5 s; want 1 to 4", n)
+	}
+}
