A limit that can't be read doesn't end the one before

An answer that names a limit which is no number counted as one without a limit, so that two of them ended a limit while the endpoint still asked for one. It now neither sets nor ends one.

--- a/bluebelld/bbentry/limits_test.go
+++ b/bluebelld/bbentry/limits_test.go
@@ -52,6 +52,14 @@
 	if e.limits.BackoffUntil("a") == 0 || e.limits.BackoffUntil("b") != 0 {
 		t.Error("an endpoint without a permit is not left alone, or another one is")
 	}
+	t.Run("also after answers that name one which can't be read", func(t *testing.T) {
+		for range 3 {
+			e.recordSignal(p, bbstanding.Signal{LimitUnclear: true}, time.Hour)
+		}
+		if _, limited := e.limits.Rate("a"); !limited {
+			t.Error("the limit has ended")
+		}
+	})
 	t.Run("until two answers name none", func(t *testing.T) {
 		e.recordSignal(p, bbstanding.Signal{}, time.Hour)
 		e.recordSignal(p, bbstanding.Signal{}, time.Hour)
--- a/bluebelld/bbentry/signals.go
+++ b/bluebelld/bbentry/signals.go
@@ -13,8 +13,8 @@
 	"bluebellhall/core/bbstanding"
 )
 
-// noAnswer stands for the time when a request was sent that may have had no answer: that it names no limit says
-// nothing.
+// noAnswer stands for the time when a request was sent whose answer says nothing of a limit: there may have been
+// none, or it could not be read.
 const noAnswer time.Duration = 0
 
 // newLimits returns the limits of this VM.
@@ -35,6 +35,9 @@
 // recordSignal records the load signal of an endpoint's process in the answer to a request that was sent at the
 // given time, and reports to other VMs that it drains or what it names as its limit.
 func (e *Entry) recordSignal(p bbstanding.Process, s bbstanding.Signal, sent time.Duration) {
+	if s.LimitUnclear {
+		sent = noAnswer
+	}
 	e.limits.Record(p, s.Limit, sent)
 	newlyLeaving, extended := e.Knowledge.RecordSignal(p, s)
 	if extended {
--- a/core/bbstanding/standing.go
+++ b/core/bbstanding/standing.go
@@ -22,6 +22,8 @@
 	RetryAfter time.Duration
 	// Limit is the rate that the endpoint takes from all VMs together.
 	Limit Limit
+	// LimitUnclear is true if the answer names a limit that can't be read, and none that can.
+	LimitUnclear bool
 }
 
 // Process identifies one process of an endpoint.
