Log how the end of an endpoint's answer was framed

The log of a request didn't tell whether its answer ended by length, by a last chunk or with its connection, so that a body that broke off couldn't be told from one with a wrong length. entryRequestEnded now has the framing.

--- a/bluebelld/bbchannel/channel.go
+++ b/bluebelld/bbchannel/channel.go
@@ -38,6 +38,39 @@
 // received.
 var ErrBroken = errors.New("no complete head of an answer received")
 
+// Framing is how the end of an answer's body is recognized.
+type Framing uint8
+
+// The framings of a body.
+const (
+	// FramingLength bodies have a stated length, which may be 0.
+	FramingLength Framing = iota
+	// FramingChunked bodies end with a last chunk.
+	FramingChunked
+	// FramingConnection bodies end with their connection. A body that broke off in an orderly close can't be
+	// told from a complete one.
+	FramingConnection
+)
+
+// String returns the framing as a word.
+func (f Framing) String() string {
+	if f > FramingConnection {
+		return "unknown"
+	}
+	return [...]string{"length", "chunked", "connection"}[f]
+}
+
+// framing returns how the body of a response is framed.
+func framing(r *http.Response) Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return FramingChunked
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
+		return FramingLength
+	}
+	return FramingConnection
+}
+
 // Answer is the answer of an endpoint.
 type Answer struct {
 	Status int
@@ -47,7 +80,8 @@
 	// Body returns io.EOF only if the whole body was read.
 	Body io.Reader
 	// Length is that of the body, or -1 if the endpoint didn't state it.
-	Length int64
+	Length  int64
+	Framing Framing
 }
 
 // dialer returns a dialer for connections to endpoints.
@@ -112,6 +146,7 @@
 		Length: response.ContentLength,
 
 		Interim: interim,
+		Framing: framing(response),
 	}, cleanup, nil
 }
 
--- a/bluebelld/bbchannel/channel_test.go
+++ b/bluebelld/bbchannel/channel_test.go
@@ -162,3 +162,24 @@
 	}
 	<-closed
 }
+
+func TestFraming(t *testing.T) {
+	for head, want := range map[string]Framing{
+		"Content-Length: 2\r\n\r\nok":                 FramingLength,
+		"Content-Length: 0\r\n\r\n":                   FramingLength,
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n": FramingChunked,
+		"\r\nok":                      FramingConnection,
+		"Connection: close\r\n\r\nok": FramingConnection,
+	} {
+		t.Run(want.String(), func(t *testing.T) {
+			answer, cleanup, err := Exchange(t.Context(), endpoint(t, respond("HTTP/1.1 200 OK\r\n"+head)), request("x"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer cleanup()
+			if answer.Framing != want {
+				t.Errorf("%q has framing %v, want %v", head, answer.Framing, want)
+			}
+		})
+	}
+}
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -441,6 +441,9 @@
 	if l.Content != 0 {
 		line.Str("content", formatContent(l.Content))
 	}
+	if l.Framing != "" {
+		line.Str("framing", l.Framing)
+	}
 	line.Int("status", l.Status).Uint64("version", l.Version).Dur("took", l.Took).Send()
 	e.meter.Count("requests", l.Kind, l.Outcome, l.Cause)
 	if l.Outcome != "answered" {
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -41,6 +41,8 @@
 	Granted, First, Took time.Duration
 	// OnTime is true for answers within the objective.
 	OnTime bool
+	// Framing is how the end of the last endpoint's answer was to be recognized; empty if none answered.
+	Framing string
 	// Version is that of the configuration in force when the request arrived.
 	Version uint64
 	// Content is a hash of what the request asks, the same for each attempt of its caller; 0 if the
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -241,6 +241,7 @@
 		return outcome, g.retryOrFailStaged(ctx, t, outcome, runs)
 	}
 	defer cleanup()
+	t.log.Framing = answer.Framing.String()
 	reading := g.codec.Read(t.ID, answer)
 	g.hooks.RecordSignal(process, reading.Signal, r.began)
 	outcome = classify(nil, reading)
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -141,6 +141,7 @@
 		return g.retryOrFailPlain(ctx, x, outcome, repeatable)
 	}
 	defer cleanup()
+	x.log.Framing = answer.Framing.String()
 	reading := g.codec.Read(x.ID, answer)
 	g.hooks.RecordSignal(process, reading.Signal, r.began)
 	outcome = classify(nil, reading)
