--- /dev/null
+++ b/bluebelld/bbgateway/cut_test.go
@@ -0,0 +1,150 @@
+package bbgateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// The framings of an answer that ends in order, each with the body that it is given.
+var framings = map[string]func(body string) string{
+	"connection": func(body string) string { return answerHead + "\r\n" + body },
+	"length": func(body string) string {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", answerHead, len(body), body)
+	},
+	"chunks": func(body string) string {
+		text := answerHead + "Transfer-Encoding: chunked\r\n\r\n"
+		if body != "" {
+			text += fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+		}
+		return text + "0\r\n\r\n"
+	},
+}
+
+const answerHead = "HTTP/1.1 200 OK\r\nSigned: yes\r\n"
+
+// cutStreams are streams that end inside their second event.
+var cutStreams = map[string]string{
+	"in a field name":              "id: 1\ndata: a\n\ni",
+	"in an ID":                     "id: 1\ndata: a\n\nid: 2",
+	"after an ID":                  "id: 1\ndata: a\n\nid: 2\n",
+	"in data":                      "id: 1\ndata: a\n\nid: 2\ndata: b",
+	"before the empty line":        "id: 1\ndata: a\n\nid: 2\ndata: b\n",
+	"before the empty line, CR LF": "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n",
+	"before the empty line, CR":    "id: 1\rdata: a\r\rid: 2\rdata: b\r",
+	"in a comment":                 "id: 1\ndata: a\n\n: pi",
+}
+
+// eachCutStream runs a subtest for each framing of each stream that ends inside an event.
+func eachCutStream(t *testing.T, test func(t *testing.T, answer string)) {
+	for framing, frame := range framings {
+		for place, body := range cutStreams {
+			t.Run(framing+"/"+place, func(t *testing.T) { test(t, frame(body)) })
+		}
+	}
+}
+
+// wantAborted sends a request and checks that its answer doesn't look complete.
+func wantAborted(t *testing.T, url string) {
+	t.Helper()
+	if status, body, err := send(t, url, ""); err == nil {
+		t.Errorf("answer %d %q looks complete, want the connection to be aborted", status, body)
+	}
+}
+
+// wantFailedRuns checks how many runs were reported as failed and as successful.
+func wantFailedRuns(t *testing.T, f *fixture, failed, succeeded int) {
+	t.Helper()
+	if diff := cmp.Diff([2]int{failed, succeeded}, [2]int{len(f.failedRuns), len(f.succeeded)}); diff != "" {
+		t.Errorf("failed and successful runs (-want +got):\n%s", diff)
+	}
+}
+
+// Regression: a stream that ended inside an event was forwarded as complete if its connection closed in order.
+func TestStreamCutInsideAnEventIsAborted(t *testing.T) {
+	eachCutStream(t, func(t *testing.T, answer string) {
+		f, url := newFixture(t, newStubEndpoint(t, answer), newStubEndpoint(t, stream("id: 2\ndata: b\n\n")))
+		wantAborted(t, url+"/stream/")
+		wantRequests(t, f, 1, 0)
+		wantFailedRuns(t, f, 1, 0)
+	})
+}
+
+// Regression: a resumable stream that ended inside an event was forwarded as complete instead of resumed.
+func TestStreamCutInsideAnEventIsResumed(t *testing.T) {
+	eachCutStream(t, func(t *testing.T, answer string) {
+		f, url := newFixture(t, newStubEndpoint(t, answer), newStubEndpoint(t, stream("id: 2\ndata: b\n\n")))
+		status, body, err := send(t, url+"/resume/", "")
+		body = strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(body)
+		if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"; status != http.StatusOK || body != want || err != nil {
+			t.Errorf("answer %d %q, error %v; want %q", status, body, err, want)
+		}
+		wantRequests(t, f, 1, 1)
+		if last := f.endpoint[1].lastEvents(); !cmp.Equal([]string{"1"}, last) {
+			t.Errorf("second engine was asked to resume after %q, want 1", last)
+		}
+		wantFailedRuns(t, f, 1, 1)
+	})
+	t.Run("no engine is left", func(t *testing.T) {
+		f, url := newFixture(t, newStubEndpoint(t, stream("id: 1\ndata: a\n\nid: 2\nda")))
+		wantAborted(t, url+"/resume/")
+		wantFailedRuns(t, f, 1, 0)
+	})
+}
+
+// Regression: a stream whose connection closed before its first event was forwarded as complete.
+func TestStreamCutBeforeItsFirstEventIsNotAnswered(t *testing.T) {
+	for name, body := range map[string]string{"no body": "", "only a comment": ": hello\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			f, url := newFixture(t, newStubEndpoint(t, stream(body)))
+			if status, body, err := send(t, url+"/stream/", ""); status == http.StatusOK && err == nil {
+				t.Errorf("answer %d %q looks complete", status, body)
+			}
+			wantFailedRuns(t, f, 1, 0)
+		})
+	}
+	t.Run("inside the first event of a resumable stream", func(t *testing.T) {
+		f, url := newFixture(t, newStubEndpoint(t, stream("id: 1\nda")), newStubEndpoint(t, stream("id: 1\ndata: a\n\n")))
+		wantAnswer(t, url+"/resume/", http.StatusOK, "id: 1\ndata: a\n\n")
+		wantRequests(t, f, 1, 1)
+	})
+	t.Run("no other engine", func(t *testing.T) {
+		_, url := newFixture(t, newStubEndpoint(t, stream("id: 1\nda")))
+		wantAnswer(t, url+"/resume/", http.StatusBadGateway, "")
+	})
+}
+
+func TestCompleteStreamIsForwardedWhole(t *testing.T) {
+	for name, body := range map[string]string{
+		"LF":                "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+		"CR LF":             "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+		"CR":                "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+		"mixed":             "id: 1\rdata: a\n\r\nid: 2\r\ndata: b\r\n\n",
+		"a comment at last": "data: a\n\n: end\n",
+		"more empty lines":  "data: a\n\n\n\r\n",
+	} {
+		for framing, frame := range framings {
+			for _, path := range []string{"/stream/", "/resume/"} {
+				t.Run(framing+path+name, func(t *testing.T) {
+					f, url := newFixture(t, newStubEndpoint(t, frame(body)))
+					wantAnswer(t, url+path, http.StatusOK, body)
+					wantFailedRuns(t, f, 0, 1)
+				})
+			}
+		}
+	}
+	t.Run("no events, by length", func(t *testing.T) {
+		_, url := newFixture(t, newStubEndpoint(t, framings["length"]("")))
+		wantAnswer(t, url+"/stream/", http.StatusOK, "")
+	})
+}
+
+// The end of the connection is the only end that a body of another kind without a length has.
+func TestAnswerUpToTheCloseIsComplete(t *testing.T) {
+	f, url := newFixture(t, newStubEndpoint(t, framings["connection"]("done")))
+	wantAnswer(t, url+"/once/", http.StatusOK, "done")
+	wantFailedRuns(t, f, 0, 1)
+}
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -35,8 +35,9 @@
 
 	mu      sync.Mutex
 	answers []string
-	// seen has the method, target and body of each request.
+	// seen has the method, target and body of each request, last the event after which it resumes.
 	seen []string
+	last []string
 }
 
 func newStubEndpoint(t *testing.T, answers ...string) *stubEndpoint {
@@ -71,6 +72,7 @@
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	s.seen = append(s.seen, fmt.Sprint(r.Method, " ", r.RequestURI, " ", string(body)))
+	s.last = append(s.last, r.Header.Get("Last"))
 	answer := s.answers[0]
 	if len(s.answers) > 1 {
 		s.answers = s.answers[1:]
@@ -85,6 +87,12 @@
 	return s.seen
 }
 
+func (s *stubEndpoint) lastEvents() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
 // The answers of stub endpoints. Signed and Notrun are headers of testCodec.
 const (
 	answerOK     = "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 4\r\n\r\ndone"
