A stream that ends inside an event counts as broken off

Callers saw streams that broke off framed as complete: an engine's answer without length and chunks ends with its connection, and a crash that closes the connection in order gives the same io.EOF as a complete stream. The gateway took it for the end, on resumable routes with the rest of the cut event, and reported the run as successful.

Ruled out: two joined runs (one grant, routes that may not be resumed), a break that was seen and not passed on (no runBroke).

The body of a stream now returns io.EOF only at a place where a stream may end, whatever its framing, so that all that reads it treats a cut event like a broken connection: resumed after the last complete event where the route allows it, else the caller's connection is aborted, or 502 if nothing was sent. An unframed stream without events counts as broken off too. CR LF and CR end lines of events as LF does.

--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -14,6 +14,7 @@
 	"bluebellhall/bluebelld/bbadmission"
 	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/bluebelld/bbcodec"
+	"bluebellhall/bluebelld/bbstream"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbjob"
@@ -186,14 +187,18 @@
 	return g.windows.Left(g.hooks.Now())
 }
 
-// exchange sends a request to an endpoint.
-func (g *Gateway) exchange(ctx context.Context, address string, r *http.Request) (*bbchannel.Answer, func(), error) {
+// exchange sends a request to an endpoint. The body of its answer returns io.EOF only if it is complete.
+func (g *Gateway) exchange(ctx context.Context, x *exchange, address string, r *http.Request) (*bbchannel.Answer, func(), error) {
 	g.exchanges.Add(1)
 	answer, cleanup, err := bbchannel.Exchange(ctx, address, r)
 	if err != nil {
 		g.exchanges.Add(-1)
 		return nil, nil, err
 	}
+	x.log.Framing = answer.Framing.String()
+	if x.Route.Kind == bbcatalog.KindStream && answer.Status < http.StatusMultipleChoices {
+		answer.Body = bbstream.NewBody(answer.Body, answer.Framing == bbchannel.FramingConnection)
+	}
 	return answer, func() {
 		cleanup()
 		g.exchanges.Add(-1)
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -225,7 +225,7 @@
 		address:  t.grant.Address,
 		began:    g.hooks.Now(),
 	}
-	answer, cleanup, err := g.exchange(ctx, t.grant.Address, g.endpointRequest(t.exchange, bbcodec.Forward{
+	answer, cleanup, err := g.exchange(ctx, t.exchange, t.grant.Address, g.endpointRequest(t.exchange, bbcodec.Forward{
 		Endpoint:  t.grant.Endpoint,
 		Priority:  bbcatalog.Priority(t.Route, t.Account),
 		Engine:    true,
@@ -241,7 +241,6 @@
 		return outcome, g.retryOrFailStaged(ctx, t, outcome, runs)
 	}
 	defer cleanup()
-	t.log.Framing = answer.Framing.String()
 	reading := g.codec.Read(t.ID, answer)
 	g.hooks.RecordSignal(process, reading.Signal, r.began)
 	outcome = classify(nil, reading)
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -130,7 +130,7 @@
 		address:  e.Address,
 		began:    g.hooks.Now(),
 	}
-	answer, cleanup, err := g.exchange(tryCtx, e.Address, g.endpointRequest(x, bbcodec.Forward{
+	answer, cleanup, err := g.exchange(tryCtx, x, e.Address, g.endpointRequest(x, bbcodec.Forward{
 		Endpoint: e.ID,
 		Priority: bbcatalog.Priority(x.Route, x.Account),
 	}))
@@ -141,7 +141,6 @@
 		return g.retryOrFailPlain(ctx, x, outcome, repeatable)
 	}
 	defer cleanup()
-	x.log.Framing = answer.Framing.String()
 	reading := g.codec.Read(x.ID, answer)
 	g.hooks.RecordSignal(process, reading.Signal, r.began)
 	outcome = classify(nil, reading)
--- a/bluebelld/bbstream/stream.go
+++ b/bluebelld/bbstream/stream.go
@@ -1,8 +1,10 @@
-// Package bbstream splits streams of server-sent events, so that only complete events are forwarded.
+// Package bbstream reads streams of server-sent events: it finds their complete events and recognizes streams
+// that broke off.
 package bbstream
 
 import (
 	"bytes"
+	"io"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,11 +16,44 @@
 // ErrLongEvent is the cause when an event is longer than maxEventBytes.
 var ErrLongEvent = errors.New("event of the stream is too long")
 
+// ErrCut is the cause when a stream ends inside an event or, if only the end of the connection ends it, before
+// its first event.
+var ErrCut = errors.New("stream ends inside an event")
+
+// body checks a stream while it is read.
+type body struct {
+	inner    io.Reader
+	unframed bool
+	position position
+}
+
+// NewBody returns a reader of a stream that returns io.EOF only if the stream is complete. A stream that ends
+// inside an event ends with ErrCut. So does one without events if unframed is true, that is, if it has neither
+// a length nor chunks: its endpoint may have failed before the first event.
+func NewBody(inner io.Reader, unframed bool) io.Reader {
+	return &body{
+		inner:    inner,
+		unframed: unframed,
+	}
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.inner.Read(p)
+	for _, c := range p[:n] {
+		b.position.next(c)
+	}
+	if errors.Is(err, io.EOF) && (b.position.inEvent() || b.unframed && !b.position.hasEvent) {
+		return n, ErrCut
+	}
+	return n, err
+}
+
 // Splitter finds the complete events of a stream. An event that breaks off is never returned, so the stream
 // can be resumed after the last complete one.
 type Splitter struct {
 	// wholeEvents is false if bytes are returned unchanged as they arrive.
 	wholeEvents bool
+	position    position
 	// pending has the bytes after the last complete event.
 	pending []byte
 	// Last is the ID of the last complete event that had one; empty if none had.
@@ -32,9 +67,6 @@
 	}
 }
 
-// eventEnd ends an event: the end of its last line, and an empty line.
-var eventEnd = []byte("\n\n")
-
 // idField starts the line with the ID of an event.
 var idField = []byte("id:")
 
@@ -43,21 +75,22 @@
 	if !s.wholeEvents {
 		return data, nil
 	}
-	// An empty line may begin in the pending bytes and end in the new ones.
-	from := max(0, len(s.pending)-len(eventEnd)+1)
+	end := 0
+	for i, c := range data {
+		if s.position.next(c) {
+			end = len(s.pending) + i + 1
+		}
+	}
 	s.pending = append(s.pending, data...)
-	end := bytes.LastIndex(s.pending[from:], eventEnd)
-	if end < 0 {
+	if end == 0 {
 		if len(s.pending) > maxEventBytes {
 			return nil, ErrLongEvent
 		}
 		return nil, nil
 	}
-	end += from
-	end += len(eventEnd)
 	events := bytes.Clone(s.pending[:end])
 	s.pending = append(s.pending[:0], s.pending[end:]...)
-	for _, line := range bytes.Split(events, []byte("\n")) {
+	for _, line := range bytes.FieldsFunc(events, isLineEnd) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			s.Last = string(bytes.TrimSpace(id))
 		}
@@ -65,6 +98,10 @@
 	return events, nil
 }
 
+func isLineEnd(r rune) bool {
+	return r == '\n' || r == '\r'
+}
+
 // Rest returns the bytes after the last complete event, for the end of a complete stream.
 func (s *Splitter) Rest() []byte {
 	return s.pending
