Callers of HTTP/1.0 can tell an aborted answer from a complete one

For them an answer of unknown length ends with the connection. An abort closed it in order, which looks complete; now it resets it. Found while looking for other places where the end of a connection is taken for the end of an answer. The test failed before: the cut stream was read up to an orderly end.

--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -75,9 +76,28 @@
 // doesn't mistake the partial answer for a complete one.
 func (g *Gateway) abort(x *exchange, cause string) {
 	g.logEnd(x, "cut", cause, 0)
+	x.resetIfUnframed()
 	panic(http.ErrAbortHandler)
 }
 
+// resetIfUnframed resets the connection of a caller of HTTP/1.0, which takes an orderly close for the end of an
+// answer without a length.
+func (x *exchange) resetIfUnframed() {
+	if x.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		// The server closes the connection in order; the log has the request as cut.
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Without lingering, closing resets the connection; if it is closed already, there is nothing to reset.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // endpointRequest returns the request to be sent to an endpoint.
 func (g *Gateway) endpointRequest(x *exchange, f bbcodec.Forward) *http.Request {
 	f.Remaining = x.deadline - g.hooks.Now()
--- a/bluebelld/bbgateway/cut_test.go
+++ b/bluebelld/bbgateway/cut_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -148,3 +150,31 @@
 	wantAnswer(t, url+"/once/", http.StatusOK, "done")
 	wantFailedRuns(t, f, 0, 1)
 }
+
+// Regression: a caller of HTTP/1.0, for which only the end of the connection ends a stream, could not tell an
+// aborted stream from a complete one.
+func TestAbortedStreamResetsTheConnectionOfAnOldCaller(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		whole  bool
+	}{
+		"cut":      {stream("id: 1\ndata: a\n\nid: 2"), false},
+		"complete": {stream("id: 1\ndata: a\n\n"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, url := newFixture(t, newStubEndpoint(t, c.answer))
+			conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, "POST /stream/ HTTP/1.0\r\nHost: 127.0.0.1\r\nId: 1\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(conn)
+			if c.whole != (err == nil) {
+				t.Errorf("answer %q, error %v; want it to look complete: %t", body, err, c.whole)
+			}
+		})
+	}
+}
