--- a/bluebellbench/bbsoak/endpoint_test.go
+++ b/bluebellbench/bbsoak/endpoint_test.go
@@ -152,6 +152,35 @@
 	}
 }
 
+// cutTestTime is how long engines break off streams.
+const cutTestTime = 6 * time.Second
+
+// Guards against a fault in which streams without a length and chunks reached their callers as complete after
+// they had broken off.
+func TestBrokenOffStreamsDoNotLookComplete(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for ten seconds")
+	}
+	f, s := startSmallFleet(t, buildProgram(t))
+	for _, b := range f.backEnds {
+		b.setFaults(bbstand.Faults{
+			Break:    0.3,
+			Unframed: true,
+		})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), cutTestTime)
+	defer cancel()
+	f.load.Run(ctx, 1, 40)
+	record := f.record(s, nil, f.load.Tries(), time.Now())
+	report := bbpromise.Check(record)
+	if diff := cmp.Diff([]string(nil), report.Violations); diff != "" {
+		t.Errorf("violations (-want +got):\n%s", diff)
+	}
+	if report.Answered == 0 {
+		t.Error("no request was answered")
+	}
+}
+
 // killInTurn kills and restarts one VM after the other.
 func killInTurn(ctx context.Context, t *testing.T, f *Fleet) []Fault {
 	t.Helper()
--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -131,7 +131,7 @@
 // drawFaults draws a kind of misbehaviour of an endpoint.
 func drawFaults(random *rand.Rand) bbstand.Faults {
 	share := 0.1 + 0.4*random.Float64()
-	switch random.IntN(7) {
+	switch random.IntN(8) {
 	case 0:
 		return bbstand.Faults{Refuse: share}
 	case 1:
@@ -144,6 +144,8 @@
 		return bbstand.Faults{Refuse: share, RetryAfter: randomDuration(random)}
 	case 5:
 		return bbstand.Faults{Leaving: true}
+	case 6:
+		return bbstand.Faults{Break: share, Unframed: true}
 	}
 	return bbstand.Faults{Slow: 2 + 3*random.Float64()}
 }
