Log the parts of prompts of runs that broke

The logs of the incident didn't tell whether the requests under which engines crashed had a part of their prompts in common, nor whether an event of an answer was complete. runBroke now has both.

--- a/bluebelld/bbentry/suspects.go
+++ b/bluebelld/bbentry/suspects.go
@@ -23,7 +23,8 @@
 // as lost. If the request timed out, it counts as lost only if it accepts no connections any more.
 func (e *Entry) runFailed(b bbgateway.FailedRun) {
 	e.log.Event(bbevent.RunBroke).Str("id", b.ID).Str("content", formatContent(b.Content)).Str("endpoint", b.Endpoint).
-		Dur("ran", b.Duration).Bool("silent", b.TimedOut).Bool("begun", b.AnswerStarted).Str("cause", b.Cause.Error()).Send()
+		Dur("ran", b.Duration).Bool("silent", b.TimedOut).Bool("begun", b.AnswerStarted).Dur("sinceFirstEvent", b.SinceFirstEvent).
+		Strs("parts", formatParts(b.Parts)).Str("cause", b.Cause.Error()).Send()
 	e.meter.Count("requests", "runsBroken")
 	now := e.now()
 	run := bbsuspect.Run{
@@ -72,3 +73,12 @@
 func formatContent(content uint64) string {
 	return strconv.FormatUint(content, 16)
 }
+
+// formatParts formats the fingerprints of parts of a prompt for logs.
+func formatParts(parts []uint64) []string {
+	list := make([]string, 0, len(parts))
+	for _, part := range parts {
+		list = append(list, formatContent(part))
+	}
+	return list
+}
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -142,6 +142,8 @@
 	began             time.Duration
 	// answerStarted is true once a part of the answer has arrived.
 	answerStarted bool
+	// firstEvent is when the first event of the answer was complete; 0 if there is none.
+	firstEvent time.Duration
 }
 
 // reportFailedRun reports a run that gave no complete answer, unless the caller has disconnected; ctx is
@@ -150,16 +152,22 @@
 	if errors.Is(x.r.Context().Err(), context.Canceled) {
 		return
 	}
-	g.hooks.RunFailed(FailedRun{
+	now := g.hooks.Now()
+	failed := FailedRun{
 		ID:            x.ID,
 		Content:       x.Content,
 		Endpoint:      r.endpoint,
 		Address:       r.address,
 		Cause:         cause,
-		Duration:      g.hooks.Now() - r.began,
+		Duration:      now - r.began,
 		TimedOut:      ctx.Err() != nil,
 		AnswerStarted: r.answerStarted,
-	})
+		Parts:         x.parts,
+	}
+	if r.firstEvent > 0 {
+		failed.SinceFirstEvent = now - r.firstEvent
+	}
+	g.hooks.RunFailed(failed)
 }
 
 // causeSuspect is the cause of refusals of content that crashes endpoints.
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -64,6 +64,10 @@
 	TimedOut bool
 	// AnswerStarted is true if a part of the answer had arrived.
 	AnswerStarted bool
+	// Parts are the parts of the prompt that other requests may have too, see bbjob.Prompt.SharedParts.
+	Parts []uint64
+	// SinceFirstEvent is the time since the first complete event of the answer; 0 if there was none.
+	SinceFirstEvent time.Duration
 }
 
 // Hooks connect the gateway to the rest of the process.
@@ -167,7 +171,9 @@
 	deadline time.Duration
 	// sent is true once a part of the answer has been sent to the caller.
 	sent bool
-	log  RequestLog
+	// parts are the parts of the prompt that other requests may have too.
+	parts []uint64
+	log   RequestLog
 }
 
 // Open returns the number of requests in progress.
@@ -251,6 +257,7 @@
 	}
 	x.deadline = x.began + x.MaxWait()
 	x.service = x.Route.Pick(rand.Float64())
+	x.parts = x.Prompt.SharedParts(x.service)
 	return 0, ""
 }
 
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -195,6 +195,8 @@
 	coordinator string
 	// answerStarted is true once a part of the answer has arrived.
 	answerStarted bool
+	// firstEvent is when the first event of the answer was complete; 0 if there is none.
+	firstEvent time.Duration
 	// inputsGone is true if the engine reported that an input no longer exists.
 	inputsGone bool
 }
@@ -259,6 +261,7 @@
 	}
 	if err := g.stream(ctx, t, answer); err != nil {
 		r.answerStarted = t.answerStarted
+		r.firstEvent = t.firstEvent
 		g.reportFailedRun(ctx, t.exchange, r, err)
 		if g.hooks.Now() >= t.deadline || errors.Is(t.r.Context().Err(), context.Canceled) {
 			// The deadline passed or the caller disconnected, which says nothing about the engine.
@@ -295,6 +298,7 @@
 	if a.Status >= http.StatusMultipleChoices {
 		return g.deliver(ctx, t.exchange, a)
 	}
+	body, isStream := a.Body.(*bbstream.Body)
 	events := bbstream.New(t.Route.Resumable)
 	flusher := http.NewResponseController(t.w)
 	buffer := make([]byte, copyBuffer)
@@ -311,6 +315,9 @@
 				Started:  true,
 			})
 		}
+		if t.firstEvent == 0 && isStream && body.HasEvent() {
+			t.firstEvent = g.hooks.Now()
+		}
 		complete, tooLong := events.Add(buffer[:n])
 		if tooLong != nil {
 			return tooLong
--- a/bluebelld/bbstream/stream.go
+++ b/bluebelld/bbstream/stream.go
@@ -20,8 +20,8 @@
 // its first event.
 var ErrCut = errors.New("stream ends inside an event")
 
-// body checks a stream while it is read.
-type body struct {
+// Body checks a stream while it is read.
+type Body struct {
 	inner    io.Reader
 	unframed bool
 	position position
@@ -30,14 +30,20 @@
 // NewBody returns a reader of a stream that returns io.EOF only if the stream is complete. A stream that ends
 // inside an event ends with ErrCut. So does one without events if unframed is true, that is, if it has neither
 // a length nor chunks: its endpoint may have failed before the first event.
-func NewBody(inner io.Reader, unframed bool) io.Reader {
-	return &body{
+func NewBody(inner io.Reader, unframed bool) *Body {
+	return &Body{
 		inner:    inner,
 		unframed: unframed,
 	}
 }
 
-func (b *body) Read(p []byte) (int, error) {
+// HasEvent reports whether a complete event has been read.
+func (b *Body) HasEvent() bool {
+	return b.position.hasEvent
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
 	for _, c := range p[:n] {
 		b.position.next(c)
