Failing test: requests that share a part crash engine after engine

Stand-ins of engines crash under a part of a prompt as they begin to answer; the checks count what reaches engines after the fifth crash, and which sound requests with the same other parts begin.

--- a/bluebellbench/bbsoak/bbload/load.go
+++ b/bluebellbench/bbsoak/bbload/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,35 +120,66 @@
 		q.Tokens = 200 + random.IntN(2000)
 		q.Events = 5 + random.IntN(40)
 		q.Pieces = []int{random.IntN(3), 1, 1 + random.IntN(12)}
+		q.Parts = []string{
+			fmt.Sprint("first", random.IntN(firstParts)),
+			fmt.Sprint("subject", random.IntN(subjects)),
+			"of-" + id,
+		}
 	}
 	return q
 }
 
-// SendPoison sends requests with the same content until the context ends, to each VM in turn. Each request
-// crashes every endpoint of a service that starts work on it.
-func (l *Load) SendPoison(ctx context.Context, random *rand.Rand, route bbcatalog.Route, service string, gap time.Duration) {
+const (
+	// firstParts is the number of different first parts of prompts, subjects that of second parts.
+	firstParts = 3
+	subjects   = 20
+)
+
+// SendCrashingPart sends different requests on a route until the context ends, to each VM in turn, whose prompts
+// share a part that crashes each engine which begins to answer.
+func (l *Load) SendCrashingPart(ctx context.Context, random *rand.Rand, route bbcatalog.Route, gap time.Duration) {
+	part := fmt.Sprintf("crash-%s-%x", route.Name, random.Uint32())
+	l.sendInTurn(ctx, random, gap, func(n int) bbstand.Request {
+		q := requestOn(random, route, fmt.Sprintf("%s-%d", part, n))
+		q.CrashPart = part
+		q.Parts = slices.Insert(q.Parts, 1+random.IntN(2), part)
+		q.Content = bbstand.Content(q.Method, q.Path, []byte(q.Body))
+		return q
+	})
+}
+
+// sendInTurn sends requests until the context ends, to each VM in turn, and waits for their answers.
+func (l *Load) sendInTurn(ctx context.Context, random *rand.Rand, gap time.Duration, next func(n int) bbstand.Request) {
 	client := &http.Client{
 		Transport: &http.Transport{
 			DisableKeepAlives: true,
 		},
 	}
-	name := fmt.Sprintf("crash-%s-%s-%x", route.Name, service, random.Uint32())
-	q := requestOn(random, route, name)
-	q.CrashService = service
-	q.Content = bbstand.Content(q.Method, q.Path, []byte(q.Body))
 	vms := random.Perm(len(l.Processes))
 	var group sync.WaitGroup
 	defer group.Wait()
 	for n := 0; ctx.Err() == nil; n++ {
-		q.ID = fmt.Sprintf("%s-%d", name, n)
+		q := next(n)
 		l.Ledger.Expect(q.Attempt)
 		front := l.Processes[vms[n%len(vms)]].VM.Front()
-		attempt := q
-		group.Go(func() { l.Try(client, attempt, front) })
+		group.Go(func() { l.Try(client, q, front) })
 		Wait(ctx, gap)
 	}
 }
 
+// SendPoison sends requests with the same content until the context ends, to each VM in turn. Each request
+// crashes every endpoint of a service that starts work on it.
+func (l *Load) SendPoison(ctx context.Context, random *rand.Rand, route bbcatalog.Route, service string, gap time.Duration) {
+	name := fmt.Sprintf("crash-%s-%s-%x", route.Name, service, random.Uint32())
+	q := requestOn(random, route, name)
+	q.CrashService = service
+	q.Content = bbstand.Content(q.Method, q.Path, []byte(q.Body))
+	l.sendInTurn(ctx, random, gap, func(n int) bbstand.Request {
+		q.ID = fmt.Sprintf("%s-%d", name, n)
+		return q
+	})
+}
+
 // send sends a request, and repeats it until it is answered, must not be repeated, or has too little
 // time left.
 func (l *Load) send(client *http.Client, q bbstand.Request, addresses []string, choice uint64) {
--- a/bluebellbench/bbsoak/bbpromise/promise.go
+++ b/bluebellbench/bbsoak/bbpromise/promise.go
@@ -136,7 +136,7 @@
 		case t.Reply.NotRun():
 			r.NotRun++
 		}
-		if t.Sent.After(c.RecoveredAt) && t.Request.Version == 0 && t.Request.CrashService == "" {
+		if t.Sent.After(c.RecoveredAt) && t.Request.Version == 0 && t.Request.CrashService == "" && t.Request.CrashPart == "" {
 			n := served[t.Request.Route.Name]
 			n[1]++
 			if t.Reply.Answered() {
@@ -154,6 +154,7 @@
 	c.checkCold(arrivals)
 	c.checkRetryBudget(arrivals)
 	c.checkPoison(c.Ledger.PoisonArrivals())
+	c.checkParts(c.Ledger.PartArrivals())
 	c.checkSignals(c.Ledger.Signals(), arrivals)
 	c.checkLimits(c.Ledger.Signals(), arrivals)
 	c.checkRollback()
--- a/bluebellbench/bbsoak/endpoint_test.go
+++ b/bluebellbench/bbsoak/endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -152,6 +153,86 @@
 	}
 }
 
+const (
+	// partSettleTime is how long only sound requests are sent, partTestTime how long parts that crash engines are
+	// sent afterwards: until sound requests of some seconds can be compared.
+	partSettleTime = 4 * time.Second
+	partTestTime   = 16 * time.Second
+	// partGap is the time between two requests with such a part.
+	partGap = 300 * time.Millisecond
+	// partTestRate is the rate of sound requests per second.
+	partTestRate = 40
+)
+
+// Guards against a fault in which requests that shared a part of their prompts crashed engine after engine, since
+// no two of them were alike.
+func TestPartsThatCrashEnginesAreStopped(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for twenty seconds")
+	}
+	program := buildProgram(t)
+	for name, c := range map[string]struct {
+		routes []string
+		// kills restarts VMs in turn, crashes ends a third of the engines at once, twice.
+		kills, crashes bool
+	}{
+		"stream":                                 {routes: []string{"draft"}},
+		"resumable stream":                       {routes: []string{"chat"}},
+		"two parts":                              {routes: []string{"draft", "chat"}},
+		"stream, VMs killed":                     {routes: []string{"draft"}, kills: true},
+		"stream, engines crash of another cause": {routes: []string{"draft"}, crashes: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, s := startSmallFleet(t, program)
+			ctx, cancel := context.WithTimeout(t.Context(), partSettleTime+partTestTime)
+			defer cancel()
+			var group sync.WaitGroup
+			group.Go(func() { f.load.Run(ctx, 1, partTestRate) })
+			bbload.Wait(ctx, partSettleTime)
+			for i, r := range bbdeployment.Routes() {
+				if slices.Contains(c.routes, r.Name) {
+					group.Go(func() { f.load.SendCrashingPart(ctx, random(uint64(i)), r, partGap) })
+				}
+			}
+			var faults []Fault
+			if c.kills {
+				faults = killInTurn(ctx, t, f)
+			}
+			for range 2 {
+				if c.crashes {
+					crashThird(f)
+					bbload.Wait(ctx, 2*crashDowntime)
+				}
+			}
+			group.Wait()
+			record := f.record(s, faults, f.load.Tries(), time.Now())
+			f.mu.Lock()
+			failed := f.restartErrors
+			f.mu.Unlock()
+			if diff := cmp.Diff([]string(nil), append(failed, bbpromise.Check(record).Violations...)); diff != "" {
+				t.Errorf("violations (-want +got):\n%s", diff)
+			}
+			if n := len(record.Ledger.PartArrivals()); n < 3 {
+				t.Errorf("%d requests with a crashing part reached engines, want at least 3", n)
+			}
+		})
+	}
+}
+
+// crashThird crashes each third engine at once.
+func crashThird(f *Fleet) {
+	n := 0
+	for _, b := range f.backEnds {
+		if b.service.Engine == nil {
+			continue
+		}
+		if n++; n%3 == 0 {
+			f.crash(b)
+		}
+	}
+}
+
 // cutTestTime is how long engines break off streams.
 const cutTestTime = 6 * time.Second
 
