Parts of prompts that crash engines are quarantined

Callers with one part in their prompts crashed engine after engine; other requests there were cut with them. What is known of crashes was kept by a hash of target, caller and body, and no two of these requests are alike. Ruled out: crashes that go unnoticed (each is logged as runBroke).

A second quarantine tracks the shared parts of prompts (all but the last) with the table, the aggregators and the relays of the first one:

- A run counts against each of its parts unless its answer had gone on for 250 ms.
Three such runs in turn refuse a part.
- A success with a part within two minutes clears it: a part that crashes engines crashes each one.
So parts that others share stay usable.
- Where all crashes of a part had another part in common that no success clears, only prompts with both are refused, so that a run with one shows which it is.

Requests are refused on arrival, before each send, and by the coordinator while they wait: 503, not run, cause suspectPart.

--- a/bluebellctl/bblines/cause.go
+++ b/bluebellctl/bblines/cause.go
@@ -26,6 +26,7 @@
 	{Word: "backlog", Text: "it could no longer meet its objective, and the queueing delay of a stage was too long", Next: "timeline --kind callSent around that time: pieces waiting"},
 	{Word: "stageFailed", Text: "a call of a stage failed, and the retry budget or the attempts per piece were used up", Next: "the outcome of the calls in this timeline"},
 	{Word: "suspect", Text: "several endpoints failed while running requests with the same content, so that this content is quarantined", Next: "timeline --content with that of its final line: runBroke, contentJudged"},
+	{Word: "suspectPart", Text: "several engines failed while running requests with a part of the prompt in common, so that this part is quarantined", Next: "timeline --kind partJudged, and the parts of runBroke before it"},
 	{Word: "resting", Text: "all endpoints of a service had asked this VM to back off", Next: "timeline --kind endpointRests"},
 	{Word: "held", Text: "the endpoints that were chosen are leaving or have asked this VM to back off", Next: "timeline --kind endpointLeaves, endpointRests"},
 	{Word: "noRetries", Text: "an engine refused the request or failed to answer it, and the retry budget was used up", Next: "metric coordinator.orderRefused, and what failed before"},
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -75,9 +75,11 @@
 	// quarantine tracks content that crashes endpoints. checks bounds the connection checks in progress
 	// of endpoints that timed out.
 	quarantine *bbquarantine.Quarantine
-	checks     chan struct{}
-	notes      chan addressedNote
-	leaving    atomic.Bool
+	// parts tracks parts of prompts that crash engines.
+	parts   bbquarantine.Parts
+	checks  chan struct{}
+	notes   chan addressedNote
+	leaving atomic.Bool
 	// cursor is the position in the changes of the VM whose endpoints this one follows; used by followLoop
 	// only.
 	cursor followCursor
@@ -132,6 +134,14 @@
 		VerdictChanged: e.verdictChanged,
 		SendFailed:     e.suspectsSendFailed,
 	})
+	e.parts = bbquarantine.NewParts(bbquarantine.Hooks{
+		Now:            e.now,
+		Aggregators:    e.fleet.Aggregators,
+		Relays:         e.fleet.Relays,
+		Send:           conns.SuspectParts,
+		VerdictChanged: e.partVerdictChanged,
+		SendFailed:     e.suspectsSendFailed,
+	})
 	e.limits = e.newLimits()
 	coordinator := bbcoordinator.New(bbcoordinator.Environment{
 		Service:         e.service,
@@ -140,8 +150,9 @@
 		Majority:        e.fleet.HasMajority,
 		SoleCoordinator: e.fleet.IsSoleCoordinator,
 		Suspicion:       e.quarantine.Verdict,
+		RefusesPrompt:   e.parts.Refuses,
 		RecordLoss:      e.quarantine.RecordLoss,
-		Answered:        e.quarantine.RecordAnswer,
+		Answered:        e.answered,
 		BackoffUntil:    e.Knowledge.BackoffUntil,
 		Pace:            e.limits.Pace(),
 		Share:           e.budgetShare,
@@ -162,6 +173,7 @@
 		Order:         e.coordinate,
 		Notes:         hub.Notes,
 		Suspects:      e.quarantine.Merge,
+		SuspectParts:  e.parts.Merge,
 		Leaving:       e.recordLeaving,
 		Limits:        e.limits.Merge,
 		Permit:        e.limits.Decide,
@@ -173,24 +185,25 @@
 		return nil, nil, err
 	}
 	e.Gateway = bbgateway.New(s.Self.Name, s.Self.Zone, s.Self.Region, h.Codec, bbgateway.Hooks{
-		Now:          e.now,
-		Index:        e.Knowledge.Index,
-		Endpoints:    e.Knowledge.Usable,
-		MaySend:      e.Knowledge.MaySend,
-		RecordSignal: e.recordSignal,
-		GrantHolds:   e.limits.GrantHolds,
-		Permit:       e.limits.Permit,
-		BackoffUntil: e.limits.BackoffUntil,
-		Region:       e.region,
-		Order:        e.order,
-		Note:         e.note,
-		Log:          e.requestEnded,
-		RunFailed:    e.runFailed,
-		Answered:     e.quarantine.RecordAnswer,
-		Succeeded:    e.quarantine.RecordSuccess,
-		Suspicion:    e.quarantine.Verdict,
-		NewWindow:    e.newWindow,
-		Leaving:      e.leaving.Load,
+		Now:           e.now,
+		Index:         e.Knowledge.Index,
+		Endpoints:     e.Knowledge.Usable,
+		MaySend:       e.Knowledge.MaySend,
+		RecordSignal:  e.recordSignal,
+		GrantHolds:    e.limits.GrantHolds,
+		Permit:        e.limits.Permit,
+		BackoffUntil:  e.limits.BackoffUntil,
+		Region:        e.region,
+		Order:         e.order,
+		Note:          e.note,
+		Log:           e.requestEnded,
+		RunFailed:     e.runFailed,
+		Answered:      e.answered,
+		Succeeded:     e.succeeded,
+		Suspicion:     e.quarantine.Verdict,
+		RefusesPrompt: e.parts.Refuses,
+		NewWindow:     e.newWindow,
+		Leaving:       e.leaving.Load,
 	})
 	e.addGauges()
 	go e.fleet.Run(ctx)
@@ -198,6 +211,7 @@
 	go e.cellLoop(ctx)
 	go e.sendNotes(ctx)
 	go e.quarantine.Run(ctx)
+	go e.parts.Run(ctx)
 	return e, func() {
 		cancel()
 		stopHub()
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -35,6 +35,14 @@
 		_, refused := e.quarantine.Counts()
 		return float64(refused)
 	})
+	e.meter.Gauge("suspects.partsWatched", func() float64 {
+		watched, _ := e.parts.Counts()
+		return float64(watched)
+	})
+	e.meter.Gauge("suspects.partsRefused", func() float64 {
+		_, refused := e.parts.Counts()
+		return float64(refused)
+	})
 	e.meter.Collect(e.collectServices)
 }
 
--- a/bluebelld/bbentry/suspects.go
+++ b/bluebelld/bbentry/suspects.go
@@ -17,8 +17,31 @@
 	maxChecks = 16
 	// checkTimeout bounds one check.
 	checkTimeout = time.Second
+	// beginningTime is how long after its first event an answer counts as just begun: the loss of its engine may
+	// then be due to a part of its prompt. It allows for the way of the first event and of the loss.
+	beginningTime = 250 * time.Millisecond
 )
 
+// recordLoss records a run that ended with the loss of its endpoint.
+func (e *Entry) recordLoss(b bbgateway.FailedRun, run bbsuspect.Run) {
+	e.quarantine.RecordLoss(b.Content, run)
+	if b.SinceFirstEvent < beginningTime {
+		e.parts.RecordLoss(b.Parts, run)
+	}
+}
+
+// answered records that an endpoint answered.
+func (e *Entry) answered(endpoint string) {
+	e.quarantine.RecordAnswer(endpoint)
+	e.parts.RecordAnswer(endpoint)
+}
+
+// succeeded records a successful run.
+func (e *Entry) succeeded(content uint64, parts []uint64, began time.Duration) {
+	e.quarantine.RecordSuccess(content, began)
+	e.parts.RecordSuccess(parts, began)
+}
+
 // runFailed handles a run that ended without a complete answer. If the connection broke, the endpoint counts
 // as lost. If the request timed out, it counts as lost only if it accepts no connections any more.
 func (e *Entry) runFailed(b bbgateway.FailedRun) {
@@ -34,7 +57,7 @@
 		Ended:    now,
 	}
 	if !b.TimedOut {
-		e.quarantine.RecordLoss(b.Content, run)
+		e.recordLoss(b, run)
 		return
 	}
 	select {
@@ -49,7 +72,7 @@
 		gone := !bbchannel.AcceptsConnections(ctx, b.Address)
 		e.log.Event(bbevent.SilentChecked).Str("id", b.ID).Str("endpoint", b.Endpoint).Bool("gone", gone).Send()
 		if gone {
-			e.quarantine.RecordLoss(b.Content, run)
+			e.recordLoss(b, run)
 		}
 	}()
 }
@@ -64,7 +87,16 @@
 	e.log.Event(bbevent.ContentJudged).Str("content", formatContent(content)).Str("former", former.String()).Str("detail", present.String()).Send()
 }
 
-// suspectsSendFailed logs that updates about content could not be sent to a VM.
+// partVerdictChanged logs and counts that a part of prompts is refused, or no longer.
+func (e *Entry) partVerdictChanged(part uint64, former, present bbsuspect.Verdict) {
+	if max(former, present) < bbsuspect.Refused {
+		return
+	}
+	e.meter.Count("suspects", "partsJudged", present.String())
+	e.log.Event(bbevent.PartJudged).Str("part", formatContent(part)).Str("former", former.String()).Str("detail", present.String()).Send()
+}
+
+// suspectsSendFailed logs that updates about content or parts could not be sent to a VM.
 func (e *Entry) suspectsSendFailed(peer string, contents int, err error) {
 	e.log.Event(bbevent.SuspectsUntold).Str("peer", peer).Int("contents", contents).Err(err).Send()
 }
--- a/bluebelld/bbentry/suspects_test.go
+++ b/bluebelld/bbentry/suspects_test.go
@@ -32,6 +32,12 @@
 		Relays:         func(bool) []bbgossip.Member { return nil },
 		VerdictChanged: e.verdictChanged,
 	})
+	e.parts = bbquarantine.NewParts(bbquarantine.Hooks{
+		Now:            e.now,
+		Aggregators:    func(uint64) []bbgossip.Member { return nil },
+		Relays:         func(bool) []bbgossip.Member { return nil },
+		VerdictChanged: e.partVerdictChanged,
+	})
 	return e
 }
 
@@ -79,3 +85,33 @@
 		})
 	}
 }
+
+// A part of a prompt is blamed for the loss of an engine only while the answer has just begun.
+func TestPartsAreBlamedWhileTheAnswerBegins(t *testing.T) {
+	for name, c := range map[string]struct {
+		sinceFirstEvent time.Duration
+		want            bool
+	}{
+		"before the first event":       {0, true},
+		"just after the first event":   {beginningTime - 1, true},
+		"after the answer had gone on": {beginningTime, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newQuarantineEntry()
+			for _, engine := range []string{"e1", "e2", "e3"} {
+				time.Sleep(2 * time.Millisecond)
+				e.runFailed(bbgateway.FailedRun{
+					ID:              "r of " + engine,
+					Endpoint:        engine,
+					Cause:           errors.New("broken"),
+					Duration:        time.Millisecond,
+					Parts:           []uint64{7},
+					SinceFirstEvent: c.sinceFirstEvent,
+				})
+			}
+			if got := e.parts.Refuses([]uint64{7}); got != c.want {
+				t.Errorf("prompt is refused: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -170,20 +170,33 @@
 	g.hooks.RunFailed(failed)
 }
 
-// causeSuspect is the cause of refusals of content that crashes endpoints.
-const causeSuspect = "suspect"
+// The causes of refusals of content that crashes endpoints, and of prompts with a part that crashes engines.
+const (
+	causeSuspect     = "suspect"
+	causeSuspectPart = "suspectPart"
+)
 
 // retryAfter returns the suggested retry delay for the caller of a request that has not run.
 func retryAfter(cause string) time.Duration {
-	if cause == causeSuspect {
+	if isQuarantine(cause) {
 		return bbsuspect.RetryAfter
 	}
 	return defaultRetryAfter
 }
 
-// isRefused reports whether the content of a request must not be sent to any endpoint.
-func (g *Gateway) isRefused(x *exchange) bool {
-	return g.hooks.Suspicion(x.Content) == bbsuspect.Refused
+func isQuarantine(cause string) bool {
+	return cause == causeSuspect || cause == causeSuspectPart
+}
+
+// quarantineCause returns why a request must not be sent to any endpoint; empty if it may be.
+func (g *Gateway) quarantineCause(x *exchange) string {
+	switch {
+	case g.hooks.Suspicion(x.Content) == bbsuspect.Refused:
+		return causeSuspect
+	case g.hooks.RefusesPrompt(x.parts):
+		return causeSuspectPart
+	}
+	return ""
 }
 
 // errNoReceipt is the cause when an answer belongs to another request or has no receipt of the endpoint.
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -100,10 +100,13 @@
 	RunFailed func(b FailedRun)
 	// Answered reports that an endpoint answered.
 	Answered func(endpoint string)
-	// Succeeded reports a successful run of a content and when it began.
-	Succeeded func(content uint64, began time.Duration)
+	// Succeeded reports a successful run of a content and when it began. Parts are those of its prompt that
+	// other requests may have too; empty if it generated nothing.
+	Succeeded func(content uint64, parts []uint64, began time.Duration)
 	// Suspicion returns the verdict on a content, which is stricter if it may have crashed endpoints.
 	Suspicion func(content uint64) bbsuspect.Verdict
+	// RefusesPrompt reports whether a prompt with the given parts must not run, because one has crashed engines.
+	RefusesPrompt func(parts []uint64) bool
 	// NewWindow returns a new retry allowance for a service. It is called with the gateway's lock held.
 	NewWindow func() *bballowance.Window
 	// Leaving reports whether this VM is draining.
@@ -249,15 +252,17 @@
 		x.log.Route = x.Route.Name
 		x.log.Kind = kindNames[x.Route.Kind]
 	}
-	switch {
-	case status != 0:
+	if status != 0 {
 		return status, cause
-	case g.isRefused(x):
-		return http.StatusServiceUnavailable, causeSuspect
 	}
-	x.deadline = x.began + x.MaxWait()
 	x.service = x.Route.Pick(rand.Float64())
-	x.parts = x.Prompt.SharedParts(x.service)
+	if x.needsCoordinator() {
+		x.parts = x.Prompt.SharedParts(x.service)
+	}
+	if cause := g.quarantineCause(x); cause != "" {
+		return http.StatusServiceUnavailable, cause
+	}
+	x.deadline = x.began + x.MaxWait()
 	return 0, ""
 }
 
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -125,6 +125,10 @@
 	signals []recordedSignal
 	// succeeded has the contents that were reported as successful.
 	succeeded []uint64
+	// succeededParts has the parts of prompts that were reported as successful.
+	succeededParts []uint64
+	// refusesPrompt is called for each prompt; nil refuses none.
+	refusesPrompt func(parts []uint64) bool
 }
 
 // recordedSignal is a load signal with the endpoint that sent it.
@@ -138,11 +142,15 @@
 		if r.Header.Get("Id") == "" {
 			return bbcodec.Request{}, errors.New("no ID")
 		}
-		return bbcodec.Request{
+		q := bbcodec.Request{
 			ID:   r.Header.Get("Id"),
 			Key:  r.Header.Get("Key"),
 			Wait: 2 * time.Second,
-		}, nil
+		}
+		for _, id := range strings.Fields(r.Header.Get("Parts")) {
+			q.Prompt.Parts = append(q.Prompt.Parts, bbjob.Part{ID: id, Tokens: 1})
+		}
+		return q, nil
 	},
 	Encode: func(caller http.Header, f bbcodec.Forward) http.Header {
 		h := caller.Clone()
@@ -249,12 +257,14 @@
 			f.failedRuns = append(f.failedRuns, b)
 		},
 		Answered: func(string) {},
-		Succeeded: func(content uint64, _ time.Duration) {
+		Succeeded: func(content uint64, parts []uint64, _ time.Duration) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.succeeded = append(f.succeeded, content)
+			f.succeededParts = append(f.succeededParts, parts...)
 		},
-		Suspicion: func(uint64) bbsuspect.Verdict { return f.nextVerdict() },
+		Suspicion:     func(uint64) bbsuspect.Verdict { return f.nextVerdict() },
+		RefusesPrompt: func(parts []uint64) bool { return f.refusesPrompt != nil && f.refusesPrompt(parts) },
 		NewWindow: func() *bballowance.Window {
 			return &bballowance.Window{
 				Span:  10 * time.Second,
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -214,8 +214,8 @@
 		note.Again = again
 		g.hooks.Note(t.coordinator, note)
 	}()
-	if g.isRefused(t.exchange) {
-		g.giveUp(ctx, t.exchange, runs, causeSuspect)
+	if cause := g.quarantineCause(t.exchange); cause != "" {
+		g.giveUp(ctx, t.exchange, runs, cause)
 		return bbhealth.OutcomeFull, false
 	}
 	process, allowed := g.hooks.MaySend(t.grant.Endpoint)
@@ -270,7 +270,11 @@
 		}
 		return bbhealth.OutcomeBroken, g.retryOrFailStaged(ctx, t, bbhealth.OutcomeBroken, runs)
 	}
-	g.hooks.Succeeded(t.Content, r.began)
+	var parts []uint64
+	if answer.Status < http.StatusMultipleChoices {
+		parts = t.parts
+	}
+	g.hooks.Succeeded(t.Content, parts, r.began)
 	g.logEnd(t.exchange, "answered", "", answer.Status)
 	return bbhealth.OutcomeGood, false
 }
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -54,8 +54,8 @@
 			runs++
 		}
 		cause = outcome.String()
-		if g.isRefused(x) {
-			cause = causeSuspect
+		if refused := g.quarantineCause(x); refused != "" {
+			cause = refused
 			break
 		}
 		if outcome.Sent() && !g.mayRepeat(x) {
@@ -67,7 +67,7 @@
 		return
 	}
 	after := shedRetryAfter
-	if cause == causeSuspect {
+	if isQuarantine(cause) {
 		after = retryAfter(cause)
 	}
 	g.fail(x, http.StatusServiceUnavailable, cause, after)
@@ -170,7 +170,7 @@
 		}
 		return g.retryOrFailPlain(ctx, x, bbhealth.OutcomeBroken, repeatable)
 	}
-	g.hooks.Succeeded(x.Content, r.began)
+	g.hooks.Succeeded(x.Content, nil, r.began)
 	g.logEnd(x, "answered", "", answer.Status)
 	return bbhealth.OutcomeGood, false
 }
@@ -182,7 +182,7 @@
 	e, ok := g.choose(x, map[string]bool{
 		x.log.Endpoint: true,
 	})
-	if ok && !g.isRefused(x) {
+	if ok && g.quarantineCause(x) == "" {
 		x.log.Tries++
 		x.log.Endpoint = e.ID
 		if _, again := g.offer(ctx, x, e, x.Route.MaxAttempts); x.sent || !again {
--- a/bluebelld/bbgateway/suspect_test.go
+++ b/bluebelld/bbgateway/suspect_test.go
@@ -6,16 +6,22 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbsuspect"
 )
 
 // wantSuspect sends a request and checks that it is refused as suspect, with the proper Retry-After.
 func wantSuspect(t *testing.T, f *fixture, url string) {
+	t.Helper()
+	wantQuarantined(t, f, url, causeSuspect)
+}
+
+func wantQuarantined(t *testing.T, f *fixture, url, cause string) {
 	t.Helper()
 	response := headOf(t, url)
 	last := f.logged[len(f.logged)-1]
 	got := []string{response.Status[:3], response.Header.Get("Retry-After"), last.Outcome, last.Cause}
-	if diff := cmp.Diff([]string{"503", "5.000", "refused", causeSuspect}, got); diff != "" {
+	if diff := cmp.Diff([]string{"503", "5.000", "refused", cause}, got); diff != "" {
 		t.Errorf("status, Retry-After, outcome and cause (-want +got):\n%s", diff)
 	}
 }
@@ -81,3 +87,85 @@
 		t.Errorf("contents reported as successful (-want +got):\n%s", diff)
 	}
 }
+
+// sharedParts returns the parts that requests in the tests share.
+func sharedParts(ids ...string) []uint64 {
+	p := bbjob.Prompt{}
+	for _, id := range append(ids, "own") {
+		p.Parts = append(p.Parts, bbjob.Part{ID: id, Tokens: 1})
+	}
+	return p.SharedParts("engine")
+}
+
+// Regression: requests with a part that had crashed engines reached further ones, since no two were alike.
+func TestPromptWithARefusedPartReachesNoEngine(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/"} {
+		t.Run("on arrival"+path, func(t *testing.T) {
+			f, url := newFixture(t, newStubEndpoint(t, stream("data: a\n\n")))
+			f.refusesPrompt = func([]uint64) bool { return true }
+			wantQuarantined(t, f, url+path, causeSuspectPart)
+			wantRequests(t, f, 0)
+			if len(f.orders) > 0 {
+				t.Errorf("%d orders, want none", len(f.orders))
+			}
+		})
+		t.Run("after the grant"+path, func(t *testing.T) {
+			f, url := newFixture(t, newStubEndpoint(t, stream("data: a\n\n")))
+			calls := 0
+			f.refusesPrompt = func([]uint64) bool {
+				calls++
+				return calls > 1
+			}
+			wantQuarantined(t, f, url+path, causeSuspectPart)
+			wantRequests(t, f, 0)
+		})
+	}
+	t.Run("before it is resumed", func(t *testing.T) {
+		f, url := newFixture(t, newStubEndpoint(t, answerLost), newStubEndpoint(t, stream("data: a\n\n")))
+		calls := 0
+		f.refusesPrompt = func([]uint64) bool {
+			calls++
+			return calls > 2
+		}
+		wantAnswer(t, url+"/resume/", http.StatusBadGateway, "")
+		wantRequests(t, f, 1, 0)
+	})
+	t.Run("only prompts for engines have parts", func(t *testing.T) {
+		f, url := newFixture(t, newStubEndpoint(t, answerOK))
+		f.refusesPrompt = func(parts []uint64) bool { return len(parts) > 0 }
+		wantAnswer(t, url+"/once/", http.StatusOK, "done", "Parts", "a own")
+		if status, _, _ := send(t, url+"/stream/", "", "Parts", "a own"); status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want 503", status)
+		}
+	})
+}
+
+func TestPartsOfRunsAreReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer            string
+		failed, succeeded []uint64
+		hasEvent          bool
+	}{
+		"success":               {answer: stream("data: a\n\n"), succeeded: sharedParts("a", "b")},
+		"no answer":             {answer: answerLost, failed: sharedParts("a", "b")},
+		"cut after an event":    {answer: stream("data: a\n\nda"), failed: sharedParts("a", "b"), hasEvent: true},
+		"cut before an event":   {answer: stream("da"), failed: sharedParts("a", "b")},
+		"an error says nothing": {answer: answerFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, url := newFixture(t, newStubEndpoint(t, c.answer))
+			// How the answer ends is checked elsewhere.
+			_, _, _ = send(t, url+"/stream/", "", "Parts", "a b own")
+			var failed []uint64
+			for _, r := range f.failedRuns {
+				failed = append(failed, r.Parts...)
+				if (r.SinceFirstEvent > 0) != c.hasEvent {
+					t.Errorf("first event %v before the failure, want one: %t", r.SinceFirstEvent, c.hasEvent)
+				}
+			}
+			if diff := cmp.Diff([][]uint64{c.failed, c.succeeded}, [][]uint64{failed, f.succeededParts}); diff != "" {
+				t.Errorf("parts of failed and successful runs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/bluebelld/bbpeer/conn.go
+++ b/bluebelld/bbpeer/conn.go
@@ -119,6 +119,11 @@
 	return c.invoke(ctx, address, suspectsMethod, &s, new(Empty))
 }
 
+// SuspectParts notifies a VM of parts of prompts that may crash engines.
+func (c *Conns) SuspectParts(ctx context.Context, address string, s Suspects) error {
+	return c.invoke(ctx, address, partsMethod, &s, new(Empty))
+}
+
 // Leaving notifies a VM of endpoints that are leaving.
 func (c *Conns) Leaving(ctx context.Context, address string, l Leaving) error {
 	return c.invoke(ctx, address, leavingMethod, &l, new(Empty))
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -76,7 +76,7 @@
 	Notes []bbjob.Note `json:"notes"`
 }
 
-// Suspects are contents that may crash endpoints.
+// Suspects are contents that may crash endpoints, or parts of prompts that may crash engines.
 type Suspects struct {
 	Suspects []bbmsg.Suspect `json:"suspects"`
 	// Relayed is true when the sender passes on a message that is for all VMs, and false when it
@@ -132,6 +132,8 @@
 	Notes func(n []bbjob.Note)
 	// Suspects records what another VM reports of contents that may crash endpoints.
 	Suspects func(s Suspects)
+	// SuspectParts records the same of parts of prompts.
+	SuspectParts func(s Suspects)
 	// Leaving records which endpoints are leaving.
 	Leaving func(l Leaving)
 	// Limits records limits of endpoints, and Permit decides on one request to an endpoint with a limit.
@@ -150,6 +152,7 @@
 	orderMethod     = "/bluebell.Entry/Order"
 	notesMethod     = "/bluebell.Entry/Notes"
 	suspectsMethod  = "/bluebell.Entry/Suspects"
+	partsMethod     = "/bluebell.Entry/SuspectParts"
 	leavingMethod   = "/bluebell.Entry/Leaving"
 	limitsMethod    = "/bluebell.Entry/Limits"
 	permitMethod    = "/bluebell.Entry/Permit"
@@ -222,6 +225,10 @@
 			h.Suspects(*q)
 			return new(Empty), nil
 		}),
+		unary("SuspectParts", func(_ context.Context, h *Handlers, q *Suspects) (*Empty, error) {
+			h.SuspectParts(*q)
+			return new(Empty), nil
+		}),
 		unary("Leaving", func(_ context.Context, h *Handlers, q *Leaving) (*Empty, error) {
 			h.Leaving(*q)
 			return new(Empty), nil
--- a/bluebelld/bbquarantine/quarantine.go
+++ b/bluebelld/bbquarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package bbquarantine keeps requests whose content crashes endpoints away from them, whichever entry VM
-// they arrive at. A VM reports the runs that it observes to the aggregators of their content, two VMs on
+// Package bbquarantine keeps requests whose content, or a part of whose prompt, crashes endpoints away from
+// them, whichever entry VM they arrive at. A VM reports the runs that it observes to the aggregators of their content, two VMs on
 // which all others agree. After two crashes, all VMs are informed. Each VM derives its verdict from its own
 // table, so that neither the loss of a VM nor a network partition reverts a refusal that it knows of.
 package bbquarantine
@@ -67,12 +67,19 @@
 	synced map[string]int64
 }
 
-// New returns an empty quarantine.
+// New returns an empty quarantine of contents.
 func New(h Hooks) *Quarantine {
+	return newQuarantine(h, bbsuspect.New(maxContents), successTTL)
+}
+
+func newQuarantine(h Hooks, table *bbsuspect.Table, ttl time.Duration) *Quarantine {
 	return &Quarantine{
-		hooks:   h,
-		wake:    make(chan struct{}, 1),
-		table:   bbsuspect.New(maxContents),
+		hooks: h,
+		wake:  make(chan struct{}, 1),
+		table: table,
+		successes: recentSuccesses{
+			ttl: ttl,
+		},
 		losses:  make(losses),
 		reports: make(map[uint64]bool),
 		relays:  make(map[uint64]bool),
--- a/bluebelld/bbquarantine/quarantine_test.go
+++ b/bluebelld/bbquarantine/quarantine_test.go
@@ -28,6 +28,8 @@
 	vms    []*vm
 	// unreachable are the VMs to which all sends fail.
 	unreachable map[string]bool
+	// forParts is true if the VMs exchange what they know of parts of prompts instead of contents.
+	forParts bool
 	// messages counts the updates that were delivered.
 	messages int
 	runs     uint64
@@ -80,7 +82,7 @@
 			Boot: time.Now().UnixMilli(),
 		},
 	}
-	v.Quarantine = New(Hooks{
+	hooks := Hooks{
 		Now:         func() time.Duration { return time.Since(v.began) },
 		Aggregators: func(hash uint64) []bbgossip.Member { return w.aggregators(name, hash) },
 		Relays: func(relayed bool) []bbgossip.Member {
@@ -92,7 +94,11 @@
 		Send:           w.send,
 		VerdictChanged: func(uint64, bbsuspect.Verdict, bbsuspect.Verdict) {},
 		SendFailed:     func(string, int, error) {},
-	})
+	}
+	v.Quarantine = New(hooks)
+	if w.forParts {
+		v.Quarantine = NewParts(hooks).Quarantine
+	}
 	ctx, cancel := context.WithCancel(w.t.Context())
 	v.stop = cancel
 	w.mu.Lock()
--- a/bluebelld/bbquarantine/recent.go
+++ b/bluebelld/bbquarantine/recent.go
@@ -1,27 +1,33 @@
 package bbquarantine
 
-import "time"
+import (
+	"time"
+
+	"bluebellhall/core/bbsuspect"
+)
 
 const (
-	// successTTL is the minimum time that a successful run is remembered: longer than reports of a loss
-	// take to arrive.
-	successTTL = 30 * time.Second
-	// maxSuccesses bounds the fingerprints that are remembered per successTTL.
+	// successTTL is the minimum time that a successful run of content is remembered: longer than reports of a
+	// loss take to arrive. partSuccessTTL is that of parts of prompts.
+	successTTL     = 30 * time.Second
+	partSuccessTTL = bbsuspect.PartImmunity
+	// maxSuccesses bounds the fingerprints that are remembered per successTTL or partSuccessTTL.
 	maxSuccesses = 4096
 )
 
 // recentSuccesses remembers recent successful runs, so that content which many callers request isn't
 // blamed for endpoints that were lost for another reason.
 type recentSuccesses struct {
-	// current and previous map fingerprints to the start of their newest successful run. Each covers one
-	// successTTL.
+	// ttl is the minimum time that a run is remembered.
+	ttl time.Duration
+	// current and previous map fingerprints to the start of their newest successful run. Each covers one ttl.
 	current, previous map[uint64]time.Duration
 	rotatedAt         time.Duration
 }
 
 // add records a successful run.
 func (r *recentSuccesses) add(now time.Duration, fingerprint uint64, began time.Duration) {
-	if r.current == nil || now-r.rotatedAt >= successTTL {
+	if r.current == nil || now-r.rotatedAt >= r.ttl {
 		r.previous = r.current
 		r.current = make(map[uint64]time.Duration)
 		r.rotatedAt = now
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -233,8 +233,8 @@
 		c.drop(j)
 		return
 	}
-	if c.suspicion(j) == bbsuspect.Refused {
-		c.refuse(id, suspectReason, bbsuspect.RetryAfter, now-j.Arrived)
+	if reason := c.quarantineReason(j); reason != "" {
+		c.refuse(id, reason, bbsuspect.RetryAfter, now-j.Arrived)
 		c.drop(j)
 		return
 	}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -39,6 +39,9 @@
 	// Suspicion returns the verdict on content that may crash endpoints; nil means that no content is
 	// restricted.
 	Suspicion func(fingerprint uint64) bbsuspect.Verdict
+	// RefusesPrompt reports whether a prompt with the given parts must not run, because one has crashed engines;
+	// nil refuses none.
+	RefusesPrompt func(parts []uint64) bool
 	// RecordLoss records a run that ended with the crash of its endpoint; nil ignores it.
 	RecordLoss func(fingerprint uint64, run bbsuspect.Run)
 	// Answered records that an endpoint answered; nil ignores it.
@@ -135,6 +138,9 @@
 	if k.Suspicion == nil {
 		k.Suspicion = func(uint64) bbsuspect.Verdict { return bbsuspect.Clear }
 	}
+	if k.RefusesPrompt == nil {
+		k.RefusesPrompt = func([]uint64) bool { return false }
+	}
 	if k.RecordLoss == nil {
 		k.RecordLoss = func(uint64, bbsuspect.Run) {}
 	}
@@ -218,8 +224,8 @@
 		return c.flush()
 	}
 	j := bbprogress.NewJob(now, o)
-	if c.suspicion(j) == bbsuspect.Refused {
-		c.refuse(o.ID, suspectReason, bbsuspect.RetryAfter, 0)
+	if reason := c.quarantineReason(j); reason != "" {
+		c.refuse(o.ID, reason, bbsuspect.RetryAfter, 0)
 		return c.flush()
 	}
 	c.importResults(now, j)
@@ -420,8 +426,8 @@
 // dropReason returns why a request is refused after its admission and when its caller should retry;
 // the cause is empty if the request goes on.
 func (c *Coordinator) dropReason(now time.Duration, j *bbprogress.Job) (cause string, retryAfter time.Duration) {
-	if c.suspicion(j) == bbsuspect.Refused {
-		return suspectReason, bbsuspect.RetryAfter
+	if reason := c.quarantineReason(j); reason != "" {
+		return reason, bbsuspect.RetryAfter
 	}
 	if now+j.RemainingToFirstToken() > j.Limit {
 		return "deadline", minRetryAfter
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -56,8 +56,8 @@
 	}
 	// The retry is charged once, however long the request waits for its engine.
 	j.Repeated = false
-	if c.suspicion(j) == bbsuspect.Refused {
-		c.refuse(j.Order.ID, suspectReason, bbsuspect.RetryAfter, now-j.Arrived)
+	if reason := c.quarantineReason(j); reason != "" {
+		c.refuse(j.Order.ID, reason, bbsuspect.RetryAfter, now-j.Arrived)
 		c.drop(j)
 		return
 	}
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -33,8 +33,11 @@
 	}
 }
 
-// suspectReason is the reason of refusals of content that crashes endpoints.
-const suspectReason = "suspect"
+// The reasons of refusals of content that crashes endpoints, and of prompts with a part that crashes engines.
+const (
+	suspectReason     = "suspect"
+	suspectPartReason = "suspectPart"
+)
 
 // suspicion returns the stricter of the verdicts of this VM and of the request's origin on the
 // content of a request.
@@ -42,6 +45,17 @@
 	return max(c.env.Suspicion(j.Order.Fingerprint), j.Order.Suspicion)
 }
 
+// quarantineReason returns why a request must not reach any endpoint; empty if it may.
+func (c *Coordinator) quarantineReason(j *bbprogress.Job) string {
+	switch {
+	case c.suspicion(j) == bbsuspect.Refused:
+		return suspectReason
+	case c.env.RefusesPrompt(j.Parts):
+		return suspectPartReason
+	}
+	return ""
+}
+
 // addGroup puts pieces of a stage into its pool.
 func (c *Coordinator) addGroup(j *bbprogress.Job, stage int, pieces []int) {
 	s := j.Order.Stages[stage]
--- a/core/bbcoordinator/suspect_test.go
+++ b/core/bbcoordinator/suspect_test.go
@@ -164,3 +164,32 @@
 		t.Errorf("refused %t after %d crashes, want true after 3", refused, crashed)
 	}
 }
+
+// Regression: orders of prompts with a part that had crashed engines were granted further ones.
+func TestPromptsWithARefusedPartAreRefused(t *testing.T) {
+	c := newTestCoordinator()
+	refused := false
+	c.env.RefusesPrompt = func(parts []uint64) bool { return refused && len(parts) > 0 }
+	order := func(id string, second int) bbjob.Order {
+		o := orderOf(id, 0, second)
+		o.Prompt.Parts = []bbjob.Part{{ID: "a", Tokens: 1}, {ID: "own", Tokens: 1}}
+		return o
+	}
+	if out := c.Submit(0, order("waiting", 1)); len(out.Refusals) > 0 {
+		t.Fatalf("refused %+v before the part was known", out.Refusals)
+	}
+	refused = true
+	out := c.Submit(10*ms, order("new", 0))
+	out.Refusals = append(out.Refusals, c.Tick(time.Second).Refusals...)
+	var got []string
+	for _, r := range out.Refusals {
+		got = append(got, r.ID+" "+r.Reason)
+	}
+	slices.Sort(got)
+	if diff := cmp.Diff([]string{"new " + suspectPartReason, "waiting " + suspectPartReason}, got); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+	if out := c.Submit(time.Second, orderOf("sound", 0, 0)); len(out.Refusals) > 0 {
+		t.Errorf("order without the part is refused: %+v", out.Refusals)
+	}
+}
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -129,6 +129,7 @@
 	SilentChecked        Number = 853
 	ContentJudged        Number = 854
 	SuspectsUntold       Number = 855
+	PartJudged           Number = 856
 	NoteDropped          Number = 861
 	NotesLost            Number = 862
 	UpdateDropped        Number = 863
@@ -235,6 +236,7 @@
 	{Number: SilentChecked, Title: "silentChecked", Severity: SeverityInfo, Text: "After the time limit of a request expired, a connection to its endpoint was attempted; gone is true when the endpoint accepts none, so that the run counts as lost."},
 	{Number: ContentJudged, Title: "contentJudged", Severity: SeverityWarning, Text: "The treatment of content whose runs lost endpoints changed, as far as this VM knows: clear, watched, alone (only where nothing else runs) or refused."},
 	{Number: SuspectsUntold, Title: "suspectsUntold", Severity: SeverityInfo, Text: "Another VM could not be notified of content whose runs lost endpoints; the notification is repeated."},
+	{Number: PartJudged, Title: "partJudged", Severity: SeverityWarning, Text: "Engines were lost under requests that share a part of their prompts: as far as this VM knows, requests with it are refused (unless all of them share another part that may be the cause as well), or no longer."},
 	{Number: NoteDropped, Title: "noteDropped", Severity: SeverityWarning, Text: "The queue of progress notifications is full; the coordinator notices the missing one by the request's time limit."},
 	{Number: NotesLost, Title: "notesLost", Severity: SeverityInfo, Text: "Progress notifications could not be delivered to a coordinator."},
 	{Number: UpdateDropped, Title: "updateDropped", Severity: SeverityWarning, Text: "The origin of a request processes updates too slowly; results have to be recomputed if this coordinator is lost."},
--- a/core/bbmsg/envelope.go
+++ b/core/bbmsg/envelope.go
@@ -328,6 +328,8 @@
 	EndedAgo time.Duration `json:"endedAgo"`
 	// Alone is true when nothing else ran on the endpoint.
 	Alone bool `json:"alone,omitempty"`
+	// With are the fingerprints of the other parts of the prompt if the run counts against a part.
+	With []uint64 `json:"with,omitempty"`
 }
 
 // RulesText is one revision of the rules as published.
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -52,6 +52,8 @@
 	Order bbjob.Order
 	// Content is the hash of the content of the order.
 	Content uint64
+	// Parts are the parts of the prompt that other requests may have too.
+	Parts []uint64
 	// Arrived, Due and Limit are on the monotonic clock of this VM.
 	Arrived time.Duration
 	Due     time.Duration
@@ -88,6 +90,7 @@
 	j := &Job{
 		Order:             o,
 		Content:           o.Content(),
+		Parts:             o.Prompt.SharedParts(o.Service),
 		Arrived:           now,
 		Due:               now + o.Objective - o.Elapsed,
 		Limit:             now + o.Limit,
--- a/core/bbsuspect/row.go
+++ b/core/bbsuspect/row.go
@@ -71,6 +71,8 @@
 	Began, Ended time.Duration
 	// Alone is true when nothing else was on the endpoint.
 	Alone bool
+	// With are the other parts of the prompt if the run counts against a part of it, at most maxWith.
+	With []uint64
 }
 
 // Row is the crash history of one content. Its verdict depends only on the set of runs and the start
@@ -80,16 +82,22 @@
 	runs []Run
 	// lastSuccessBegan is the start of the newest successful run; noSuccess if there was none.
 	lastSuccessBegan time.Duration
+	// immunity is how long after the start of a successful run a crash isn't counted.
+	immunity time.Duration
+}
+
+// isRefuted reports whether a successful run shows that a crash at a time had another cause.
+func (r *Row) isRefuted(ended time.Duration) bool {
+	return ended <= r.lastSuccessBegan+r.immunity
 }
 
 // noSuccess is earlier than the start of any run.
 const noSuccess = time.Duration(-1 << 62)
 
-// add records a run. It returns false if the run was already known or ended before the last
-// successful run began. Reports from peers arrive with a delay, so the earliest times reported for a
+// add records a run. It returns false if the run was already known or a successful run refutes it. Reports from peers arrive with a delay, so the earliest times reported for a
 // run are the most accurate; times of runs reported together are consistent with each other.
 func (r *Row) add(run Run) bool {
-	if run.Ended <= r.lastSuccessBegan {
+	if r.isRefuted(run.Ended) {
 		return false
 	}
 	known := slices.IndexFunc(r.runs, func(known Run) bool { return known.ID == run.ID })
@@ -120,12 +128,11 @@
 	r.runs = slices.Delete(r.runs, 0, 1)
 }
 
-// clear removes the runs that ended before a successful run began. It returns false if there were
-// none.
+// clear removes the runs that a successful run refutes. It returns false if there were none.
 func (r *Row) clear(began time.Duration) bool {
 	r.lastSuccessBegan = max(r.lastSuccessBegan, began)
 	before := len(r.runs)
-	r.runs = slices.DeleteFunc(r.runs, func(run Run) bool { return run.Ended <= r.lastSuccessBegan })
+	r.runs = slices.DeleteFunc(r.runs, func(run Run) bool { return r.isRefuted(run.Ended) })
 	return len(r.runs) < before
 }
 
@@ -176,7 +183,7 @@
 // expiresAt returns when the row expires.
 func (r *Row) expiresAt() time.Duration {
 	if len(r.runs) == 0 {
-		return r.lastSuccessBegan + successTTL
+		return r.lastSuccessBegan + r.immunity + successTTL
 	}
 	last := r.runs[len(r.runs)-1].Ended
 	if meetsRefusalThreshold(r.counted()) {
--- a/core/bbsuspect/suspect.go
+++ b/core/bbsuspect/suspect.go
@@ -32,6 +32,8 @@
 	rows map[uint64]*Row
 	// limit bounds rows.
 	limit int
+	// immunity is that of the rows.
+	immunity time.Duration
 	// lastSweep is the time of the last scan for expired rows.
 	lastSweep time.Duration
 }
@@ -57,8 +59,8 @@
 }
 
 // RecordLoss records a run that ended with the crash of its endpoint. It returns the new verdict;
-// noted is false if the run was already known, if it ended before the last successful run began, or if the
-// table has no place for it.
+// noted is false if the run was already known, if a successful run refutes it, or if the table has no place for
+// it.
 func (t *Table) RecordLoss(now time.Duration, fingerprint uint64, run Run) (verdict Verdict, noted bool) {
 	r := t.getOrCreate(now, fingerprint)
 	if r == nil {
@@ -69,8 +71,8 @@
 	return t.Verdict(now, fingerprint), noted
 }
 
-// RecordSuccess records a successful run and removes the crashes that ended before it began. It
-// returns true if there were any. A run that began before a crash doesn't clear it.
+// RecordSuccess records a successful run and removes the crashes that it refutes: those that ended before it
+// began, or during the immunity of parts. It returns true if there were any.
 func (t *Table) RecordSuccess(now time.Duration, fingerprint uint64, began time.Duration) bool {
 	r := t.row(now, fingerprint)
 	if r == nil {
@@ -83,7 +85,7 @@
 
 // Merge merges a peer's history of a fingerprint. Learned is true if the report added or
 // cleared a run, outdated if a successful run known here clears some of the reported runs. Implausible
-// runs (negative or too great ages, an end before the start, an overlong name) are ignored.
+// runs (negative or too great ages, an end before the start, an overlong name, too many parts) are ignored.
 func (t *Table) Merge(now time.Duration, s bbmsg.Suspect) (learned, outdated bool) {
 	r := t.getOrCreate(now, s.Fingerprint)
 	if r == nil {
@@ -93,16 +95,17 @@
 		learned = r.clear(now - *s.Good)
 	}
 	for _, run := range s.Runs[:min(len(s.Runs), maxRuns)] {
-		if run.EndedAgo < 0 || run.BeganAgo < run.EndedAgo || run.BeganAgo > refusalTTL+suspectTTL || len(run.Endpoint) > maxName {
+		if run.EndedAgo < 0 || run.BeganAgo < run.EndedAgo || run.BeganAgo > refusalTTL+suspectTTL || len(run.Endpoint) > maxName || len(run.With) > maxWith {
 			continue
 		}
-		outdated = outdated || now-run.EndedAgo <= r.lastSuccessBegan
+		outdated = outdated || r.isRefuted(now-run.EndedAgo)
 		learned = r.add(Run{
 			ID:       run.ID,
 			Endpoint: run.Endpoint,
 			Began:    now - run.BeganAgo,
 			Ended:    now - run.EndedAgo,
 			Alone:    run.Alone,
+			With:     run.With,
 		}) || learned
 	}
 	t.removeIfExpired(now, s.Fingerprint, r)
@@ -129,6 +132,7 @@
 			BeganAgo: now - run.Began,
 			EndedAgo: now - run.Ended,
 			Alone:    run.Alone,
+			With:     run.With,
 		})
 	}
 	return s
@@ -169,6 +173,7 @@
 	if r == nil && t.evictIfFull(now) {
 		r = &Row{
 			lastSuccessBegan: noSuccess,
+			immunity:         t.immunity,
 		}
 		t.rows[fingerprint] = r
 	}
