--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -12,6 +13,7 @@
 	"bluebellhall/bluebellbench/bbsoak/bbprocess"
 	"bluebellhall/bluebellbench/bbsoak/bbpromise"
 	"bluebellhall/bluebellbench/bbsoak/bbproxy"
+	"bluebellhall/core/bbcatalog"
 	"bluebellhall/platform/bbstand"
 )
 
@@ -61,6 +63,7 @@
 	killVM, killVM, pauseVM, stopVM, stopVM, reloadVM, cutPeers, cutPeers, cutStore, cutStore,
 	storeDown, compactStore, crashEndpoint, crashEndpoint, leaveEndpoint, faultyEndpoint,
 	faultyEndpoint, cutEndpoint, coldEngine, evacuate, configure, configure, sendPoison,
+	sendCrashingPart,
 }
 
 // vmFault returns a fault of a random VM, whose actions are still to be set, and the VM's process.
@@ -283,15 +286,33 @@
 	}
 	service := bbload.Pick(random, services)
 	seed := random.Uint64()
+	return senderFault(random, fmt.Sprintf("content of %s that crashes %s", route.Name, service), func(ctx context.Context) {
+		f.load.SendPoison(ctx, rand.New(rand.NewPCG(seed, 2)), route, service, poisonGap)
+	})
+}
+
+// sendCrashingPart sends requests on a route with engines, to each VM in turn, whose prompts share a part that
+// crashes engines.
+func sendCrashingPart(f *Fleet, random *rand.Rand) Fault {
+	routes := slices.DeleteFunc(bbdeployment.Routes(), func(r bbcatalog.Route) bool { return !r.Engine })
+	route := bbload.Pick(random, routes)
+	seed := random.Uint64()
+	return senderFault(random, "part of prompts of "+route.Name+" that crashes engines", func(ctx context.Context) {
+		f.load.SendCrashingPart(ctx, rand.New(rand.NewPCG(seed, 3)), route, poisonGap)
+	})
+}
+
+// senderFault returns a fault that lasts while a function sends requests, until its context ends.
+func senderFault(random *rand.Rand, name string, send func(ctx context.Context)) Fault {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	return Fault{
-		Fault: fleetFault(fmt.Sprintf("content of %s that crashes %s", route.Name, service)),
+		Fault: fleetFault(name),
 		For:   poisonDurationFactor * randomDuration(random),
 		begin: func() error {
 			go func() {
 				defer close(done)
-				f.load.SendPoison(ctx, rand.New(rand.NewPCG(seed, 2)), route, service, poisonGap)
+				send(ctx)
 			}()
 			return nil
 		},
