A stream that has begun gets nothing but its rest

Found while looking for other places where the end of one answer is taken for the end of the exchange: when a stream was to go on at another engine, any answer of status 300 or more was delivered as an answer of its own. Its head was ignored, its body appended to the caller's stream, and the stream ended as if it were complete; a 204 ended it likewise.

An answer of another status than the one that the caller has is now a failed run: another engine within the attempts, else the caller's connection is aborted. The engine isn't counted as lost for it.

TestBegunStreamGetsNothingButItsRest: six of seven second answers looked complete before (500 with and without body and receipt, 404, 302, 204), four of them with the foreign body in the stream; all are cut now. What a 200 that repeats events or leaves some out does to the stream is still open.

--- a/bluebelld/bbentry/suspects.go
+++ b/bluebelld/bbentry/suspects.go
@@ -49,6 +49,9 @@
 		Dur("ran", b.Duration).Bool("silent", b.TimedOut).Bool("begun", b.AnswerStarted).Dur("sinceFirstEvent", b.SinceFirstEvent).
 		Strs("parts", formatParts(b.Parts)).Str("cause", b.Cause.Error()).Send()
 	e.meter.Count("requests", "runsBroken")
+	if b.Answered {
+		return
+	}
 	now := e.now()
 	run := bbsuspect.Run{
 		ID:       bbsuspect.RunID(b.ID, b.Endpoint),
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -163,6 +163,7 @@
 		TimedOut:      ctx.Err() != nil,
 		AnswerStarted: r.answerStarted,
 		Parts:         x.parts,
+		Answered:      errors.Is(cause, errNotContinued),
 	}
 	if r.firstEvent > 0 {
 		failed.SinceFirstEvent = now - r.firstEvent
@@ -202,6 +203,9 @@
 // errNoReceipt is the cause when an answer belongs to another request or has no receipt of the endpoint.
 var errNoReceipt = errors.New("answer without the endpoint's receipt")
 
+// errNotContinued is the cause when an endpoint that was to continue a stream answered something else.
+var errNotContinued = errors.New("answer doesn't continue the stream")
+
 // sendHead sends the head of an endpoint's answer to the caller, without Content-Length if length is
 // negative.
 func (g *Gateway) sendHead(x *exchange, a *bbchannel.Answer, length int64) {
@@ -221,6 +225,7 @@
 	}
 	x.w.WriteHeader(a.Status)
 	x.sent = true
+	x.status = a.Status
 }
 
 // maxAnswerBytes bounds an answer of unknown length that isn't a stream.
--- a/bluebelld/bbgateway/cut_test.go
+++ b/bluebelld/bbgateway/cut_test.go
@@ -178,3 +178,27 @@
 		})
 	}
 }
+
+// Regression: an error with which an engine answered when a stream was to go on was appended to the stream, which
+// then looked complete.
+func TestBegunStreamGetsNothingButItsRest(t *testing.T) {
+	for name, answer := range map[string]string{
+		"500 without a body":  "HTTP/1.1 500 Failed\r\nSigned: yes\r\nContent-Length: 0\r\n\r\n",
+		"500 with a body":     answerFailed,
+		"500 without receipt": "HTTP/1.1 500 Failed\r\nContent-Length: 4\r\n\r\nfail",
+		"404":                 "HTTP/1.1 404 Unknown\r\nSigned: yes\r\nContent-Length: 4\r\n\r\nnone",
+		"302":                 "HTTP/1.1 302 Found\r\nSigned: yes\r\nLocation: /\r\nContent-Length: 4\r\n\r\ngone",
+		"204":                 "HTTP/1.1 204 Empty\r\nSigned: yes\r\n\r\n",
+		"200 without receipt": "HTTP/1.1 200 OK\r\n\r\nid: 2\ndata: b\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, url := newFixture(t, newStubEndpoint(t, stream("id: 1\ndata: a\n\nid: 2\nda")), newStubEndpoint(t, answer))
+			status, body, err := send(t, url+"/resume/", "")
+			if want := "id: 1\ndata: a\n\n"; status != http.StatusOK || err == nil || body != want {
+				t.Errorf("answer %d %q, error %v; want %q and the connection to be aborted", status, body, err, want)
+			}
+			wantRequests(t, f, 1, 1)
+			wantFailedRuns(t, f, 2, 0)
+		})
+	}
+}
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -68,6 +68,8 @@
 	Parts []uint64
 	// SinceFirstEvent is the time since the first complete event of the answer; 0 if there was none.
 	SinceFirstEvent time.Duration
+	// Answered is true if the endpoint answered completely, but not with the rest of a stream that had begun.
+	Answered bool
 }
 
 // Hooks connect the gateway to the rest of the process.
@@ -172,8 +174,9 @@
 	// began and deadline are times of the monotonic clock of Hooks.Now.
 	began    time.Duration
 	deadline time.Duration
-	// sent is true once a part of the answer has been sent to the caller.
-	sent bool
+	// sent is true once a part of the answer has been sent to the caller; status is then the answer's.
+	sent   bool
+	status int
 	// parts are the parts of the prompt that other requests may have too.
 	parts []uint64
 	log   RequestLog
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -259,6 +259,10 @@
 		g.reportFailedRun(ctx, t.exchange, r, errNoReceipt)
 		return bbhealth.OutcomeBroken, g.retryOrFailStaged(ctx, t, bbhealth.OutcomeBroken, runs)
 	}
+	if t.sent && answer.Status != t.status {
+		g.reportFailedRun(ctx, t.exchange, r, errors.Wrapf(errNotContinued, "status %d", answer.Status))
+		return bbhealth.OutcomeBroken, g.retryOrFailStaged(ctx, t, bbhealth.OutcomeBroken, runs)
+	}
 	if err := g.stream(ctx, t, answer); err != nil {
 		r.answerStarted = t.answerStarted
 		r.firstEvent = t.firstEvent
