--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -72,14 +72,12 @@
 	fleet    *bbmembership.Fleet
 	conns    *bbpeer.Conns
 	hub      *bbhub.Hub
-	// quarantine tracks content that crashes endpoints. checks bounds the connection checks in progress
-	// of endpoints that timed out.
-	quarantine *bbquarantine.Quarantine
-	// parts tracks parts of prompts that crash engines.
-	parts   bbquarantine.Parts
-	checks  chan struct{}
-	notes   chan addressedNote
-	leaving atomic.Bool
+	// quarantines track contents and parts of prompts that crash endpoints. checks bounds the connection
+	// checks in progress of endpoints that timed out.
+	quarantines bbquarantine.Quarantines
+	checks      chan struct{}
+	notes       chan addressedNote
+	leaving     atomic.Bool
 	// cursor is the position in the changes of the VM whose endpoints this one follows; used by followLoop
 	// only.
 	cursor followCursor
@@ -126,22 +124,17 @@
 	e.fleet.Serves = e.serves
 	e.fleet.Log = e.peerChanged
 	e.fleet.LogLeader = e.coordinatorChanged
-	e.quarantine = bbquarantine.New(bbquarantine.Hooks{
+	suspects := bbquarantine.Hooks{
 		Now:            e.now,
 		Aggregators:    e.fleet.Aggregators,
 		Relays:         e.fleet.Relays,
 		Send:           conns.Suspects,
 		VerdictChanged: e.verdictChanged,
 		SendFailed:     e.suspectsSendFailed,
-	})
-	e.parts = bbquarantine.NewParts(bbquarantine.Hooks{
-		Now:            e.now,
-		Aggregators:    e.fleet.Aggregators,
-		Relays:         e.fleet.Relays,
-		Send:           conns.SuspectParts,
-		VerdictChanged: e.partVerdictChanged,
-		SendFailed:     e.suspectsSendFailed,
-	})
+	}
+	e.quarantines.Contents = bbquarantine.New(suspects)
+	suspects.Send, suspects.VerdictChanged = conns.SuspectParts, e.partVerdictChanged
+	e.quarantines.Parts = bbquarantine.NewParts(suspects)
 	e.limits = e.newLimits()
 	coordinator := bbcoordinator.New(bbcoordinator.Environment{
 		Service:         e.service,
@@ -149,10 +142,10 @@
 		Region:          e.region,
 		Majority:        e.fleet.HasMajority,
 		SoleCoordinator: e.fleet.IsSoleCoordinator,
-		Suspicion:       e.quarantine.Verdict,
-		RefusesPrompt:   e.parts.Refuses,
-		RecordLoss:      e.quarantine.RecordLoss,
-		Answered:        e.answered,
+		Suspicion:       e.quarantines.Contents.Verdict,
+		RefusesPrompt:   e.quarantines.Parts.Refuses,
+		RecordLoss:      e.quarantines.Contents.RecordLoss,
+		Answered:        e.quarantines.RecordAnswer,
 		BackoffUntil:    e.Knowledge.BackoffUntil,
 		Pace:            e.limits.Pace(),
 		Share:           e.budgetShare,
@@ -172,8 +165,8 @@
 		Published:     e.published,
 		Order:         e.coordinate,
 		Notes:         hub.Notes,
-		Suspects:      e.quarantine.Merge,
-		SuspectParts:  e.parts.Merge,
+		Suspects:      e.quarantines.Contents.Merge,
+		SuspectParts:  e.quarantines.Parts.Merge,
 		Leaving:       e.recordLeaving,
 		Limits:        e.limits.Merge,
 		Permit:        e.limits.Decide,
@@ -198,10 +191,10 @@
 		Note:          e.note,
 		Log:           e.requestEnded,
 		RunFailed:     e.runFailed,
-		Answered:      e.answered,
-		Succeeded:     e.succeeded,
-		Suspicion:     e.quarantine.Verdict,
-		RefusesPrompt: e.parts.Refuses,
+		Answered:      e.quarantines.RecordAnswer,
+		Succeeded:     e.quarantines.RecordSuccess,
+		Suspicion:     e.quarantines.Contents.Verdict,
+		RefusesPrompt: e.quarantines.Parts.Refuses,
 		NewWindow:     e.newWindow,
 		Leaving:       e.leaving.Load,
 	})
@@ -210,8 +203,7 @@
 	go e.followLoop(ctx)
 	go e.cellLoop(ctx)
 	go e.sendNotes(ctx)
-	go e.quarantine.Run(ctx)
-	go e.parts.Run(ctx)
+	go e.quarantines.Run(ctx)
 	return e, func() {
 		cancel()
 		stopHub()
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -27,22 +27,18 @@
 	e.meter.Gauge("knowledge.storeAgeMs", func() float64 { return float64(e.Knowledge.StoreAge().Milliseconds()) })
 	e.meter.Gauge("requests.open", func() float64 { return float64(e.Gateway.Open()) })
 	e.meter.Gauge("requests.exchanges", func() float64 { return float64(e.Gateway.Exchanges()) })
-	e.meter.Gauge("suspects.watched", func() float64 {
-		watched, _ := e.quarantine.Counts()
-		return float64(watched)
-	})
-	e.meter.Gauge("suspects.refused", func() float64 {
-		_, refused := e.quarantine.Counts()
-		return float64(refused)
-	})
-	e.meter.Gauge("suspects.partsWatched", func() float64 {
-		watched, _ := e.parts.Counts()
-		return float64(watched)
-	})
-	e.meter.Gauge("suspects.partsRefused", func() float64 {
-		_, refused := e.parts.Counts()
-		return float64(refused)
-	})
+	suspects := func(watched, refused string, counts func() (watched, refused int)) {
+		e.meter.Gauge("suspects."+watched, func() float64 {
+			n, _ := counts()
+			return float64(n)
+		})
+		e.meter.Gauge("suspects."+refused, func() float64 {
+			_, n := counts()
+			return float64(n)
+		})
+	}
+	suspects("watched", "refused", e.quarantines.Contents.Counts)
+	suspects("partsWatched", "partsRefused", e.quarantines.Parts.Counts)
 	e.meter.Collect(e.collectServices)
 }
 
--- a/bluebelld/bbentry/suspects.go
+++ b/bluebelld/bbentry/suspects.go
@@ -7,6 +7,7 @@
 
 	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/bluebelld/bbgateway"
+	"bluebellhall/bluebelld/bbquarantine"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbsuspect"
 )
@@ -17,31 +18,8 @@
 	maxChecks = 16
 	// checkTimeout bounds one check.
 	checkTimeout = time.Second
-	// beginningTime is how long after its first event an answer counts as just begun: the loss of its engine may
-	// then be due to a part of its prompt. It allows for the way of the first event and of the loss.
-	beginningTime = 250 * time.Millisecond
 )
 
-// recordLoss records a run that ended with the loss of its endpoint.
-func (e *Entry) recordLoss(b bbgateway.FailedRun, run bbsuspect.Run) {
-	e.quarantine.RecordLoss(b.Content, run)
-	if b.SinceFirstEvent < beginningTime {
-		e.parts.RecordLoss(b.Parts, run)
-	}
-}
-
-// answered records that an endpoint answered.
-func (e *Entry) answered(endpoint string) {
-	e.quarantine.RecordAnswer(endpoint)
-	e.parts.RecordAnswer(endpoint)
-}
-
-// succeeded records a successful run.
-func (e *Entry) succeeded(content uint64, parts []uint64, began time.Duration) {
-	e.quarantine.RecordSuccess(content, began)
-	e.parts.RecordSuccess(parts, began)
-}
-
 // runFailed handles a run that ended without a complete answer. If the connection broke, the endpoint counts
 // as lost. If the request timed out, it counts as lost only if it accepts no connections any more.
 func (e *Entry) runFailed(b bbgateway.FailedRun) {
@@ -53,14 +31,19 @@
 		return
 	}
 	now := e.now()
-	run := bbsuspect.Run{
-		ID:       bbsuspect.RunID(b.ID, b.Endpoint),
-		Endpoint: b.Endpoint,
-		Began:    now - b.Duration,
-		Ended:    now,
+	lost := bbquarantine.Lost{
+		Run: bbsuspect.Run{
+			ID:       bbsuspect.RunID(b.ID, b.Endpoint),
+			Endpoint: b.Endpoint,
+			Began:    now - b.Duration,
+			Ended:    now,
+		},
+		Content:         b.Content,
+		Parts:           b.Parts,
+		SinceFirstEvent: b.SinceFirstEvent,
 	}
 	if !b.TimedOut {
-		e.recordLoss(b, run)
+		e.quarantines.RecordLoss(lost)
 		return
 	}
 	select {
@@ -75,7 +58,7 @@
 		gone := !bbchannel.AcceptsConnections(ctx, b.Address)
 		e.log.Event(bbevent.SilentChecked).Str("id", b.ID).Str("endpoint", b.Endpoint).Bool("gone", gone).Send()
 		if gone {
-			e.recordLoss(b, run)
+			e.quarantines.RecordLoss(lost)
 		}
 	}()
 }
--- a/bluebelld/bbquarantine/part_test.go
+++ b/bluebelld/bbquarantine/part_test.go
@@ -128,3 +128,40 @@
 		})
 	})
 }
+
+// A part is blamed for the loss of an engine only while the answer has just begun.
+func TestPartsAreBlamedWhileTheAnswerBegins(t *testing.T) {
+	for name, c := range map[string]struct {
+		sinceFirstEvent time.Duration
+		want            bool
+	}{
+		"before the first event":       {0, true},
+		"just after the first event":   {beginningTime - 1, true},
+		"after the answer had gone on": {beginningTime, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inPartsCluster(t, func(w *cluster) {
+				q := Quarantines{
+					Contents: New(w.vms[0].hooks),
+					Parts:    w.vms[0].parts(),
+				}
+				for i := range uint64(3) {
+					time.Sleep(time.Second)
+					now := time.Since(w.vms[0].began)
+					q.RecordLoss(Lost{
+						Run: bbsuspect.Run{
+							ID:       i + 1,
+							Endpoint: fmt.Sprint("e", i),
+							Began:    now - time.Millisecond,
+							Ended:    now,
+						},
+						Parts:           []uint64{crashingPart},
+						SinceFirstEvent: c.sinceFirstEvent,
+					})
+				}
+				time.Sleep(propagationTime)
+				w.wantRefuses(c.want, crashingPart)
+			})
+		})
+	}
+}
