Tests of parts check refusals instead of a number of arrivals

TestPartsThatCrashEnginesAreStopped wanted at least three arrivals at engines, so as to show that the part was played. Now the test wants all requests with the part that are sent in the last seconds to be refused as not run, for the time for which the part is known, which is stricter. TestPartsOfRunsAreReported reads its records under the lock (found by the race detector).

--- a/bluebellbench/bbsoak/endpoint_test.go
+++ b/bluebellbench/bbsoak/endpoint_test.go
@@ -13,6 +13,7 @@
 	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
 	"bluebellhall/bluebellbench/bbsoak/bbload"
 	"bluebellhall/bluebellbench/bbsoak/bbpromise"
+	"bluebellhall/core/bbsuspect"
 	"bluebellhall/platform/bbledger"
 	"bluebellhall/platform/bbstand"
 )
@@ -213,13 +214,34 @@
 			if diff := cmp.Diff([]string(nil), append(failed, bbpromise.Check(record).Violations...)); diff != "" {
 				t.Errorf("violations (-want +got):\n%s", diff)
 			}
-			if n := len(record.Ledger.PartArrivals()); n < 3 {
-				t.Errorf("%d requests with a crashing part reached engines, want at least 3", n)
+			if len(record.Ledger.PartArrivals()) == 0 {
+				t.Error("no request with a crashing part reached an engine")
 			}
+			wantPartsRefused(t, record)
 		})
 	}
 }
 
+// wantPartsRefused checks that of the requests with a crashing part that were sent in the last seconds all were
+// refused as not run, for the time for which the part is known.
+func wantPartsRefused(t *testing.T, record bbpromise.Record) {
+	t.Helper()
+	from := time.Now().Add(-partTestTime / 4)
+	sent := 0
+	for _, try := range record.Tries {
+		if try.Request.CrashPart == "" || try.Sent.Before(from) || try.Reply.Status == 0 {
+			continue
+		}
+		sent++
+		if !try.Reply.NotRun() || try.Reply.RetryAfter != bbsuspect.RetryAfter {
+			t.Errorf("%s was answered %d with Retry-After %v, want it to be refused for %v", try.Request.ID, try.Reply.Status, try.Reply.RetryAfter, bbsuspect.RetryAfter)
+		}
+	}
+	if sent < 5 {
+		t.Errorf("%d requests with a crashing part were answered in the last seconds, want at least 5", sent)
+	}
+}
+
 // crashThird crashes each third engine at once.
 func crashThird(f *Fleet) {
 	n := 0
--- a/bluebelld/bbgateway/suspect_test.go
+++ b/bluebelld/bbgateway/suspect_test.go
@@ -156,6 +156,8 @@
 			f, url := newFixture(t, newStubEndpoint(t, c.answer))
 			// How the answer ends is checked elsewhere.
 			_, _, _ = send(t, url+"/stream/", "", "Parts", "a b own")
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			var failed []uint64
 			for _, r := range f.failedRuns {
 				failed = append(failed, r.Parts...)
