--- a/bluebelld/bbgateway/cut_test.go
+++ b/bluebelld/bbgateway/cut_test.go
@@ -60,6 +60,8 @@
 // wantFailedRuns checks how many runs were reported as failed and as successful.
 func wantFailedRuns(t *testing.T, f *fixture, failed, succeeded int) {
 	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if diff := cmp.Diff([2]int{failed, succeeded}, [2]int{len(f.failedRuns), len(f.succeeded)}); diff != "" {
 		t.Errorf("failed and successful runs (-want +got):\n%s", diff)
 	}
