--- a/bluebelld/bbquarantine/quarantine.go
+++ b/bluebelld/bbquarantine/quarantine.go
@@ -1,7 +1,8 @@
 // Package bbquarantine keeps requests whose content, or a part of whose prompt, crashes endpoints away from
-// them, whichever entry VM they arrive at. A VM reports the runs that it observes to the aggregators of their content, two VMs on
-// which all others agree. After two crashes, all VMs are informed. Each VM derives its verdict from its own
-// table, so that neither the loss of a VM nor a network partition reverts a refusal that it knows of.
+// them, whichever entry VM they arrive at. A VM reports the runs that it observes to the aggregators of their
+// content, two VMs on which all others agree. After two crashes, all VMs are informed. Each VM derives its
+// verdict from its own table, so that neither the loss of a VM nor a network partition reverts a refusal that it
+// knows of.
 package bbquarantine
 
 import (
--- a/core/bbsuspect/row.go
+++ b/core/bbsuspect/row.go
@@ -94,8 +94,9 @@
 // noSuccess is earlier than the start of any run.
 const noSuccess = time.Duration(-1 << 62)
 
-// add records a run. It returns false if the run was already known or a successful run refutes it. Reports from peers arrive with a delay, so the earliest times reported for a
-// run are the most accurate; times of runs reported together are consistent with each other.
+// add records a run. It returns false if the run was already known or a successful run refutes it. Reports
+// from peers arrive with a delay, so the earliest times reported for a run are the most accurate; times of runs
+// reported together are consistent with each other.
 func (r *Row) add(run Run) bool {
 	if r.isRefuted(run.Ended) {
 		return false
--- a/core/bbsuspect/suspect.go
+++ b/core/bbsuspect/suspect.go
@@ -7,6 +7,8 @@
 // runs only on an endpoint that carries nothing else, and a success clears it. After the third it
 // is refused until the refusal expires, whatever else ran on the endpoints. Two crashes are enough
 // for a refusal if nothing else was on the endpoints.
+//
+// A table of parts does the same for the parts of prompts that requests share, see RefusesPrompt.
 package bbsuspect
 
 import (
