Soak: engines that answer an error when they are asked to resume a stream

TestBrokenOffStreamsDoNotLookComplete has a case for it, alone and with streams without framing; both fail with the gateway's check left out.

--- a/bluebellbench/bbsoak/endpoint_test.go
+++ b/bluebellbench/bbsoak/endpoint_test.go
@@ -258,30 +258,36 @@
 // cutTestTime is how long engines break off streams.
 const cutTestTime = 6 * time.Second
 
-// Guards against a fault in which streams without a length and chunks reached their callers as complete after
-// they had broken off.
+// Guards against faults in which streams that had broken off reached their callers as complete: without a length and
+// chunks, or when the engine that was to resume one answered an error.
 func TestBrokenOffStreamsDoNotLookComplete(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs for ten seconds")
 	}
-	f, s := startSmallFleet(t, buildProgram(t))
-	for _, b := range f.backEnds {
-		b.setFaults(bbstand.Faults{
-			Break:    0.3,
-			Unframed: true,
+	program := buildProgram(t)
+	for name, faults := range map[string]bbstand.Faults{
+		"without framing":          {Break: 0.3, Unframed: true},
+		"not resumed":              {Break: 0.3, FailResumed: true},
+		"unframed and not resumed": {Break: 0.3, Unframed: true, FailResumed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, s := startSmallFleet(t, program)
+			for _, b := range f.backEnds {
+				b.setFaults(faults)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), cutTestTime)
+			defer cancel()
+			f.load.Run(ctx, 1, 40)
+			report := bbpromise.Check(f.record(s, nil, f.load.Tries(), time.Now()))
+			if diff := cmp.Diff([]string(nil), report.Violations); diff != "" {
+				t.Errorf("violations (-want +got):\n%s", diff)
+			}
+			if report.Answered == 0 {
+				t.Error("no request was answered")
+			}
 		})
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), cutTestTime)
-	defer cancel()
-	f.load.Run(ctx, 1, 40)
-	record := f.record(s, nil, f.load.Tries(), time.Now())
-	report := bbpromise.Check(record)
-	if diff := cmp.Diff([]string(nil), report.Violations); diff != "" {
-		t.Errorf("violations (-want +got):\n%s", diff)
-	}
-	if report.Answered == 0 {
-		t.Error("no request was answered")
-	}
 }
 
 // killInTurn kills and restarts one VM after the other.
--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -140,7 +140,7 @@
 	case 1:
 		return bbstand.Faults{Lose: share}
 	case 2:
-		return bbstand.Faults{Break: share}
+		return bbstand.Faults{Break: share, FailResumed: random.IntN(2) == 0}
 	case 3:
 		return bbstand.Faults{Fail: share}
 	case 4:
@@ -148,7 +148,7 @@
 	case 5:
 		return bbstand.Faults{Leaving: true}
 	case 6:
-		return bbstand.Faults{Break: share, Unframed: true}
+		return bbstand.Faults{Break: share, Unframed: true, FailResumed: random.IntN(2) == 0}
 	}
 	return bbstand.Faults{Slow: 2 + 3*random.Float64()}
 }
