Log the store's era, lost history, lists and what a list changes

The logs could not tell a return of the store from an older copy from a calm one: 410 was handled without a line, and so were the list after it, a configuration in it that is older than the one in force, and an evacuation that begins or ends because of it. No decision changes.

New events 829, 830, 845, 846; gauge knowledge.revision.

--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -24,6 +24,10 @@
 		_, version, _ := e.Knowledge.Ready()
 		return float64(version)
 	})
+	e.meter.Gauge("knowledge.revision", func() float64 {
+		_, _, revision := e.Knowledge.Ready()
+		return float64(revision)
+	})
 	e.meter.Gauge("knowledge.storeAgeMs", func() float64 { return float64(e.Knowledge.StoreAge().Milliseconds()) })
 	e.meter.Gauge("requests.open", func() float64 { return float64(e.Gateway.Open()) })
 	e.meter.Gauge("requests.exchanges", func() float64 { return float64(e.Gateway.Exchanges()) })
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -107,6 +107,10 @@
 	EndpointLimited      Number = 826
 	EndpointUnlimited    Number = 827
 	LimitUntold          Number = 828
+	StoreRestored        Number = 829
+	HistoryLost          Number = 830
+	RangeListed          Number = 845
+	CatalogOlder         Number = 846
 	CoordinatorChanged   Number = 821
 	CellsChanged         Number = 822
 	OrderSpilled         Number = 823
@@ -217,6 +221,8 @@
 	{Number: EndpointLimited, Title: "endpointLimited", Severity: SeverityInfo, Text: "An endpoint has named the rate that it takes from all VMs together, to this VM or to the one that source names; perSecond is the rate. It gets no more than that."},
 	{Number: EndpointUnlimited, Title: "endpointUnlimited", Severity: SeverityInfo, Text: "An endpoint no longer names a limit, according to the VM that source names."},
 	{Number: LimitUntold, Title: "limitUntold", Severity: SeverityInfo, Text: "Another VM could not be notified of an endpoint's limit; it learns it from the endpoint, or when it grants requests to it."},
+	{Number: StoreRestored, Title: "storeRestored", Severity: SeverityWarning, Text: "The platform's store has come back from an older copy, as the era in its answers shows: it may lack what it had confirmed, and its revisions have fallen."},
+	{Number: HistoryLost, Title: "historyLost", Severity: SeverityInfo, Text: "The platform's store doesn't have the changes of a range after a revision; the range is listed again."},
 	{Number: OrderAccepted, Title: "orderAccepted", Severity: SeverityInfo, Text: "The coordinator accepted a request; value is the expected time to its first token."},
 	{Number: OrderReturned, Title: "orderReturned", Severity: SeverityInfo, Text: "As orderAccepted, for a caller whose request was refused before."},
 	{Number: OrderElsewhere, Title: "orderElsewhere", Severity: SeverityInfo, Text: "A leaving coordinator returned a request, with the results made so far, for the next coordinator."},
@@ -231,6 +237,8 @@
 	{Number: CallDone, Title: "callDone", Severity: SeverityInfo, Text: "A stage worker answered a call; value is the duration of the call."},
 	{Number: CallOverdue, Title: "callOverdue", Severity: SeverityWarning, Text: "A call is late; its pieces are sent to another endpoint as well."},
 	{Number: CoordinatorLate, Title: "coordinatorLate", Severity: SeverityWarning, Text: "The coordinator acts later than planned, because the processor is busy; value is the longest delay in the last second, detail its load."},
+	{Number: RangeListed, Title: "rangeListed", Severity: SeverityInfo, Text: "A range of the platform's store was listed as a whole, at the era and revision named."},
+	{Number: CatalogOlder, Title: "catalogOlder", Severity: SeverityInfo, Text: "A list of the platform's store has an older configuration than the one in force, which stays in force."},
 	{Number: EntryRequestEnded, Title: "entryRequestEnded", Severity: SeverityInfo, Text: "A caller's request ended: route, outcome, cause, endpoint, attempts and times. Content is the same for requests of one caller that ask for the same; framing is how the endpoint framed its answer: length, chunked or connection."},
 	{Number: RunBroke, Title: "runBroke", Severity: SeverityInfo, Text: "An endpoint gave no complete answer to a request. Content identifies what was asked, parts are those of its prompt that other requests share, cause is how the exchange ended; silent is true when the time limit expired; sinceFirstEvent is 0 if no event of a stream was complete."},
 	{Number: SilentChecked, Title: "silentChecked", Severity: SeverityInfo, Text: "After the time limit of a request expired, a connection to its endpoint was attempted; gone is true when the endpoint accepts none, so that the run counts as lost."},
