Revisions of the store are ordered by era

Cause: a revision was taken as an order over all time. A watch after a revision that the store has given out again is answered, without what lies below it. The same between VMs: the highest number counted as the newest.

Now a revision is an era and a number, one type with one order. Changes that are known already are skipped, which also holds within an era: a watch that waited while another VM told newer endpoints could undo them.

Messages of builds without eras are taken to be of the receiver's era.

--- a/bluebelld/bbentry/cell_test.go
+++ b/bluebelld/bbentry/cell_test.go
@@ -14,6 +14,7 @@
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbrevision"
 )
 
 // clock is a manual clock.
@@ -87,9 +88,7 @@
 			Zone:    fmt.Sprint("z", i/2),
 		})
 	}
-	knowledge.UpdateEndpoints(func(table *bbregistry.Table, now time.Duration, grace bool) {
-		table.ReplaceEndpoints(now, s, grace)
-	})
+	knowledge.ReplaceEndpoints(s)
 	return e
 }
 
@@ -118,7 +117,7 @@
 	t.Run("without those that were evacuated since", func(t *testing.T) {
 		e := newLargeEntry(t, 2, 200)
 		wantCoordinated(t, e, "z0-s0", "z0-s1")
-		e.Knowledge.UpdateOperatorState(func(table *bbregistry.Table) { table.SetZoneEvacuated("z0", true) })
+		e.Knowledge.ReplaceEvacuated([]string{"z0"}, bbrevision.Revision{Number: 1})
 		wantCoordinated(t, e)
 	})
 }
@@ -153,7 +152,7 @@
 
 func TestServes(t *testing.T) {
 	e := newLargeEntry(t, 2, 30)
-	e.Knowledge.UpdateOperatorState(func(table *bbregistry.Table) { table.SetZoneEvacuated("z1", true) })
+	e.Knowledge.ReplaceEvacuated([]string{"z1"}, bbrevision.Revision{Number: 1})
 	for zone, want := range map[string]bool{"z0": true, "z1": false, "elsewhere": false} {
 		if got := e.serves("s", zone); got != want {
 			t.Errorf("%s has endpoints that may get work: %v, want %v", zone, got, want)
--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -153,7 +153,7 @@
 	e.fleet.View(func(t *bbgossip.Table, now time.Duration) {
 		t.EachReachable(now, func(m *bbgossip.Member) {
 			same := m.EndpointRevision == revision && readers[m.Name] && (best.Name == "" || m.Name < best.Name)
-			if m.EndpointRevision > revision || same {
+			if revision.Before(m.EndpointRevision) || same {
 				revision = m.EndpointRevision
 				best = *m
 			}
@@ -188,7 +188,7 @@
 		e.log.Event(bbevent.ZoneEvacuation).Str("zone", zone).Bool("out", evacuated).Str("source", peer.Name).Send()
 	}
 	if p.Endpoints.Whole {
-		e.log.Event(bbevent.EndpointsAdopted).Str("peer", peer.Name).Uint64("revision", p.Endpoints.Revision).Send()
+		e.log.Event(bbevent.EndpointsAdopted).Str("peer", peer.Name).Stringer("revision", p.Endpoints.Revision).Send()
 	}
 	e.cursor = followCursor{
 		name:     peer.Name,
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -26,7 +26,11 @@
 	})
 	e.meter.Gauge("knowledge.revision", func() float64 {
 		_, _, revision := e.Knowledge.Ready()
-		return float64(revision)
+		return float64(revision.Number)
+	})
+	e.meter.Gauge("knowledge.era", func() float64 {
+		_, _, revision := e.Knowledge.Ready()
+		return float64(revision.Era)
 	})
 	e.meter.Gauge("knowledge.storeAgeMs", func() float64 { return float64(e.Knowledge.StoreAge().Milliseconds()) })
 	e.meter.Gauge("requests.open", func() float64 { return float64(e.Gateway.Open()) })
--- a/bluebelld/bbentry/signals_test.go
+++ b/bluebelld/bbentry/signals_test.go
@@ -14,6 +14,7 @@
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbrevision"
 	"bluebellhall/core/bbstanding"
 )
 
@@ -57,9 +58,7 @@
 			StartedMillis: born,
 		})
 	}
-	e.Knowledge.UpdateEndpoints(func(table *bbregistry.Table, now time.Duration, grace bool) {
-		table.ReplaceEndpoints(now, s, grace)
-	})
+	e.Knowledge.ReplaceEndpoints(s)
 }
 
 // wantMaySend checks whether endpoint a may be sent requests, and whether it is usable for new work.
@@ -91,7 +90,7 @@
 		wantMaySend(t, e, false, false)
 	})
 	t.Run("though its entry had been removed", func(t *testing.T) {
-		e.Knowledge.UpdateEndpoints(func(table *bbregistry.Table, now time.Duration, _ bool) { table.Remove(now, "a", false) })
+		e.Knowledge.ApplyEndpointUpdates([]bbregistry.Update{{Endpoint: bbregistry.Endpoint{ID: "a"}, Number: 1, Removed: true}}, bbrevision.Revision{Number: 1})
 		listProcesses(e, 1)
 		wantMaySend(t, e, false, false)
 	})
--- a/bluebelld/bbknowledge/knowledge.go
+++ b/bluebelld/bbknowledge/knowledge.go
@@ -9,6 +9,7 @@
 
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbrevision"
 	"bluebellhall/core/bbstanding"
 )
 
@@ -96,21 +97,48 @@
 	return k.index
 }
 
-// UpdateEndpoints calls a function that changes the table of endpoints. Grace is true while entries may be
-// missing from the platform because of an outage.
-func (k *Knowledge) UpdateEndpoints(change func(t *bbregistry.Table, now time.Duration, grace bool)) {
+// ReplaceEndpoints replaces the endpoints by a complete list of the platform's. It returns false if endpoints
+// of a later era are known.
+func (k *Knowledge) ReplaceEndpoints(s bbregistry.Snapshot) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
-	change(k.table, now, k.outage && now-k.outageEnd < outageGracePeriod)
+	if !k.table.ReplaceEndpoints(now, s, k.inGrace(now)) {
+		return false
+	}
 	k.listed = true
+	return true
+}
+
+// ApplyEndpointUpdates applies the platform's changes of endpoints up to a revision. It returns false if they
+// don't continue what is known, so that a complete list is needed.
+func (k *Knowledge) ApplyEndpointUpdates(updates []bbregistry.Update, at bbrevision.Revision) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	return k.table.ApplyUpdates(now, updates, at, k.inGrace(now))
+}
+
+// inGrace reports whether entries may be missing from the platform because of an outage.
+func (k *Knowledge) inGrace(now time.Duration) bool {
+	return k.outage && now-k.outageEnd < outageGracePeriod
 }
 
-// UpdateOperatorState calls a function that changes the state set by operators: evacuated failure domains.
-func (k *Knowledge) UpdateOperatorState(change func(t *bbregistry.Table)) {
+// ReplaceEvacuated replaces the evacuated failure domains by a complete list of the platform's. It returns the
+// failure domains that were evacuated before, and false if evacuations of a later era are known.
+func (k *Knowledge) ReplaceEvacuated(zones []string, at bbrevision.Revision) (before []string, replaced bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	change(k.table)
+	before = k.table.Snapshot(k.now()).Evacuated
+	return before, k.table.ReplaceEvacuated(zones, at)
+}
+
+// ApplyZoneUpdates applies the platform's changes of evacuations up to a revision. It returns false if they don't
+// continue what is known, so that a complete list is needed.
+func (k *Knowledge) ApplyZoneUpdates(updates []bbregistry.ZoneUpdate, at bbrevision.Revision) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.ApplyZoneUpdates(updates, at)
 }
 
 // RecordPlatformAnswer records that the platform answered. It returns true if the previous call had failed.
@@ -139,7 +167,7 @@
 }
 
 // Revision returns the platform's revision up to which this VM knows the endpoints.
-func (k *Knowledge) Revision() uint64 {
+func (k *Knowledge) Revision() bbrevision.Revision {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.table.Revision
@@ -159,14 +187,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.sourceFreshAt = max(k.sourceFreshAt, k.now()-storeAge)
-	if k.listed && d.Revision < k.table.Revision {
-		return nil, false
-	}
 	before := make(map[string]bool, len(zones))
 	for zone := range zones {
 		before[zone] = k.table.Evacuated(zone)
 	}
-	k.table.Apply(k.now(), d)
+	if !k.table.Apply(k.now(), d) {
+		return nil, false
+	}
 	k.listed = true
 	changed = make(map[string]bool)
 	for zone, evacuated := range before {
@@ -257,7 +284,7 @@
 }
 
 // Ready reports whether this VM can serve requests, and which versions of configuration and endpoints it has.
-func (k *Knowledge) Ready() (ready bool, version, revision uint64) {
+func (k *Knowledge) Ready() (ready bool, version uint64, revision bbrevision.Revision) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.index == nil {
--- a/bluebelld/bbknowledge/knowledge_test.go
+++ b/bluebelld/bbknowledge/knowledge_test.go
@@ -8,8 +8,16 @@
 
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbrevision"
 )
 
+// at returns a revision of a store that names no eras.
+func at(number uint64) bbrevision.Revision {
+	return bbrevision.Revision{
+		Number: number,
+	}
+}
+
 // clock is a manual clock.
 type clock struct {
 	now time.Duration
@@ -32,9 +40,7 @@
 			Zone:    "z",
 		})
 	}
-	k.UpdateEndpoints(func(t *bbregistry.Table, now time.Duration, grace bool) {
-		t.ReplaceEndpoints(now, s, grace)
-	})
+	k.ReplaceEndpoints(s)
 }
 
 func wantUsable(t *testing.T, k *Knowledge, want ...string) {
@@ -83,16 +89,16 @@
 func TestApplyPeerDelta(t *testing.T) {
 	k, _ := newTestKnowledge()
 	list(k, "a")
-	k.UpdateEndpoints(func(table *bbregistry.Table, _ time.Duration, _ bool) { table.Revision = 10 })
+	k.ApplyEndpointUpdates(nil, at(10))
 	zones := map[string]string{"z": "r"}
 	t.Run("older endpoints are not applied", func(t *testing.T) {
-		if _, applied := k.ApplyPeerDelta(bbregistry.Delta{Revision: 9, Removed: []string{"a"}}, 0, zones); applied {
+		if _, applied := k.ApplyPeerDelta(bbregistry.Delta{Revision: at(9), Removed: []string{"a"}}, 0, zones); applied {
 			t.Error("endpoints of an older revision were applied, want them ignored")
 		}
 		wantUsable(t, k, "a")
 	})
 	t.Run("an evacuated failure domain is returned", func(t *testing.T) {
-		changed, applied := k.ApplyPeerDelta(bbregistry.Delta{Revision: 11, OperatorRevision: 11, Evacuated: []string{"z"}}, 0, zones)
+		changed, applied := k.ApplyPeerDelta(bbregistry.Delta{Revision: at(11), OperatorRevision: at(11), Evacuated: []string{"z"}}, 0, zones)
 		if diff := cmp.Diff(map[string]bool{"z": true}, changed); diff != "" || !applied {
 			t.Errorf("applied %v, failure domains whose evacuation changed (-want +got):\n%s", applied, diff)
 		}
@@ -110,7 +116,7 @@
 		}
 	}
 	k.RecordSourceAnswer()
-	k.ApplyPeerDelta(bbregistry.Delta{Revision: 1}, 100*time.Millisecond, nil)
+	k.ApplyPeerDelta(bbregistry.Delta{Revision: at(1)}, 100*time.Millisecond, nil)
 	want("source has just answered", false, false)
 	c.now += sourceTimeout
 	want("just before the timeout of the source", false, true)
@@ -118,7 +124,7 @@
 	want("source is silent", true, true)
 	k.RecordSourceAnswer()
 	want("source is back without the platform", false, true)
-	k.ApplyPeerDelta(bbregistry.Delta{Revision: 1}, 0, nil)
+	k.ApplyPeerDelta(bbregistry.Delta{Revision: at(1)}, 0, nil)
 	want("source is back", false, false)
 }
 
@@ -130,7 +136,7 @@
 	if got := k.StoreAge(); got != 3*time.Second {
 		t.Errorf("age %v without further answers of the platform, want 3s", got)
 	}
-	k.ApplyPeerDelta(bbregistry.Delta{Revision: 1}, 200*time.Millisecond, nil)
+	k.ApplyPeerDelta(bbregistry.Delta{Revision: at(1)}, 200*time.Millisecond, nil)
 	if got := k.StoreAge(); got != 200*time.Millisecond {
 		t.Errorf("age %v of a VM that follows a source, want 200ms", got)
 	}
@@ -141,7 +147,7 @@
 	k.OfferCatalog(bbcatalog.Catalog{
 		Version: 1,
 	}, "test")
-	k.UpdateOperatorState(func(t *bbregistry.Table) { t.SetZoneEvacuated("z", true) })
+	k.ReplaceEvacuated([]string{"z"}, at(1))
 	if ready, _, _ := k.Ready(); ready {
 		t.Error("ready before the endpoints are known, want not")
 	}
@@ -150,3 +156,43 @@
 		t.Error("not ready though configuration and endpoints are known")
 	}
 }
+
+// Guards against VMs that carry back what they knew of the store before it came back from an older copy.
+func TestPeersOfAnEarlierEraAreNotFollowed(t *testing.T) {
+	k, _ := newTestKnowledge()
+	for _, step := range []struct {
+		name  string
+		delta bbregistry.Delta
+		want  bool
+	}{
+		{"the first endpoints", bbregistry.Delta{Revision: bbrevision.Revision{Era: 1, Number: 90}, Whole: true}, true},
+		{"a later era with a lower number", bbregistry.Delta{Revision: bbrevision.Revision{Era: 2, Number: 5}}, true},
+		{"the earlier era", bbregistry.Delta{Revision: bbrevision.Revision{Era: 1, Number: 91}}, false},
+		{"a later revision of this era", bbregistry.Delta{Revision: bbrevision.Revision{Era: 2, Number: 6}}, true},
+		{"a later revision of a build without eras", bbregistry.Delta{Number: 7}, true},
+		{"an earlier revision of a build without eras", bbregistry.Delta{Number: 6}, false},
+	} {
+		if _, applied := k.ApplyPeerDelta(step.delta, 0, nil); applied != step.want {
+			t.Errorf("%s: applied %t, want %t", step.name, applied, step.want)
+		}
+	}
+}
+
+// Guards against changes of an earlier era, or known ones, that undo what a VM has learned from another one
+// while it waited for them.
+func TestUpdatesThatDoNotContinueWhatIsKnown(t *testing.T) {
+	k, _ := newTestKnowledge()
+	list(k, "a")
+	k.ApplyPeerDelta(bbregistry.Delta{Revision: bbrevision.Revision{Era: 2, Number: 9}, Whole: true}, 0, nil)
+	put := []bbregistry.Update{{Endpoint: bbregistry.Endpoint{ID: "a", Service: "s"}, Number: 8}}
+	if k.ApplyEndpointUpdates(put, bbrevision.Revision{Era: 1, Number: 8}) {
+		t.Error("updates of an earlier era were applied")
+	}
+	if !k.ApplyEndpointUpdates(put, bbrevision.Revision{Era: 2, Number: 8}) {
+		t.Error("known updates of this era don't count as a continuation")
+	}
+	wantUsable(t, k)
+	if k.ReplaceEndpoints(bbregistry.Snapshot{Revision: bbrevision.Revision{Era: 1, Number: 99}}) {
+		t.Error("a list of an earlier era was applied")
+	}
+}
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bluebellhall/core/bbhash"
+	"bluebellhall/core/bbrevision"
 )
 
 const (
@@ -61,8 +62,9 @@
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 	// CatalogVersion is the version of the configuration that the VM uses.
 	CatalogVersion uint64 `cbor:"11,keyasint,omitempty"`
-	// EndpointRevision is the platform's revision of the endpoint table that the VM has.
-	EndpointRevision uint64 `cbor:"12,keyasint,omitempty"`
+	// EndpointRevision is the platform's revision of the endpoint table that the VM has. Builds without
+	// eras send its number as field 12.
+	EndpointRevision bbrevision.Revision `cbor:"13,keyasint,omitempty"`
 }
 
 // Brief returns the member without the fields that are constant while its process runs.
--- a/core/bbregistry/delta.go
+++ b/core/bbregistry/delta.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"bluebellhall/core/bbrevision"
 )
 
 // maxChanges bounds the length of the change log; a follower that is further behind gets the whole table.
@@ -36,9 +38,12 @@
 	// Whole is true when Put is the whole table.
 	Whole bool `json:"whole"`
 	// Revision is the platform's revision of the endpoints.
-	Revision uint64 `json:"revision"`
+	Revision bbrevision.Revision `json:"at"`
 	// OperatorRevision is the platform's revision of Evacuated.
-	OperatorRevision uint64 `json:"operatorRevision"`
+	OperatorRevision bbrevision.Revision `json:"operatorAt"`
+	// Number and OperatorNumber are the numbers of both revisions. Builds without eras know only these.
+	Number         uint64 `json:"revision"`
+	OperatorNumber uint64 `json:"operatorRevision"`
 	// Put are entries that were added or changed, Removed the IDs of removed entries.
 	Put     []Endpoint `json:"put"`
 	Removed []string   `json:"removed"`
@@ -52,9 +57,11 @@
 	d := Delta{
 		Sequence:  t.changes.sequence(),
 		Revision:  t.Revision,
+		Number:    t.Revision.Number,
 		Evacuated: all.Evacuated,
 
 		OperatorRevision: t.OperatorRevision,
+		OperatorNumber:   t.OperatorRevision.Number,
 	}
 	if sequence < t.changes.dropped || sequence > d.Sequence || sequence == 0 {
 		d.Whole = true
@@ -78,8 +85,30 @@
 	return d
 }
 
-// Apply applies a delta of another table.
-func (t *Table) Apply(now time.Duration, d Delta) {
+// withEras returns a delta whose revisions have eras. Those of builds without eras are taken to be of the
+// receiver's era.
+func (d Delta) withEras(t *Table) Delta {
+	if d.Revision.IsZero() {
+		d.Revision = bbrevision.Revision{
+			Era:    t.Revision.Era,
+			Number: d.Number,
+		}
+	}
+	if d.OperatorRevision.IsZero() {
+		d.OperatorRevision = bbrevision.Revision{
+			Era:    t.OperatorRevision.Era,
+			Number: d.OperatorNumber,
+		}
+	}
+	return d
+}
+
+// Apply applies a delta of another table. It returns false if the table has later endpoints.
+func (t *Table) Apply(now time.Duration, d Delta) bool {
+	d = d.withEras(t)
+	if d.Revision.Before(t.Revision) {
+		return false
+	}
 	if d.Whole {
 		t.Replace(now, Snapshot{
 			Revision:         d.Revision,
@@ -87,7 +116,7 @@
 			Endpoints:        d.Put,
 			Evacuated:        d.Evacuated,
 		})
-		return
+		return true
 	}
 	for _, e := range d.Put {
 		t.Put(now, e)
@@ -97,4 +126,5 @@
 	}
 	t.mergeEvacuated(d.Evacuated, d.OperatorRevision)
 	t.Revision = d.Revision
+	return true
 }
--- a/core/bbregistry/delta_test.go
+++ b/core/bbregistry/delta_test.go
@@ -24,8 +24,8 @@
 	leader.Put(0, endpoint("c"))
 	leader.Remove(0, "a", false)
 	leader.SetZoneEvacuated("west", true)
-	leader.OperatorRevision = 8
-	leader.Revision = 9
+	leader.OperatorRevision = at(8)
+	leader.Revision = at(9)
 	d := leader.Since(0, first.Sequence)
 	if d.Whole || len(d.Put) != 1 || len(d.Removed) != 1 {
 		t.Errorf("delta %+v, want one entry put and one removed", d)
@@ -65,10 +65,10 @@
 func TestNewerEvacuationsStay(t *testing.T) {
 	// The other VM has newer endpoints, but not yet the evacuation of the failure domain.
 	other, table := testTable(), testTable()
-	other.Revision = 20
-	other.OperatorRevision = 10
+	other.Revision = at(20)
+	other.OperatorRevision = at(10)
 	table.SetZoneEvacuated("east", true)
-	table.OperatorRevision = 15
+	table.OperatorRevision = at(15)
 	table.Apply(0, other.Since(0, 0))
 	if !table.Evacuated("east") {
 		t.Error("the failure domain is not evacuated, want the newer evacuation to stay")
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -5,6 +5,8 @@
 import (
 	"sort"
 	"time"
+
+	"bluebellhall/core/bbrevision"
 )
 
 // reregisterGrace is how long an entry may be missing after the platform is back: endpoints register again
@@ -31,13 +33,13 @@
 
 // Snapshot is the content of the platform's registry at one revision.
 type Snapshot struct {
-	// Revision is the platform's revision, which grows with each change.
-	Revision uint64 `json:"revision"`
+	// Revision is the platform's revision of Endpoints.
+	Revision bbrevision.Revision
 	// OperatorRevision is the platform's revision of Evacuated.
-	OperatorRevision uint64     `json:"operatorRevision"`
-	Endpoints        []Endpoint `json:"endpoints"`
+	OperatorRevision bbrevision.Revision
+	Endpoints        []Endpoint
 	// Evacuated are the failure domains that get no new work.
-	Evacuated []string `json:"evacuated"`
+	Evacuated []string
 }
 
 // Entry is an endpoint with this VM's state of its registration.
@@ -54,10 +56,10 @@
 // Table has the registered endpoints. The zero value is not ready for use.
 type Table struct {
 	// Revision is the platform's revision up to which changes of endpoints were applied.
-	Revision uint64
+	Revision bbrevision.Revision
 	// OperatorRevision is the platform's revision up to which evacuations were applied. They are read
 	// separately from the endpoints.
-	OperatorRevision uint64
+	OperatorRevision bbrevision.Revision
 	entries          map[string]*Entry
 	evacuated        map[string]bool
 	changes          changes
@@ -91,7 +93,7 @@
 
 // notify calls OnChange, but not for the initial load.
 func (t *Table) notify(e Endpoint, c Change) {
-	if t.OnChange != nil && t.Revision > 0 {
+	if t.OnChange != nil && !t.Revision.IsZero() {
 		t.OnChange(e, c)
 	}
 }
@@ -163,13 +165,48 @@
 
 // mergeEvacuated applies another VM's evacuations if they are newer. Its endpoints may be newer than the
 // ones here while its evacuations are older.
-func (t *Table) mergeEvacuated(zones []string, revision uint64) {
-	if revision > t.OperatorRevision {
+func (t *Table) mergeEvacuated(zones []string, revision bbrevision.Revision) {
+	if t.OperatorRevision.Before(revision) {
 		t.SetEvacuated(zones)
 		t.OperatorRevision = revision
 	}
 }
 
+// ZoneUpdate is one change of an evacuation.
+type ZoneUpdate struct {
+	Zone string
+	// Number is the number of the change's revision.
+	Number uint64
+	// Evacuated is false if the evacuation has ended.
+	Evacuated bool
+}
+
+// ApplyZoneUpdates applies the changes of evacuations up to a revision, without those that are known already. It
+// returns false if the changes don't continue the table, since it is of another era.
+func (t *Table) ApplyZoneUpdates(updates []ZoneUpdate, at bbrevision.Revision) bool {
+	if at.Era != t.OperatorRevision.Era {
+		return false
+	}
+	for _, u := range updates {
+		if u.Number > t.OperatorRevision.Number {
+			t.SetZoneEvacuated(u.Zone, u.Evacuated)
+		}
+	}
+	t.OperatorRevision = bbrevision.Latest(t.OperatorRevision, at)
+	return true
+}
+
+// ReplaceEvacuated replaces the evacuations by a complete list. It returns false if the list is of an earlier
+// era than the table.
+func (t *Table) ReplaceEvacuated(zones []string, at bbrevision.Revision) bool {
+	if at.Era < t.OperatorRevision.Era {
+		return false
+	}
+	t.SetEvacuated(zones)
+	t.OperatorRevision = at
+	return true
+}
+
 // SetEvacuated sets the failure domains that get no new work.
 func (t *Table) SetEvacuated(zones []string) {
 	t.evacuations++
@@ -179,9 +216,42 @@
 	}
 }
 
+// Update is one change of an entry of the registry.
+type Update struct {
+	// Endpoint is the new state; only its ID is set if the entry was removed or is invalid.
+	Endpoint Endpoint
+	// Number is the number of the change's revision.
+	Number uint64
+	// Removed is true if the entry was removed, Invalid if it names no endpoint any more.
+	Removed, Invalid bool
+}
+
+// ApplyUpdates applies the changes up to a revision, without those that are known already. With grace removed
+// entries are kept for a while. It returns false if the changes don't continue the table, since it is of
+// another era.
+func (t *Table) ApplyUpdates(now time.Duration, updates []Update, at bbrevision.Revision, grace bool) bool {
+	if at.Era != t.Revision.Era {
+		return false
+	}
+	for _, u := range updates {
+		switch {
+		case u.Number <= t.Revision.Number:
+		case u.Removed || u.Invalid:
+			t.Remove(now, u.Endpoint.ID, grace && u.Removed)
+		default:
+			t.Put(now, u.Endpoint)
+		}
+	}
+	t.Revision = bbrevision.Latest(t.Revision, at)
+	return true
+}
+
 // ReplaceEndpoints replaces the endpoints by a complete list. With grace those missing from it are kept for
-// a while.
-func (t *Table) ReplaceEndpoints(now time.Duration, s Snapshot, grace bool) {
+// a while. It returns false if the list is of an earlier era than the table.
+func (t *Table) ReplaceEndpoints(now time.Duration, s Snapshot, grace bool) bool {
+	if s.Revision.Era < t.Revision.Era {
+		return false
+	}
 	listed := make(map[string]bool, len(s.Endpoints))
 	for _, e := range s.Endpoints {
 		listed[e.ID] = true
@@ -193,6 +263,7 @@
 		}
 	}
 	t.Revision = s.Revision
+	return true
 }
 
 // Evacuated reports whether a failure domain is evacuated.
--- a/core/bbregistry/table_test.go
+++ b/core/bbregistry/table_test.go
@@ -5,8 +5,17 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbrevision"
 )
 
+// at returns a revision of a store that names no eras.
+func at(number uint64) bbrevision.Revision {
+	return bbrevision.Revision{
+		Number: number,
+	}
+}
+
 func endpoint(id string) Endpoint {
 	return Endpoint{
 		ID:      id,
@@ -29,7 +38,7 @@
 
 func testTable() *Table {
 	table := NewTable()
-	table.ReplaceEndpoints(0, Snapshot{Revision: 5, Endpoints: []Endpoint{endpoint("a"), endpoint("b")}}, false)
+	table.ReplaceEndpoints(0, Snapshot{Revision: at(5), Endpoints: []Endpoint{endpoint("a"), endpoint("b")}}, false)
 	return table
 }
 
@@ -60,7 +69,7 @@
 
 func TestEntriesThatLapsedInAnOutage(t *testing.T) {
 	table := testTable()
-	table.ReplaceEndpoints(time.Second, Snapshot{Revision: 9, Endpoints: []Endpoint{endpoint("b")}}, true)
+	table.ReplaceEndpoints(time.Second, Snapshot{Revision: at(9), Endpoints: []Endpoint{endpoint("b")}}, true)
 	table.Expire(time.Second + reregisterGrace - 1)
 	wantUsable(t, table, "a", "b")
 
@@ -108,7 +117,7 @@
 	table := NewTable()
 	var notified []string
 	table.OnChange = func(e Endpoint, c Change) { notified = append(notified, e.ID+" "+string(c)) }
-	table.ReplaceEndpoints(0, Snapshot{Revision: 5, Endpoints: []Endpoint{endpoint("a"), endpoint("b")}}, false)
+	table.ReplaceEndpoints(0, Snapshot{Revision: at(5), Endpoints: []Endpoint{endpoint("a"), endpoint("b")}}, false)
 	cold, leaving := endpoint("a"), endpoint("b")
 	cold.Cold = 3 * time.Second
 	leaving.Leaving = true
@@ -147,7 +156,7 @@
 func TestSnapshotGoesToAnotherVM(t *testing.T) {
 	table := testTable()
 	table.SetZoneEvacuated("west", true)
-	table.OperatorRevision = 3
+	table.OperatorRevision = at(3)
 	other := NewTable()
 	other.Replace(0, table.Snapshot(0))
 	if diff := cmp.Diff(table.Snapshot(0), other.Snapshot(0)); diff != "" {
