Confirmed evacuations outlive an older copy of the store

What endpoints of an evacuated failure domain would see: new work again, for as long as the store, back from an older copy, lacks the evacuation. The other way round a domain that was taken back is evacuated again.

Cause: a list was taken as all there is. What the store has confirmed is knowledge; an older copy that lacks it doesn't refute it.

Now a list of a later era holds what it contradicts: an evacuation that it lacks goes on, one whose end is known (by the revision of the evacuation) doesn't begin again. That ends when the operators write it again, or after 10 s, in both directions; each further return starts the time anew. A whole delta of another VM is treated in the same way, its later deltas are not, since the sender holds what this VM knows; an equal revision is applied, so that the end of the time reaches followers. VMs tell how long they still hold, for those that start meanwhile.

While it is unknown, a failure domain stays evacuated: that costs capacity, the other way breaks a promise.

--- a/bluebelld/bbentry/cell_test.go
+++ b/bluebelld/bbentry/cell_test.go
@@ -117,7 +117,7 @@
 	t.Run("without those that were evacuated since", func(t *testing.T) {
 		e := newLargeEntry(t, 2, 200)
 		wantCoordinated(t, e, "z0-s0", "z0-s1")
-		e.Knowledge.ReplaceEvacuated([]string{"z0"}, bbrevision.Revision{Number: 1})
+		e.Knowledge.ReplaceEvacuated([]bbregistry.Evacuation{{Zone: "z0", Number: 1}}, bbrevision.Revision{Number: 1})
 		wantCoordinated(t, e)
 	})
 }
@@ -152,7 +152,7 @@
 
 func TestServes(t *testing.T) {
 	e := newLargeEntry(t, 2, 30)
-	e.Knowledge.ReplaceEvacuated([]string{"z1"}, bbrevision.Revision{Number: 1})
+	e.Knowledge.ReplaceEvacuated([]bbregistry.Evacuation{{Zone: "z1", Number: 1}}, bbrevision.Revision{Number: 1})
 	for zone, want := range map[string]bool{"z0": true, "z1": false, "elsewhere": false} {
 		if got := e.serves("s", zone); got != want {
 			t.Errorf("%s has endpoints that may get work: %v, want %v", zone, got, want)
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -120,6 +120,7 @@
 	e.Knowledge.OnCatalogChange = e.catalogChanged
 	e.Knowledge.SetReadsPlatform(false)
 	e.Knowledge.OnEndpointChange(e.endpointChanged)
+	e.Knowledge.OnEvacuation(e.evacuationChanged)
 	e.fleet = bbmembership.NewFleet(s.Self, s.Seeds, s.Regions, e.now, conns)
 	e.fleet.Serves = e.serves
 	e.fleet.Log = e.peerChanged
@@ -379,6 +380,10 @@
 	e.log.Event(bbevent.EndpointChanged).Str("endpoint", endpoint.ID).Str("detail", string(c)).Str("zone", endpoint.Zone).Str("service", endpoint.Service).Send()
 }
 
+func (e *Entry) evacuationChanged(zone string, evacuated bool, source string) {
+	e.log.Event(bbevent.ZoneEvacuation).Str("zone", zone).Bool("out", evacuated).Str("source", source).Send()
+}
+
 func (e *Entry) peerChanged(name string, up bool, why string) {
 	if up {
 		e.log.Event(bbevent.PeerBack).Str("peer", name).Str("why", why).Send()
--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -180,13 +180,9 @@
 	if p.Endpoints == nil {
 		return
 	}
-	changed, applied := e.Knowledge.ApplyPeerDelta(*p.Endpoints, p.StoreAge, e.settings.Regions)
-	if !applied {
+	if !e.Knowledge.ApplyPeerDelta(*p.Endpoints, p.StoreAge, peer.Name) {
 		return
 	}
-	for zone, evacuated := range changed {
-		e.log.Event(bbevent.ZoneEvacuation).Str("zone", zone).Bool("out", evacuated).Str("source", peer.Name).Send()
-	}
 	if p.Endpoints.Whole {
 		e.log.Event(bbevent.EndpointsAdopted).Str("peer", peer.Name).Stringer("revision", p.Endpoints.Revision).Send()
 	}
--- a/bluebelld/bbknowledge/knowledge.go
+++ b/bluebelld/bbknowledge/knowledge.go
@@ -76,6 +76,14 @@
 	k.table.OnChange = changed
 }
 
+// OnEvacuation sets the function that is called when a failure domain is evacuated or taken back, with what the
+// change came from.
+func (k *Knowledge) OnEvacuation(changed func(zone string, evacuated bool, source string)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table.OnEvacuation(changed)
+}
+
 // OfferCatalog puts a catalog into force if it is newer than the current one. It reports whether it did.
 func (k *Knowledge) OfferCatalog(c bbcatalog.Catalog, source string) bool {
 	k.mu.Lock()
@@ -124,13 +132,12 @@
 	return k.outage && now-k.outageEnd < outageGracePeriod
 }
 
-// ReplaceEvacuated replaces the evacuated failure domains by a complete list of the platform's. It returns the
-// failure domains that were evacuated before, and false if evacuations of a later era are known.
-func (k *Knowledge) ReplaceEvacuated(zones []string, at bbrevision.Revision) (before []string, replaced bool) {
+// ReplaceEvacuated replaces the evacuated failure domains by a complete list of the platform's. It returns false
+// if evacuations of a later era are known.
+func (k *Knowledge) ReplaceEvacuated(list []bbregistry.Evacuation, at bbrevision.Revision) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	before = k.table.Snapshot(k.now()).Evacuated
-	return before, k.table.ReplaceEvacuated(zones, at)
+	return k.table.ReplaceEvacuated(k.now(), list, at)
 }
 
 // ApplyZoneUpdates applies the platform's changes of evacuations up to a revision. It returns false if they don't
@@ -180,28 +187,17 @@
 	return !k.listed || k.now()-k.platformAnsweredAt > staleAfter
 }
 
-// ApplyPeerDelta applies changes of endpoints from the source, which the platform last answered storeAge
-// ago. It returns false if this VM knows newer endpoints. The map returned has those of the given failure
-// domains whose evacuation changed; true means evacuated.
-func (k *Knowledge) ApplyPeerDelta(d bbregistry.Delta, storeAge time.Duration, zones map[string]string) (changed map[string]bool, applied bool) {
+// ApplyPeerDelta applies changes of endpoints and evacuations from the source, which the platform last answered
+// storeAge ago. It returns false if this VM knows newer endpoints.
+func (k *Knowledge) ApplyPeerDelta(d bbregistry.Delta, storeAge time.Duration, source string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.sourceFreshAt = max(k.sourceFreshAt, k.now()-storeAge)
-	before := make(map[string]bool, len(zones))
-	for zone := range zones {
-		before[zone] = k.table.Evacuated(zone)
-	}
-	if !k.table.Apply(k.now(), d) {
-		return nil, false
+	if !k.table.Apply(k.now(), d, source) {
+		return false
 	}
 	k.listed = true
-	changed = make(map[string]bool)
-	for zone, evacuated := range before {
-		if now := k.table.Evacuated(zone); now != evacuated {
-			changed[zone] = now
-		}
-	}
-	return changed, true
+	return true
 }
 
 // RecordSourceAnswer records that the source answered.
@@ -224,7 +220,9 @@
 func (k *Knowledge) Since(sequence uint64) bbregistry.Delta {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.Since(k.now(), sequence)
+	now := k.now()
+	k.table.Expire(now)
+	return k.table.Since(now, sequence)
 }
 
 // HasListed reports whether a list of endpoints has been received.
--- a/bluebelld/bbknowledge/knowledge_test.go
+++ b/bluebelld/bbknowledge/knowledge_test.go
@@ -90,15 +90,16 @@
 	k, _ := newTestKnowledge()
 	list(k, "a")
 	k.ApplyEndpointUpdates(nil, at(10))
-	zones := map[string]string{"z": "r"}
+	changed := make(map[string]bool)
+	k.OnEvacuation(func(zone string, evacuated bool, _ string) { changed[zone] = evacuated })
 	t.Run("older endpoints are not applied", func(t *testing.T) {
-		if _, applied := k.ApplyPeerDelta(bbregistry.Delta{Revision: at(9), Removed: []string{"a"}}, 0, zones); applied {
+		if k.ApplyPeerDelta(bbregistry.Delta{Revision: at(9), Removed: []string{"a"}}, 0, "b") {
 			t.Error("endpoints of an older revision were applied, want them ignored")
 		}
 		wantUsable(t, k, "a")
 	})
-	t.Run("an evacuated failure domain is returned", func(t *testing.T) {
-		changed, applied := k.ApplyPeerDelta(bbregistry.Delta{Revision: at(11), OperatorRevision: at(11), Evacuated: []string{"z"}}, 0, zones)
+	t.Run("an evacuated failure domain is notified", func(t *testing.T) {
+		applied := k.ApplyPeerDelta(bbregistry.Delta{Revision: at(11), OperatorRevision: at(11), Evacuated: []string{"z"}}, 0, "b")
 		if diff := cmp.Diff(map[string]bool{"z": true}, changed); diff != "" || !applied {
 			t.Errorf("applied %v, failure domains whose evacuation changed (-want +got):\n%s", applied, diff)
 		}
@@ -116,7 +117,7 @@
 		}
 	}
 	k.RecordSourceAnswer()
-	k.ApplyPeerDelta(bbregistry.Delta{Revision: at(1)}, 100*time.Millisecond, nil)
+	k.ApplyPeerDelta(bbregistry.Delta{Revision: at(1)}, 100*time.Millisecond, "b")
 	want("source has just answered", false, false)
 	c.now += sourceTimeout
 	want("just before the timeout of the source", false, true)
@@ -124,7 +125,7 @@
 	want("source is silent", true, true)
 	k.RecordSourceAnswer()
 	want("source is back without the platform", false, true)
-	k.ApplyPeerDelta(bbregistry.Delta{Revision: at(1)}, 0, nil)
+	k.ApplyPeerDelta(bbregistry.Delta{Revision: at(1)}, 0, "b")
 	want("source is back", false, false)
 }
 
@@ -136,7 +137,7 @@
 	if got := k.StoreAge(); got != 3*time.Second {
 		t.Errorf("age %v without further answers of the platform, want 3s", got)
 	}
-	k.ApplyPeerDelta(bbregistry.Delta{Revision: at(1)}, 200*time.Millisecond, nil)
+	k.ApplyPeerDelta(bbregistry.Delta{Revision: at(1)}, 200*time.Millisecond, "b")
 	if got := k.StoreAge(); got != 200*time.Millisecond {
 		t.Errorf("age %v of a VM that follows a source, want 200ms", got)
 	}
@@ -147,7 +148,7 @@
 	k.OfferCatalog(bbcatalog.Catalog{
 		Version: 1,
 	}, "test")
-	k.ReplaceEvacuated([]string{"z"}, at(1))
+	k.ReplaceEvacuated([]bbregistry.Evacuation{{Zone: "z", Number: 1}}, at(1))
 	if ready, _, _ := k.Ready(); ready {
 		t.Error("ready before the endpoints are known, want not")
 	}
@@ -172,7 +173,7 @@
 		{"a later revision of a build without eras", bbregistry.Delta{Number: 7}, true},
 		{"an earlier revision of a build without eras", bbregistry.Delta{Number: 6}, false},
 	} {
-		if _, applied := k.ApplyPeerDelta(step.delta, 0, nil); applied != step.want {
+		if applied := k.ApplyPeerDelta(step.delta, 0, "b"); applied != step.want {
 			t.Errorf("%s: applied %t, want %t", step.name, applied, step.want)
 		}
 	}
@@ -183,7 +184,7 @@
 func TestUpdatesThatDoNotContinueWhatIsKnown(t *testing.T) {
 	k, _ := newTestKnowledge()
 	list(k, "a")
-	k.ApplyPeerDelta(bbregistry.Delta{Revision: bbrevision.Revision{Era: 2, Number: 9}, Whole: true}, 0, nil)
+	k.ApplyPeerDelta(bbregistry.Delta{Revision: bbrevision.Revision{Era: 2, Number: 9}, Whole: true}, 0, "b")
 	put := []bbregistry.Update{{Endpoint: bbregistry.Endpoint{ID: "a", Service: "s"}, Number: 8}}
 	if k.ApplyEndpointUpdates(put, bbrevision.Revision{Era: 1, Number: 8}) {
 		t.Error("updates of an earlier era were applied")
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -207,7 +207,7 @@
 	{Number: CatalogUnreadable, Title: "catalogUnreadable", Severity: SeverityError, Text: "The platform's configuration can't be read; the previous one stays in force."},
 	{Number: StoreLost, Title: "storeLost", Severity: SeverityWarning, Text: "The platform's store does not answer; this VM continues with its own state and that of other VMs."},
 	{Number: StoreBack, Title: "storeBack", Severity: SeverityInfo, Text: "The platform's store answers again."},
-	{Number: ZoneEvacuation, Title: "zoneEvacuation", Severity: SeverityInfo, Text: "A failure domain was taken out of service or brought back; out is true when it was taken out."},
+	{Number: ZoneEvacuation, Title: "zoneEvacuation", Severity: SeverityInfo, Text: "A failure domain was taken out of service or brought back; out is true when it was taken out. Source is watch, list, the VM that it was learned from, or settled: the store, back from an older copy, has had it so for long enough."},
 	{Number: EndpointUnreadable, Title: "endpointUnreadable", Severity: SeverityWarning, Text: "An entry of the platform's list can't be decoded; its endpoint is treated as not listed."},
 	{Number: EndpointsAdopted, Title: "endpointsAdopted", Severity: SeverityInfo, Text: "The list of endpoints was copied from another VM, because the store can't be reached."},
 	{Number: FollowFailed, Title: "followFailed", Severity: SeverityInfo, Text: "Configuration and endpoints could not be fetched from another VM."},
--- a/core/bbregistry/delta.go
+++ b/core/bbregistry/delta.go
@@ -47,8 +47,10 @@
 	// Put are entries that were added or changed, Removed the IDs of removed entries.
 	Put     []Endpoint `json:"put"`
 	Removed []string   `json:"removed"`
-	// Evacuated are the failure domains that get no new work.
-	Evacuated []string `json:"evacuated"`
+	// Evacuated are the failure domains that get no new work. OperatorUnsettled is how much longer the sender
+	// holds evacuations of which the store, back from an older copy, has the opposite.
+	Evacuated         []string      `json:"evacuated"`
+	OperatorUnsettled time.Duration `json:"operatorUnsettled,omitempty"`
 }
 
 // Since returns the changes after a sequence number, or the whole table if the log doesn't reach back to it.
@@ -62,6 +64,8 @@
 
 		OperatorRevision: t.OperatorRevision,
 		OperatorNumber:   t.OperatorRevision.Number,
+
+		OperatorUnsettled: t.zones.unsettled(now),
 	}
 	if sequence < t.changes.dropped || sequence > d.Sequence || sequence == 0 {
 		d.Whole = true
@@ -103,20 +107,18 @@
 	return d
 }
 
-// Apply applies a delta of another table. It returns false if the table has later endpoints.
-func (t *Table) Apply(now time.Duration, d Delta) bool {
+// Apply applies a delta of another table; source names it. It returns false if the table has later endpoints.
+func (t *Table) Apply(now time.Duration, d Delta, source string) bool {
 	d = d.withEras(t)
 	if d.Revision.Before(t.Revision) {
 		return false
 	}
+	t.mergeEvacuated(now, d, source)
 	if d.Whole {
-		t.Replace(now, Snapshot{
-			Revision:         d.Revision,
-			OperatorRevision: d.OperatorRevision,
-			Endpoints:        d.Put,
-			Evacuated:        d.Evacuated,
-		})
-		return true
+		return t.ReplaceEndpoints(now, Snapshot{
+			Revision:  d.Revision,
+			Endpoints: d.Put,
+		}, false)
 	}
 	for _, e := range d.Put {
 		t.Put(now, e)
@@ -124,7 +126,6 @@
 	for _, id := range d.Removed {
 		t.Remove(now, id, false)
 	}
-	t.mergeEvacuated(d.Evacuated, d.OperatorRevision)
 	t.Revision = d.Revision
 	return true
 }
--- a/core/bbregistry/delta_test.go
+++ b/core/bbregistry/delta_test.go
@@ -18,19 +18,18 @@
 func TestFollowerKeepsUp(t *testing.T) {
 	leader, follower := testTable(), NewTable()
 	first := leader.Since(0, 0)
-	follower.Apply(0, first)
+	follower.Apply(0, first, "")
 	wantFollowed(t, leader, follower)
 
 	leader.Put(0, endpoint("c"))
 	leader.Remove(0, "a", false)
-	leader.SetZoneEvacuated("west", true)
-	leader.OperatorRevision = at(8)
+	evacuate(leader, 8, "west", false)
 	leader.Revision = at(9)
 	d := leader.Since(0, first.Sequence)
 	if d.Whole || len(d.Put) != 1 || len(d.Removed) != 1 {
 		t.Errorf("delta %+v, want one entry put and one removed", d)
 	}
-	follower.Apply(0, d)
+	follower.Apply(0, d, "")
 	wantFollowed(t, leader, follower)
 
 	t.Run("a heartbeat is no change", func(t *testing.T) {
@@ -42,7 +41,7 @@
 	t.Run("an entry that is not registered again is removed", func(t *testing.T) {
 		leader.Remove(0, "b", true)
 		leader.Expire(reregisterGrace)
-		follower.Apply(0, leader.Since(0, d.Sequence))
+		follower.Apply(0, leader.Since(0, d.Sequence), "")
 		wantFollowed(t, leader, follower)
 	})
 }
@@ -58,7 +57,7 @@
 	if !d.Whole {
 		t.Error("a part of the changes, want the whole table")
 	}
-	follower.Apply(0, d)
+	follower.Apply(0, d, "")
 	wantFollowed(t, leader, follower)
 }
 
@@ -67,9 +66,8 @@
 	other, table := testTable(), testTable()
 	other.Revision = at(20)
 	other.OperatorRevision = at(10)
-	table.SetZoneEvacuated("east", true)
-	table.OperatorRevision = at(15)
-	table.Apply(0, other.Since(0, 0))
+	evacuate(table, 15, "east", false)
+	table.Apply(0, other.Since(0, 0), "")
 	if !table.Evacuated("east") {
 		t.Error("the failure domain is not evacuated, want the newer evacuation to stay")
 	}
--- /dev/null
+++ b/core/bbregistry/evacuation.go
@@ -0,0 +1,233 @@
+package bbregistry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bluebellhall/core/bbrevision"
+)
+
+const (
+	// operatorSettleTime is how long after the store has come back from an older copy a known evacuation, or
+	// the known end of one, outlives a copy that has it otherwise. It is enough for operators to write again
+	// what the copy lacks.
+	operatorSettleTime = 10 * time.Second
+	// maxZones bounds the failure domains whose evacuations are remembered.
+	maxZones = 1024
+)
+
+// Evacuation is an evacuated failure domain, as listed by the platform or by another VM.
+type Evacuation struct {
+	Zone string
+	// Number is the number of the revision of the evacuation; 0 if unknown.
+	Number uint64
+}
+
+// ZoneUpdate is one change of an evacuation.
+type ZoneUpdate struct {
+	Evacuation
+	// Ended is true if the evacuation has ended.
+	Ended bool
+}
+
+// zoneState is what is known of the evacuation of a failure domain.
+type zoneState struct {
+	// listed is true while the platform has the evacuation, number is that of its revision.
+	listed bool
+	number uint64
+	// ended is the number of the revision of the evacuation that ended last; 0 if there is none.
+	ended uint64
+	// held is true while the opposite of listed holds, since it was confirmed before the store came back from
+	// an older copy.
+	held bool
+}
+
+// evacuated reports whether the failure domain gets no new work.
+func (s *zoneState) evacuated() bool {
+	return s.listed != s.held
+}
+
+// zones are the evacuations of failure domains.
+type zones struct {
+	states map[string]*zoneState
+	// settleAt is when held evacuations end; 0 if there are none.
+	settleAt time.Duration
+	// generation counts the changes of the set of evacuated failure domains.
+	generation uint64
+	// onChange is called when a failure domain is evacuated or taken back; it may be nil.
+	onChange func(zone string, evacuated bool, source string)
+}
+
+// state returns the state of a failure domain.
+func (z *zones) state(zone string) *zoneState {
+	s := z.states[zone]
+	if s == nil {
+		z.forgetEnded()
+		s = &zoneState{}
+		z.states[zone] = s
+	}
+	return s
+}
+
+// forgetEnded removes the states that matter only if an evacuation comes back from a copy, if there are too many.
+func (z *zones) forgetEnded() {
+	if len(z.states) < maxZones {
+		return
+	}
+	for zone, s := range z.states {
+		if !s.listed && !s.held {
+			delete(z.states, zone)
+		}
+	}
+}
+
+// set changes the state of a failure domain.
+func (z *zones) set(zone, source string, change func(s *zoneState)) {
+	s := z.state(zone)
+	before := s.evacuated()
+	change(s)
+	if s.evacuated() == before {
+		return
+	}
+	z.generation++
+	if z.onChange != nil {
+		z.onChange(zone, s.evacuated(), source)
+	}
+}
+
+// replace applies a complete list. Hold is true if the list may come from an older copy: then a confirmed
+// evacuation that it lacks goes on, and one that is known to have ended doesn't begin again.
+func (z *zones) replace(list []Evacuation, source string, hold bool) {
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		listed[e.Zone] = true
+		z.set(e.Zone, source, func(s *zoneState) {
+			ended := e.Number != 0 && e.Number == s.ended
+			s.held = hold && ended && !s.evacuated()
+			s.listed = true
+			if e.Number != 0 {
+				s.number = e.Number
+			}
+		})
+	}
+	for _, zone := range slices.Sorted(maps.Keys(z.states)) {
+		if listed[zone] || !z.states[zone].listed {
+			continue
+		}
+		z.set(zone, source, func(s *zoneState) {
+			s.held = hold && s.evacuated()
+			s.listed = false
+			if !s.held {
+				s.ended = s.number
+			}
+		})
+	}
+}
+
+// settle ends what is held once its time has passed.
+func (z *zones) settle(now time.Duration) {
+	if z.settleAt == 0 || now < z.settleAt {
+		return
+	}
+	z.settleAt = 0
+	for _, zone := range slices.Sorted(maps.Keys(z.states)) {
+		if z.states[zone].held {
+			z.set(zone, "settled", func(s *zoneState) { s.held = false })
+		}
+	}
+}
+
+// unsettled returns how much longer evacuations are held; 0 if there are none.
+func (z *zones) unsettled(now time.Duration) time.Duration {
+	return max(0, z.settleAt-now)
+}
+
+// evacuatedZones returns the evacuated failure domains, sorted.
+func (z *zones) evacuatedZones() []string {
+	var list []string
+	for _, zone := range slices.Sorted(maps.Keys(z.states)) {
+		if z.states[zone].evacuated() {
+			list = append(list, zone)
+		}
+	}
+	return list
+}
+
+// Evacuated reports whether a failure domain is evacuated.
+func (t *Table) Evacuated(zone string) bool {
+	s := t.zones.states[zone]
+	return s != nil && s.evacuated()
+}
+
+// OnEvacuation sets the function that is called when a failure domain is evacuated or taken back, with what the
+// change came from.
+func (t *Table) OnEvacuation(changed func(zone string, evacuated bool, source string)) {
+	t.zones.onChange = changed
+}
+
+// ApplyZoneUpdates applies the platform's changes of evacuations up to a revision, without those that are known
+// already. It returns false if the changes don't continue the table, since it is of another era.
+func (t *Table) ApplyZoneUpdates(updates []ZoneUpdate, at bbrevision.Revision) bool {
+	if at.Era != t.OperatorRevision.Era {
+		return false
+	}
+	for _, u := range updates {
+		if u.Number <= t.OperatorRevision.Number {
+			continue
+		}
+		t.zones.set(u.Zone, "watch", func(s *zoneState) {
+			if u.Ended && s.listed {
+				s.ended = s.number
+			}
+			s.held = false
+			s.listed = !u.Ended
+			s.number = u.Number
+		})
+	}
+	t.OperatorRevision = bbrevision.Latest(t.OperatorRevision, at)
+	return true
+}
+
+// ReplaceEvacuated replaces the evacuations by a complete list of the platform's. It returns false if the list is
+// of an earlier era than the table.
+//
+// A list of a later era comes from an older copy of the store: until operatorSettleTime has passed, or the
+// operators have written them again, the evacuations that were confirmed before outlive it.
+func (t *Table) ReplaceEvacuated(now time.Duration, list []Evacuation, at bbrevision.Revision) bool {
+	if at.Era < t.OperatorRevision.Era {
+		return false
+	}
+	t.enterOperatorEra(now, at)
+	t.zones.replace(list, "list", t.zones.settleAt > 0)
+	return true
+}
+
+// enterOperatorEra sets the revision of the evacuations. From a later era on, what was known is held for a while.
+func (t *Table) enterOperatorEra(now time.Duration, at bbrevision.Revision) {
+	t.zones.settle(now)
+	if at.Era > t.OperatorRevision.Era && !t.OperatorRevision.IsZero() {
+		t.zones.settleAt = now + operatorSettleTime
+	}
+	t.OperatorRevision = at
+}
+
+// mergeEvacuated applies another VM's evacuations unless they are older. Its endpoints may be newer than the ones
+// here while its evacuations are older. A delta that isn't whole comes from a VM that has held whatever this one
+// knew, so that an evacuation ends here when it ends there.
+func (t *Table) mergeEvacuated(now time.Duration, d Delta, source string) {
+	if d.OperatorRevision.Before(t.OperatorRevision) {
+		return
+	}
+	list := make([]Evacuation, 0, len(d.Evacuated))
+	for _, zone := range d.Evacuated {
+		list = append(list, Evacuation{
+			Zone: zone,
+		})
+	}
+	t.enterOperatorEra(now, d.OperatorRevision)
+	t.zones.replace(list, source, d.Whole && t.zones.settleAt > 0)
+	if left := min(d.OperatorUnsettled, operatorSettleTime); left > 0 {
+		t.zones.settleAt = max(t.zones.settleAt, now+left)
+	}
+}
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -61,19 +61,19 @@
 	// separately from the endpoints.
 	OperatorRevision bbrevision.Revision
 	entries          map[string]*Entry
-	evacuated        map[string]bool
+	zones            zones
 	changes          changes
 	// OnChange is called with each change of an endpoint after the initial load; it may be nil.
 	OnChange func(e Endpoint, c Change)
-	// evacuations counts the updates of evacuated.
-	evacuations uint64
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		entries:   make(map[string]*Entry),
-		evacuated: make(map[string]bool),
+		entries: make(map[string]*Entry),
+		zones: zones{
+			states: make(map[string]*zoneState),
+		},
 	}
 }
 
@@ -157,65 +157,6 @@
 	t.changes.add(id)
 }
 
-// Replace replaces the content by the snapshot of another VM; its evacuations only if they are newer.
-func (t *Table) Replace(now time.Duration, s Snapshot) {
-	t.ReplaceEndpoints(now, s, false)
-	t.mergeEvacuated(s.Evacuated, s.OperatorRevision)
-}
-
-// mergeEvacuated applies another VM's evacuations if they are newer. Its endpoints may be newer than the
-// ones here while its evacuations are older.
-func (t *Table) mergeEvacuated(zones []string, revision bbrevision.Revision) {
-	if t.OperatorRevision.Before(revision) {
-		t.SetEvacuated(zones)
-		t.OperatorRevision = revision
-	}
-}
-
-// ZoneUpdate is one change of an evacuation.
-type ZoneUpdate struct {
-	Zone string
-	// Number is the number of the change's revision.
-	Number uint64
-	// Evacuated is false if the evacuation has ended.
-	Evacuated bool
-}
-
-// ApplyZoneUpdates applies the changes of evacuations up to a revision, without those that are known already. It
-// returns false if the changes don't continue the table, since it is of another era.
-func (t *Table) ApplyZoneUpdates(updates []ZoneUpdate, at bbrevision.Revision) bool {
-	if at.Era != t.OperatorRevision.Era {
-		return false
-	}
-	for _, u := range updates {
-		if u.Number > t.OperatorRevision.Number {
-			t.SetZoneEvacuated(u.Zone, u.Evacuated)
-		}
-	}
-	t.OperatorRevision = bbrevision.Latest(t.OperatorRevision, at)
-	return true
-}
-
-// ReplaceEvacuated replaces the evacuations by a complete list. It returns false if the list is of an earlier
-// era than the table.
-func (t *Table) ReplaceEvacuated(zones []string, at bbrevision.Revision) bool {
-	if at.Era < t.OperatorRevision.Era {
-		return false
-	}
-	t.SetEvacuated(zones)
-	t.OperatorRevision = at
-	return true
-}
-
-// SetEvacuated sets the failure domains that get no new work.
-func (t *Table) SetEvacuated(zones []string) {
-	t.evacuations++
-	t.evacuated = make(map[string]bool, len(zones))
-	for _, zone := range zones {
-		t.evacuated[zone] = true
-	}
-}
-
 // Update is one change of an entry of the registry.
 type Update struct {
 	// Endpoint is the new state; only its ID is set if the entry was removed or is invalid.
@@ -266,28 +207,15 @@
 	return true
 }
 
-// Evacuated reports whether a failure domain is evacuated.
-func (t *Table) Evacuated(zone string) bool {
-	return t.evacuated[zone]
-}
-
 // Generation returns a number that changes whenever the set of usable endpoints may have changed.
 func (t *Table) Generation() uint64 {
-	return t.changes.sequence() + t.evacuations
-}
-
-// SetZoneEvacuated sets whether a failure domain is evacuated.
-func (t *Table) SetZoneEvacuated(zone string, evacuated bool) {
-	t.evacuations++
-	if evacuated {
-		t.evacuated[zone] = true
-		return
-	}
-	delete(t.evacuated, zone)
+	return t.changes.sequence() + t.zones.generation
 }
 
-// Expire removes entries that were not registered again within reregisterGrace.
+// Expire removes entries that were not registered again within reregisterGrace, and ends what outlived an older
+// copy of the store if its time has passed.
 func (t *Table) Expire(now time.Duration) {
+	t.zones.settle(now)
 	for id, e := range t.entries {
 		if e.lapsed && now-e.lapsedAt >= reregisterGrace {
 			t.delete(id)
@@ -298,7 +226,7 @@
 // Usable returns the endpoint with that ID if it may get new work, else nil.
 func (t *Table) Usable(id string) *Entry {
 	e := t.entries[id]
-	if e == nil || e.Leaving || t.evacuated[e.Zone] {
+	if e == nil || e.Leaving || t.Evacuated(e.Zone) {
 		return nil
 	}
 	return e
@@ -381,9 +309,6 @@
 		s.Endpoints = append(s.Endpoints, listed)
 	}
 	sort.Slice(s.Endpoints, func(i, j int) bool { return s.Endpoints[i].ID < s.Endpoints[j].ID })
-	for zone := range t.evacuated {
-		s.Evacuated = append(s.Evacuated, zone)
-	}
-	sort.Strings(s.Evacuated)
+	s.Evacuated = t.zones.evacuatedZones()
 	return s
 }
--- a/core/bbregistry/table_test.go
+++ b/core/bbregistry/table_test.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// evacuate applies the evacuation of a failure domain, or its end, with the number of its revision.
+func evacuate(table *Table, number uint64, zone string, ended bool) {
+	at := bbrevision.Revision{
+		Era:    table.OperatorRevision.Era,
+		Number: number,
+	}
+	table.ApplyZoneUpdates([]ZoneUpdate{{Evacuation: Evacuation{Zone: zone, Number: number}, Ended: ended}}, at)
+}
+
 func testTable() *Table {
 	table := NewTable()
 	table.ReplaceEndpoints(0, Snapshot{Revision: at(5), Endpoints: []Endpoint{endpoint("a"), endpoint("b")}}, false)
@@ -55,9 +64,9 @@
 	})
 	t.Run("not in an evacuated failure domain", func(t *testing.T) {
 		table := testTable()
-		table.SetZoneEvacuated("east", true)
+		evacuate(table, 6, "east", false)
 		wantUsable(t, table)
-		table.SetZoneEvacuated("east", false)
+		evacuate(table, 7, "east", true)
 		wantUsable(t, table, "a", "b")
 	})
 	t.Run("not those that were removed", func(t *testing.T) {
@@ -155,10 +164,9 @@
 
 func TestSnapshotGoesToAnotherVM(t *testing.T) {
 	table := testTable()
-	table.SetZoneEvacuated("west", true)
-	table.OperatorRevision = at(3)
+	evacuate(table, 3, "west", false)
 	other := NewTable()
-	other.Replace(0, table.Snapshot(0))
+	other.Apply(0, table.Since(0, 0), "")
 	if diff := cmp.Diff(table.Snapshot(0), other.Snapshot(0)); diff != "" {
 		t.Errorf("snapshot of the other VM (-want +got):\n%s", diff)
 	}
@@ -180,7 +188,7 @@
 	leaving.Leaving = true
 	table.Put(0, leaving)
 	changed("an endpoint that leaves", true)
-	table.SetZoneEvacuated("east", true)
+	evacuate(table, 6, "east", false)
 	changed("the evacuation of a failure domain", true)
 	table.Remove(0, "b", true)
 	changed("an entry that lapsed", false)
