Leaving and removed processes outlive an older copy of the store

What an endpoint that is leaving or gone would see: new work again, since the store, back from an older copy, lists its process as ready.

Cause: as for evacuations, a list was taken as all there is.

For 6 s from the first list of a later era on, a process that was leaving or gone gets no work though the list has it as ready; an entry of an earlier process under the same ID counts like a removed one. It ends when the endpoint writes its entry again, except that a process which was leaving stays so if its former entry is written again first. Other VMs are told that such an endpoint is leaving, and that it is held, so that they release it with the sender; a VM that starts meanwhile holds it for the rest of the time.

6 s: within three heartbeat intervals the store drops entries that nobody renews, two seconds later all writers are back.

TestLeavingEndpointsOutliveAnOlderCopy failed before and passes.

--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -211,7 +211,7 @@
 	{Number: EndpointUnreadable, Title: "endpointUnreadable", Severity: SeverityWarning, Text: "An entry of the platform's list can't be decoded; its endpoint is treated as not listed."},
 	{Number: EndpointsAdopted, Title: "endpointsAdopted", Severity: SeverityInfo, Text: "The list of endpoints was copied from another VM, because the store can't be reached."},
 	{Number: FollowFailed, Title: "followFailed", Severity: SeverityInfo, Text: "Configuration and endpoints could not be fetched from another VM."},
-	{Number: EndpointChanged, Title: "endpointChanged", Severity: SeverityInfo, Text: "The state of an endpoint, as this VM sees it, changed to listed, cold, warm, leaving, lapsed while the store could not be reached, or gone; detail names the new state."},
+	{Number: EndpointChanged, Title: "endpointChanged", Severity: SeverityInfo, Text: "The state of an endpoint, as this VM sees it, changed to listed, cold, warm, leaving, lapsed while the store could not be reached, gone, held (listed by an older copy of the store, but its process was leaving or gone before), or released; detail names the new state."},
 	{Number: EndpointLeaves, Title: "endpointLeaves", Severity: SeverityInfo, Text: "An endpoint has announced in an answer that it is leaving, to this VM or to the one that source names. It gets no new requests, even while it is listed."},
 	{Number: CoordinatorChanged, Title: "coordinatorChanged", Severity: SeverityInfo, Text: "From the view of this VM, another VM now coordinates its cell."},
 	{Number: CellsChanged, Title: "cellsChanged", Severity: SeverityInfo, Text: "The cells that this VM coordinates have changed; works is true when it coordinates any."},
--- a/core/bbregistry/delta.go
+++ b/core/bbregistry/delta.go
@@ -39,6 +39,9 @@
 	Whole bool `json:"whole"`
 	// Revision is the platform's revision of the endpoints.
 	Revision bbrevision.Revision `json:"at"`
+	// Unsettled is how much longer the sender holds endpoints that the store, back from an older copy, has as
+	// ready.
+	Unsettled time.Duration `json:"unsettled,omitempty"`
 	// OperatorRevision is the platform's revision of Evacuated.
 	OperatorRevision bbrevision.Revision `json:"operatorAt"`
 	// Number and OperatorNumber are the numbers of both revisions. Builds without eras know only these.
@@ -60,6 +63,7 @@
 		Sequence:  t.changes.sequence(),
 		Revision:  t.Revision,
 		Number:    t.Revision.Number,
+		Unsettled: max(0, t.settleAt-now),
 		Evacuated: all.Evacuated,
 
 		OperatorRevision: t.OperatorRevision,
@@ -114,12 +118,14 @@
 		return false
 	}
 	t.mergeEvacuated(now, d, source)
+	defer t.extendSettleTime(now, d.Unsettled)
 	if d.Whole {
 		return t.ReplaceEndpoints(now, Snapshot{
 			Revision:  d.Revision,
 			Endpoints: d.Put,
 		}, false)
 	}
+	t.enterEra(now, d.Revision)
 	for _, e := range d.Put {
 		t.Put(now, e)
 	}
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -29,6 +29,9 @@
 	Leaving bool `json:"leaving"`
 	// Cold is how much longer the endpoint takes only a low rate of requests, as of the listing.
 	Cold time.Duration `json:"cold"`
+	// Held is true if another VM shows the endpoint as leaving only because its process was leaving or gone
+	// before the store came back from an older copy.
+	Held bool `json:"held,omitempty"`
 }
 
 // Snapshot is the content of the platform's registry at one revision.
@@ -51,6 +54,8 @@
 	lapsed bool
 	// lapsedAt is when the entry was first found missing.
 	lapsedAt time.Duration
+	// hold is why the endpoint gets no work, though it is listed as ready.
+	hold hold
 }
 
 // Table has the registered endpoints. The zero value is not ready for use.
@@ -63,6 +68,10 @@
 	entries          map[string]*Entry
 	zones            zones
 	changes          changes
+	// ended are the processes that were removed.
+	ended endedProcesses
+	// settleAt is when held endpoints count as listed again; 0 if nothing is held.
+	settleAt time.Duration
 	// OnChange is called with each change of an endpoint after the initial load; it may be nil.
 	OnChange func(e Endpoint, c Change)
 }
@@ -71,6 +80,7 @@
 func NewTable() *Table {
 	return &Table{
 		entries: make(map[string]*Entry),
+		ended:   newEndedProcesses(),
 		zones: zones{
 			states: make(map[string]*zoneState),
 		},
@@ -89,6 +99,10 @@
 	ChangeLeaving Change = "leaving"
 	ChangeLapsed  Change = "lapsed"
 	ChangeGone    Change = "gone"
+	// A held endpoint is listed by an older copy of the store, but its process was leaving or gone before. It
+	// is released when the list counts again.
+	ChangeHeld     Change = "held"
+	ChangeReleased Change = "released"
 )
 
 // notify calls OnChange, but not for the initial load.
@@ -98,29 +112,45 @@
 	}
 }
 
-// notifyPut notifies what Put changes of an endpoint, if anything.
-func (t *Table) notifyPut(former *Entry, e Endpoint) {
+// notifyPut notifies what a new state changes of an endpoint, if anything.
+func (t *Table) notifyPut(former *Entry, e *Entry) {
 	switch {
+	case e.hold != holdNone && (former == nil || former.hold == holdNone):
+		t.notify(e.Endpoint, ChangeHeld)
+	case e.hold == holdNone && former != nil && former.hold != holdNone:
+		t.notify(e.Endpoint, ChangeReleased)
 	case former == nil || former.lapsed:
-		t.notify(e, ChangeListed)
+		t.notify(e.Endpoint, ChangeListed)
 	case e.Leaving && !former.Leaving:
-		t.notify(e, ChangeLeaving)
+		t.notify(e.Endpoint, ChangeLeaving)
 	case e.Cold > 0 && former.Cold == 0:
-		t.notify(e, ChangeCold)
+		t.notify(e.Endpoint, ChangeCold)
 	case e.Cold == 0 && former.Cold > 0:
-		t.notify(e, ChangeWarm)
+		t.notify(e.Endpoint, ChangeWarm)
 	}
 }
 
-// Put adds or updates an entry. Heartbeats that change nothing else don't count as a change.
+// Put adds or updates an entry as its endpoint has written it. Heartbeats that change nothing else don't count as
+// a change.
 func (t *Table) Put(now time.Duration, e Endpoint) {
+	h := t.holdWritten(t.entries[e.ID], e)
+	if h == holdNone {
+		t.ended.holds.Remove(e.process())
+	}
+	t.put(now, e, h)
+}
+
+// put adds or updates an entry.
+func (t *Table) put(now time.Duration, e Endpoint, h hold) {
 	former := t.entries[e.ID]
-	t.notifyPut(former, e)
-	t.entries[e.ID] = &Entry{
+	entry := &Entry{
 		Endpoint:  e,
 		ColdUntil: now + e.Cold,
+		hold:      h,
 	}
-	if former == nil || former.lapsed || !former.Endpoint.equivalent(e) {
+	t.notifyPut(former, entry)
+	t.entries[e.ID] = entry
+	if former == nil || former.lapsed || former.hold != h || !former.Endpoint.equivalent(e) {
 		t.changes.add(e.ID)
 	}
 }
@@ -140,7 +170,7 @@
 	if e == nil {
 		return
 	}
-	if !grace || e.Leaving {
+	if !grace || e.Leaving || e.hold != holdNone {
 		t.delete(id)
 		return
 	}
@@ -153,6 +183,7 @@
 
 func (t *Table) delete(id string) {
 	t.notify(t.entries[id].Endpoint, ChangeGone)
+	t.ended.add(t.entries[id])
 	delete(t.entries, id)
 	t.changes.add(id)
 }
@@ -174,6 +205,7 @@
 	if at.Era != t.Revision.Era {
 		return false
 	}
+	t.settleEndpoints(now)
 	for _, u := range updates {
 		switch {
 		case u.Number <= t.Revision.Number:
@@ -189,13 +221,21 @@
 
 // ReplaceEndpoints replaces the endpoints by a complete list. With grace those missing from it are kept for
 // a while. It returns false if the list is of an earlier era than the table.
+//
+// A list of a later era comes from an older copy of the store: until endpointSettleTime has passed, or the endpoint
+// has written its entry again, a process that was leaving or gone before gets no work.
 func (t *Table) ReplaceEndpoints(now time.Duration, s Snapshot, grace bool) bool {
 	if s.Revision.Era < t.Revision.Era {
 		return false
 	}
+	t.enterEra(now, s.Revision)
 	listed := make(map[string]bool, len(s.Endpoints))
 	for _, e := range s.Endpoints {
 		listed[e.ID] = true
+		if t.unsettled() {
+			t.put(now, e, t.holdListed(t.entries[e.ID], e))
+			continue
+		}
 		t.Put(now, e)
 	}
 	for id := range t.entries {
@@ -216,6 +256,7 @@
 // copy of the store if its time has passed.
 func (t *Table) Expire(now time.Duration) {
 	t.zones.settle(now)
+	t.settleEndpoints(now)
 	for id, e := range t.entries {
 		if e.lapsed && now-e.lapsedAt >= reregisterGrace {
 			t.delete(id)
@@ -226,7 +267,7 @@
 // Usable returns the endpoint with that ID if it may get new work, else nil.
 func (t *Table) Usable(id string) *Entry {
 	e := t.entries[id]
-	if e == nil || e.Leaving || t.Evacuated(e.Zone) {
+	if e == nil || e.Leaving || e.hold != holdNone || t.Evacuated(e.Zone) {
 		return nil
 	}
 	return e
@@ -306,6 +347,9 @@
 	for _, e := range t.entries {
 		listed := e.Endpoint
 		listed.Cold = max(0, e.ColdUntil-now)
+		if e.hold != holdNone {
+			listed.Leaving, listed.Held = true, true
+		}
 		s.Endpoints = append(s.Endpoints, listed)
 	}
 	sort.Slice(s.Endpoints, func(i, j int) bool { return s.Endpoints[i].ID < s.Endpoints[j].ID })
