Endpoints that an older copy of the store lacks stay usable until they have registered again

What callers would see: endpoints that registered in the last seconds before the store came back from an older copy get no work, up to a whole service that was just added, until they have registered again.

Cause: entries that are missing are kept for a while only after an outage that this VM has noticed. A store may come back between two calls, and a list after a lost history then dropped what it lacked at once.

--- a/bluebelld/bbknowledge/knowledge.go
+++ b/bluebelld/bbknowledge/knowledge.go
@@ -111,6 +111,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
+	if k.listed && s.Revision.Era > k.table.Revision.Era {
+		// The store was away, though perhaps for less than the time between two calls.
+		k.outage = true
+		k.outageEnd = now
+	}
 	if !k.table.ReplaceEndpoints(now, s, k.inGrace(now)) {
 		return false
 	}
--- a/bluebelld/bbknowledge/knowledge_test.go
+++ b/bluebelld/bbknowledge/knowledge_test.go
@@ -197,3 +197,22 @@
 		t.Error("a list of an earlier era was applied")
 	}
 }
+
+// Guards against the loss of endpoints whose entries lapse just after the store has come back from an older copy,
+// though no call has failed meanwhile.
+func TestEntriesThatLapseAfterAReturn(t *testing.T) {
+	k, c := newTestKnowledge()
+	s := bbregistry.Snapshot{
+		Revision:  bbrevision.Revision{Era: 1, Number: 9},
+		Endpoints: []bbregistry.Endpoint{{ID: "a", Service: "s"}},
+	}
+	k.ReplaceEndpoints(s)
+	s.Revision = bbrevision.Revision{Era: 2, Number: 3}
+	k.ReplaceEndpoints(s)
+	c.now += time.Second
+	removal := []bbregistry.Update{{Endpoint: bbregistry.Endpoint{ID: "a"}, Number: 4, Removed: true}}
+	k.ApplyEndpointUpdates(removal, bbrevision.Revision{Era: 2, Number: 4})
+	wantUsable(t, k, "a")
+	c.now += 2 * time.Second
+	wantUsable(t, k)
+}
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -223,7 +223,8 @@
 // a while. It returns false if the list is of an earlier era than the table.
 //
 // A list of a later era comes from an older copy of the store: until endpointSettleTime has passed, or the endpoint
-// has written its entry again, a process that was leaving or gone before gets no work.
+// has written its entry again, a process that was leaving or gone before gets no work. An endpoint that it lacks is
+// kept for a while, with or without grace.
 func (t *Table) ReplaceEndpoints(now time.Duration, s Snapshot, grace bool) bool {
 	if s.Revision.Era < t.Revision.Era {
 		return false
@@ -240,7 +241,7 @@
 	}
 	for id := range t.entries {
 		if !listed[id] {
-			t.Remove(now, id, grace)
+			t.Remove(now, id, grace || t.unsettled())
 		}
 	}
 	t.Revision = s.Revision
