A known cold time outlives an older copy of the store

What an endpoint would see: requests at the rate of warm ones though it had said that it is cold, since the store, back from an older copy, has it as warm.

Cause: as for evacuations, a list was taken as all there is. Now the cold time that is known of a process isn't shortened by a list within the time in which it may come from an older copy; the endpoint's next entry counts.

TestColdTimeOutlivesAnOlderCopy failed before and passes.

--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -224,7 +224,7 @@
 //
 // A list of a later era comes from an older copy of the store: until endpointSettleTime has passed, or the endpoint
 // has written its entry again, a process that was leaving or gone before gets no work. An endpoint that it lacks is
-// kept for a while, with or without grace.
+// kept for a while, with or without grace, and a known cold time isn't shortened.
 func (t *Table) ReplaceEndpoints(now time.Duration, s Snapshot, grace bool) bool {
 	if s.Revision.Era < t.Revision.Era {
 		return false
@@ -234,7 +234,11 @@
 	for _, e := range s.Endpoints {
 		listed[e.ID] = true
 		if t.unsettled() {
-			t.put(now, e, t.holdListed(t.entries[e.ID], e))
+			former := t.entries[e.ID]
+			if former != nil && former.process() == e.process() {
+				e.Cold = max(e.Cold, former.ColdUntil-now)
+			}
+			t.put(now, e, t.holdListed(former, e))
 			continue
 		}
 		t.Put(now, e)
