The known end of an evacuation outlives an older copy for 2.5 s only

The store may give a new evacuation the revision of one that has ended, so that the copy's former entry and a new one can't be told apart. Ignored for 10 s, a new one would have been in force after its bound of 5 s. An evacuation that the copy lacks still goes on for 10 s. TestEvacuationWithTheRevisionOfAnEndedOne failed before with the 10 s of both directions.

--- a/core/bbregistry/evacuation.go
+++ b/core/bbregistry/evacuation.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// operatorSettleTime is how long after the store has come back from an older copy a known evacuation, or
-	// the known end of one, outlives a copy that has it otherwise. It is enough for operators to write again
-	// what the copy lacks.
+	// operatorSettleTime is how long after the store has come back from an older copy a known evacuation
+	// outlives a copy that lacks it. It is enough for operators to write again what the copy lacks.
 	operatorSettleTime = 10 * time.Second
+	// endedSettleTime is how long the known end of an evacuation outlives a copy that still has the evacuation.
+	// It is half of the time within which an evacuation has to be in force, because a new evacuation may have
+	// got the revision of the former one.
+	endedSettleTime = 2500 * time.Millisecond
 	// maxZones bounds the failure domains whose evacuations are remembered.
 	maxZones = 1024
 )
@@ -51,8 +54,9 @@
 // zones are the evacuations of failure domains.
 type zones struct {
 	states map[string]*zoneState
-	// settleAt is when held evacuations end; 0 if there are none.
-	settleAt time.Duration
+	// settleAt is when evacuations end that the platform's list lacks, endedSettleAt when those begin again that
+	// have ended and that the list still has; 0 if that time has passed.
+	settleAt, endedSettleAt time.Duration
 	// generation counts the changes of the set of evacuated failure domains.
 	generation uint64
 	// onChange is called when a failure domain is evacuated or taken back; it may be nil.
@@ -97,14 +101,14 @@
 }
 
 // replace applies a complete list. Hold is true if the list may come from an older copy: then a confirmed
-// evacuation that it lacks goes on, and one that is known to have ended doesn't begin again.
+// evacuation that it lacks goes on, and one that is known to have ended doesn't begin again, each for its time.
 func (z *zones) replace(list []Evacuation, source string, hold bool) {
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.Zone] = true
 		z.set(e.Zone, source, func(s *zoneState) {
 			ended := e.Number != 0 && e.Number == s.ended
-			s.held = hold && ended && !s.evacuated()
+			s.held = hold && ended && !s.evacuated() && z.endedSettleAt > 0
 			s.listed = true
 			if e.Number != 0 {
 				s.number = e.Number
@@ -116,7 +120,7 @@
 			continue
 		}
 		z.set(zone, source, func(s *zoneState) {
-			s.held = hold && s.evacuated()
+			s.held = hold && s.evacuated() && z.settleAt > 0
 			s.listed = false
 			if !s.held {
 				s.ended = s.number
@@ -125,14 +129,28 @@
 	}
 }
 
+// hold begins the times for which what is known outlives a list that may come from an older copy.
+func (z *zones) hold(now time.Duration) {
+	z.settleAt = now + operatorSettleTime
+	z.endedSettleAt = now + endedSettleTime
+}
+
 // settle ends what is held once its time has passed.
 func (z *zones) settle(now time.Duration) {
-	if z.settleAt == 0 || now < z.settleAt {
-		return
+	if z.endedSettleAt > 0 && now >= z.endedSettleAt {
+		z.endedSettleAt = 0
+		z.release(true)
 	}
-	z.settleAt = 0
+	if z.settleAt > 0 && now >= z.settleAt {
+		z.settleAt = 0
+		z.release(false)
+	}
+}
+
+// release ends what is held of the evacuations that are, or are not, listed.
+func (z *zones) release(listed bool) {
 	for _, zone := range slices.Sorted(maps.Keys(z.states)) {
-		if z.states[zone].held {
+		if s := z.states[zone]; s.held && s.listed == listed {
 			z.set(zone, "settled", func(s *zoneState) { s.held = false })
 		}
 	}
@@ -192,14 +210,14 @@
 // ReplaceEvacuated replaces the evacuations by a complete list of the platform's. It returns false if the list is
 // of an earlier era than the table.
 //
-// A list of a later era comes from an older copy of the store: until operatorSettleTime has passed, or the
-// operators have written them again, the evacuations that were confirmed before outlive it.
+// A list of a later era comes from an older copy of the store: what was confirmed before outlives it until the
+// operators have written it again, an evacuation for operatorSettleTime, the end of one for endedSettleTime.
 func (t *Table) ReplaceEvacuated(now time.Duration, list []Evacuation, at bbrevision.Revision) bool {
 	if at.Era < t.OperatorRevision.Era {
 		return false
 	}
 	t.enterOperatorEra(now, at)
-	t.zones.replace(list, "list", t.zones.settleAt > 0)
+	t.zones.replace(list, "list", true)
 	return true
 }
 
@@ -207,7 +225,7 @@
 func (t *Table) enterOperatorEra(now time.Duration, at bbrevision.Revision) {
 	t.zones.settle(now)
 	if at.Era > t.OperatorRevision.Era && !t.OperatorRevision.IsZero() {
-		t.zones.settleAt = now + operatorSettleTime
+		t.zones.hold(now)
 	}
 	t.OperatorRevision = at
 }
@@ -226,7 +244,7 @@
 		})
 	}
 	t.enterOperatorEra(now, d.OperatorRevision)
-	t.zones.replace(list, source, d.Whole && t.zones.settleAt > 0)
+	t.zones.replace(list, source, d.Whole)
 	if left := min(d.OperatorUnsettled, operatorSettleTime); left > 0 {
 		t.zones.settleAt = max(t.zones.settleAt, now+left)
 	}
--- a/core/bbregistry/evacuation_test.go
+++ b/core/bbregistry/evacuation_test.go
@@ -96,3 +96,15 @@
 		t.Errorf("%d failure domains are remembered, want at most %d", n, maxZones)
 	}
 }
+
+// Guards against a new evacuation that is ignored for too long, because the store has given it the revision of a
+// former one that has ended.
+func TestEvacuationWithTheRevisionOfAnEndedOne(t *testing.T) {
+	const evacuateTime = 5 * time.Second
+	table := newZoneTable(east)
+	evacuate(table, 101, "east", true)
+	wantEvacuated(t, table, "once it has ended")
+	table.ReplaceEvacuated(0, []Evacuation{east}, inEra(2, 9))
+	table.Expire(evacuateTime / 2)
+	wantEvacuated(t, table, "half of the time in which an evacuation has to be in force", "east")
+}
