What a VM holds isn't passed on as what the store lists

- a VM that adopted an entry which another one only keeps, or an evacuation which another one only holds, and then went on to watch the store itself, kept it for ever: the store has nothing to take back.
Deltas now say that an entry has lapsed, is held or is unconfirmed (from a list that may be of the copy), and which evacuations the store has otherwise.
The first also happened after a plain outage;
- changes after a sequence of another VM were applied to what had been read from the store since.
The next delta is whole then;
- a VM without news released what it held by time alone.
It now needs news that is as recent as the bound;
- a later era ended the time of the former one before its list was compared;
- of several processes under one ID only the last was remembered.
An ended process now ends all earlier ones;
- an evacuation that ended for a source which didn't know the present one ended for its followers.

--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		asked = e.now()
-		if e.cursor.name != reader.Name {
+		if e.cursor.name != reader.Name || e.Knowledge.NeedsWholeDelta() {
 			e.cursor = followCursor{}
 		}
 		e.follow(ctx, reader, bbpeer.PublishedRequest{
--- a/bluebelld/bbknowledge/knowledge.go
+++ b/bluebelld/bbknowledge/knowledge.go
@@ -150,7 +150,7 @@
 func (k *Knowledge) ApplyZoneUpdates(updates []bbregistry.ZoneUpdate, at bbrevision.Revision) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.ApplyZoneUpdates(updates, at)
+	return k.table.ApplyZoneUpdates(k.now(), updates, at)
 }
 
 // RecordPlatformAnswer records that the platform answered. It returns true if the previous call had failed.
@@ -197,14 +197,23 @@
 func (k *Knowledge) ApplyPeerDelta(d bbregistry.Delta, storeAge time.Duration, source string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.sourceFreshAt = max(k.sourceFreshAt, k.now()-storeAge)
-	if !k.table.Apply(k.now(), d, source) {
+	now := k.now()
+	k.sourceFreshAt = max(k.sourceFreshAt, now-storeAge)
+	if !k.table.Apply(now, now-storeAge, d, source) {
 		return false
 	}
 	k.listed = true
 	return true
 }
 
+// NeedsWholeDelta reports whether the platform was read since the last delta of another VM, so that its next one
+// has to be whole.
+func (k *Knowledge) NeedsWholeDelta() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.HasReadStore()
+}
+
 // RecordSourceAnswer records that the source answered.
 func (k *Knowledge) RecordSourceAnswer() {
 	k.mu.Lock()
--- a/core/bbregistry/delta.go
+++ b/core/bbregistry/delta.go
@@ -54,6 +54,8 @@
 	// holds evacuations of which the store, back from an older copy, has the opposite.
 	Evacuated         []string      `json:"evacuated"`
 	OperatorUnsettled time.Duration `json:"operatorUnsettled,omitempty"`
+	// HeldZones are the failure domains of which the store has the opposite.
+	HeldZones []string `json:"heldZones,omitempty"`
 }
 
 // Since returns the changes after a sequence number, or the whole table if the log doesn't reach back to it.
@@ -70,6 +72,7 @@
 		OperatorNumber:   t.OperatorRevision.Number,
 
 		OperatorUnsettled: t.zones.unsettled(now),
+		HeldZones:         t.zones.heldZones(),
 	}
 	if sequence < t.changes.dropped || sequence > d.Sequence || sequence == 0 {
 		d.Whole = true
@@ -111,23 +114,36 @@
 	return d
 }
 
-// Apply applies a delta of another table; source names it. It returns false if the table has later endpoints.
-func (t *Table) Apply(now time.Duration, d Delta, source string) bool {
+// HasReadStore reports whether the store's endpoints were read since the last delta, so that the next one has to
+// be whole.
+func (t *Table) HasReadStore() bool {
+	return t.read
+}
+
+// Apply applies a delta of another table, which has what the platform had at the time asOf; source names it. It
+// returns false if the table has later endpoints, or others than those that the delta continues.
+func (t *Table) Apply(now, asOf time.Duration, d Delta, source string) bool {
 	d = d.withEras(t)
-	if d.Revision.Before(t.Revision) {
+	if d.Revision.Before(t.Revision) || !d.Whole && t.read {
 		return false
 	}
-	t.mergeEvacuated(now, d, source)
-	defer t.extendSettleTime(now, d.Unsettled)
+	t.mergeEvacuated(now, asOf, d, source)
+	t.enterEra(now, asOf, d.Revision)
+	t.extendSettleTime(now, d.Unsettled)
 	if d.Whole {
-		return t.ReplaceEndpoints(now, Snapshot{
+		t.replaceEndpoints(now, Snapshot{
 			Revision:  d.Revision,
 			Endpoints: d.Put,
 		}, false)
+		t.read = false
+		return true
 	}
-	t.enterEra(now, d.Revision)
 	for _, e := range d.Put {
-		t.Put(now, e)
+		if e.Unconfirmed || e.Lapsed {
+			t.putListed(now, e)
+		} else {
+			t.Put(now, e)
+		}
 	}
 	for _, id := range d.Removed {
 		t.Remove(now, id, false)
--- a/core/bbregistry/evacuation.go
+++ b/core/bbregistry/evacuation.go
@@ -20,16 +20,18 @@
 	maxZones = 1024
 )
 
-// Evacuation is an evacuated failure domain, as listed by the platform or by another VM.
+// Evacuation is an evacuated failure domain, as listed by the platform.
 type Evacuation struct {
 	Zone string
-	// Number is the number of the revision of the evacuation; 0 if unknown.
+	// Number is the number of the revision of the evacuation.
 	Number uint64
 }
 
 // ZoneUpdate is one change of an evacuation.
 type ZoneUpdate struct {
-	Evacuation
+	Zone string
+	// Number is the number of the change's revision.
+	Number uint64
 	// Ended is true if the evacuation has ended.
 	Ended bool
 }
@@ -57,6 +59,8 @@
 	// settleAt is when evacuations end that the platform's list lacks, endedSettleAt when those begin again that
 	// have ended and that the list still has; 0 if that time has passed.
 	settleAt, endedSettleAt time.Duration
+	// ahead is true if evacuations may be known that the VM whose deltas are applied doesn't know.
+	ahead bool
 	// generation counts the changes of the set of evacuated failure domains.
 	generation uint64
 	// onChange is called when a failure domain is evacuated or taken back; it may be nil.
@@ -100,23 +104,37 @@
 	}
 }
 
+// view is the state of a failure domain in a complete list. Those that the list doesn't have are neither listed nor
+// evacuated.
+type view struct {
+	// evacuated is the opposite of listed if another VM holds that.
+	listed, evacuated bool
+	// number is that of the evacuation's revision; 0 if unknown.
+	number uint64
+}
+
 // replace applies a complete list. Hold is true if the list may come from an older copy: then a confirmed
 // evacuation that it lacks goes on, and one that is known to have ended doesn't begin again, each for its time.
-func (z *zones) replace(list []Evacuation, source string, hold bool) {
-	listed := make(map[string]bool, len(list))
-	for _, e := range list {
-		listed[e.Zone] = true
-		z.set(e.Zone, source, func(s *zoneState) {
-			ended := e.Number != 0 && e.Number == s.ended
-			s.held = hold && ended && !s.evacuated() && z.endedSettleAt > 0
-			s.listed = true
-			if e.Number != 0 {
-				s.number = e.Number
+func (z *zones) replace(list map[string]view, source string, hold bool) {
+	for _, zone := range slices.Sorted(maps.Keys(list)) {
+		v := list[zone]
+		z.set(zone, source, func(s *zoneState) {
+			evacuated := v.evacuated
+			if s.evacuated() && (v.listed || hold && z.settleAt > 0) {
+				evacuated = true
+			}
+			if hold && !s.evacuated() && z.endedSettleAt > 0 && v.number > 0 && v.number == s.ended {
+				evacuated = false
+			}
+			s.listed = v.listed
+			s.held = v.listed != evacuated
+			if v.number > 0 {
+				s.number = v.number
 			}
 		})
 	}
 	for _, zone := range slices.Sorted(maps.Keys(z.states)) {
-		if listed[zone] || !z.states[zone].listed {
+		if _, known := list[zone]; known || !z.states[zone].listed {
 			continue
 		}
 		z.set(zone, source, func(s *zoneState) {
@@ -135,13 +153,13 @@
 	z.endedSettleAt = now + endedSettleTime
 }
 
-// settle ends what is held once its time has passed.
-func (z *zones) settle(now time.Duration) {
-	if z.endedSettleAt > 0 && now >= z.endedSettleAt {
+// settle ends what is held if the platform had the evacuations that are known now after its time had passed.
+func (z *zones) settle(asOf time.Duration) {
+	if z.endedSettleAt > 0 && asOf >= z.endedSettleAt {
 		z.endedSettleAt = 0
 		z.release(true)
 	}
-	if z.settleAt > 0 && now >= z.settleAt {
+	if z.settleAt > 0 && asOf >= z.settleAt {
 		z.settleAt = 0
 		z.release(false)
 	}
@@ -163,9 +181,19 @@
 
 // evacuatedZones returns the evacuated failure domains, sorted.
 func (z *zones) evacuatedZones() []string {
+	return z.where((*zoneState).evacuated)
+}
+
+// heldZones returns the failure domains of which the platform lists the opposite, sorted.
+func (z *zones) heldZones() []string {
+	return z.where(func(s *zoneState) bool { return s.held })
+}
+
+// where returns the failure domains whose state has a property, sorted.
+func (z *zones) where(has func(s *zoneState) bool) []string {
 	var list []string
 	for _, zone := range slices.Sorted(maps.Keys(z.states)) {
-		if z.states[zone].evacuated() {
+		if has(z.states[zone]) {
 			list = append(list, zone)
 		}
 	}
@@ -186,10 +214,11 @@
 
 // ApplyZoneUpdates applies the platform's changes of evacuations up to a revision, without those that are known
 // already. It returns false if the changes don't continue the table, since it is of another era.
-func (t *Table) ApplyZoneUpdates(updates []ZoneUpdate, at bbrevision.Revision) bool {
+func (t *Table) ApplyZoneUpdates(now time.Duration, updates []ZoneUpdate, at bbrevision.Revision) bool {
 	if at.Era != t.OperatorRevision.Era {
 		return false
 	}
+	t.zones.ahead = true
 	for _, u := range updates {
 		if u.Number <= t.OperatorRevision.Number {
 			continue
@@ -204,6 +233,7 @@
 		})
 	}
 	t.OperatorRevision = bbrevision.Latest(t.OperatorRevision, at)
+	t.zones.settle(now)
 	return true
 }
 
@@ -216,36 +246,58 @@
 	if at.Era < t.OperatorRevision.Era {
 		return false
 	}
-	t.enterOperatorEra(now, at)
-	t.zones.replace(list, "list", true)
+	t.zones.ahead = true
+	t.enterOperatorEra(now, now, at)
+	views := make(map[string]view, len(list))
+	for _, e := range list {
+		views[e.Zone] = view{
+			listed:    true,
+			evacuated: true,
+			number:    e.Number,
+		}
+	}
+	t.zones.replace(views, "list", true)
 	return true
 }
 
-// enterOperatorEra sets the revision of the evacuations. From a later era on, what was known is held for a while.
-func (t *Table) enterOperatorEra(now time.Duration, at bbrevision.Revision) {
-	t.zones.settle(now)
+// enterOperatorEra sets the revision of the evacuations, as the platform had them at the time asOf. From a later era
+// on, what was known is held for a while.
+func (t *Table) enterOperatorEra(now, asOf time.Duration, at bbrevision.Revision) {
 	if at.Era > t.OperatorRevision.Era && !t.OperatorRevision.IsZero() {
 		t.zones.hold(now)
+	} else {
+		t.zones.settle(asOf)
 	}
 	t.OperatorRevision = at
 }
 
 // mergeEvacuated applies another VM's evacuations unless they are older. Its endpoints may be newer than the ones
-// here while its evacuations are older. A delta that isn't whole comes from a VM that has held whatever this one
-// knew, so that an evacuation ends here when it ends there.
-func (t *Table) mergeEvacuated(now time.Duration, d Delta, source string) {
+// here while its evacuations are older. A delta that continues the last one comes from a VM that has held whatever
+// this one knew, unless this one has read the store since, so that an evacuation ends here when it ends there.
+func (t *Table) mergeEvacuated(now, asOf time.Duration, d Delta, source string) {
+	t.zones.ahead = t.zones.ahead || d.Whole
 	if d.OperatorRevision.Before(t.OperatorRevision) {
 		return
 	}
-	list := make([]Evacuation, 0, len(d.Evacuated))
+	views := make(map[string]view, len(d.Evacuated))
 	for _, zone := range d.Evacuated {
-		list = append(list, Evacuation{
-			Zone: zone,
-		})
+		views[zone] = view{
+			listed:    true,
+			evacuated: true,
+		}
 	}
-	t.enterOperatorEra(now, d.OperatorRevision)
-	t.zones.replace(list, source, d.Whole)
+	t.enterOperatorEra(now, asOf, d.OperatorRevision)
 	if left := min(d.OperatorUnsettled, operatorSettleTime); left > 0 {
 		t.zones.settleAt = max(t.zones.settleAt, now+left)
 	}
+	for _, zone := range d.HeldZones {
+		v := views[zone]
+		v.listed = !v.evacuated
+		views[zone] = v
+		if v.listed {
+			t.zones.endedSettleAt = max(t.zones.endedSettleAt, now+endedSettleTime)
+		}
+	}
+	t.zones.replace(views, source, t.zones.ahead)
+	t.zones.ahead = false
 }
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -29,9 +29,14 @@
 	Leaving bool `json:"leaving"`
 	// Cold is how much longer the endpoint takes only a low rate of requests, as of the listing.
 	Cold time.Duration `json:"cold"`
-	// Held is true if another VM shows the endpoint as leaving only because its process was leaving or gone
-	// before the store came back from an older copy.
+	// Held is true if another VM shows an endpoint that the platform lists as ready as leaving, because its process
+	// was leaving or gone before the store came back from an older copy.
 	Held bool `json:"held,omitempty"`
+	// Unconfirmed is true if the endpoint was added or changed by a list that may come from an older copy of the
+	// store, and wasn't written since.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
+	// Lapsed is true if another VM keeps an entry that is missing from the platform's list.
+	Lapsed bool `json:"lapsed,omitempty"`
 }
 
 // Snapshot is the content of the platform's registry at one revision.
@@ -56,6 +61,9 @@
 	lapsedAt time.Duration
 	// hold is why the endpoint gets no work, though it is listed as ready.
 	hold hold
+	// latestMillis is the latest start of a process under this ID. It is later than StartedMillis while an older
+	// copy of the store has a former process.
+	latestMillis int64
 }
 
 // Table has the registered endpoints. The zero value is not ready for use.
@@ -68,6 +76,10 @@
 	entries          map[string]*Entry
 	zones            zones
 	changes          changes
+	// lapses counts the changes that leave an endpoint usable.
+	lapses uint64
+	// read is true if the store's endpoints were read since the last delta of another VM.
+	read bool
 	// ended are the processes that were removed.
 	ended endedProcesses
 	// settleAt is when held endpoints count as listed again; 0 if nothing is held.
@@ -130,12 +142,12 @@
 	}
 }
 
-// Put adds or updates an entry as its endpoint has written it. Heartbeats that change nothing else don't count as
-// a change.
+// Put adds or updates an entry as its endpoint has written it, or as another VM has it. Heartbeats that change
+// nothing else don't count as a change.
 func (t *Table) Put(now time.Duration, e Endpoint) {
 	h := t.holdWritten(t.entries[e.ID], e)
 	if h == holdNone {
-		t.ended.holds.Remove(e.process())
+		t.ended.byID.Remove(e.ID)
 	}
 	t.put(now, e, h)
 }
@@ -143,18 +155,40 @@
 // put adds or updates an entry.
 func (t *Table) put(now time.Duration, e Endpoint, h hold) {
 	former := t.entries[e.ID]
+	if e.Held {
+		e.Leaving = false
+		h = max(h, holdRemoved)
+	}
+	lapsed := e.Lapsed
+	e.Held, e.Lapsed = false, false
 	entry := &Entry{
 		Endpoint:  e,
 		ColdUntil: now + e.Cold,
 		hold:      h,
+
+		latestMillis: e.StartedMillis,
+	}
+	if former != nil {
+		entry.latestMillis = max(former.latestMillis, e.StartedMillis)
 	}
 	t.notifyPut(former, entry)
 	t.entries[e.ID] = entry
-	if former == nil || former.lapsed || former.hold != h || !former.Endpoint.equivalent(e) {
+	if former != nil && former.process() != e.process() && (former.StartedMillis < e.StartedMillis || former.leaving()) {
+		t.ended.add(former)
+	}
+	if lapsed {
+		t.lapse(now, entry, former)
+	}
+	if former.changes(e, h) {
 		t.changes.add(e.ID)
 	}
 }
 
+// changes reports whether an entry, nil if there is none, differs from its next state.
+func (e *Entry) changes(next Endpoint, h hold) bool {
+	return e == nil || e.lapsed || e.hold != h || !e.Endpoint.equivalent(next)
+}
+
 // equivalent reports whether two states of an endpoint are the same for scheduling. Of the remaining cold
 // time it compares only whether there is any, because each table counts it down itself.
 func (e Endpoint) equivalent(o Endpoint) bool {
@@ -174,11 +208,19 @@
 		t.delete(id)
 		return
 	}
-	if !e.lapsed {
-		e.lapsed = true
-		e.lapsedAt = now
-		t.notify(e.Endpoint, ChangeLapsed)
+	t.lapse(now, e, e)
+}
+
+// lapse keeps an entry that is missing from the platform's list, for the rest of the time if it was missing before.
+func (t *Table) lapse(now time.Duration, e, former *Entry) {
+	if former != nil && former.lapsed {
+		e.lapsed, e.lapsedAt = true, former.lapsedAt
+		return
 	}
+	e.lapsed, e.lapsedAt = true, now
+	t.changes.add(e.ID)
+	t.lapses++
+	t.notify(e.Endpoint, ChangeLapsed)
 }
 
 func (t *Table) delete(id string) {
@@ -205,7 +247,7 @@
 	if at.Era != t.Revision.Era {
 		return false
 	}
-	t.settleEndpoints(now)
+	t.read = true
 	for _, u := range updates {
 		switch {
 		case u.Number <= t.Revision.Number:
@@ -216,6 +258,7 @@
 		}
 	}
 	t.Revision = bbrevision.Latest(t.Revision, at)
+	t.settleEndpoints(now)
 	return true
 }
 
@@ -229,19 +272,18 @@
 	if s.Revision.Era < t.Revision.Era {
 		return false
 	}
-	t.enterEra(now, s.Revision)
+	t.read = true
+	t.enterEra(now, now, s.Revision)
+	t.replaceEndpoints(now, s, grace)
+	return true
+}
+
+// replaceEndpoints replaces the endpoints by a complete list of the platform or of another VM.
+func (t *Table) replaceEndpoints(now time.Duration, s Snapshot, grace bool) {
 	listed := make(map[string]bool, len(s.Endpoints))
 	for _, e := range s.Endpoints {
 		listed[e.ID] = true
-		if t.unsettled() {
-			former := t.entries[e.ID]
-			if former != nil && former.process() == e.process() {
-				e.Cold = max(e.Cold, former.ColdUntil-now)
-			}
-			t.put(now, e, t.holdListed(former, e))
-			continue
-		}
-		t.Put(now, e)
+		t.putListed(now, e)
 	}
 	for id := range t.entries {
 		if !listed[id] {
@@ -249,19 +291,15 @@
 		}
 	}
 	t.Revision = s.Revision
-	return true
 }
 
 // Generation returns a number that changes whenever the set of usable endpoints may have changed.
 func (t *Table) Generation() uint64 {
-	return t.changes.sequence() + t.zones.generation
+	return t.changes.sequence() - t.lapses + t.zones.generation
 }
 
-// Expire removes entries that were not registered again within reregisterGrace, and ends what outlived an older
-// copy of the store if its time has passed.
+// Expire removes entries that were not registered again within reregisterGrace.
 func (t *Table) Expire(now time.Duration) {
-	t.zones.settle(now)
-	t.settleEndpoints(now)
 	for id, e := range t.entries {
 		if e.lapsed && now-e.lapsedAt >= reregisterGrace {
 			t.delete(id)
@@ -352,6 +390,7 @@
 	for _, e := range t.entries {
 		listed := e.Endpoint
 		listed.Cold = max(0, e.ColdUntil-now)
+		listed.Lapsed = e.lapsed
 		if e.hold != holdNone {
 			listed.Leaving, listed.Held = true, true
 		}
