A VM that starts fetches what others know before it reads the store

What callers could see: a VM that starts while the store has come back from an older copy serves with the copy's configuration, and sends to an evacuated failure domain, until other VMs have told it better.

Cause: a started VM began to read the store and asked other VMs at the same moment; what came first was in force.

Where no other VM is reachable the copy is all there is.

--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -66,6 +66,7 @@
 	case <-e.fleet.Joined():
 	case <-time.After(joinTimeout):
 	}
+	e.adopt(ctx)
 	for ; ; waitTick(ctx, ticker) {
 		if ctx.Err() != nil {
 			return
@@ -96,6 +97,21 @@
 	}
 }
 
+// adopt fetches what other VMs know before this one, which has just started, reads the store: the store may have come
+// back from an older copy.
+func (e *Entry) adopt(ctx context.Context) {
+	if peer, ok := e.newestCatalogPeer(); ok {
+		e.follow(ctx, peer, bbpeer.PublishedRequest{
+			Catalog: true,
+		})
+	}
+	if peer := e.newestEndpointsPeer(e.fleet.Readers()); !peer.EndpointRevision.IsZero() {
+		e.follow(ctx, peer, bbpeer.PublishedRequest{
+			Endpoints: true,
+		})
+	}
+}
+
 // waitTick waits for the next tick, or until the context ends.
 func waitTick(ctx context.Context, t *time.Ticker) {
 	select {
