Soak: the store comes back from an older copy

The checks now also count requests to evacuated failure domains and leaving endpoints after faults of the store alone, if the change was in force before: what VMs know holds then.

--- a/bluebellbench/bbsoak/bbpromise/promise.go
+++ b/bluebellbench/bbsoak/bbpromise/promise.go
@@ -55,6 +55,9 @@
 	Planned bool
 	// Stop is true for the planned shutdown of a VM.
 	Stop bool
+	// Store is true for faults of the platform's store alone. VMs may learn of changes late then, but what they
+	// know goes on to hold.
+	Store bool
 	// VM is the number of the VM affected; -1 if the fault affects none or all.
 	VM int
 	// Began and Ended are when the fault was injected and removed; Ended is zero while it lasts.
@@ -233,6 +236,20 @@
 	return false
 }
 
+// known reports whether at a time all VMs must know a change that was written before: nothing unplanned happened from
+// SettleTime before until the change had to be in force, and since then only faults of the store.
+func (c *checker) known(written time.Time, bound time.Duration, at time.Time) bool {
+	if c.disturbed(written.Add(-SettleTime), written.Add(bound)) {
+		return false
+	}
+	for _, f := range c.Faults {
+		if !f.Planned && !f.Store && !f.Began.IsZero() && f.Began.Before(at) && (f.Ended.IsZero() || f.Ended.After(written)) {
+			return false
+		}
+	}
+	return true
+}
+
 // checkCold checks the number of requests that each cold engine received within any second.
 func (c *checker) checkCold(arrivals []bbledger.Arrival) {
 	recent := make(map[string][]time.Time)
@@ -368,14 +385,16 @@
 	for _, a := range arrivals {
 		for _, out := range c.Evacuated[a.Zone] {
 			late := a.At.After(out.From.Add(EvacuateTime)) && (out.Until.IsZero() || a.At.Before(out.Until))
-			if late && !c.disturbed(a.At.Add(-SettleTime-EvacuateTime), a.At) {
+			if late && (!c.disturbed(a.At.Add(-SettleTime-EvacuateTime), a.At) || c.known(out.From, EvacuateTime, a.At)) {
 				c.addViolation("%s received %s %v after %s was evacuated", a.Endpoint, a.Attempt, a.At.Sub(out.From), a.Zone)
 			}
 		}
 		if !a.Leaving {
 			continue
 		}
-		if since := a.At.Sub(c.LeavingSince[a.Endpoint]); since > DrainTime && !c.disturbed(a.At.Add(-SettleTime-DrainTime), a.At) {
+		leavingSince := c.LeavingSince[a.Endpoint]
+		since := a.At.Sub(leavingSince)
+		if since > DrainTime && (!c.disturbed(a.At.Add(-SettleTime-DrainTime), a.At) || c.known(leavingSince, DrainTime, a.At)) {
 			c.addViolation("%s received %q %v after it was marked as leaving", a.Endpoint, a.Attempt, since)
 		}
 	}
--- a/bluebellbench/bbsoak/bbpromise/promise_test.go
+++ b/bluebellbench/bbsoak/bbpromise/promise_test.go
@@ -293,6 +293,16 @@
 			},
 			faults: []Fault{{Name: "store down", VM: -1, Began: time.Now().Add(-time.Minute)}},
 		},
+		{
+			name: "request to a failure domain whose evacuation was in force before a fault of the store",
+			want: "after east was evacuated",
+			arrange: func(t *testing.T, f *fakeEndpoints) []Try {
+				f.Evacuated["east"] = []Interval{{From: time.Now().Add(-EvacuateTime - 2*time.Second)}}
+				q := expectAttempt(f, "once", "a")
+				return []Try{newTry(q, sendTo(t, f, bbdeployment.PlainService, q))}
+			},
+			faults: []Fault{{Name: "store down", VM: -1, Store: true, Began: time.Now().Add(-time.Second)}},
+		},
 		{
 			name: "older version after a newer one",
 			want: "later, an older one",
--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -51,6 +51,8 @@
 	name    string
 	current *bbstand.Endpoint
 	cleanup func()
+	// leaving is true once the current endpoint's entry says so.
+	leaving bool
 }
 
 // Fleet is everything that a soak test runs: the store, the endpoints, the entry VMs and their proxies.
@@ -72,6 +74,8 @@
 	evacuated map[string][]bbpromise.Interval
 	// leavingSince has the time when each endpoint was marked as leaving.
 	leavingSince map[string]time.Time
+	// copies are copies of the store, the oldest first.
+	copies []bbstand.State
 	// restartErrors describes the failed restarts of crashed endpoints.
 	restartErrors []string
 	// stopped is true once crashed endpoints are no longer restarted.
@@ -126,6 +130,9 @@
 	// Serve returns only after the clean-up function has closed the server.
 	go func() { _ = server.Serve(l) }()
 	f.cleanups = append(f.cleanups, func() { _ = server.Close() })
+	stopCopies := make(chan struct{})
+	go f.copyStore(stopCopies)
+	f.cleanups = append(f.cleanups, func() { close(stopCopies) })
 	if err := f.Configure(); err != nil {
 		return err
 	}
@@ -310,7 +317,7 @@
 	if err != nil {
 		return err
 	}
-	b.current, b.cleanup = e, cleanup
+	b.current, b.cleanup, b.leaving = e, cleanup, false
 	return f.store.PutEndpoint(entry)
 }
 
@@ -367,6 +374,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.current.MarkLeaving()
+	b.leaving = true
 	entry := b.current.Entry
 	entry.Leaving = true
 	f.mu.Lock()
--- /dev/null
+++ b/bluebellbench/bbsoak/restore.go
@@ -0,0 +1,108 @@
+package bbsoak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
+)
+
+const (
+	// copyGap is the time between two copies of the store, maxCopies their number: the oldest is ten seconds old.
+	copyGap   = 250 * time.Millisecond
+	maxCopies = 40
+	// rewriteTime is the time within which endpoints write their entries again after a return of the store.
+	rewriteTime = 2 * time.Second
+)
+
+// copyStore takes copies of the store until a channel is closed.
+func (f *Fleet) copyStore(stop <-chan struct{}) {
+	ticker := time.NewTicker(copyGap)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		c := f.store.Copy()
+		f.mu.Lock()
+		f.copies = append(f.copies, c)
+		if len(f.copies) > maxCopies {
+			f.copies = f.copies[1:]
+		}
+		f.mu.Unlock()
+	}
+}
+
+// restore brings the store back from one of the copies; age counts back from the last one. Then a new version of the
+// configuration is written, and what the copy lacks: by the operators at once, by each endpoint after the delay
+// drawn for it. Entries of endpoints that are gone expire.
+func (f *Fleet) restore(age int, delays []time.Duration) error {
+	f.mu.Lock()
+	if len(f.copies) > 0 {
+		f.store.Restore(f.copies[max(0, len(f.copies)-1-age)])
+		// Copies of the lost content can't come back.
+		f.copies = nil
+	}
+	f.mu.Unlock()
+	if err := f.Configure(); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	for _, zone := range bbdeployment.Zones {
+		intervals := f.evacuated[zone]
+		f.store.Evacuate(zone, len(intervals) > 0 && intervals[len(intervals)-1].Until.IsZero())
+	}
+	f.mu.Unlock()
+	for i, b := range f.backEnds {
+		time.AfterFunc(delays[i], func() { f.rewrite(b) })
+	}
+	for _, id := range f.store.EndpointIDs() {
+		time.AfterFunc(entryExpiry, func() { f.expire(id) })
+	}
+	return nil
+}
+
+// rewrite writes the entry of an endpoint again if it runs.
+func (f *Fleet) rewrite(b *backEnd) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.cleanup == nil {
+		return
+	}
+	entry := b.current.Entry
+	entry.Leaving = b.leaving
+	// The entry was encoded before; it can't fail now.
+	_ = f.store.PutEndpoint(entry)
+}
+
+// expire removes the entry of an endpoint unless it runs.
+func (f *Fleet) expire(id string) {
+	runs := slices.ContainsFunc(f.backEnds, func(b *backEnd) bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.cleanup != nil && b.current.Entry.ID == id
+	})
+	if !runs {
+		f.store.RemoveEndpoint(id)
+	}
+}
+
+// restoreStore takes the store down and brings it back from an older copy.
+func restoreStore(f *Fleet, random *rand.Rand) Fault {
+	age := random.IntN(maxCopies)
+	delays := make([]time.Duration, len(f.backEnds))
+	for i := range delays {
+		delays[i] = time.Duration(random.Int64N(int64(rewriteTime)))
+	}
+	fault := storeDown(f, random)
+	fault.Name = fmt.Sprintf("the store comes back from a copy %v old", time.Duration(age)*copyGap)
+	fault.end = func() error {
+		defer f.store.SetDown(false)
+		return f.restore(age, delays)
+	}
+	return fault
+}
--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -35,10 +35,10 @@
 
 // schedule draws the faults of a soak test. The gaps between them are random, with about the given mean, so
 // that some faults overlap.
-func schedule(f *Fleet, random *rand.Rand, duration time.Duration, gap time.Duration) []Fault {
+func schedule(f *Fleet, random *rand.Rand, kinds []FaultKind, duration time.Duration, gap time.Duration) []Fault {
 	var faults []Fault
 	for at := time.Second; at < duration; at += time.Duration((0.2 + random.ExpFloat64()) * float64(gap)) {
-		fault := bbload.Pick(random, faultKinds)(f, random)
+		fault := bbload.Pick(random, kinds)(f, random)
 		fault.At = at
 		faults = append(faults, fault)
 	}
@@ -58,10 +58,20 @@
 	return time.Duration((0.3 + 3*random.Float64()) * float64(time.Second))
 }
 
-// faultKinds are the kinds of faults; those that are listed twice are drawn twice as often.
-var faultKinds = []func(f *Fleet, random *rand.Rand) Fault{
+// FaultKind draws a fault of one kind.
+type FaultKind func(f *Fleet, random *rand.Rand) Fault
+
+// Aims are the kinds of faults that a soak test may be aimed at, by name. Kinds that are listed twice are drawn twice
+// as often.
+var Aims = map[string][]FaultKind{
+	"":        faultKinds,
+	"returns": {restoreStore, restoreStore, restoreStore, evacuate, evacuate, configure, leaveEndpoint, leaveEndpoint, coldEngine},
+}
+
+// faultKinds are the kinds of faults of a soak test that isn't aimed.
+var faultKinds = []FaultKind{
 	killVM, killVM, pauseVM, stopVM, stopVM, reloadVM, cutPeers, cutPeers, cutStore, cutStore,
-	storeDown, compactStore, crashEndpoint, crashEndpoint, leaveEndpoint, faultyEndpoint,
+	storeDown, compactStore, restoreStore, crashEndpoint, crashEndpoint, leaveEndpoint, faultyEndpoint,
 	faultyEndpoint, cutEndpoint, coldEngine, evacuate, configure, configure, sendPoison,
 	sendCrashingPart,
 }
@@ -192,7 +202,7 @@
 }
 
 func storeDown(f *Fleet, random *rand.Rand) Fault {
-	return Fault{
+	fault := Fault{
 		Fault: fleetFault("store down"),
 		For:   randomDuration(random),
 		begin: func() error {
@@ -204,16 +214,20 @@
 			return nil
 		},
 	}
+	fault.Store = true
+	return fault
 }
 
 func compactStore(f *Fleet, _ *rand.Rand) Fault {
-	return Fault{
+	fault := Fault{
 		Fault: fleetFault("compact the store's history"),
 		begin: func() error {
 			f.store.Compact()
 			return nil
 		},
 	}
+	fault.Store = true
+	return fault
 }
 
 // endpointFault returns a fault of a random endpoint, whose actions are still to be set, and the endpoint.
--- a/bluebellbench/bbsoak/soak.go
+++ b/bluebellbench/bbsoak/soak.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
 	"bluebellhall/bluebellbench/bbsoak/bbload"
 	"bluebellhall/bluebellbench/bbsoak/bbpromise"
@@ -26,6 +28,8 @@
 	VMs int
 	// Duration is the time during which faults are injected.
 	Duration time.Duration
+	// Aim names the kinds of faults that are drawn, a key of Aims.
+	Aim string
 	// PerSecond is the request rate, Gap the mean time between the starts of faults.
 	PerSecond float64
 	Gap       time.Duration
@@ -56,6 +60,10 @@
 
 // Run runs a soak test.
 func Run(ctx context.Context, s Settings) (Report, error) {
+	kinds, ok := Aims[s.Aim]
+	if !ok {
+		return Report{}, errors.Newf("no faults are known under the aim %q", s.Aim)
+	}
 	f, cleanup, err := NewFleet(s)
 	if err != nil {
 		return Report{}, err
@@ -65,7 +73,7 @@
 	if late := f.unready(ctx, startTime); len(late) > 0 {
 		violations = append(violations, fmt.Sprintf("not ready %v after the start: %v", startTime, late))
 	}
-	faults := schedule(f, random(s.Seed), s.Duration, s.Gap)
+	faults := schedule(f, random(s.Seed), kinds, s.Duration, s.Gap)
 	l := f.load
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
--- a/bluebellbench/bbsoak/soak_test.go
+++ b/bluebellbench/bbsoak/soak_test.go
@@ -78,7 +78,7 @@
 			backEnds:     []*backEnd{{name: "a"}, {name: "b"}},
 		}
 		var list []string
-		for _, fault := range schedule(f, random(seed), 30*time.Second, time.Second) {
+		for _, fault := range schedule(f, random(seed), faultKinds, 30*time.Second, time.Second) {
 			list = append(list, fault.String())
 		}
 		return list
--- a/bluebellbench/soak.go
+++ b/bluebellbench/soak.go
@@ -45,6 +45,10 @@
 				Usage: "mean `TIME` between faults",
 				Value: time.Second,
 			},
+			&cli.StringFlag{
+				Name:  "aim",
+				Usage: "`KINDS` of faults: returns draws only returns of the store from older copies and planned changes around them; empty draws all",
+			},
 			&cli.FloatFlag{
 				Name:  "rate",
 				Usage: "`REQUESTS` a second",
@@ -93,6 +97,7 @@
 			Seed:        seed,
 			VMs:         c.Int("vms"),
 			Duration:    c.Duration("for"),
+			Aim:         c.String("aim"),
 			PerSecond:   c.Float("rate"),
 			Gap:         c.Duration("gap"),
 			Program:     program,
