--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -1,5 +1,7 @@
-// Package bbregistry is the table of the endpoints registered with the platform. After a platform outage it
-// keeps entries that expired meanwhile until their endpoints had time to register again.
+// Package bbregistry is the table of the endpoints registered with the platform, and of the evacuated failure
+// domains. After a platform outage it keeps entries that expired meanwhile until their endpoints had time to
+// register again. After the platform's store has come back from an older copy it holds what was confirmed before
+// and what the copy has otherwise, until that is written again or a time has passed.
 package bbregistry
 
 import (
@@ -76,7 +78,7 @@
 	entries          map[string]*Entry
 	zones            zones
 	changes          changes
-	// lapses counts the changes that leave an endpoint usable.
+	// lapses counts the changes that leave the endpoint usable.
 	lapses uint64
 	// read is true if the store's endpoints were read since the last delta of another VM.
 	read bool
