A run that goes on repeats no event of its stream and leaves none out

Cause: the first event of a run that goes on was not compared with the last one delivered.

Now the IDs of a stream's events are followed over its runs. If the first ID of a run that goes on is not above the last, or further from it than the constant distance of the IDs so far, nothing of that run is delivered: it counts as broken (cause: stream doesn't go on after its last event), and another engine is asked or the caller's connection is aborted. IDs that are no numbers are only compared for equality; with fewer than two IDs delivered, or irregular ones, a gap can't be told. A caller that resumes by itself gets the endpoint's answer as it is.

--- a/bluebelld/bbgateway/cut_test.go
+++ b/bluebelld/bbgateway/cut_test.go
@@ -181,6 +181,36 @@
 	}
 }
 
+// Regression: a run that was to go on after an event and began anew, or left events out, was appended to the stream,
+// so that the caller got events twice or not at all.
+func TestBegunStreamGetsEachEventOnce(t *testing.T) {
+	const begun = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for name, c := range map[string]struct {
+		rest string
+		// continues is true if the rest goes on after the first two events.
+		continues bool
+	}{
+		"the rest":                    {"id: 3\ndata: c\n\nid: 4\ndata: d\n\n", true},
+		"the rest after a comment":    {": hello\n\nid: 3\ndata: c\n\n", true},
+		"all from the first event on": {"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", false},
+		"the last event again":        {"id: 2\ndata: b\n\nid: 3\ndata: c\n\n", false},
+		"one event left out":          {"id: 4\ndata: d\n\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, url := newFixture(t, newStubEndpoint(t, stream(begun+"id: 3\nda")), newStubEndpoint(t, stream(c.rest)))
+			status, body, err := send(t, url+"/resume/", "")
+			want := begun
+			if c.continues {
+				want += c.rest
+			}
+			if status != http.StatusOK || (err == nil) != c.continues || body != want {
+				t.Errorf("answer %d %q, error %v; want %q, complete: %t", status, body, err, want, c.continues)
+			}
+			wantRequests(t, f, 1, 1)
+		})
+	}
+}
+
 // Regression: an error with which an engine answered when a stream was to go on was appended to the stream, which
 // then looked complete.
 func TestBegunStreamGetsNothingButItsRest(t *testing.T) {
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -177,6 +177,8 @@
 	// sent is true once a part of the answer has been sent to the caller; status is then the answer's.
 	sent   bool
 	status int
+	// events are the IDs of the events that have been sent on a route whose streams may be resumed.
+	events bbstream.IDs
 	// parts are the parts of the prompt that other requests may have too.
 	parts []uint64
 	log   RequestLog
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -307,7 +307,10 @@
 		return g.deliver(ctx, t.exchange, a)
 	}
 	body, isStream := a.Body.(*bbstream.Body)
-	events := bbstream.New(t.Route.Resumable)
+	events := bbstream.New(t.Route.Resumable, &t.events)
+	if t.sent {
+		events = bbstream.Resume(&t.events)
+	}
 	flusher := http.NewResponseController(t.w)
 	buffer := make([]byte, copyBuffer)
 	for {
@@ -326,17 +329,17 @@
 		if t.firstEvent == 0 && isStream && body.HasEvent() {
 			t.firstEvent = g.hooks.Now()
 		}
-		complete, tooLong := events.Add(buffer[:n])
-		if tooLong != nil {
-			return tooLong
+		complete, unusable := events.Add(buffer[:n])
+		if unusable != nil {
+			return unusable
 		}
 		if len(complete) > 0 {
 			if !t.sent {
 				g.sendHead(t.exchange, a, -1)
 			}
 			g.write(ctx, t.exchange, complete)
-			if events.Last != "" {
-				t.LastEvent = events.Last
+			if t.events.Last != "" {
+				t.LastEvent = t.events.Last
 			}
 			if err := flusher.Flush(); err != nil {
 				g.abort(t.exchange, "callerGone")
--- a/bluebelld/bbstream/stream.go
+++ b/bluebelld/bbstream/stream.go
@@ -20,6 +20,9 @@
 // its first event.
 var ErrCut = errors.New("stream ends inside an event")
 
+// ErrNotContinued is the cause when a run that was to go on after an event repeats it or leaves events out.
+var ErrNotContinued = errors.New("stream doesn't go on after its last event")
+
 // Body checks a stream while it is read.
 type Body struct {
 	inner    io.Reader
@@ -62,21 +65,35 @@
 	position    position
 	// pending has the bytes after the last complete event.
 	pending []byte
-	// Last is the ID of the last complete event that had one; empty if none had.
-	Last string
+	// ids are the IDs of the complete events, and of those of earlier runs.
+	ids *IDs
+	// joins is true until the first ID of a run that goes on after earlier ones.
+	joins bool
 }
 
-// New returns a splitter; if wholeEvents is false, bytes are returned unchanged as they arrive.
-func New(wholeEvents bool) *Splitter {
+// New returns a splitter for the first run of a stream, whose IDs it appends to ids. If wholeEvents is false, bytes
+// are returned unchanged as they arrive, and there are no IDs.
+func New(wholeEvents bool, ids *IDs) *Splitter {
 	return &Splitter{
 		wholeEvents: wholeEvents,
+		ids:         ids,
+	}
+}
+
+// Resume returns a splitter for a run that goes on after the events with the given IDs.
+func Resume(ids *IDs) *Splitter {
+	return &Splitter{
+		wholeEvents: true,
+		ids:         ids,
+		joins:       true,
 	}
 }
 
 // idField starts the line with the ID of an event.
 var idField = []byte("id:")
 
-// Add adds bytes to the stream and returns those that may be forwarded. They are valid until the next call.
+// Add adds bytes to the stream and returns those that may be forwarded. They are valid until the next call. It
+// returns ErrNotContinued if a run doesn't go on after the events before it.
 func (s *Splitter) Add(data []byte) ([]byte, error) {
 	if !s.wholeEvents {
 		return data, nil
@@ -97,9 +114,16 @@
 	events := bytes.Clone(s.pending[:end])
 	s.pending = append(s.pending[:0], s.pending[end:]...)
 	for _, line := range bytes.FieldsFunc(events, isLineEnd) {
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			s.Last = string(bytes.TrimSpace(id))
+		text, ok := bytes.CutPrefix(line, idField)
+		if !ok {
+			continue
+		}
+		id := string(bytes.TrimSpace(text))
+		if s.joins && !s.ids.continues(id) {
+			return nil, errors.Wrapf(ErrNotContinued, "%s after %s", id, s.ids.Last)
 		}
+		s.joins = false
+		s.ids.add(id)
 	}
 	return events, nil
 }
--- a/bluebelld/bbstream/stream_test.go
+++ b/bluebelld/bbstream/stream_test.go
@@ -11,7 +11,8 @@
 )
 
 func TestSplitter(t *testing.T) {
-	s := New(true)
+	var ids IDs
+	s := New(true, &ids)
 	var got string
 	for _, part := range []string{"id: 1\nda", "ta: a\n", "\nid: 2\n", "data: b\n\nid: 3"} {
 		events, err := s.Add([]byte(part))
@@ -23,8 +24,8 @@
 	if diff := cmp.Diff("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", got); diff != "" {
 		t.Errorf("events (-want +got):\n%s", diff)
 	}
-	if s.Last != "2" {
-		t.Errorf("last event is %q, want 2", s.Last)
+	if ids.Last != "2" {
+		t.Errorf("last event is %q, want 2", ids.Last)
 	}
 }
 
@@ -33,7 +34,7 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n"), uint8(3))
 	f.Add([]byte("\n\n\n\nid:\n\n"), uint8(1))
 	f.Fuzz(func(t *testing.T, data []byte, step uint8) {
-		s := New(true)
+		s := New(true, &IDs{})
 		var got []byte
 		for rest := data; len(rest) > 0; {
 			n := min(len(rest), 1+int(step))
@@ -113,13 +114,14 @@
 func TestSplitterRecognizesAllLineEnds(t *testing.T) {
 	for name, end := range map[string]string{"LF": "\n", "CR LF": "\r\n", "CR": "\r"} {
 		t.Run(name, func(t *testing.T) {
-			s := New(true)
+			var ids IDs
+			s := New(true, &ids)
 			text := strings.ReplaceAll("id: 1\ndata: a\n\nid: 2", "\n", end)
 			events, err := s.Add([]byte(text))
 			if err != nil {
 				t.Fatal(err)
 			}
-			got := []string{normalize(string(events)), strings.TrimSpace(string(s.Rest())), s.Last}
+			got := []string{normalize(string(events)), strings.TrimSpace(string(s.Rest())), ids.Last}
 			if diff := cmp.Diff([]string{"id: 1\ndata: a\n\n", "id: 2", "1"}, got); diff != "" {
 				t.Errorf("events, rest and last ID (-want +got):\n%s", diff)
 			}
