Split what has grown: notes to coordinators, the fake store

bluebelld/bbnotes has the batches of progress notes, out of bbentry; platform/bbfakestore has the fake store with its copies, out of bbstand and bbsoak. No behaviour changes.

--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -19,6 +19,7 @@
 	"bluebellhall/bluebellbench/bbsoak/bbproxy"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/platform/bbfakestore"
 	"bluebellhall/platform/bbledger"
 	"bluebellhall/platform/bbstand"
 )
@@ -58,7 +59,7 @@
 // Fleet is everything that a soak test runs: the store, the endpoints, the entry VMs and their proxies.
 type Fleet struct {
 	Ledger    *bbledger.Ledger
-	store     *bbstand.Store
+	store     *bbfakestore.Store
 	load      *bbload.Load
 	processes []*bbprocess.Process
 	// peerProxies are the proxies through which other VMs connect to each VM, storeProxies those through which
@@ -74,8 +75,8 @@
 	evacuated map[string][]bbpromise.Interval
 	// leavingSince has the time when each endpoint was marked as leaving.
 	leavingSince map[string]time.Time
-	// copies are copies of the store, the oldest first.
-	copies []bbstand.State
+	// copies are those from which the store may come back.
+	copies *bbfakestore.Copies
 	// restartErrors describes the failed restarts of crashed endpoints.
 	restartErrors []string
 	// stopped is true once crashed endpoints are no longer restarted.
@@ -92,7 +93,7 @@
 	}
 	f := &Fleet{
 		Ledger:       bbledger.NewLedger(),
-		store:        bbstand.NewStore(pageSize),
+		store:        bbfakestore.NewStore(pageSize),
 		versions:     make(map[uint64]time.Time),
 		evacuated:    make(map[string][]bbpromise.Interval),
 		leavingSince: make(map[string]time.Time),
@@ -130,9 +131,9 @@
 	// Serve returns only after the clean-up function has closed the server.
 	go func() { _ = server.Serve(l) }()
 	f.cleanups = append(f.cleanups, func() { _ = server.Close() })
-	stopCopies := make(chan struct{})
-	go f.copyStore(stopCopies)
-	f.cleanups = append(f.cleanups, func() { close(stopCopies) })
+	copies, stopCopies := bbfakestore.KeepCopies(f.store)
+	f.copies = copies
+	f.cleanups = append(f.cleanups, stopCopies)
 	if err := f.Configure(); err != nil {
 		return err
 	}
--- a/bluebellbench/bbsoak/restore.go
+++ b/bluebellbench/bbsoak/restore.go
@@ -7,47 +7,17 @@
 	"time"
 
 	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
+	"bluebellhall/platform/bbfakestore"
 )
 
-const (
-	// copyGap is the time between two copies of the store, maxCopies their number: the oldest is ten seconds old.
-	copyGap   = 250 * time.Millisecond
-	maxCopies = 40
-	// rewriteTime is the time within which endpoints write their entries again after a return of the store.
-	rewriteTime = 2 * time.Second
-)
-
-// copyStore takes copies of the store until a channel is closed.
-func (f *Fleet) copyStore(stop <-chan struct{}) {
-	ticker := time.NewTicker(copyGap)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-ticker.C:
-		}
-		c := f.store.Copy()
-		f.mu.Lock()
-		f.copies = append(f.copies, c)
-		if len(f.copies) > maxCopies {
-			f.copies = f.copies[1:]
-		}
-		f.mu.Unlock()
-	}
-}
+// rewriteTime is the time within which endpoints write their entries again after a return of the store.
+const rewriteTime = 2 * time.Second
 
 // restore brings the store back from one of the copies; age counts back from the last one. Then a new version of the
 // configuration is written, and what the copy lacks: by the operators at once, by each endpoint after the delay
 // drawn for it. Entries of endpoints that are gone expire.
 func (f *Fleet) restore(age int, delays []time.Duration) error {
-	f.mu.Lock()
-	if len(f.copies) > 0 {
-		f.store.Restore(f.copies[max(0, len(f.copies)-1-age)])
-		// Copies of the lost content can't come back.
-		f.copies = nil
-	}
-	f.mu.Unlock()
+	f.copies.Restore(age)
 	if err := f.Configure(); err != nil {
 		return err
 	}
@@ -93,13 +63,13 @@
 
 // restoreStore takes the store down and brings it back from an older copy.
 func restoreStore(f *Fleet, random *rand.Rand) Fault {
-	age := random.IntN(maxCopies)
+	age := random.IntN(bbfakestore.MaxCopies)
 	delays := make([]time.Duration, len(f.backEnds))
 	for i := range delays {
 		delays[i] = time.Duration(random.Int64N(int64(rewriteTime)))
 	}
 	fault := storeDown(f, random)
-	fault.Name = fmt.Sprintf("the store comes back from a copy %v old", time.Duration(age)*copyGap)
+	fault.Name = fmt.Sprintf("the store comes back from a copy %v old", time.Duration(age)*bbfakestore.CopyGap)
 	fault.end = func() error {
 		defer f.store.SetDown(false)
 		return f.restore(age, delays)
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -15,6 +15,7 @@
 	"bluebellhall/bluebelld/bblog"
 	"bluebellhall/bluebelld/bbmembership"
 	"bluebellhall/bluebelld/bbmeter"
+	"bluebellhall/bluebelld/bbnotes"
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/bluebelld/bbquarantine"
 	"bluebellhall/core/bballowance"
@@ -76,7 +77,7 @@
 	// checks in progress of endpoints that timed out.
 	quarantines bbquarantine.Quarantines
 	checks      chan struct{}
-	notes       chan addressedNote
+	notes       *bbnotes.Sender
 	leaving     atomic.Bool
 	// cursor is the position in the changes of the VM whose endpoints this one follows; used by followLoop
 	// only.
@@ -87,21 +88,8 @@
 	limits *bblimit.Limits
 }
 
-// addressedNote is a progress note for the coordinator at an address.
-type addressedNote struct {
-	peer string
-	note bbjob.Note
-}
-
-const (
-	// notePeriod is how long notes are collected before they are sent.
-	notePeriod = 80 * time.Millisecond
-	// noteTimeout bounds a call with notes.
-	noteTimeout = time.Second
-	// maxNotes bounds the notes in the send queue. Further ones are dropped; the coordinator then ends
-	// the requests at their deadlines.
-	maxNotes = 4096
-)
+// finishPeriod is how often a VM that stops checks whether it still coordinates requests.
+const finishPeriod = 80 * time.Millisecond
 
 // Start starts an entry VM. The clean-up function ends its loops and closes its connections.
 func Start(s Settings, h Hooks) (*Entry, func(), error) {
@@ -114,8 +102,8 @@
 		began:    time.Now(),
 		conns:    conns,
 		checks:   make(chan struct{}, maxChecks),
-		notes:    make(chan addressedNote, maxNotes),
 	}
+	e.notes = bbnotes.NewSender(conns.Notes, e.notesLost)
 	e.Knowledge = bbknowledge.NewKnowledge(e.now)
 	e.Knowledge.OnCatalogChange = e.catalogChanged
 	e.Knowledge.SetReadsPlatform(false)
@@ -203,7 +191,7 @@
 	go e.fleet.Run(ctx)
 	go e.followLoop(ctx)
 	go e.cellLoop(ctx)
-	go e.sendNotes(ctx)
+	go e.notes.Run(ctx)
 	go e.quarantines.Run(ctx)
 	return e, func() {
 		cancel()
@@ -240,7 +228,7 @@
 // Finish waits until the requests that this VM coordinates, also those of other VMs, have ended or the
 // context ends.
 func (e *Entry) Finish(ctx context.Context) {
-	ticker := time.NewTicker(notePeriod)
+	ticker := time.NewTicker(finishPeriod)
 	defer ticker.Stop()
 	for e.hub.Len() > 0 {
 		select {
@@ -330,45 +318,14 @@
 		go e.hub.Notes([]bbjob.Note{n})
 		return
 	}
-	select {
-	case e.notes <- addressedNote{
-		peer: peer,
-		note: n,
-	}:
-	default:
+	if !e.notes.Queue(peer, n) {
 		e.log.Event(bbevent.NoteDropped).Str("id", n.ID).Send()
 	}
 }
 
-// sendNotes collects notes for a short time and sends them in batches.
-func (e *Entry) sendNotes(ctx context.Context) {
-	for {
-		var first addressedNote
-		select {
-		case <-ctx.Done():
-			return
-		case first = <-e.notes:
-		}
-		time.Sleep(notePeriod)
-		batches := map[string][]bbjob.Note{
-			first.peer: {first.note},
-		}
-		for range len(e.notes) {
-			n := <-e.notes
-			batches[n.peer] = append(batches[n.peer], n.note)
-		}
-		for peer, notes := range batches {
-			go e.sendBatch(ctx, peer, notes)
-		}
-	}
-}
-
-func (e *Entry) sendBatch(ctx context.Context, peer string, notes []bbjob.Note) {
-	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
-	defer cancel()
-	if err := e.conns.Notes(ctx, peer, notes); err != nil {
-		e.log.Event(bbevent.NotesLost).Str("peer", peer).Int("notes", len(notes)).Err(err).Send()
-	}
+// notesLost logs notes that could not be sent.
+func (e *Entry) notesLost(peer string, notes int, err error) {
+	e.log.Event(bbevent.NotesLost).Str("peer", peer).Int("notes", notes).Err(err).Send()
 }
 
 func (e *Entry) catalogChanged(c bbcatalog.Catalog, source string) {
