--- a/bluebellbench/bbsoak/restore.go
+++ b/bluebellbench/bbsoak/restore.go
@@ -10,32 +10,37 @@
 	"bluebellhall/platform/bbfakestore"
 )
 
-// rewriteTime is the time within which endpoints write their entries again after a return of the store.
+// rewriteTime is the time within which endpoints and operators write again what a copy lacks.
 const rewriteTime = 2 * time.Second
 
 // restore brings the store back from one of the copies; age counts back from the last one. Then a new version of the
-// configuration is written, and what the copy lacks: by the operators at once, by each endpoint after the delay
-// drawn for it. Entries of endpoints that are gone expire.
+// configuration is written, and what the copy lacks: by each endpoint after the delay drawn for it, by the operators
+// after the last of the delays. Entries of endpoints that are gone expire.
 func (f *Fleet) restore(age int, delays []time.Duration) error {
 	f.copies.Restore(age)
 	if err := f.Configure(); err != nil {
 		return err
 	}
-	f.mu.Lock()
-	for _, zone := range bbdeployment.Zones {
-		intervals := f.evacuated[zone]
-		f.store.Evacuate(zone, len(intervals) > 0 && intervals[len(intervals)-1].Until.IsZero())
-	}
-	f.mu.Unlock()
 	for i, b := range f.backEnds {
 		time.AfterFunc(delays[i], func() { f.rewrite(b) })
 	}
+	time.AfterFunc(delays[len(f.backEnds)], f.rewriteEvacuations)
 	for _, id := range f.store.EndpointIDs() {
 		time.AfterFunc(entryExpiry, func() { f.expire(id) })
 	}
 	return nil
 }
 
+// rewriteEvacuations writes the evacuations again, and the ends of those that have ended.
+func (f *Fleet) rewriteEvacuations() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, zone := range bbdeployment.Zones {
+		intervals := f.evacuated[zone]
+		f.store.Evacuate(zone, len(intervals) > 0 && intervals[len(intervals)-1].Until.IsZero())
+	}
+}
+
 // rewrite writes the entry of an endpoint again if it runs.
 func (f *Fleet) rewrite(b *backEnd) {
 	b.mu.Lock()
@@ -64,7 +69,7 @@
 // restoreStore takes the store down and brings it back from an older copy.
 func restoreStore(f *Fleet, random *rand.Rand) Fault {
 	age := random.IntN(bbfakestore.MaxCopies)
-	delays := make([]time.Duration, len(f.backEnds))
+	delays := make([]time.Duration, len(f.backEnds)+1)
 	for i := range delays {
 		delays[i] = time.Duration(random.Int64N(int64(rewriteTime)))
 	}
