An engine that answers anew doesn't count as crashed

What callers could see: requests refused as crashing content, after an engine that was to go on with a stream answered 200 from the start or left events out (since such a run counts as broken). The engine lives; its run was reported like one under which an engine ends, to the quarantines of contents and of parts of prompts.

Now it is reported as answered, like an answer of another status to a run that goes on: broken for the request and the engine's standing, no loss for its content.

--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -14,6 +14,7 @@
 
 	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/bluebelld/bbcodec"
+	"bluebellhall/bluebelld/bbstream"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbsuspect"
 )
@@ -163,7 +164,7 @@
 		TimedOut:      ctx.Err() != nil,
 		AnswerStarted: r.answerStarted,
 		Parts:         x.parts,
-		Answered:      errors.Is(cause, errNotContinued),
+		Answered:      errors.IsAny(cause, errNotContinued, bbstream.ErrNotContinued),
 	}
 	if r.firstEvent > 0 {
 		failed.SinceFirstEvent = now - r.firstEvent
--- a/bluebelld/bbgateway/cut_test.go
+++ b/bluebelld/bbgateway/cut_test.go
@@ -67,6 +67,20 @@
 	}
 }
 
+// wantAnswered checks which of the failed runs are reported as answered, so that they don't count as crashes.
+func wantAnswered(t *testing.T, f *fixture, want ...bool) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var got []bool
+	for _, r := range f.failedRuns {
+		got = append(got, r.Answered)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("failed runs that are reported as answered (-want +got):\n%s", diff)
+	}
+}
+
 // Regression: a stream that ended inside an event was forwarded as complete if its connection closed in order.
 func TestStreamCutInsideAnEventIsAborted(t *testing.T) {
 	eachCutStream(t, func(t *testing.T, answer string) {
@@ -207,6 +221,10 @@
 				t.Errorf("answer %d %q, error %v; want %q, complete: %t", status, body, err, want, c.continues)
 			}
 			wantRequests(t, f, 1, 1)
+			if !c.continues {
+				wantFailedRuns(t, f, 2, 0)
+				wantAnswered(t, f, false, true)
+			}
 		})
 	}
 }
