Split bbgateway: records, regions, stages, outcomes and the reset of old callers

bbrecord has the records of requests and failed runs; the regions of a route and an account are asked of bbcatalog, the stages of a request of bbjob, the outcome of an exchange of bbcodec; bbframing resets connections of HTTP/1.0. No behaviour changes.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -18,6 +18,7 @@
 	"bluebellhall/bluebelld/bbnotes"
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/bluebelld/bbquarantine"
+	"bluebellhall/bluebelld/bbrecord"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbcoordinator"
@@ -389,7 +390,7 @@
 }
 
 // requestEnded logs the end of a caller's request and counts it.
-func (e *Entry) requestEnded(l bbgateway.RequestLog) {
+func (e *Entry) requestEnded(l bbrecord.Request) {
 	line := e.log.Event(bbevent.EntryRequestEnded).Str("id", l.ID).Str("route", l.Route).Str("outcome", l.Outcome)
 	if l.Cause != "" {
 		line.Str("cause", l.Cause)
--- a/bluebelld/bbentry/suspects.go
+++ b/bluebelld/bbentry/suspects.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"bluebellhall/bluebelld/bbchannel"
-	"bluebellhall/bluebelld/bbgateway"
 	"bluebellhall/bluebelld/bbquarantine"
+	"bluebellhall/bluebelld/bbrecord"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbsuspect"
 )
@@ -22,7 +22,7 @@
 
 // runFailed handles a run that ended without a complete answer. If the connection broke, the endpoint counts
 // as lost. If the request timed out, it counts as lost only if it accepts no connections any more.
-func (e *Entry) runFailed(b bbgateway.FailedRun) {
+func (e *Entry) runFailed(b bbrecord.FailedRun) {
 	e.log.Event(bbevent.RunBroke).Str("id", b.ID).Str("content", formatContent(b.Content)).Str("endpoint", b.Endpoint).
 		Dur("ran", b.Duration).Bool("silent", b.TimedOut).Bool("begun", b.AnswerStarted).Dur("sinceFirstEvent", b.SinceFirstEvent).
 		Strs("parts", formatParts(b.Parts)).Str("cause", b.Cause.Error()).Send()
--- a/bluebelld/bbentry/suspects_test.go
+++ b/bluebelld/bbentry/suspects_test.go
@@ -8,10 +8,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"bluebellhall/bluebelld/bbgateway"
 	"bluebellhall/bluebelld/bblog"
 	"bluebellhall/bluebelld/bbmeter"
 	"bluebellhall/bluebelld/bbquarantine"
+	"bluebellhall/bluebelld/bbrecord"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbsuspect"
 )
@@ -43,7 +43,7 @@
 
 // failRun lets a run of content 1 fail at an address, and waits until the checks are done.
 func failRun(e *Entry, address string, silent bool) {
-	e.runFailed(bbgateway.FailedRun{
+	e.runFailed(bbrecord.FailedRun{
 		ID:       "r",
 		Content:  1,
 		Endpoint: "e1",
@@ -101,7 +101,7 @@
 			e := newQuarantineEntry()
 			for _, engine := range []string{"e1", "e2", "e3"} {
 				time.Sleep(2 * time.Millisecond)
-				e.runFailed(bbgateway.FailedRun{
+				e.runFailed(bbrecord.FailedRun{
 					ID:              "r of " + engine,
 					Endpoint:        engine,
 					Cause:           errors.New("broken"),
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,8 +13,9 @@
 
 	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/bluebelld/bbcodec"
+	"bluebellhall/bluebelld/bbframing"
+	"bluebellhall/bluebelld/bbrecord"
 	"bluebellhall/bluebelld/bbstream"
-	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbsuspect"
 )
 
@@ -77,28 +77,10 @@
 // doesn't mistake the partial answer for a complete one.
 func (g *Gateway) abort(x *exchange, cause string) {
 	g.logEnd(x, "cut", cause, 0)
-	x.resetIfUnframed()
+	bbframing.ResetIfUnframed(x.w, x.r)
 	panic(http.ErrAbortHandler)
 }
 
-// resetIfUnframed resets the connection of a caller of HTTP/1.0, which takes an orderly close for the end of an
-// answer without a length.
-func (x *exchange) resetIfUnframed() {
-	if x.r.ProtoAtLeast(1, 1) {
-		return
-	}
-	conn, _, err := http.NewResponseController(x.w).Hijack()
-	if err != nil {
-		// The server closes the connection in order; the log has the request as cut.
-		return
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// Without lingering, closing resets the connection; if it is closed already, there is nothing to reset.
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // endpointRequest returns the request to be sent to an endpoint.
 func (g *Gateway) endpointRequest(x *exchange, f bbcodec.Forward) *http.Request {
 	f.Remaining = x.deadline - g.hooks.Now()
@@ -121,22 +103,6 @@
 	return r
 }
 
-// classify returns the outcome of an exchange with an endpoint for its health record. Reading is the
-// zero value if there was an error.
-func classify(err error, reading bbcodec.AnswerInfo) bbhealth.Outcome {
-	switch {
-	case errors.Is(err, bbchannel.ErrUnreachable):
-		return bbhealth.OutcomeUnreachable
-	case err != nil || reading.OtherRequest:
-		return bbhealth.OutcomeBroken
-	case reading.OtherEndpoint:
-		return bbhealth.OutcomeMoved
-	case reading.NotRun:
-		return bbhealth.OutcomeFull
-	}
-	return bbhealth.OutcomeGood
-}
-
 // run is one attempt of a request at an endpoint.
 type run struct {
 	endpoint, address string
@@ -154,7 +120,7 @@
 		return
 	}
 	now := g.hooks.Now()
-	failed := FailedRun{
+	failed := bbrecord.FailedRun{
 		ID:            x.ID,
 		Content:       x.Content,
 		Endpoint:      r.endpoint,
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -14,6 +14,7 @@
 	"bluebellhall/bluebelld/bbadmission"
 	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/bluebelld/bbcodec"
+	"bluebellhall/bluebelld/bbrecord"
 	"bluebellhall/bluebelld/bbstream"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
@@ -25,53 +26,6 @@
 	"bluebellhall/core/bbsuspect"
 )
 
-// RequestLog is the log record of a request, written when it ends.
-type RequestLog struct {
-	ID, Route string
-	// Kind is that of the route: read, once or stream.
-	Kind string
-	// Outcome is a word for how the request ended, Cause the reason if it wasn't answered.
-	Outcome, Cause string
-	// Endpoint is the last one to which the request was offered, Coordinator the VM that granted it.
-	Endpoint, Coordinator string
-	Status, Tries         int
-	// Limit is the time limit of the request; 0 if it ended before that was known.
-	Limit time.Duration
-	// Granted, First and Took are the times from arrival to the grant of an engine, to the first part of
-	// the answer and to the end. If the coordinator refused the request, First is its estimate.
-	Granted, First, Took time.Duration
-	// OnTime is true for answers within the objective.
-	OnTime bool
-	// Framing is how the end of the last endpoint's answer was to be recognized; empty if none answered.
-	Framing string
-	// Version is that of the configuration in force when the request arrived.
-	Version uint64
-	// Content is a hash of what the request asks, the same for each attempt of its caller; 0 if the
-	// request ended before that was known.
-	Content uint64
-}
-
-// FailedRun describes a run of a request at an endpoint that gave no complete answer.
-type FailedRun struct {
-	ID      string
-	Content uint64
-	// Endpoint is the endpoint's ID, Cause the error that ended the exchange.
-	Endpoint, Address string
-	Cause             error
-	// Duration is the time from the start of the run to its failure.
-	Duration time.Duration
-	// TimedOut is true if the time limit of the run expired, false if the exchange itself failed.
-	TimedOut bool
-	// AnswerStarted is true if a part of the answer had arrived.
-	AnswerStarted bool
-	// Parts are the parts of the prompt that other requests may have too, see bbjob.Prompt.SharedParts.
-	Parts []uint64
-	// SinceFirstEvent is the time since the first complete event of the answer; 0 if there was none.
-	SinceFirstEvent time.Duration
-	// Answered is true if the endpoint answered completely, but not with the rest of a stream that had begun.
-	Answered bool
-}
-
 // Hooks connect the gateway to the rest of the process.
 type Hooks struct {
 	Now func() time.Duration
@@ -97,9 +51,9 @@
 	Order func(ctx context.Context, o bbjob.Order) (bbjob.Verdict, string, error)
 	// Note reports the progress of a granted request to its coordinator.
 	Note func(coordinator string, n bbjob.Note)
-	Log  func(l RequestLog)
+	Log  func(l bbrecord.Request)
 	// RunFailed reports a run without a complete answer, unless the caller disconnected.
-	RunFailed func(b FailedRun)
+	RunFailed func(b bbrecord.FailedRun)
 	// Answered reports that an endpoint answered.
 	Answered func(endpoint string)
 	// Succeeded reports a successful run of a content and when it began. Parts are those of its prompt that
@@ -181,7 +135,7 @@
 	events bbstream.IDs
 	// parts are the parts of the prompt that other requests may have too.
 	parts []uint64
-	log   RequestLog
+	log   bbrecord.Request
 }
 
 // Open returns the number of requests in progress.
--- a/bluebelld/bbgateway/gateway_test.go
+++ b/bluebelld/bbgateway/gateway_test.go
@@ -20,6 +20,7 @@
 
 	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/bluebelld/bbcodec"
+	"bluebellhall/bluebelld/bbrecord"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbjob"
@@ -112,10 +113,10 @@
 	gateway    *Gateway
 	endpoint   []*stubEndpoint
 	mu         sync.Mutex
-	logged     []RequestLog
+	logged     []bbrecord.Request
 	orders     []bbjob.Order
 	notes      []bbjob.Note
-	failedRuns []FailedRun
+	failedRuns []bbrecord.FailedRun
 	// verdicts are returned one after the other; the last one is repeated. None means clear.
 	verdicts []bbsuspect.Verdict
 	// blocked has the endpoints to which nothing may be sent, backoffUntil the ends of backoffs.
@@ -246,12 +247,12 @@
 			defer f.mu.Unlock()
 			f.notes = append(f.notes, n)
 		},
-		Log: func(l RequestLog) {
+		Log: func(l bbrecord.Request) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.logged = append(f.logged, l)
 		},
-		RunFailed: func(b FailedRun) {
+		RunFailed: func(b bbrecord.FailedRun) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.failedRuns = append(f.failedRuns, b)
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -75,7 +75,7 @@
 
 // newOrder returns the order for a request, without the fields that change with each attempt.
 func (g *Gateway) newOrder(x *exchange) bbjob.Order {
-	o := bbjob.Order{
+	return bbjob.Order{
 		ID:        x.ID,
 		Origin:    g.name,
 		Route:     x.Route.Name,
@@ -89,23 +89,11 @@
 		Zone:      g.zone,
 		Region:    g.region,
 		BodyBytes: len(x.Body),
-		Regions:   regions(x.Route, x.Account),
+		Regions:   bbcatalog.Regions(x.Route, x.Account),
+		Stages:    bbjob.Stages(x.Route, x.Pieces),
 
 		Fingerprint: x.Content,
 	}
-	for i, s := range x.Route.Stages {
-		pieces := 1
-		if i < len(x.Pieces) {
-			pieces = x.Pieces[i]
-		}
-		o.Stages = append(o.Stages, bbjob.Stage{
-			Service:     s.Service,
-			After:       s.After,
-			ResultBytes: s.ResultBytes,
-			Pieces:      pieces,
-		})
-	}
-	return o
 }
 
 // elapsed returns the estimated time since the caller's first attempt, or 0 if that can't be estimated.
@@ -128,29 +116,6 @@
 	return min(x.deadline, x.began+within)
 }
 
-// noRegion stands for a route and an account that have no region in common.
-const noRegion = "none"
-
-// regions returns the regions that a route and an account allow; empty means all.
-func regions(r *bbcatalog.Route, a *bbcatalog.Account) []string {
-	if a == nil || len(a.Regions) == 0 {
-		return r.Regions
-	}
-	if len(r.Regions) == 0 {
-		return a.Regions
-	}
-	var both []string
-	for _, region := range r.Regions {
-		if bbcatalog.Allowed(r, a, region) {
-			both = append(both, region)
-		}
-	}
-	if len(both) == 0 {
-		return []string{noRegion}
-	}
-	return both
-}
-
 // endUngranted ends a request for which no engine was granted.
 func (g *Gateway) endUngranted(ctx context.Context, x *exchange, runs int, v bbjob.Verdict) {
 	if v.Refusal == nil {
@@ -236,7 +201,7 @@
 		LastEvent: t.LastEvent,
 	}))
 	if err != nil {
-		outcome = classify(err, bbcodec.AnswerInfo{})
+		outcome = bbcodec.Outcome(err, bbcodec.AnswerInfo{})
 		if outcome == bbhealth.OutcomeBroken {
 			g.reportFailedRun(ctx, t.exchange, r, err)
 		}
@@ -245,7 +210,7 @@
 	defer cleanup()
 	reading := g.codec.Read(t.ID, answer)
 	g.hooks.RecordSignal(process, reading.Signal, r.began)
-	outcome = classify(nil, reading)
+	outcome = bbcodec.Outcome(nil, reading)
 	if outcome == bbhealth.OutcomeGood || outcome == bbhealth.OutcomeFull {
 		g.hooks.Answered(t.grant.Endpoint)
 	}
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -135,7 +135,7 @@
 		Priority: bbcatalog.Priority(x.Route, x.Account),
 	}))
 	if err != nil {
-		if outcome = classify(err, bbcodec.AnswerInfo{}); outcome == bbhealth.OutcomeBroken {
+		if outcome = bbcodec.Outcome(err, bbcodec.AnswerInfo{}); outcome == bbhealth.OutcomeBroken {
 			g.reportFailedRun(tryCtx, x, r, err)
 		}
 		return g.retryOrFailPlain(ctx, x, outcome, repeatable)
@@ -143,7 +143,7 @@
 	defer cleanup()
 	reading := g.codec.Read(x.ID, answer)
 	g.hooks.RecordSignal(process, reading.Signal, r.began)
-	outcome = classify(nil, reading)
+	outcome = bbcodec.Outcome(nil, reading)
 	if outcome == bbhealth.OutcomeGood || outcome == bbhealth.OutcomeFull {
 		g.hooks.Answered(e.ID)
 	}
--- a/core/bbcatalog/index.go
+++ b/core/bbcatalog/index.go
@@ -86,6 +86,30 @@
 	return a == nil || allows(a.Regions, region)
 }
 
+// noRegion stands for a route and an account that have no region in common.
+const noRegion = "none"
+
+// Regions returns the regions in which requests of a route and an account may be served; empty means all. The account
+// may be nil.
+func Regions(r *Route, a *Account) []string {
+	if a == nil || len(a.Regions) == 0 {
+		return r.Regions
+	}
+	if len(r.Regions) == 0 {
+		return a.Regions
+	}
+	var both []string
+	for _, region := range r.Regions {
+		if Allowed(r, a, region) {
+			both = append(both, region)
+		}
+	}
+	if len(both) == 0 {
+		return []string{noRegion}
+	}
+	return both
+}
+
 // allows reports whether a list contains a value; an empty list allows every value.
 func allows(list []string, value string) bool {
 	if len(list) == 0 {
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbhash"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbsuspect"
@@ -145,6 +146,25 @@
 	Pieces int `json:"pieces"`
 }
 
+// Stages returns the stages of a request on a route, each with its number of pieces; those that the request doesn't
+// name have one.
+func Stages(r *bbcatalog.Route, pieces []int) []Stage {
+	var stages []Stage
+	for i, s := range r.Stages {
+		count := 1
+		if i < len(pieces) {
+			count = pieces[i]
+		}
+		stages = append(stages, Stage{
+			Service:     s.Service,
+			After:       s.After,
+			ResultBytes: s.ResultBytes,
+			Pieces:      count,
+		})
+	}
+	return stages
+}
+
 // StageResult is the result of one piece of a stage.
 type StageResult struct {
 	Stage int `json:"stage"`
