--- a/core/bbowner/table.go
+++ b/core/bbowner/table.go
@@ -175,7 +175,7 @@
 // endpoints whose address changed, that are back in the rules, or whose failure domain
 // is no longer out start cold.
 func (t *Table) SetRules(now time.Duration, rules *bbrule.RuleSet) {
-	t.maxCallTime = longestCalls(rules)
+	t.maxCallTime = rules.LongestCalls()
 	services := map[string]bbrule.Service{}
 	for _, s := range rules.Services {
 		services[s.Name] = s
@@ -205,20 +205,6 @@
 	t.refuseUnusable(now)
 }
 
-// longestCalls returns the longest deadline of any pipeline or call that uses a service.
-func longestCalls(rules *bbrule.RuleSet) map[string]time.Duration {
-	longest := map[string]time.Duration{}
-	for _, p := range rules.Pipelines {
-		for _, stage := range p.Stages {
-			longest[stage.Service] = max(longest[stage.Service], p.Deadline)
-		}
-	}
-	for _, c := range rules.Calls {
-		longest[c.Service] = max(longest[c.Service], c.Deadline)
-	}
-	return longest
-}
-
 func (t *Table) setRule(now time.Duration, rule bbrule.Endpoint, s bbrule.Service, out bool) {
 	e := t.Endpoints[rule.Name]
 	if e == nil {
--- a/core/bbrule/model.go
+++ b/core/bbrule/model.go
@@ -177,3 +177,17 @@
 
 // Finding is one error in a rules text.
 type Finding = bbline.Finding
+
+// LongestCalls returns the longest deadline of any pipeline or call that uses a service, by service.
+func (r *RuleSet) LongestCalls() map[string]time.Duration {
+	longest := make(map[string]time.Duration)
+	for _, p := range r.Pipelines {
+		for _, s := range p.Stages {
+			longest[s.Service] = max(longest[s.Service], p.Deadline)
+		}
+	}
+	for _, c := range r.Calls {
+		longest[c.Service] = max(longest[c.Service], c.Deadline)
+	}
+	return longest
+}
