--- a/review/stand/link.go
+++ b/review/stand/link.go
@@ -11,6 +11,8 @@
 	mu   sync.Mutex
 	open chan struct{}
 	cut  bool
+	// silent is closed, and replaced, when the open channels go silent for good.
+	silent chan struct{}
 }
 
 // addLink starts a link.
@@ -20,7 +22,7 @@
 		t.unable("%v", err)
 	}
 	t.cleanup(func() { _ = l.Close() })
-	k := &link{open: make(chan struct{})}
+	k := &link{open: make(chan struct{}), silent: make(chan struct{})}
 	close(k.open)
 	go func() {
 		for {
@@ -49,6 +51,14 @@
 	close(k.open)
 }
 
+// silence makes the channels that are open go silent for good; new ones work.
+func (k *link) silence() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	close(k.silent)
+	k.silent = make(chan struct{})
+}
+
 // pass waits until the link passes data on.
 func (k *link) pass() {
 	k.mu.Lock()
@@ -59,21 +69,33 @@
 
 func (k *link) serve(c net.Conn, target string) {
 	defer c.Close()
+	k.mu.Lock()
+	silent := k.silent
+	k.mu.Unlock()
 	k.pass()
 	out, err := net.Dial("tcp", target)
 	if err != nil {
 		return
 	}
 	defer out.Close()
-	go k.forward(out, c)
-	k.forward(c, out)
+	go k.forward(out, c, silent)
+	k.forward(c, out, silent)
 }
 
-func (k *link) forward(to, from net.Conn) {
+func (k *link) forward(to, from net.Conn, silent <-chan struct{}) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		k.pass()
+		select {
+		case <-silent:
+			// What is sent on either end is taken and goes nowhere.
+			n = 0
+			if err != nil {
+				select {}
+			}
+		default:
+		}
 		if n > 0 {
 			if _, failed := to.Write(buffer[:n]); failed != nil {
 				err = io.EOF
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -12,6 +12,7 @@
 		"freeze": freeze,
 		"alone":  alone,
 		"seeds":  seeds,
+		"silent": silent,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: stand CASE RECORD")
