--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -13,6 +13,7 @@
 		"alone":  alone,
 		"seeds":  seeds,
 		"silent": silent,
+		"leave":  leave,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: stand CASE RECORD")
