--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -27,7 +27,11 @@
 // chat sends a generation to a machine on a new channel, as a client does, and returns the status of the answer, or 0
 // if there is none.
 func (t *test) chat(m *machine, path string, wait time.Duration) int {
-	id := newID()
+	return t.generate(m, newID(), path, nil, 6, wait)
+}
+
+// generate sends a generation with a number of pieces of each phase.
+func (t *test) generate(m *machine, id, path string, pieces []int, events int, wait time.Duration) int {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.front()+path, strings.NewReader("question "+id))
@@ -37,11 +41,19 @@
 	r.Host = host
 	r.Header.Set("X-Attempt-Id", id)
 	r.Header.Set("X-Model", "m")
-	r.Header.Set("X-Token-Usage", "600,30")
+	r.Header.Set("X-Token-Usage", "600,"+strconv.Itoa(5*events))
 	r.Header.Set("X-Prefix-Hash", "5c1e07a2:170,"+id+":430")
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	r.Header.Set("Authorization", "Bearer "+key)
-	t.rec.add("client sends %s to %s", id, m.name)
+	if pieces != nil {
+		var counts []string
+		for _, n := range pieces {
+			counts = append(counts, strconv.Itoa(n))
+		}
+		r.Header.Set("X-Chunk-Count", strings.Join(counts, ","))
+		r.Header.Set("X-Chunk-Key", "7c1e"+id)
+	}
+	t.rec.add("client sends %s to %s, pieces %v", id, m.name, pieces)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	answer, err := client.Do(r)
 	if err != nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -10,10 +10,10 @@
 func main() {
 	cases := map[string]func(t *test){
 		"freeze": freeze,
-		"alone":  alone,
 		"seeds":  seeds,
 		"silent": silent,
 		"leave":  leave,
+		"inputs": inputs,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: stand CASE RECORD")
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -26,6 +26,8 @@
 	firstToken, pause          time.Duration
 
 	mu        sync.Mutex
+	server    *http.Server
+	down      bool
 	coldUntil time.Time
 	sequence  int
 	running   int
@@ -42,13 +44,8 @@
 		born: time.Now().UnixMilli(), firstToken: 40 * time.Millisecond, pause: 10 * time.Millisecond,
 		runs: make(map[string]int),
 	}
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		t.unable("%v", err)
-	}
-	server := &http.Server{Handler: w}
-	go func() { _ = server.Serve(l) }()
-	t.cleanup(func() { _ = server.Close() })
+	w.listen()
+	t.cleanup(func() { _ = w.current().Close() })
 	w.beat()
 	stop := make(chan struct{})
 	t.cleanup(func() { close(stop) })
@@ -58,13 +55,70 @@
 			case <-stop:
 				return
 			case <-time.After(1200 * time.Millisecond):
-				w.beat()
+				if !w.isDown() {
+					w.beat()
+				}
 			}
 		}
 	}()
 	return w
 }
 
+// listen serves the worker's address.
+func (w *worker) listen() {
+	l, err := net.Listen("tcp", w.address)
+	if err != nil {
+		w.test.unable("%v", err)
+	}
+	server := &http.Server{Handler: w}
+	go func() { _ = server.Serve(l) }()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.server = server
+}
+
+func (w *worker) current() *http.Server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.server
+}
+
+func (w *worker) isDown() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.down
+}
+
+// crash ends the worker with all that it runs. It is back under its id after a time, as a new process that is cold.
+func (w *worker) crash(d time.Duration) {
+	w.mu.Lock()
+	w.down = true
+	server := w.server
+	w.mu.Unlock()
+	_ = server.Close()
+	time.AfterFunc(d, func() {
+		w.listen()
+		w.mu.Lock()
+		w.down = false
+		w.born, w.sequence = time.Now().UnixMilli(), 0
+		w.coldUntil = time.Now().Add(3 * time.Second)
+		w.mu.Unlock()
+		w.beat()
+	})
+}
+
+// began returns when the worker began to run an attempt first, and whether it did.
+func (w *worker) began(id string) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.arrivals {
+		if a.id == id {
+			return a.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // coldLeft returns how much longer the worker is cold; the caller holds the lock.
 func (w *worker) coldLeft() time.Duration {
 	return max(0, time.Until(w.coldUntil))
@@ -132,7 +186,9 @@
 	out.Header().Set("X-Weight-Versions", "1")
 	flush := http.NewResponseController(out)
 	time.Sleep(w.firstToken)
-	for i := 1; i <= events; i++ {
+	// Without the header the stream begins at the first event.
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := last + 1; i <= events; i++ {
 		if _, err := fmt.Fprintf(out, "id: %d\ndata: %s %d of %d\n\n", i, id, i, events); err != nil || flush.Flush() != nil || r.Context().Err() != nil {
 			return
 		}
