--- a/review/stand/link.go
+++ b/review/stand/link.go
@@ -6,11 +6,9 @@
 	"sync"
 )
 
-// link passes connections on to an address. While it is cut it passes nothing on, and what is sent meanwhile is held.
+// link passes channels on to an address.
 type link struct {
-	mu   sync.Mutex
-	open chan struct{}
-	cut  bool
+	mu sync.Mutex
 	// silent is closed, and replaced, when the open channels go silent for good.
 	silent chan struct{}
 }
@@ -22,8 +20,7 @@
 		t.unable("%v", err)
 	}
 	t.cleanup(func() { _ = l.Close() })
-	k := &link{open: make(chan struct{}), silent: make(chan struct{})}
-	close(k.open)
+	k := &link{silent: make(chan struct{})}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -36,21 +33,6 @@
 	return k
 }
 
-// set cuts the link or heals it.
-func (k *link) set(cut bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if cut == k.cut {
-		return
-	}
-	k.cut = cut
-	if cut {
-		k.open = make(chan struct{})
-		return
-	}
-	close(k.open)
-}
-
 // silence makes the channels that are open go silent for good; new ones work.
 func (k *link) silence() {
 	k.mu.Lock()
@@ -59,20 +41,11 @@
 	k.silent = make(chan struct{})
 }
 
-// pass waits until the link passes data on.
-func (k *link) pass() {
-	k.mu.Lock()
-	open := k.open
-	k.mu.Unlock()
-	<-open
-}
-
 func (k *link) serve(c net.Conn, target string) {
 	defer c.Close()
 	k.mu.Lock()
 	silent := k.silent
 	k.mu.Unlock()
-	k.pass()
 	out, err := net.Dial("tcp", target)
 	if err != nil {
 		return
@@ -86,7 +59,6 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		k.pass()
 		select {
 		case <-silent:
 			// What is sent on either end is taken and goes nowhere.
