--- a/review/stand/inputs.go
+++ b/review/stand/inputs.go
@@ -40,7 +40,11 @@
 			"segments": object{"slots": 1, "queue": stageQueue, "batch": s.spec.batch, "callMs": s.spec.call.Milliseconds(), "itemMs": s.spec.item.Milliseconds(),
 				"headroomMb": 18.0, "handleTtlS": handleTTL.Seconds(), "linkMbps": 10000},
 		})
-		for k, z := range zones {
+		places := zones
+		if i == len(stageServices)-1 {
+			places = append([]string{"ub-east"}, zones...)
+		}
+		for k, z := range places {
 			w := b.addStageWorker(fmt.Sprintf("i-5840f%d%d", i, k), s.name, z, fmt.Sprintf("%s.%d:8080", t.network, 150+10*i+k), s.spec)
 			if i == len(stageServices)-1 {
 				last = append(last, w)
@@ -97,7 +101,7 @@
 	t.verdict(len(wrong) > 0, "%d pieces with wrong inputs%s", len(wrong), first)
 }
 
-// round sends one request with three phases, and three others that keep the workers of its last phase busy.
+// round sends one request with three phases, and four others that keep the workers of its last phase busy.
 func (b *bench) round(t *test, models []*worker, last []*stageWorker, digest, notice phases) {
 	subject := newID()
 	const slowness = 4.0
@@ -137,7 +141,7 @@
 		})
 	}
 	send(0, subject, digestPath, digest, []int{1, 1, 4}, 60)
-	for _, after := range []time.Duration{300, 310, 500} {
+	for _, after := range []time.Duration{300, 305, 310, 500} {
 		send(after*time.Millisecond, newID(), noticePath, notice, []int{16}, 5)
 	}
 	for end := time.Now().Add(5 * time.Second); t.trouble && time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
--- a/review/stand/seeds.go
+++ b/review/stand/seeds.go
@@ -18,6 +18,7 @@
 	t.startAll()
 	time.Sleep(3 * time.Second)
 	old := []*machine{t.machines[0], t.machines[3], t.machines[5]}
+	lost := time.Now()
 	if t.trouble {
 		for _, m := range old {
 			m.kill()
@@ -31,7 +32,8 @@
 	}
 	added.start()
 	t.awaitReady(added)
-	time.Sleep(2 * time.Second)
+	// Seeds are stale for at most seedLagS.
+	time.Sleep(time.Until(lost.Add(2900 * time.Millisecond)))
 	added.seeds = []string{t.machines[1].peer, t.machines[4].peer, t.machines[6].peer}
 	if err := os.WriteFile(filepath.Join(t.dir, added.name+".conf"), []byte(added.settings()), 0o600); err != nil {
 		t.unable("%v", err)
