--- a/bluebelld/bblog/bench_test.go
+++ b/bluebelld/bblog/bench_test.go
@@ -31,7 +31,7 @@
 
 func writeRequest(log Logger) {
 	for range linesOfARequest {
-		log.Event(bbevent.PiecesSent).Str("id", "967b413d1c34533d").Uint64("call", 7).Str("endpoint", "i-b95f232ea8").Str("detail", "5").Send()
+		log.Event(bbevent.PiecesSent).Str("id", "967b413d1c34533d").Uint64("call", 7).Str("endpoint", "i-b95f232ea8").Str("detail", "stage=1 pieces=0,1,2,3,4").Send()
 	}
 }
 
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -257,42 +257,47 @@
 		again.Add(piece)
 	}
 	for _, id := range slices.Sorted(maps.Keys(again)) {
-		c.log(bbdecision.Event{
-			Number:   bbevent.CallOverdue,
-			Job:      id,
-			Call:     call.ID,
-			Endpoint: call.Endpoint,
-			Value:    now - call.Sent,
-		})
 		j := c.jobs[id]
 		for _, stage := range slices.Sorted(maps.Keys(again[id])) {
 			pieces := again[id][stage]
+			detail := bbdecision.DescribePieces(stage, pieces)
 			if j.Ready(stage) && j.InputsKept(stage) && c.retries.Of(j.Order.Stages[stage].Service).Take(now, 1) {
+				detail += " queued"
 				c.addGroup(j, stage, pieces)
 			}
+			c.log(bbdecision.Event{
+				Number:   bbevent.CallOverdue,
+				Job:      id,
+				Call:     call.ID,
+				Endpoint: call.Endpoint,
+				Detail:   detail,
+				Value:    now - call.Sent,
+			})
 		}
 	}
 }
 
 // recordCallStart records that a call is being sent.
 func (c *Coordinator) recordCallStart(call *bbpool.Call) {
-	sent := make(map[string]int)
+	sent := make(bbpool.ByJob)
 	for _, piece := range call.Pieces {
 		if j := c.jobs[piece.Job]; j != nil {
 			p := &j.Stages[piece.Stage].Pieces[piece.Piece]
 			p.Queued = false
 			p.Calls++
-			sent[piece.Job]++
+			sent.Add(piece)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(sent)) {
-		c.log(bbdecision.Event{
-			Number:   bbevent.PiecesSent,
-			Job:      id,
-			Call:     call.ID,
-			Endpoint: call.Endpoint,
-			Detail:   strconv.Itoa(sent[id]),
-		})
+		for _, stage := range slices.Sorted(maps.Keys(sent[id])) {
+			c.log(bbdecision.Event{
+				Number:   bbevent.PiecesSent,
+				Job:      id,
+				Call:     call.ID,
+				Endpoint: call.Endpoint,
+				Detail:   bbdecision.DescribePieces(stage, sent[id][stage]),
+			})
+		}
 	}
 }
 
--- a/core/bbdecision/result.go
+++ b/core/bbdecision/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbpool"
@@ -35,3 +36,17 @@
 	}
 	return fmt.Sprintf("%s outcome=%s results=%d of %d gone=%d noRoom=%d", call.Service, o, made, len(call.Pieces), missing, storageFull)
 }
+
+// DescribePieces names pieces of a stage for the log.
+func DescribePieces(stage int, pieces []int) string {
+	b := []byte("stage=")
+	b = strconv.AppendInt(b, int64(stage), 10)
+	b = append(b, " pieces="...)
+	for i, k := range pieces {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendInt(b, int64(k), 10)
+	}
+	return string(b)
+}
