Pieces leave the queue once they have a result or lose their inputs

Cause: a late call's pieces are queued again. When that call answered after all, storeResult completed the pieces and left them in the queue. Ruled out: pieces that are queued too early when stages begin anew (nothing was queued between the reset and that call). Only one of the paths that reset pieces took them out of their pools (retryPieces); the ways through resubmit and placeJob, and a late call's lost inputs, did not.

Now a piece is marked as queued exactly while it is in the queue of its pool: storing its result removes it, and one function, schedule, follows every change of a request's results. It resets results that are missing, withdraws what can't be sent, and queues what can. Resets and withdrawals are no longer the callers' matter. A piece that is reset keeps the number of its running calls. A leaving coordinator hands back a request whose origin asks for another engine, in place of keeping it.

--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -79,11 +79,7 @@
 	}
 	for _, piece := range call.Pieces {
 		if j := c.jobs[piece.Job]; j != nil {
-			if c.leaving {
-				c.handBack(j)
-				continue
-			}
-			c.release(j)
+			c.schedule(j)
 		}
 	}
 	return c.decide(now)
@@ -123,21 +119,6 @@
 	}
 }
 
-// withdraw removes pieces from their pools that wait for a worker while their inputs are computed
-// again. They are put back once the inputs are available.
-func (c *Coordinator) withdraw(j *bbprogress.Job) {
-	for i, s := range j.Order.Stages {
-		p := c.pools[s.Service]
-		if p == nil || j.Ready(i) {
-			continue
-		}
-		for _, k := range p.Withdraw(j.Order.ID, i) {
-			j.Stages[i].Pieces[k].Queued = false
-			j.Stages[i].Released = false
-		}
-	}
-}
-
 // importResults takes over the results that an earlier coordinator obtained.
 func (c *Coordinator) importResults(now time.Duration, j *bbprogress.Job) {
 	for _, m := range j.Order.Results {
@@ -159,17 +140,9 @@
 			pool.Adopt(now, m.Producer, m.Handle, j.Order.Stages[m.Stage].ResultBytes)
 		}
 	}
-	// From the last stage to the first: what a stage has to recompute determines which of its inputs
-	// are needed.
-	for i := len(j.Stages) - 1; i >= 0; i-- {
-		switch {
-		case j.Stages[i].Left > 0:
-		case !j.Needed(i):
-			c.freeStage(j, i)
-		default:
-			j.RecomputeFreed(i)
-		}
-	}
+	// What has to be computed again determines which other results are needed.
+	j.ResetMissing()
+	c.freeUnneeded(j)
 }
 
 // storeResult stores the result of one piece, or frees it if it isn't needed.
@@ -188,6 +161,11 @@
 	made.CompletedAt = now
 	made.Expires = now + c.pool(call.Service).Spec.ResultTTL
 	st.Left--
+	if made.Queued {
+		// The piece was queued again because this call is late.
+		made.Queued = false
+		c.pool(call.Service).Remove(piece)
+	}
 	if st.Left > 0 {
 		return
 	}
@@ -199,11 +177,7 @@
 	})
 	c.update(j, j.ResultsOf(piece.Stage))
 	// The inputs of a finished stage are released unless another stage needs them.
-	for _, before := range j.Order.Stages[piece.Stage].After {
-		if !j.Needed(before) {
-			c.freeStage(j, before)
-		}
-	}
+	c.freeUnneeded(j)
 }
 
 // retryPieces queues the pieces of a failed call again, or refuses their request. Attempts that an
@@ -221,9 +195,8 @@
 			}
 			mayRepeat = mayRepeat && p.Tries < maxPieceTries
 		}
-		j.Rewind(stage)
+		j.Stages[stage].Released = false
 	}
-	c.withdraw(j)
 	if c.leaving {
 		c.handBack(j)
 		return
@@ -238,7 +211,7 @@
 		c.drop(j)
 		return
 	}
-	c.release(j)
+	c.schedule(j)
 }
 
 // hedge queues the pieces of an overdue call again, so that another endpoint computes them too.
@@ -261,9 +234,8 @@
 		for _, stage := range slices.Sorted(maps.Keys(again[id])) {
 			pieces := again[id][stage]
 			detail := bbdecision.DescribePieces(stage, pieces)
-			if j.Ready(stage) && j.InputsKept(stage) && c.retries.Of(j.Order.Stages[stage].Service).Take(now, 1) {
+			if j.Needed(stage) && j.InputsAvailable(stage) && c.retries.Of(j.Order.Stages[stage].Service).Take(now, 1) && c.enqueue(j, stage, pieces) {
 				detail += " queued"
-				c.addGroup(j, stage, pieces)
 			}
 			c.log(bbdecision.Event{
 				Number:   bbevent.CallOverdue,
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -257,7 +257,7 @@
 		Detail: o.Route,
 		Value:  expected - now,
 	})
-	c.release(j)
+	c.schedule(j)
 	return c.decide(now)
 }
 
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -44,9 +44,7 @@
 func (c *Coordinator) placeJob(now time.Duration, j *bbprogress.Job) {
 	service := j.Order.Service
 	if invalidateExpired(now, j) {
-		delete(c.waiting, j.Order.ID)
-		j.RecomputeEngineInputs()
-		c.release(j)
+		c.schedule(j)
 		return
 	}
 	if j.Repeated && !c.retries.Of(service).Take(now, 1) {
@@ -166,8 +164,7 @@
 		// It isn't known which inputs are missing, so all are invalidated.
 		j.InvalidateEngineInputs(func(*bbprogress.Piece) bool { return true })
 	}
-	j.RecomputeEngineInputs()
-	c.release(j)
+	c.schedule(j)
 }
 
 // invalidateExpired invalidates the inputs of an engine that have expired. It reports whether there
--- a/core/bbcoordinator/inputs_test.go
+++ b/core/bbcoordinator/inputs_test.go
@@ -7,6 +7,7 @@
 
 	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
 )
 
@@ -98,3 +99,84 @@
 		}
 	}
 }
+
+// lateCall returns a coordinator with one call for the second stage of an order, which is late, so that its pieces
+// are queued again. Until wake is called the workers of that stage get no other calls.
+func lateCall(t *testing.T, o bbjob.Order) (c *Coordinator, late *bbpool.Call, wake func()) {
+	t.Helper()
+	c = newTestCoordinator()
+	backingOff := false
+	c.env.BackoffUntil = func(endpoint string) time.Duration {
+		if backingOff && endpoint[0] == 's' {
+			return time.Minute
+		}
+		return 0
+	}
+	calls := toSecond(t, c, o)
+	if len(calls) != 1 {
+		t.Fatalf("calls %+v, want one of the second stage", calls)
+	}
+	backingOff = true
+	// The call is overdue before its inputs count as fetched, so that these are kept.
+	if out := c.Tick(1500 * ms); len(out.Calls) > 0 {
+		t.Fatalf("calls %+v while the workers back off, want none", out.Calls)
+	}
+	return c, calls[0], func() { backingOff = false }
+}
+
+// wantNoCalls checks that an output has no calls.
+func wantNoCalls(t *testing.T, out bbdecision.Output) {
+	t.Helper()
+	for _, call := range out.Calls {
+		t.Errorf("call %d to %s has %+v, want no call", call.ID, call.Endpoint, call.Pieces)
+	}
+}
+
+// Pieces that were queued again for a late call were sent although that call had answered.
+func TestPiecesOfAnAnsweredLateCallLeaveTheQueue(t *testing.T) {
+	c, late, wake := lateCall(t, testOrder("a", 2))
+	if out := c.CallDone(1550*ms, late.ID, "east", bbhealth.OutcomeGood, good(late)); len(out.Grants) != 1 {
+		t.Fatalf("grants %+v, want one", out.Grants)
+	}
+	wake()
+	wantNoCalls(t, c.Tick(1600*ms))
+	if n := c.Status(1600 * ms).Waiting["second"]; n != 0 {
+		t.Errorf("%d pieces wait, want none", n)
+	}
+}
+
+// Pieces that were queued again for a late call were sent with an empty input, when an engine crashed after the
+// call had answered and the stages began anew (review/1).
+func TestStagesBeginAnewWithoutPiecesOfALateCall(t *testing.T) {
+	o := testOrder("a", 2)
+	o.Resumable = true
+	c, late, wake := lateCall(t, o)
+	c.CallDone(1550*ms, late.ID, "east", bbhealth.OutcomeGood, good(late))
+	c.Progress(1700*ms, bbjob.Note{
+		ID:       "a",
+		Endpoint: "e1",
+		Started:  true,
+	})
+	c.Progress(1750*ms, bbjob.Note{
+		ID:       "a",
+		Endpoint: "e1",
+		Ended:    true,
+		Again:    true,
+		Outcome:  bbhealth.OutcomeBroken,
+	})
+	o.Avoid = []string{"e1"}
+	o.Repeat = true
+	first := c.Submit(1760*ms, o).Calls
+	wake()
+	out := c.Tick(1800 * ms)
+	wantInputs(t, c, out.Calls)
+	wantNoCalls(t, out)
+	if len(first) != 1 || first[0].Service != "first" {
+		t.Fatalf("calls %+v, want one that computes the first stage anew", first)
+	}
+	out = c.CallDone(2*time.Second, first[0].ID, "east", bbhealth.OutcomeGood, good(first[0]))
+	wantInputs(t, c, out.Calls)
+	if len(out.Calls) != 1 || len(out.Calls[0].Pieces) != 2 {
+		t.Errorf("calls %+v once the input is there, want one with both pieces", out.Calls)
+	}
+}
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -9,12 +9,19 @@
 // maxPieceTries bounds the failed calls of one piece.
 const maxPieceTries = 4
 
-// release puts the stages of a request that may start into their pools. Results that only the
-// engine needs are computed last, so that they don't take up memory while others are pending.
-func (c *Coordinator) release(j *bbprogress.Job) {
+// schedule brings the queues in line with the results of a request, after any change of these: it has lost inputs
+// computed again, takes pieces out of their pools that can't or needn't be sent now, and queues those that may start.
+// Results that only the engine needs are computed last, so that they don't take up memory while others are pending.
+func (c *Coordinator) schedule(j *bbprogress.Job) {
+	if c.leaving {
+		c.handBack(j)
+		return
+	}
+	j.ResetMissing()
+	c.withdraw(j)
 	for i, s := range j.Order.Stages {
 		st := &j.Stages[i]
-		if st.Released || s.Pieces == 0 || !j.Ready(i) || !j.Needed(i) || j.ShouldDefer(i) {
+		if st.Released || s.Pieces == 0 || !j.InputsAvailable(i) || !j.Needed(i) || j.ShouldDefer(i) {
 			continue
 		}
 		st.Released = true
@@ -24,12 +31,16 @@
 				left = append(left, k)
 			}
 		}
-		if len(left) > 0 {
-			c.addGroup(j, i, left)
+		if len(left) > 0 && !c.enqueue(j, i, left) {
+			c.refuse(j.Order.ID, "noPool", minRetryAfter, 0)
+			c.drop(j)
+			return
 		}
 	}
 	if j.Done() {
 		c.waiting[j.Order.ID] = j
+	} else {
+		delete(c.waiting, j.Order.ID)
 	}
 }
 
@@ -56,14 +67,12 @@
 	return ""
 }
 
-// addGroup puts pieces of a stage into its pool.
-func (c *Coordinator) addGroup(j *bbprogress.Job, stage int, pieces []int) {
+// enqueue puts pieces of a stage into its pool. It reports false if the service has none.
+func (c *Coordinator) enqueue(j *bbprogress.Job, stage int, pieces []int) bool {
 	s := j.Order.Stages[stage]
 	p := c.pool(s.Service)
 	if p == nil {
-		c.refuse(j.Order.ID, "noPool", minRetryAfter, 0)
-		c.drop(j)
-		return
+		return false
 	}
 	for _, k := range pieces {
 		j.Stages[stage].Pieces[k].Queued = true
@@ -83,6 +92,31 @@
 		MoveBytes:   j.MoveBytes(stage, len(pieces)),
 		Allowed:     j.Order.Allowed(c.env.Region),
 	})
+	return true
+}
+
+// withdraw takes pieces out of their pools whose inputs are not available or whose results nothing needs any
+// more. Those that are still needed are queued again once their inputs exist.
+func (c *Coordinator) withdraw(j *bbprogress.Job) {
+	for i, s := range j.Order.Stages {
+		p := c.pools[s.Service]
+		if p == nil || !j.Queued(i) || (j.Needed(i) && j.InputsAvailable(i)) {
+			continue
+		}
+		for _, k := range p.Withdraw(j.Order.ID, i) {
+			j.Stages[i].Pieces[k].Queued = false
+			j.Stages[i].Released = false
+		}
+	}
+}
+
+// freeUnneeded releases the results of all stages that nothing needs any more.
+func (c *Coordinator) freeUnneeded(j *bbprogress.Job) {
+	for i := range j.Stages {
+		if !j.Needed(i) {
+			c.freeStage(j, i)
+		}
+	}
 }
 
 // PieceInputs returns the parameters of a piece in a call: the key of its request or the
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -4,6 +4,7 @@
 package bbpool
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -144,6 +145,20 @@
 	return numbers
 }
 
+// Remove removes a queued piece. It does nothing if the piece isn't queued.
+func (p *Pool) Remove(piece Piece) {
+	for _, g := range p.groups {
+		if g.Job != piece.Job || g.Stage != piece.Stage {
+			continue
+		}
+		if k := slices.Index(g.Left, piece.Piece); k >= 0 {
+			g.Left = slices.Delete(g.Left, k, k+1)
+			p.waiting--
+		}
+	}
+	p.remove(func(g *Group) bool { return len(g.Left) == 0 })
+}
+
 // IsLargeResult reports whether a result of that size takes a notable part of an endpoint's memory.
 func (p *Pool) IsLargeResult(bytes float64) bool {
 	return bytes*largeResultDivisor > p.Spec.ResultMemoryBytes
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -3,6 +3,7 @@
 package bbprogress
 
 import (
+	"slices"
 	"time"
 
 	"bluebellhall/core/bbjob"
@@ -24,8 +25,8 @@
 	Freed bool
 	// Tries counts the failed calls of the piece.
 	Tries int
-	// Queued is true while the piece waits in a pool. Calls counts the running calls of the piece
-	// that are not overdue.
+	// Queued is true exactly while the piece is in the queue of its pool; a piece with a result isn't. Calls
+	// counts the running calls of the piece that are not overdue.
 	Queued bool
 	Calls  int
 	// Fetched is true once an endpoint that computes the piece should have fetched its inputs.
@@ -140,7 +141,8 @@
 	return found
 }
 
-// Ready reports whether all results that a stage needs are available.
+// Ready reports whether the stages that a stage depends on are done. Their results may have been lost again,
+// see InputsAvailable.
 func (j *Job) Ready(stage int) bool {
 	for _, before := range j.Order.Stages[stage].After {
 		if j.Stages[before].Left > 0 {
@@ -150,17 +152,6 @@
 	return true
 }
 
-// Done reports whether all inputs of the engine are available. Results of earlier stages may have
-// been lost again after their use.
-func (j *Job) Done() bool {
-	for i := range j.Stages {
-		if j.Stages[i].Left > 0 && j.FeedsEngineOnly(i) {
-			return false
-		}
-	}
-	return true
-}
-
 // Needed reports whether the results of a stage are still needed: by the engine, or by a stage that
 // isn't done.
 func (j *Job) Needed(stage int) bool {
@@ -316,51 +307,88 @@
 	return !j.FeedsEngineOnly(stage)
 }
 
-// Rewind makes a stage be released again, and recomputes those of its inputs that were freed.
-func (j *Job) Rewind(stage int) {
-	j.Stages[stage].Released = false
-	for _, before := range j.Order.Stages[stage].After {
-		j.RecomputeFreed(before)
+// ResetMissing resets the pieces whose results were freed although they are still needed, so that they are
+// computed again: the inputs of pieces that wait for a call, and those of the engine until one is granted.
+func (j *Job) ResetMissing() {
+	for changed := true; changed; {
+		changed = false
+		for i := range j.Stages {
+			if j.Granted == "" && j.FeedsEngineOnly(i) {
+				changed = j.resetFreed(i) || changed
+			}
+			if !j.awaitsCall(i) || !j.Needed(i) {
+				continue
+			}
+			for _, before := range j.Order.Stages[i].After {
+				changed = j.resetFreed(before) || changed
+			}
+		}
 	}
 }
 
-// RecomputeFreed resets the pieces of a stage whose results were freed, so that they are computed
-// again.
-func (j *Job) RecomputeFreed(stage int) {
+// awaitsCall reports whether pieces of a stage are queued or have yet to be.
+func (j *Job) awaitsCall(stage int) bool {
+	st := &j.Stages[stage]
+	for k := range st.Pieces {
+		if p := &st.Pieces[k]; p.Queued || (!st.Released && p.Wanted()) {
+			return true
+		}
+	}
+	return false
+}
+
+// Queued reports whether pieces of a stage are queued.
+func (j *Job) Queued(stage int) bool {
+	return slices.ContainsFunc(j.Stages[stage].Pieces, func(p Piece) bool { return p.Queued })
+}
+
+// resetFreed resets the pieces of a stage whose results were freed. It reports whether there are any.
+func (j *Job) resetFreed(stage int) bool {
 	st := &j.Stages[stage]
 	lost := false
 	for k := range st.Pieces {
 		p := &st.Pieces[k]
-		if p.Handle != "" && p.Freed {
-			*p = Piece{
-				Tries: p.Tries,
-			}
-			st.Left++
-			lost = true
+		if p.Handle == "" || !p.Freed {
+			continue
 		}
+		// A call that still runs computes the piece again.
+		*p = Piece{
+			Tries: p.Tries,
+			Calls: p.Calls,
+		}
+		st.Left++
+		st.Released = false
+		lost = true
 	}
-	if lost {
-		j.Rewind(stage)
+	return lost
+}
+
+// InputsAvailable reports whether all results that a stage needs exist.
+func (j *Job) InputsAvailable(stage int) bool {
+	for _, before := range j.Order.Stages[stage].After {
+		if !j.resultsAvailable(before) {
+			return false
+		}
 	}
+	return true
 }
 
-// RecomputeEngineInputs resets the inputs of the engine that were freed, so that they are computed
-// again.
-func (j *Job) RecomputeEngineInputs() {
+// Done reports whether all results that the engine needs exist. Results of earlier stages may have been lost
+// again after their use.
+func (j *Job) Done() bool {
 	for i := range j.Stages {
-		if j.FeedsEngineOnly(i) {
-			j.RecomputeFreed(i)
+		if j.FeedsEngineOnly(i) && !j.resultsAvailable(i) {
+			return false
 		}
 	}
+	return true
 }
 
-// InputsKept reports whether all results that a stage needs still exist.
-func (j *Job) InputsKept(stage int) bool {
-	for _, before := range j.Order.Stages[stage].After {
-		for _, p := range j.Stages[before].Pieces {
-			if p.Freed {
-				return false
-			}
+// resultsAvailable reports whether all results of a stage exist.
+func (j *Job) resultsAvailable(stage int) bool {
+	for k := range j.Stages[stage].Pieces {
+		if p := &j.Stages[stage].Pieces[k]; p.Handle == "" || p.Freed {
+			return false
 		}
 	}
 	return true
