Stages that nothing needs any more are not computed, and can't refuse a request

Cause: a stage counted as needed while a stage after it was not done, even if that one was itself no longer needed, as when a late call had answered for the last stage while its inputs were being computed again. Workers then went on with the earlier stages. If such a call failed, or answered that the time limit had passed, the request was refused and its results were released although it used its engine, whose place was not given back.

Whether a stage is needed is now followed to the engine, and the end of a call counts only for pieces that are needed.

TestStagesThatNothingNeedsAreNotComputed (the result of the first stage was kept) and TestFailureOfAnUnneededPieceKeepsTheGrant (refused with "deadline") failed before.

--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -57,7 +57,7 @@
 			c.storeResult(now, call, zone, j, piece, results[i].Handle)
 			continue
 		}
-		if j == nil || j.Stages[piece.Stage].Pieces[piece.Piece].Handle != "" {
+		if j == nil || j.Stages[piece.Stage].Pieces[piece.Piece].Handle != "" || !j.Needed(piece.Stage) {
 			continue
 		}
 		if i < len(results) && results[i].Expired {
--- a/core/bbcoordinator/inputs_test.go
+++ b/core/bbcoordinator/inputs_test.go
@@ -180,3 +180,53 @@
 		t.Errorf("calls %+v once the input is there, want one with both pieces", out.Calls)
 	}
 }
+
+// lateThird returns a coordinator in which the inputs of the last of three stages are computed again, because a
+// second call for it found them missing, while the first call is late. The first stage is in a call.
+func lateThird(t *testing.T) (c *Coordinator, late, remade *bbpool.Call) {
+	t.Helper()
+	c = newTestCoordinator()
+	o := testOrder("a", 1)
+	o.Stages = append(o.Stages, bbjob.Stage{
+		Service:     "second",
+		After:       []int{1},
+		ResultBytes: 1e3,
+		Pieces:      1,
+	})
+	second := toSecond(t, c, o)
+	c.Tick(400 * ms)
+	late = c.CallDone(420*ms, second[0].ID, "east", bbhealth.OutcomeGood, good(second[0])).Calls[0]
+	again := c.Tick(1500 * ms).Calls
+	if len(again) != 1 || again[0].Pieces[0].Stage != 2 {
+		t.Fatalf("calls %+v, want one for the third stage as the first is late", again)
+	}
+	out := c.CallDone(1520*ms, again[0].ID, "east", bbhealth.OutcomeGood, gone(again[0]))
+	if len(out.Calls) != 1 || out.Calls[0].Service != "first" {
+		t.Fatalf("calls %+v, want one that computes the first stage anew", out.Calls)
+	}
+	return c, late, out.Calls[0]
+}
+
+// Stages went on to be computed whose results nothing needed any more, because a late call had answered.
+func TestStagesThatNothingNeedsAreNotComputed(t *testing.T) {
+	c, late, remade := lateThird(t)
+	if out := c.CallDone(1530*ms, late.ID, "east", bbhealth.OutcomeGood, good(late)); len(out.Grants) != 1 {
+		t.Fatalf("grants %+v, want one", out.Grants)
+	}
+	results := good(remade)
+	results[0].Handle += "again"
+	out := c.CallDone(1700*ms, remade.ID, "east", bbhealth.OutcomeGood, results)
+	wantNoCalls(t, out)
+	wantFreed(t, out, results[0].Handle)
+}
+
+// A request that used its engine was refused and its results were released, because a call had failed whose pieces
+// nothing needed any more.
+func TestFailureOfAnUnneededPieceKeepsTheGrant(t *testing.T) {
+	c, late, remade := lateThird(t)
+	c.CallDone(1530*ms, late.ID, "east", bbhealth.OutcomeGood, good(late))
+	out := c.CallDone(1600*ms, remade.ID, "east", bbhealth.OutcomeGood, []bbdecision.PieceResult{{Expired: true}})
+	if len(out.Refusals) > 0 || c.jobs["a"] == nil {
+		t.Errorf("refusals %+v, want the request to stay at its engine", out.Refusals)
+	}
+}
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -153,16 +153,22 @@
 }
 
 // Needed reports whether the results of a stage are still needed: by the engine, or by a stage that
-// isn't done.
+// isn't done and is needed itself.
 func (j *Job) Needed(stage int) bool {
+	var visited [bbjob.MaxStages]bool
+	return j.leadsToEngine(stage, &visited)
+}
+
+// leadsToEngine reports whether a chain of stages that are not done connects a stage to the engine, apart
+// from the stages that were visited before.
+func (j *Job) leadsToEngine(stage int, visited *[bbjob.MaxStages]bool) bool {
 	if j.FeedsEngineOnly(stage) {
 		return true
 	}
+	visited[stage] = true
 	for i, s := range j.Order.Stages {
-		for _, before := range s.After {
-			if before == stage && j.Stages[i].Left > 0 {
-				return true
-			}
+		if j.Stages[i].Left > 0 && !visited[i] && slices.Contains(s.After, stage) && j.leadsToEngine(i, visited) {
+			return true
 		}
 	}
 	return false
