A request that uses an engine is not granted another one

Cause: the end of a call put each request with a piece in it among those that wait for an engine if its stages were done, also one that had its engine: the end of a second call of a late piece, or of a call with pieces of several requests. It was granted again. Its origin waits for no verdict then, so the grant goes nowhere, but it used up cold pace, and Granted named the second engine: its place was kept until it expired after 30 s, since the origin reports the end at the first one.

TestEndOfASecondCallDoesNotGrantAgain failed before with a second grant of the request.

--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -80,7 +80,7 @@
 	calls   map[uint64]*bbpool.Call
 	// freed are handles of results to be freed, by the address of their producer.
 	freed map[string][]string
-	// waiting are the jobs whose stages are done and that wait for an engine grant.
+	// waiting are the jobs whose stages are done and that have no grant of an engine.
 	waiting map[string]*bbprogress.Job
 	// learned has the statistics of each route.
 	learned bbhistory.RouteStatsTable
--- a/core/bbcoordinator/inputs_test.go
+++ b/core/bbcoordinator/inputs_test.go
@@ -230,3 +230,21 @@
 		t.Errorf("refusals %+v, want the request to stay at its engine", out.Refusals)
 	}
 }
+
+// The end of a second call granted an engine to a request that was using one.
+func TestEndOfASecondCallDoesNotGrantAgain(t *testing.T) {
+	c, late, wake := lateCall(t, testOrder("a", 1))
+	wake()
+	again := c.Tick(1520 * ms).Calls
+	if len(again) != 1 {
+		t.Fatalf("calls %+v, want one as the first is late", again)
+	}
+	out := c.CallDone(1550*ms, late.ID, "east", bbhealth.OutcomeGood, good(late))
+	if len(out.Grants) != 1 {
+		t.Fatalf("grants %+v, want one", out.Grants)
+	}
+	out = c.CallDone(1560*ms, again[0].ID, "east", bbhealth.OutcomeBroken, nil)
+	if out.Grants = append(out.Grants, c.Tick(1600*ms).Grants...); len(out.Grants) > 0 {
+		t.Errorf("grants %+v while the request uses an engine, want none", out.Grants)
+	}
+}
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -37,7 +37,7 @@
 			return
 		}
 	}
-	if j.Done() {
+	if j.Granted == "" && j.Done() {
 		c.waiting[j.Order.ID] = j
 	} else {
 		delete(c.waiting, j.Order.ID)
