A late call doesn't release the inputs of the pieces that are queued again

Cause: an endpoint should have fetched the inputs of a call some time after it begins to work on it, and large inputs that all pieces have are released then. A late call counted too, as when it had been waiting behind another one: the pieces that were queued again for it were then sent with inputs that had been released. The worker answers that they are gone, and the stage before is computed again.

Now a late call no longer counts for this; the second one does, or the end of the stage.

--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -80,6 +80,12 @@
 	Overdue bool
 }
 
+// fetchesInputs reports whether the endpoint may still be fetching the inputs. Of an overdue call that doesn't
+// matter: another one needs the same inputs.
+func (c *Call) fetchesInputs() bool {
+	return c.running && !c.inputsFetched && !c.Overdue
+}
+
 // Endpoint is an endpoint that may get calls now.
 type Endpoint struct {
 	ID, Address, Zone string
@@ -228,12 +234,13 @@
 	w.used += c.Bytes
 }
 
-// TakeInputsFetched returns each call once, as soon as its endpoint should have fetched the inputs.
+// TakeInputsFetched returns each call once, as soon as its endpoint should have fetched the inputs. It leaves out
+// overdue calls.
 func (p *Pool) TakeInputsFetched(now time.Duration) []*Call {
 	var list []*Call
 	for _, w := range p.workers {
 		for _, c := range w.calls {
-			if c.running && !c.inputsFetched && now-c.runningSince >= inputFetchTime {
+			if c.fetchesInputs() && now-c.runningSince >= inputFetchTime {
 				c.inputsFetched = true
 				list = append(list, c)
 			}
@@ -399,7 +406,7 @@
 	var next time.Duration
 	for _, w := range p.workers {
 		for _, c := range w.calls {
-			if at := c.runningSince + inputFetchTime; c.running && !c.inputsFetched && (next == 0 || at < next) {
+			if at := c.runningSince + inputFetchTime; c.fetchesInputs() && (next == 0 || at < next) {
 				next = max(at, now+time.Millisecond)
 			}
 		}
