The end of a call counts only for the order that it was sent for

Cause: the pieces of a call were matched with a request by its ID. A request is ordered anew under the same ID when the connection between its VM and the coordinator breaks, or after the coordinator has handed it back; calls of the order before may still run then. Their end lowered the count of running calls of the new order's pieces, to -1. Such a piece was never queued again after its next call failed, and its request waited until its time limit. If its route had changed meanwhile, the numbers of its stages and pieces could be out of range.

A call now keeps the requests that it was sent for. A result of an order that has ended is released, as it is after a cancellation.

TestCallOfAnEarlierOrderDoesNotCount failed before (the result was taken over, no other call was sent).

--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -14,6 +14,34 @@
 	"bluebellhall/core/bbsuspect"
 )
 
+// runningCall is a call that has not ended.
+type runningCall struct {
+	*bbpool.Call
+	// jobs has the request of each piece.
+	jobs []*bbprogress.Job
+}
+
+// newRunningCall returns a call with the requests of its pieces.
+func (c *Coordinator) newRunningCall(call *bbpool.Call) *runningCall {
+	r := &runningCall{
+		Call: call,
+		jobs: make([]*bbprogress.Job, 0, len(call.Pieces)),
+	}
+	for _, piece := range call.Pieces {
+		r.jobs = append(r.jobs, c.jobs[piece.Job])
+	}
+	return r
+}
+
+// job returns the request of the piece at an index of a call; nil once it has ended. A request that its origin
+// ordered again after that is another one: its pieces aren't those of the call.
+func (c *Coordinator) job(call *runningCall, i int) *bbprogress.Job {
+	if j := call.jobs[i]; j != nil && c.jobs[j.Order.ID] == j {
+		return j
+	}
+	return nil
+}
+
 // CallDone handles the end of a call. Results are in the order of its pieces; there are
 // none unless the outcome is good.
 func (c *Coordinator) CallDone(now time.Duration, id uint64, zone string, o bbhealth.Outcome, results []bbdecision.PieceResult) bbdecision.Output {
@@ -23,8 +51,8 @@
 	}
 	delete(c.calls, id)
 	p := c.pool(call.Service)
-	made, full := bbdecision.ResultSizes(call, results)
-	p.Done(now, call, o, made)
+	made, full := bbdecision.ResultSizes(call.Call, results)
+	p.Done(now, call.Call, o, made)
 	if full && o == bbhealth.OutcomeGood {
 		p.MarkMemoryFull(now, call.Endpoint)
 	}
@@ -34,7 +62,7 @@
 		Endpoint: call.Endpoint,
 		Service:  call.Service,
 		Pieces:   len(call.Pieces),
-		Detail:   bbdecision.Describe(call, o, results),
+		Detail:   bbdecision.Describe(call.Call, o, results),
 		Value:    now - call.Sent,
 	})
 	switch o {
@@ -49,12 +77,12 @@
 	}
 	retry := make(bbpool.ByJob)
 	for i, piece := range call.Pieces {
-		j := c.jobs[piece.Job]
+		j := c.job(call, i)
 		if j != nil && !call.Overdue {
 			j.Stages[piece.Stage].Pieces[piece.Piece].Calls--
 		}
 		if i < len(results) && results[i].Handle != "" {
-			c.storeResult(now, call, zone, j, piece, results[i].Handle)
+			c.storeResult(now, call.Call, zone, j, piece, results[i].Handle)
 			continue
 		}
 		if j == nil || j.Stages[piece.Stage].Pieces[piece.Piece].Handle != "" || !j.Needed(piece.Stage) {
@@ -77,8 +105,8 @@
 	for _, job := range slices.Sorted(maps.Keys(retry)) {
 		c.retryPieces(now, job, retry[job], mayRepeat, !full && o != bbhealth.OutcomeHeld)
 	}
-	for _, piece := range call.Pieces {
-		if j := c.jobs[piece.Job]; j != nil {
+	for i := range call.Pieces {
+		if j := c.job(call, i); j != nil {
 			c.schedule(j)
 		}
 	}
@@ -86,10 +114,10 @@
 }
 
 // reportLostCall records that the requests with pieces in a call may have crashed its endpoint.
-func (c *Coordinator) reportLostCall(now time.Duration, call *bbpool.Call) {
+func (c *Coordinator) reportLostCall(now time.Duration, call *runningCall) {
 	reported := make(map[string]bool)
-	for _, piece := range call.Pieces {
-		j := c.jobs[piece.Job]
+	for i, piece := range call.Pieces {
+		j := c.job(call, i)
 		if j == nil || reported[piece.Job] {
 			continue
 		}
@@ -215,10 +243,10 @@
 }
 
 // hedge queues the pieces of an overdue call again, so that another endpoint computes them too.
-func (c *Coordinator) hedge(now time.Duration, call *bbpool.Call) {
+func (c *Coordinator) hedge(now time.Duration, call *runningCall) {
 	again := make(bbpool.ByJob)
-	for _, piece := range call.Pieces {
-		j := c.jobs[piece.Job]
+	for i, piece := range call.Pieces {
+		j := c.job(call, i)
 		if j == nil {
 			continue
 		}
@@ -250,10 +278,10 @@
 }
 
 // recordCallStart records that a call is being sent.
-func (c *Coordinator) recordCallStart(call *bbpool.Call) {
+func (c *Coordinator) recordCallStart(call *runningCall) {
 	sent := make(bbpool.ByJob)
-	for _, piece := range call.Pieces {
-		if j := c.jobs[piece.Job]; j != nil {
+	for i, piece := range call.Pieces {
+		if j := c.job(call, i); j != nil {
 			p := &j.Stages[piece.Stage].Pieces[piece.Piece]
 			p.Queued = false
 			p.Calls++
@@ -275,9 +303,9 @@
 
 // recordInputsFetched records that the endpoint of a call should have fetched its inputs, and releases
 // the large ones that nothing else needs.
-func (c *Coordinator) recordInputsFetched(call *bbpool.Call) {
-	for _, piece := range call.Pieces {
-		j := c.jobs[piece.Job]
+func (c *Coordinator) recordInputsFetched(call *runningCall) {
+	for i, piece := range call.Pieces {
+		j := c.job(call, i)
 		if j == nil {
 			continue
 		}
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -77,7 +77,7 @@
 	// engines has the engine table of each service.
 	engines map[string]*bbplacement.Table
 	retries bballowance.Windows
-	calls   map[uint64]*bbpool.Call
+	calls   map[uint64]*runningCall
 	// freed are handles of results to be freed, by the address of their producer.
 	freed map[string][]string
 	// waiting are the jobs whose stages are done and that have no grant of an engine.
@@ -175,7 +175,7 @@
 				}
 			},
 		},
-		calls:   make(map[uint64]*bbpool.Call),
+		calls:   make(map[uint64]*runningCall),
 		freed:   make(map[string][]string),
 		waiting: make(map[string]*bbprogress.Job),
 		unread:  make(map[string]*bbprogress.Job),
@@ -358,13 +358,13 @@
 			p.Expire(now)
 		}
 		for _, call := range p.TakeOverdue(now) {
-			c.hedge(now, call)
+			c.hedge(now, c.calls[call.ID])
 		}
 		for _, call := range p.TakeInputsFetched(now) {
 			// Calls of another coordinator may be served before this one's, so that the estimate of
 			// what has been fetched doesn't hold.
 			if c.env.SoleCoordinator() {
-				c.recordInputsFetched(call)
+				c.recordInputsFetched(c.calls[call.ID])
 			}
 		}
 	}
@@ -518,12 +518,12 @@
 		for call := p.Next(now); call != nil && len(call.Pieces) > 0; call = p.Next(now) {
 			c.lastCall++
 			p.Start(now, call, c.lastCall)
-			c.calls[call.ID] = call
+			c.calls[call.ID] = c.newRunningCall(call)
 			if _, limited := c.env.Pace.Rate(call.Endpoint); limited {
 				c.env.Pace.Take(call.Endpoint)
 				c.supply.Update(name, p)
 			}
-			c.recordCallStart(call)
+			c.recordCallStart(c.calls[call.ID])
 			c.out.Calls = append(c.out.Calls, call)
 			c.log(bbdecision.Event{
 				Number:   bbevent.CallSent,
--- a/core/bbcoordinator/inputs_test.go
+++ b/core/bbcoordinator/inputs_test.go
@@ -265,3 +265,28 @@
 		t.Errorf("grants %+v while the request uses an engine, want none", out.Grants)
 	}
 }
+
+// The end of a call for an order that had ended counted against the same order, sent again by its origin: its pieces
+// were in -1 calls, and were never queued again after a failure.
+func TestCallOfAnEarlierOrderDoesNotCount(t *testing.T) {
+	c := newTestCoordinator()
+	o := testOrder("a", 1)
+	before := c.Submit(0, o).Calls[0]
+	c.Cancel(50*ms, "a")
+	c.Submit(60*ms, o)
+	late := good(before)
+	late[0].Handle += "before"
+	out := c.CallDone(210*ms, before.ID, "east", bbhealth.OutcomeGood, late)
+	wantFreed(t, out, late[0].Handle)
+	out.Calls = append(out.Calls, c.Tick(300*ms).Calls...)
+	if len(out.Calls) != 1 || out.Calls[0].Service != "first" {
+		t.Fatalf("calls %+v, want one of the first stage", out.Calls)
+	}
+	again := c.CallDone(600*ms, out.Calls[0].ID, "east", bbhealth.OutcomeBroken, nil).Calls
+	if len(again) == 0 {
+		again = c.Tick(800 * ms).Calls
+	}
+	if len(again) != 1 {
+		t.Errorf("calls %+v after the call has failed, want another one", again)
+	}
+}
--- a/core/bbcoordinator/limit_test.go
+++ b/core/bbcoordinator/limit_test.go
@@ -106,7 +106,7 @@
 			calls++
 		}
 		for id, call := range c.calls {
-			out := c.CallDone(*now, id, "east", 0, good(call))
+			out := c.CallDone(*now, id, "east", 0, good(call.Call))
 			for _, call := range out.Calls {
 				if call.Endpoint == "s1" {
 					calls++
