A request is handed back with what was released last

Cause: the origin of a request learns of released results with the next results, or not at all if the coordinator leaves first. It then passed them on as available, and the next coordinator sent pieces, or granted an engine, with inputs that were gone.

TestHandedBackRequestTellsWhatWasReleased failed before.

--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -314,6 +314,9 @@
 		Number: bbevent.OrderElsewhere,
 		Job:    id,
 	})
+	if len(j.UnreportedFreed) > 0 {
+		c.update(j, nil)
+	}
 	c.sendElsewhere(id, "")
 }
 
@@ -578,7 +581,7 @@
 }
 
 // update reports the results of a stage to the origin of a request, together with those released
-// since the last update. Releases alone don't justify a message.
+// since the last update. Releases alone don't justify a message until the request is handed back.
 func (c *Coordinator) update(j *bbprogress.Job, results []bbjob.StageResult) {
 	if c.out.Updates == nil {
 		c.out.Updates = make(map[string]bbjob.Update)
--- a/core/bbcoordinator/inputs_test.go
+++ b/core/bbcoordinator/inputs_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
@@ -290,3 +292,19 @@
 		t.Errorf("calls %+v after the call has failed, want another one", again)
 	}
 }
+
+// A leaving coordinator handed a request back without what it had released last, and the next one sent pieces with
+// these inputs.
+func TestHandedBackRequestTellsWhatWasReleased(t *testing.T) {
+	c := newTestCoordinator()
+	call := toSecond(t, c, testOrder("a", 1))[0]
+	wantFreed(t, c.Tick(400*ms), "f1/a00")
+	c.Leave()
+	out := c.CallDone(420*ms, call.ID, "east", bbhealth.OutcomeBroken, nil)
+	wantElsewhere(t, out, bbdecision.Redirect{
+		ID: "a",
+	})
+	if diff := cmp.Diff([]int{0}, out.Updates["a"].Freed); diff != "" {
+		t.Errorf("stages whose results were released (-want +got):\n%s", diff)
+	}
+}
