The note of an engine that was given up releases nothing

Cause: an origin reports that an answer has begun, or orders another engine, on separate paths. The note of an engine that crashed soon after its first event may arrive after the order for the next one; the coordinator then released the inputs that it had just granted, or that still waited for a grant, and took the note for the first event of the next engine in its statistics.

A note now counts only for the engine that is granted; the engine that it names still counts as past its prompt.

--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -122,8 +122,11 @@
 	}
 	t := c.table(j.Order.Service)
 	if n.Started {
-		c.learned.RecordFirstToken(now, j)
 		t.Started(n.Endpoint, n.ID)
+	}
+	// The note of an engine that was given up may arrive after the order for another one.
+	if n.Started && n.Endpoint == j.Granted {
+		c.learned.RecordFirstToken(now, j)
 		if !n.Ended {
 			// A stream that has to continue on another engine has its inputs computed again: that is
 			// rare, and the memory is needed.
--- a/core/bbcoordinator/inputs_test.go
+++ b/core/bbcoordinator/inputs_test.go
@@ -308,3 +308,23 @@
 		t.Errorf("stages whose results were released (-want +got):\n%s", diff)
 	}
 }
+
+// A note of an engine that had been given up released the inputs of the next one.
+func TestNoteOfAnEarlierEngineReleasesNothing(t *testing.T) {
+	c := newTestCoordinator()
+	o := testOrder("a", 1)
+	o.Resumable = true
+	call := toSecond(t, c, o)[0]
+	c.CallDone(430*ms, call.ID, "east", bbhealth.OutcomeGood, good(call))
+	// The engine crashed after it had begun, and the order for the next one overtakes the note on that.
+	o.Avoid = []string{"e1"}
+	c.Submit(500*ms, o)
+	wantFreed(t, c.Progress(510*ms, bbjob.Note{
+		ID:       "a",
+		Endpoint: "e1",
+		Started:  true,
+	}))
+	if j := c.jobs["a"]; !j.Done() || j.Started {
+		t.Errorf("started is %v, inputs are available %v, want the request to wait with its inputs", j.Started, j.Done())
+	}
+}
