Nothing leaves without its inputs: calls and grants are checked where they are sent

TestNothingLeavesWithoutItsInputs makes the state inconsistent by hand; without the guard each of its cases sends.

Pieces are logged without a map for each call.

--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -105,10 +105,14 @@
 	for _, job := range slices.Sorted(maps.Keys(retry)) {
 		c.retryPieces(now, job, retry[job], mayRepeat, !full && o != bbhealth.OutcomeHeld)
 	}
+	var previous *bbprogress.Job
 	for i := range call.Pieces {
-		if j := c.job(call, i); j != nil {
+		j := c.job(call, i)
+		// The pieces of a request are next to each other.
+		if j != nil && j != previous {
 			c.schedule(j)
 		}
+		previous = j
 	}
 	return c.decide(now)
 }
@@ -279,25 +283,33 @@
 
 // recordCallStart records that a call is being sent.
 func (c *Coordinator) recordCallStart(call *runningCall) {
-	sent := make(bbpool.ByJob)
 	for i, piece := range call.Pieces {
 		if j := c.job(call, i); j != nil {
 			p := &j.Stages[piece.Stage].Pieces[piece.Piece]
 			p.Queued = false
 			p.Calls++
-			sent.Add(piece)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(sent)) {
-		for _, stage := range slices.Sorted(maps.Keys(sent[id])) {
-			c.log(bbdecision.Event{
-				Number:   bbevent.PiecesSent,
-				Job:      id,
-				Call:     call.ID,
-				Endpoint: call.Endpoint,
-				Detail:   bbdecision.DescribePieces(stage, sent[id][stage]),
-			})
+	c.logPieces(call.Pieces, bbdecision.Event{
+		Number:   bbevent.PiecesSent,
+		Call:     call.ID,
+		Endpoint: call.Endpoint,
+	})
+}
+
+// logPieces logs an event for each stage of a request with pieces in a list. Those of one stage are next to each
+// other.
+func (c *Coordinator) logPieces(pieces []bbpool.Piece, e bbdecision.Event) {
+	numbers := make([]int, 0, len(pieces))
+	for i, piece := range pieces {
+		numbers = append(numbers, piece.Piece)
+		if i+1 < len(pieces) && pieces[i+1].Job == piece.Job && pieces[i+1].Stage == piece.Stage {
+			continue
 		}
+		e.Job = piece.Job
+		e.Detail = bbdecision.DescribePieces(piece.Stage, numbers)
+		c.log(e)
+		numbers = numbers[:0]
 	}
 }
 
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -512,6 +512,7 @@
 		return c.flush()
 	}
 	c.place(now)
+	var withheld []bbpool.Piece
 	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
 		p := c.pools[name]
 		if p.Waiting() == 0 {
@@ -519,6 +520,10 @@
 		}
 		c.supply.Update(name, p)
 		for call := p.Next(now); call != nil && len(call.Pieces) > 0; call = p.Next(now) {
+			withheld = append(withheld, c.withhold(call)...)
+			if len(call.Pieces) == 0 {
+				continue
+			}
 			c.lastCall++
 			p.Start(now, call, c.lastCall)
 			c.calls[call.ID] = c.newRunningCall(call)
@@ -539,6 +544,11 @@
 			})
 		}
 	}
+	for _, piece := range withheld {
+		if j := c.jobs[piece.Job]; j != nil {
+			c.schedule(j)
+		}
+	}
 	return c.flush()
 }
 
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -43,7 +43,14 @@
 // placeJob grants an engine to a request if one is available.
 func (c *Coordinator) placeJob(now time.Duration, j *bbprogress.Job) {
 	service := j.Order.Service
-	if invalidateExpired(now, j) {
+	expired := invalidateExpired(now, j)
+	if !j.Done() {
+		if !expired {
+			c.log(bbdecision.Event{
+				Number: bbevent.SendWithheld,
+				Job:    j.Order.ID,
+			})
+		}
 		c.schedule(j)
 		return
 	}
--- a/core/bbcoordinator/inputs_test.go
+++ b/core/bbcoordinator/inputs_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
@@ -328,3 +329,67 @@
 		t.Errorf("started is %v, inputs are available %v, want the request to wait with its inputs", j.Started, j.Done())
 	}
 }
+
+// countEvents counts the events of a kind.
+func countEvents(out bbdecision.Output, number bbevent.Number) int {
+	n := 0
+	for _, e := range out.Events {
+		if e.Number == number {
+			n++
+		}
+	}
+	return n
+}
+
+// Whatever state a request is in, no piece and no grant leaves without its inputs. The state is made inconsistent
+// here, as it was when pieces of late calls stayed in the queue.
+func TestNothingLeavesWithoutItsInputs(t *testing.T) {
+	t.Run("a queued piece", func(t *testing.T) {
+		c, _, wake := lateCall(t, testOrder("a", 2))
+		c.jobs["a"].Stages[0].Pieces[0].Freed = true
+		wake()
+		out := c.Tick(1520 * ms)
+		wantNoCalls(t, out)
+		if n := countEvents(out, bbevent.SendWithheld); n != 1 {
+			t.Errorf("%d events that pieces were kept back, want 1", n)
+		}
+		out = c.Tick(1530 * ms)
+		if len(out.Calls) != 1 || out.Calls[0].Service != "first" {
+			t.Fatalf("calls %+v, want one that computes the input anew", out.Calls)
+		}
+		out = c.CallDone(1800*ms, out.Calls[0].ID, "east", bbhealth.OutcomeGood, good(out.Calls[0]))
+		wantInputs(t, c, out.Calls)
+		if len(out.Calls) != 1 || len(out.Calls[0].Pieces) != 2 {
+			t.Errorf("calls %+v once the input is there, want one with both pieces", out.Calls)
+		}
+	})
+	t.Run("a queued piece with a result, beside one without", func(t *testing.T) {
+		c, late, wake := lateCall(t, testOrder("a", 2))
+		c.jobs["a"].Stages[1].Pieces[0].Handle = "result"
+		wake()
+		out := c.Tick(1520 * ms)
+		if len(out.Calls) != 1 {
+			t.Fatalf("calls %+v, want one", out.Calls)
+		}
+		if diff := cmp.Diff(late.Pieces[1:], out.Calls[0].Pieces); diff != "" {
+			t.Errorf("pieces (-want +got):\n%s", diff)
+		}
+		if out.Calls[0].Bytes != 1e3 || len(out.Calls[0].Limits) != 1 {
+			t.Errorf("call %+v, want size and limit of one piece", out.Calls[0])
+		}
+	})
+	t.Run("a grant", func(t *testing.T) {
+		c := newTestCoordinator()
+		o := testOrder("a", 1)
+		o.Avoid = []string{"e1"}
+		call := toSecond(t, c, o)[0]
+		c.CallDone(430*ms, call.ID, "east", bbhealth.OutcomeGood, good(call))
+		j := c.jobs["a"]
+		j.Order.Avoid = nil
+		j.Stages[1].Pieces[0].Freed = true
+		out := c.Tick(500 * ms)
+		if n := countEvents(out, bbevent.SendWithheld); len(out.Grants) > 0 || n != 1 {
+			t.Errorf("grants %+v, %d events that one was kept back, want none and 1", out.Grants, n)
+		}
+	})
+}
--- a/core/bbcoordinator/simulation_test.go
+++ b/core/bbcoordinator/simulation_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
@@ -270,6 +271,11 @@
 
 // apply carries out the decisions of a coordinator and checks them.
 func (s *simulation) apply(c *Coordinator, out bbdecision.Output) {
+	for _, e := range out.Events {
+		if e.Number == bbevent.SendWithheld {
+			s.fault("%+v, which would have been sent", e)
+		}
+	}
 	for id, u := range out.Updates {
 		q := s.requests[id]
 		q.results = u.Apply(q.results)
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -1,6 +1,8 @@
 package bbcoordinator
 
 import (
+	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
 	"bluebellhall/core/bbsuspect"
@@ -110,6 +112,29 @@
 	}
 }
 
+// withhold removes the pieces from a call that must not be sent, and returns them, to be scheduled again. Schedule
+// keeps such pieces out of the pools; if it fails to, no worker gets them.
+func (c *Coordinator) withhold(call *bbpool.Call) []bbpool.Piece {
+	removed := call.Remove(func(piece bbpool.Piece) bool { return !c.sendable(piece) })
+	for _, piece := range removed {
+		if j := c.jobs[piece.Job]; j != nil {
+			j.Stages[piece.Stage].Pieces[piece.Piece].Queued = false
+			j.Stages[piece.Stage].Released = false
+		}
+	}
+	c.logPieces(removed, bbdecision.Event{
+		Number:   bbevent.SendWithheld,
+		Endpoint: call.Endpoint,
+	})
+	return removed
+}
+
+// sendable reports whether a piece may be sent: its request is in progress, it has no result, and its inputs exist.
+func (c *Coordinator) sendable(piece bbpool.Piece) bool {
+	j := c.jobs[piece.Job]
+	return j != nil && j.Stages[piece.Stage].Pieces[piece.Piece].Handle == "" && j.InputsAvailable(piece.Stage)
+}
+
 // freeUnneeded releases the results of all stages that nothing needs any more.
 func (c *Coordinator) freeUnneeded(j *bbprogress.Job) {
 	for i := range j.Stages {
--- a/core/bbdecision/result.go
+++ b/core/bbdecision/result.go
@@ -39,7 +39,7 @@
 
 // DescribePieces names pieces of a stage for the log.
 func DescribePieces(stage int, pieces []int) string {
-	b := []byte("stage=")
+	b := append(make([]byte, 0, 32), "stage="...)
 	b = strconv.AppendInt(b, int64(stage), 10)
 	b = append(b, " pieces="...)
 	for i, k := range pieces {
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -80,6 +80,23 @@
 	Overdue bool
 }
 
+// Remove removes the pieces that satisfy a predicate, and returns them.
+func (c *Call) Remove(matches func(piece Piece) bool) []Piece {
+	var removed []Piece
+	kept := 0
+	for i, piece := range c.Pieces {
+		if matches(piece) {
+			removed = append(removed, piece)
+			c.Bytes -= c.Sizes[i]
+			continue
+		}
+		c.Pieces[kept], c.Limits[kept], c.Sizes[kept] = piece, c.Limits[i], c.Sizes[i]
+		kept++
+	}
+	c.Pieces, c.Limits, c.Sizes = c.Pieces[:kept], c.Limits[:kept], c.Sizes[:kept]
+	return removed
+}
+
 // fetchesInputs reports whether the endpoint may still be fetching the inputs. Of an overdue call that doesn't
 // matter: another one needs the same inputs.
 func (c *Call) fetchesInputs() bool {
