--- a/core/bbcoordinator/inputs_test.go
+++ b/core/bbcoordinator/inputs_test.go
@@ -393,3 +393,34 @@
 		}
 	})
 }
+
+// A draining coordinator kept a request whose origin asked for another engine, and decided nothing on it.
+func TestRequestThatNeedsAnotherEngineIsHandedBack(t *testing.T) {
+	c := newTestCoordinator()
+	o := testOrder("a", 1)
+	call := toSecond(t, c, o)[0]
+	c.CallDone(430*ms, call.ID, "east", bbhealth.OutcomeGood, good(call))
+	wantElsewhere(t, c.Leave())
+	o.Avoid = []string{"e1"}
+	wantElsewhere(t, c.Submit(500*ms, o), bbdecision.Redirect{
+		ID: "a",
+	})
+}
+
+// Pieces were sent with a released input, when an earlier coordinator had obtained only a part of the results of
+// that stage.
+func TestImportedPartOfAStageIsRecomputedWhereFreed(t *testing.T) {
+	c := newTestCoordinator()
+	o := testOrder("a", 1)
+	o.Stages[0].Pieces = 2
+	o.Results = []bbjob.StageResult{{Stage: 0, Piece: 0, Handle: "f1/a00", Producer: "f1", Freed: true}}
+	out := c.Submit(0, o)
+	if len(out.Calls) != 1 || len(out.Calls[0].Pieces) != 2 {
+		t.Fatalf("calls %+v, want one with both pieces of the first stage", out.Calls)
+	}
+	out = c.CallDone(230*ms, out.Calls[0].ID, "east", bbhealth.OutcomeGood, good(out.Calls[0]))
+	wantInputs(t, c, out.Calls)
+	if len(out.Calls) != 1 {
+		t.Errorf("calls %+v once the inputs are there, want one", out.Calls)
+	}
+}
