What an origin knows of results is replaced by newer results

Cause: an origin appended the results of each update to those it knew, and took all of a stage for released if the update said so of the older ones. A coordinator that took over imports the first result of each piece: results that had been computed again were ignored, and the older ones, released or invalid, were computed anew or sent to workers and engines, which answer that they are gone.

Releases now count for the results that were known before the update, results replace those of the same piece, and a result that is released in the same decision is marked.

--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -597,6 +597,11 @@
 		c.out.Updates = make(map[string]bbjob.Update)
 	}
 	u := c.out.Updates[j.Order.ID]
+	for i := range u.Results {
+		if slices.Contains(j.UnreportedFreed, u.Results[i].Stage) {
+			u.Results[i].Freed = true
+		}
+	}
 	u.Results = append(u.Results, results...)
 	u.Freed = append(u.Freed, j.UnreportedFreed...)
 	j.UnreportedFreed = nil
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -244,7 +244,7 @@
 // the verdict.
 type Update struct {
 	Results []StageResult `json:"made"`
-	// Freed are the numbers of the stages whose results were released.
+	// Freed are the numbers of the stages whose earlier results were released.
 	Freed   []int    `json:"freed"`
 	Verdict *Verdict `json:"verdict"`
 }
@@ -266,13 +266,18 @@
 
 // Apply merges an update into the results that an origin knows.
 func (u Update) Apply(results []StageResult) []StageResult {
-	results = append(results, u.Results...)
-	for _, stage := range u.Freed {
-		for i := range results {
-			if results[i].Stage == stage {
-				results[i].Freed = true
-			}
+	for i := range results {
+		if slices.Contains(u.Freed, results[i].Stage) {
+			results[i].Freed = true
+		}
+	}
+	for _, r := range u.Results {
+		same := func(k StageResult) bool { return k.Stage == r.Stage && k.Piece == r.Piece }
+		if i := slices.IndexFunc(results, same); i >= 0 {
+			results[i] = r
+			continue
 		}
+		results = append(results, r)
 	}
 	return results
 }
