A caller that closes its direction of the connection gets no invented answer

Cause: net/http cancels the request's context at the end of the caller's direction. The paths for a caller that is gone log that and return; a handler that returns without having written anything is completed by net/http with an empty 200. This is checked in one place now, after all paths of plain and staged requests: without an answer the connection is closed.

--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -195,9 +195,14 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(x.deadline - x.began + time.Second))
 	if x.needsCoordinator() {
 		g.pipeline(ctx, x)
-		return
+	} else {
+		g.plain(ctx, x)
+	}
+	if !x.sent {
+		// The caller is gone, or has closed only its own direction of the connection. Without an answer from here,
+		// net/http would send an empty 200.
+		panic(http.ErrAbortHandler)
 	}
-	g.plain(ctx, x)
 }
 
 // admit validates a request and determines its route, content, deadline and service. It returns a status
