Calls that crash an endpoint are recorded for requests that have ended meanwhile

Cause: a call is long; its caller may leave, or its origin order anew after a broken connection, before the endpoint's crash ends the call. A call knows its requests by itself now.

Both cases of TestLostCallsOfEndedOrdersAreRecorded failed before.

--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -117,11 +117,12 @@
 	return c.decide(now)
 }
 
-// reportLostCall records that the requests with pieces in a call may have crashed its endpoint.
+// reportLostCall records that the requests with pieces in a call may have crashed its endpoint, also those that have
+// ended meanwhile.
 func (c *Coordinator) reportLostCall(now time.Duration, call *runningCall) {
 	reported := make(map[string]bool)
 	for i, piece := range call.Pieces {
-		j := c.job(call, i)
+		j := call.jobs[i]
 		if j == nil || reported[piece.Job] {
 			continue
 		}
--- a/core/bbcoordinator/suspect_test.go
+++ b/core/bbcoordinator/suspect_test.go
@@ -193,3 +193,24 @@
 		t.Errorf("order without the part is refused: %+v", out.Refusals)
 	}
 }
+
+// Runs that crashed an endpoint were not recorded when their request had ended before the call did, or had been
+// ordered anew by its origin.
+func TestLostCallsOfEndedOrdersAreRecorded(t *testing.T) {
+	for name, orderAgain := range map[string]bool{"ended": false, "ordered anew": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCoordinator()
+			var lost []uint64
+			c.env.RecordLoss = func(content uint64, _ bbsuspect.Run) { lost = append(lost, content) }
+			call := c.Submit(0, orderOf("a", 7, 1)).Calls[0]
+			c.Cancel(50*ms, "a")
+			if orderAgain {
+				c.Submit(60*ms, orderOf("a", 7, 1))
+			}
+			c.CallDone(100*ms, call.ID, "east", bbhealth.OutcomeBroken, nil)
+			if diff := cmp.Diff([]uint64{7}, lost); diff != "" {
+				t.Errorf("contents of lost runs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
