The times of faults in a test of the promise checks are set when its case runs

The case gave the fault the time at which the table of cases was made, and the evacuation that at which the case ran; when the cases before took a second, the order of the two was the other one. With a delay of 1.5 s in that case it and "answer lost in a planned shutdown" fail before, and pass now. The checks are the same.

--- a/bluebellbench/bbsoak/bbpromise/promise_test.go
+++ b/bluebellbench/bbsoak/bbpromise/promise_test.go
@@ -142,7 +142,8 @@
 	for _, test := range []struct {
 		name, want string
 		arrange    func(t *testing.T, f *fakeEndpoints) []Try
-		faults     []Fault
+		// faults is called after arrange, so that its times don't depend on how long the cases before take.
+		faults func() []Fault
 	}{
 		{
 			name: "nothing",
@@ -291,7 +292,9 @@
 				q := expectAttempt(f, "once", "a")
 				return []Try{newTry(q, sendTo(t, f, bbdeployment.PlainService, q))}
 			},
-			faults: []Fault{{Name: "store down", VM: -1, Began: time.Now().Add(-time.Minute)}},
+			faults: func() []Fault {
+				return []Fault{{Name: "store down", VM: -1, Began: time.Now().Add(-time.Minute)}}
+			},
 		},
 		{
 			name: "request to a failure domain whose evacuation was in force before a fault of the store",
@@ -301,7 +304,9 @@
 				q := expectAttempt(f, "once", "a")
 				return []Try{newTry(q, sendTo(t, f, bbdeployment.PlainService, q))}
 			},
-			faults: []Fault{{Name: "store down", VM: -1, Store: true, Began: time.Now().Add(-time.Second)}},
+			faults: func() []Fault {
+				return []Fault{{Name: "store down", VM: -1, Store: true, Began: time.Now().Add(-time.Second)}}
+			},
 		},
 		{
 			name: "older version after a newer one",
@@ -333,7 +338,9 @@
 				sendTo(t, f, bbdeployment.PlainService, q)
 				return []Try{newTry(q, bbstand.Reply{Error: errors.New("closed")})}
 			},
-			faults: []Fault{{Name: "stop entry-0", Planned: true, Stop: true, Began: time.Now().Add(-2 * time.Second), Ended: time.Now().Add(time.Minute)}},
+			faults: func() []Fault {
+				return []Fault{{Name: "stop entry-0", Planned: true, Stop: true, Began: time.Now().Add(-2 * time.Second), Ended: time.Now().Add(time.Minute)}}
+			},
 		},
 		{
 			name: "too many retries",
@@ -351,7 +358,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			f := newFakeEndpoints(t)
 			f.Tries = test.arrange(t, f)
-			f.Faults = test.faults
+			if test.faults != nil {
+				f.Faults = test.faults()
+			}
 			wantViolation(t, f.Record, test.want)
 		})
 	}
