--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -24,6 +24,7 @@
 	"bluebellhall/core/bbcoordinator"
 	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbfeature"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
@@ -42,6 +43,8 @@
 	Regions map[string]string
 	// Limits bound retried calls.
 	Limits bbcoordinator.Limits
+	// Features are the operators' settings of optional behaviour.
+	Features bbfeature.Settings
 }
 
 // RunPieces sends pieces to a stage worker in one call and returns the result.
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -75,11 +75,16 @@
 
 // newOrder returns the order for a request, without the fields that change with each attempt.
 func (g *Gateway) newOrder(x *exchange) bbjob.Order {
+	account := ""
+	if x.Account != nil {
+		account = x.Account.Name
+	}
 	return bbjob.Order{
 		ID:        x.ID,
 		Origin:    g.name,
 		Route:     x.Route.Name,
 		Service:   x.service,
+		Account:   account,
 		Key:       x.PieceKey,
 		Prompt:    x.Prompt,
 		Priority:  bbcatalog.Priority(x.Route, x.Account),
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -27,6 +27,8 @@
 	Route string `json:"route"`
 	// Service is the service whose engines may run the request.
 	Service string `json:"service"`
+	// Account is the name of the client account; empty if there is none.
+	Account string `json:"account,omitempty"`
 	// Stages are numbered from 0; each depends only on stages with lower numbers.
 	Stages []Stage `json:"stages"`
 	// Key identifies the input of stages that depend on no other stage.
@@ -238,6 +240,9 @@
 	Elsewhere bool `json:"elsewhere"`
 	// Cell is the name of the VM that coordinates another cell; empty if the order stays in this cell.
 	Cell string `json:"cell"`
+	// SharedMachines is true if endpoints of the deployment have reported the speed of their machines, which
+	// turns on the parts with [bbfeature.ModeAuto] at the origin.
+	SharedMachines bool `json:"sharedMachines,omitempty"`
 }
 
 // Update reports progress of an order to its origin: results that became available, and at the end
