The coordinator gets the operators' settings of optional behaviour

Cause: parts of the coordinator depend on the settings bbfeature.Settings. Change: bbcoordinator.Environment.Features, filled from bbentry.Settings.Features. The zero value turns all of them off.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -143,6 +143,7 @@
 		Pace:            e.limits.Pace(),
 		Share:           e.budgetShare,
 		Spill:           e.fleet.Spill,
+		Features:        s.Features,
 	}, s.Limits)
 	hub, stopHub := bbhub.New(coordinator, bbhub.Hooks{
 		Now:         e.now,
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbfeature"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbhistory"
 	"bluebellhall/core/bbjob"
@@ -58,6 +59,8 @@
 	// one, which needs the duration own, and the expected duration there. The name is empty if there is
 	// none. Nil in a fleet of one cell.
 	Spill func(o bbjob.Order, own time.Duration, allowed func(zone string) bool) (name string, expected time.Duration)
+	// Features turn optional behaviour on; the zero value turns all of it off.
+	Features bbfeature.Settings
 }
 
 // Limits configure the retry budget of the coordinator.
