Requests that have started nothing wait instead of being refused

Ordered by deadline alone, an overload of a tenth makes nearly all requests late by 0.05 to 0.2 s. Change: core/bbdispatch holds requests that have started nothing; a new one starts at once only if it is expected to be on time, with a margin and one more for accounts that got more than the average. The waiting ones start when they fit, those that can be on time first, then the late ones when queues are nearly empty.

--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -289,6 +289,7 @@
 			p := &j.Stages[piece.Stage].Pieces[piece.Piece]
 			p.Queued = false
 			p.Calls++
+			c.shares.Served(call.Sent, j.Order.Account, c.pool(call.Service).Duration(len(call.Pieces))/time.Duration(len(call.Pieces)))
 		}
 	}
 	c.logPieces(call.Pieces, bbdecision.Event{
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbdispatch"
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbfeature"
 	"bluebellhall/core/bbhealth"
@@ -105,6 +106,11 @@
 	unread map[string]*bbprogress.Job
 	// supply lists the endpoints that may get work.
 	supply *bbsupply.Supply
+	// room has the requests that have started nothing and wait for capacity, shares what accounts got of the
+	// endpoints. startedAt is when requests last were started from the room.
+	room      *bbdispatch.Room
+	shares    *bbdispatch.Shares
+	startedAt time.Duration
 	// leaving is true while this coordinator drains and returns its requests to their origins.
 	leaving bool
 	// examined counts the requests that decisions have looked at.
@@ -185,7 +191,9 @@
 		learned: make(bbhistory.RouteStatsTable),
 		latest:  make(map[string]bbplacement.Need),
 		refused: bbhistory.NewRefusals(),
+		shares:  bbdispatch.NewShares(),
 	}
+	c.room = bbdispatch.NewRoom(c.shares)
 	c.supply = bbsupply.New(bbsupply.Hooks{
 		Endpoints:    func(service string) []*bbregistry.Entry { return c.env.Endpoints(service) },
 		BackoffUntil: func(endpoint string) time.Duration { return c.env.BackoffUntil(endpoint) },
@@ -240,7 +248,12 @@
 	if c.spill(now, j, expected) {
 		return c.flush()
 	}
-	if retryAfter, reason := c.checkAdmission(j, expected); reason != "" {
+	waits := c.mustWait(now, j, expected)
+	retryAfter, reason := c.checkAdmission(j, expected)
+	if waits {
+		retryAfter, reason = c.checkWaiting(now, j)
+	}
+	if reason != "" {
 		c.refused.Add(now, j.Content)
 		c.refuse(o.ID, reason, retryAfter, expected-now)
 		return c.flush()
@@ -260,6 +273,9 @@
 		Detail: o.Route,
 		Value:  expected - now,
 	})
+	if waits {
+		c.wait(now, j)
+	}
 	c.schedule(j)
 	return c.decide(now)
 }
@@ -308,6 +324,7 @@
 	id := j.Order.ID
 	delete(c.jobs, id)
 	delete(c.waiting, id)
+	c.room.Remove(id)
 	for i := range j.Stages {
 		if p := c.pools[j.Order.Stages[i].Service]; p != nil {
 			p.Drop(id)
@@ -417,6 +434,9 @@
 			}
 		}
 	}
+	if c.lateMayWait() {
+		c.deferLate(now)
+	}
 	// In a fixed order, so that decisions can be replayed: each refusal shortens the queueing
 	// delay of the others.
 	slices.Sort(expired)
@@ -446,6 +466,9 @@
 			return "limited", wait
 		}
 	}
+	if c.lateMayWait() {
+		return "", 0
+	}
 	if wait := c.lateWait(now, j); wait > maxLateWait {
 		return "backlog", wait
 	}
@@ -498,7 +521,7 @@
 		return 0, false
 	}
 	next := now + overdueCheckInterval
-	if len(c.waiting) > 0 {
+	if len(c.waiting) > 0 || c.room.Len() > 0 {
 		next = now + placementInterval
 	}
 	for _, p := range c.pools {
@@ -515,6 +538,7 @@
 		return c.flush()
 	}
 	c.place(now)
+	c.startWaiting(now)
 	var withheld []bbpool.Piece
 	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
 		p := c.pools[name]
@@ -631,6 +655,7 @@
 	} else if s != nil && s.Pool != nil {
 		p.Spec = *s.Pool
 	}
+	p.Adaptive = c.lateMayWait()
 	return p
 }
 
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -22,14 +22,17 @@
 		return 0
 	})
 	finished := make([]time.Duration, len(o.Stages))
-	last := now
+	// undelayed is finished without any queueing delay.
+	undelayed := make([]time.Duration, len(o.Stages))
+	last, lastUndelayed := now, now
 	future := c.future(now)
 	for i, s := range o.Stages {
-		begin := now
+		begin, earliest := now, now
 		for _, before := range s.After {
 			begin = max(begin, finished[before])
+			earliest = max(earliest, undelayed[before])
 		}
-		finished[i] = begin
+		finished[i], undelayed[i] = begin, earliest
 		p := c.pool(s.Service)
 		if s.Pieces == 0 || p == nil {
 			continue
@@ -39,9 +42,17 @@
 		}
 		urgency := j.DueOf(i).Urgency(now)
 		wait := p.Wait(now, urgency, future[s.Service].Before(urgency))
-		finished[i] = begin + max(0, wait-(begin-now)) + p.Duration(p.ExpectedBatchSize(s.Pieces))
+		duration := p.Duration(p.ExpectedBatchSize(s.Pieces))
+		if p.Adaptive && wait > begin-now {
+			// Others will be waiting too, so that calls are full.
+			duration = p.Duration(p.Spec.Batch)
+		}
+		finished[i] = begin + max(0, wait-(begin-now)) + duration
+		undelayed[i] = earliest + duration
 		last = max(last, finished[i])
+		lastUndelayed = max(lastUndelayed, undelayed[i])
 	}
+	j.QueueingDelay = last - lastUndelayed
 	need := c.need(j)
 	c.latest[o.Service] = need
 	zone, wait := c.table(o.Service).EstimateFirstToken(now, need, c.supply.Engines(o.Service))
@@ -55,7 +66,7 @@
 	c.examined += uint64(len(c.jobs))
 	n := 0
 	for _, j := range c.jobs {
-		if j.Granted == "" && j.Order.Service == service {
+		if j.Granted == "" && j.Order.Service == service && !c.room.Has(j.Order.ID) {
 			n++
 		}
 	}
@@ -70,8 +81,10 @@
 	}
 	c.examined += uint64(len(c.jobs))
 	f := make(bbprogress.Future)
-	for _, j := range c.jobs {
-		f.Add(now, j)
+	for id, j := range c.jobs {
+		if !c.room.Has(id) {
+			f.Add(now, j)
+		}
 	}
 	c.lastFuture = make(map[string]bbpool.Profile, len(f))
 	for service, list := range f {
--- /dev/null
+++ b/core/bbcoordinator/shared.go
@@ -0,0 +1,6 @@
+package bbcoordinator
+
+// SharedMachines reports whether endpoints have reported the speed of their machines.
+func (c *Coordinator) SharedMachines() bool {
+	return false
+}
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -19,6 +19,9 @@
 		c.handBack(j)
 		return
 	}
+	if c.room.Has(j.Order.ID) {
+		return
+	}
 	j.ResetMissing()
 	c.withdraw(j)
 	for i, s := range j.Order.Stages {
@@ -189,6 +192,7 @@
 	id := j.Order.ID
 	delete(c.jobs, id)
 	delete(c.waiting, id)
+	c.room.Remove(id)
 	for i := range j.Stages {
 		c.freeStage(j, i)
 		if p := c.pools[j.Order.Stages[i].Service]; p != nil {
--- /dev/null
+++ b/core/bbcoordinator/waiting.go
@@ -0,0 +1,203 @@
+package bbcoordinator
+
+import (
+	"slices"
+	"time"
+
+	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbdispatch"
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbprogress"
+)
+
+const (
+	// startInterval is the time between two attempts to start requests that wait.
+	startInterval = 10 * time.Millisecond
+	// punctualMargin is how much earlier than its objective a request has to be expected to start at once, as a
+	// fraction of the objective. Without it, the queue settles at a length at which all requests finish at about
+	// their objective and half of them miss it.
+	punctualMargin = 0.06
+	// excessMargin is added to that fraction for an account that got twice as much as the average, or more.
+	excessMargin = 0.15
+	// lateStartWait is the longest queueing delay of a request's stages at which it starts though it can't be on time
+	// any more. It keeps calls full when there is room, and is too short to delay requests that can be on time.
+	lateStartWait = 30 * time.Millisecond
+	// lateGrace is the time that a late request in progress gets, beyond what its stages take.
+	lateGrace = 300 * time.Millisecond
+	// waitingThroughput is the fraction of the endpoints' throughput that requests in the room are assumed to get:
+	// bursts are shorter than deadlines, and after one the capacity that new requests leave is theirs.
+	waitingThroughput = 0.5
+)
+
+// lateMayWait reports whether requests that can't be on time wait instead of being refused.
+func (c *Coordinator) lateMayWait() bool {
+	return c.env.Features.Waiting.Enabled(c.SharedMachines())
+}
+
+// mustWait reports whether a request that has just arrived waits until its stages have capacity, because it would
+// probably be late if it started now. The more its account got lately, compared with the others, the sooner: what is
+// scarce goes to those that got less.
+func (c *Coordinator) mustWait(now time.Duration, j *bbprogress.Job, expected time.Duration) bool {
+	if !c.lateMayWait() || len(j.Order.Results) > 0 || !hasStages(j) {
+		return false
+	}
+	margin := punctualMargin + excessMargin*c.shares.Excess(now, j.Order.Account)
+	return j.Estimated > j.Due-max(0, time.Duration(margin*float64(j.Objective)))
+}
+
+// hasStages reports whether a request has any piece to be computed.
+func hasStages(j *bbprogress.Job) bool {
+	return slices.ContainsFunc(j.Stages, func(s bbprogress.Stage) bool { return s.Left > 0 })
+}
+
+// checkWaiting returns why a request that would have to wait is refused and when the caller should retry: its
+// deadline would pass before its turn. The reason is empty if it may wait.
+func (c *Coordinator) checkWaiting(now time.Duration, j *bbprogress.Job) (time.Duration, string) {
+	if c.room.Full(j.Order.Account) {
+		return minRetryAfter, "roomFull"
+	}
+	last := j.Limit - j.RemainingToFirstToken()
+	if last < now {
+		return minRetryAfter, "limit"
+	}
+	for i, s := range j.Order.Stages {
+		p := c.pools[s.Service]
+		if p == nil || j.Stages[i].Left == 0 {
+			continue
+		}
+		wait := c.waitInRoom(now, s.Service, last)
+		if !j.Returning && now+wait > last {
+			return max(minRetryAfter, min(now+wait-last, (j.Limit-now)/4)), "noCapacity"
+		}
+	}
+	return 0, ""
+}
+
+// waitInRoom estimates how long the requests take that wait for a service and have to start before a time.
+func (c *Coordinator) waitInRoom(now time.Duration, service string, lastStart time.Duration) time.Duration {
+	ahead := c.room.Ahead(service, lastStart)
+	perSecond := waitingThroughput * c.pools[service].PerSecond(now)
+	if ahead == 0 || perSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+}
+
+// wait puts a request that has started nothing into the room.
+func (c *Coordinator) wait(now time.Duration, j *bbprogress.Job) {
+	demand := make(map[string]int, len(j.Order.Stages))
+	startBy, lastStart := j.Due, j.Limit
+	for i, s := range j.Order.Stages {
+		if s.Pieces == 0 {
+			continue
+		}
+		demand[s.Service] += s.Pieces
+		startBy = min(startBy, j.Due-j.StageToFirstToken[i])
+		lastStart = min(lastStart, j.Limit-j.StageToFirstToken[i])
+	}
+	c.room.Add(now, bbdispatch.Request{
+		ID:        j.Order.ID,
+		Account:   j.Order.Account,
+		Route:     j.Order.Route,
+		StartBy:   startBy,
+		LastStart: lastStart,
+		Demand:    demand,
+	})
+	c.log(bbdecision.Event{
+		Number: bbevent.OrderWaits,
+		Job:    j.Order.ID,
+		Detail: j.Order.Account,
+		Value:  lastStart - now,
+	})
+}
+
+// startWaiting starts the requests in the room for which there is capacity now.
+func (c *Coordinator) startWaiting(now time.Duration) {
+	if c.room.Len() == 0 || now-c.startedAt < startInterval {
+		return
+	}
+	c.startedAt = now
+	started := make(map[string]int)
+	for {
+		q, ok := c.room.Next(now, func(q bbdispatch.Request, punctual bool) bool { return c.fits(now, q, punctual, started) })
+		if !ok {
+			return
+		}
+		c.room.Remove(q.ID)
+		j := c.jobs[q.ID]
+		for service, pieces := range q.Demand {
+			started[service] += pieces
+		}
+		c.log(bbdecision.Event{
+			Number: bbevent.OrderStarts,
+			Job:    q.ID,
+			Value:  now - j.Arrived,
+		})
+		c.renew(now, j)
+		c.schedule(j)
+	}
+}
+
+// fits reports whether a request in the room should start now. Started are the pieces of requests that were started
+// in the same step, which the estimates don't have yet.
+func (c *Coordinator) fits(now time.Duration, q bbdispatch.Request, punctual bool, started map[string]int) bool {
+	j := c.jobs[q.ID]
+	c.estimate(now, j)
+	var queued time.Duration
+	for service := range q.Demand {
+		if p := c.pools[service]; p != nil && p.PerSecond(now) > 0 {
+			queued = max(queued, time.Duration(float64(started[service])/p.PerSecond(now)*float64(time.Second)))
+		}
+	}
+	if punctual {
+		return j.Estimated+queued <= j.Due-time.Duration(punctualMargin*float64(j.Objective))
+	}
+	return j.QueueingDelay+queued <= lateStartWait
+}
+
+// renew gives a late request that starts, or has begun, an objective that it can meet, so that it competes with the
+// requests that have just arrived: half-done work takes memory.
+func (c *Coordinator) renew(now time.Duration, j *bbprogress.Job) {
+	j.Due = max(j.Due, now+j.RemainingToFirstToken()+lateGrace)
+}
+
+// deferLate moves requests that have become late in a queue to the room if they have started nothing. The others
+// are renewed.
+func (c *Coordinator) deferLate(now time.Duration) {
+	for _, id := range c.lateQueued(now) {
+		j := c.jobs[id]
+		c.requeue(j)
+		if len(j.Order.Results) > 0 || j.Begun() || c.room.Full(j.Order.Account) {
+			c.renew(now, j)
+		} else {
+			c.wait(now, j)
+		}
+		c.schedule(j)
+	}
+}
+
+// requeue takes the pieces of a request out of the queues, to be scheduled again.
+func (c *Coordinator) requeue(j *bbprogress.Job) {
+	for i, s := range j.Order.Stages {
+		p := c.pools[s.Service]
+		if p == nil || !j.Queued(i) {
+			continue
+		}
+		for _, k := range p.Withdraw(j.Order.ID, i) {
+			j.Stages[i].Pieces[k].Queued = false
+		}
+		j.Stages[i].Released = false
+	}
+}
+
+// lateQueued returns the requests with a queued stage that can no longer be on time, in a fixed order.
+func (c *Coordinator) lateQueued(now time.Duration) []string {
+	var late []string
+	for id, j := range c.jobs {
+		if j.Granted == "" && !c.room.Has(id) && len(j.LateStages(now)) > 0 {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	return late
+}
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -114,6 +114,8 @@
 	CoordinatorChanged   Number = 821
 	CellsChanged         Number = 822
 	OrderSpilled         Number = 823
+	OrderWaits           Number = 873
+	OrderStarts          Number = 874
 	OrderAccepted        Number = 831
 	OrderReturned        Number = 832
 	OrderElsewhere       Number = 833
@@ -252,6 +254,8 @@
 	{Number: UpdateDropped, Title: "updateDropped", Severity: SeverityWarning, Text: "The origin of a request processes updates too slowly; results have to be recomputed if this coordinator is lost."},
 	{Number: LogLinesDropped, Title: "logLinesDropped", Severity: SeverityWarning, Text: "The reader of the log is too slow; lines is the number of dropped lines."},
 	{Number: HandlerFailed, Title: "handlerFailed", Severity: SeverityError, Text: "An unexpected error ended the call that caused it; the process continues. Detail has the error and its location."},
+	{Number: OrderWaits, Title: "orderWaits", Severity: SeverityInfo, Text: "A request that has started nothing waits until its stages have capacity, because it would be late now or others of its route wait before it; detail is its client account, value the time until its last possible start."},
+	{Number: OrderStarts, Title: "orderStarts", Severity: SeverityInfo, Text: "A request that waited is started; value is the time since the order arrived."},
 }
 
 // byNumber indexes the catalogue by number, since an entry is looked up for each log line.
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -71,6 +71,8 @@
 	// Estimated is when the first token was expected at arrival, without the correction by the bias of
 	// the route.
 	Estimated time.Duration
+	// QueueingDelay is the part of that time in which stages would wait for calls, as of the last estimate.
+	QueueingDelay time.Duration
 	// Started is true once the first token has arrived.
 	Started bool
 	// Returning is true if the caller has made an earlier attempt.
@@ -122,6 +124,16 @@
 	return false
 }
 
+// Begun reports whether a piece of the request has a result or is being computed.
+func (j *Job) Begun() bool {
+	for i := range j.Stages {
+		if j.Stages[i].Left < len(j.Stages[i].Pieces) {
+			return true
+		}
+	}
+	return j.InCalls()
+}
+
 // InvalidateEngineInputs marks those inputs of the engine as freed that satisfy a predicate. It
 // reports whether there are any.
 func (j *Job) InvalidateEngineInputs(missing func(p *Piece) bool) bool {
--- a/core/bbscene/scene.go
+++ b/core/bbscene/scene.go
@@ -13,6 +13,7 @@
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbcoordinator"
 	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbfeature"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
@@ -36,6 +37,8 @@
 	// InputCost is the processor time that the coordinator needs for each input, and ExaminationCost what it
 	// needs more for each item in Status.Examined. Inputs wait for each other. Both may be 0.
 	InputCost, ExaminationCost time.Duration
+	// Features turn optional behaviour of the coordinator on.
+	Features bbfeature.Settings
 }
 
 // Pool is a service that runs stages.
@@ -178,6 +181,7 @@
 		Region:          func(zone string) string { return zone },
 		Majority:        func() bool { return true },
 		SoleCoordinator: func() bool { return s.alone },
+		Features:        s.settings.Features,
 	}, bbcoordinator.Limits{
 		RetryRatio: 0.2,
 		RetrySlack: s.settings.RetrySlack,
