Probation of stage workers whose last call failed

A worker that breaks each call within some milliseconds is idle at once, and was given the next full call; each such call used up a try of all its pieces. An endpoint now gets, after a call that broke, was refused or found another endpoint at the address, no call for 50 ms (doubling to 1.6 s) and then one call of at most four pieces of one request at a time, until one succeeds. While no endpoint that a group may use is sound, such calls may be half full, and pauses are at most 200 ms for each endpoint of the service. Estimates count an endpoint on probation with the throughput of its small calls. Only calls that the endpoint can have begun cost their pieces a try; reports of lost calls are unchanged.

An overdue call doesn't put its endpoint on probation: slow endpoints are judged by their slowness, and one that is silent gets no further call while the overdue one is open.

With the new tests on the code before: the flapping one of 19 workers had 2008 and 3632 pieces in failed calls and 83 and 98 requests were refused (stageFailed); two of three failing: 18 refused of 81; all three failing: 15 and 3 refused as stageFailed. Now 60, 148 and 104 pieces, and no such refusal.

--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -52,6 +52,8 @@
 	delete(c.calls, id)
 	p := c.pool(call.Service)
 	made, full := bbdecision.ResultSizes(call.Call, results)
+	counts := !full && p.CanHaveBegun(now, call.Call, o)
+	before := p.Probation(call.Endpoint)
 	p.Done(now, call.Call, o, made)
 	if full && o == bbhealth.OutcomeGood {
 		p.MarkMemoryFull(now, call.Endpoint)
@@ -65,6 +67,7 @@
 		Detail:   bbdecision.Describe(call.Call, o, results),
 		Value:    now - call.Sent,
 	})
+	c.logProbation(now, call.Call, o, before, p.Probation(call.Endpoint))
 	switch o {
 	case bbhealth.OutcomeBroken:
 		c.reportLostCall(now, call)
@@ -103,7 +106,7 @@
 	}
 	mayRepeat := len(retry) == 0 || full || !o.Sent() || c.retries.Of(call.Service).Take(now, 1)
 	for _, job := range slices.Sorted(maps.Keys(retry)) {
-		c.retryPieces(now, job, retry[job], mayRepeat, !full && o != bbhealth.OutcomeHeld)
+		c.retryPieces(now, job, retry[job], mayRepeat, counts)
 	}
 	var previous *bbprogress.Job
 	for i := range call.Pieces {
@@ -213,8 +216,8 @@
 	c.freeUnneeded(j)
 }
 
-// retryPieces queues the pieces of a failed call again, or refuses their request. Attempts that an
-// endpoint rejected for lack of capacity don't count as tries.
+// retryPieces queues the pieces of a failed call again, or refuses their request. Only failures of
+// calls that the endpoint can have begun count as tries.
 func (c *Coordinator) retryPieces(now time.Duration, id string, stages map[int][]int, mayRepeat, counts bool) {
 	j := c.jobs[id]
 	if j == nil {
--- a/core/bbpool/compose.go
+++ b/core/bbpool/compose.go
@@ -51,6 +51,9 @@
 			continue
 		}
 		cost := p.cost(now, w)
+		if w.probation.active() {
+			cost += p.Duration(p.Spec.Batch)
+		}
 		if g.Zone != "" && g.Zone != e.Zone {
 			cost += p.crossZoneCost(g)
 		}
@@ -72,7 +75,7 @@
 func (p *Pool) localEndpointFreeSoon(now time.Duration, g *Group) bool {
 	for _, e := range p.endpoints {
 		w := p.workers[e.ID]
-		if e.Zone != g.Zone || w.health.Paused(now) || (g.Allowed != nil && !g.Allowed(e.Zone)) || w.currentSlowness(now) >= slowThreshold {
+		if e.Zone != g.Zone || w.health.Paused(now) || w.probation.active() || (g.Allowed != nil && !g.Allowed(e.Zone)) || w.currentSlowness(now) >= slowThreshold {
 			continue
 		}
 		left := p.remaining(now, w)
@@ -104,7 +107,7 @@
 	perSecond := 0.0
 	for _, e := range p.endpoints {
 		w := p.workers[e.ID]
-		if w == slow || w.health.Paused(now) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
+		if w == slow || w.health.Paused(now) || w.probation.active() || (g.Allowed != nil && !g.Allowed(e.Zone)) {
 			continue
 		}
 		if cost := p.cost(now, w); perSecond == 0 || cost < sooner {
@@ -124,6 +127,9 @@
 	if w.health.Paused(now) || now < w.pausedUntil {
 		return false
 	}
+	if w.probation.active() {
+		return len(w.calls) == 0 && now >= p.pauseEnd(w, p.hasSound(now, nil))
+	}
 	if len(w.calls) < max(1, p.Spec.Slots) {
 		return true
 	}
@@ -139,11 +145,12 @@
 		Address:  e.Address,
 		Sent:     now,
 	}
-	p.addPieces(now, c, first, w)
+	bound, single := p.callBound(now, w, first)
+	p.addPieces(now, c, first, w, bound)
 	taken := []*Group{first}
 	for _, g := range p.candidates(now, e.Zone) {
-		space := p.Spec.Batch - len(c.Pieces)
-		if space <= 0 {
+		space := bound - len(c.Pieces)
+		if space <= 0 || single {
 			break
 		}
 		if g == first || len(g.Left) == 0 || slices.ContainsFunc(taken, g.mustSeparate) || (g.Allowed != nil && !g.Allowed(e.Zone)) {
@@ -155,7 +162,7 @@
 		if g.Zone != "" && g.Zone != e.Zone && g.ResultBytes >= splitBytes && p.idleIn(now, g.Zone) {
 			continue
 		}
-		p.addPieces(now, c, g, w)
+		p.addPieces(now, c, g, w, bound)
 		taken = append(taken, g)
 	}
 	// A group that is left in part is queued anew, since its urgency has changed.
@@ -213,16 +220,16 @@
 // idleIn reports whether a worker in a failure domain could take a call now.
 func (p *Pool) idleIn(now time.Duration, zone string) bool {
 	for _, e := range p.endpoints {
-		if e.Zone == zone && p.free(now, p.workers[e.ID]) {
+		if w := p.workers[e.ID]; e.Zone == zone && !w.probation.active() && p.free(now, w) {
 			return true
 		}
 	}
 	return false
 }
 
-// addPieces moves pieces of a group into a call, as many as its batch size and the free memory allow.
-func (p *Pool) addPieces(now time.Duration, c *Call, g *Group, w *worker) {
-	n := min(len(g.Left), p.Spec.Batch-len(c.Pieces))
+// addPieces moves pieces of a group into a call, as many as a bound on its pieces and the free memory allow.
+func (p *Pool) addPieces(now time.Duration, c *Call, g *Group, w *worker, bound int) {
+	n := min(len(g.Left), bound-len(c.Pieces))
 	if g.ResultBytes > 0 {
 		n = min(n, int((p.freeMemory(w)-c.Bytes)/g.ResultBytes))
 	}
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -302,6 +302,7 @@
 		}
 	}
 	w.health.Observe(now, o)
+	w.probation.observe(now, c.Sent, o)
 	switch o {
 	case bbhealth.OutcomeFull, bbhealth.OutcomeHeld:
 		w.pausedUntil = now + queueFullBackoff
@@ -396,18 +397,27 @@
 func (p *Pool) capacity(now time.Duration) (soonest time.Duration, perSecond float64) {
 	full := p.Duration(p.Spec.Batch)
 	found := false
+	sound := p.hasSound(now, nil)
 	for _, e := range p.endpoints {
 		w := p.workers[e.ID]
 		if w.health.Paused(now) {
 			continue
 		}
 		left := p.remaining(now, w)
-		if !found || left < soonest {
+		if w.probation.active() {
+			left = max(left, p.pauseEnd(w, sound)-now)
+		}
+		// Where others are sound, the first call of one on probation is small.
+		if small := sound && w.probation.active(); !small && (!found || left < soonest) {
 			soonest, found = left, true
 		}
 		if e.Limited {
 			continue
 		}
+		if w.probation.active() {
+			perSecond += p.probationPerSecond(now, w, sound)
+			continue
+		}
 		perSecond += float64(p.Spec.Batch*max(1, p.Spec.Slots)) / (full.Seconds() * w.currentSlowness(now))
 	}
 	perSecond += p.LimitedCallsPerSecond * float64(p.Spec.Batch)
@@ -433,7 +443,7 @@
 	}
 	for _, e := range p.endpoints {
 		w := p.workers[e.ID]
-		at := max(w.pausedUntil, now)
+		at := max(w.pausedUntil, w.probation.until, now)
 		if len(w.calls) > 0 {
 			at = max(at, now+p.remaining(now, w)-p.Lead)
 		}
--- a/core/bbpool/worker.go
+++ b/core/bbpool/worker.go
@@ -11,6 +11,8 @@
 type worker struct {
 	calls  map[uint64]*Call
 	health bbhealth.Record
+	// probation is set while the endpoint has to show that it works again.
+	probation probation
 	// slowness is the moving average of measured over nominal call time as of slowAt; 1 is nominal.
 	slowness float64
 	slowAt   time.Duration
--- a/core/bbscene/models.go
+++ b/core/bbscene/models.go
@@ -15,13 +15,23 @@
 type worker struct {
 	spec bbcatalog.Pool
 	// factor multiplies the duration of its calls; 1 is nominal.
-	factor      float64
-	queue       []func()
-	working     bool
+	factor float64
+	queue  []workerCall
+	// current is the call in progress; nil if there is none.
+	current *workerCall
+	// failure is set while the worker fails.
+	failure     *Failure
 	results     map[string]storedResult
 	resultCount int
 }
 
+// workerCall is a call that a worker has accepted.
+type workerCall struct {
+	run func()
+	// breakOff answers it as broken.
+	breakOff func()
+}
+
 // storedResult is a result in a worker's memory.
 type storedResult struct {
 	bytes float64
@@ -65,7 +75,9 @@
 		inputs[i] = handles
 	}
 	coordinator := s.Coordinator
+	s.countRepeats(c)
 	answer := func(o bbhealth.Outcome, results []bbdecision.PieceResult) {
+		s.countFailure(c, o)
 		s.after(s.settings.Latency, func() {
 			if s.Coordinator == coordinator {
 				s.decide(func() bbdecision.Output { return coordinator.CallDone(s.Now, c.ID, s.zoneOf(c), o, results) })
@@ -76,11 +88,18 @@
 	s.Totals.Calls++
 	s.Totals.Capacity += w.spec.Batch
 	s.after(2*s.settings.Latency, func() {
+		if f := w.failure; f != nil {
+			s.after(f.After, func() { answer(f.Outcome, nil) })
+			return
+		}
 		if len(w.queue) >= w.spec.Queue {
 			answer(bbhealth.OutcomeFull, nil)
 			return
 		}
-		w.queue = append(w.queue, func() { s.work(w, c, inputs, answer) })
+		w.queue = append(w.queue, workerCall{
+			run:      func() { s.work(w, c, inputs, answer) },
+			breakOff: func() { answer(bbhealth.OutcomeBroken, nil) },
+		})
 		s.startNext(w)
 	})
 }
@@ -97,13 +116,13 @@
 
 // startNext runs the next queued call of a worker if it is idle.
 func (s *Scene) startNext(w *worker) {
-	if w.working || len(w.queue) == 0 {
+	if w.current != nil || len(w.queue) == 0 {
 		return
 	}
-	w.working = true
 	next := w.queue[0]
+	w.current = &next
 	w.queue = w.queue[1:]
-	next()
+	next.run()
 }
 
 // work runs the pieces of a call on a worker.
@@ -139,14 +158,19 @@
 	if n == 0 {
 		took = time.Millisecond
 	}
+	current := w.current
 	s.after(took, func() {
+		if w.current != current {
+			// The worker has failed meanwhile.
+			return
+		}
 		for _, r := range results {
 			if k, ok := w.results[r.Handle]; ok {
 				k.expires = s.Now + w.spec.ResultTTL
 				w.results[r.Handle] = k
 			}
 		}
-		w.working = false
+		w.current = nil
 		answer(bbhealth.OutcomeGood, results)
 		s.startNext(w)
 	})
--- a/core/bbscene/scene.go
+++ b/core/bbscene/scene.go
@@ -15,6 +15,7 @@
 	"bluebellhall/core/bbdecision"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbregistry"
 )
 
@@ -94,6 +95,8 @@
 	// KnownResults has the stage results that each origin knows of, by order ID.
 	KnownResults map[string][]bbjob.StageResult
 	Totals       Totals
+	// Failures has what the failures of workers have affected.
+	Failures Failures
 	// Trace is called with a line about each failure that should not happen; it may be nil.
 	Trace func(line string)
 	// HandedBack has the IDs of the orders that the coordinator handed back.
@@ -127,6 +130,10 @@
 		engines:      make(map[string]*engine),
 		orders:       make(map[string]bbjob.Order),
 		alone:        true,
+		Failures: Failures{
+			Pieces: make(map[string]int),
+			failed: make(map[bbpool.Piece]*failedCall),
+		},
 	}
 	for _, p := range s.Pools {
 		spec := p.Spec
