Let a new VM's view of the coordinator be confirmed instead of waiting it out

An order at a VM that has started waited until its view of all VMs had not changed for 400 ms, at most until 2 s after the start. With 70 VMs that become ready one after the other the view changes all the time, so most waited 2 s.

An exchange now names the sender's coordinator. The VM that comes before all others is used once most VMs, and the one that would coordinate in its place, name it; other VMs use it once their hub confirms it. Both wait 150 ms after the last change of the coordinator, so that the former one has learned of it. The former rule stays as the upper bound, and applies to earlier builds. Rounds are 120 ms apart until the view is stable.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -76,7 +76,9 @@
 	began    time.Time
 	fleet    *bbmembership.Fleet
 	conns    *bbpeer.Conns
-	hub      *bbhub.Hub
+	// fetch requests what the platform published from the VM at an address.
+	fetch func(ctx context.Context, address string, w bbpeer.PublishedRequest) (bbpeer.Published, error)
+	hub   *bbhub.Hub
 	// quarantines track contents and parts of prompts that crash endpoints. checks bounds the connection
 	// checks in progress of endpoints that timed out.
 	quarantines bbquarantine.Quarantines
@@ -105,6 +107,7 @@
 		meter:    h.Meter,
 		began:    time.Now(),
 		conns:    conns,
+		fetch:    conns.Published,
 		checks:   make(chan struct{}, maxChecks),
 	}
 	e.notes = bbnotes.NewSender(conns.Notes, e.notesLost)
--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -182,7 +182,7 @@
 func (e *Entry) follow(ctx context.Context, peer bbgossip.Member, w bbpeer.PublishedRequest) {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	p, err := e.conns.Published(ctx, peer.Peer, w)
+	p, err := e.fetch(ctx, peer.Peer, w)
 	if err != nil {
 		e.log.Event(bbevent.FollowFailed).Str("peer", peer.Name).Err(err).Send()
 		return
--- /dev/null
+++ b/bluebelld/bbentry/recovery_test.go
@@ -0,0 +1,352 @@
+package bbentry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"bluebellhall/bluebelld/bbknowledge"
+	"bluebellhall/bluebelld/bblog"
+	"bluebellhall/bluebelld/bbmembership"
+	"bluebellhall/bluebelld/bbmeter"
+	"bluebellhall/bluebelld/bbpeer"
+	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbrevision"
+)
+
+// The fleet of these tests has 70 VMs in six failure domains of three regions.
+const (
+	siteSize  = 70
+	siteZones = 6
+	// startSpread is the time within which all VMs of a simultaneous start have started.
+	startSpread = 300 * time.Millisecond
+	// storeTime is how long the store takes to answer a list.
+	storeTime = 20 * time.Millisecond
+	// storePeriod is the time between two calls of a VM that watches the store.
+	storePeriod = 450 * time.Millisecond
+	// orderPeriod is how often the test places an order at each VM that is ready.
+	orderPeriod = 20 * time.Millisecond
+)
+
+// site is a fleet of entry VMs in virtual time, without callers and coordinators' hubs.
+type site struct {
+	t     *testing.T
+	conns *bbpeer.Conns
+	delay time.Duration
+	seeds []string
+	luck  *rand.Rand
+
+	mu    sync.Mutex
+	vms   map[string]*siteVM
+	boots int64
+	// catalog and revision are what the store has.
+	catalog  uint64
+	revision bbrevision.Revision
+	// readers are the VMs that called the store, and calls counts the calls.
+	readers map[string]bool
+	calls   int
+	// exchanges counts the exchanges, and fetches the requests for what the platform published.
+	exchanges, fetches int
+}
+
+type siteVM struct {
+	*Entry
+	stop context.CancelFunc
+	// servedAt is when the VM's first order was decided, 0 before, and by decidedBy.
+	servedAt  time.Duration
+	decidedBy string
+}
+
+// inSite runs a test in virtual time with an empty site.
+func inSite(t *testing.T, seed uint64, delay time.Duration, check func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		conns, cleanup := bbpeer.NewConns()
+		defer cleanup()
+		s := &site{
+			t:        t,
+			conns:    conns,
+			delay:    delay,
+			seeds:    []string{"vm07", "vm21", "nobody", "vm44"},
+			luck:     rand.New(rand.NewPCG(1, seed)),
+			vms:      make(map[string]*siteVM),
+			boots:    time.Now().UnixMilli(),
+			catalog:  3,
+			revision: bbrevision.Revision{Era: 1, Number: 10},
+			readers:  make(map[string]bool),
+		}
+		defer func() {
+			s.each(func(v *siteVM) { v.stop() })
+			// Calls that are still in progress end by themselves.
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+		}()
+		check(s)
+	})
+}
+
+// each calls a function for each running VM, in the order of their names.
+func (s *site) each(do func(v *siteVM)) {
+	s.mu.Lock()
+	var vms []*siteVM
+	for i := range siteSize + 1 {
+		if v := s.vms[siteName(i)]; v != nil {
+			vms = append(vms, v)
+		}
+	}
+	s.mu.Unlock()
+	for _, v := range vms {
+		do(v)
+	}
+}
+
+func siteName(i int) string {
+	return fmt.Sprintf("vm%02d", i)
+}
+
+// start starts a VM with the knowledge of a new process.
+func (s *site) start(i int, seeds []string) *siteVM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	regions := make(map[string]string)
+	for k := range siteZones {
+		regions[fmt.Sprint("z", k)] = fmt.Sprint("r", k/2)
+	}
+	zone := fmt.Sprint("z", i%siteZones)
+	self := bbgossip.Member{
+		Name:   siteName(i),
+		Boot:   time.Now().UnixMilli(),
+		Peer:   siteName(i),
+		Front:  "front of " + siteName(i),
+		Zone:   zone,
+		Region: regions[zone],
+		Weight: []float64{0.192, 0.192, 0.4, 0.192, 0.8}[i%5],
+	}
+	v := &siteVM{
+		Entry: &Entry{
+			settings: Settings{
+				Self:    self,
+				Seeds:   seeds,
+				Regions: regions,
+			},
+			log:   bblog.Logger{Lines: zerolog.Nop()},
+			meter: bbmeter.NewMeter(),
+			began: time.Now(),
+			conns: s.conns,
+		},
+	}
+	v.Knowledge = bbknowledge.NewKnowledge(v.now)
+	v.Knowledge.OnCatalogChange = v.catalogChanged
+	v.Knowledge.SetReadsPlatform(false)
+	v.fleet = bbmembership.NewFleet(self, seeds, regions, v.now, s.conns)
+	v.fleet.Pick = rand.New(rand.NewPCG(s.luck.Uint64(), 1)).IntN
+	v.fleet.Reset = func(string) {}
+	v.fleet.Exchange = func(_ context.Context, address string, e bbpeer.Exchange) (bbpeer.Exchange, error) {
+		return call(s, address, &s.exchanges, func(to *siteVM) bbpeer.Exchange { return to.fleet.Answer(e) })
+	}
+	v.fetch = func(_ context.Context, address string, w bbpeer.PublishedRequest) (bbpeer.Published, error) {
+		return call(s, address, &s.fetches, func(to *siteVM) bbpeer.Published { return to.published(w) })
+	}
+	v.fleet.PlaceOrder = func(_ context.Context, address string, o bbjob.Order, pass func(u bbjob.Update) error) error {
+		var updates int
+		_, err := call(s, address, &updates, func(to *siteVM) error { return to.decide(pass) })
+		return err
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	v.stop = cancel
+	s.vms[self.Name] = v
+	go v.fleet.Run(ctx)
+	go v.followLoop(ctx)
+	go s.read(ctx, v)
+	go s.placeOrders(ctx, v)
+	return v
+}
+
+// call delivers a call to the VM at an address after a delay, and its answer after another.
+func call[A any](s *site, address string, count *int, answer func(to *siteVM) A) (A, error) {
+	s.mu.Lock()
+	*count++
+	v := s.vms[address]
+	s.mu.Unlock()
+	time.Sleep(s.delay)
+	var a A
+	if v == nil {
+		time.Sleep(s.delay)
+		return a, status.Error(codes.Unavailable, "connection refused")
+	}
+	a = answer(v)
+	time.Sleep(s.delay)
+	return a, nil
+}
+
+// decide answers an order with a grant that names the VM.
+func (v *siteVM) decide(pass func(u bbjob.Update) error) error {
+	return pass(bbjob.Update{
+		Verdict: &bbjob.Verdict{
+			Grant: &bbjob.Grant{
+				Endpoint: v.settings.Self.Name,
+			},
+		},
+	})
+}
+
+// read stands for the store's reader: it lists, and then watches, while the VM reads the platform.
+func (s *site) read(ctx context.Context, v *siteVM) {
+	for ctx.Err() == nil {
+		if !v.Knowledge.ReadsPlatform() {
+			// The delay of bbstore's reader.
+			time.Sleep(150 * time.Millisecond)
+			continue
+		}
+		s.mu.Lock()
+		s.readers[v.settings.Self.Name] = true
+		s.calls += 2
+		catalog, revision := s.catalog, s.revision
+		s.mu.Unlock()
+		time.Sleep(2*s.delay + storeTime)
+		v.Knowledge.OfferCatalog(bbcatalog.Catalog{Version: catalog}, "store")
+		v.Knowledge.ReplaceEndpoints(bbregistry.Snapshot{
+			Revision:  revision,
+			Endpoints: []bbregistry.Endpoint{{ID: "a", Service: "s", Zone: "z0"}},
+		})
+		v.Knowledge.RecordPlatformAnswer()
+		time.Sleep(storePeriod)
+	}
+}
+
+// placeOrders places orders at a VM from the time when it is ready until one is decided.
+func (s *site) placeOrders(ctx context.Context, v *siteVM) {
+	for !v.Ready() {
+		if ctx.Err() != nil {
+			return
+		}
+		time.Sleep(orderPeriod)
+	}
+	_, by, err := v.fleet.Order(ctx, bbjob.Order{Limit: 10 * time.Second}, func(_ context.Context, _ bbjob.Order, pass func(u bbjob.Update) error) error {
+		return v.decide(pass)
+	})
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.servedAt = v.now()
+	v.decidedBy = by.Name
+}
+
+// startAll starts all VMs within startSpread, in a random order.
+func (s *site) startAll() {
+	order := s.luck.Perm(siteSize)
+	for n, i := range order {
+		s.start(i, s.seeds)
+		if n < len(order)-1 {
+			time.Sleep(startSpread / (siteSize - 1))
+		}
+	}
+}
+
+// killAll stops all VMs without notice.
+func (s *site) killAll() {
+	s.each(func(v *siteVM) {
+		v.stop()
+		s.mu.Lock()
+		delete(s.vms, v.settings.Self.Name)
+		s.mu.Unlock()
+	})
+}
+
+// fullPace returns the VMs that coordinate at the full pace: those that decide orders of their own, or whose
+// orders others would send them, and that reach a majority.
+func (s *site) fullPace() []string {
+	var full []string
+	s.each(func(v *siteVM) {
+		leader, _ := v.fleet.Leader()
+		if v.Ready() && leader.Name == v.settings.Self.Name && v.fleet.ViewIsStable() && v.fleet.HasMajority() {
+			full = append(full, leader.Name)
+		}
+	})
+	return full
+}
+
+// figures are the times, since the first VM's start, at which VMs decided their first order.
+type figures struct {
+	half, all time.Duration
+}
+
+// run lets time pass, checks that at most one VM coordinates at the full pace, and returns when half of the VMs
+// and all of them had an order decided.
+func (s *site) run(began time.Time, d time.Duration) figures {
+	s.t.Helper()
+	const step = 5 * time.Millisecond
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
+		synctest.Wait()
+		if full := s.fullPace(); len(full) > 1 {
+			s.t.Errorf("after %v %v coordinate at the full pace, want at most one VM", time.Since(began), full)
+		}
+	}
+	var served []time.Duration
+	s.each(func(v *siteVM) {
+		at := v.began.Sub(began) + v.servedAt
+		if v.servedAt == 0 {
+			at = time.Hour
+		}
+		served = append(served, at)
+	})
+	slices.Sort(served)
+	return figures{
+		half: served[len(served)/2],
+		all:  served[len(served)-1],
+	}
+}
+
+// reset forgets what has been counted.
+func (s *site) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readers, s.calls, s.exchanges, s.fetches = make(map[string]bool), 0, 0, 0
+}
+
+// The bounds of a recovery: half of the normal service within a second, all of it within 2.5 s. The bounds asserted
+// are lower since a start in the model takes no processor time.
+const (
+	maxHalf = 900 * time.Millisecond
+	maxAll  = 1200 * time.Millisecond
+)
+
+// Guards against orders that wait, after the loss of all VMs, for times instead of for what these stand for, and
+// against several coordinators while VMs discover each other.
+func TestFleetRecoversFromLossOfAll(t *testing.T) {
+	for _, delay := range []time.Duration{5 * time.Millisecond, 12 * time.Millisecond} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(delay, seed), func(t *testing.T) {
+				inSite(t, seed, delay, func(s *site) {
+					for k := range 2 {
+						began := time.Now()
+						s.reset()
+						go s.startAll()
+						time.Sleep(time.Millisecond)
+						got := s.run(began, 2*time.Second)
+						t.Logf("start %d: half %v, all %v; %d readers, %d calls of the store, %d exchanges, %d fetches", k, got.half, got.all, len(s.readers), s.calls, s.exchanges, s.fetches)
+						if got.half > maxHalf || got.all > maxAll {
+							t.Errorf("start %d: half of the VMs serve after %v and all after %v, want %v and %v", k, got.half, got.all, maxHalf, maxAll)
+						}
+						s.killAll()
+						time.Sleep(time.Second)
+					}
+				})
+			})
+		}
+	}
+}
--- a/bluebelld/bbmembership/cells.go
+++ b/bluebelld/bbmembership/cells.go
@@ -1,7 +1,6 @@
 package bbmembership
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -10,17 +9,9 @@
 	"bluebellhall/core/bbjob"
 )
 
-const (
-	// startupPeriod is the time after its start in which a VM may not know all others yet: some
-	// exchange rounds after the last VM of a simultaneous start has started.
-	startupPeriod = 2 * time.Second
-	// stablePeriod is how long a new VM's view of the coordinator, or in a large fleet of all VMs,
-	// has to stay unchanged before it is used: longer than an exchange round.
-	stablePeriod = 400 * time.Millisecond
-	// isolationTimeout is how long a coordinator may go without an answer from any other VM before
-	// it has to assume that it would not learn of another coordinator: four rounds of a hub.
-	isolationTimeout = 1500 * time.Millisecond
-)
+// isolationTimeout is how long a coordinator may go without an answer from any other VM before
+// it has to assume that it would not learn of another coordinator: four rounds of a hub.
+const isolationTimeout = 1500 * time.Millisecond
 
 // Coordinates reports whether this VM coordinates a cell, and returns the VM that coordinates the
 // cell of a failure domain.
@@ -203,48 +194,13 @@
 		f.leaderSince = now
 		f.LogLeader(leader.Name, len(reachable))
 	}
+	if leader.Name != f.leader.Name || leader.Boot != f.leader.Boot || leader.Ready != f.leader.Ready {
+		f.agreement = newAgreement(now)
+	}
 	f.leader = leader
 	return changed
 }
 
-// awaitStableView waits until this VM's view of the coordinator is stable enough to be used.
-func (f *Fleet) awaitStableView(ctx context.Context) error {
-	for wait := f.stableViewWait(); wait > 0; wait = f.stableViewWait() {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(wait):
-		}
-	}
-	return nil
-}
-
-// stableViewWait returns how long to wait before this VM's view of the coordinator can be used. VMs
-// that all start at once discover each other one by one; if each coordinated until then, their
-// uncoordinated calls would overload the stage workers.
-func (f *Fleet) stableViewWait() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Now()
-	if now >= startupPeriod {
-		return 0
-	}
-	if len(f.table.Reachable(now)) == 0 && f.hasSeeds() {
-		return startupPeriod - now
-	}
-	since := f.leaderSince
-	if f.table.Size() > meshSize {
-		// A VM of a large fleet learns of the others in several exchanges.
-		since = f.viewSince
-	}
-	return min(startupPeriod-now, since+stablePeriod-now)
-}
-
-// hasSeeds reports whether there are seeds other than this VM; the caller holds the lock.
-func (f *Fleet) hasSeeds() bool {
-	return slices.ContainsFunc(f.seeds, func(s string) bool { return s != f.table.Self().Peer })
-}
-
 // formerCallsTime is how long after a change of the coordinator calls of the former one may still be
 // in progress: the longest call time in the deployment specifications, and a wait behind another call.
 const formerCallsTime = 900 * time.Millisecond
--- a/bluebelld/bbmembership/exchange.go
+++ b/bluebelld/bbmembership/exchange.go
@@ -39,6 +39,7 @@
 	now := f.Now()
 	known := f.table.RecordContact(now, e.From)
 	f.refresh()
+	f.recordNaming(e)
 	self := f.table.Self()
 	answer := bbpeer.Exchange{
 		From:    self,
@@ -48,6 +49,9 @@
 		Hints:   f.table.Hints(now),
 		Members: f.table.ByState(e.Wants[:min(len(e.Wants), maxWants)]),
 	}
+	if f.viewWait(now) <= 0 {
+		answer.Coordinator = f.namedCoordinator()
+	}
 	if e.KnownBoot == self.Boot {
 		answer.From = self.Brief()
 	}
@@ -101,6 +105,10 @@
 	for _, address := range f.targets() {
 		f.startExchange(ctx, address)
 	}
+	if f.starting(f.Now()) {
+		// The hub confirms the coordinator.
+		f.startExchange(ctx, f.hub().Peer)
+	}
 	f.refresh()
 }
 
@@ -225,6 +233,7 @@
 	f.recordHubReport(now, answer)
 	f.recordLoadEstimate(now, answer)
 	f.refresh()
+	f.recordAgreement(answer)
 	f.followHub(ctx, answer)
 	unknown := f.table.Unknown(answer.States)
 	sender, _ := f.table.Member(answer.From.Name)
@@ -300,8 +309,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := bbpeer.Exchange{
-		From:   f.table.Self(),
-		Digest: f.table.Digest(f.Now()),
+		From:        f.table.Self(),
+		Digest:      f.table.Digest(f.Now()),
+		Coordinator: f.namedCoordinator(),
 	}
 	m, ok := f.table.ByPeerAddress(address)
 	if !ok {
--- a/bluebelld/bbmembership/fleet.go
+++ b/bluebelld/bbmembership/fleet.go
@@ -13,11 +13,15 @@
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbgossip"
+	"bluebellhall/core/bbjob"
 )
 
 const (
 	// round is the time between two rounds of exchange. A dead VM is noticed after three or four.
 	round = 350 * time.Millisecond
+	// startupRound is that time while this VM's view isn't stable yet: at 70 VMs that start at once, each
+	// makes about six rounds until then.
+	startupRound = 120 * time.Millisecond
 	// meshSize is the largest fleet in which every VM exchanges with every other in each
 	// round.
 	meshSize = 12
@@ -35,6 +39,8 @@
 	// the next exchange uses a new one.
 	Exchange func(ctx context.Context, address string, e bbpeer.Exchange) (bbpeer.Exchange, error)
 	Reset    func(address string)
+	// PlaceOrder sends an order to the coordinator at an address and passes on its updates.
+	PlaceOrder func(ctx context.Context, address string, o bbjob.Order, pass func(u bbjob.Update) error) error
 	// Pick returns a random number below n.
 	Pick func(n int) int
 	// Serves reports whether a failure domain has endpoints of a service that may get work. It is
@@ -81,6 +87,8 @@
 	// leaderSince is when that VM became the coordinator, ownCellsSince when the cells that this VM
 	// coordinates last changed, and viewSince when the VMs that it reaches did.
 	leaderSince, ownCellsSince, viewSince time.Duration
+	// agreement is what others have said of the coordinator since it last changed.
+	agreement agreement
 	// contestedAt is when another VM that may coordinate the same cells last seemed to run, or when
 	// this VM was too isolated to learn of one, and answeredAt is when another VM last answered.
 	contestedAt, answeredAt time.Duration
@@ -98,6 +106,7 @@
 		Conns:         conns,
 		Exchange:      conns.Exchange,
 		Reset:         conns.Reset,
+		PlaceOrder:    conns.Order,
 		Pick:          rand.IntN,
 		Serves:        func(string, string) bool { return true },
 		Log:           func(string, bool, string) {},
@@ -112,6 +121,7 @@
 		leader:        self,
 		changed:       make(chan struct{}),
 		joined:        make(chan struct{}),
+		agreement:     newAgreement(0),
 	}
 	f.cells = bbcell.New([]bbgossip.Member{self}, all, false)
 	f.hubs = f.cells
@@ -121,15 +131,16 @@
 // Run makes rounds of exchange until the context ends.
 func (f *Fleet) Run(ctx context.Context) {
 	f.spreadRounds()
-	ticker := time.NewTicker(round)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		f.exchangeRound(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		timer.Reset(f.untilNextRound())
+		f.exchangeRound(ctx)
 	}
 }
 
--- a/bluebelld/bbmembership/order.go
+++ b/bluebelld/bbmembership/order.go
@@ -215,7 +215,7 @@
 			}
 		}
 	}()
-	return f.Conns.Order(ctx, leader.Peer, o, pass)
+	return f.PlaceOrder(ctx, leader.Peer, o, pass)
 }
 
 // stillReaches reports whether the given process of another VM is reachable, and returns the channel
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -47,6 +47,10 @@
 	Hub string `cbor:"10,keyasint,omitempty"`
 	// LoadEstimate is a coordinator's estimate of the load of its cell.
 	LoadEstimate *bbcell.LoadEstimate `cbor:"9,keyasint,omitempty"`
+	// Coordinator identifies the process that coordinates the sender's cell, see
+	// [bbgossip.Member.Process], in the sender's view: in a request if that process is ready, in an
+	// answer if that view is stable as well. It is 0 otherwise and in messages of earlier builds.
+	Coordinator uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // PublishedRequest names the parts of what the platform published that a VM requests.
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -73,6 +73,11 @@
 	return m
 }
 
+// Process returns a number that identifies the member's process among those of a fleet.
+func (m Member) Process() uint64 {
+	return bbhash.Name(string(strconv.AppendInt([]byte(m.Name+"/"), m.Boot, 36)))
+}
+
 // withStaticFields returns the member with the fields that Brief omits taken from an earlier
 // state of the same process.
 func (m Member) withStaticFields(former Member) Member {
