--- a/core/bbstanding/standing.go
+++ b/core/bbstanding/standing.go
@@ -1,9 +1,13 @@
 // Package bbstanding records the load signals that endpoints attach to their answers: that they are
 // draining, or that they want no requests from this VM for a while. This VM obeys them whatever state
-// of the endpoint is published.
+// of the endpoint is published. The load that they state is in the signals, but isn't recorded here.
 package bbstanding
 
-import "time"
+import (
+	"time"
+
+	"bluebellhall/core/bbspeed"
+)
 
 const (
 	// maxBackoff bounds the backoff that an endpoint can request at once; it may renew the request
@@ -24,6 +28,8 @@
 	Limit Limit
 	// LimitUnclear is true if the answer names a limit that can't be read, and none that can.
 	LimitUnclear bool
+	// Load is the load that the endpoint stated.
+	Load bbspeed.Report
 }
 
 // Process identifies one process of an endpoint.
