Coordinator and origins know whether endpoints share their machines

Cause: parts that are set to auto are on only where an endpoint has stated the speed of its machine. Change: the hub passes the load report of a call, and that of a freed result, on to the coordinator, whose pools use it for the estimated slowness of the endpoint. Reports of another process of the endpoint are discarded. Coordinator.SharedMachines is sticky; verdicts carry it to the origin, which also learns it from any answer of its own. Event 850, machinesShared, and the metrics coordinator.slowness.SERVICE. Without a fourth figure the moving average is computed as before.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -83,6 +83,9 @@
 	checks      chan struct{}
 	notes       *bbnotes.Sender
 	leaving     atomic.Bool
+	// sharedMachines is true once this VM knows that endpoints of the deployment share their machines with other
+	// work, until the process ends.
+	sharedMachines atomic.Bool
 	// cursor is the position in the changes of the VM whose endpoints this one follows; used by followLoop
 	// only.
 	cursor followCursor
@@ -191,6 +194,8 @@
 		RefusesPrompt: e.quarantines.Parts.Refuses,
 		NewWindow:     e.newWindow,
 		Leaving:       e.leaving.Load,
+
+		SharedMachines: e.sharedMachines.Load,
 	})
 	e.addGauges()
 	go e.fleet.Run(ctx)
@@ -314,6 +319,9 @@
 // order asks the coordinator for an engine and returns the verdict and the coordinator's address.
 func (e *Entry) order(ctx context.Context, o bbjob.Order) (bbjob.Verdict, string, error) {
 	verdict, leader, err := e.fleet.Order(ctx, o, e.coordinate)
+	if verdict.SharedMachines {
+		e.recordSharedMachines(leader.Name)
+	}
 	return verdict, leader.Peer, err
 }
 
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -67,6 +67,10 @@
 	for service, n := range s.Waiting {
 		show(float64(n), "coordinator", "waiting", service)
 	}
+	for service, slowness := range s.Slowness {
+		show(slowness.Mean, "coordinator", "slowness", service, "mean")
+		show(slowness.Max, "coordinator", "slowness", service, "max")
+	}
 	for service, left := range s.RepeatBudgets {
 		show(left, "coordinator", "repeatsLeft", service)
 	}
--- a/bluebelld/bbentry/signals.go
+++ b/bluebelld/bbentry/signals.go
@@ -10,6 +10,7 @@
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbspeed"
 	"bluebellhall/core/bbstanding"
 )
 
@@ -38,6 +39,11 @@
 	if s.LimitUnclear {
 		sent = noAnswer
 	}
+	if s.Load.SharesMachine() {
+		e.recordSharedMachines(p.ID)
+	}
+	// The load is of use only to whoever chooses the endpoint, and it is in most answers.
+	s.Load = bbspeed.Report{}
 	e.limits.Record(p, s.Limit, sent)
 	newlyLeaving, extended := e.Knowledge.RecordSignal(p, s)
 	if extended {
@@ -49,6 +55,14 @@
 	}
 }
 
+// recordSharedMachines records that endpoints of the deployment share their machines with other work. Source is the
+// endpoint or the VM that stated it.
+func (e *Entry) recordSharedMachines(source string) {
+	if !e.sharedMachines.Load() && e.sharedMachines.CompareAndSwap(false, true) {
+		e.log.Event(bbevent.MachinesShared).Str("source", source).Send()
+	}
+}
+
 // recordLeaving records endpoints that are draining according to another VM.
 func (e *Entry) recordLeaving(l bbpeer.Leaving) {
 	for _, p := range l.Processes[:min(len(l.Processes), maxLeaving)] {
@@ -102,6 +116,7 @@
 			sent = noAnswer
 		}
 		e.recordSignal(p, answer.Signal, sent)
+		answer.Process = p
 		return answer
 	}
 }
@@ -117,6 +132,7 @@
 		signal := free(ctx, address, handles)
 		if listed {
 			e.recordSignal(p, signal, noAnswer)
+			e.hub.ReportLoad(p, signal.Load)
 		}
 	}
 }
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -67,6 +67,9 @@
 	NewWindow func() *bballowance.Window
 	// Leaving reports whether this VM is draining.
 	Leaving func() bool
+	// SharedMachines reports whether endpoints of the deployment share their machines with other work, which turns
+	// on the parts with [bbfeature.ModeAuto]. Nil means that they don't.
+	SharedMachines func() bool
 }
 
 // Gateway serves the callers of one VM.
@@ -92,6 +95,9 @@
 
 // New returns a gateway of a VM.
 func New(name, zone, region string, c bbcodec.Codec, s Hooks) *Gateway {
+	if s.SharedMachines == nil {
+		s.SharedMachines = func() bool { return false }
+	}
 	waiting, stopWaiting := context.WithCancel(context.Background())
 	return &Gateway{
 		waitCtx:     waiting,
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -18,6 +18,7 @@
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bbspeed"
 	"bluebellhall/core/bbstanding"
 )
 
@@ -51,7 +52,10 @@
 	// Results are in the order of the pieces; there are none unless the outcome is good.
 	Results []bbdecision.PieceResult
 	Outcome bbhealth.Outcome
-	// Signal is what the endpoint reported of itself. The hub ignores it; the RunPieces hook records it.
+	// Process is the process of the endpoint that the call was sent to.
+	Process bbstanding.Process
+	// Signal is what the endpoint reported of itself. The hub passes the load on to the coordinator; the RunPieces
+	// hook records the rest.
 	Signal bbstanding.Signal
 }
 
@@ -189,6 +193,18 @@
 	return o
 }
 
+// ReportLoad passes the load on that the process of an endpoint stated in an answer other than that to a call.
+func (h *Hub) ReportLoad(p bbstanding.Process, r bbspeed.Report) {
+	if !r.SharesMachine() {
+		return
+	}
+	// do has logged a failure.
+	_ = h.do("load of "+p.ID, func() bbdecision.Output {
+		h.coordinator.ReportLoad(h.hooks.Now(), p, r)
+		return bbdecision.Output{}
+	})
+}
+
 // Notes passes reports of progress to the coordinator.
 func (h *Hub) Notes(notes []bbjob.Note) {
 	for _, n := range notes {
@@ -254,6 +270,9 @@
 		h.hooks.Log(e)
 	}
 	verdicts := verdictsOf(out)
+	for _, v := range verdicts {
+		v.SharedMachines = h.coordinator.SharedMachines()
+	}
 	for id, u := range out.Updates {
 		if v, ok := verdicts[id]; ok {
 			u.Verdict = v
@@ -355,7 +374,9 @@
 		}
 		// do has logged a failure.
 		_ = h.do("end of a call", func() bbdecision.Output {
-			return h.coordinator.CallDone(h.hooks.Now(), c.ID, zone, result.Outcome, results)
+			now := h.hooks.Now()
+			h.coordinator.ReportLoad(now, result.Process, result.Signal.Load)
+			return h.coordinator.CallDone(now, c.ID, zone, result.Outcome, results)
 		})
 	}()
 }
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -85,6 +85,8 @@
 	freed map[string][]string
 	// waiting are the jobs whose stages are done and that have no grant of an engine.
 	waiting map[string]*bbprogress.Job
+	// sharedMachines is true once an endpoint of the pools has stated the speed of its machine.
+	sharedMachines bool
 	// learned has the statistics of each route.
 	learned bbhistory.RouteStatsTable
 	// latest has the needs of the latest order for each service of engines.
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -367,6 +367,7 @@
 		Requests:      9,
 		Waiting:       map[string]int{"first": 8, "second": 0},
 		RepeatBudgets: map[string]float64{"first": left, "second": left, "engine": left},
+		Slowness:      map[string]bbdecision.Slowness{"first": {Mean: 1, Max: 1}, "second": {Mean: 1, Max: 1}},
 	}
 	if got.Examined == 0 {
 		t.Error("nothing was examined, want the requests and groups that decisions looked at")
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -129,6 +129,7 @@
 	CallOverdue          Number = 843
 	CoordinatorLate      Number = 844
 	SendWithheld         Number = 847
+	MachinesShared       Number = 850
 	EntryRequestEnded    Number = 851
 	RunBroke             Number = 852
 	SilentChecked        Number = 853
@@ -241,6 +242,7 @@
 	{Number: RangeListed, Title: "rangeListed", Severity: SeverityInfo, Text: "A range of the platform's store was listed as a whole, at the era and revision named."},
 	{Number: CatalogOlder, Title: "catalogOlder", Severity: SeverityInfo, Text: "A list of the platform's store has an older configuration than the one in force, which stays in force."},
 	{Number: SendWithheld, Title: "sendWithheld", Severity: SeverityError, Text: "Pieces of a request that have a result or lack inputs, as detail names them, or a grant without all inputs, were about to be sent and were kept back. The state of the request was inconsistent, which is a defect: please report it with the log of that request."},
+	{Number: MachinesShared, Title: "machinesShared", Severity: SeverityInfo, Text: "This VM has learned that endpoints share their machines with other work, because the endpoint or the coordinator that source names has stated so. Parts that are set to auto are on from now until the process ends."},
 	{Number: EntryRequestEnded, Title: "entryRequestEnded", Severity: SeverityInfo, Text: "A caller's request ended: route, outcome, cause, endpoint, attempts and times. Content is the same for requests of one caller that ask for the same; framing is how the endpoint framed its answer: length, chunked or connection."},
 	{Number: RunBroke, Title: "runBroke", Severity: SeverityInfo, Text: "An endpoint gave no complete answer to a request. Content identifies what was asked, parts are those of its prompt that other requests share, cause is how the exchange ended; silent is true when the time limit expired; sinceFirstEvent is 0 if no event of a stream was complete."},
 	{Number: SilentChecked, Title: "silentChecked", Severity: SeverityInfo, Text: "After the time limit of a request expired, a connection to its endpoint was attempted; gone is true when the endpoint accepts none, so that the run counts as lost."},
--- /dev/null
+++ b/core/bbpool/load.go
@@ -0,0 +1,41 @@
+package bbpool
+
+import (
+	"time"
+
+	"bluebellhall/core/bbspeed"
+	"bluebellhall/core/bbstanding"
+)
+
+// HasProcess reports whether a process is that of an endpoint of this pool.
+func (p *Pool) HasProcess(process bbstanding.Process) bool {
+	w := p.workers[process.ID]
+	return w != nil && w.born == process.Born
+}
+
+// ReportLoad records what the process of an endpoint reported of its load. It has no effect if the process has
+// ended.
+func (p *Pool) ReportLoad(now time.Duration, process bbstanding.Process, r bbspeed.Report) {
+	if p.HasProcess(process) {
+		p.workers[process.ID].speed.Report(now, r)
+	}
+}
+
+// Slowness returns the mean and the largest estimated slowness of the endpoints that may get calls; 0 if there are
+// none.
+func (p *Pool) Slowness(now time.Duration) (mean, largest float64) {
+	for _, e := range p.endpoints {
+		slowness := p.workers[e.ID].currentSlowness(now)
+		mean += slowness / float64(len(p.endpoints))
+		largest = max(largest, slowness)
+	}
+	return mean, largest
+}
+
+// setProcess sets the start of the endpoint's process. The reports of the process before it are discarded.
+func (w *worker) setProcess(born int64) {
+	if w.born != born {
+		w.born = born
+		w.speed.DropReport()
+	}
+}
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -31,11 +31,6 @@
 	// slowThreshold is the measured slowness from which an endpoint gets work only when no other
 	// endpoint would finish it sooner.
 	slowThreshold = 1.8
-	// slownessWeight is the weight of the newest call in the moving average of the slowness.
-	slownessWeight = 0.3
-	// slowHalfLife is the half-life of excess slowness without new measurements, so that an endpoint
-	// that has recovered gets work again.
-	slowHalfLife = 2500 * time.Millisecond
 	// memoryFullHold is how long an endpoint without memory for a result counts as full: a fraction of
 	// a call's time, within which some results are usually freed.
 	memoryFullHold = 150 * time.Millisecond
@@ -106,6 +101,8 @@
 // Endpoint is an endpoint that may get calls now.
 type Endpoint struct {
 	ID, Address, Zone string
+	// Born is the start of the endpoint's process in Unix milliseconds; 0 if unknown.
+	Born int64
 	// Limited endpoints have named a limit, which LimitedCallsPerSecond of the pool counts.
 	Limited bool
 }
@@ -200,11 +197,11 @@
 		present[e.ID] = true
 		if p.workers[e.ID] == nil {
 			p.workers[e.ID] = &worker{
-				calls:    make(map[uint64]*Call),
-				slowness: 1,
-				results:  make(map[string]result),
+				calls:   make(map[uint64]*Call),
+				results: make(map[string]result),
 			}
 		}
+		p.workers[e.ID].setProcess(e.Born)
 	}
 	for id, w := range p.workers {
 		if !present[id] && len(w.calls) == 0 {
@@ -277,8 +274,7 @@
 			if !c.Overdue && now-c.Sent > allowed {
 				c.Overdue = true
 				w.health.Observe(now, bbhealth.OutcomeBroken)
-				w.slowness = max(w.currentSlowness(now), overdueFactor)
-				w.slowAt = now
+				w.speed.Raise(now, overdueFactor)
 				late = append(late, c)
 			}
 		}
--- a/core/bbpool/worker.go
+++ b/core/bbpool/worker.go
@@ -1,19 +1,20 @@
 package bbpool
 
 import (
-	"math"
 	"time"
 
 	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbspeed"
 )
 
 // worker is the state kept for one endpoint.
 type worker struct {
 	calls  map[uint64]*Call
 	health bbhealth.Record
-	// slowness is the moving average of measured over nominal call time as of slowAt; 1 is nominal.
-	slowness float64
-	slowAt   time.Duration
+	// born is the start of the endpoint's process in Unix milliseconds.
+	born int64
+	// speed is the estimated slowness, as a multiple of the nominal call time.
+	speed bbspeed.Estimate
 	// pausedUntil is the end of the backoff after the endpoint had no place for a call.
 	pausedUntil time.Duration
 	// results has the size and expiry of the results in the endpoint's memory, by handle.
@@ -42,15 +43,10 @@
 
 // observeSlowness adds the measured slowness of a call to the moving average.
 func (w *worker) observeSlowness(now time.Duration, slowness float64) {
-	current := w.currentSlowness(now)
-	w.slowness = current + slownessWeight*(min(max(slowness, 0.5), 10)-current)
-	w.slowAt = now
+	w.speed.Measure(now, slowness)
 }
 
-// currentSlowness returns the average slowness, decayed towards 1 since the last measurement.
+// currentSlowness returns the estimated slowness.
 func (w *worker) currentSlowness(now time.Duration) float64 {
-	if w.slowness <= 1 {
-		return w.slowness
-	}
-	return 1 + (w.slowness-1)*math.Exp2(-float64(now-w.slowAt)/float64(slowHalfLife))
+	return w.speed.Current(now)
 }
--- a/core/bbsupply/supply.go
+++ b/core/bbsupply/supply.go
@@ -88,6 +88,7 @@
 				ID:      e.ID,
 				Address: e.Address,
 				Zone:    e.Zone,
+				Born:    e.StartedMillis,
 				Limited: limited,
 			})
 		}
