Stage calls avoid endpoints that have just reported a slow spell

Cause: stage workers that share machines are slow for some 600 ms at a time; the average over calls knows of a spell when it is nearly over. Change: the expected end of a call and the choice of its endpoint use the slowness that reports lead to expect for the middle of the call. bbscene models spells during calls and reports in the answers to calls and to freed results.

--- a/core/bbpool/pool_test.go
+++ b/core/bbpool/pool_test.go
@@ -8,6 +8,8 @@
 
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbspeed"
+	"bluebellhall/core/bbstanding"
 )
 
 const ms = time.Millisecond
@@ -303,3 +305,38 @@
 		}
 	})
 }
+
+// The report of a process that has ended says nothing of the one that follows it at another time or place.
+func TestReportOfEndedProcess(t *testing.T) {
+	p := newTestPool()
+	slow := bbspeed.Report{Running: 1, Places: 1, Slowness: 3, Valid: true}
+	want := func(now time.Duration, largest float64) {
+		t.Helper()
+		if _, got := p.Slowness(now); got != largest {
+			t.Errorf("largest slowness %.2f, want %.2f", got, largest)
+		}
+	}
+	p.ReportLoad(0, bbstanding.Process{ID: "w1", Born: 7}, slow)
+	want(0, 1)
+	p.ReportLoad(0, bbstanding.Process{ID: "w1"}, slow)
+	want(0, 3)
+	p.SetEndpoints([]Endpoint{
+		{ID: "w1", Address: "a1", Zone: "east", Born: 7},
+		{ID: "w2", Address: "a2", Zone: "west"},
+	})
+	want(0, 1)
+}
+
+// An idle endpoint that has just reported a slow spell is used after the others, and again once the report has faded.
+func TestReportedEndpointGetsWorkLast(t *testing.T) {
+	p := newTestPool()
+	p.ReportLoad(0, bbstanding.Process{ID: "w1"}, bbspeed.Report{Running: 0, Places: 1, Slowness: 3, Valid: true})
+	p.Add(group("a", 4, time.Second))
+	if made := calls(p, 0); len(made) != 1 || made[0].Endpoint != "w2" {
+		t.Fatalf("calls %+v, want one to w2", made)
+	}
+	p.Add(group("b", 4, 2*time.Second))
+	if made := calls(p, time.Second); len(made) != 1 || made[0].Endpoint != "w1" {
+		t.Errorf("calls %+v after the spell, want one to w1", made)
+	}
+}
--- a/core/bbscene/models.go
+++ b/core/bbscene/models.go
@@ -15,7 +15,9 @@
 type worker struct {
 	spec bbcatalog.Pool
 	// factor multiplies the duration of its calls; 1 is nominal.
-	factor      float64
+	factor float64
+	// spells are the times at which the worker's machine becomes slow.
+	spells      []time.Duration
 	queue       []func()
 	working     bool
 	results     map[string]storedResult
@@ -66,8 +68,10 @@
 	}
 	coordinator := s.Coordinator
 	answer := func(o bbhealth.Outcome, results []bbdecision.PieceResult) {
+		slowness, _ := s.slowness(s.workers[c.Endpoint])
 		s.after(s.settings.Latency, func() {
 			if s.Coordinator == coordinator {
+				s.report(c.Endpoint, slowness)
 				s.decide(func() bbdecision.Output { return coordinator.CallDone(s.Now, c.ID, s.zoneOf(c), o, results) })
 			}
 		})
@@ -135,7 +139,7 @@
 		}
 	}
 	s.Totals.Pieces += n
-	took := time.Duration(float64(w.spec.CallTime+time.Duration(n)*w.spec.PieceTime) * w.factor)
+	took := s.workTime(w, w.spec.CallTime+time.Duration(n)*w.spec.PieceTime)
 	if n == 0 {
 		took = time.Millisecond
 	}
--- a/core/bbscene/scene.go
+++ b/core/bbscene/scene.go
@@ -13,6 +13,7 @@
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbcoordinator"
 	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbfeature"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
@@ -36,6 +37,10 @@
 	// InputCost is the processor time that the coordinator needs for each input, and ExaminationCost what it
 	// needs more for each item in Status.Examined. Inputs wait for each other. Both may be 0.
 	InputCost, ExaminationCost time.Duration
+	// Features are the coordinator's settings of optional behaviour.
+	Features bbfeature.Settings
+	// Spells are the times in which stage workers are slow.
+	Spells Spells
 }
 
 // Pool is a service that runs stages.
@@ -137,6 +142,7 @@
 		for i := range p.Workers {
 			e := scene.addEndpoint(p.Service, i)
 			scene.workers[e.ID] = newWorker(spec)
+			scene.workers[e.ID].spells = s.Spells.spellTimes(e.ID)
 		}
 	}
 	scene.services[EngineService] = &bbcatalog.Service{
@@ -178,6 +184,7 @@
 		Region:          func(zone string) string { return zone },
 		Majority:        func() bool { return true },
 		SoleCoordinator: func() bool { return s.alone },
+		Features:        s.settings.Features,
 	}, bbcoordinator.Limits{
 		RetryRatio: 0.2,
 		RetrySlack: s.settings.RetrySlack,
@@ -289,7 +296,11 @@
 		s.retryRefused(r)
 	}
 	for _, f := range out.Releases {
-		s.after(s.settings.Latency, func() { s.workers[f.Address].free(f.Handles) })
+		s.after(s.settings.Latency, func() {
+			s.workers[f.Address].free(f.Handles)
+			slowness, _ := s.slowness(s.workers[f.Address])
+			s.after(s.settings.Latency, func() { s.report(f.Address, slowness) })
+		})
 	}
 	for _, c := range out.Calls {
 		s.call(c)
