--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -32,14 +32,9 @@
 	// slowThreshold is the measured slowness from which an endpoint gets work only when no other
 	// endpoint would finish it sooner.
 	slowThreshold = 1.8
-	// slownessWeight is the weight of the newest call in the moving average of the slowness.
-	slownessWeight = 0.3
 	// batchWeight is the weight of the newest call in the moving average of the size of calls: about one call of each
 	// endpoint of a large pool.
 	batchWeight = 0.06
-	// slowHalfLife is the half-life of excess slowness without new measurements, so that an endpoint
-	// that has recovered gets work again.
-	slowHalfLife = 2500 * time.Millisecond
 	// memoryFullHold is how long an endpoint without memory for a result counts as full: a fraction of
 	// a call's time, within which some results are usually freed.
 	memoryFullHold = 150 * time.Millisecond
@@ -110,6 +105,8 @@
 // Endpoint is an endpoint that may get calls now.
 type Endpoint struct {
 	ID, Address, Zone string
+	// Born is the start of the endpoint's process in Unix milliseconds; 0 if unknown.
+	Born int64
 	// Limited endpoints have named a limit, which LimitedCallsPerSecond of the pool counts.
 	Limited bool
 }
@@ -209,11 +206,11 @@
 		present[e.ID] = true
 		if p.workers[e.ID] == nil {
 			p.workers[e.ID] = &worker{
-				calls:    make(map[uint64]*Call),
-				slowness: 1,
-				results:  make(map[string]result),
+				calls:   make(map[uint64]*Call),
+				results: make(map[string]result),
 			}
 		}
+		p.workers[e.ID].setProcess(e.Born)
 	}
 	for id, w := range p.workers {
 		if !present[id] && len(w.calls) == 0 {
@@ -266,7 +263,9 @@
 	w := p.workers[c.Endpoint]
 	c.ID = id
 	p.observeBatch(len(c.Pieces))
-	c.Expected = now + p.remaining(now, w) + time.Duration(float64(p.Duration(len(c.Pieces)))*w.currentSlowness(now))
+	remaining := p.remaining(now, w)
+	nominal := p.Duration(len(c.Pieces))
+	c.Expected = now + remaining + time.Duration(float64(nominal)*w.slownessOf(now, remaining, nominal))
 	c.running = len(w.calls) < max(1, p.Spec.Slots)
 	c.runningSince = now
 	w.calls[id] = c
@@ -299,8 +298,7 @@
 			if !c.Overdue && now-c.Sent > allowed {
 				c.Overdue = true
 				w.health.Observe(now, bbhealth.OutcomeBroken)
-				w.slowness = max(w.currentSlowness(now), overdueFactor)
-				w.slowAt = now
+				w.speed.Raise(now, overdueFactor)
 				late = append(late, c)
 			}
 		}
--- a/core/bbscene/models.go
+++ b/core/bbscene/models.go
@@ -20,7 +20,9 @@
 	// current is the call in progress; nil if there is none.
 	current *workerCall
 	// failure is set while the worker fails.
-	failure     *Failure
+	failure *Failure
+	// spells are the times at which the worker's machine becomes slow.
+	spells      []time.Duration
 	results     map[string]storedResult
 	resultCount int
 }
@@ -78,8 +80,10 @@
 	s.countRepeats(c)
 	answer := func(o bbhealth.Outcome, results []bbdecision.PieceResult) {
 		s.countFailure(c, o)
+		slowness, _ := s.slowness(s.workers[c.Endpoint])
 		s.after(s.settings.Latency, func() {
 			if s.Coordinator == coordinator {
+				s.report(c.Endpoint, slowness)
 				s.decide(func() bbdecision.Output { return coordinator.CallDone(s.Now, c.ID, s.zoneOf(c), o, results) })
 			}
 		})
@@ -154,7 +158,7 @@
 		}
 	}
 	s.Totals.Pieces += n
-	took := time.Duration(float64(w.spec.CallTime+time.Duration(n)*w.spec.PieceTime) * w.factor)
+	took := s.workTime(w, w.spec.CallTime+time.Duration(n)*w.spec.PieceTime)
 	if n == 0 {
 		took = time.Millisecond
 	}
--- a/core/bbscene/scene.go
+++ b/core/bbscene/scene.go
@@ -38,8 +38,10 @@
 	// InputCost is the processor time that the coordinator needs for each input, and ExaminationCost what it
 	// needs more for each item in Status.Examined. Inputs wait for each other. Both may be 0.
 	InputCost, ExaminationCost time.Duration
-	// Features turn optional behaviour of the coordinator on.
+	// Features are the coordinator's settings of optional behaviour.
 	Features bbfeature.Settings
+	// Spells are the times in which stage workers are slow.
+	Spells Spells
 }
 
 // Pool is a service that runs stages.
@@ -147,6 +149,7 @@
 		for i := range p.Workers {
 			e := scene.addEndpoint(p.Service, i)
 			scene.workers[e.ID] = newWorker(spec)
+			scene.workers[e.ID].spells = s.Spells.spellTimes(e.ID)
 		}
 	}
 	scene.services[EngineService] = &bbcatalog.Service{
@@ -300,7 +303,11 @@
 		s.retryRefused(r)
 	}
 	for _, f := range out.Releases {
-		s.after(s.settings.Latency, func() { s.workers[f.Address].free(f.Handles) })
+		s.after(s.settings.Latency, func() {
+			s.workers[f.Address].free(f.Handles)
+			slowness, _ := s.slowness(s.workers[f.Address])
+			s.after(s.settings.Latency, func() { s.report(f.Address, slowness) })
+		})
 	}
 	for _, c := range out.Calls {
 		s.call(c)
