--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -113,6 +113,8 @@
 	room      *bbdispatch.Room
 	shares    *bbdispatch.Shares
 	startedAt time.Duration
+	// late are the requests in progress that can't be on time, as far as noticed.
+	late map[string]lateJob
 	// leaving is true while this coordinator drains and returns its requests to their origins.
 	leaving bool
 	// examined counts the requests that decisions have looked at.
@@ -194,6 +196,7 @@
 		latest:  make(map[string]bbplacement.Need),
 		refused: bbhistory.NewRefusals(),
 		shares:  bbdispatch.NewShares(),
+		late:    make(map[string]lateJob),
 	}
 	c.room = bbdispatch.NewRoom(c.shares)
 	c.supply = bbsupply.New(bbsupply.Hooks{
--- a/core/bbcoordinator/waiting.go
+++ b/core/bbcoordinator/waiting.go
@@ -22,7 +22,14 @@
 	// lateStartWait is the longest queueing delay of a request's stages at which it starts though it can't be on time
 	// any more. It keeps calls full when there is room, and is too short to delay requests that can be on time.
 	lateStartWait = 30 * time.Millisecond
-	// lateGrace is the time that a late request in progress gets, beyond what its stages take.
+	// lateBacklog bounds the requests in progress that can't be on time any more, by the pieces that they need of a
+	// service: as many as its endpoints compute in this time. They fill the places in calls that other requests
+	// leave, and their results take memory that others need.
+	lateBacklog = 200 * time.Millisecond
+	// lateRescue is the time after which a late request in progress goes before those that can be on time, so that
+	// its results are used before they expire.
+	lateRescue = 2 * time.Second
+	// lateGrace is the time that it gets then, beyond what its stages take, before it counts as late again.
 	lateGrace = 300 * time.Millisecond
 	// waitingThroughput is the fraction of the endpoints' throughput that requests in the room are assumed to get:
 	// bursts are shorter than deadlines, and after one the capacity that new requests leave is theirs.
@@ -117,9 +124,14 @@
 		return
 	}
 	c.startedAt = now
+	late := c.lateDemand()
 	started := make(map[string]int)
 	for {
-		q, ok := c.room.Next(now, func(q bbdispatch.Request, punctual bool) bool { return c.fits(now, q, punctual, started) })
+		punctual := false
+		q, ok := c.room.Next(now, func(q bbdispatch.Request, inTime bool) bool {
+			punctual = inTime
+			return c.fits(now, q, inTime, started) || !inTime && c.fitsLate(now, q, late)
+		})
 		if !ok {
 			return
 		}
@@ -127,13 +139,21 @@
 		j := c.jobs[q.ID]
 		for service, pieces := range q.Demand {
 			started[service] += pieces
+			if !punctual {
+				late[service] += pieces
+			}
+		}
+		if !punctual {
+			c.late[q.ID] = lateJob{
+				job:   j,
+				since: now,
+			}
 		}
 		c.log(bbdecision.Event{
 			Number: bbevent.OrderStarts,
 			Job:    q.ID,
 			Value:  now - j.Arrived,
 		})
-		c.renew(now, j)
 		c.schedule(j)
 	}
 }
@@ -155,24 +175,65 @@
 	return j.QueueingDelay+queued <= lateStartWait
 }
 
-// renew gives a late request that starts, or has begun, an objective that it can meet, so that it competes with the
-// requests that have just arrived: half-done work takes memory.
-func (c *Coordinator) renew(now time.Duration, j *bbprogress.Job) {
-	j.Due = max(j.Due, now+j.RemainingToFirstToken()+lateGrace)
+// fitsLate reports whether a request that can't be on time may start although the queues of its stages aren't empty.
+// Late are the pieces that such requests in progress need.
+func (c *Coordinator) fitsLate(now time.Duration, q bbdispatch.Request, late map[string]int) bool {
+	for service := range q.Demand {
+		p := c.pool(service)
+		if p == nil {
+			// Starting it leads to its refusal.
+			return true
+		}
+		if float64(late[service]) > lateBacklog.Seconds()*p.PerSecond(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// lateJob is a request in progress that can't be on time.
+type lateJob struct {
+	job   *bbprogress.Job
+	since time.Duration
+}
+
+// lateDemand returns the pieces of each service that late requests in progress still need, and forgets those that
+// have ended or have been granted an engine.
+func (c *Coordinator) lateDemand() map[string]int {
+	demand := make(map[string]int)
+	for id, l := range c.late {
+		if c.jobs[id] != l.job || l.job.Granted != "" || c.room.Has(id) {
+			delete(c.late, id)
+			continue
+		}
+		for i, s := range l.job.Order.Stages {
+			demand[s.Service] += l.job.Stages[i].Left
+		}
+	}
+	return demand
 }
 
 // deferLate moves requests that have become late in a queue to the room if they have started nothing. The others
-// are renewed.
+// count as late, and go before those on time once they have been late for lateRescue.
 func (c *Coordinator) deferLate(now time.Duration) {
 	for _, id := range c.lateQueued(now) {
 		j := c.jobs[id]
-		c.requeue(j)
-		if len(j.Order.Results) > 0 || j.Begun() || c.room.Full(j.Order.Account) {
-			c.renew(now, j)
-		} else {
+		l, known := c.late[id]
+		switch {
+		case known && l.job == j && now-l.since < lateRescue:
+		case known && l.job == j:
+			c.requeue(j)
+			j.Due = now + j.RemainingToFirstToken() + lateGrace
+			c.schedule(j)
+		case len(j.Order.Results) > 0 || j.Begun() || c.room.Full(j.Order.Account):
+			c.late[id] = lateJob{
+				job:   j,
+				since: now,
+			}
+		default:
+			c.requeue(j)
 			c.wait(now, j)
 		}
-		c.schedule(j)
 	}
 }
 
