Count a VM as joined only after an answered exchange

A seed that refused ended the wait of a VM that has started as soon as another seed had answered, while the records of the members named in that answer were still being fetched. The wait now ends with an exchange that was answered and followed up.

--- a/bluebelld/bbmembership/exchange.go
+++ b/bluebelld/bbmembership/exchange.go
@@ -187,24 +187,21 @@
 
 // exchange exchanges with an address, and again as long as the answer has unknown processes.
 func (f *Fleet) exchange(ctx context.Context, address string) {
-	var wants []uint64
-	for range maxCatchUp {
-		wants = f.exchangeOnce(ctx, address, wants)
-		if len(wants) == 0 {
-			break
-		}
+	wants, answered := f.exchangeOnce(ctx, address, nil)
+	for i := 1; i < maxCatchUp && len(wants) > 0; i++ {
+		wants, _ = f.exchangeOnce(ctx, address, wants)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.busy, address)
-	if f.answeredAt > 0 {
+	if answered {
 		f.joinOnce.Do(func() { close(f.joined) })
 	}
 }
 
 // exchangeOnce makes one exchange with an address, in which it requests the records of some processes.
-// It returns the processes whose records are to be requested next.
-func (f *Fleet) exchangeOnce(ctx context.Context, address string, wants []uint64) []uint64 {
+// It returns the processes whose records are to be requested next, and whether the address answered.
+func (f *Fleet) exchangeOnce(ctx context.Context, address string, wants []uint64) (unknown []uint64, answered bool) {
 	request, name := f.newRequest(address)
 	request.Wants = wants
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -220,7 +217,7 @@
 		}
 		go f.Reset(address)
 		f.failOverHub(ctx, address)
-		return nil
+		return nil, false
 	}
 	f.answeredAt = now
 	if f.table.RecordAnswer(now, answer.From) && !answer.Unknown {
@@ -235,13 +232,13 @@
 	f.refresh()
 	f.recordAgreement(answer)
 	f.followHub(ctx, answer)
-	unknown := f.table.Unknown(answer.States)
+	unknown = f.table.Unknown(answer.States)
 	sender, _ := f.table.Member(answer.From.Name)
 	if len(wants) > 0 && sender.Region != f.table.Self().Region && !f.isHub() {
 		// The remaining records are requested from a hub that is nearer.
-		return nil
+		return nil, true
 	}
-	return unknown[:min(len(unknown), maxWants)]
+	return unknown[:min(len(unknown), maxWants)], true
 }
 
 // followHub starts an exchange with this VM's hub if the hub has changed, and with the hub that the
