Begin to read the store and to follow its readers when there is a reason

A VM that had started checked every 150 ms whether it reads the store and whether it is ready, asked a reader for the first time after 400 ms, and then every 400 ms. It counted as a coordinator, and so as a reader, until it knew another VM that is ready, and every VM that knew at most 12 others read.

Knowledge now notifies of a change of these, and a VM that isn't ready asks a ready one as soon as gossip names it, for configuration and endpoints in one call. The VMs that don't read are bounded as before: they read 2 s after their source has gone silent.

--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -67,13 +67,24 @@
 	case <-time.After(joinTimeout):
 	}
 	e.adopt(ctx)
-	for ; ; waitTick(ctx, ticker) {
+	var signals startSignals
+	for ; ; awaitChange(ctx, ticker, signals) {
 		if ctx.Err() != nil {
 			return
 		}
 		e.refresh()
+		signals = e.startSignals()
 		reader, reads := e.chooseReader()
 		e.Knowledge.SetReadsPlatform(reads)
+		if source, ok := e.firstSource(); ok && !reads {
+			asked = e.now()
+			e.follow(ctx, source, bbpeer.PublishedRequest{
+				Catalog:   true,
+				Endpoints: true,
+			})
+			e.refresh()
+			continue
+		}
 		if peer, ok := e.newestCatalogPeer(); ok {
 			e.follow(ctx, peer, bbpeer.PublishedRequest{
 				Catalog: true,
@@ -112,12 +123,47 @@
 	}
 }
 
-// waitTick waits for the next tick, or until the context ends.
-func waitTick(ctx context.Context, t *time.Ticker) {
+// startSignals are the channels that are closed when followLoop has something to do before its next tick. All are nil
+// once this VM is ready.
+type startSignals struct {
+	// knowledge is closed when this VM becomes ready, and coordinator when the coordinator changes, which happens
+	// when another VM becomes ready.
+	knowledge, coordinator <-chan struct{}
+}
+
+// startSignals returns the channels to wait for after a pass of followLoop that is about to begin.
+func (e *Entry) startSignals() startSignals {
+	if ready, _, _ := e.Knowledge.Ready(); ready {
+		return startSignals{}
+	}
+	_, coordinator := e.fleet.Leader()
+	return startSignals{
+		knowledge:   e.Knowledge.Changed(),
+		coordinator: coordinator,
+	}
+}
+
+// awaitChange waits for the next tick or for one of the signals.
+func awaitChange(ctx context.Context, t *time.Ticker, s startSignals) {
 	select {
 	case <-ctx.Done():
 	case <-t.C:
+	case <-s.knowledge:
+	case <-s.coordinator:
+	}
+}
+
+// firstSource returns the VM from which this one, which isn't ready, can get configuration and endpoints at once: its
+// hub if that is ready, else the one with the newest endpoints. It returns false if there is none or this VM is ready.
+func (e *Entry) firstSource() (bbgossip.Member, bool) {
+	if ready, _, _ := e.Knowledge.Ready(); ready {
+		return bbgossip.Member{}, false
+	}
+	if hub := e.fleet.Hub(); hub.Ready && hub.Name != e.settings.Self.Name {
+		return hub, true
 	}
+	source := e.newestEndpointsPeer(nil)
+	return source, source.Ready
 }
 
 // newestCatalogPeer returns a VM that has a newer configuration in force.
@@ -139,7 +185,7 @@
 // that can't reach the store asks the VM with the newest endpoints. While no reader provides endpoints to
 // this VM, only a few VMs of each failure domain try the store, so that not all of them do while it is down.
 func (e *Entry) chooseReader() (bbgossip.Member, bool) {
-	readers := e.fleet.Readers()
+	readers := e.fleet.ReadersAtStart()
 	if len(readers) == 0 || readers[e.settings.Self.Name] {
 		return e.newestEndpointsPeer(readers), true
 	}
--- a/bluebelld/bbknowledge/knowledge.go
+++ b/bluebelld/bbknowledge/knowledge.go
@@ -53,6 +53,10 @@
 	sourceFreshAt, sourceAnsweredAt time.Duration
 	// followsSource is true while another VM reads the platform for this one.
 	followsSource bool
+	// changed is closed, and replaced, when followsSource or ready changes; ready is true once there are a
+	// configuration and a list of endpoints.
+	changed chan struct{}
+	ready   bool
 	// outageEnd is the end of the last platform outage; outage is true if there has been one.
 	outageEnd time.Duration
 	outage    bool
@@ -66,6 +70,28 @@
 		table:           bbregistry.NewTable(),
 		standing:        bbstanding.NewTable(),
 		lookups:         make(map[string]cachedLookup),
+		changed:         make(chan struct{}),
+	}
+}
+
+// Changed returns a channel that is closed when this VM becomes ready, or begins or ceases to read the platform.
+func (k *Knowledge) Changed() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.changed
+}
+
+// notifyChange closes the channel that Changed returned; the caller holds the lock.
+func (k *Knowledge) notifyChange() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// updateReady notifies of a change if this VM has just become ready; the caller holds the lock.
+func (k *Knowledge) updateReady() {
+	if ready := k.index != nil && k.listed; ready != k.ready {
+		k.ready = ready
+		k.notifyChange()
 	}
 }
 
@@ -90,6 +116,7 @@
 	newer := k.index == nil || c.Version > k.index.Catalog.Version
 	if newer {
 		k.index = bbcatalog.NewIndex(c)
+		k.updateReady()
 	}
 	k.mu.Unlock()
 	if newer {
@@ -120,6 +147,7 @@
 		return false
 	}
 	k.listed = true
+	k.updateReady()
 	return true
 }
 
@@ -203,6 +231,7 @@
 		return false
 	}
 	k.listed = true
+	k.updateReady()
 	return true
 }
 
@@ -257,7 +286,10 @@
 func (k *Knowledge) SetReadsPlatform(reads bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.followsSource = !reads
+	if k.followsSource == reads {
+		k.followsSource = !reads
+		k.notifyChange()
+	}
 }
 
 // lookupTTL is how long the usable endpoints of a service are cached. The cold times in the entries, which
--- a/bluebelld/bbmembership/cells.go
+++ b/bluebelld/bbmembership/cells.go
@@ -49,12 +49,31 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refresh()
-	if len(f.reached) <= maxDirectReaders {
+	return f.readers(false)
+}
+
+// ReadersAtStart returns the VMs that read the platform's store. While this VM has reached others but may not know
+// all yet, they are those that would read it for a large fleet, since many more VMs may have started; otherwise
+// they are those that Readers returns.
+func (f *Fleet) ReadersAtStart() map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	discovering := len(f.reached) > 0 && f.viewWait(f.Now()) > 0
+	return f.readers(discovering)
+}
+
+// readers is Readers for a caller that holds the lock and may have the fleet count as a large one.
+func (f *Fleet) readers(large bool) map[string]bool {
+	if len(f.reached) <= maxDirectReaders && !large {
 		return nil
 	}
 	readers := make(map[string]bool)
 	for _, m := range append(f.hubs.VMs(), f.cells.VMs()...) {
-		readers[m.Name] = true
+		// Each VM counts as a coordinator in its own view until another one is ready.
+		if m.Ready || f.hubs.CoordinatesAny(m.Name) {
+			readers[m.Name] = true
+		}
 	}
 	if f.split.ByZone {
 		return readers
