Share the fixed allowance of retries among all VMs that are known now

A VM fixed its share of the fleet's fixed allowance of retries for a service when the first request for it came, by the VMs that it knew then, and kept it. VMs that start at once are ready while they know few others: in a model of 70 VMs they had up to 3,380 of 174 retries together. A VM whose view isn't stable now has none, and all adapt their shares every 150 ms; together they have at most 174 plus a tenth in that model.

--- a/bluebelld/bbentry/cell.go
+++ b/bluebelld/bbentry/cell.go
@@ -12,7 +12,7 @@
 )
 
 // cellPeriod is how often a coordinator publishes its load estimate to the other coordinators, and checks
-// whether it still coordinates a cell.
+// whether it still coordinates a cell, and how often a VM adapts its share of the retries to the number of VMs.
 const cellPeriod = 150 * time.Millisecond
 
 // maxCachedServices bounds the services in the cache of coordinated endpoints.
@@ -89,7 +89,7 @@
 	})
 }
 
-// cellLoop publishes this coordinator's load estimate. When this VM no longer coordinates a cell, its
+// cellLoop publishes this coordinator's load estimate, and adapts this VM's share of the fixed allowance of retries. When this VM no longer coordinates a cell, its
 // requests are handed back to their origins, which send them to the next coordinator.
 func (e *Entry) cellLoop(ctx context.Context) {
 	ticker := time.NewTicker(cellPeriod)
@@ -101,6 +101,7 @@
 			return
 		case <-ticker.C:
 		}
+		e.Gateway.SetRetrySlack(e.retrySlack())
 		split, _, _ := e.fleet.Cells()
 		active, _ := e.fleet.Coordinates(e.settings.Self.Zone)
 		active = active || !split
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -302,15 +302,22 @@
 
 // newWindow returns the retry window of a service, with this VM's share of the fixed allowance.
 func (e *Entry) newWindow() *bballowance.Window {
-	vms := 1
-	e.fleet.View(func(t *bbgossip.Table, _ time.Duration) {
-		vms += len(t.Known())
-	})
 	return &bballowance.Window{
 		Span:  e.settings.Limits.RetrySpan,
 		Ratio: e.settings.Limits.RetryRatio,
-		Slack: e.settings.Limits.RetrySlack / float64(vms),
+		Slack: e.retrySlack(),
+	}
+}
+
+// retrySlack returns this VM's share of the fleet's fixed allowance of retries. A VM that may not know all others yet
+// has none: the shares of VMs that know few others would exceed the allowance together.
+func (e *Entry) retrySlack() float64 {
+	if !e.fleet.ViewIsStable() {
+		return 0
 	}
+	var vms int
+	e.fleet.View(func(t *bbgossip.Table, _ time.Duration) { vms = t.Size() })
+	return e.settings.Limits.RetrySlack / float64(vms)
 }
 
 // order asks the coordinator for an engine and returns the verdict and the coordinator's address.
--- a/bluebelld/bbentry/recovery_test.go
+++ b/bluebelld/bbentry/recovery_test.go
@@ -20,6 +20,7 @@
 	"bluebellhall/bluebelld/bbmeter"
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbcoordinator"
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbregistry"
@@ -38,6 +39,9 @@
 	storePeriod = 450 * time.Millisecond
 	// orderPeriod is how often the test places an order at each VM that is ready.
 	orderPeriod = 20 * time.Millisecond
+	// retrySlack is the fleet's fixed allowance of retries, and maxSlack what all VMs may believe to have of it.
+	retrySlack = 174
+	maxSlack   = 1.1 * retrySlack
 )
 
 // site is a fleet of entry VMs in virtual time, without callers and coordinators' hubs.
@@ -138,6 +142,9 @@
 				Self:    self,
 				Seeds:   seeds,
 				Regions: regions,
+				Limits: bbcoordinator.Limits{
+					RetrySlack: retrySlack,
+				},
 			},
 			log:   bblog.Logger{Lines: zerolog.Nop()},
 			meter: bbmeter.NewMeter(),
@@ -157,7 +164,7 @@
 	v.fetch = func(_ context.Context, address string, w bbpeer.PublishedRequest) (bbpeer.Published, error) {
 		return call(s, address, &s.fetches, func(to *siteVM) bbpeer.Published { return to.published(w) })
 	}
-	v.fleet.PlaceOrder = func(_ context.Context, address string, o bbjob.Order, pass func(u bbjob.Update) error) error {
+	v.fleet.PlaceOrder = func(_ context.Context, address string, _ bbjob.Order, pass func(u bbjob.Update) error) error {
 		var updates int
 		_, err := call(s, address, &updates, func(to *siteVM) error { return to.decide(pass) })
 		return err
@@ -290,7 +297,7 @@
 // and all of them had an order decided.
 func (s *site) run(began time.Time, d time.Duration) figures {
 	s.t.Helper()
-	const step = 5 * time.Millisecond
+	const step = 10 * time.Millisecond
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
 		synctest.Wait()
 		if full := s.fullPace(); len(full) > 1 {
@@ -312,6 +319,17 @@
 	}
 }
 
+// wantSharedSlack checks that the VMs together have no more than the fleet's fixed allowance of retries. A VM that has
+// just joined may not be known to all others yet.
+func (s *site) wantSharedSlack() {
+	s.t.Helper()
+	var slack float64
+	s.each(func(v *siteVM) { slack += v.retrySlack() })
+	if slack > maxSlack {
+		s.t.Errorf("the VMs have %.0f retries together regardless of the requests, want at most %g", slack, maxSlack)
+	}
+}
+
 // reset forgets what has been counted.
 func (s *site) reset() {
 	s.mu.Lock()
@@ -337,7 +355,11 @@
 	began := time.Now()
 	go start()
 	time.Sleep(time.Millisecond)
-	got := s.run(began, 4*time.Second)
+	for time.Since(began) < time.Second {
+		s.run(began, 50*time.Millisecond)
+		s.wantSharedSlack()
+	}
+	got := s.run(began, 3*time.Second)
 	s.t.Logf("half %v, all %v; %d readers, %d calls of the store, %d exchanges, %d fetches", got.half, got.all, len(s.readers), s.calls, s.exchanges, s.fetches)
 	if got.half > maxHalf || got.all > maxAll {
 		s.t.Errorf("half of the VMs serve after %v and all after %v, want %v and %v", got.half, got.all, maxHalf, maxAll)
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -148,6 +148,14 @@
 	return g.exchanges.Load()
 }
 
+// SetRetrySlack sets the number of retries of each service that this VM may make in a window regardless of the
+// requests.
+func (g *Gateway) SetRetrySlack(slack float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.windows.SetSlack(slack)
+}
+
 // RepeatsLeft returns the number of retries that the allowance of each plain service permits now.
 func (g *Gateway) RepeatsLeft() map[string]float64 {
 	g.mu.Lock()
