Grants, permits and calls that were held up are not used

Cause: a grant had no end. The coordinator keeps an engine's rate when it grants; a VM that was frozen read all grants of that time when it woke, and sent them at once: 26 requests in a second at a cold engine, 19.1 allowed. The coordinator went on granting to it, and clocks left out the time in which a machine is suspended.

Change: a grant states its validity (500 ms) and how long its order had waited at the coordinator. The origin adds that to the time at which it sent the order, which gives the earliest time of the grant with the transit of both messages counted as its age. A late grant goes back with the next order. Permits and calls of stages have the same bound. The coordinator grants nothing to an origin that it doesn't reach and whose order is 1.5 s old.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bluebellhall/bluebelld/bbclock"
 	"bluebellhall/bluebelld/bbcodec"
 	"bluebellhall/bluebelld/bbgateway"
 	"bluebellhall/bluebelld/bbhub"
@@ -73,10 +74,11 @@
 	settings Settings
 	log      bblog.Logger
 	meter    *bbmeter.Meter
-	began    time.Time
-	fleet    *bbmembership.Fleet
-	conns    *bbpeer.Conns
-	hub      *bbhub.Hub
+	// began is the time of the start by bbclock.
+	began time.Duration
+	fleet *bbmembership.Fleet
+	conns *bbpeer.Conns
+	hub   *bbhub.Hub
 	// quarantines track contents and parts of prompts that crash endpoints. checks bounds the connection
 	// checks in progress of endpoints that timed out.
 	quarantines bbquarantine.Quarantines
@@ -103,7 +105,7 @@
 		settings: s,
 		log:      h.Log,
 		meter:    h.Meter,
-		began:    time.Now(),
+		began:    bbclock.Now(),
 		conns:    conns,
 		checks:   make(chan struct{}, maxChecks),
 	}
@@ -133,6 +135,7 @@
 		Service:         e.service,
 		Endpoints:       e.coordinated,
 		Region:          e.region,
+		Heard:           e.fleet.Heard,
 		Majority:        e.fleet.HasMajority,
 		SoleCoordinator: e.fleet.IsSoleCoordinator,
 		Suspicion:       e.quarantines.Contents.Verdict,
@@ -210,9 +213,9 @@
 	e.log.Event(bbevent.HandlerFailed).Str("method", method).Str("detail", err.Error()).Send()
 }
 
-// now returns the monotonic time since the start.
+// now returns the time since the start, including the time in which the machine was suspended.
 func (e *Entry) now() time.Duration {
-	return time.Since(e.began)
+	return bbclock.Now() - e.began
 }
 
 // Ready reports whether this VM accepts new callers.
@@ -416,6 +419,9 @@
 	if l.Framing != "" {
 		line.Str("framing", l.Framing)
 	}
+	if l.LateGrants != 0 {
+		line.Int("lateGrants", l.LateGrants)
+	}
 	line.Int("status", l.Status).Uint64("version", l.Version).Dur("took", l.Took).Send()
 	e.meter.Count("requests", l.Kind, l.Outcome, l.Cause)
 	if l.Outcome != "answered" {
--- a/bluebelld/bbentry/limits_test.go
+++ b/bluebelld/bbentry/limits_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bluebellhall/bluebelld/bbclock"
 	"bluebellhall/bluebelld/bbhub"
 	"bluebellhall/bluebelld/bbpeer"
 	"bluebellhall/core/bbhealth"
@@ -22,7 +23,7 @@
 func newLimitedEntry(t *testing.T) (*Entry, *clock, bbstanding.Process) {
 	t.Helper()
 	e, c := newStandingEntry(t)
-	e.began = time.Now()
+	e.began = bbclock.Now()
 	p, _ := e.Knowledge.MaySend("a")
 	e.recordSignal(p, bbstanding.Signal{Limit: oneASecond}, 0)
 	return e, c, p
@@ -118,7 +119,7 @@
 // Calls of stage workers name limits too, and freed results are requests.
 func TestLimitsOfStageWorkers(t *testing.T) {
 	e, _ := newStandingEntry(t)
-	e.began = time.Now()
+	e.began = bbclock.Now()
 	frees := 0
 	run := e.runPieces(func(context.Context, string, string, []bbhub.Piece) bbhub.CallResult {
 		return bbhub.CallResult{
--- a/bluebelld/bbentry/suspects_test.go
+++ b/bluebelld/bbentry/suspects_test.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"bluebellhall/bluebelld/bbclock"
 	"bluebellhall/bluebelld/bblog"
 	"bluebellhall/bluebelld/bbmeter"
 	"bluebellhall/bluebelld/bbquarantine"
@@ -23,7 +24,7 @@
 			Lines: zerolog.Nop(),
 		},
 		meter:  bbmeter.NewMeter(),
-		began:  time.Now(),
+		began:  bbclock.Now(),
 		checks: make(chan struct{}, maxChecks),
 	}
 	e.quarantines.Contents = bbquarantine.New(bbquarantine.Hooks{
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -57,7 +57,7 @@
 		}
 		order.Objective -= g.hooks.Now() - now
 		order.InputsGone = t.inputsGone
-		if !t.inputsGone {
+		if !t.inputsGone && !t.late {
 			avoid = append(avoid, t.grant.Endpoint)
 		}
 		order.Repeat = outcome.Sent()
@@ -169,6 +169,8 @@
 	firstEvent time.Duration
 	// inputsGone is true if the engine reported that an input no longer exists.
 	inputsGone bool
+	// late is true if the grant was too old to be used.
+	late bool
 }
 
 // run sends the request to the granted engine, forwards the answer and reports the outcome to the
@@ -182,12 +184,21 @@
 	defer func() {
 		note.Outcome = outcome
 		note.Again = again
+		if t.late && t.log.Tries < maxGrants {
+			// The next order gives the grant back. A note that came after it would end the next grant if that
+			// is for the same engine.
+			return
+		}
 		g.hooks.Note(t.coordinator, note)
 	}()
 	if cause := g.quarantineCause(t.exchange); cause != "" {
 		g.giveUp(ctx, t.exchange, runs, cause)
 		return bbhealth.OutcomeFull, false
 	}
+	if !g.grantHolds(t.exchange, t.grant) {
+		t.late = true
+		return bbhealth.OutcomeHeld, true
+	}
 	process, allowed := g.hooks.MaySend(t.grant.Endpoint)
 	if !allowed || !g.hooks.GrantHolds(t.grant, t.coordinator) {
 		return bbhealth.OutcomeHeld, true
@@ -253,6 +264,18 @@
 	return bbhealth.OutcomeGood, false
 }
 
+// grantHolds reports whether a grant is recent enough to be used. Each late grant of a request doubles the age up to which
+// the next one may be used: an order that is sent again after a freeze is answered soon, so that the next grant is late
+// only if all messages take long. These are late by the same time and don't come at once.
+func (g *Gateway) grantHolds(x *exchange, grant bbjob.Grant) bool {
+	grant.ValidFor <<= min(x.log.LateGrants, maxGrants)
+	if grant.HoldsAt(g.hooks.Now()) {
+		return true
+	}
+	x.log.LateGrants++
+	return false
+}
+
 // retryOrFailStaged reports whether a request without a complete answer may be sent to another engine, and
 // ends the request if not.
 func (g *Gateway) retryOrFailStaged(ctx context.Context, t *attempt, o bbhealth.Outcome, runs int) bool {
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -29,6 +29,9 @@
 	failedTickDelay = 200 * time.Millisecond
 	// callSlack is how much longer a call may take than the longest time limit of its requests.
 	callSlack = 500 * time.Millisecond
+	// maxCallDelay bounds the time from the decision of a call to its sending. A call that was held up for longer, for
+	// instance by a freeze of this VM, is not sent: the endpoint may be gone or out by then.
+	maxCallDelay = 500 * time.Millisecond
 	// notableDelay is the delay of the timer work from which it is logged, at most once in delayLogPeriod.
 	notableDelay   = 50 * time.Millisecond
 	delayLogPeriod = time.Second
@@ -77,8 +80,8 @@
 
 	mu          sync.Mutex
 	coordinator *bbcoordinator.Coordinator
-	// waiters has the channel of each undecided order by its ID.
-	waiters map[string]chan bbjob.Update
+	// waiters has the undecided orders by their IDs.
+	waiters map[string]waiter
 	timer   *time.Timer
 	// due is when the timer fires; 0 if it is not set.
 	due time.Duration
@@ -88,6 +91,13 @@
 	examinedBefore              uint64
 }
 
+// waiter is an order that waits for its verdict.
+type waiter struct {
+	updates chan bbjob.Update
+	// arrived is when the order arrived.
+	arrived time.Duration
+}
+
 // New returns a hub and its clean-up function.
 func New(c *bbcoordinator.Coordinator, hooks Hooks) (*Hub, func()) {
 	if hooks.Late == nil {
@@ -96,7 +106,7 @@
 	h := &Hub{
 		hooks:       hooks,
 		coordinator: c,
-		waiters:     make(map[string]chan bbjob.Update),
+		waiters:     make(map[string]waiter),
 	}
 	h.timer = time.AfterFunc(time.Hour, h.tick)
 	return h, func() { h.timer.Stop() }
@@ -110,8 +120,12 @@
 // context ends first, the order is cancelled.
 func (h *Hub) Order(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error {
 	c := make(chan bbjob.Update, maxUpdates)
+	arrived := h.hooks.Now()
 	if err := h.do("submit "+o.ID, func() bbdecision.Output {
-		h.waiters[o.ID] = c
+		h.waiters[o.ID] = waiter{
+			updates: c,
+			arrived: arrived,
+		}
 		return h.coordinator.Submit(h.hooks.Now(), o)
 	}); err != nil {
 		h.removeWaiter(o.ID)
@@ -129,7 +143,7 @@
 		break
 	}
 	if err := h.do("cancel "+o.ID, func() bbdecision.Output {
-		if h.waiters[o.ID] != c {
+		if h.waiters[o.ID].updates != c {
 			return bbdecision.Output{}
 		}
 		delete(h.waiters, o.ID)
@@ -161,7 +175,9 @@
 			})
 		}
 	}()
-	h.apply(decide())
+	// What follows the decision, also a freeze of this VM, counts as transit of the grants in it.
+	decided := h.hooks.Now()
+	h.apply(decided, decide())
 	return nil
 }
 
@@ -248,8 +264,9 @@
 	h.delayLoggedAt = now
 }
 
-// apply carries out the coordinator's decisions; the caller holds the lock.
-func (h *Hub) apply(out bbdecision.Output) {
+// apply carries out the coordinator's decisions, which were made at the given time or later; the caller holds the
+// lock.
+func (h *Hub) apply(decided time.Duration, out bbdecision.Output) {
 	for _, e := range out.Events {
 		h.hooks.Log(e)
 	}
@@ -259,15 +276,15 @@
 			u.Verdict = v
 			delete(verdicts, id)
 		}
-		h.update(id, u)
+		h.update(decided, id, u)
 	}
 	for id, v := range verdicts {
-		h.update(id, bbjob.Update{
+		h.update(decided, id, bbjob.Update{
 			Verdict: v,
 		})
 	}
 	for _, c := range out.Calls {
-		h.call(c)
+		h.call(decided, c)
 	}
 	for _, f := range out.Releases {
 		go func() {
@@ -302,12 +319,16 @@
 }
 
 // update queues an update for a waiting order.
-func (h *Hub) update(id string, u bbjob.Update) {
-	c := h.waiters[id]
-	if c == nil {
+func (h *Hub) update(decided time.Duration, id string, u bbjob.Update) {
+	w, ok := h.waiters[id]
+	if !ok {
 		return
 	}
+	c := w.updates
 	if u.Verdict != nil {
+		if u.Verdict.Grant != nil {
+			u.Verdict.Grant.Waited = max(0, decided-w.arrived)
+		}
 		delete(h.waiters, id)
 	} else if len(c) >= maxUpdates-1 {
 		return
@@ -322,8 +343,8 @@
 	}
 }
 
-// call starts a call and reports its end to the coordinator.
-func (h *Hub) call(c *bbpool.Call) {
+// call starts a call that was decided at the given time or later, and reports its end to the coordinator.
+func (h *Hub) call(decided time.Duration, c *bbpool.Call) {
 	pieces := make([]Piece, 0, len(c.Pieces))
 	// indices has the index in the call of each piece that is sent.
 	indices := make([]int, 0, len(c.Pieces))
@@ -348,7 +369,12 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), longest+callSlack)
 		defer cancel()
-		result := h.hooks.RunPieces(ctx, c.Address, c.Endpoint, pieces)
+		result := CallResult{
+			Outcome: bbhealth.OutcomeHeld,
+		}
+		if h.hooks.Now()-decided <= maxCallDelay {
+			result = h.hooks.RunPieces(ctx, c.Address, c.Endpoint, pieces)
+		}
 		results := make([]bbdecision.PieceResult, len(c.Pieces))
 		for i := range min(len(result.Results), len(indices)) {
 			results[indices[i]] = result.Results[i]
--- a/bluebelld/bbhub/hub_test.go
+++ b/bluebelld/bbhub/hub_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -178,3 +179,35 @@
 		t.Errorf("verdict %+v, error %v; want the refusal of an order whose pieces fail", verdict, err)
 	}
 }
+
+// The age of a grant is judged by what it states of the time before it was made.
+func TestGrantStatesHowLongItsOrderWaited(t *testing.T) {
+	const callTime = 30 * time.Millisecond
+	h := newTestHub(t, func(pieces []Piece) ([]bbdecision.PieceResult, bbhealth.Outcome) {
+		time.Sleep(callTime)
+		return []bbdecision.PieceResult{{Handle: "a"}, {Handle: "b"}}, bbhealth.OutcomeGood
+	})
+	began := time.Now()
+	_, verdict, err := placeOrder(t, h)
+	if err != nil || verdict == nil || verdict.Grant == nil {
+		t.Fatalf("verdict %+v, error %v; want a grant", verdict, err)
+	}
+	if g := verdict.Grant; g.Waited < callTime || g.Waited > time.Since(began) || g.ValidFor <= 0 {
+		t.Errorf("grant after %v states that its order waited %v, valid for %v", time.Since(began), g.Waited, g.ValidFor)
+	}
+}
+
+// Guards against a VM that was frozen, and sends the calls that were decided before.
+func TestCallThatWasHeldUpIsNotSent(t *testing.T) {
+	h := newTestHub(t, func([]Piece) ([]bbdecision.PieceResult, bbhealth.Outcome) {
+		t.Error("call was sent")
+		return nil, bbhealth.OutcomeBroken
+	})
+	var readings atomic.Int64
+	h.hooks.Now = func() time.Duration { return time.Duration(readings.Add(1)) * (maxCallDelay + time.Millisecond) }
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if err := h.Order(ctx, testOrder(), func(bbjob.Update) error { return nil }); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v, want the order to wait", err)
+	}
+}
--- a/bluebelld/bblimit/limits.go
+++ b/bluebelld/bblimit/limits.go
@@ -24,6 +24,9 @@
 	// caller waits.
 	limitTimeout  = time.Second
 	permitTimeout = 150 * time.Millisecond
+	// permitValidity bounds the time from the request for a permit to its use. The time limit of the call doesn't: a VM
+	// that was frozen may read the answer before it notices that the time is over.
+	permitValidity = 500 * time.Millisecond
 	// noPermitBackoff is how long no permit is requested for an endpoint after a call for one has failed.
 	noPermitBackoff = 500 * time.Millisecond
 	// notCoordinatedWait is how long a VM that doesn't coordinate an endpoint with a limit leaves it alone before
@@ -169,6 +172,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
+	asked := l.hooks.Now()
 	answer, err := l.hooks.Ask(ctx, coordinator.Peer, request)
 	if err != nil {
 		l.log.Event(bbevent.LimitUntold).Str("peer", coordinator.Name).Str("endpoint", endpoint).Err(err).Send()
@@ -176,6 +180,9 @@
 			Wait: noPermitBackoff,
 		}
 	}
+	if l.hooks.Now()-asked > permitValidity {
+		answer = bbpeer.Permitted{}
+	}
 	return l.accept(endpoint, answer)
 }
 
--- a/bluebelld/bbmembership/fleet_test.go
+++ b/bluebelld/bbmembership/fleet_test.go
@@ -314,3 +314,49 @@
 	vms[0].stop()
 	eventually(t, "that all follow the next", follow("vm01", vms[1:]))
 }
+
+// Guards against a grant whose time in transit isn't counted, in a message that waited in a frozen VM for instance.
+func TestAgeOfAGrantIncludesItsTransit(t *testing.T) {
+	const waited, transit = 300 * time.Millisecond, 100 * time.Millisecond
+	coordinate := func(_ context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error {
+		time.Sleep(waited + transit)
+		return pass(bbjob.Update{
+			Verdict: &bbjob.Verdict{
+				Grant: &bbjob.Grant{
+					ID:     o.ID,
+					Waited: waited,
+				},
+			},
+		})
+	}
+	for _, v := range startThree(t, coordinate) {
+		began := v.fleet.Now()
+		verdict, _, err := v.fleet.Order(t.Context(), bbjob.Order{
+			ID:    "a",
+			Limit: eventualTimeout,
+		}, coordinate)
+		if err != nil || verdict.Grant == nil {
+			t.Fatalf("verdict %+v, error %v; want a grant", verdict, err)
+		}
+		if at := verdict.Grant.GrantedAt; at < began+waited || at > v.fleet.Now()-transit {
+			t.Errorf("order at %v, granted at %v, got at %v; want at least %v after the first and %v before the last", began, at, v.fleet.Now(), waited, transit)
+		}
+	}
+}
+
+func TestVMsThatAreHeard(t *testing.T) {
+	f := fleetOfThree(t)
+	want := func(at time.Duration, name string, heard bool) {
+		t.Helper()
+		f.now = at
+		f.Update(func(*bbgossip.Member) {})
+		if got := f.Heard(name); got != heard {
+			t.Errorf("%s is heard at %v: %t, want %t", name, at, got, heard)
+		}
+	}
+	want(1100*time.Millisecond, "a", true)
+	want(1100*time.Millisecond, "unknown", true)
+	want(1100*time.Millisecond, "b", true)
+	want(5*time.Second, "a", false)
+	want(5*time.Second, "b", true)
+}
--- a/bluebelld/bbmembership/order.go
+++ b/bluebelld/bbmembership/order.go
@@ -42,10 +42,17 @@
 	started := f.Now()
 	objective, limit := o.Objective, o.Limit
 	var verdict bbjob.Verdict
+	// sent is when the order was last sent. Its transit counts as age of the grant, since the clocks of two VMs can't
+	// be compared.
+	sent := started
+	connected := func() { sent = f.Now() }
 	pass := func(u bbjob.Update) error {
 		o.Results = u.Apply(o.Results)
 		if u.Verdict != nil {
 			verdict = *u.Verdict
+			if verdict.Grant != nil {
+				verdict.Grant.GrantedAt = sent + verdict.Grant.Waited
+			}
 		}
 		return nil
 	}
@@ -62,12 +69,13 @@
 			return undecided(o, "noCoordinator"), coordinator, nil
 		case exhausted || f.IsSelf(coordinator):
 			coordinator = f.self()
+			connected()
 			err := local(ctx, o, pass)
 			if !verdict.Elsewhere || err != nil {
 				return verdict, coordinator, err
 			}
 		default:
-			err := f.orderFrom(ctx, coordinator, changed, o, pass)
+			err := f.orderFrom(ctx, coordinator, changed, o, connected, pass)
 			if ctx.Err() != nil || (err == nil && !verdict.Elsewhere) {
 				return verdict, coordinator, err
 			}
@@ -193,7 +201,7 @@
 
 // orderFrom sends an order to one coordinator, until that answers or is no longer reachable. One that
 // is leaving or has been replaced as coordinator finishes the orders that it has.
-func (f *Fleet) orderFrom(ctx context.Context, leader bbgossip.Member, changed <-chan struct{}, o bbjob.Order, pass func(u bbjob.Update) error) error {
+func (f *Fleet) orderFrom(ctx context.Context, leader bbgossip.Member, changed <-chan struct{}, o bbjob.Order, connected func(), pass func(u bbjob.Update) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -215,7 +223,15 @@
 			}
 		}
 	}()
-	return f.Conns.Order(ctx, leader.Peer, o, pass)
+	return f.Conns.Order(ctx, leader.Peer, o, connected, pass)
+}
+
+// Heard reports whether a VM is reachable, or unknown: one that has just started may send orders before it is known.
+func (f *Fleet) Heard(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, known := f.table.Member(name)
+	return !known || f.reached[name]
 }
 
 // stillReaches reports whether the given process of another VM is reachable, and returns the channel
--- a/bluebelld/bbpeer/conn.go
+++ b/bluebelld/bbpeer/conn.go
@@ -78,8 +78,9 @@
 	return answer, err
 }
 
-// Order sends an order to a coordinator and passes on the updates of the order until the verdict.
-func (c *Conns) Order(ctx context.Context, address string, o bbjob.Order, pass func(u bbjob.Update) error) error {
+// Order sends an order to a coordinator and passes on the updates of the order until the verdict. Connected is called
+// when there is a connection, before the order is sent.
+func (c *Conns) Order(ctx context.Context, address string, o bbjob.Order, connected func(), pass func(u bbjob.Update) error) error {
 	conn, err := c.conn(address)
 	if err != nil {
 		return err
@@ -90,6 +91,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "open the stream of an order to %s", address)
 	}
+	connected()
 	if err := stream.SendMsg(&o); err != nil {
 		return errors.Wrapf(err, "send an order to %s", address)
 	}
--- a/bluebelld/bbpeer/service_test.go
+++ b/bluebelld/bbpeer/service_test.go
@@ -47,7 +47,7 @@
 	if _, err := conns.Published(t.Context(), addresses[0], PublishedRequest{}); status.Code(errors.UnwrapAll(err)) != codes.Internal {
 		t.Errorf("error %v, want code Internal", err)
 	}
-	if err := conns.Order(t.Context(), addresses[0], bbjob.Order{}, func(bbjob.Update) error { return nil }); status.Code(errors.UnwrapAll(err)) != codes.Internal {
+	if err := conns.Order(t.Context(), addresses[0], bbjob.Order{}, func() {}, func(bbjob.Update) error { return nil }); status.Code(errors.UnwrapAll(err)) != codes.Internal {
 		t.Errorf("error %v, want code Internal", err)
 	}
 	if diff := cmp.Diff([]string{"Published", "Order"}, []string{<-failed, <-failed}); diff != "" {
--- a/bluebelld/bbrecord/record.go
+++ b/bluebelld/bbrecord/record.go
@@ -14,6 +14,8 @@
 	// Endpoint is the last one to which the request was offered, Coordinator the VM that granted it.
 	Endpoint, Coordinator string
 	Status, Tries         int
+	// LateGrants is the number of grants that were too old to be used.
+	LateGrants int
 	// Limit is the time limit of the request; 0 if it ended before that was known.
 	Limit time.Duration
 	// Granted, First and Took are the times from arrival to the grant of an engine, to the first part of
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -32,6 +32,8 @@
 	Endpoints func(service string) []*bbregistry.Entry
 	// Region returns the region of a failure domain.
 	Region func(zone string) string
+	// Heard reports whether a VM gives signs of life or is unknown; nil if all do.
+	Heard func(vm string) bool
 	// Majority reports whether this VM reaches most of the others.
 	Majority func() bool
 	// SoleCoordinator reports whether no other VM coordinates these endpoints or did so recently.
@@ -135,6 +137,9 @@
 	if k.Share == nil {
 		k.Share = func() float64 { return 1 }
 	}
+	if k.Heard == nil {
+		k.Heard = func(string) bool { return true }
+	}
 	if k.Suspicion == nil {
 		k.Suspicion = func(uint64) bbsuspect.Verdict { return bbsuspect.Clear }
 	}
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -19,6 +19,16 @@
 // placementInterval is the time between two attempts to place a request for which no engine was available.
 const placementInterval = 10 * time.Millisecond
 
+const (
+	// grantValidity is how long a grant may be used. Grants that were held up, for instance in a VM that was frozen, are
+	// sent at once when that ends. Of an engine that takes the cold rate r, up to r + 3 are granted in a second; with
+	// those of half a second before, r x 1.5 + 3 reach it, within the r x 1.5 + 5 that it bears.
+	grantValidity = 500 * time.Millisecond
+	// silenceTolerance is how long after its order an origin that gives no sign of life is granted an engine: the
+	// order itself was one.
+	silenceTolerance = 1500 * time.Millisecond
+)
+
 // place grants engines to the requests whose stages are done, in order of urgency.
 func (c *Coordinator) place(now time.Duration) {
 	if len(c.waiting) == 0 || now-c.placedAt < bbpool.RefreshInterval(len(c.waiting)) {
@@ -69,6 +79,11 @@
 	if now < j.NextPlacement {
 		return
 	}
+	if now-j.OrderedAt > silenceTolerance && !c.env.Heard(j.Order.Origin) {
+		// A grant would take an engine's place and rate, and most likely be used late or never.
+		j.NextPlacement = now + placementInterval
+		return
+	}
 	e, ok := c.table(service).Choose(now, c.need(j), c.supply.Engines(service), bbplacement.RateLimitOf(c.env.Service(service), c.env.Majority()))
 	if !ok {
 		j.NextPlacement = now + placementInterval
@@ -97,6 +112,7 @@
 		Address:  e.Address,
 		Inputs:   inputs,
 		Paced:    limited,
+		ValidFor: grantValidity,
 	})
 }
 
@@ -167,6 +183,7 @@
 	}
 	c.table(o.Service).Ended(now, j.Granted, o.ID, bbhealth.OutcomeFull)
 	j.Granted = ""
+	j.OrderedAt = now
 	j.Order.Avoid = o.Avoid
 	j.Order.Suspicion = o.Suspicion
 	j.Repeated = o.Repeat
--- a/core/bbcoordinator/limit_test.go
+++ b/core/bbcoordinator/limit_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpace"
 	"bluebellhall/core/bbsupply"
@@ -131,3 +136,38 @@
 		t.Errorf("%d of 40 requests are admitted to one engine that takes one a second, within 2.5 s; want 1 to 4", n)
 	}
 }
+
+// Guards against a frozen VM that is granted the engines which others need.
+func TestSilentOriginIsNotGrantedEngines(t *testing.T) {
+	c := newTestCoordinator()
+	heard := false
+	c.env.Heard = func(vm string) bool { return heard || vm != "silent" }
+	for _, origin := range []string{"silent", "other"} {
+		o := testOrder(origin, 0)
+		o.Stages = o.Stages[:1]
+		o.Origin = origin
+		c.Submit(0, o)
+	}
+	var granted []string
+	collect := func(out bbdecision.Output) {
+		for _, g := range out.Grants {
+			granted = append(granted, g.ID)
+		}
+	}
+	done := silenceTolerance
+	for len(c.calls) > 0 {
+		done += 100 * ms
+		for id, call := range maps.Clone(c.calls) {
+			collect(c.CallDone(done, id, "east", bbhealth.OutcomeGood, good(call.Call)))
+		}
+	}
+	collect(c.Tick(done + 50*ms))
+	if diff := cmp.Diff([]string{"other"}, granted); diff != "" {
+		t.Errorf("granted while one origin is silent (-want +got):\n%s", diff)
+	}
+	heard = true
+	collect(c.Tick(done + 100*ms))
+	if diff := cmp.Diff([]string{"other", "silent"}, granted); diff != "" {
+		t.Errorf("granted after it is heard again (-want +got):\n%s", diff)
+	}
+}
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -218,6 +218,19 @@
 	Inputs []string `json:"inputs"`
 	// Paced is true if the grant was counted against a limit that the engine has named.
 	Paced bool `json:"paced,omitempty"`
+	// ValidFor is how long after it was made the grant may be used; 0 if the coordinator states no end.
+	ValidFor time.Duration `json:"validFor,omitempty"`
+	// Waited is the time from the order's arrival at the coordinator to the grant, on the coordinator's clock.
+	Waited time.Duration `json:"waited,omitempty"`
+	// GrantedAt is the earliest time on the origin's clock at which the grant can have been made: the sending of
+	// the order plus Waited. The origin sets it.
+	GrantedAt time.Duration `json:"-"`
+}
+
+// HoldsAt reports whether the origin may use the grant. The age that it judges by includes all of the time that the order
+// and the grant were in transit, so that it is never too low.
+func (g Grant) HoldsAt(now time.Duration) bool {
+	return g.ValidFor <= 0 || now-g.GrantedAt <= g.ValidFor
 }
 
 // Refusal says that the request has not run. The origin reports it to the caller.
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -57,8 +57,10 @@
 	Parts []uint64
 	// Arrived, Due and Limit are on the monotonic clock of this VM.
 	Arrived time.Duration
-	Due     time.Duration
-	Limit   time.Duration
+	// OrderedAt is when the origin last sent an order for the request.
+	OrderedAt time.Duration
+	Due       time.Duration
+	Limit     time.Duration
 	// Objective is the time to the latency objective when the request arrived.
 	Objective time.Duration
 	Stages    []Stage
@@ -93,6 +95,7 @@
 		Content:           o.Content(),
 		Parts:             o.Prompt.SharedParts(o.Service),
 		Arrived:           now,
+		OrderedAt:         now,
 		Due:               now + o.Objective - o.Elapsed,
 		Limit:             now + o.Limit,
 		Objective:         o.Objective,
