--- a/bluebelld/bbhub/hub_test.go
+++ b/bluebelld/bbhub/hub_test.go
@@ -183,7 +183,7 @@
 // The age of a grant is judged by what it states of the time before it was made.
 func TestGrantStatesHowLongItsOrderWaited(t *testing.T) {
 	const callTime = 30 * time.Millisecond
-	h := newTestHub(t, func(pieces []Piece) ([]bbdecision.PieceResult, bbhealth.Outcome) {
+	h := newTestHub(t, func([]Piece) ([]bbdecision.PieceResult, bbhealth.Outcome) {
 		time.Sleep(callTime)
 		return []bbdecision.PieceResult{{Handle: "a"}, {Handle: "b"}}, bbhealth.OutcomeGood
 	})
