--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bluebellhall/bluebelld/bbclock"
 	"bluebellhall/bluebelld/bbcodec"
 	"bluebellhall/bluebelld/bbgateway"
 	"bluebellhall/bluebelld/bbhub"
@@ -73,9 +74,11 @@
 	settings Settings
 	log      bblog.Logger
 	meter    *bbmeter.Meter
-	began    time.Time
-	fleet    *bbmembership.Fleet
-	conns    *bbpeer.Conns
+	// clock is the clock of now; nil means bbclock. began is its time at the start.
+	clock func() time.Duration
+	began time.Duration
+	fleet *bbmembership.Fleet
+	conns *bbpeer.Conns
 	// fetch requests what the platform published from the VM at an address.
 	fetch func(ctx context.Context, address string, w bbpeer.PublishedRequest) (bbpeer.Published, error)
 	hub   *bbhub.Hub
@@ -108,7 +111,7 @@
 		settings: s,
 		log:      h.Log,
 		meter:    h.Meter,
-		began:    time.Now(),
+		began:    bbclock.Now(),
 		conns:    conns,
 		fetch:    conns.Published,
 		checks:   make(chan struct{}, maxChecks),
@@ -139,6 +142,7 @@
 		Service:         e.service,
 		Endpoints:       e.coordinated,
 		Region:          e.region,
+		Heard:           e.fleet.Heard,
 		Majority:        e.fleet.HasMajority,
 		SoleCoordinator: e.fleet.IsSoleCoordinator,
 		Suspicion:       e.quarantines.Contents.Verdict,
@@ -219,9 +223,12 @@
 	e.log.Event(bbevent.HandlerFailed).Str("method", method).Str("detail", err.Error()).Send()
 }
 
-// now returns the monotonic time since the start.
+// now returns the time since the start, including the time in which the machine was suspended.
 func (e *Entry) now() time.Duration {
-	return time.Since(e.began)
+	if e.clock != nil {
+		return e.clock() - e.began
+	}
+	return bbclock.Now() - e.began
 }
 
 // Ready reports whether this VM accepts new callers.
@@ -435,6 +442,9 @@
 	if l.Framing != "" {
 		line.Str("framing", l.Framing)
 	}
+	if l.LateGrants != 0 {
+		line.Int("lateGrants", l.LateGrants)
+	}
 	line.Int("status", l.Status).Uint64("version", l.Version).Dur("took", l.Took).Send()
 	e.meter.Count("requests", l.Kind, l.Outcome, l.Cause)
 	if l.Outcome != "answered" {
--- a/bluebelld/bbentry/recovery_test.go
+++ b/bluebelld/bbentry/recovery_test.go
@@ -66,6 +66,8 @@
 
 type siteVM struct {
 	*Entry
+	// startedAt is when the VM started.
+	startedAt time.Time
 	stop context.CancelFunc
 	// servedAt is when the VM's first order was decided, 0 before, and by decidedBy.
 	servedAt  time.Duration
@@ -136,7 +138,9 @@
 		Region: regions[zone],
 		Weight: []float64{0.192, 0.192, 0.4, 0.192, 0.8}[i%5],
 	}
+	began := time.Now()
 	v := &siteVM{
+		startedAt: began,
 		Entry: &Entry{
 			settings: Settings{
 				Self:    self,
@@ -148,7 +152,7 @@
 			},
 			log:   bblog.Logger{Lines: zerolog.Nop()},
 			meter: bbmeter.NewMeter(),
-			began: time.Now(),
+			clock: func() time.Duration { return time.Since(began) },
 			conns: s.conns,
 		},
 	}
@@ -164,7 +168,7 @@
 	v.fetch = func(_ context.Context, address string, w bbpeer.PublishedRequest) (bbpeer.Published, error) {
 		return call(s, address, &s.fetches, func(to *siteVM) bbpeer.Published { return to.published(w) })
 	}
-	v.fleet.PlaceOrder = func(_ context.Context, address string, _ bbjob.Order, pass func(u bbjob.Update) error) error {
+	v.fleet.PlaceOrder = func(_ context.Context, address string, _ bbjob.Order, _ func(), pass func(u bbjob.Update) error) error {
 		var updates int
 		_, err := call(s, address, &updates, func(to *siteVM) error { return to.decide(pass) })
 		return err
@@ -306,7 +310,7 @@
 	}
 	var served []time.Duration
 	s.each(func(v *siteVM) {
-		at := v.began.Sub(began) + v.servedAt
+		at := v.startedAt.Sub(began) + v.servedAt
 		if v.servedAt == 0 {
 			at = time.Hour
 		}
--- a/bluebelld/bbmembership/fleet.go
+++ b/bluebelld/bbmembership/fleet.go
@@ -39,8 +39,9 @@
 	// the next exchange uses a new one.
 	Exchange func(ctx context.Context, address string, e bbpeer.Exchange) (bbpeer.Exchange, error)
 	Reset    func(address string)
-	// PlaceOrder sends an order to the coordinator at an address and passes on its updates.
-	PlaceOrder func(ctx context.Context, address string, o bbjob.Order, pass func(u bbjob.Update) error) error
+	// PlaceOrder sends an order to the coordinator at an address and passes on its updates. Connected is called when
+	// the order leaves.
+	PlaceOrder func(ctx context.Context, address string, o bbjob.Order, connected func(), pass func(u bbjob.Update) error) error
 	// Pick returns a random number below n.
 	Pick func(n int) int
 	// Serves reports whether a failure domain has endpoints of a service that may get work. It is
