--- a/core/bbfeature/feature.go
+++ b/core/bbfeature/feature.go
@@ -8,8 +8,10 @@
 const (
 	// ModeAuto turns a part on where endpoints report that they share their machines with other work.
 	ModeAuto Mode = "auto"
-	ModeOn   Mode = "on"
-	ModeOff  Mode = "off"
+	// ModeOn turns a part on everywhere.
+	ModeOn Mode = "on"
+	// ModeOff turns a part off everywhere.
+	ModeOff Mode = "off"
 )
 
 // Enabled reports whether a part is on. Shared is true once an endpoint of the deployment has reported the
--- a/core/bbhedge/hedge.go
+++ b/core/bbhedge/hedge.go
@@ -86,13 +86,17 @@
 	// MedianFactor times the median of these times bounds the delay.
 	MedianFactor float64
 
+	phase    float64
 	services map[string]*service
 	routes   map[key]*times
 }
 
-// NewHedger returns a hedger that has seen no requests.
-func NewHedger() *Hedger {
+// NewHedger returns a hedger that has seen no requests. Phase, from 0 to 1, delays its first hedge by as many
+// times the requests that earn one; it differs between VMs, so that those that start at the same time don't
+// send their first hedges at the same time.
+func NewHedger(phase float64) *Hedger {
 	return &Hedger{
+		phase:        phase,
 		Quantile:     delayQuantile,
 		MedianFactor: medianFactor,
 		services:     make(map[string]*service),
@@ -214,7 +218,11 @@
 func (h *Hedger) service(name string) *service {
 	s := h.services[name]
 	if s == nil {
-		s = new(service)
+		s = &service{
+			limiter: limiter{
+				credit: -h.phase,
+			},
+		}
 		h.services[name] = s
 	}
 	return s
--- a/core/bbhedge/hedge_test.go
+++ b/core/bbhedge/hedge_test.go
@@ -24,7 +24,7 @@
 
 // busy returns a hedger with a minute of 20 requests per second that took 100 ms, its allowance, and the time.
 func busy() (*Hedger, *bballowance.Window, time.Duration) {
-	h, w := NewHedger(), allowance()
+	h, w := NewHedger(0), allowance()
 	now := time.Duration(0)
 	for ; now < time.Minute; now += 50 * ms {
 		h.Request(now, "s", share)
@@ -76,7 +76,7 @@
 
 // Without a bound by the median, endpoints that are slow for a tenth of the time would set the delay.
 func TestDelay(t *testing.T) {
-	h := NewHedger()
+	h := NewHedger(0)
 	got := map[string]time.Duration{"unknown": h.Delay(0, "s", "r", 300*ms)}
 	for i := range 100 {
 		h.Answered(0, "s", "r", time.Duration(100+i/10)*ms)
--- a/core/bbhedge/share.go
+++ b/core/bbhedge/share.go
@@ -25,7 +25,7 @@
 	newest int64
 	// requests is the sum of slices.
 	requests int
-	// credit is the number of hedges that requests have earned.
+	// credit is the number of hedges that requests have earned; negative at first for a later start.
 	credit float64
 	// sent are the times of the hedges of the last limitSpan, in order.
 	sent []time.Duration
