Hedge slow idempotent requests of plain services

A plain request that meets a slow endpoint waited for its answer, up to 1.5 times the objective for an idempotent one. Where extraSends is in force, an idempotent request whose answer is slow is also sent to another endpoint, within its attempts and what bbhedge permits. The first good whole answer goes to the caller, the other exchange is closed; a server error waits for the other attempt. Without extraSends in force the path is unchanged.

The end of a request is logged with hedge=won or lost; metrics count hedges sent, won, lost and denied by service.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -190,6 +190,7 @@
 		RefusesPrompt: e.quarantines.Parts.Refuses,
 		NewWindow:     e.newWindow,
 		Leaving:       e.leaving.Load,
+		ExtraSends:    s.Features.ExtraSends,
 	})
 	e.addGauges()
 	go e.fleet.Run(ctx)
@@ -416,6 +417,9 @@
 	if l.Framing != "" {
 		line.Str("framing", l.Framing)
 	}
+	if l.Hedge != "" {
+		line.Str("hedge", l.Hedge)
+	}
 	line.Int("status", l.Status).Uint64("version", l.Version).Dur("took", l.Took).Send()
 	e.meter.Count("requests", l.Kind, l.Outcome, l.Cause)
 	if l.Outcome != "answered" {
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -60,6 +60,14 @@
 	for service, left := range e.Gateway.RepeatsLeft() {
 		show(left, "requests", "repeatsLeft", service)
 	}
+	for service, c := range e.Gateway.Hedges() {
+		show(float64(c.Sent), "hedges", service, "sent")
+		show(float64(c.Won), "hedges", service, "won")
+		show(float64(c.Lost), "hedges", service, "lost")
+		for reason, n := range c.Denied {
+			show(float64(n), "hedges", service, "denied", string(reason))
+		}
+	}
 	s := e.hub.Status()
 	show(float64(s.Requests), "coordinator", "requests")
 	show(float64(s.AwaitingEngine), "coordinator", "ungranted")
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -18,6 +18,8 @@
 	"bluebellhall/bluebelld/bbstream"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbfeature"
+	"bluebellhall/core/bbhedge"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpatience"
 	"bluebellhall/core/bbplain"
@@ -67,6 +69,10 @@
 	NewWindow func() *bballowance.Window
 	// Leaving reports whether this VM is draining.
 	Leaving func() bool
+	// ExtraSends are the operators' settings of hedged requests; the zero value turns them off.
+	ExtraSends bbfeature.ExtraSends
+	// SharedMachines reports whether an endpoint has reported the speed of its machine; nil if none has.
+	SharedMachines func() bool
 }
 
 // Gateway serves the callers of one VM.
@@ -88,6 +94,7 @@
 	// patience estimates from the stated waits of a route's callers when they made their first attempt.
 	patience *bbpatience.Table
 	windows  bballowance.Windows
+	hedger   *bbhedge.Hedger
 }
 
 // New returns a gateway of a VM.
@@ -106,6 +113,7 @@
 		windows: bballowance.Windows{
 			New: s.NewWindow,
 		},
+		hedger: bbhedge.NewHedger(rand.Float64()),
 	}
 }
 
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -12,6 +12,7 @@
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbplain"
+	"bluebellhall/core/bbstanding"
 )
 
 const (
@@ -35,6 +36,7 @@
 	g.mu.Lock()
 	g.windows.Of(x.service).Request(now)
 	g.mu.Unlock()
+	share := g.hedgeShare(x)
 	avoid := make(map[string]bool)
 	runs := 0
 	cause := "noEndpoint"
@@ -46,7 +48,7 @@
 		avoid[e.ID] = true
 		x.log.Tries++
 		x.log.Endpoint = e.ID
-		outcome, again := g.offer(ctx, x, e, runs)
+		outcome, again := g.offerHedged(ctx, x, e, &runs, avoid, share)
 		if x.sent || !again {
 			return
 		}
@@ -109,11 +111,6 @@
 
 // offer sends the request to one endpoint. Again reports whether another one may get it.
 func (g *Gateway) offer(ctx context.Context, x *exchange, e bbplain.Endpoint, runs int) (outcome bbhealth.Outcome, again bool) {
-	defer func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.chooser.Done(g.hooks.Now(), e.ID, outcome)
-	}()
 	repeatable := x.Route.Kind == bbcatalog.KindIdempotent && runs+1 < x.Route.MaxAttempts
 	tryCtx := ctx
 	if repeatable {
@@ -121,26 +118,65 @@
 		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(firstTimeoutFactor*float64(x.Route.Objective)))
 		defer cancel()
 	}
+	return g.settle(ctx, x, e, g.start(tryCtx, x, e), repeatable)
+}
+
+// started is an attempt whose endpoint has begun to answer, or has failed to.
+type started struct {
+	// ctx bounds the attempt.
+	ctx     context.Context
+	run     run
+	process bbstanding.Process
+	// held is true if nothing was sent, because the endpoint must not get the request.
+	held   bool
+	answer *bbchannel.Answer
+	// cleanup closes the connection; nil without an answer.
+	cleanup func()
+	err     error
+}
+
+// start sends the request to one endpoint and reads the head of its answer.
+func (g *Gateway) start(ctx context.Context, x *exchange, e bbplain.Endpoint) started {
+	s := started{
+		ctx: ctx,
+	}
 	process, allowed := g.hooks.MaySend(e.ID)
-	if !allowed || !g.hooks.Permit(tryCtx, e.ID) {
-		return bbhealth.OutcomeHeld, true
+	if !allowed || !g.hooks.Permit(ctx, e.ID) {
+		s.held = true
+		return s
 	}
-	r := run{
+	s.process = process
+	s.run = run{
 		endpoint: e.ID,
 		address:  e.Address,
 		began:    g.hooks.Now(),
 	}
-	answer, cleanup, err := g.exchange(tryCtx, x, e.Address, g.endpointRequest(x, bbcodec.Forward{
+	s.answer, s.cleanup, s.err = g.exchange(ctx, x, e.Address, g.endpointRequest(x, bbcodec.Forward{
 		Endpoint: e.ID,
 		Priority: bbcatalog.Priority(x.Route, x.Account),
 	}))
+	return s
+}
+
+// settle gives the answer of an attempt to the caller. If there is none, it reports the failure; again reports
+// whether another endpoint may get the request.
+func (g *Gateway) settle(ctx context.Context, x *exchange, e bbplain.Endpoint, s started, repeatable bool) (outcome bbhealth.Outcome, again bool) {
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.chooser.Done(g.hooks.Now(), e.ID, outcome)
+	}()
+	if s.held {
+		return bbhealth.OutcomeHeld, true
+	}
+	tryCtx, r, process, answer, err := s.ctx, s.run, s.process, s.answer, s.err
 	if err != nil {
 		if outcome = bbcodec.Outcome(err, bbcodec.AnswerInfo{}); outcome == bbhealth.OutcomeBroken {
 			g.reportFailedRun(tryCtx, x, r, err)
 		}
 		return g.retryOrFailPlain(ctx, x, outcome, repeatable)
 	}
-	defer cleanup()
+	defer s.cleanup()
 	reading := g.codec.Read(x.ID, answer)
 	g.hooks.RecordSignal(process, reading.Signal, r.began)
 	outcome = bbcodec.Outcome(nil, reading)
--- a/bluebelld/bbrecord/record.go
+++ b/bluebelld/bbrecord/record.go
@@ -23,6 +23,8 @@
 	OnTime bool
 	// Framing is how the end of the last endpoint's answer was to be recognized; empty if none answered.
 	Framing string
+	// Hedge is won if the answer is that of a hedge, lost if the request was hedged without gain, else empty.
+	Hedge string
 	// Version is that of the configuration in force when the request arrived.
 	Version uint64
 	// Content is a hash of what the request asks, the same for each attempt of its caller; 0 if the
