Report a crash of a hedged attempt as a crash, not as a time-out

The context of an attempt was cancelled before its earlier failure was reported, so that a crash counted as a time-out and the loss under its content depended on a connection check. The failure is now judged by the context of the request.

Checked with go test -race ./bluebelld/bbgateway; the extended test fails without the change.

--- a/bluebelld/bbgateway/hedge.go
+++ b/bluebelld/bbgateway/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -397,7 +398,8 @@
 		outcome = bbhealth.OutcomeHeld
 	case f.broken():
 		outcome = bbhealth.OutcomeBroken
-		g.reportFailedRun(f.ctx, h.x, f.failedRun(), f.cause())
+		// The attempt's own context may have been cancelled after the failure.
+		g.reportFailedRun(h.ctx, h.x, f.failedRun(), f.cause())
 	}
 	h.observe(f)
 	g.release(f.endpoint, outcome)
@@ -441,13 +443,14 @@
 		h.running--
 		f.received = true
 	}
+	var panicked any
 	for _, f := range h.fetches {
-		if f.closed {
-			continue
-		}
-		h.conclude(f)
-		if f.panicked != nil {
-			panic(f.panicked)
+		if !f.closed {
+			h.conclude(f)
+			panicked = cmp.Or(panicked, f.panicked)
 		}
 	}
+	if panicked != nil {
+		panic(panicked)
+	}
 }
--- a/bluebelld/bbgateway/hedge_test.go
+++ b/bluebelld/bbgateway/hedge_test.go
@@ -174,6 +174,9 @@
 			defer f.mu.Unlock()
 			var failed []string
 			for _, r := range f.failedRuns {
+				if r.TimedOut {
+					r.Endpoint += " timed out"
+				}
 				failed = append(failed, r.Endpoint)
 			}
 			slices.Sort(failed)
