--- a/bluebelld/bbgateway/hedge_test.go
+++ b/bluebelld/bbgateway/hedge_test.go
@@ -206,6 +206,7 @@
 		"off":                  func(f *fixture) { f.gateway.hooks.ExtraSends.Mode = bbfeature.ModeOff },
 		"machines not shared":  func(f *fixture) { f.gateway.hooks.ExtraSends.Mode = bbfeature.ModeAuto },
 		"no share":             func(f *fixture) { f.gateway.hooks.ExtraSends.Services = map[string]float64{"s": 0} },
+		"single attempt":       func(f *fixture) { f.gateway.hooks.Index().Catalog.Routes[0].MaxAttempts = 1 },
 		"second must not send": func(f *fixture) { f.blocked = map[string]bool{"e1": true} },
 		"full endpoints": func(f *fixture) {
 			f.gateway.hedger.Rejected(f.gateway.hooks.Now(), "s")
@@ -221,6 +222,30 @@
 	}
 }
 
+// A third attempt is made only if both of a hedged request gave no answer and the route permits it.
+func TestAttemptsAfterAHedge(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second string
+		status        int
+		body          string
+		requests      []int
+	}{
+		"both crash":       {answerLost, answerLost, 200, "three", []int{1, 1, 1, 0}},
+		"both fail":        {answer("500", "one.."), answer("500", "two.."), 500, "one..", []int{1, 1, 0, 0}},
+		"one answers":      {answerLost, answer("200", "two.."), 200, "two..", []int{1, 1, 0, 0}},
+		"crash, then fail": {answerLost, answer("500", "two.."), 500, "two..", []int{1, 1, 0, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, url := newHedgingFixture(t, newLateEndpoint(t, soon, c.first), newLateEndpoint(t, later, c.second),
+				newLateEndpoint(t, answer("200", "three")), newLateEndpoint(t, answer("200", "four.")))
+			f.gateway.hooks.Index().Catalog.Routes[0].MaxAttempts = 3
+			wantAnswer(t, url+"/read/", c.status, c.body)
+			wantRequests(t, f, c.requests...)
+		})
+	}
+}
+
 // A caller that leaves must not keep two endpoints busy.
 func TestCallerOfHedgedRequestLeaves(t *testing.T) {
 	first, second := newLateEndpoint(t, never), newLateEndpoint(t, never)
