--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -201,6 +201,7 @@
 		RefusesPrompt: e.quarantines.Parts.Refuses,
 		NewWindow:     e.newWindow,
 		Leaving:       e.leaving.Load,
+		ExtraSends:    s.Features.ExtraSends,
 
 		SharedMachines: e.sharedMachines.Load,
 	})
@@ -445,6 +446,9 @@
 	if l.LateGrants != 0 {
 		line.Int("lateGrants", l.LateGrants)
 	}
+	if l.Hedge != "" {
+		line.Str("hedge", l.Hedge)
+	}
 	line.Int("status", l.Status).Uint64("version", l.Version).Dur("took", l.Took).Send()
 	e.meter.Count("requests", l.Kind, l.Outcome, l.Cause)
 	if l.Outcome != "answered" {
--- a/bluebelld/bbentry/recovery_test.go
+++ b/bluebelld/bbentry/recovery_test.go
@@ -68,7 +68,7 @@
 	*Entry
 	// startedAt is when the VM started.
 	startedAt time.Time
-	stop context.CancelFunc
+	stop      context.CancelFunc
 	// servedAt is when the VM's first order was decided, 0 before, and by decidedBy.
 	servedAt  time.Duration
 	decidedBy string
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -18,6 +18,8 @@
 	"bluebellhall/bluebelld/bbstream"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbfeature"
+	"bluebellhall/core/bbhedge"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpatience"
 	"bluebellhall/core/bbplain"
@@ -67,6 +69,8 @@
 	NewWindow func() *bballowance.Window
 	// Leaving reports whether this VM is draining.
 	Leaving func() bool
+	// ExtraSends are the operators' settings of hedged requests; the zero value turns them off.
+	ExtraSends bbfeature.ExtraSends
 	// SharedMachines reports whether endpoints of the deployment share their machines with other work, which turns
 	// on the parts with [bbfeature.ModeAuto]. Nil means that they don't.
 	SharedMachines func() bool
@@ -91,6 +95,7 @@
 	// patience estimates from the stated waits of a route's callers when they made their first attempt.
 	patience *bbpatience.Table
 	windows  bballowance.Windows
+	hedger   *bbhedge.Hedger
 }
 
 // New returns a gateway of a VM.
@@ -112,6 +117,7 @@
 		windows: bballowance.Windows{
 			New: s.NewWindow,
 		},
+		hedger: bbhedge.NewHedger(rand.Float64()),
 	}
 }
 
