Plain endpoints are chosen by measured times where machines are shared

Cause: the costs of plain endpoints were constants, so that VMs next to a slow or crowded endpoint used no other. Change: the chooser measures each service (usual time, slowness by endpoint, distance of failure domains) and uses the reports in answers; one of two random endpoints among those with nearly equal cost gets the request. Elsewhere the choice is as before. Metrics requests.slowness.SERVICE.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -196,6 +196,7 @@
 		Leaving:       e.leaving.Load,
 
 		SharedMachines: e.sharedMachines.Load,
+		EndpointSpeed:  s.Features.EndpointSpeed,
 	})
 	e.addGauges()
 	go e.fleet.Run(ctx)
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -60,6 +60,10 @@
 	for service, left := range e.Gateway.RepeatsLeft() {
 		show(left, "requests", "repeatsLeft", service)
 	}
+	for service, slowness := range e.Gateway.Slowness() {
+		show(slowness.Mean(), "requests", "slowness", service, "mean")
+		show(slowness.Max, "requests", "slowness", service, "max")
+	}
 	s := e.hub.Status()
 	show(float64(s.Requests), "coordinator", "requests")
 	show(float64(s.AwaitingEngine), "coordinator", "ungranted")
@@ -68,7 +72,7 @@
 		show(float64(n), "coordinator", "waiting", service)
 	}
 	for service, slowness := range s.Slowness {
-		show(slowness.Mean, "coordinator", "slowness", service, "mean")
+		show(slowness.Mean(), "coordinator", "slowness", service, "mean")
 		show(slowness.Max, "coordinator", "slowness", service, "max")
 	}
 	for service, left := range s.RepeatBudgets {
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -18,6 +18,7 @@
 	"bluebellhall/bluebelld/bbstream"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbfeature"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpatience"
 	"bluebellhall/core/bbplain"
@@ -70,6 +71,8 @@
 	// SharedMachines reports whether endpoints of the deployment share their machines with other work, which turns
 	// on the parts with [bbfeature.ModeAuto]. Nil means that they don't.
 	SharedMachines func() bool
+	// EndpointSpeed says when plain endpoints are chosen by measured times; the zero value is never.
+	EndpointSpeed bbfeature.Mode
 }
 
 // Gateway serves the callers of one VM.
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -88,15 +88,11 @@
 			Address: e.Address,
 			Zone:    e.Zone,
 			Region:  region,
+			Born:    e.StartedMillis,
 			Cold:    e.Cold > 0,
 		})
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.chooser.Choose(g.hooks.Now(), list, bbplain.Location{
-		Zone:   g.zone,
-		Region: g.region,
-	}, avoid)
+	return g.chooseEndpoint(x, list, avoid)
 }
 
 // mayRepeat reports whether the retry allowance of the request's service permits one more retry, and
@@ -142,6 +138,7 @@
 	}
 	defer cleanup()
 	reading := g.codec.Read(x.ID, answer)
+	g.recordAnswer(x, e, process, r, answer, reading)
 	g.hooks.RecordSignal(process, reading.Signal, r.began)
 	outcome = bbcodec.Outcome(nil, reading)
 	if outcome == bbhealth.OutcomeGood || outcome == bbhealth.OutcomeFull {
--- a/core/bbcoordinator/coordinator_test.go
+++ b/core/bbcoordinator/coordinator_test.go
@@ -14,6 +14,7 @@
 	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
 	"bluebellhall/core/bbregistry"
+	"bluebellhall/core/bbspeed"
 )
 
 const ms = time.Millisecond
@@ -367,7 +368,7 @@
 		Requests:      9,
 		Waiting:       map[string]int{"first": 8, "second": 0},
 		RepeatBudgets: map[string]float64{"first": left, "second": left, "engine": left},
-		Slowness:      map[string]bbdecision.Slowness{"first": {Mean: 1, Max: 1}, "second": {Mean: 1, Max: 1}},
+		Slowness:      map[string]bbspeed.Summary{"first": {Endpoints: 1, Sum: 1, Max: 1}, "second": {Endpoints: 2, Sum: 2, Max: 1}},
 	}
 	if got.Examined == 0 {
 		t.Error("nothing was examined, want the requests and groups that decisions looked at")
--- a/core/bbcoordinator/status.go
+++ b/core/bbcoordinator/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bluebellhall/core/bbdecision"
+	"bluebellhall/core/bbspeed"
 )
 
 // Status returns the current load for status pages.
@@ -14,16 +15,12 @@
 		Waiting:        make(map[string]int, len(c.pools)),
 		RepeatBudgets:  c.retries.Left(now),
 		Examined:       c.examined,
-		Slowness:       make(map[string]bbdecision.Slowness, len(c.pools)),
+		Slowness:       make(map[string]bbspeed.Summary, len(c.pools)),
 	}
 	for service, p := range c.pools {
 		s.Waiting[service] = p.Waiting()
 		s.Examined += p.Examined
-		mean, largest := p.Slowness(now)
-		s.Slowness[service] = bbdecision.Slowness{
-			Mean: mean,
-			Max:  largest,
-		}
+		s.Slowness[service] = p.Slowness(now)
 	}
 	for _, t := range c.engines {
 		s.Examined += t.Examined
--- a/core/bbdecision/decision.go
+++ b/core/bbdecision/decision.go
@@ -8,6 +8,7 @@
 	"bluebellhall/core/bbevent"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bbspeed"
 )
 
 // Output is what the VM has to carry out after a decision.
@@ -79,11 +80,6 @@
 	// Examined counts the requests, queued groups of pieces and engines that decisions have looked at. How
 	// fast it grows tells what decisions cost.
 	Examined uint64
-	// Slowness is how long work takes at the endpoints of each pool, by service.
-	Slowness map[string]Slowness
-}
-
-// Slowness is the estimated slowness of the endpoints of a pool, as a multiple of the usual time; 0 if it has none.
-type Slowness struct {
-	Mean, Max float64
+	// Slowness is the estimated slowness of the endpoints of each pool, by service.
+	Slowness map[string]bbspeed.Summary
 }
--- a/core/bbplain/chooser.go
+++ b/core/bbplain/chooser.go
@@ -7,13 +7,14 @@
 	"time"
 
 	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bbspeed"
 )
 
 const (
 	// inFlightCost is added for each request of this VM in progress at an endpoint.
 	inFlightCost = 10 * time.Millisecond
 	// regionCost and zoneCost are the round-trip times to another region and to another failure
-	// domain of the same region.
+	// domain of the same region, as long as they aren't measured.
 	regionCost = 24 * time.Millisecond
 	zoneCost   = 3 * time.Millisecond
 	// failureCost is the time lost by a failed request; it is multiplied by the recent share of failures.
@@ -28,6 +29,8 @@
 // Endpoint is an endpoint that may be chosen.
 type Endpoint struct {
 	ID, Address, Zone, Region string
+	// Born is the start of the endpoint's process in Unix milliseconds; 0 if unknown.
+	Born int64
 	// Cold endpoints have little capacity.
 	Cold bool
 }
@@ -42,17 +45,30 @@
 	fullAt   time.Duration
 	full     bool
 	health   bbhealth.Record
+	// service is that of the endpoint, which last answered at answeredAt; empty if it has not answered.
+	service    string
+	answeredAt time.Duration
+	// born is the start of the process that speed and load are of. Load is its last report, which arrived at loadAt.
+	born   int64
+	speed  bbspeed.Estimate
+	load   bbspeed.Report
+	loadAt time.Duration
 }
 
 // Chooser records the requests in progress and the outcomes at endpoints.
 type Chooser struct {
+	// IntN returns a random number from 0 to n-1; nil for rand.IntN.
+	IntN    func(n int) int
 	records map[string]*record
+	// services has the measurements of each service.
+	services map[string]*service
 }
 
 // NewChooser returns a chooser without records.
 func NewChooser() *Chooser {
 	return &Chooser{
-		records: make(map[string]*record),
+		records:  make(map[string]*record),
+		services: make(map[string]*service),
 	}
 }
 
@@ -88,19 +104,24 @@
 }
 
 func (c *Chooser) cost(now time.Duration, r *record, e Endpoint, from Location) time.Duration {
-	cost := time.Duration(r.inFlight) * inFlightCost
-	switch {
-	case e.Region != from.Region:
-		cost += regionCost
-	case e.Zone != from.Zone:
-		cost += zoneCost
-	}
+	cost := time.Duration(r.inFlight)*inFlightCost + defaultDistance(e, from)
 	if r.full && now-r.fullAt < fullPenalty {
 		cost += fullPenalty
 	}
 	return cost + time.Duration(r.health.Failures(now)*float64(failureCost))
 }
 
+// defaultDistance returns the round-trip time to an endpoint if none has been measured.
+func defaultDistance(e Endpoint, from Location) time.Duration {
+	switch {
+	case e.Region != from.Region:
+		return regionCost
+	case e.Zone != from.Zone:
+		return zoneCost
+	}
+	return 0
+}
+
 func (c *Chooser) record(id string) *record {
 	r := c.records[id]
 	if r == nil {
--- a/core/bbpool/load.go
+++ b/core/bbpool/load.go
@@ -21,15 +21,13 @@
 	}
 }
 
-// Slowness returns the mean and the largest estimated slowness of the endpoints that may get calls; 0 if there are
-// none.
-func (p *Pool) Slowness(now time.Duration) (mean, largest float64) {
+// Slowness returns the estimated slowness of the endpoints that may get calls.
+func (p *Pool) Slowness(now time.Duration) bbspeed.Summary {
+	var s bbspeed.Summary
 	for _, e := range p.endpoints {
-		slowness := p.workers[e.ID].currentSlowness(now)
-		mean += slowness / float64(len(p.endpoints))
-		largest = max(largest, slowness)
+		s.Add(p.workers[e.ID].currentSlowness(now))
 	}
-	return mean, largest
+	return s
 }
 
 // slownessOf returns the expected slowness of a call that begins after a delay and has the given nominal duration: the
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -31,6 +31,8 @@
 	// slowThreshold is the measured slowness from which an endpoint gets work only when no other
 	// endpoint would finish it sooner.
 	slowThreshold = 1.8
+	// slownessWeight is the weight of the newest call in the moving average of the slowness.
+	slownessWeight = 0.3
 	// memoryFullHold is how long an endpoint without memory for a result counts as full: a fraction of
 	// a call's time, within which some results are usually freed.
 	memoryFullHold = 150 * time.Millisecond
--- a/core/bbpool/pool_test.go
+++ b/core/bbpool/pool_test.go
@@ -312,7 +312,7 @@
 	slow := bbspeed.Report{Running: 1, Places: 1, Slowness: 3, Valid: true}
 	want := func(now time.Duration, largest float64) {
 		t.Helper()
-		if _, got := p.Slowness(now); got != largest {
+		if got := p.Slowness(now).Max; got != largest {
 			t.Errorf("largest slowness %.2f, want %.2f", got, largest)
 		}
 	}
--- a/core/bbpool/worker.go
+++ b/core/bbpool/worker.go
@@ -43,7 +43,7 @@
 
 // observeSlowness adds the measured slowness of a call to the moving average.
 func (w *worker) observeSlowness(now time.Duration, slowness float64) {
-	w.speed.Measure(now, slowness)
+	w.speed.Measure(now, slowness, slownessWeight)
 }
 
 // currentSlowness returns the estimated slowness.
--- a/core/bbspeed/speed.go
+++ b/core/bbspeed/speed.go
@@ -19,8 +19,6 @@
 	// minMeasured and maxMeasured bound the measurement of one call, which includes delays of the network.
 	minMeasured = 0.5
 	maxMeasured = 10
-	// measuredWeight is the weight of the newest call in the moving average.
-	measuredWeight = 0.3
 	// excessHalfLife is the half-life of the average's excess over 1 without new measurements, so that an endpoint
 	// that has recovered gets work again.
 	excessHalfLife = 2500 * time.Millisecond
@@ -61,11 +59,11 @@
 	e.reportedAt = now
 }
 
-// Measure adds the slowness of a call that has just ended to the average. It doesn't change what a recent report
-// says of the same time.
-func (e *Estimate) Measure(now time.Duration, slowness float64) {
+// Measure adds the slowness of a call that has just ended to the moving average, with a weight below 1. It doesn't
+// change what a recent report says of the same time.
+func (e *Estimate) Measure(now time.Duration, slowness, weight float64) {
 	current := e.measured(now)
-	e.average = current + measuredWeight*(min(max(slowness, minMeasured), maxMeasured)-current)
+	e.average = current + weight*(min(max(slowness, minMeasured), maxMeasured)-current)
 	e.averageAt = now
 }
 
@@ -100,11 +98,16 @@
 
 // reportWeight returns the weight of the last report at a time.
 func (e *Estimate) reportWeight(at time.Duration) float64 {
-	age := at - e.reportedAt
-	if e.reported == 0 || age >= reportLife {
+	if e.reported == 0 {
 		return 0
 	}
-	left := 1 - float64(max(0, age))/float64(reportLife)
+	return Weight(at - e.reportedAt)
+}
+
+// Weight returns the weight of a report of the given age: 1 when it arrives, a half after 300 ms and 0 from a second
+// on.
+func Weight(age time.Duration) float64 {
+	left := 1 - min(1, float64(max(0, age))/float64(reportLife))
 	return left * left
 }
 
--- a/core/bbspeed/speed_test.go
+++ b/core/bbspeed/speed_test.go
@@ -41,7 +41,7 @@
 func TestReportReplacesMeasurement(t *testing.T) {
 	var e Estimate
 	e.Report(0, reported(2.5))
-	e.Measure(0, 2.5)
+	e.Measure(0, 2.5, 0.3)
 	wantCurrent(t, &e, 0, 2.5)
 	e.Report(ms, reported(1))
 	wantCurrent(t, &e, ms, 1)
@@ -58,7 +58,7 @@
 		t.Errorf("slowness %.2f now and %.2f expected in 300 ms, want less than now and more than 1", now, ahead)
 	}
 	e = Estimate{}
-	e.Measure(0, 2)
+	e.Measure(0, 2, 0.3)
 	if now, ahead := e.Current(0), e.Ahead(0, 300*ms); ahead != now {
 		t.Errorf("slowness %.2f now and %.2f expected in 300 ms without reports, want the same", now, ahead)
 	}
