--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -204,6 +204,7 @@
 		ExtraSends:    s.Features.ExtraSends,
 
 		SharedMachines: e.sharedMachines.Load,
+		EndpointSpeed:  s.Features.EndpointSpeed,
 	})
 	e.addGauges()
 	go e.fleet.Run(ctx)
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -68,6 +68,10 @@
 			show(float64(n), "hedges", service, "denied", string(reason))
 		}
 	}
+	for service, slowness := range e.Gateway.Slowness() {
+		show(slowness.Mean(), "requests", "slowness", service, "mean")
+		show(slowness.Max, "requests", "slowness", service, "max")
+	}
 	s := e.hub.Status()
 	show(float64(s.Requests), "coordinator", "requests")
 	show(float64(s.AwaitingEngine), "coordinator", "ungranted")
@@ -79,7 +83,7 @@
 		show(float64(n), "coordinator", "waitingRequests", account)
 	}
 	for service, slowness := range s.Slowness {
-		show(slowness.Mean, "coordinator", "slowness", service, "mean")
+		show(slowness.Mean(), "coordinator", "slowness", service, "mean")
 		show(slowness.Max, "coordinator", "slowness", service, "max")
 	}
 	for service, left := range s.RepeatBudgets {
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -35,6 +35,8 @@
 	// batchWeight is the weight of the newest call in the moving average of the size of calls: about one call of each
 	// endpoint of a large pool.
 	batchWeight = 0.06
+	// slownessWeight is the weight of the newest call in the moving average of the slowness.
+	slownessWeight = 0.3
 	// memoryFullHold is how long an endpoint without memory for a result counts as full: a fraction of
 	// a call's time, within which some results are usually freed.
 	memoryFullHold = 150 * time.Millisecond
