--- a/bluebelld/bbentry/recovery_test.go
+++ b/bluebelld/bbentry/recovery_test.go
@@ -342,7 +342,7 @@
 // times, 40 to 58 VMs called the store, 118 to 158 times in 4 s, and VMs made up to 2,008 exchanges.
 const (
 	maxHalf      = 900 * time.Millisecond
-	maxAll       = 1200 * time.Millisecond
+	maxAll       = 1000 * time.Millisecond
 	maxReaders   = 16
 	maxCalls     = 90
 	maxExchanges = 2400
--- a/bluebelld/bbmembership/cells.go
+++ b/bluebelld/bbmembership/cells.go
@@ -214,7 +214,7 @@
 		f.LogLeader(leader.Name, len(reachable))
 	}
 	if leader.Name != f.leader.Name || leader.Boot != f.leader.Boot || leader.Ready != f.leader.Ready {
-		f.agreement = newAgreement(now)
+		f.resetAgreement(now)
 	}
 	f.leader = leader
 	return changed
--- a/bluebelld/bbmembership/stable.go
+++ b/bluebelld/bbmembership/stable.go
@@ -31,7 +31,8 @@
 	namedBy map[string]bool
 	// confirmed is true once this VM's hub has confirmed the coordinator.
 	confirmed bool
-	// reached is closed when the others confirm the coordinator for the first time, as isReached tells.
+	// reached is closed when the others confirm the coordinator for the first time, as isReached tells, or when
+	// this agreement is replaced.
 	reached   chan struct{}
 	isReached bool
 }
@@ -45,6 +46,15 @@
 	}
 }
 
+// resetAgreement forgets what others have said of the coordinator, which has changed or become ready, and wakes the
+// orders that wait for a stable view, since it may be stable sooner than they expect. The caller holds the lock.
+func (f *Fleet) resetAgreement(now time.Duration) {
+	if !f.agreement.isReached {
+		close(f.agreement.reached)
+	}
+	f.agreement = newAgreement(now)
+}
+
 // namedCoordinator returns what this VM says of its coordinator in an exchange: the identity of its process, 0
 // if it isn't ready. The caller holds the lock.
 func (f *Fleet) namedCoordinator() uint64 {
