Await the agreement on a coordinator when the store returns after the start

If no VM was ready in the startup period, the view now has to become stable after the first VM is ready, within the same bounds; a VM that reaches nobody doesn't wait.

--- a/bluebelld/bbknowledge/knowledge_test.go
+++ b/bluebelld/bbknowledge/knowledge_test.go
@@ -227,3 +227,33 @@
 	c.now += 2 * time.Second
 	wantUsable(t, k)
 }
+
+// Guards against a VM that notices only at its next poll that it is ready or has to read the platform.
+func TestChanged(t *testing.T) {
+	k, _ := newTestKnowledge()
+	for _, step := range []struct {
+		name   string
+		change func()
+		want   bool
+	}{
+		{"it ceases to read", func() { k.SetReadsPlatform(false) }, true},
+		{"it still doesn't read", func() { k.SetReadsPlatform(false) }, false},
+		{"a list without a configuration", func() { list(k, "a") }, false},
+		{"the configuration", func() { k.OfferCatalog(bbcatalog.Catalog{Version: 1}, "test") }, true},
+		{"a later configuration", func() { k.OfferCatalog(bbcatalog.Catalog{Version: 2}, "test") }, false},
+		{"it begins to read", func() { k.SetReadsPlatform(true) }, true},
+	} {
+		changed := k.Changed()
+		step.change()
+		select {
+		case <-changed:
+			if !step.want {
+				t.Errorf("%s: notified, want no notice", step.name)
+			}
+		default:
+			if step.want {
+				t.Errorf("%s: not notified", step.name)
+			}
+		}
+	}
+}
--- a/bluebelld/bbmembership/cells.go
+++ b/bluebelld/bbmembership/cells.go
@@ -59,7 +59,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refresh()
-	discovering := len(f.reached) > 0 && f.viewWait(f.Now()) > 0
+	now := f.Now()
+	discovering := now < startupPeriod && len(f.reached) > 0 && f.viewWait(now) > 0
 	return f.readers(discovering)
 }
 
@@ -217,6 +218,9 @@
 		f.resetAgreement(now)
 	}
 	f.leader = leader
+	if leader.Ready && f.readyKnownAt == 0 {
+		f.readyKnownAt = now
+	}
 	return changed
 }
 
--- a/bluebelld/bbmembership/fleet.go
+++ b/bluebelld/bbmembership/fleet.go
@@ -87,6 +87,8 @@
 	// leaderSince is when that VM became the coordinator, ownCellsSince when the cells that this VM
 	// coordinates last changed, and viewSince when the VMs that it reaches did.
 	leaderSince, ownCellsSince, viewSince time.Duration
+	// readyKnownAt is when this VM first had a coordinator that is ready; 0 before.
+	readyKnownAt time.Duration
 	// agreement is what others have said of the coordinator since it last changed.
 	agreement agreement
 	// contestedAt is when another VM that may coordinate the same cells last seemed to run, or when
--- a/bluebelld/bbmembership/stable.go
+++ b/bluebelld/bbmembership/stable.go
@@ -164,24 +164,37 @@
 
 // viewWait is stableViewWait at a time for a caller that holds the lock.
 func (f *Fleet) viewWait(now time.Duration) time.Duration {
-	if now >= startupPeriod {
+	end := f.startEnd()
+	if now >= end {
 		return 0
 	}
-	if len(f.table.Reachable(now)) == 0 && f.hasSeeds() {
-		return startupPeriod - now
+	if alone := len(f.table.Reachable(now)) == 0; alone && now >= startupPeriod {
+		return 0
+	} else if alone && f.hasSeeds() {
+		return end - now
 	}
 	since := f.leaderSince
 	if f.table.Size() > meshSize {
 		// A VM of a large fleet learns of the others in several exchanges.
 		since = f.viewSince
 	}
-	wait := min(startupPeriod-now, since+stablePeriod-now)
+	wait := min(end-now, since+stablePeriod-now)
 	if f.agreed(now) {
 		wait = min(wait, f.agreement.since+agreedPeriod-now)
 	}
 	return wait
 }
 
+// startEnd returns the time from which this VM's view of the coordinator is used in any case. If no VM was ready in
+// the startup period, because the platform's store didn't answer, it is that long after the first one was: VMs that
+// become ready one after the other would each coordinate. The caller holds the lock.
+func (f *Fleet) startEnd() time.Duration {
+	if f.readyKnownAt > startupPeriod {
+		return f.readyKnownAt + startupPeriod
+	}
+	return startupPeriod
+}
+
 // hasSeeds reports whether there are seeds other than this VM; the caller holds the lock.
 func (f *Fleet) hasSeeds() bool {
 	return slices.ContainsFunc(f.seeds, func(s string) bool { return s != f.table.Self().Peer })
@@ -191,7 +204,7 @@
 // isn't stable yet, or it has started lately and others that start at the same time depend on it as their hub
 // or coordinator. The caller holds the lock.
 func (f *Fleet) starting(now time.Duration) bool {
-	if now >= startupPeriod {
+	if now >= f.startEnd() {
 		return false
 	}
 	return f.viewWait(now) > 0 || f.isHub() || f.cells.CoordinatesAny(f.table.Self().Name)
