--- a/bluebelld/bbmembership/cells.go
+++ b/bluebelld/bbmembership/cells.go
@@ -59,7 +59,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refresh()
-	discovering := len(f.reached) > 0 && f.viewWait(f.Now()) > 0
+	now := f.Now()
+	discovering := now < startupPeriod && len(f.reached) > 0 && f.viewWait(now) > 0
 	return f.readers(discovering)
 }
 
@@ -214,9 +215,12 @@
 		f.LogLeader(leader.Name, len(reachable))
 	}
 	if leader.Name != f.leader.Name || leader.Boot != f.leader.Boot || leader.Ready != f.leader.Ready {
-		f.agreement = newAgreement(now)
+		f.resetAgreement(now)
 	}
 	f.leader = leader
+	if leader.Ready && f.readyKnownAt == 0 {
+		f.readyKnownAt = now
+	}
 	return changed
 }
 
--- a/bluebelld/bbmembership/stable.go
+++ b/bluebelld/bbmembership/stable.go
@@ -31,7 +31,8 @@
 	namedBy map[string]bool
 	// confirmed is true once this VM's hub has confirmed the coordinator.
 	confirmed bool
-	// reached is closed when the others confirm the coordinator for the first time, as isReached tells.
+	// reached is closed when the others confirm the coordinator for the first time, as isReached tells, or when
+	// this agreement is replaced.
 	reached   chan struct{}
 	isReached bool
 }
@@ -45,6 +46,15 @@
 	}
 }
 
+// resetAgreement forgets what others have said of the coordinator, which has changed or become ready, and wakes the
+// orders that wait for a stable view, since it may be stable sooner than they expect. The caller holds the lock.
+func (f *Fleet) resetAgreement(now time.Duration) {
+	if !f.agreement.isReached {
+		close(f.agreement.reached)
+	}
+	f.agreement = newAgreement(now)
+}
+
 // namedCoordinator returns what this VM says of its coordinator in an exchange: the identity of its process, 0
 // if it isn't ready. The caller holds the lock.
 func (f *Fleet) namedCoordinator() uint64 {
@@ -154,24 +164,37 @@
 
 // viewWait is stableViewWait at a time for a caller that holds the lock.
 func (f *Fleet) viewWait(now time.Duration) time.Duration {
-	if now >= startupPeriod {
+	end := f.startEnd()
+	if now >= end {
 		return 0
 	}
-	if len(f.table.Reachable(now)) == 0 && f.hasSeeds() {
-		return startupPeriod - now
+	if alone := len(f.table.Reachable(now)) == 0; alone && now >= startupPeriod {
+		return 0
+	} else if alone && f.hasSeeds() {
+		return end - now
 	}
 	since := f.leaderSince
 	if f.table.Size() > meshSize {
 		// A VM of a large fleet learns of the others in several exchanges.
 		since = f.viewSince
 	}
-	wait := min(startupPeriod-now, since+stablePeriod-now)
+	wait := min(end-now, since+stablePeriod-now)
 	if f.agreed(now) {
 		wait = min(wait, f.agreement.since+agreedPeriod-now)
 	}
 	return wait
 }
 
+// startEnd returns the time from which this VM's view of the coordinator is used in any case. If no VM was ready in
+// the startup period, because the platform's store didn't answer, it is that long after the first one was: VMs that
+// become ready one after the other would each coordinate. The caller holds the lock.
+func (f *Fleet) startEnd() time.Duration {
+	if f.readyKnownAt > startupPeriod {
+		return f.readyKnownAt + startupPeriod
+	}
+	return startupPeriod
+}
+
 // hasSeeds reports whether there are seeds other than this VM; the caller holds the lock.
 func (f *Fleet) hasSeeds() bool {
 	return slices.ContainsFunc(f.seeds, func(s string) bool { return s != f.table.Self().Peer })
@@ -181,7 +204,7 @@
 // isn't stable yet, or it has started lately and others that start at the same time depend on it as their hub
 // or coordinator. The caller holds the lock.
 func (f *Fleet) starting(now time.Duration) bool {
-	if now >= startupPeriod {
+	if now >= f.startEnd() {
 		return false
 	}
 	return f.viewWait(now) > 0 || f.isHub() || f.cells.CoordinatesAny(f.table.Self().Name)
