Pieces of failed calls wait for the retry budget

Requests were refused (stageFailed) when a call of theirs had failed and the retry budget had no room, though other endpoints were sound and seconds were left. The pieces of such a call are now held by the coordinator until the budget has room; it is charged one repeat for the call before they are queued again. The deadline ends the wait. Pieces without tries left end their request only if the endpoint answered or none is sound. While fewer than five repeats are left and others are sound, endpoints on probation are tried every five seconds only; while none is sound, calls start 100 ms apart.

A request with several stages at one service counted as several requests for it, so that the budget allowed more than a fifth of the requests. It counts once now.

--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -67,6 +67,12 @@
 	for service, n := range s.Waiting {
 		show(float64(n), "coordinator", "waiting", service)
 	}
+	for service, n := range s.Held {
+		show(float64(n), "coordinator", "heldPieces", service)
+	}
+	for service, n := range s.OnProbation {
+		show(float64(n), "coordinator", "onProbation", service)
+	}
 	for service, left := range s.RepeatBudgets {
 		show(left, "coordinator", "repeatsLeft", service)
 	}
--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -105,8 +105,17 @@
 		retry.Add(piece)
 	}
 	mayRepeat := len(retry) == 0 || full || !o.Sent() || c.retries.Of(call.Service).Take(now, 1)
+	var held *heldCall
+	if !mayRepeat {
+		held = c.hold(call.Service)
+	}
 	for _, job := range slices.Sorted(maps.Keys(retry)) {
-		c.retryPieces(now, job, retry[job], mayRepeat, counts)
+		c.retryPieces(now, c.jobs[job], retry[job], failedCall{
+			counts: counts,
+			// An endpoint that answered did not fail: the cause may be the piece.
+			final: o == bbhealth.OutcomeGood || !p.HasSound(now),
+			held:  held,
+		})
 	}
 	var previous *bbprogress.Job
 	for i := range call.Pieces {
@@ -216,20 +225,20 @@
 	c.freeUnneeded(j)
 }
 
-// retryPieces queues the pieces of a failed call again, or refuses their request. Only failures of
-// calls that the endpoint can have begun count as tries.
-func (c *Coordinator) retryPieces(now time.Duration, id string, stages map[int][]int, mayRepeat, counts bool) {
-	j := c.jobs[id]
+// retryPieces queues the pieces of a failed call again, holds them until the retry budget has room, or refuses their
+// request.
+func (c *Coordinator) retryPieces(now time.Duration, j *bbprogress.Job, stages map[int][]int, failed failedCall) {
 	if j == nil {
 		return
 	}
+	exhausted := false
 	for stage, pieces := range stages {
 		for _, k := range pieces {
 			p := &j.Stages[stage].Pieces[k]
-			if counts {
+			if failed.counts {
 				p.Tries++
 			}
-			mayRepeat = mayRepeat && p.Tries < maxPieceTries
+			exhausted = exhausted || p.Tries >= maxPieceTries
 		}
 		j.Stages[stage].Released = false
 	}
@@ -237,7 +246,8 @@
 		c.handBack(j)
 		return
 	}
-	if !mayRepeat {
+	id := j.Order.ID
+	if exhausted && failed.final {
 		c.refuse(id, "stageFailed", minRetryAfter, now-j.Arrived)
 		c.drop(j)
 		return
@@ -247,6 +257,9 @@
 		c.drop(j)
 		return
 	}
+	if failed.held != nil {
+		failed.held.add(j, stages)
+	}
 	c.schedule(j)
 }
 
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -78,6 +78,8 @@
 	engines map[string]*bbplacement.Table
 	retries bballowance.Windows
 	calls   map[uint64]*runningCall
+	// held are the failed calls whose pieces wait for the retry budget, by service.
+	held map[string][]*heldCall
 	// freed are handles of results to be freed, by the address of their producer.
 	freed map[string][]string
 	// waiting are the jobs whose stages are done and that have no grant of an engine.
@@ -176,6 +178,7 @@
 			},
 		},
 		calls:   make(map[uint64]*runningCall),
+		held:    make(map[string][]*heldCall),
 		freed:   make(map[string][]string),
 		waiting: make(map[string]*bbprogress.Job),
 		unread:  make(map[string]*bbprogress.Job),
@@ -243,10 +246,7 @@
 		return c.flush()
 	}
 	c.jobs[o.ID] = j
-	for _, s := range o.Stages {
-		c.retries.Of(s.Service).Request(now)
-	}
-	c.retries.Of(o.Service).Request(now)
+	c.countRequest(now, o)
 	accepted := bbevent.OrderAccepted
 	if j.Returning {
 		accepted = bbevent.OrderReturned
@@ -379,6 +379,7 @@
 		}
 	}
 	c.freeRead(now)
+	c.releaseHeld(now)
 	if now-c.sweptAt >= bbpool.RefreshInterval(len(c.jobs)) {
 		c.sweptAt = now
 		c.sweep(now)
--- a/core/bbcoordinator/status.go
+++ b/core/bbcoordinator/status.go
@@ -13,6 +13,8 @@
 		AwaitingEngine: len(c.waiting),
 		Waiting:        make(map[string]int, len(c.pools)),
 		RepeatBudgets:  c.retries.Left(now),
+		Held:           c.countHeld(),
+		OnProbation:    c.countProbation(),
 		Examined:       c.examined,
 	}
 	for service, p := range c.pools {
--- a/core/bbdecision/decision.go
+++ b/core/bbdecision/decision.go
@@ -76,6 +76,9 @@
 	Waiting map[string]int
 	// RepeatBudgets is the number of repeats that each service may have now.
 	RepeatBudgets map[string]float64
+	// Held is the number of pieces that wait for these budgets, and OnProbation that of endpoints whose last
+	// call failed, by service; nil if there are none.
+	Held, OnProbation map[string]int
 	// Examined counts the requests, queued groups of pieces and engines that decisions have looked at. How
 	// fast it grows tells what decisions cost.
 	Examined uint64
--- a/core/bbpool/compose.go
+++ b/core/bbpool/compose.go
@@ -128,7 +128,7 @@
 		return false
 	}
 	if w.probation.active() {
-		return len(w.calls) == 0 && now >= p.pauseEnd(w, p.hasSound(now, nil))
+		return p.freeOnProbation(now, w)
 	}
 	if len(w.calls) < max(1, p.Spec.Slots) {
 		return true
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -123,6 +123,9 @@
 	AvailableAt time.Duration
 	// LimitedCallsPerSecond is the rate that all endpoints with a limit take together.
 	LimitedCallsPerSecond float64
+	// SaveRepeats is true while the retry budget is short. Endpoints on probation are then tried seldom as long as
+	// others are sound: a call that fails costs one repeat.
+	SaveRepeats bool
 	// Examined counts the queued groups that decisions and estimates have looked at.
 	Examined uint64
 	// groups are the queue. The first ordered of them are in the order of urgency as of orderedAt, and profile
@@ -135,6 +138,8 @@
 	waiting     int
 	resultSizes map[float64]int
 	workers     map[string]*worker
+	// nextUnsoundCall is when the next call may be sent while no endpoint is sound.
+	nextUnsoundCall time.Duration
 	// endpoints are those that may get calls, as last passed to SetEndpoints.
 	endpoints []Endpoint
 }
@@ -247,6 +252,7 @@
 	c.Expected = now + p.remaining(now, w) + time.Duration(float64(p.Duration(len(c.Pieces)))*w.currentSlowness(now))
 	c.running = len(w.calls) < max(1, p.Spec.Slots)
 	c.runningSince = now
+	p.countUnsoundCall(now, w)
 	w.calls[id] = c
 	w.used += c.Bytes
 }
--- a/core/bbpool/probation.go
+++ b/core/bbpool/probation.go
@@ -15,9 +15,15 @@
 	maxProbationPause = 1600 * time.Millisecond
 	// probationPieces bounds the pieces of a call to an endpoint on probation while others are sound.
 	probationPieces = 4
-	// unsoundPausePerEndpoint bounds the pause by the number of endpoints while none is sound: the endpoints
-	// of a service together then get about one call in that time.
+	// savingPause is the pause while the retry budget is short and others are sound. It is bounded because a budget
+	// that others use up must not keep an endpoint from being used again for good.
+	savingPause = 5 * time.Second
+	// unsoundPausePerEndpoint bounds the pause by the number of endpoints while none is sound, so that a service
+	// with few of them doesn't wait long after they have recovered.
 	unsoundPausePerEndpoint = 200 * time.Millisecond
+	// unsoundInterval is the time between two calls to a service while none of its endpoints is sound. Without it
+	// the endpoints of a large service used up the retry budget in the first half second of an outage.
+	unsoundInterval = 100 * time.Millisecond
 )
 
 // probation tells whether the last call to an endpoint failed. The zero value is an endpoint that is sound.
@@ -115,15 +121,31 @@
 	return true
 }
 
-// pauseEnd returns the end of the pause of an endpoint on probation. While no endpoint is sound, pauses are shorter,
-// so that a service with few endpoints doesn't wait long after they have recovered.
+// pauseEnd returns the end of the pause of an endpoint on probation. It is late while the retry budget is
+// short and another endpoint is sound.
 func (p *Pool) pauseEnd(w *worker, sound bool) time.Duration {
-	if sound {
+	switch {
+	case sound && p.SaveRepeats:
+		return w.probation.failedAt + savingPause
+	case sound:
 		return w.probation.until
 	}
 	return min(w.probation.until, w.probation.failedAt+time.Duration(len(p.endpoints))*unsoundPausePerEndpoint)
 }
 
+// freeOnProbation reports whether an endpoint on probation may get a call now.
+func (p *Pool) freeOnProbation(now time.Duration, w *worker) bool {
+	sound := p.hasSound(now, nil)
+	return len(w.calls) == 0 && now >= p.pauseEnd(w, sound) && (sound || now >= p.nextUnsoundCall)
+}
+
+// countUnsoundCall records that an endpoint gets a call, which delays the next one if no endpoint is sound.
+func (p *Pool) countUnsoundCall(now time.Duration, w *worker) {
+	if w.probation.active() && !p.hasSound(now, nil) {
+		p.nextUnsoundCall = now + unsoundInterval
+	}
+}
+
 // callBound returns the maximum number of pieces of a call that begins with a group, and whether it may have only
 // pieces of that group. An endpoint on probation gets few pieces, so that a further failure affects few; where the
 // group has no sound endpoint to go to, it gets half a call, so that work goes on.
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -29,13 +29,15 @@
 	// counts the running calls of the piece that are not overdue.
 	Queued bool
 	Calls  int
+	// Held is true while the piece waits for the retry budget after a failed call; it is in no queue then.
+	Held bool
 	// Fetched is true once an endpoint that computes the piece should have fetched its inputs.
 	Fetched bool
 }
 
 // Wanted reports whether the piece has to be put into its pool.
 func (p *Piece) Wanted() bool {
-	return p.Handle == "" && !p.Queued && p.Calls == 0
+	return p.Handle == "" && !p.Queued && !p.Held && p.Calls == 0
 }
 
 // Stage is the state of one stage.
@@ -336,7 +338,7 @@
 func (j *Job) awaitsCall(stage int) bool {
 	st := &j.Stages[stage]
 	for k := range st.Pieces {
-		if p := &st.Pieces[k]; p.Queued || (!st.Released && p.Wanted()) {
+		if p := &st.Pieces[k]; p.Queued || p.Held || (!st.Released && p.Wanted()) {
 			return true
 		}
 	}
