Refuse a failed call's pieces when nothing is left to wait for

Without a sound endpoint and without room in the retry budget, the pieces were held until the deadline, which can be far: TestUnexpectedError of bbhub, with one endpoint that breaks all calls and a budget of zero, waited for an hour. Such a request is refused at once (stageFailed), as before; pieces are held only while the service has a sound endpoint.

--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -105,16 +105,18 @@
 		retry.Add(piece)
 	}
 	mayRepeat := len(retry) == 0 || full || !o.Sent() || c.retries.Of(call.Service).Take(now, 1)
+	sound := p.HasSound(now)
 	var held *heldCall
-	if !mayRepeat {
+	if !mayRepeat && sound {
 		held = c.hold(call.Service)
 	}
 	for _, job := range slices.Sorted(maps.Keys(retry)) {
 		c.retryPieces(now, c.jobs[job], retry[job], failedCall{
 			counts: counts,
 			// An endpoint that answered did not fail: the cause may be the piece.
-			final: o == bbhealth.OutcomeGood || !p.HasSound(now),
-			held:  held,
+			final:  o == bbhealth.OutcomeGood || !sound,
+			denied: !mayRepeat && !sound,
+			held:   held,
 		})
 	}
 	var previous *bbprogress.Job
@@ -231,14 +233,14 @@
 	if j == nil {
 		return
 	}
-	exhausted := false
+	refused := failed.denied
 	for stage, pieces := range stages {
 		for _, k := range pieces {
 			p := &j.Stages[stage].Pieces[k]
 			if failed.counts {
 				p.Tries++
 			}
-			exhausted = exhausted || p.Tries >= maxPieceTries
+			refused = refused || failed.final && p.Tries >= maxPieceTries
 		}
 		j.Stages[stage].Released = false
 	}
@@ -247,7 +249,7 @@
 		return
 	}
 	id := j.Order.ID
-	if exhausted && failed.final {
+	if refused {
 		c.refuse(id, "stageFailed", minRetryAfter, now-j.Arrived)
 		c.drop(j)
 		return
--- a/core/bbcoordinator/held.go
+++ b/core/bbcoordinator/held.go
@@ -17,7 +17,9 @@
 	// final is true if pieces without tries left are given up. Those of a call that was lost go on while the service
 	// has a sound endpoint: content that crashes endpoints is found by the reports of lost calls.
 	final bool
-	// held gets the pieces if the retry budget has no room for another call; otherwise it is nil.
+	// denied is true if the retry budget has no room for another call and the service has no sound endpoint.
+	denied bool
+	// held gets the pieces if the retry budget has no room and there is a sound endpoint; otherwise it is nil.
 	held *heldCall
 }
 
--- a/core/bbcoordinator/probation_test.go
+++ b/core/bbcoordinator/probation_test.go
@@ -127,6 +127,17 @@
 	})
 }
 
+// Without a sound endpoint there is nothing to wait for: a request then waited for its deadline, however far.
+func TestFailedCallWithoutRetryBudgetAndSoundEndpointsIsRefused(t *testing.T) {
+	c := newTestCoordinator("s1")
+	call := toSecond(t, c, testOrder("a", 2))[0]
+	c.retries.Of("second").Slack = 0
+	out := c.CallDone(420*ms, call.ID, "east", bbhealth.OutcomeBroken, nil)
+	if len(out.Refusals) != 1 || out.Refusals[0].Reason != "stageFailed" {
+		t.Errorf("refusals %+v, want one since the only endpoint has failed", out.Refusals)
+	}
+}
+
 // Pieces went without a try left because several workers broke their calls, though others were sound.
 func TestLostCallsDontEndARequestWhileOthersAreSound(t *testing.T) {
 	c := newTestCoordinator("s1", "s2", "s3", "s4", "s5", "s6")
