--- a/core/bbcoordinator/status.go
+++ b/core/bbcoordinator/status.go
@@ -15,6 +15,8 @@
 		Waiting:         make(map[string]int, len(c.pools)),
 		WaitingRequests: c.room.Accounts(),
 		RepeatBudgets:   c.retries.Left(now),
+		Held:            c.countHeld(),
+		OnProbation:     c.countProbation(),
 		Examined:        c.examined,
 		Slowness:        make(map[string]bbspeed.Summary, len(c.pools)),
 	}
