--- a/core/bbplain/measured.go
+++ b/core/bbplain/measured.go
@@ -142,9 +142,7 @@
 }
 
 func (c *Chooser) measuredCost(now time.Duration, s *service, r *record, e Endpoint, from Location) time.Duration {
-	work := s.usualWork()
-	// The request runs from now on, so the estimate is that for the middle of it.
-	work *= r.speed.Ahead(now, time.Duration(work/2))
+	work := s.usualWork() * r.speed.Current(now)
 	places := defaultPlaces
 	if r.load.Places > 0 {
 		places = r.load.Places
--- a/core/bbpool/compose.go
+++ b/core/bbpool/compose.go
@@ -92,11 +92,9 @@
 
 // cost is the time until a worker would finish a half-full call, increased by its recent failures.
 func (p *Pool) cost(now time.Duration, w *worker) time.Duration {
-	nominal := p.Duration(p.Spec.Batch / 2)
-	remaining := p.remaining(now, w)
-	d := float64(nominal) * w.slownessOf(now, remaining, nominal)
+	d := float64(p.Duration(p.Spec.Batch/2)) * w.currentSlowness(now)
 	d *= 1 + 3*w.health.Failures(now)
-	return time.Duration(d) + remaining
+	return time.Duration(d) + p.remaining(now, w)
 }
 
 // othersFinishSooner reports whether the other endpoints would finish all queued work before a slow
--- a/core/bbpool/load.go
+++ b/core/bbpool/load.go
@@ -30,12 +30,6 @@
 	return s
 }
 
-// slownessOf returns the expected slowness of a call that begins after a delay and has the given nominal duration: the
-// estimate for the middle of the call, because the endpoint may recover during it.
-func (w *worker) slownessOf(now, delay, nominal time.Duration) float64 {
-	return w.speed.Ahead(now, delay+nominal/2)
-}
-
 // setProcess sets the start of the endpoint's process. The reports of the process before it are discarded.
 func (w *worker) setProcess(born int64) {
 	if w.born != born {
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -243,9 +243,7 @@
 func (p *Pool) Start(now time.Duration, c *Call, id uint64) {
 	w := p.workers[c.Endpoint]
 	c.ID = id
-	remaining := p.remaining(now, w)
-	nominal := p.Duration(len(c.Pieces))
-	c.Expected = now + remaining + time.Duration(float64(nominal)*w.slownessOf(now, remaining, nominal))
+	c.Expected = now + p.remaining(now, w) + time.Duration(float64(p.Duration(len(c.Pieces)))*w.currentSlowness(now))
 	c.running = len(w.calls) < max(1, p.Spec.Slots)
 	c.runningSince = now
 	w.calls[id] = c
--- a/core/bbspeed/speed.go
+++ b/core/bbspeed/speed.go
@@ -82,28 +82,14 @@
 // Current returns the estimated slowness. A report counts fully when it arrives, half after 300 ms and nothing
 // from a second on; the rest is the average of what calls have measured, decayed towards 1 since the last of them.
 func (e *Estimate) Current(now time.Duration) float64 {
-	return e.Ahead(now, 0)
-}
-
-// Ahead returns the slowness that is expected in a while. Reports have less weight for it; without a recent one it
-// is the current estimate.
-func (e *Estimate) Ahead(now, while time.Duration) float64 {
 	measured := e.measured(now)
-	weight := e.reportWeight(now + while)
-	if weight == 0 {
+	weight := Weight(now - e.reportedAt)
+	if e.reported == 0 || weight == 0 {
 		return measured
 	}
 	return weight*e.reported + (1-weight)*measured
 }
 
-// reportWeight returns the weight of the last report at a time.
-func (e *Estimate) reportWeight(at time.Duration) float64 {
-	if e.reported == 0 {
-		return 0
-	}
-	return Weight(at - e.reportedAt)
-}
-
 // Weight returns the weight of a report of the given age: 1 when it arrives, a half after 300 ms and 0 from a second
 // on.
 func Weight(age time.Duration) float64 {
--- a/core/bbspeed/speed_test.go
+++ b/core/bbspeed/speed_test.go
@@ -51,19 +51,6 @@
 	}
 }
 
-func TestSlownessAhead(t *testing.T) {
-	var e Estimate
-	e.Report(0, reported(2.5))
-	if now, ahead := e.Current(0), e.Ahead(0, 300*ms); ahead >= now || ahead <= 1 {
-		t.Errorf("slowness %.2f now and %.2f expected in 300 ms, want less than now and more than 1", now, ahead)
-	}
-	e = Estimate{}
-	e.Measure(0, 2, 0.3)
-	if now, ahead := e.Current(0), e.Ahead(0, 300*ms); ahead != now {
-		t.Errorf("slowness %.2f now and %.2f expected in 300 ms without reports, want the same", now, ahead)
-	}
-}
-
 // An endpoint that reports nonsense must neither be shut out forever nor get all work.
 func TestBounds(t *testing.T) {
 	var e Estimate
