Answers of hedged requests count for the choice of endpoints

Hedged attempts read the head of an answer themselves, so that the measured times lacked them. All plain attempts are recorded where the head arrives.

--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -151,6 +151,9 @@
 		Endpoint: e.ID,
 		Priority: bbcatalog.Priority(x.Route, x.Account),
 	}))
+	if s.err == nil {
+		g.recordAnswer(x, e, s.process, s.run, s.answer, g.codec.Read(x.ID, s.answer))
+	}
 	return s
 }
 
@@ -174,7 +177,6 @@
 	}
 	defer s.cleanup()
 	reading := g.codec.Read(x.ID, answer)
-	g.recordAnswer(x, e, process, r, answer, reading)
 	g.hooks.RecordSignal(process, reading.Signal, r.began)
 	outcome = bbcodec.Outcome(nil, reading)
 	if outcome == bbhealth.OutcomeGood || outcome == bbhealth.OutcomeFull {
