--- a/core/bbscene/failures_test.go
+++ b/core/bbscene/failures_test.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// Pattern: a stage with three workers, two of which break each call for three seconds, at 60% of what the third can
-// do alone.
+// Pattern: a stage with three workers, two of which break each call for three seconds, at less than half of
+// what the third can do alone.
 func TestTwoOfThreeWorkersFail(t *testing.T) {
 	s := New(fair())
 	steady(s, "draft", 0, 8, 0, 10*time.Second, plainChain)
