Only requests that were refused before wait for capacity

Change: a request waits where it was refused before, with less slack for accounts that got more than the average while others wait.

--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -666,7 +666,6 @@
 	} else if s != nil && s.Pool != nil {
 		p.Spec = *s.Pool
 	}
-	p.Adaptive = c.lateMayWait()
 	return p
 }
 
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -43,10 +43,6 @@
 		urgency := j.DueOf(i).Urgency(now)
 		wait := p.Wait(now, urgency, future[s.Service].Before(urgency))
 		duration := p.Duration(p.ExpectedBatchSize(s.Pieces))
-		if p.Adaptive && wait > begin-now {
-			// Others will be waiting too, so that calls are full.
-			duration = p.Duration(p.Spec.Batch)
-		}
 		finished[i] = begin + max(0, wait-(begin-now)) + duration
 		undelayed[i] = earliest + duration
 		last = max(last, finished[i])
--- a/core/bbcoordinator/waiting.go
+++ b/core/bbcoordinator/waiting.go
@@ -13,12 +13,6 @@
 const (
 	// startInterval is the time between two attempts to start requests that wait.
 	startInterval = 10 * time.Millisecond
-	// punctualMargin is how much earlier than its objective a request has to be expected to start at once, as a
-	// fraction of the objective. Without it, the queue settles at a length at which all requests finish at about
-	// their objective and half of them miss it.
-	punctualMargin = 0.06
-	// excessMargin is added to that fraction for an account that got twice as much as the average, or more.
-	excessMargin = 0.15
 	// lateStartWait is the longest queueing delay of a request's stages at which it starts though it can't be on time
 	// any more. It keeps calls full when there is room, and is too short to delay requests that can be on time.
 	lateStartWait = 30 * time.Millisecond
@@ -41,15 +35,18 @@
 	return c.env.Features.Waiting.Enabled(c.SharedMachines())
 }
 
-// mustWait reports whether a request that has just arrived waits until its stages have capacity, because it would
-// probably be late if it started now. The more its account got lately, compared with the others, the sooner: what is
-// scarce goes to those that got less.
+// mustWait reports whether a request that has just arrived waits until its stages have capacity, because it would be
+// late by more than its slack if it started now. While others wait, an account that got more than the average lately has
+// less slack: what is scarce goes to those that got less.
 func (c *Coordinator) mustWait(now time.Duration, j *bbprogress.Job, expected time.Duration) bool {
 	if !c.lateMayWait() || len(j.Order.Results) > 0 || !hasStages(j) {
 		return false
 	}
-	margin := punctualMargin + excessMargin*c.shares.Excess(now, j.Order.Account)
-	return j.Estimated > j.Due-max(0, time.Duration(margin*float64(j.Objective)))
+	slack := admissionSlack
+	if c.room.Len() > 0 {
+		slack *= 1 - c.shares.Excess(now, j.Order.Account)
+	}
+	return expected > j.Due+time.Duration(slack*float64(j.Objective))
 }
 
 // hasStages reports whether a request has any piece to be computed.
@@ -162,7 +159,7 @@
 // in the same step, which the estimates don't have yet.
 func (c *Coordinator) fits(now time.Duration, q bbdispatch.Request, punctual bool, started map[string]int) bool {
 	j := c.jobs[q.ID]
-	c.estimate(now, j)
+	expected := c.estimate(now, j)
 	var queued time.Duration
 	for service := range q.Demand {
 		if p := c.pools[service]; p != nil && p.PerSecond(now) > 0 {
@@ -170,7 +167,7 @@
 		}
 	}
 	if punctual {
-		return j.Estimated+queued <= j.Due-time.Duration(punctualMargin*float64(j.Objective))
+		return expected+queued <= j.Due
 	}
 	return j.QueueingDelay+queued <= lateStartWait
 }
@@ -213,8 +210,8 @@
 	return demand
 }
 
-// deferLate moves requests that have become late in a queue to the room if they have started nothing. The others
-// count as late, and go before those on time once they have been late for lateRescue.
+// deferLate moves requests that have become late to the room if they have started nothing and would wait long in a
+// queue. The others count as late, and go before those on time once they have been late for lateRescue.
 func (c *Coordinator) deferLate(now time.Duration) {
 	for _, id := range c.lateQueued(now) {
 		j := c.jobs[id]
@@ -230,7 +227,7 @@
 				job:   j,
 				since: now,
 			}
-		default:
+		case c.lateWait(now, j) > maxLateWait:
 			c.requeue(j)
 			c.wait(now, j)
 		}
