Bounds of the recovery test from more starts; figures of the final state

Over 33 starts 5 to 18 VMs called the store 52 to 78 times, so that the bound of 16 readers, taken from fewer starts, failed in 2 of them. It is 24 now, and that of the calls 100; before this section at least 40 VMs made at least 118.

--- a/bluebelld/bbentry/recovery_test.go
+++ b/bluebelld/bbentry/recovery_test.go
@@ -345,12 +345,13 @@
 
 // The bounds of a recovery. The goals are half of the normal service within a second and all of it within 2.5 s; the
 // bounds are lower since a start in the model takes no processor time. Before orders waited for events instead of for
-// times, 40 to 58 VMs called the store, 118 to 158 times in 4 s, and VMs made up to 2,008 exchanges.
+// times, 40 to 58 VMs called the store, 118 to 158 times in 4 s, and VMs made up to 2,008 exchanges. Which VMs read varies
+// with the order in which exchanges end: in 33 starts 5 to 18 did, with 52 to 78 calls.
 const (
 	maxHalf      = 900 * time.Millisecond
 	maxAll       = 1000 * time.Millisecond
-	maxReaders   = 16
-	maxCalls     = 90
+	maxReaders   = 24
+	maxCalls     = 100
 	maxExchanges = 2400
 )
 
@@ -492,7 +493,9 @@
 		s.storeDown = false
 		s.mu.Unlock()
 		back := time.Since(began)
-		if got := s.run(began, 3*time.Second); got.all > back+1500*time.Millisecond {
+		got := s.run(began, 3*time.Second)
+		t.Logf("all VMs serve %v after the return of the store", got.all-back)
+		if got.all > back+1500*time.Millisecond {
 			t.Errorf("all VMs serve %v after the return of the store, want at most 1.5 s", got.all-back)
 		}
 	})
