Requests are held while a VM starts

Cause: after a loss of all VMs, a VM that had started answered 503 until it had a configuration, 0.75 s later. Change: up to 2 s after its start a VM that has no configuration yet reads the request and holds it, for at most half of the caller's time, until it is ready.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -184,6 +184,7 @@
 	e.Gateway = bbgateway.New(s.Self.Name, s.Self.Zone, s.Self.Region, h.Codec, bbgateway.Hooks{
 		Now:           e.now,
 		Index:         e.Knowledge.Index,
+		AwaitReady:    e.awaitReady,
 		Endpoints:     e.Knowledge.Usable,
 		MaySend:       e.Knowledge.MaySend,
 		RecordSignal:  e.recordSignal,
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -33,6 +33,9 @@
 	Now func() time.Duration
 	// Index returns the configuration in force, or nil.
 	Index func() *bbcatalog.Index
+	// AwaitReady returns once this VM has a configuration and endpoints, or when it can't be expected to get them
+	// soon; nil returns at once.
+	AwaitReady func(ctx context.Context)
 	// Endpoints returns the endpoints of a service that may get new work.
 	Endpoints func(service string) []*bbregistry.Entry
 	// MaySend reports whether this VM may send a request to an endpoint now, and which process of the
@@ -89,8 +92,9 @@
 	waitCtx     context.Context
 	stopWaiting context.CancelFunc
 
-	// open counts the requests in progress, exchanges the open connections to endpoints.
-	open, exchanges atomic.Int64
+	// open counts the requests in progress, exchanges the open connections to endpoints, held the requests that wait
+	// for this VM's start.
+	open, exchanges, held atomic.Int64
 
 	mu      sync.Mutex
 	chooser *bbplain.Chooser
@@ -207,6 +211,7 @@
 	if g.hooks.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	g.awaitStart(r)
 	if status, cause := g.admit(x); status != 0 {
 		g.fail(x, status, cause, retryAfter(cause))
 		return
