A coordinator whose place is contested has no majority, in fleets of one cell too

Cause: whether a place is contested was asked only in fleets with several cells. After open connections had gone silent, two VMs that both reached most others granted at the full rate, and the second one went on with the orders that it had when the first was back: 21 or 22 requests in a second at a cold engine, 19.1 allowed. A VM with outdated seeds took itself for the whole fleet.

Change: a VM that coordinates no cell has no majority; one that takes over from a VM that it can't reach, or that is contested by one that gives signs of life, has none for two rounds; one that has met none of the VMs that its seeds name has none for 60 s. A former coordinator that refuses connections or leaves costs nothing.

The tests of bbmembership, bbentry and bbgossip pass under the race detector.

--- a/bluebelld/bbmembership/cells.go
+++ b/bluebelld/bbmembership/cells.go
@@ -122,7 +122,7 @@
 			f.Log(m.Name, true, "answers")
 		}
 	})
-	if f.split.ByZone && (now-f.answeredAt > isolationTimeout || f.contested(now)) {
+	if f.split.ByZone && now-f.answeredAt > isolationTimeout || f.contested(now, f.table.Size() <= meshSize) {
 		f.contestedAt = now
 	}
 	lost := count < len(f.reached)
@@ -135,7 +135,11 @@
 	if lost {
 		f.recordLost(reachable)
 	}
-	if f.elect(now, reachable) || lost {
+	elected := f.elect(now, reachable)
+	if f.ownCellsSince == now && f.contested(now, false) {
+		f.contestedAt = now
+	}
+	if elected || lost {
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
@@ -143,11 +147,15 @@
 
 // contested reports whether a VM that this one doesn't reach, though it still counts as running here or a
 // hub reports it as running, would coordinate a cell of this VM. Two VMs that fail to reach only each other
-// both have a majority.
-func (f *Fleet) contested(now time.Duration) bool {
+// both have a majority. If afterFailure is true, only VMs count that gave a sign of life since a call to them last
+// failed: in a fleet in which all VMs call each other, the others give one in each round.
+func (f *Fleet) contested(now time.Duration, afterFailure bool) bool {
 	self := f.table.Self()
 	contested := false
 	f.table.EachUnreachable(now, func(m *bbgossip.Member) {
+		if afterFailure && !f.table.SeenSinceFailure(m.Name) {
+			return
+		}
 		hasPriority := m.Zone != self.Zone || bbgossip.HasPriority(*m, self)
 		contested = contested || (m.Ready && !m.Leaving && hasPriority && f.cells.Coordinates(self.Name, m.Zone))
 	})
@@ -277,14 +285,33 @@
 	return 1
 }
 
-// HasMajority reports whether this VM reaches more than half of the VMs. In a fleet with several
-// cells, it must also have been the uncontested coordinator of its cells for so long that no other
-// VM still acts as their coordinator.
+// contestTime is how long the place of the coordinator counts as contested in a fleet of one cell, after a VM that contests
+// it gave a sign of life, or after this VM took over from one that it can't reach: two rounds, in which a VM that still runs
+// gives the next sign.
+const contestTime = 2 * round
+
+// unmetTime is how long a VM that has met none of the others that its seeds name expects that they run. Lost members count
+// for as long.
+const unmetTime = 60 * time.Second
+
+// HasMajority reports whether this VM reaches more than half of the VMs and coordinates a cell whose place no other VM
+// contests. In a fleet with several cells, it must also have been the uncontested coordinator of its cells for so long
+// that no other VM still acts as their coordinator.
 func (f *Fleet) HasMajority() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Now()
-	if f.split.ByZone && now-max(f.ownCellsSince, f.contestedAt) < takeoverTime {
+	switch {
+	case !f.cells.CoordinatesAny(f.table.Self().Name):
+		// What it was ordered as a coordinator, it grants beside its successor.
+		return false
+	case f.split.ByZone:
+		if now-max(f.ownCellsSince, f.contestedAt) < takeoverTime {
+			return false
+		}
+	case f.contestedAt > 0 && now-f.contestedAt < contestTime:
+		return false
+	case f.answeredAt == 0 && f.table.Size() == 1 && f.hasSeeds() && now-f.seedsSince < unmetTime:
 		return false
 	}
 	return f.table.HasMajority(now)
--- a/bluebelld/bbmembership/cells_test.go
+++ b/bluebelld/bbmembership/cells_test.go
@@ -312,3 +312,75 @@
 	order.Regions = []string{"south"}
 	want("", "s1-005")
 }
+
+// Regression: in a fleet of one cell, a VM that took over from a coordinator which it had lost, but others had not, acted
+// as the only one, and went on to do so after the former one was back.
+func TestContestedCoordinatorOfAFleetOfOneCellHasNoMajority(t *testing.T) {
+	f := fleetOfThree(t)
+	want := func(now time.Duration, leader string, majority bool) {
+		t.Helper()
+		f.recordAnswer(now, testMember("c", 300, 1))
+		if got, _ := f.Leader(); got.Name != leader || f.HasMajority() != majority {
+			t.Errorf("at %v the coordinator is %s, majority %t; want %s, %t", now, got.Name, f.HasMajority(), leader, majority)
+		}
+	}
+	want(1100*time.Millisecond, "a", false)
+	f.table.RecordFailure(1200*time.Millisecond, "a")
+	want(1200*time.Millisecond, "b", false)
+	f.recordAnswer(1600*time.Millisecond, testMember("a", 100, 1))
+	want(1700*time.Millisecond, "a", false)
+	t.Run("while the other one gives signs of life", func(*testing.T) {
+		f.table.RecordFailure(1800*time.Millisecond, "a")
+		want(1800*time.Millisecond, "b", false)
+		for now := 1900 * time.Millisecond; now < 4*time.Second; now += round {
+			f.now = now
+			f.Answer(bbpeer.Exchange{
+				From: testMember("a", 100, 2),
+			})
+			f.table.RecordFailure(now+1, "a")
+			want(now+round-1, "b", false)
+		}
+	})
+	t.Run("until the other one is silent", func(t *testing.T) {
+		f := fleetOfThree(t)
+		const lost = 1800 * time.Millisecond
+		f.table.RecordFailure(lost, "a")
+		f.recordAnswer(lost, testMember("c", 300, 1))
+		for now := lost; now < lost+contestTime; now += round {
+			f.recordAnswer(now, testMember("c", 300, 1))
+			if got, _ := f.Leader(); got.Name != "b" || f.HasMajority() {
+				t.Errorf("at %v the coordinator is %s, majority %t; want b without one", now, got.Name, f.HasMajority())
+			}
+		}
+		f.recordAnswer(lost+contestTime, testMember("c", 300, 1))
+		if !f.HasMajority() {
+			t.Error("no majority after the other one has been silent for some rounds")
+		}
+	})
+	t.Run("but at once after one that refuses connections", func(t *testing.T) {
+		f := fleetOfThree(t)
+		f.table.RecordRefusal("a")
+		f.recordAnswer(1100*time.Millisecond, testMember("c", 300, 1))
+		if got, _ := f.Leader(); got.Name != "b" || !f.HasMajority() {
+			t.Errorf("the coordinator is %s, majority %t; want b with a majority", got.Name, f.HasMajority())
+		}
+	})
+}
+
+// Guards against a VM whose seeds are outdated, and that takes itself for the whole fleet.
+func TestVMThatHasMetNoOtherHasNoMajority(t *testing.T) {
+	f := newTestFleet(t, testMember("b", 200, 1))
+	want := func(now time.Duration, majority bool) {
+		t.Helper()
+		f.now = now
+		if got := f.HasMajority(); got != majority {
+			t.Errorf("majority at %v: %t, want %t", now, got, majority)
+		}
+	}
+	want(time.Second, true)
+	f.SetSeeds([]string{"peer of a"})
+	want(2*time.Second, false)
+	want(time.Second+unmetTime, true)
+	f.SetSeeds([]string{f.table.Self().Peer})
+	want(2*time.Second, true)
+}
--- a/bluebelld/bbmembership/fleet.go
+++ b/bluebelld/bbmembership/fleet.go
@@ -7,6 +7,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,10 +51,12 @@
 	joined   chan struct{}
 	joinOnce sync.Once
 
-	mu      sync.Mutex
-	table   *bbgossip.Table
-	seeds   []string
-	regions map[string]string
+	mu    sync.Mutex
+	table *bbgossip.Table
+	seeds []string
+	// seedsSince is when the seeds last changed.
+	seedsSince time.Duration
+	regions    map[string]string
 	// rounds counts the rounds of exchange.
 	rounds int
 	// busy are the addresses with an exchange in progress.
@@ -145,6 +148,9 @@
 func (f *Fleet) SetSeeds(seeds []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !slices.Equal(f.seeds, seeds) {
+		f.seedsSince = f.Now()
+	}
 	f.seeds = seeds
 }
 
--- a/core/bbgossip/table.go
+++ b/core/bbgossip/table.go
@@ -211,6 +211,12 @@
 	return e != nil && e.answeredAt > e.failedAt && now-e.answeredAt <= span
 }
 
+// SeenSinceFailure returns whether a member gave a sign of life after a call of this VM to it last failed.
+func (t *Table) SeenSinceFailure(name string) bool {
+	e := t.entries[name]
+	return e != nil && e.seenAt > e.failedAt
+}
+
 // Member returns the member with a name, and false when it is unknown.
 func (t *Table) Member(name string) (Member, bool) {
 	if e := t.entries[name]; e != nil && e.Boot != 0 {
