--- a/core/bbcatalogcheck/accounts.go
+++ b/core/bbcatalogcheck/accounts.go
@@ -9,7 +9,7 @@
 		code:     "account-name",
 		severity: SeverityError,
 		account: func(v *view, i int, say say) {
-			sayName(v.firstAccount, ListAccounts, i, v.catalog.Accounts[i].Name, say)
+			sayName(v.firstAccount, i, v.catalog.Accounts[i].Name, say)
 		},
 	},
 	{
@@ -58,7 +58,7 @@
 			continue
 		}
 		if k := v.firstKey[key]; k != i {
-			say("keys", "key %d is also a key of %s[%d] %q", n, ListAccounts, k, v.catalog.Accounts[k].Name)
+			say("keys", "key %d is also a key of entry %d, %q", n, k, v.catalog.Accounts[k].Name)
 		}
 	}
 }
--- a/core/bbcatalogcheck/check.go
+++ b/core/bbcatalogcheck/check.go
@@ -154,14 +154,14 @@
 	}
 }
 
-// sayName adds the findings about the name of entry i of a list: without one, or the same as an earlier one.
-func sayName(first map[string]int, list List, i int, name string, say say) {
+// sayName adds the findings about the name of entry i: without one, or the same as an earlier one.
+func sayName(first map[string]int, i int, name string, say say) {
 	if name == "" {
 		say("name", "the entry has no name")
 		return
 	}
 	if k := first[name]; k != i {
-		say("name", "the name is also that of %s[%d]", list, k)
+		say("name", "the name is also that of entry %d", k)
 	}
 }
 
--- a/core/bbcatalogcheck/compare.go
+++ b/core/bbcatalogcheck/compare.go
@@ -160,7 +160,7 @@
 		severity: SeverityWarning,
 		run: func(p *pair, say sayAt) {
 			if len(p.after.catalog.Accounts) > 0 {
-				sayKeys(p.before, p.after, true, "%d keys are removed, and clients that use them are answered with 401", say)
+				sayKeys(p.before, p.after, true, "keys are removed (%d), and clients that use them are answered with 401", say)
 			}
 		},
 	},
@@ -168,7 +168,7 @@
 		code:     "keys-added",
 		severity: SeverityNote,
 		run: func(p *pair, say sayAt) {
-			sayKeys(p.after, p.before, false, "%d keys are new", say)
+			sayKeys(p.after, p.before, false, "keys are new (%d)", say)
 		},
 	},
 	{
--- a/core/bbcatalogcheck/routes.go
+++ b/core/bbcatalogcheck/routes.go
@@ -12,7 +12,7 @@
 		code:     "route-name",
 		severity: SeverityError,
 		route: func(v *view, i int, say say) {
-			sayName(v.firstRoute, ListRoutes, i, v.catalog.Routes[i].Name, say)
+			sayName(v.firstRoute, i, v.catalog.Routes[i].Name, say)
 		},
 	},
 	{
@@ -111,8 +111,8 @@
 		route: func(v *view, i int, say say) {
 			r := v.catalog.Routes[i]
 			if k := v.firstAddress[addressOf(r)]; k != i {
-				say("prefix", "no request matches the route, since %s[%d] %q has the same host and prefix",
-					ListRoutes, k, v.catalog.Routes[k].Name)
+				say("prefix", "no request matches the route, since entry %d, %q, has the same host and prefix",
+					k, v.catalog.Routes[k].Name)
 			}
 		},
 	},
--- a/core/bbcatalogcheck/services.go
+++ b/core/bbcatalogcheck/services.go
@@ -12,7 +12,7 @@
 		code:     "service-name",
 		severity: SeverityError,
 		service: func(v *view, i int, say say) {
-			sayName(v.firstService, ListServices, i, v.catalog.Services[i].Name, say)
+			sayName(v.firstService, i, v.catalog.Services[i].Name, say)
 		},
 	},
 	{
