--- a/core/bbcatalogcheck/compare.go
+++ b/core/bbcatalogcheck/compare.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -361,7 +363,17 @@
 		return fmt.Sprint(*value)
 	case string:
 		return fmt.Sprintf("%q", value)
+	case float64:
+		// Without an exponent up to sizes of memory that occur.
+		if math.Abs(value) < 1e15 {
+			return strconv.FormatFloat(value, 'f', -1, 64)
+		}
+		return fmt.Sprint(value)
 	case []string:
+		// The lists that are compared have regions.
+		if len(value) == 0 {
+			return "all"
+		}
 		return listText(value)
 	case []bbcatalog.Share:
 		return eachText(value, func(s bbcatalog.Share) string { return fmt.Sprintf("%q %v", s.Service, s.Weight) })
--- a/core/bbcatalogcheck/compare_test.go
+++ b/core/bbcatalogcheck/compare_test.go
@@ -68,6 +68,8 @@
 	c.Routes[0].Objective = 1500 * time.Millisecond
 	c.Routes[0].Shares[0].Weight = 3
 	c.Services[3].Pool.Batch = 8
+	c.Services[3].Pool.ResultMemoryBytes = 18e6
+	c.Accounts[0].Regions = nil
 	c.Services[2].Engine = nil
 	c.Accounts[0].Priority, c.Accounts[0].Keys = &priority, []string{"secret"}
 	var got []string
@@ -79,7 +81,9 @@
 		`shares: "web" 9, "web-2" 1 -> "web" 3, "web-2" 1`,
 		"engine: 10 slots, 10000 tokens -> none",
 		"pool.batch: 4 -> 8",
+		"pool.resultMemoryBytes: 1000000 -> 18000000",
 		"priority: none -> 1",
+		`regions: "north" -> all`,
 		"keys are new (1)",
 		"keys are removed (2), and clients that use them are answered with 401",
 	}
