Results that VMs never place are found; a moved route is told once

Cause: VMs fill the result memory of an endpoint to 96.5%, so that a larger result waits for ever, but the check compared it with the whole memory. A route that moved had two findings with the same contents. Change: bbpool exports MemoryUtilization and the check uses it; route-changed leaves out shares that route-moved tells. Tests: one more case; the golden outputs have the new sentences. go test ./core/bbcatalogcheck ./core/bbpool ./platform ./platform/bbconfigcheck pass.

--- a/core/bbcatalogcheck/check_test.go
+++ b/core/bbcatalogcheck/check_test.go
@@ -106,6 +106,8 @@
 		{"stage service", func(c *bbcatalog.Catalog) { c.Routes[1].Stages[1].Service = "web" }, []string{"error stage-service " + chat, `warning service-unused services[4] "rank"`}},
 		{"stage of itself", func(c *bbcatalog.Catalog) { c.Routes[1].Stages[0].After = []int{0} }, []string{"error stage-order " + chat}},
 		{"large result", func(c *bbcatalog.Catalog) { c.Routes[1].Stages[0].ResultBytes = 2e6 }, []string{"error stage-result " + chat}},
+		// VMs fill memory to 96.5%: a larger result would wait for ever.
+		{"result as large as the memory", func(c *bbcatalog.Catalog) { c.Routes[1].Stages[0].ResultBytes = 1e6 }, []string{"error stage-result " + chat}},
 		{"large results", func(c *bbcatalog.Catalog) { c.Routes[1].Stages[0].ResultBytes = 3e5 }, []string{"warning stage-batch " + chat}},
 		{"inputs gone", func(c *bbcatalog.Catalog) { c.Services[3].Pool.ResultTTL = 240 * time.Millisecond }, []string{"warning stage-lifetime " + chat, "warning pool-lifetime " + embed}},
 		{"path above objective", func(c *bbcatalog.Catalog) { c.Services[3].Pool.CallTime = 1701 * time.Millisecond }, []string{"warning stages-above-objective " + chat}},
--- a/core/bbcatalogcheck/compare.go
+++ b/core/bbcatalogcheck/compare.go
@@ -86,8 +86,8 @@
 		code:     "route-moved",
 		severity: SeverityNote,
 		run: routePairs(func(_ *pair, place Place, o, n *bbcatalog.Route, say sayAt) {
-			if from, to := destinations(o), destinations(n); !slices.Equal(from, to) {
-				say(place, false, "shares", "requests move to other services: %s -> %s", listText(from), listText(to))
+			if isMoved(o, n) {
+				say(place, false, "shares", "requests move to other services: %s -> %s", fieldText(o.Shares), fieldText(n.Shares))
 			}
 		}),
 	},
@@ -104,7 +104,11 @@
 		code:     "route-changed",
 		severity: SeverityNote,
 		run: routePairs(func(_ *pair, place Place, o, n *bbcatalog.Route, say sayAt) {
-			sayDifferences(place, *o, *n, []string{"host", "prefix"}, say)
+			except := []string{"host", "prefix"}
+			if isMoved(o, n) {
+				except = append(except, "shares")
+			}
+			sayDifferences(place, *o, *n, except, say)
 		}),
 	},
 	{
@@ -303,6 +307,11 @@
 	return names
 }
 
+// isMoved reports whether requests of a route go to other services than before.
+func isMoved(o, n *bbcatalog.Route) bool {
+	return !slices.Equal(destinations(o), destinations(n))
+}
+
 // destinations returns the services that get requests of a route, sorted.
 func destinations(r *bbcatalog.Route) []string {
 	var names []string
--- a/core/bbcatalogcheck/compare_test.go
+++ b/core/bbcatalogcheck/compare_test.go
@@ -32,7 +32,7 @@
 		{"route renamed", func(c *bbcatalog.Catalog) { c.Routes[0].Name = "new" }, []string{`note route-added routes[0] "new"`, `note route-renamed routes[0] "plain" in force`}},
 		{"routes in another order", func(c *bbcatalog.Catalog) { c.Routes[0], c.Routes[1] = c.Routes[1], c.Routes[0] }, nil},
 		{"prefix", func(c *bbcatalog.Catalog) { c.Routes[0].Prefix = "/q/" }, []string{`warning route-address routes[0] "plain"`}},
-		{"moved", func(c *bbcatalog.Catalog) { c.Routes[1].Shares[0].Service = "web" }, []string{`note route-moved routes[1] "chat"`, `note route-changed routes[1] "chat"`}},
+		{"moved", func(c *bbcatalog.Catalog) { c.Routes[1].Shares[0].Service = "web" }, []string{`note route-moved routes[1] "chat"`}},
 		{"service removed", func(c *bbcatalog.Catalog) { c.Services = c.Services[:4] }, []string{`note service-removed services[4] "rank" in force`}},
 		{"service added", func(c *bbcatalog.Catalog) { c.Services = append(c.Services, bbcatalog.Service{Name: "new"}) }, []string{`note service-added services[5] "new"`}},
 		{"batch", func(c *bbcatalog.Catalog) { c.Services[3].Pool.Batch = 8 }, []string{`note service-changed services[3] "embed"`}},
--- a/core/bbcatalogcheck/stages.go
+++ b/core/bbcatalogcheck/stages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbpool"
 )
 
 var stageChecks = []check{
@@ -42,9 +43,9 @@
 			switch {
 			case s.ResultBytes < 0 || !isFinite(s.ResultBytes):
 				say("stages", "the result size of stage %d is %v, not at least 0", n, s.ResultBytes)
-			case p != nil && p.ResultMemoryBytes > 0 && s.ResultBytes > p.ResultMemoryBytes:
-				say("stages", "a result of stage %d has %.0f bytes, but an endpoint of %q has memory for %.0f",
-					n, s.ResultBytes, s.Service, p.ResultMemoryBytes)
+			case p != nil && p.ResultMemoryBytes > 0 && s.ResultBytes > usableMemory(p):
+				say("stages", "a result of stage %d has %.0f bytes, but an endpoint of %q is filled with %.0f at most",
+					n, s.ResultBytes, s.Service, usableMemory(p))
 			}
 		}),
 	},
@@ -53,12 +54,12 @@
 		severity: SeverityWarning,
 		route: stages(func(v *view, _ *bbcatalog.Route, n int, s bbcatalog.Stage, say say) {
 			p := v.pool(s.Service)
-			if p == nil || p.Batch < 2 || s.ResultBytes > p.ResultMemoryBytes {
+			if p == nil || p.Batch < 2 || s.ResultBytes > usableMemory(p) {
 				return
 			}
-			if need := float64(p.Batch) * s.ResultBytes; need > p.ResultMemoryBytes {
-				say("stages", "the results of a call of %d pieces of stage %d have %.0f bytes, but an endpoint of %q has memory for %.0f",
-					p.Batch, n, need, s.Service, p.ResultMemoryBytes)
+			if need := float64(p.Batch) * s.ResultBytes; need > usableMemory(p) {
+				say("stages", "the results of a call of %d pieces of stage %d have %.0f bytes, but an endpoint of %q is filled with %.0f at most",
+					p.Batch, n, need, s.Service, usableMemory(p))
 			}
 		}),
 	},
@@ -122,6 +123,11 @@
 	return nil
 }
 
+// usableMemory returns the size of results to which VMs fill an endpoint, in bytes.
+func usableMemory(p *bbcatalog.Pool) float64 {
+	return bbpool.MemoryUtilization * p.ResultMemoryBytes
+}
+
 // shortestCall returns the time of a call of one piece; 0 if the service has no capacity for stages.
 func shortestCall(p *bbcatalog.Pool) time.Duration {
 	if p == nil {
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -46,9 +46,9 @@
 	// inputFetchTime is how long after its expected start on the endpoint a call should have fetched
 	// its inputs: the network delay of the call and of the inputs, whose transfer takes some milliseconds.
 	inputFetchTime = 120 * time.Millisecond
-	// memoryUtilization is the fraction of an endpoint's result memory that is filled, since result
+	// MemoryUtilization is the fraction of an endpoint's result memory that is filled, since result
 	// sizes are approximate.
-	memoryUtilization = 0.965
+	MemoryUtilization = 0.965
 	// A call is overdue after overdueFactor times its expected duration and overdueSlack. Its pieces
 	// are then sent to another endpoint as well.
 	overdueFactor = 1.7
@@ -245,7 +245,7 @@
 
 // freeMemory returns the memory that a worker has left for results, in bytes.
 func (p *Pool) freeMemory(w *worker) float64 {
-	return memoryUtilization*p.Spec.ResultMemoryBytes - w.used
+	return MemoryUtilization*p.Spec.ResultMemoryBytes - w.used
 }
 
 // ExpectedBatchSize returns the expected number of pieces in a call that contains a group of n.
