Callers that come back don't wait in the coordinator

Late requests that had started were starved behind those on time. Change: a request of a caller that comes back starts as before; a late request that starts gets an objective that it can meet, within the bounded backlog.

--- a/core/bbcoordinator/waiting.go
+++ b/core/bbcoordinator/waiting.go
@@ -17,12 +17,12 @@
 	// any more. It keeps calls full when there is room, and is too short to delay requests that can be on time.
 	lateStartWait = 30 * time.Millisecond
 	// lateBacklog bounds the requests in progress that can't be on time any more, by the pieces that they need of a
-	// service: as many as its endpoints compute in this time. They fill the places in calls that other requests
-	// leave, and their results take memory that others need.
+	// service: as many as its endpoints compute in this time. Since a request takes about a second, they get about a
+	// fifth of the endpoints' time while others press, and their results don't take the memory that others need.
 	lateBacklog = 200 * time.Millisecond
 	// lateRescue is the time after which a late request in progress goes before those that can be on time, so that
 	// its results are used before they expire.
-	lateRescue = 2 * time.Second
+	lateRescue = 700 * time.Millisecond
 	// lateGrace is the time that it gets then, beyond what its stages take, before it counts as late again.
 	lateGrace = 300 * time.Millisecond
 	// waitingThroughput is the fraction of the endpoints' throughput that requests in the room are assumed to get:
@@ -39,7 +39,8 @@
 // late by more than its slack if it started now. While others wait, an account that got more than the average lately has
 // less slack: what is scarce goes to those that got less.
 func (c *Coordinator) mustWait(now time.Duration, j *bbprogress.Job, expected time.Duration) bool {
-	if !c.lateMayWait() || len(j.Order.Results) > 0 || !hasStages(j) {
+	if !c.lateMayWait() || j.Returning || len(j.Order.Results) > 0 || !hasStages(j) {
+		// A caller that was told when to come back has waited already.
 		return false
 	}
 	slack := admissionSlack
@@ -70,7 +71,7 @@
 			continue
 		}
 		wait := c.waitInRoom(now, s.Service, last)
-		if !j.Returning && now+wait > last {
+		if now+wait > last {
 			return max(minRetryAfter, min(now+wait-last, (j.Limit-now)/4)), "noCapacity"
 		}
 	}
@@ -151,6 +152,7 @@
 			Job:    q.ID,
 			Value:  now - j.Arrived,
 		})
+		c.renew(now, j)
 		c.schedule(j)
 	}
 }
@@ -172,6 +174,12 @@
 	return j.QueueingDelay+queued <= lateStartWait
 }
 
+// renew gives a late request that starts, or has been late for long, an objective that it can meet, so that it competes
+// with the requests that have just arrived. Otherwise it would be starved half-way, and its results would expire.
+func (c *Coordinator) renew(now time.Duration, j *bbprogress.Job) {
+	j.Due = max(j.Due, now+j.RemainingToFirstToken()+lateGrace)
+}
+
 // fitsLate reports whether a request that can't be on time may start although the queues of its stages aren't empty.
 // Late are the pieces that such requests in progress need.
 func (c *Coordinator) fitsLate(now time.Duration, q bbdispatch.Request, late map[string]int) bool {
@@ -220,9 +228,9 @@
 		case known && l.job == j && now-l.since < lateRescue:
 		case known && l.job == j:
 			c.requeue(j)
-			j.Due = now + j.RemainingToFirstToken() + lateGrace
+			c.renew(now, j)
 			c.schedule(j)
-		case len(j.Order.Results) > 0 || j.Begun() || c.room.Full(j.Order.Account):
+		case j.Returning || len(j.Order.Results) > 0 || j.Begun() || c.room.Full(j.Order.Account):
 			c.late[id] = lateJob{
 				job:   j,
 				since: now,
