Late callers are told to come back when the load may have fallen

Cause: a request that was refused because it was late was told to come back after the estimated wait, mostly 0.15 to 0.5 s. It came back into the same burst, was late by more, and was refused for good. Ruled out: holding such requests in the coordinator (core/bbdispatch). The setting waiting is off by default. Change: the Retry-After of these refusals is a fifth to a third of the time left, spread by content.

--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -136,6 +136,12 @@
 	malformedRetryAfter = 5 * time.Second
 	// minRetryAfter keeps refused callers from retrying before anything has changed.
 	minRetryAfter = 150 * time.Millisecond
+	// minReturnShare and maxReturnShare bound the part of the time left after which late callers should retry: callers
+	// wait at most a third of it, and what remains must be enough to be served.
+	minReturnShare = 0.2
+	maxReturnShare = 0.33
+	// returnSpreadSteps is the resolution of the spread of callers.
+	returnSpreadSteps = 1000
 	// interRegionLead is a round trip between regions plus some processing at both ends.
 	interRegionLead = 15 * time.Millisecond
 	// evictionInterval is how often expired entries are removed from the engine tables and the share of
@@ -358,11 +364,19 @@
 	}
 	slack := time.Duration(admissionSlack * float64(j.Objective))
 	if expected > j.Due+slack && !j.Returning && len(j.Order.Results) == 0 {
-		return max(minRetryAfter, expected-j.Due), "late"
+		return max(minRetryAfter, expected-j.Due, returnDelay(j, j.Limit-j.Arrived)), "late"
 	}
 	return 0, ""
 }
 
+// returnDelay returns when the caller of a request that is late anyway should retry, given the time left until its
+// deadline. A late answer is worth the same whenever it comes, so that the request had better come back when the load
+// has fallen; until then it takes nothing here. Callers are spread, so that they don't come back all at once.
+func returnDelay(j *bbprogress.Job, left time.Duration) time.Duration {
+	spread := float64(j.Content%returnSpreadSteps) / returnSpreadSteps
+	return time.Duration((minReturnShare + spread*(maxReturnShare-minReturnShare)) * float64(max(0, left)))
+}
+
 // Cancel removes a request whose caller has disconnected or whose origin is lost.
 func (c *Coordinator) Cancel(now time.Duration, id string) bbdecision.Output {
 	if j := c.jobs[id]; j != nil {
@@ -481,7 +495,7 @@
 		return "", 0
 	}
 	if wait := c.lateWait(now, j); wait > maxLateWait {
-		return "backlog", wait
+		return "backlog", max(wait, returnDelay(j, j.Limit-now))
 	}
 	return "", 0
 }
--- a/core/bbfeature/feature.go
+++ b/core/bbfeature/feature.go
@@ -48,7 +48,7 @@
 // Default returns the settings that hold without a file.
 func Default() Settings {
 	return Settings{
-		Waiting:       ModeAuto,
+		Waiting:       ModeOff,
 		EndpointSpeed: ModeAuto,
 		ExtraSends: ExtraSends{
 			Mode:  ModeAuto,
