The comparison of configurations has a package of its own

Both tests share configurations in bbfindingtest. No change of behaviour.

FuzzCheck is split into FuzzCheck and FuzzCompare with the same seeds; the bound of 3*(MaxFindings+1) findings of both together is now one of each: MaxFindings+1 and twice that.

--- a/core/bbcatalogcheck/accounts.go
+++ b/core/bbcatalogcheck/accounts.go
@@ -2,44 +2,46 @@
 
 import (
 	"slices"
+
+	"bluebellhall/core/bbfinding"
 )
 
 var accountChecks = []check{
 	{
 		code:     "account-name",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		account: func(v *view, i int, say say) {
-			sayName(v.firstAccount, i, v.catalog.Accounts[i].Name, say)
+			sayName(v.FirstAccount, i, v.Catalog.Accounts[i].Name, say)
 		},
 	},
 	{
 		code:     "account-key",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		account:  checkKeys,
 	},
 	{
 		code:     "account-priority",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		account: func(v *view, i int, say say) {
-			if a := v.catalog.Accounts[i]; a.Priority != nil && *a.Priority < 0 {
+			if a := v.Catalog.Accounts[i]; a.Priority != nil && *a.Priority < 0 {
 				say("priority", "the priority class is %d, but 0 is the most urgent", *a.Priority)
 			}
 		},
 	},
 	{
 		code:     "account-no-keys",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		account: func(v *view, i int, say say) {
-			if len(v.catalog.Accounts[i].Keys) == 0 {
+			if len(v.Catalog.Accounts[i].Keys) == 0 {
 				say("keys", "the account has no key, so no request is its own")
 			}
 		},
 	},
 	{
 		code:     "account-key-repeated",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		account: func(v *view, i int, say say) {
-			keys := v.catalog.Accounts[i].Keys
+			keys := v.Catalog.Accounts[i].Keys
 			for n, key := range keys {
 				if k := slices.Index(keys, key); k < n {
 					say("keys", "key %d is the same as key %d", n, k)
@@ -52,13 +54,13 @@
 // checkKeys tells of keys that don't identify one account. Messages have the number of a key instead of the key, which
 // is secret.
 func checkKeys(v *view, i int, say say) {
-	for n, key := range v.catalog.Accounts[i].Keys {
+	for n, key := range v.Catalog.Accounts[i].Keys {
 		if key == "" {
 			say("keys", "key %d is empty", n)
 			continue
 		}
-		if k := v.firstKey[key]; k != i {
-			say("keys", "key %d is also a key of entry %d, %q", n, k, v.catalog.Accounts[k].Name)
+		if k := v.FirstKey[key]; k != i {
+			say("keys", "key %d is also a key of entry %d, %q", n, k, v.Catalog.Accounts[k].Name)
 		}
 	}
 }
--- a/core/bbcatalogcheck/check.go
+++ b/core/bbcatalogcheck/check.go
@@ -1,3 +1,4 @@
+// Package bbcatalogcheck finds faults of a configuration before it is published.
 package bbcatalogcheck
 
 import (
@@ -6,6 +7,7 @@
 	"slices"
 
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbfinding"
 )
 
 // say adds a finding of the check that runs. The field is empty for an entry as a whole.
@@ -14,7 +16,7 @@
 // check is one check; exactly one of its functions is set.
 type check struct {
 	code     string
-	severity Severity
+	severity bbfinding.Severity
 	route    func(v *view, i int, say say)
 	service  func(v *view, i int, say say)
 	account  func(v *view, i int, say say)
@@ -28,18 +30,18 @@
 var catalogChecks = []check{
 	{
 		code:     "no-routes",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		catalog: func(v *view, say say) {
-			if len(v.catalog.Routes) == 0 {
+			if len(v.Catalog.Routes) == 0 {
 				say("routes", "there are no routes, so every request is refused")
 			}
 		},
 	},
 	{
 		code:     "version-zero",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		catalog: func(v *view, say say) {
-			if v.catalog.Version == 0 {
+			if v.Catalog.Version == 0 {
 				say("version", "the version is 0, which is never higher than that in force")
 			}
 		},
@@ -48,41 +50,19 @@
 
 // view is a catalog with the lookups that the checks need.
 type view struct {
-	catalog  bbcatalog.Catalog
+	*bbfinding.Lookup
 	services map[string]*bbcatalog.Service
-	// The first entry of each name, key, and pair of host and prefix.
-	firstRoute, firstService, firstAccount, firstKey map[string]int
-	firstAddress                                     map[address]int
 	// used has the services that a route names.
 	used map[string]bool
 }
 
-// address is what selects a route.
-type address struct {
-	host, prefix string
-}
-
-func addressOf(r bbcatalog.Route) address {
-	return address{
-		host:   r.Host,
-		prefix: r.Prefix,
-	}
-}
-
 func newView(c bbcatalog.Catalog) *view {
 	v := &view{
-		catalog:      c,
-		services:     make(map[string]*bbcatalog.Service),
-		firstRoute:   make(map[string]int),
-		firstService: make(map[string]int),
-		firstAccount: make(map[string]int),
-		firstKey:     make(map[string]int),
-		firstAddress: make(map[address]int),
-		used:         make(map[string]bool),
+		Lookup:   bbfinding.NewLookup(c),
+		services: make(map[string]*bbcatalog.Service),
+		used:     make(map[string]bool),
 	}
-	for i, r := range c.Routes {
-		setFirst(v.firstRoute, r.Name, i)
-		setFirst(v.firstAddress, addressOf(r), i)
+	for _, r := range c.Routes {
 		for _, s := range r.Shares {
 			v.used[s.Service] = true
 		}
@@ -92,33 +72,20 @@
 	}
 	for i := range c.Services {
 		s := &c.Services[i]
-		setFirst(v.firstService, s.Name, i)
 		v.services[s.Name] = s
 	}
-	for i, a := range c.Accounts {
-		setFirst(v.firstAccount, a.Name, i)
-		for _, key := range a.Keys {
-			setFirst(v.firstKey, key, i)
-		}
-	}
 	return v
 }
 
-func setFirst[K comparable](first map[K]int, key K, i int) {
-	if _, ok := first[key]; !ok {
-		first[key] = i
-	}
-}
-
 // Check returns the findings about one catalog, ordered by place. They are the same for equal catalogs and at most
-// MaxFindings and one.
-func Check(c bbcatalog.Catalog) []Finding {
+// bbfinding.MaxFindings and one.
+func Check(c bbcatalog.Catalog) []bbfinding.Finding {
 	v := newView(c)
-	var findings []Finding
+	var findings []bbfinding.Finding
 	for _, k := range checks {
-		sayAt := func(p Place) say {
+		sayAt := func(p bbfinding.Place) say {
 			return func(field, format string, args ...any) {
-				findings = append(findings, Finding{
+				findings = append(findings, bbfinding.Finding{
 					Severity: k.severity,
 					Code:     k.code,
 					Place:    p,
@@ -129,28 +96,28 @@
 		}
 		k.run(v, sayAt)
 	}
-	return sortFindings(findings)
+	return bbfinding.Sort(findings)
 }
 
 // run applies the check to everything that it is about.
-func (k check) run(v *view, sayAt func(Place) say) {
+func (k check) run(v *view, sayAt func(bbfinding.Place) say) {
 	switch {
 	case k.route != nil:
-		for i, r := range v.catalog.Routes {
-			k.route(v, i, sayAt(entry(ListRoutes, i, r.Name)))
+		for i, r := range v.Catalog.Routes {
+			k.route(v, i, sayAt(bbfinding.Entry(bbfinding.ListRoutes, i, r.Name)))
 		}
 	case k.service != nil:
-		for i, s := range v.catalog.Services {
-			k.service(v, i, sayAt(entry(ListServices, i, s.Name)))
+		for i, s := range v.Catalog.Services {
+			k.service(v, i, sayAt(bbfinding.Entry(bbfinding.ListServices, i, s.Name)))
 		}
 	case k.account != nil:
-		for i, a := range v.catalog.Accounts {
-			k.account(v, i, sayAt(entry(ListAccounts, i, a.Name)))
+		for i, a := range v.Catalog.Accounts {
+			k.account(v, i, sayAt(bbfinding.Entry(bbfinding.ListAccounts, i, a.Name)))
 		}
 	case k.limits != nil:
-		k.limits(v, sayAt(Place{List: ListLimits}))
+		k.limits(v, sayAt(bbfinding.Place{List: bbfinding.ListLimits}))
 	case k.catalog != nil:
-		k.catalog(v, sayAt(Place{}))
+		k.catalog(v, sayAt(bbfinding.Place{}))
 	}
 }
 
--- a/core/bbcatalogcheck/check_test.go
+++ b/core/bbcatalogcheck/check_test.go
@@ -1,73 +1,20 @@
 package bbcatalogcheck
 
 import (
-	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbfinding"
+	"bluebellhall/core/bbfindingtest"
 )
 
-// testCatalog returns a configuration without findings: a plain route, a stream with two stages, an engine.
-func testCatalog() bbcatalog.Catalog {
-	pool := func(name string) bbcatalog.Service {
-		return bbcatalog.Service{Name: name, ColdRate: 5, Pool: &bbcatalog.Pool{
-			Slots: 1, Queue: 2, Batch: 4, CallTime: 200 * time.Millisecond, PieceTime: 50 * time.Millisecond,
-			ResultMemoryBytes: 1e6, ResultTTL: 4 * time.Second,
-		}}
-	}
-	return bbcatalog.Catalog{
-		Version: 7,
-		Routes: []bbcatalog.Route{
-			{
-				Name: "plain", Host: "h", Prefix: "/p/", Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2,
-				Shares: []bbcatalog.Share{{Service: "web", Weight: 9}, {Service: "web-2", Weight: 1}},
-			},
-			{
-				Name: "chat", Host: "h", Prefix: "/c/", Kind: bbcatalog.KindStream, Timeout: 6 * time.Second,
-				Objective: 2 * time.Second, Pause: 100 * time.Millisecond, MaxAttempts: 2, Resumable: true, Engine: true,
-				Shares:  []bbcatalog.Share{{Service: "engine", Weight: 1}},
-				Stages:  []bbcatalog.Stage{{Service: "embed", ResultBytes: 1000}, {Service: "rank", After: []int{0}, ResultBytes: 10}},
-				Regions: []string{"north", "south"},
-			},
-		},
-		Services: []bbcatalog.Service{
-			{Name: "web", ColdRate: 5, HealthPath: "/health"}, {Name: "web-2", ColdRate: 5},
-			{Name: "engine", ColdRate: 5, Engine: &bbcatalog.Engine{Slots: 10, Tokens: 10000}},
-			pool("embed"), pool("rank"),
-		},
-		Accounts: []bbcatalog.Account{
-			{Name: "acme", Keys: []string{"k1", "k2"}, Regions: []string{"north"}}, {Name: "bolt", Keys: []string{"k3"}},
-		},
-		Limits: bbcatalog.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTime: time.Second, IdleTime: 5 * time.Second},
-	}
-}
-
-// lines returns findings without their texts.
-func lines(findings []Finding) []string {
-	var all []string
-	for _, f := range findings {
-		line := fmt.Sprintf("%s %s %s", f.Severity, f.Code, f.Place)
-		if f.InForce {
-			line += " in force"
-		}
-		all = append(all, line)
-	}
-	return all
-}
-
-func wantLines(t *testing.T, got []Finding, want ...string) {
-	t.Helper()
-	if diff := cmp.Diff(want, lines(got)); diff != "" {
-		t.Errorf("findings (-want +got):\n%s\nall: %+v", diff, got)
-	}
-}
-
 // Each fault gives its own findings and no others.
 func TestCheck(t *testing.T) {
-	wantLines(t, Check(testCatalog()))
+	bbfindingtest.WantLines(t, Check(bbfindingtest.Catalog()))
 	seven := -7
 	plain, chat, web, engine, embed := `routes[0] "plain"`, `routes[1] "chat"`, `services[0] "web"`, `services[2] "engine"`, `services[3] "embed"`
 	cases := []struct {
@@ -140,10 +87,10 @@
 	seen := make(map[string]bool)
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			c := testCatalog()
+			c := bbfindingtest.Catalog()
 			tc.fault(&c)
 			got := Check(c)
-			wantLines(t, got, tc.want...)
+			bbfindingtest.WantLines(t, got, tc.want...)
 			for _, f := range got {
 				seen[f.Code] = true
 			}
@@ -155,3 +102,29 @@
 		}
 	}
 }
+
+// A configuration with very many faults doesn't fill the operator's terminal.
+func TestFindingsAreBounded(t *testing.T) {
+	got := Check(bbcatalog.Catalog{Version: 1, Routes: make([]bbcatalog.Route, 5000)})
+	if len(got) != bbfinding.MaxFindings+1 {
+		t.Fatalf("%d findings, want %d", len(got), bbfinding.MaxFindings+1)
+	}
+	if last := got[bbfinding.MaxFindings]; last.Code != bbfinding.CodeMore || last.Severity != bbfinding.SeverityError || !strings.Contains(last.Text, "more findings") {
+		t.Errorf("the last finding is %+v, want the number of the others", last)
+	}
+}
+
+// Checks must not panic, and their findings must be the same each time, whatever figures a configuration has.
+func FuzzCheck(f *testing.F) {
+	bbfindingtest.SeedFigures(f)
+	f.Fuzz(func(t *testing.T, a, b string, n int, x float64, span int64) {
+		c := bbfindingtest.FiguresCatalog(a, b, n, x, span)
+		first := Check(c)
+		if diff := cmp.Diff(first, Check(c)); diff != "" {
+			t.Errorf("findings differ between two checks:\n%s", diff)
+		}
+		if len(first) > bbfinding.MaxFindings+1 {
+			t.Errorf("%d findings", len(first))
+		}
+	})
+}
--- a/core/bbcatalogcheck/limits.go
+++ b/core/bbcatalogcheck/limits.go
@@ -1,5 +1,9 @@
 package bbcatalogcheck
 
+import (
+	"bluebellhall/core/bbfinding"
+)
+
 // A prompt's request has its ID, model, key, token counts, and the parts of the prompt with a hash each: about 2 KB
 // with ten parts.
 const promptHeaderBytes = 2000
@@ -10,9 +14,9 @@
 var limitChecks = []check{
 	{
 		code:     "limit-negative",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		limits: func(v *view, say say) {
-			l := v.catalog.Limits
+			l := v.Catalog.Limits
 			if l.HeaderBytes < 0 {
 				say("headerBytes", "the limit of headers is %d bytes, not at least 0", l.HeaderBytes)
 			}
@@ -26,9 +30,9 @@
 	},
 	{
 		code:     "limit-none",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		limits: func(v *view, say say) {
-			l := v.catalog.Limits
+			l := v.Catalog.Limits
 			if l.HeaderBytes == 0 {
 				say("headerBytes", "the limit of headers is 0, so their size isn't limited")
 			}
@@ -39,9 +43,9 @@
 	},
 	{
 		code:     "limit-no-time",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		limits: func(v *view, say say) {
-			l := v.catalog.Limits
+			l := v.Catalog.Limits
 			if l.HeaderTime == 0 {
 				say("headerTime", "the time for headers is 0, so it isn't limited")
 			}
@@ -52,14 +56,14 @@
 	},
 	{
 		code:     "limit-prompt",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		limits:   checkPromptLimits,
 	},
 	{
 		code:     "idle-below-header",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		limits: func(v *view, say say) {
-			if l := v.catalog.Limits; l.IdleTime > 0 && l.IdleTime < l.HeaderTime {
+			if l := v.Catalog.Limits; l.IdleTime > 0 && l.IdleTime < l.HeaderTime {
 				say("idleTime", "the time of idle connections of %v is below the %v for headers", l.IdleTime, l.HeaderTime)
 			}
 		},
@@ -68,10 +72,10 @@
 
 // checkPromptLimits tells of limits below what a prompt needs that takes one slot's part of an engine's memory.
 func checkPromptLimits(v *view, say say) {
-	l := v.catalog.Limits
+	l := v.Catalog.Limits
 	prompt := 0.0
 	engines := false
-	for _, s := range v.catalog.Services {
+	for _, s := range v.Catalog.Services {
 		if e := s.Engine; e != nil && e.Slots > 0 && isFinite(e.Tokens) {
 			engines = true
 			prompt = max(prompt, bytesPerToken*e.Tokens/float64(e.Slots))
--- a/core/bbcatalogcheck/services.go
+++ b/core/bbcatalogcheck/services.go
@@ -5,39 +5,40 @@
 	"time"
 
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbfinding"
 )
 
 var serviceChecks = []check{
 	{
 		code:     "service-name",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		service: func(v *view, i int, say say) {
-			sayName(v.firstService, i, v.catalog.Services[i].Name, say)
+			sayName(v.FirstService, i, v.Catalog.Services[i].Name, say)
 		},
 	},
 	{
 		code:     "service-connections",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		service: func(v *view, i int, say say) {
-			if s := v.catalog.Services[i]; s.MaxConnections < 0 {
+			if s := v.Catalog.Services[i]; s.MaxConnections < 0 {
 				say("maxConnections", "%d connections are allowed, not at least 0", s.MaxConnections)
 			}
 		},
 	},
 	{
 		code:     "cold-rate",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		service: func(v *view, i int, say say) {
-			if s := v.catalog.Services[i]; s.ColdRate < 0 || !isFinite(s.ColdRate) {
+			if s := v.Catalog.Services[i]; s.ColdRate < 0 || !isFinite(s.ColdRate) {
 				say("coldRate", "the cold rate is %v, not at least 0", s.ColdRate)
 			}
 		},
 	},
 	{
 		code:     "engine-capacity",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		service: func(v *view, i int, say say) {
-			e := v.catalog.Services[i].Engine
+			e := v.Catalog.Services[i].Engine
 			if e == nil {
 				return
 			}
@@ -51,7 +52,7 @@
 	},
 	{
 		code:     "pool-capacity",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		service: pools(func(p *bbcatalog.Pool, say say) {
 			if p.Slots <= 0 {
 				say("pool.slots", "an endpoint has %d slots for calls, not above 0", p.Slots)
@@ -66,7 +67,7 @@
 	},
 	{
 		code:     "pool-times",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		service: pools(func(p *bbcatalog.Pool, say say) {
 			if p.CallTime <= 0 {
 				say("pool.callTime", "the time of a call is %v, not above 0", p.CallTime)
@@ -81,7 +82,7 @@
 	},
 	{
 		code:     "pool-memory",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		service: pools(func(p *bbcatalog.Pool, say say) {
 			if !(p.ResultMemoryBytes > 0) || !isFinite(p.ResultMemoryBytes) {
 				say("pool.resultMemoryBytes", "an endpoint has memory for %v bytes of results, not above 0", p.ResultMemoryBytes)
@@ -90,7 +91,7 @@
 	},
 	{
 		code:     "pool-lifetime",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		service: pools(func(p *bbcatalog.Pool, say say) {
 			longest := longestCall(p)
 			if p.ResultTTL > 0 && p.ResultTTL < longest {
@@ -100,28 +101,28 @@
 	},
 	{
 		code:     "service-unused",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		service: func(v *view, i int, say say) {
-			if s := v.catalog.Services[i]; s.Name != "" && !v.used[s.Name] {
+			if s := v.Catalog.Services[i]; s.Name != "" && !v.used[s.Name] {
 				say("", "no route uses the service")
 			}
 		},
 	},
 	{
 		code:     "service-health-path",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		service: func(v *view, i int, say say) {
-			if s := v.catalog.Services[i]; s.HealthPath != "" && !strings.HasPrefix(s.HealthPath, "/") {
+			if s := v.Catalog.Services[i]; s.HealthPath != "" && !strings.HasPrefix(s.HealthPath, "/") {
 				say("healthPath", "the path of the health check is %q, which doesn't begin with a slash", s.HealthPath)
 			}
 		},
 	},
 	{
 		code:     "cold-unlimited",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		service: func(v *view, i int, say say) {
 			// Whether endpoints have a cold time is in their own entries, not in the configuration.
-			if s := v.catalog.Services[i]; s.ColdRate == 0 {
+			if s := v.Catalog.Services[i]; s.ColdRate == 0 {
 				say("coldRate", "the cold rate is 0, so endpoints that report a cold time take requests without a limit meanwhile")
 			}
 		},
@@ -131,7 +132,7 @@
 // pools returns a check of a service's capacity for stages.
 func pools(check func(p *bbcatalog.Pool, say say)) func(*view, int, say) {
 	return func(v *view, i int, say say) {
-		if p := v.catalog.Services[i].Pool; p != nil {
+		if p := v.Catalog.Services[i].Pool; p != nil {
 			check(p, say)
 		}
 	}
--- a/core/bbcatalogcheck/stages.go
+++ b/core/bbcatalogcheck/stages.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbfinding"
 	"bluebellhall/core/bbpool"
 )
 
 var stageChecks = []check{
 	{
 		code:     "stage-service",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		route: stages(func(v *view, _ *bbcatalog.Route, n int, s bbcatalog.Stage, say say) {
 			switch service := v.services[s.Service]; {
 			case s.Service == "":
@@ -26,7 +27,7 @@
 	},
 	{
 		code:     "stage-order",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		route: stages(func(_ *view, _ *bbcatalog.Route, n int, s bbcatalog.Stage, say say) {
 			for _, k := range s.After {
 				if k < 0 || k >= n {
@@ -37,7 +38,7 @@
 	},
 	{
 		code:     "stage-result",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		route: stages(func(v *view, _ *bbcatalog.Route, n int, s bbcatalog.Stage, say say) {
 			p := v.pool(s.Service)
 			switch {
@@ -51,7 +52,7 @@
 	},
 	{
 		code:     "stage-batch",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		route: stages(func(v *view, _ *bbcatalog.Route, n int, s bbcatalog.Stage, say say) {
 			p := v.pool(s.Service)
 			if p == nil || p.Batch < 2 || s.ResultBytes > usableMemory(p) {
@@ -65,14 +66,14 @@
 	},
 	{
 		code:     "stage-lifetime",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		route:    stages(checkLifetime),
 	},
 	{
 		code:     "stages-above-timeout",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		route: func(v *view, i int, say say) {
-			r := &v.catalog.Routes[i]
+			r := &v.Catalog.Routes[i]
 			if least := v.criticalPath(r); r.Timeout > 0 && least > r.Timeout {
 				say("timeout", "the stages take at least %v one after the other, longer than the timeout of %v", least, r.Timeout)
 			}
@@ -80,9 +81,9 @@
 	},
 	{
 		code:     "stages-above-objective",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		route: func(v *view, i int, say say) {
-			r := &v.catalog.Routes[i]
+			r := &v.Catalog.Routes[i]
 			if least := v.criticalPath(r); r.Objective > 0 && least > r.Objective {
 				say("objective", "the stages take at least %v one after the other, longer than the objective of %v",
 					least, r.Objective)
@@ -94,7 +95,7 @@
 // stages returns a check of a route that runs another one for each stage.
 func stages(check func(v *view, r *bbcatalog.Route, n int, s bbcatalog.Stage, say say)) func(*view, int, say) {
 	return func(v *view, i int, say say) {
-		r := &v.catalog.Routes[i]
+		r := &v.Catalog.Routes[i]
 		for n, s := range r.Stages {
 			check(v, r, n, s, say)
 		}
--- a/core/bbcatalogcheck/compare.go
+++ b/core/bbcatalogdiff/compare.go
@@ -1,4 +1,5 @@
-package bbcatalogcheck
+// Package bbcatalogdiff tells how a configuration differs from the one in force.
+package bbcatalogdiff
 
 import (
 	"fmt"
@@ -10,6 +11,7 @@
 	"time"
 
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbfinding"
 )
 
 // The severity of a difference is a warning if requests that are served now are refused afterwards, and a note
@@ -18,65 +20,65 @@
 // comparison is one check of two catalogs.
 type comparison struct {
 	code     string
-	severity Severity
+	severity bbfinding.Severity
 	run      func(p *pair, say sayAt)
 }
 
 // sayAt adds a finding about a place. Places of the configuration in force are marked.
-type sayAt func(p Place, inForce bool, field, format string, args ...any)
+type sayAt func(p bbfinding.Place, inForce bool, field, format string, args ...any)
 
 // pair is two catalogs with the lookups that comparisons need.
 type pair struct {
-	before, after *view
+	before, after *bbfinding.Lookup
 }
 
 // comparisons has all checks of two catalogs, in the order of their findings.
 var comparisons = []comparison{
 	{
 		code:     "version-not-higher",
-		severity: SeverityError,
+		severity: bbfinding.SeverityError,
 		run: func(p *pair, say sayAt) {
-			if n, o := p.after.catalog.Version, p.before.catalog.Version; n <= o {
-				say(Place{}, false, "version", "the version is %d, not above the %d in force, so VMs ignore the configuration", n, o)
+			if n, o := p.after.Catalog.Version, p.before.Catalog.Version; n <= o {
+				say(bbfinding.Place{}, false, "version", "the version is %d, not above the %d in force, so VMs ignore the configuration", n, o)
 			}
 		},
 	},
 	{
 		code:     "route-removed",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		run: func(p *pair, say sayAt) {
-			for i, r := range p.before.catalog.Routes {
-				_, kept := p.after.firstRoute[r.Name]
-				_, renamed := p.after.firstAddress[addressOf(r)]
+			for i, r := range p.before.Catalog.Routes {
+				_, kept := p.after.FirstRoute[r.Name]
+				_, renamed := p.after.FirstAddress[bbfinding.AddressOf(r)]
 				if !kept && !renamed {
-					say(entry(ListRoutes, i, r.Name), true, "", "the route is removed")
+					say(bbfinding.Entry(bbfinding.ListRoutes, i, r.Name), true, "", "the route is removed")
 				}
 			}
 		},
 	},
 	{
 		code:     "route-renamed",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		run: func(p *pair, say sayAt) {
-			for i, r := range p.before.catalog.Routes {
-				_, kept := p.after.firstRoute[r.Name]
-				if k, renamed := p.after.firstAddress[addressOf(r)]; !kept && renamed {
-					say(entry(ListRoutes, i, r.Name), true, "name", "host and prefix are now those of the route %q", p.after.catalog.Routes[k].Name)
+			for i, r := range p.before.Catalog.Routes {
+				_, kept := p.after.FirstRoute[r.Name]
+				if k, renamed := p.after.FirstAddress[bbfinding.AddressOf(r)]; !kept && renamed {
+					say(bbfinding.Entry(bbfinding.ListRoutes, i, r.Name), true, "name", "host and prefix are now those of the route %q", p.after.Catalog.Routes[k].Name)
 				}
 			}
 		},
 	},
 	{
 		code:     "route-added",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		run: func(p *pair, say sayAt) {
-			sayAbsent(p.after.routeNames(), p.before.firstRoute, ListRoutes, false, "the route is new", say)
+			sayAbsent(routeNames(p.after), p.before.FirstRoute, bbfinding.ListRoutes, false, "the route is new", say)
 		},
 	},
 	{
 		code:     "route-address",
-		severity: SeverityWarning,
-		run: routePairs(func(_ *pair, place Place, o, n *bbcatalog.Route, say sayAt) {
+		severity: bbfinding.SeverityWarning,
+		run: routePairs(func(_ *pair, place bbfinding.Place, o, n *bbcatalog.Route, say sayAt) {
 			if o.Host != n.Host || o.Prefix != n.Prefix {
 				say(place, false, "prefix", "host and prefix: %s%s -> %s%s", o.Host, o.Prefix, n.Host, n.Prefix)
 			}
@@ -84,8 +86,8 @@
 	},
 	{
 		code:     "route-moved",
-		severity: SeverityNote,
-		run: routePairs(func(_ *pair, place Place, o, n *bbcatalog.Route, say sayAt) {
+		severity: bbfinding.SeverityNote,
+		run: routePairs(func(_ *pair, place bbfinding.Place, o, n *bbcatalog.Route, say sayAt) {
 			if isMoved(o, n) {
 				say(place, false, "shares", "requests move to other services: %s -> %s", fieldText(o.Shares), fieldText(n.Shares))
 			}
@@ -93,17 +95,17 @@
 	},
 	{
 		code:     "route-needs-key",
-		severity: SeverityWarning,
-		run: routePairs(func(p *pair, place Place, o, n *bbcatalog.Route, say sayAt) {
-			if !p.before.needsKey(o) && p.after.needsKey(n) {
+		severity: bbfinding.SeverityWarning,
+		run: routePairs(func(p *pair, place bbfinding.Place, o, n *bbcatalog.Route, say sayAt) {
+			if !needsKey(p.before, o) && needsKey(p.after, n) {
 				say(place, false, "anonymous", "requests without a key were served and are answered with 401")
 			}
 		}),
 	},
 	{
 		code:     "route-changed",
-		severity: SeverityNote,
-		run: routePairs(func(_ *pair, place Place, o, n *bbcatalog.Route, say sayAt) {
+		severity: bbfinding.SeverityNote,
+		run: routePairs(func(_ *pair, place bbfinding.Place, o, n *bbcatalog.Route, say sayAt) {
 			except := []string{"host", "prefix"}
 			if isMoved(o, n) {
 				except = append(except, "shares")
@@ -113,104 +115,104 @@
 	},
 	{
 		code:     "service-removed",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		run: func(p *pair, say sayAt) {
-			sayAbsent(p.before.serviceNames(), p.after.firstService, ListServices, true, "the service is removed", say)
+			sayAbsent(serviceNames(p.before), p.after.FirstService, bbfinding.ListServices, true, "the service is removed", say)
 		},
 	},
 	{
 		code:     "service-added",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		run: func(p *pair, say sayAt) {
-			sayAbsent(p.after.serviceNames(), p.before.firstService, ListServices, false, "the service is new", say)
+			sayAbsent(serviceNames(p.after), p.before.FirstService, bbfinding.ListServices, false, "the service is new", say)
 		},
 	},
 	{
 		code:     "service-changed",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		run: func(p *pair, say sayAt) {
-			for i, n := range p.after.catalog.Services {
-				if k, ok := p.before.firstService[n.Name]; ok && p.after.firstService[n.Name] == i {
-					sayDifferences(entry(ListServices, i, n.Name), p.before.catalog.Services[k], n, nil, say)
+			for i, n := range p.after.Catalog.Services {
+				if k, ok := p.before.FirstService[n.Name]; ok && p.after.FirstService[n.Name] == i {
+					sayDifferences(bbfinding.Entry(bbfinding.ListServices, i, n.Name), p.before.Catalog.Services[k], n, nil, say)
 				}
 			}
 		},
 	},
 	{
 		code:     "account-removed",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		run: func(p *pair, say sayAt) {
-			sayAbsent(p.before.accountNames(), p.after.firstAccount, ListAccounts, true, "the account is removed", say)
+			sayAbsent(accountNames(p.before), p.after.FirstAccount, bbfinding.ListAccounts, true, "the account is removed", say)
 		},
 	},
 	{
 		code:     "account-added",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		run: func(p *pair, say sayAt) {
-			sayAbsent(p.after.accountNames(), p.before.firstAccount, ListAccounts, false, "the account is new", say)
+			sayAbsent(accountNames(p.after), p.before.FirstAccount, bbfinding.ListAccounts, false, "the account is new", say)
 		},
 	},
 	{
 		code:     "account-changed",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		run: func(p *pair, say sayAt) {
-			for i, n := range p.after.catalog.Accounts {
-				if k, ok := p.before.firstAccount[n.Name]; ok && p.after.firstAccount[n.Name] == i {
-					sayDifferences(entry(ListAccounts, i, n.Name), p.before.catalog.Accounts[k], n, []string{"keys"}, say)
+			for i, n := range p.after.Catalog.Accounts {
+				if k, ok := p.before.FirstAccount[n.Name]; ok && p.after.FirstAccount[n.Name] == i {
+					sayDifferences(bbfinding.Entry(bbfinding.ListAccounts, i, n.Name), p.before.Catalog.Accounts[k], n, []string{"keys"}, say)
 				}
 			}
 		},
 	},
 	{
 		code:     "keys-removed",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		run: func(p *pair, say sayAt) {
-			if len(p.after.catalog.Accounts) > 0 {
+			if len(p.after.Catalog.Accounts) > 0 {
 				sayKeys(p.before, p.after, true, "keys are removed (%d), and clients that use them are answered with 401", say)
 			}
 		},
 	},
 	{
 		code:     "keys-added",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		run: func(p *pair, say sayAt) {
 			sayKeys(p.after, p.before, false, "keys are new (%d)", say)
 		},
 	},
 	{
 		code:     "keys-moved",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		run:      sayMovedKeys,
 	},
 	{
 		code:     "keys-not-needed",
-		severity: SeverityWarning,
+		severity: bbfinding.SeverityWarning,
 		run: func(p *pair, say sayAt) {
-			if len(p.before.catalog.Accounts) > 0 && len(p.after.catalog.Accounts) == 0 {
-				say(Place{}, false, "accounts", "all accounts are removed, so requests need no key any more")
+			if len(p.before.Catalog.Accounts) > 0 && len(p.after.Catalog.Accounts) == 0 {
+				say(bbfinding.Place{}, false, "accounts", "all accounts are removed, so requests need no key any more")
 			}
 		},
 	},
 	{
 		code:     "limits-changed",
-		severity: SeverityNote,
+		severity: bbfinding.SeverityNote,
 		run: func(p *pair, say sayAt) {
-			sayDifferences(Place{List: ListLimits}, p.before.catalog.Limits, p.after.catalog.Limits, nil, say)
+			sayDifferences(bbfinding.Place{List: bbfinding.ListLimits}, p.before.Catalog.Limits, p.after.Catalog.Limits, nil, say)
 		},
 	},
 }
 
 // Compare returns how a new catalog differs from the one in force, ordered by place; those about entries that the new
 // one lacks come last. Repeated names stand for the first entry.
-func Compare(inForce, c bbcatalog.Catalog) []Finding {
+func Compare(inForce, c bbcatalog.Catalog) []bbfinding.Finding {
 	p := &pair{
-		before: newView(inForce),
-		after:  newView(c),
+		before: bbfinding.NewLookup(inForce),
+		after:  bbfinding.NewLookup(c),
 	}
-	var findings, removed []Finding
+	var findings, removed []bbfinding.Finding
 	for _, k := range comparisons {
-		k.run(p, func(place Place, inForce bool, field, format string, args ...any) {
-			f := Finding{
+		k.run(p, func(place bbfinding.Place, inForce bool, field, format string, args ...any) {
+			f := bbfinding.Finding{
 				Severity: k.severity,
 				Code:     k.code,
 				Place:    place,
@@ -225,83 +227,83 @@
 			findings = append(findings, f)
 		})
 	}
-	return append(sortFindings(findings), sortFindings(removed)...)
+	return append(bbfinding.Sort(findings), bbfinding.Sort(removed)...)
 }
 
 // routePairs returns a comparison of the routes that both catalogs have.
-func routePairs(check func(p *pair, place Place, o, n *bbcatalog.Route, say sayAt)) func(*pair, sayAt) {
+func routePairs(check func(p *pair, place bbfinding.Place, o, n *bbcatalog.Route, say sayAt)) func(*pair, sayAt) {
 	return func(p *pair, say sayAt) {
-		for i := range p.after.catalog.Routes {
-			n := &p.after.catalog.Routes[i]
-			if k, ok := p.before.firstRoute[n.Name]; ok && p.after.firstRoute[n.Name] == i {
-				check(p, entry(ListRoutes, i, n.Name), &p.before.catalog.Routes[k], n, say)
+		for i := range p.after.Catalog.Routes {
+			n := &p.after.Catalog.Routes[i]
+			if k, ok := p.before.FirstRoute[n.Name]; ok && p.after.FirstRoute[n.Name] == i {
+				check(p, bbfinding.Entry(bbfinding.ListRoutes, i, n.Name), &p.before.Catalog.Routes[k], n, say)
 			}
 		}
 	}
 }
 
 // sayAbsent adds a finding for each name that the other catalog lacks.
-func sayAbsent(names []string, other map[string]int, list List, inForce bool, text string, say sayAt) {
+func sayAbsent(names []string, other map[string]int, list bbfinding.List, inForce bool, text string, say sayAt) {
 	for i, name := range names {
 		if _, ok := other[name]; !ok {
-			say(Place{list, i, name}, inForce, "", "%s", text)
+			say(bbfinding.Entry(list, i, name), inForce, "", "%s", text)
 		}
 	}
 }
 
 // sayKeys adds a finding for each account of a catalog that has keys which no account of the other one has.
-func sayKeys(v, other *view, inForce bool, format string, say sayAt) {
-	for i, a := range v.catalog.Accounts {
+func sayKeys(l, other *bbfinding.Lookup, inForce bool, format string, say sayAt) {
+	for i, a := range l.Catalog.Accounts {
 		absent := 0
 		for _, key := range a.Keys {
-			if _, ok := other.firstKey[key]; !ok {
+			if _, ok := other.FirstKey[key]; !ok {
 				absent++
 			}
 		}
 		if absent > 0 {
-			say(entry(ListAccounts, i, a.Name), inForce, "keys", format, absent)
+			say(bbfinding.Entry(bbfinding.ListAccounts, i, a.Name), inForce, "keys", format, absent)
 		}
 	}
 }
 
 // sayMovedKeys tells of keys that belong to an account of another name than before.
 func sayMovedKeys(p *pair, say sayAt) {
-	for i, a := range p.after.catalog.Accounts {
+	for i, a := range p.after.Catalog.Accounts {
 		for n, key := range a.Keys {
-			k, ok := p.before.firstKey[key]
-			if !ok || p.after.firstKey[key] != i {
+			k, ok := p.before.FirstKey[key]
+			if !ok || p.after.FirstKey[key] != i {
 				continue
 			}
-			if former := p.before.catalog.Accounts[k].Name; former != a.Name {
-				say(entry(ListAccounts, i, a.Name), false, "keys", "key %d was a key of the account %q", n, former)
+			if former := p.before.Catalog.Accounts[k].Name; former != a.Name {
+				say(bbfinding.Entry(bbfinding.ListAccounts, i, a.Name), false, "keys", "key %d was a key of the account %q", n, former)
 			}
 		}
 	}
 }
 
-func (v *view) needsKey(r *bbcatalog.Route) bool {
-	return len(v.catalog.Accounts) > 0 && !r.Anonymous
+func needsKey(l *bbfinding.Lookup, r *bbcatalog.Route) bool {
+	return len(l.Catalog.Accounts) > 0 && !r.Anonymous
 }
 
-func (v *view) routeNames() []string {
+func routeNames(l *bbfinding.Lookup) []string {
 	var names []string
-	for _, r := range v.catalog.Routes {
+	for _, r := range l.Catalog.Routes {
 		names = append(names, r.Name)
 	}
 	return names
 }
 
-func (v *view) serviceNames() []string {
+func serviceNames(l *bbfinding.Lookup) []string {
 	var names []string
-	for _, s := range v.catalog.Services {
+	for _, s := range l.Catalog.Services {
 		names = append(names, s.Name)
 	}
 	return names
 }
 
-func (v *view) accountNames() []string {
+func accountNames(l *bbfinding.Lookup) []string {
 	var names []string
-	for _, a := range v.catalog.Accounts {
+	for _, a := range l.Catalog.Accounts {
 		names = append(names, a.Name)
 	}
 	return names
@@ -326,7 +328,7 @@
 
 // sayDifferences adds a finding for each field of an entry that has changed, except those that other comparisons are
 // about.
-func sayDifferences(place Place, o, n any, except []string, say sayAt) {
+func sayDifferences(place bbfinding.Place, o, n any, except []string, say sayAt) {
 	differences("", reflect.ValueOf(o), reflect.ValueOf(n), func(field, from, to string) {
 		if !slices.Contains(except, field) {
 			say(place, false, field, "%s: %s -> %s", field, from, to)
--- a/core/bbcatalogcheck/compare_test.go
+++ b/core/bbcatalogdiff/compare_test.go
@@ -1,26 +1,27 @@
-package bbcatalogcheck
+package bbcatalogdiff
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"bluebellhall/core/bbcatalog"
+	"bluebellhall/core/bbfinding"
+	"bluebellhall/core/bbfindingtest"
 )
 
-// newerCatalog returns testCatalog as its next version.
+// newerCatalog returns the tests' configuration as its next version.
 func newerCatalog() bbcatalog.Catalog {
-	c := testCatalog()
+	c := bbfindingtest.Catalog()
 	c.Version++
 	return c
 }
 
 // Each difference gives its own findings and no others.
 func TestCompare(t *testing.T) {
-	wantLines(t, Compare(testCatalog(), newerCatalog()))
+	bbfindingtest.WantLines(t, Compare(bbfindingtest.Catalog(), newerCatalog()))
 	cases := []struct {
 		name   string
 		change func(c *bbcatalog.Catalog)
@@ -51,13 +52,13 @@
 		t.Run(tc.name, func(t *testing.T) {
 			c := newerCatalog()
 			tc.change(&c)
-			wantLines(t, Compare(testCatalog(), c), tc.want...)
+			bbfindingtest.WantLines(t, Compare(bbfindingtest.Catalog(), c), tc.want...)
 		})
 	}
 	t.Run("key needed", func(t *testing.T) {
-		before := testCatalog()
+		before := bbfindingtest.Catalog()
 		before.Routes[0].Anonymous = true
-		wantLines(t, Compare(before, newerCatalog()), `warning route-needs-key routes[0] "plain"`, `note route-changed routes[0] "plain"`)
+		bbfindingtest.WantLines(t, Compare(before, newerCatalog()), `warning route-needs-key routes[0] "plain"`, `note route-changed routes[0] "plain"`)
 	})
 }
 
@@ -73,7 +74,7 @@
 	c.Services[2].Engine = nil
 	c.Accounts[0].Priority, c.Accounts[0].Keys = &priority, []string{"secret"}
 	var got []string
-	for _, f := range Compare(testCatalog(), c) {
+	for _, f := range Compare(bbfindingtest.Catalog(), c) {
 		got = append(got, f.Text)
 	}
 	want := []string{
@@ -92,46 +93,16 @@
 	}
 }
 
-// A configuration with very many faults doesn't fill the operator's terminal.
-func TestFindingsAreBounded(t *testing.T) {
-	got := Check(bbcatalog.Catalog{Version: 1, Routes: make([]bbcatalog.Route, 5000)})
-	if len(got) != MaxFindings+1 {
-		t.Fatalf("%d findings, want %d", len(got), MaxFindings+1)
-	}
-	if last := got[MaxFindings]; last.Code != CodeMore || last.Severity != SeverityError || !strings.Contains(last.Text, "more findings") {
-		t.Errorf("the last finding is %+v, want the number of the others", last)
-	}
-}
-
-// Checks must not panic, and their findings must be the same each time, whatever figures a configuration has.
-func FuzzCheck(f *testing.F) {
-	f.Add("a", "b", 0, 1.5, int64(1000))
-	f.Add("", "\x00", -1, -1e300, int64(-1<<63))
-	f.Add("s", "s", 1<<62, 1e308, int64(1<<63-1))
+// Comparisons must not panic, and their findings must be the same each time, whatever figures a configuration has.
+func FuzzCompare(f *testing.F) {
+	bbfindingtest.SeedFigures(f)
 	f.Fuzz(func(t *testing.T, a, b string, n int, x float64, span int64) {
-		d := time.Duration(span)
-		c := bbcatalog.Catalog{
-			Routes: []bbcatalog.Route{
-				{
-					Name: a, Host: b, Prefix: a, Kind: bbcatalog.Kind(n), Timeout: d, Objective: -d, MaxAttempts: n,
-					Shares:  []bbcatalog.Share{{Service: a, Weight: x}, {Service: b, Weight: -x}},
-					Stages:  []bbcatalog.Stage{{Service: a, After: []int{n}, ResultBytes: x}, {Service: b, After: []int{0, n}}},
-					Regions: []string{a},
-				},
-				{Name: b, Host: b, Prefix: a},
-			},
-			Services: []bbcatalog.Service{{
-				Name: a, ColdRate: x, Engine: &bbcatalog.Engine{Slots: n, Tokens: x},
-				Pool: &bbcatalog.Pool{Slots: n, Batch: n, CallTime: d, PieceTime: d, ResultMemoryBytes: x, ResultTTL: d},
-			}},
-			Accounts: []bbcatalog.Account{{Name: a, Keys: []string{a, b}, Regions: []string{b}}, {Name: b, Keys: []string{a}}},
-			Limits:   bbcatalog.Limits{HeaderBytes: n, BodyBytes: span, HeaderTime: d, IdleTime: -d},
-		}
-		first := append(Check(c), Compare(testCatalog(), c)...)
-		if diff := cmp.Diff(first, append(Check(c), Compare(testCatalog(), c)...)); diff != "" {
-			t.Errorf("findings differ between two checks:\n%s", diff)
+		c := bbfindingtest.FiguresCatalog(a, b, n, x, span)
+		first := Compare(bbfindingtest.Catalog(), c)
+		if diff := cmp.Diff(first, Compare(bbfindingtest.Catalog(), c)); diff != "" {
+			t.Errorf("findings differ between two comparisons:\n%s", diff)
 		}
-		if len(first) > 3*(MaxFindings+1) {
+		if len(first) > 2*(bbfinding.MaxFindings+1) {
 			t.Errorf("%d findings", len(first))
 		}
 		if same := Compare(c, c); len(same) != 1 {
--- a/core/bbcatalogcheck/finding.go
+++ b/core/bbfinding/finding.go
@@ -1,6 +1,5 @@
-// Package bbcatalogcheck finds faults of a configuration before it is published, and tells how it differs from the one
-// in force.
-package bbcatalogcheck
+// Package bbfinding describes what checks and comparisons of configurations find, and at which entries.
+package bbfinding
 
 import (
 	"cmp"
@@ -45,8 +44,8 @@
 	Name string `json:"name"`
 }
 
-// entry returns the place of an entry of a list.
-func entry(list List, index int, name string) Place {
+// Entry returns the place of an entry of a list.
+func Entry(list List, index int, name string) Place {
 	return Place{
 		List:  list,
 		Index: index,
@@ -91,8 +90,8 @@
 // listOrder is the order of the findings of a configuration.
 var listOrder = []List{ListCatalog, ListRoutes, ListServices, ListAccounts, ListLimits}
 
-// sortFindings orders findings by place, keeps the order of those at one place, and bounds them.
-func sortFindings(findings []Finding) []Finding {
+// Sort orders findings by place, keeps the order of those at one place, and bounds them.
+func Sort(findings []Finding) []Finding {
 	slices.SortStableFunc(findings, func(a, b Finding) int {
 		return cmp.Or(
 			cmp.Compare(slices.Index(listOrder, a.Place.List), slices.Index(listOrder, b.Place.List)),
