--- a/core/bbfeature/feature.go
+++ b/core/bbfeature/feature.go
@@ -51,7 +51,7 @@
 		Waiting:       ModeOff,
 		EndpointSpeed: ModeAuto,
 		ExtraSends: ExtraSends{
-			Mode:  ModeAuto,
+			Mode:  ModeOn,
 			Share: defaultShare,
 		},
 	}
