--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -24,6 +24,7 @@
 	"bluebellhall/core/bbregistry"
 	"bluebellhall/core/bbsupply"
 	"bluebellhall/core/bbsuspect"
+	"bluebellhall/core/bburgency"
 )
 
 // Environment has the functions through which the coordinator queries and informs its VM.
@@ -106,7 +107,7 @@
 	// placedAt is when the requests that wait for an engine were last placed.
 	placedAt time.Duration
 	// lastFuture is the last result of future, as of futureAt.
-	lastFuture map[string]bbpool.Profile
+	lastFuture map[string]bburgency.Profile
 	futureAt   time.Duration
 	// unread are the granted requests whose engines may not have fetched their inputs yet.
 	unread map[string]*bbprogress.Job
@@ -410,7 +411,7 @@
 	}
 	c.freeRead(now)
 	c.releaseHeld(now)
-	if now-c.sweptAt >= bbpool.RefreshInterval(len(c.jobs)) {
+	if now-c.sweptAt >= bburgency.RefreshInterval(len(c.jobs)) {
 		c.sweptAt = now
 		c.sweep(now)
 	}
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -11,9 +11,9 @@
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbplacement"
-	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
 	"bluebellhall/core/bbsuspect"
+	"bluebellhall/core/bburgency"
 )
 
 // placementInterval is the time between two attempts to place a request for which no engine was available.
@@ -31,7 +31,7 @@
 
 // place grants engines to the requests whose stages are done, in order of urgency.
 func (c *Coordinator) place(now time.Duration) {
-	if len(c.waiting) == 0 || now-c.placedAt < bbpool.RefreshInterval(len(c.waiting)) {
+	if len(c.waiting) == 0 || now-c.placedAt < bburgency.RefreshInterval(len(c.waiting)) {
 		return
 	}
 	c.placedAt = now
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -6,8 +6,8 @@
 
 	"bluebellhall/core/bbcell"
 	"bluebellhall/core/bbjob"
-	"bluebellhall/core/bbpool"
 	"bluebellhall/core/bbprogress"
+	"bluebellhall/core/bburgency"
 )
 
 // estimate returns when the first token of a newly arrived request is expected, and sets the job's
@@ -71,8 +71,8 @@
 
 // future returns the pieces that requests in progress will add to pools later, by service. While many
 // requests are in progress it is a recent view.
-func (c *Coordinator) future(now time.Duration) map[string]bbpool.Profile {
-	if interval := bbpool.RefreshInterval(len(c.jobs)); interval > 0 && now-c.futureAt < interval {
+func (c *Coordinator) future(now time.Duration) map[string]bburgency.Profile {
+	if interval := bburgency.RefreshInterval(len(c.jobs)); interval > 0 && now-c.futureAt < interval {
 		return c.lastFuture
 	}
 	c.examined += uint64(len(c.jobs))
@@ -82,9 +82,9 @@
 			f.Add(now, j)
 		}
 	}
-	c.lastFuture = make(map[string]bbpool.Profile, len(f))
+	c.lastFuture = make(map[string]bburgency.Profile, len(f))
 	for service, list := range f {
-		c.lastFuture[service] = bbpool.NewProfile(list)
+		c.lastFuture[service] = bburgency.NewProfile(list)
 	}
 	c.futureAt = now
 	return c.lastFuture
--- a/core/bbpool/group.go
+++ b/core/bbpool/group.go
@@ -1,6 +1,10 @@
 package bbpool
 
-import "time"
+import (
+	"time"
+
+	"bluebellhall/core/bburgency"
+)
 
 // Group is the pieces of one stage of one request whose inputs are ready.
 type Group struct {
@@ -12,7 +16,7 @@
 	// ResultBytes is the size of one result.
 	ResultBytes float64
 	// Due says when the work has to start.
-	Due Due
+	Due bburgency.Due
 	// Started is true once other pieces of the same stage are in a call or done. Such groups go first:
 	// the results of an incomplete stage take memory and are of no use yet.
 	Started bool
@@ -43,32 +47,6 @@
 	return g.Job != o.Job && (g.Alone || o.Alone || g.Watched && o.Watched)
 }
 
-// Due says when work has to start.
-type Due struct {
-	// StartBy is the latest start for an answer that is on time, LastStart for any answer at all.
-	StartBy, LastStart time.Duration
-	// PriorityDelay is added to the sort key, so that less urgent requests go later.
-	PriorityDelay time.Duration
-}
-
-// latePenalty is how far work that can no longer be on time is moved back: a few calls, so that it runs
-// once the endpoints are no longer filled by work that can still be on time.
-const latePenalty = time.Second
-
-// Urgency returns a sort key; the lowest goes first. Work that can no longer be on time sorts after its
-// last possible start, so that it doesn't delay work that can.
-func (d Due) Urgency(now time.Duration) time.Duration {
-	if d.Late(now) {
-		return max(d.LastStart, now) + latePenalty + d.PriorityDelay
-	}
-	return d.StartBy + d.PriorityDelay
-}
-
-// Late reports whether the work can no longer be on time.
-func (d Due) Late(now time.Duration) bool {
-	return d.StartBy < now
-}
-
 // Piece identifies one piece in a call.
 type Piece struct {
 	Job   string
--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -12,6 +12,7 @@
 
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbhealth"
+	"bluebellhall/core/bburgency"
 )
 
 const (
@@ -141,7 +142,7 @@
 	groups    []*Group
 	ordered   int
 	orderedAt time.Duration
-	profile   Profile
+	profile   bburgency.Profile
 	// waiting counts the queued pieces, resultSizes the queued groups by the size of their results.
 	waiting     int
 	resultSizes map[float64]int
--- a/core/bbpool/pool_test.go
+++ b/core/bbpool/pool_test.go
@@ -10,6 +10,7 @@
 	"bluebellhall/core/bbhealth"
 	"bluebellhall/core/bbspeed"
 	"bluebellhall/core/bbstanding"
+	"bluebellhall/core/bburgency"
 )
 
 const ms = time.Millisecond
@@ -42,7 +43,7 @@
 	return &Group{
 		Job:  job,
 		Left: left,
-		Due: Due{
+		Due: bburgency.Due{
 			StartBy:   startBy,
 			LastStart: startBy + 4*time.Second,
 		},
--- a/core/bbprogress/due.go
+++ b/core/bbprogress/due.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"bluebellhall/core/bbjob"
-	"bluebellhall/core/bbpool"
+	"bluebellhall/core/bburgency"
 )
 
 const (
@@ -16,9 +16,9 @@
 )
 
 // DueOf returns the latest start times and the priority of a stage.
-func (j *Job) DueOf(stage int) bbpool.Due {
+func (j *Job) DueOf(stage int) bburgency.Due {
 	left := float64(j.StageToFirstToken[stage]) / float64(max(j.Objective, 1))
-	return bbpool.Due{
+	return bburgency.Due{
 		StartBy:   j.Due - j.StageToFirstToken[stage],
 		LastStart: j.Limit - j.StageToFirstToken[stage],
 		// A request with less work left already holds results in memory, so it goes before others.
@@ -56,7 +56,7 @@
 }
 
 // Future holds, by service, the pieces of stages that have not been released yet.
-type Future map[string][]bbpool.Pieces
+type Future map[string][]bburgency.Pieces
 
 // Add adds the stages of a request that have not been released yet.
 func (f Future) Add(now time.Duration, j *Job) {
@@ -64,7 +64,7 @@
 		if j.Stages[i].Released || s.Pieces == 0 {
 			continue
 		}
-		f[s.Service] = append(f[s.Service], bbpool.Pieces{
+		f[s.Service] = append(f[s.Service], bburgency.Pieces{
 			Urgency: j.DueOf(i).Urgency(now),
 			Count:   s.Pieces,
 		})
