--- a/core/bbpool/pool.go
+++ b/core/bbpool/pool.go
@@ -4,7 +4,6 @@
 package bbpool
 
 import (
-	"math"
 	"slices"
 	"sort"
 	"strconv"
@@ -33,9 +32,6 @@
 	// slowThreshold is the measured slowness from which an endpoint gets work only when no other
 	// endpoint would finish it sooner.
 	slowThreshold = 1.8
-	// batchWeight is the weight of the newest call in the moving average of the size of calls: about one call of each
-	// endpoint of a large pool.
-	batchWeight = 0.06
 	// slownessWeight is the weight of the newest call in the moving average of the slowness.
 	slownessWeight = 0.3
 	// memoryFullHold is how long an endpoint without memory for a result counts as full: a fraction of
@@ -127,11 +123,6 @@
 	AvailableAt time.Duration
 	// LimitedCallsPerSecond is the rate that all endpoints with a limit take together.
 	LimitedCallsPerSecond float64
-	// Adaptive derives the expected size of calls from the recent ones instead of assuming half-full calls, which take
-	// less time than those under load.
-	Adaptive bool
-	// averageBatch is a moving average of the pieces in a call; 0 before the first one.
-	averageBatch float64
 	// SaveRepeats is true while the retry budget is short. Endpoints on probation are then tried seldom as long as
 	// others are sound: a call that fails costs one repeat.
 	SaveRepeats bool
@@ -251,26 +242,13 @@
 
 // ExpectedBatchSize returns the expected number of pieces in a call that contains a group of n.
 func (p *Pool) ExpectedBatchSize(n int) int {
-	usual := p.Spec.Batch / 2
-	if p.Adaptive && p.averageBatch > 0 {
-		usual = int(math.Ceil(p.averageBatch))
-	}
-	return min(p.Spec.Batch, max(n, usual))
-}
-
-// observeBatch adds the size of a call to the moving average.
-func (p *Pool) observeBatch(pieces int) {
-	if p.averageBatch == 0 {
-		p.averageBatch = float64(p.Spec.Batch) / 2
-	}
-	p.averageBatch += batchWeight * (float64(pieces) - p.averageBatch)
+	return min(p.Spec.Batch, max(n, p.Spec.Batch/2))
 }
 
 // Start records that a call is sent, and reserves memory for its results.
 func (p *Pool) Start(now time.Duration, c *Call, id uint64) {
 	w := p.workers[c.Endpoint]
 	c.ID = id
-	p.observeBatch(len(c.Pieces))
 	c.Expected = now + p.remaining(now, w) + time.Duration(float64(p.Duration(len(c.Pieces)))*w.currentSlowness(now))
 	c.running = len(w.calls) < max(1, p.Spec.Slots)
 	c.runningSince = now
