Requests held during the start have a package of their own

No change of behaviour: after a body that ended within its beginning, both read the end from the buffer.

--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -15,6 +15,7 @@
 	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/bluebelld/bbcodec"
 	"bluebellhall/bluebelld/bbrecord"
+	"bluebellhall/bluebelld/bbstartwait"
 	"bluebellhall/bluebelld/bbstream"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
@@ -92,9 +93,10 @@
 	waitCtx     context.Context
 	stopWaiting context.CancelFunc
 
-	// open counts the requests in progress, exchanges the open connections to endpoints, held the requests that wait
-	// for this VM's start.
-	open, exchanges, held atomic.Int64
+	// open counts the requests in progress, exchanges the open connections to endpoints.
+	open, exchanges atomic.Int64
+	// starting holds requests while this VM starts.
+	starting bbstartwait.Holder
 
 	mu      sync.Mutex
 	chooser *bbplain.Chooser
@@ -211,7 +213,9 @@
 	if g.hooks.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	g.awaitStart(r)
+	if g.hooks.AwaitReady != nil && g.hooks.Index() == nil {
+		g.starting.Hold(r, g.codec.Decode, g.hooks.AwaitReady)
+	}
 	if status, cause := g.admit(x); status != 0 {
 		g.fail(x, status, cause, retryAfter(cause))
 		return
--- a/bluebelld/bbgateway/hedge.go
+++ b/bluebelld/bbgateway/hedge.go
@@ -1,15 +1,14 @@
 package bbgateway
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"bluebellhall/bluebelld/bbcodec"
+	"bluebellhall/bluebelld/bbreadahead"
 	"bluebellhall/core/bballowance"
 	"bluebellhall/core/bbcatalog"
 	"bluebellhall/core/bbhealth"
@@ -201,26 +200,7 @@
 
 // buffer reads the answer up to the size of the buffer, and has its body begin with that again.
 func (f *fetch) buffer() {
-	rest := f.answer.Body
-	buffered, err := io.ReadAll(io.LimitReader(rest, maxBuffered))
-	f.bodyErr = err
-	switch {
-	case err != nil:
-		rest = failedReader{err}
-	case len(buffered) < maxBuffered:
-		rest = http.NoBody
-	}
-	f.answer.Body = io.MultiReader(bytes.NewReader(buffered), rest)
-}
-
-// failedReader is a body that has broken off.
-type failedReader struct {
-	err error
-}
-
-// Read returns the error that ended the body.
-func (r failedReader) Read([]byte) (int, error) {
-	return 0, r.err
+	f.answer.Body, f.bodyErr = bbreadahead.Read(f.answer.Body, maxBuffered)
 }
 
 // receive takes over an attempt that has ended, with the panic of its goroutine if it had one.
--- a/bluebelld/bbgateway/start_test.go
+++ b/bluebelld/bbgateway/start_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
+	"bluebellhall/bluebelld/bbcodec"
+	"bluebellhall/bluebelld/bbstartwait"
 	"bluebellhall/core/bbcatalog"
 )
 
@@ -50,15 +54,29 @@
 	})
 	t.Run("the body is too long", func(t *testing.T) {
 		f, url := newStartingFixture(t, true)
-		if status, _, err := send(t, url+"/once/", strings.Repeat("a", 2*maxHeldBody)); status != http.StatusRequestEntityTooLarge || err != nil {
+		if status, _, err := send(t, url+"/once/", strings.Repeat("a", 2*bbstartwait.MaxHeldBody)); status != http.StatusRequestEntityTooLarge || err != nil {
 			t.Errorf("status %d, error %v; want 413", status, err)
 		}
 		wantRequests(t, f, 0)
 	})
 	t.Run("too many wait", func(t *testing.T) {
 		f, url := newStartingFixture(t, true)
-		f.gateway.held.Store(maxHeld)
+		end := make(chan struct{})
+		defer close(end)
+		var held sync.WaitGroup
+		held.Add(bbstartwait.MaxHeld)
+		for range bbstartwait.MaxHeld {
+			go f.gateway.starting.Hold(httptest.NewRequest(http.MethodGet, "/once/", nil), decodeNothing, func(context.Context) {
+				held.Done()
+				<-end
+			})
+		}
+		held.Wait()
 		wantAnswer(t, url+"/once/", http.StatusServiceUnavailable, "")
 		wantRequests(t, f, 0)
 	})
 }
+
+func decodeNothing(*http.Request) (bbcodec.Request, error) {
+	return bbcodec.Request{}, nil
+}
