--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -214,7 +214,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if g.hooks.AwaitReady != nil && g.hooks.Index() == nil {
-		g.starting.Hold(r, g.codec.Decode, g.hooks.AwaitReady)
+		g.starting.Hold(w, r, g.codec.Decode, g.hooks.AwaitReady)
 	}
 	if status, cause := g.admit(x); status != 0 {
 		g.fail(x, status, cause, retryAfter(cause))
--- a/bluebelld/bbgateway/start_test.go
+++ b/bluebelld/bbgateway/start_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -66,7 +69,7 @@
 		var held sync.WaitGroup
 		held.Add(bbstartwait.MaxHeld)
 		for range bbstartwait.MaxHeld {
-			go f.gateway.starting.Hold(httptest.NewRequest(http.MethodGet, "/once/", nil), decodeNothing, func(context.Context) {
+			go f.gateway.starting.Hold(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/once/", nil), decodeNothing, func(context.Context) {
 				held.Done()
 				<-end
 			})
@@ -80,3 +83,27 @@
 func decodeNothing(*http.Request) (bbcodec.Request, error) {
 	return bbcodec.Request{}, nil
 }
+
+// Guards against a caller that sends its body slowly and is held without end.
+func TestSlowBodyIsNotHeldWithoutEnd(t *testing.T) {
+	var holder bbstartwait.Holder
+	released := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		holder.Hold(w, r, decodeNothing, func(context.Context) {})
+		close(released)
+	}))
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 5\r\n\r\nhe"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-released:
+	case <-time.After(20 * time.Second):
+		t.Error("the request is still held")
+	}
+}
--- a/bluebelld/bbstartwait/startwait.go
+++ b/bluebelld/bbstartwait/startwait.go
@@ -21,6 +21,8 @@
 	// MaxHeldBody bounds the part of each body that is read meanwhile, in bytes. Callers give up on a request that
 	// isn't read within a second.
 	MaxHeldBody = 32 << 10
+	// readTimeout bounds the time to read that part.
+	readTimeout = time.Second
 )
 
 // Holder holds the requests of one VM. The zero value holds none yet.
@@ -31,7 +33,7 @@
 
 // Hold holds a request until await returns, which gets a context that ends with a part of the caller's time. It returns
 // at once if too many are held, or if the request can't be decoded. The beginning of the body is read meanwhile.
-func (h *Holder) Hold(r *http.Request, decode func(*http.Request) (bbcodec.Request, error), await func(context.Context)) {
+func (h *Holder) Hold(w http.ResponseWriter, r *http.Request, decode func(*http.Request) (bbcodec.Request, error), await func(context.Context)) {
 	defer h.held.Add(-1)
 	if h.held.Add(1) > MaxHeld {
 		return
@@ -41,7 +43,10 @@
 		return
 	}
 	if r.Body != nil && r.Body != http.NoBody {
+		// A writer that doesn't support read deadlines keeps those of its connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout))
 		readAhead(r)
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	ctx := r.Context()
 	if request.Wait > 0 {
