--- a/bluebellctl/bblines/cause.go
+++ b/bluebellctl/bblines/cause.go
@@ -24,6 +24,8 @@
 	{Word: "limit", Text: "the coordinator expected the first token after the request's time limit", Next: "timeline --kind callSent around that time: pieces waiting"},
 	{Word: "deadline", Text: "the remaining stages could no longer finish within the time limit", Next: "the calls in this timeline: the one that took longest"},
 	{Word: "backlog", Text: "it could no longer meet its objective, and the queueing delay of a stage was too long", Next: "timeline --kind callSent around that time: pieces waiting"},
+	{Word: "noCapacity", Text: "the requests that waited before it would have taken the time until its deadline", Next: "metrics: coordinator.waitingRequests, by account"},
+	{Word: "roomFull", Text: "too many requests, of all or of its account, waited already", Next: "metrics: coordinator.waitingRequests, by account"},
 	{Word: "stageFailed", Text: "calls of a stage failed, and the attempts per piece were used up, or the retry budget while all its endpoints failed", Next: "the outcome of the calls in this timeline; timeline --kind probationBegan"},
 	{Word: "suspect", Text: "several endpoints failed while running requests with the same content, so that this content is quarantined", Next: "timeline --content with that of its final line: runBroke, contentJudged"},
 	{Word: "suspectPart", Text: "several engines failed while running requests with a part of the prompt in common, so that this part is quarantined", Next: "timeline --kind partJudged, and the parts of runBroke before it"},
