The first round of exchange doesn't wait for a timer

Cause: the whole test run ended once in bbmembership with a segmentation violation of the Go runtime (go1.26.8, arm64, race detector) in runtime.(*timer).maybeRunChan, from the select of Fleet.Run in a bubble of virtual time. Change: the first round is made at once, and the timer is created with the time to the next. The fault in the runtime was not reproduced apart.

--- a/bluebelld/bbmembership/fleet.go
+++ b/bluebelld/bbmembership/fleet.go
@@ -137,16 +137,16 @@
 // Run makes rounds of exchange until the context ends.
 func (f *Fleet) Run(ctx context.Context) {
 	f.spreadRounds()
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(f.untilNextRound())
 	defer timer.Stop()
 	for {
+		f.exchangeRound(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		}
 		timer.Reset(f.untilNextRound())
-		f.exchangeRound(ctx)
 	}
 }
 
