--- a/core/bbcoordinator/calls.go
+++ b/core/bbcoordinator/calls.go
@@ -302,12 +302,16 @@
 
 // recordCallStart records that a call is being sent.
 func (c *Coordinator) recordCallStart(call *runningCall) {
+	work := c.pools[call.Service].Duration(len(call.Pieces)) / time.Duration(len(call.Pieces))
+	counts := c.lateMayWait()
 	for i, piece := range call.Pieces {
 		if j := c.job(call, i); j != nil {
 			p := &j.Stages[piece.Stage].Pieces[piece.Piece]
 			p.Queued = false
 			p.Calls++
-			c.shares.Served(call.Sent, j.Order.Account, c.pool(call.Service).Duration(len(call.Pieces))/time.Duration(len(call.Pieces)))
+			if counts {
+				c.shares.Served(call.Sent, j.Order.Account, work)
+			}
 		}
 	}
 	c.logPieces(call.Pieces, bbdecision.Event{
