Logs tell which regions were allowed, where the endpoint is, and of a late configuration

The end of a request names the regions in which its endpoint could be chosen and the failure domain of the endpoint; catalogBehind tells that a VM knows of a newer configuration that it doesn't have, and since when. No decision changes.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -94,6 +94,8 @@
 	// cursor is the position in the changes of the VM whose endpoints this one follows; used by followLoop
 	// only.
 	cursor followCursor
+	// lag is for how long other VMs have had a newer configuration; used by followLoop only.
+	lag catalogLag
 	// cell caches the endpoints that this VM coordinates.
 	cell cell
 	// limits keeps requests within the limits that endpoints have named.
@@ -192,6 +194,7 @@
 		Permit:        e.limits.Permit,
 		BackoffUntil:  e.limits.BackoffUntil,
 		Region:        e.region,
+		Zone:          e.Knowledge.ZoneOf,
 		Order:         e.order,
 		Note:          e.note,
 		Log:           e.requestEnded,
@@ -430,6 +433,12 @@
 	if l.Endpoint != "" {
 		line.Str("endpoint", l.Endpoint).Int("tries", l.Tries)
 	}
+	if l.Zone != "" {
+		line.Str("zone", l.Zone)
+	}
+	if len(l.Regions) > 0 {
+		line.Strs("regions", l.Regions)
+	}
 	if l.Granted != 0 {
 		line.Str("coordinator", l.Coordinator).Dur("granted", l.Granted)
 	}
--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -23,6 +23,9 @@
 	fallbackReaders = 2
 	// publishTimeout bounds a call for another VM's configuration or endpoints.
 	publishTimeout = 800 * time.Millisecond
+	// behindLogPeriod is how long this VM may know of a newer configuration before that is logged, and then the time
+	// between two such lines.
+	behindLogPeriod = time.Second
 )
 
 // followCursor is the position up to which this VM has applied another VM's changes of endpoints.
@@ -85,7 +88,9 @@
 			e.refresh()
 			continue
 		}
-		if peer, ok := e.newestCatalogPeer(); ok {
+		peer, behind := e.newestCatalogPeer()
+		e.lag.observe(e.now(), peer.CatalogVersion, e.logCatalogBehind)
+		if behind {
 			e.follow(ctx, peer, bbpeer.PublishedRequest{
 				Catalog: true,
 			})
@@ -108,6 +113,32 @@
 	}
 }
 
+// catalogLag is for how long other VMs have had a newer configuration than this one.
+type catalogLag struct {
+	// newer is the version of the others; 0 if there is none.
+	newer uint64
+	// since is when the first newer version than the one in force was known, loggedAt when that was last logged.
+	since, loggedAt time.Duration
+}
+
+// observe records the newest version of other VMs that is newer than the one in force, 0 if there is none. It calls log
+// every behindLogPeriod with the time since there has been one.
+func (l *catalogLag) observe(now time.Duration, newer uint64, log func(version uint64, lag time.Duration)) {
+	if newer == 0 || l.newer == 0 {
+		l.since, l.loggedAt = now, now
+	}
+	l.newer = newer
+	if newer > 0 && now-l.loggedAt >= behindLogPeriod {
+		l.loggedAt = now
+		log(newer, now-l.since)
+	}
+}
+
+// logCatalogBehind logs that other VMs have had a newer configuration for some time.
+func (e *Entry) logCatalogBehind(version uint64, lag time.Duration) {
+	e.log.Event(bbevent.CatalogBehind).Uint64("version", version).Dur("value", lag).Send()
+}
+
 // adopt fetches what other VMs know before this one, which has just started, reads the store: the store may have come
 // back from an older copy.
 func (e *Entry) adopt(ctx context.Context) {
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -53,6 +53,8 @@
 	// is none.
 	BackoffUntil func(id string) time.Duration
 	Region       func(zone string) string
+	// Zone returns the failure domain of a usable endpoint; empty if it is unknown.
+	Zone func(endpoint string) string
 	// Order requests an engine from the coordinator. It also returns the name of the VM that answered.
 	Order func(ctx context.Context, o bbjob.Order) (bbjob.Verdict, string, error)
 	// Note reports the progress of a granted request to its coordinator.
@@ -108,6 +110,9 @@
 
 // New returns a gateway of a VM.
 func New(name, zone, region string, c bbcodec.Codec, s Hooks) *Gateway {
+	if s.Zone == nil {
+		s.Zone = func(string) string { return "" }
+	}
 	if s.SharedMachines == nil {
 		s.SharedMachines = func() bool { return false }
 	}
--- a/bluebelld/bbgateway/hedge.go
+++ b/bluebelld/bbgateway/hedge.go
@@ -344,7 +344,7 @@
 	}
 	f.closed = true
 	h.observe(f)
-	h.x.log.Endpoint = f.endpoint.ID
+	h.x.log.Endpoint, h.x.log.Zone = f.endpoint.ID, f.endpoint.Zone
 	h.x.log.Framing = f.exchange.log.Framing
 	if len(h.fetches) > 1 {
 		won := f == h.fetches[1] && f.good()
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -25,6 +25,7 @@
 		return
 	}
 	order := g.newOrder(x)
+	x.log.Regions = order.Regions
 	var avoid []string
 	runs := 0
 	for x.log.Tries < maxGrants {
@@ -39,6 +40,7 @@
 		}
 		x.log.Tries++
 		x.log.Endpoint = verdict.Grant.Endpoint
+		x.log.Zone = g.hooks.Zone(x.log.Endpoint)
 		x.log.Coordinator = coordinator
 		if x.log.Granted == 0 {
 			x.log.Granted = g.hooks.Now() - x.began
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -47,7 +47,7 @@
 		}
 		avoid[e.ID] = true
 		x.log.Tries++
-		x.log.Endpoint = e.ID
+		x.log.Endpoint, x.log.Zone = e.ID, e.Zone
 		outcome, again := g.offerHedged(ctx, x, e, &runs, avoid, share)
 		if x.sent || !again {
 			return
@@ -78,6 +78,7 @@
 // choose selects an endpoint for the request among those in an allowed region that have not requested
 // backoff.
 func (g *Gateway) choose(x *exchange, avoid map[string]bool) (bbplain.Endpoint, bool) {
+	x.log.Regions = bbcatalog.Regions(x.Route, x.Account)
 	entries := g.hooks.Endpoints(x.service)
 	list := make([]bbplain.Endpoint, 0, len(entries))
 	for _, e := range entries {
@@ -219,7 +220,7 @@
 	})
 	if ok && g.quarantineCause(x) == "" {
 		x.log.Tries++
-		x.log.Endpoint = e.ID
+		x.log.Endpoint, x.log.Zone = e.ID, e.Zone
 		if _, again := g.offer(ctx, x, e, x.Route.MaxAttempts); x.sent || !again {
 			return false
 		}
--- a/bluebelld/bbrecord/record.go
+++ b/bluebelld/bbrecord/record.go
@@ -13,7 +13,11 @@
 	Outcome, Cause string
 	// Endpoint is the last one to which the request was offered, Coordinator the VM that granted it.
 	Endpoint, Coordinator string
-	Status, Tries         int
+	// Zone is the failure domain of that endpoint when it was chosen; empty if it was unknown. Regions are those in
+	// which it could be chosen; empty if that was any.
+	Zone          string
+	Regions       []string
+	Status, Tries int
 	// LateGrants is the number of grants that were too old to be used.
 	LateGrants int
 	// Limit is the time limit of the request; 0 if it ended before that was known.
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -116,6 +116,7 @@
 	OrderSpilled         Number = 823
 	OrderWaits           Number = 873
 	OrderStarts          Number = 874
+	CatalogBehind        Number = 875
 	OrderAccepted        Number = 831
 	OrderReturned        Number = 832
 	OrderElsewhere       Number = 833
@@ -249,7 +250,7 @@
 	{Number: ProbationBegan, Title: "probationBegan", Severity: SeverityWarning, Text: "A call to a stage worker failed, as detail says: the worker gets nothing until value has passed, and then one small call at a time, until one succeeds."},
 	{Number: ProbationEnded, Title: "probationEnded", Severity: SeverityInfo, Text: "A stage worker on probation has answered a call: it gets full calls again. Detail has the number of calls that had failed, value is the time since the first of them."},
 	{Number: MachinesShared, Title: "machinesShared", Severity: SeverityInfo, Text: "This VM has learned that endpoints share their machines with other work, because the endpoint or the coordinator that source names has stated so. Parts that are set to auto are on from now until the process ends."},
-	{Number: EntryRequestEnded, Title: "entryRequestEnded", Severity: SeverityInfo, Text: "A caller's request ended: route, outcome, cause, endpoint, attempts and times. Content is the same for requests of one caller that ask for the same; framing is how the endpoint framed its answer: length, chunked or connection. LateGrants counts the grants that were too old to be used. Hedge is won if the request was sent to a second endpoint as well and that one's answer came first, and lost if it did not."},
+	{Number: EntryRequestEnded, Title: "entryRequestEnded", Severity: SeverityInfo, Text: "A caller's request ended: route, outcome, cause, endpoint, attempts and times. Content is the same for requests of one caller that ask for the same; framing is how the endpoint framed its answer: length, chunked or connection. LateGrants counts the grants that were too old to be used. Zone is the failure domain of the endpoint, regions are those in which it could be chosen, where not all were; version is the configuration of its arrival. Hedge is won if the request was sent to a second endpoint as well and that one's answer came first, and lost if it did not."},
 	{Number: RunBroke, Title: "runBroke", Severity: SeverityInfo, Text: "An endpoint gave no complete answer to a request. Content identifies what was asked, parts are those of its prompt that other requests share, cause is how the exchange ended; silent is true when the time limit expired; sinceFirstEvent is 0 if no event of a stream was complete."},
 	{Number: SilentChecked, Title: "silentChecked", Severity: SeverityInfo, Text: "After the time limit of a request expired, a connection to its endpoint was attempted; gone is true when the endpoint accepts none, so that the run counts as lost."},
 	{Number: ContentJudged, Title: "contentJudged", Severity: SeverityWarning, Text: "The treatment of content whose runs lost endpoints changed, as far as this VM knows: clear, watched, alone (only where nothing else runs) or refused."},
@@ -262,6 +263,7 @@
 	{Number: HandlerFailed, Title: "handlerFailed", Severity: SeverityError, Text: "An unexpected error ended the call that caused it; the process continues. Detail has the error and its location."},
 	{Number: OrderWaits, Title: "orderWaits", Severity: SeverityInfo, Text: "A request that has started nothing waits until its stages have capacity, because it would be late now or others of its route wait before it; detail is its client account, value the time until its last possible start."},
 	{Number: OrderStarts, Title: "orderStarts", Severity: SeverityInfo, Text: "A request that waited is started; value is the time since the order arrived."},
+	{Number: CatalogBehind, Title: "catalogBehind", Severity: SeverityWarning, Text: "Another VM has had a newer configuration for longer than a second, as far as this VM knows, and this one could not fetch it yet; version is the newer one, value the time since that was known. Repeated every second."},
 }
 
 // byNumber indexes the catalogue by number, since an entry is looked up for each log line.
