--- a/bluebelld/bbentry/recovery_test.go
+++ b/bluebelld/bbentry/recovery_test.go
@@ -54,10 +54,14 @@
 
 	mu  sync.Mutex
 	vms map[string]*siteVM
-	// storeDown is true while the store refuses all calls; catalog and revision are what it has.
+	// storeDown is true while the store refuses all calls; catalog, the version of its configuration, and revision are
+	// what it has. Published is that configuration; nil for an empty one.
 	storeDown bool
 	catalog   uint64
-	revision  bbrevision.Revision
+	published *bbcatalog.Catalog
+	// links carry what VMs fetch from each other; nil for links without limits.
+	links    *links
+	revision bbrevision.Revision
 	// readers are the VMs that called the store, and calls counts the calls.
 	readers map[string]bool
 	calls   int
@@ -166,8 +170,12 @@
 	v.fleet.Exchange = func(_ context.Context, address string, e bbpeer.Exchange) (bbpeer.Exchange, error) {
 		return call(s, address, &s.exchanges, func(to *siteVM) bbpeer.Exchange { return to.fleet.Answer(e) })
 	}
-	v.fetch = func(_ context.Context, address string, w bbpeer.PublishedRequest) (bbpeer.Published, error) {
-		return call(s, address, &s.fetches, func(to *siteVM) bbpeer.Published { return to.published(w) })
+	v.fetch = func(ctx context.Context, address string, w bbpeer.PublishedRequest) (bbpeer.Published, error) {
+		p, err := call(s, address, &s.fetches, func(to *siteVM) bbpeer.Published { return to.published(w) })
+		if l := s.currentLinks(); l != nil && err == nil {
+			err = l.transfer(ctx, address, self.Name, l.size(s.t, p))
+		}
+		return p, err
 	}
 	v.fleet.PlaceOrder = func(_ context.Context, address string, _ bbjob.Order, _ func(), pass func(u bbjob.Update) error) error {
 		var updates int
@@ -226,7 +234,10 @@
 		s.mu.Lock()
 		s.readers[v.settings.Self.Name] = true
 		s.calls += 2
-		catalog, revision, down := s.catalog, s.revision, s.storeDown
+		catalog, revision, down := bbcatalog.Catalog{Version: s.catalog}, s.revision, s.storeDown
+		if s.published != nil {
+			catalog = *s.published
+		}
 		s.mu.Unlock()
 		time.Sleep(2*s.delay + storeTime)
 		if down {
@@ -234,7 +245,7 @@
 			time.Sleep(storePeriod)
 			continue
 		}
-		v.Knowledge.OfferCatalog(bbcatalog.Catalog{Version: catalog}, "store")
+		v.Knowledge.OfferCatalog(catalog, "store")
 		v.Knowledge.ReplaceEndpoints(bbregistry.Snapshot{
 			Revision:  revision,
 			Endpoints: []bbregistry.Endpoint{{ID: "a", Service: "s", Zone: "z0"}},
