Gateway: an endpoint is chosen and sent to by the regions in force

Callers' requests reached endpoints outside the regions of their route or account: the regions were those of the configuration in force on arrival, and a request may then wait for a permit, an engine, a retry or a hedge while a later configuration moves its route. Each choice and each order now takes the regions of the configuration in force, and each send, plain, hedged or with a grant, checks the endpoint's failure domain once more just before it.

--- a/bluebelld/bbadmission/admission.go
+++ b/bluebelld/bbadmission/admission.go
@@ -30,6 +30,8 @@
 	// Index is the configuration in force on arrival; nil if there was none.
 	Index *bbcatalog.Index
 	Route *bbcatalog.Route
+	// Host and Path select the route: the host has no port, the path no query.
+	Host, Path string
 	// Account is the client account; nil if the route needs none.
 	Account *bbcatalog.Account
 	Body    []byte
@@ -57,7 +59,8 @@
 	if !strings.HasPrefix(path, "/") {
 		return a, http.StatusBadRequest, "target"
 	}
-	a.Route = index.Route(hostName(r.Host), path)
+	a.Host, a.Path = hostName(r.Host), path
+	a.Route = index.Route(a.Host, a.Path)
 	if a.Route == nil {
 		return a, http.StatusNotFound, "noRoute"
 	}
@@ -86,6 +89,21 @@
 	return wait
 }
 
+// Regions returns the regions in which the request may be served by a configuration that may be later than that of its
+// arrival; empty means all. What the later one no longer has counts as it was on arrival.
+func (a *Admitted) Regions(index *bbcatalog.Index) []string {
+	route, account := a.Route, a.Account
+	if index != a.Index && index != nil {
+		if r := index.Route(a.Host, a.Path); r != nil {
+			route = r
+		}
+		if later := index.Account(a.Key); account != nil && later != nil {
+			account = later
+		}
+	}
+	return bbcatalog.Regions(route, account)
+}
+
 func (a *Admitted) hashContent(r *http.Request) uint64 {
 	caller := a.Key
 	if a.Account != nil {
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -25,7 +25,6 @@
 		return
 	}
 	order := g.newOrder(x)
-	x.log.Regions = order.Regions
 	var avoid []string
 	runs := 0
 	for x.log.Tries < maxGrants {
@@ -33,6 +32,8 @@
 		order.Limit = x.firstEventDeadline() - now
 		order.Suspicion = g.hooks.Suspicion(x.Content)
 		order.Avoid = g.withBackedOff(x, avoid)
+		order.Regions = x.Regions(g.hooks.Index())
+		x.log.Regions = order.Regions
 		verdict, coordinator, err := g.requestEngine(ctx, order)
 		if err != nil || verdict.Grant == nil {
 			g.endUngranted(ctx, x, runs, verdict)
@@ -96,7 +97,6 @@
 		Zone:      g.zone,
 		Region:    g.region,
 		BodyBytes: len(x.Body),
-		Regions:   bbcatalog.Regions(x.Route, x.Account),
 		Stages:    bbjob.Stages(x.Route, x.Pieces),
 
 		Fingerprint: x.Content,
@@ -202,7 +202,7 @@
 		return bbhealth.OutcomeHeld, true
 	}
 	process, allowed := g.hooks.MaySend(t.grant.Endpoint)
-	if !allowed || !g.hooks.GrantHolds(t.grant, t.coordinator) {
+	if !allowed || !g.hooks.GrantHolds(t.grant, t.coordinator) || !g.inRegions(t.exchange, g.hooks.Zone(t.grant.Endpoint)) {
 		return bbhealth.OutcomeHeld, true
 	}
 	r := run{
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -75,15 +75,15 @@
 	g.fail(x, http.StatusServiceUnavailable, cause, after)
 }
 
-// choose selects an endpoint for the request among those in an allowed region that have not requested
-// backoff.
+// choose selects an endpoint for the request among those in a region that the configuration in force allows and
+// that have not requested backoff.
 func (g *Gateway) choose(x *exchange, avoid map[string]bool) (bbplain.Endpoint, bool) {
-	x.log.Regions = bbcatalog.Regions(x.Route, x.Account)
+	x.log.Regions = x.Regions(g.hooks.Index())
 	entries := g.hooks.Endpoints(x.service)
 	list := make([]bbplain.Endpoint, 0, len(entries))
 	for _, e := range entries {
 		region := g.hooks.Region(e.Zone)
-		if !bbcatalog.Allowed(x.Route, x.Account, region) || g.hooks.BackoffUntil(e.ID) > 0 {
+		if !bbcatalog.InRegions(x.log.Regions, region) || g.hooks.BackoffUntil(e.ID) > 0 {
 			continue
 		}
 		list = append(list, bbplain.Endpoint{
@@ -98,6 +98,12 @@
 	return g.chooseEndpoint(x, list, avoid)
 }
 
+// inRegions reports whether the configuration in force allows the request in a failure domain. It is called before each
+// send: the configuration may have changed since the endpoint was chosen.
+func (g *Gateway) inRegions(x *exchange, zone string) bool {
+	return bbcatalog.InRegions(x.Regions(g.hooks.Index()), g.hooks.Region(zone))
+}
+
 // mayRepeat reports whether the retry allowance of the request's service permits one more retry, and
 // consumes it.
 func (g *Gateway) mayRepeat(x *exchange) bool {
@@ -138,7 +144,7 @@
 		ctx: ctx,
 	}
 	process, allowed := g.hooks.MaySend(e.ID)
-	if !allowed || !g.hooks.Permit(ctx, e.ID) {
+	if !allowed || !g.hooks.Permit(ctx, e.ID) || !g.inRegions(x, e.Zone) {
 		s.held = true
 		return s
 	}
--- a/core/bbcatalog/index.go
+++ b/core/bbcatalog/index.go
@@ -1,6 +1,7 @@
 package bbcatalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -80,10 +81,7 @@
 // Allowed reports whether requests of a route and an account may be served in a region; a may be nil. If
 // both list regions, the region must be in both lists.
 func Allowed(r *Route, a *Account, region string) bool {
-	if !allows(r.Regions, region) {
-		return false
-	}
-	return a == nil || allows(a.Regions, region)
+	return InRegions(r.Regions, region) && (a == nil || InRegions(a.Regions, region))
 }
 
 // noRegion stands for a route and an account that have no region in common.
@@ -110,17 +108,9 @@
 	return both
 }
 
-// allows reports whether a list contains a value; an empty list allows every value.
-func allows(list []string, value string) bool {
-	if len(list) == 0 {
-		return true
-	}
-	for _, s := range list {
-		if s == value {
-			return true
-		}
-	}
-	return false
+// InRegions reports whether a region is in a list; an empty list has every region.
+func InRegions(list []string, region string) bool {
+	return len(list) == 0 || slices.Contains(list, region)
 }
 
 // Pick returns the service for a request of a route by weight. The draw is a random number in [0, 1).
