Coordinator: requests in progress follow the regions of a later configuration

Pieces were sent to stage workers, and engines granted, in the regions that an order had on arrival, however long it waited for capacity since: seconds where late requests may wait, which is on only where endpoints share their machines. The order now says which version of the configuration its regions are of; the coordinator takes over those of its own configuration if that is later, on arrival, with each new one and with each new order of a request, and queued work looks the regions up at each choice.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -144,6 +144,7 @@
 		Service:         e.service,
 		Endpoints:       e.coordinated,
 		Region:          e.region,
+		Regions:         e.regions,
 		Heard:           e.fleet.Heard,
 		Majority:        e.fleet.HasMajority,
 		SoleCoordinator: e.fleet.IsSoleCoordinator,
@@ -319,6 +320,16 @@
 	return e.settings.Regions[zone]
 }
 
+// regions returns the regions of a route and an account in the configuration in force, and its version.
+func (e *Entry) regions(route, account string) ([]string, uint64, bool) {
+	x := e.Knowledge.Index()
+	if x == nil {
+		return nil, 0, false
+	}
+	list, ok := x.RegionsOf(route, account)
+	return list, x.Catalog.Version, ok
+}
+
 // newWindow returns the retry window of a service, with this VM's share of the fixed allowance.
 func (e *Entry) newWindow() *bballowance.Window {
 	return &bballowance.Window{
@@ -366,6 +377,9 @@
 
 func (e *Entry) catalogChanged(c bbcatalog.Catalog, source string) {
 	e.log.Event(bbevent.CatalogInForce).Uint64("version", c.Version).Int("routes", len(c.Routes)).Str("source", source).Send()
+	if e.hub != nil {
+		e.hub.CatalogChanged()
+	}
 	go e.refresh()
 }
 
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -1,6 +1,7 @@
 package bbgateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -32,7 +33,7 @@
 		order.Limit = x.firstEventDeadline() - now
 		order.Suspicion = g.hooks.Suspicion(x.Content)
 		order.Avoid = g.withBackedOff(x, avoid)
-		order.Regions = x.Regions(g.hooks.Index())
+		order.Regions, order.CatalogVersion = g.regionsInForce(x)
 		x.log.Regions = order.Regions
 		verdict, coordinator, err := g.requestEngine(ctx, order)
 		if err != nil || verdict.Grant == nil {
@@ -103,6 +104,12 @@
 	}
 }
 
+// regionsInForce returns the regions in which the request may be served, and the version of the configuration in force.
+func (g *Gateway) regionsInForce(x *exchange) ([]string, uint64) {
+	index := cmp.Or(g.hooks.Index(), x.Index)
+	return x.Regions(index), index.Catalog.Version
+}
+
 // elapsed returns the estimated time since the caller's first attempt, or 0 if that can't be estimated.
 func (g *Gateway) elapsed(x *exchange) time.Duration {
 	if x.Wait <= 0 {
--- a/bluebelld/bbhub/hub.go
+++ b/bluebelld/bbhub/hub.go
@@ -191,6 +191,12 @@
 	_ = h.do("leave", h.coordinator.Leave)
 }
 
+// CatalogChanged has the coordinator take over a new configuration.
+func (h *Hub) CatalogChanged() {
+	// do has logged a failure.
+	_ = h.do("new configuration", func() bbdecision.Output { return h.coordinator.CatalogChanged(h.hooks.Now()) })
+}
+
 // Resume accepts orders again after Leave.
 func (h *Hub) Resume() {
 	h.mu.Lock()
--- a/core/bbcatalog/index.go
+++ b/core/bbcatalog/index.go
@@ -15,6 +15,9 @@
 	byHost   map[string][]*Route
 	services map[string]*Service
 	byKey    map[string]*Account
+	// routes and accounts have both by name.
+	routes   map[string]*Route
+	accounts map[string]*Account
 }
 
 // NewIndex returns the index of a catalog, which must not change afterwards.
@@ -24,10 +27,13 @@
 		byHost:   make(map[string][]*Route, len(c.Routes)),
 		services: make(map[string]*Service, len(c.Services)),
 		byKey:    make(map[string]*Account),
+		routes:   make(map[string]*Route, len(c.Routes)),
+		accounts: make(map[string]*Account, len(c.Accounts)),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		x.byHost[r.Host] = append(x.byHost[r.Host], r)
+		x.routes[r.Name] = r
 	}
 	for _, routes := range x.byHost {
 		sort.SliceStable(routes, func(i, j int) bool {
@@ -38,6 +44,7 @@
 		x.services[c.Services[i].Name] = &c.Services[i]
 	}
 	for i := range c.Accounts {
+		x.accounts[c.Accounts[i].Name] = &c.Accounts[i]
 		for _, key := range c.Accounts[i].Keys {
 			x.byKey[key] = &c.Accounts[i]
 		}
@@ -108,6 +115,16 @@
 	return both
 }
 
+// RegionsOf returns the regions in which requests of the named route and account may be served; empty means all. The name
+// of the account is empty if there is none. It returns false if the configuration doesn't have both.
+func (x *Index) RegionsOf(route, account string) ([]string, bool) {
+	r, a := x.routes[route], x.accounts[account]
+	if r == nil || a == nil && account != "" {
+		return nil, false
+	}
+	return Regions(r, a), true
+}
+
 // InRegions reports whether a region is in a list; an empty list has every region.
 func InRegions(list []string, region string) bool {
 	return len(list) == 0 || slices.Contains(list, region)
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -35,6 +35,9 @@
 	Endpoints func(service string) []*bbregistry.Entry
 	// Region returns the region of a failure domain.
 	Region func(zone string) string
+	// Regions returns the regions in which requests of a route and an account may be served by the configuration in force,
+	// and its version. It returns false if the configuration doesn't have both; nil never has.
+	Regions func(route, account string) (regions []string, version uint64, ok bool)
 	// Heard reports whether a VM gives signs of life or is unknown; nil if all do.
 	Heard func(vm string) bool
 	// Majority reports whether this VM reaches most of the others.
@@ -159,6 +162,9 @@
 	if k.Share == nil {
 		k.Share = func() float64 { return 1 }
 	}
+	if k.Regions == nil {
+		k.Regions = func(string, string) ([]string, uint64, bool) { return nil, 0, false }
+	}
 	if k.Heard == nil {
 		k.Heard = func(string) bool { return true }
 	}
@@ -255,6 +261,7 @@
 		return c.flush()
 	}
 	j := bbprogress.NewJob(now, o)
+	c.updateRegions(j)
 	if reason := c.quarantineReason(j); reason != "" {
 		c.refuse(o.ID, reason, bbsuspect.RetryAfter, 0)
 		return c.flush()
@@ -308,7 +315,7 @@
 	if j.Order.Spilled || len(j.Order.Results) > 0 || expected <= j.Due {
 		return false
 	}
-	name, elsewhere := c.env.Spill(j.Order, j.Estimated-now, j.Order.Allowed(c.env.Region))
+	name, elsewhere := c.env.Spill(j.Order, j.Estimated-now, c.allowed(j))
 	if name == "" {
 		return false
 	}
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -129,7 +129,7 @@
 		},
 		BodyBytes: j.Order.BodyBytes,
 		Inputs:    bytes,
-		Allowed:   j.Order.Allowed(c.env.Region),
+		Allowed:   c.allowed(j),
 		Available: func(id string) bool { return c.env.Pace.AvailableAt(id) == 0 },
 		Avoid:     j.Order.Avoid,
 		Watched:   c.suspicion(j) >= bbsuspect.Watched,
@@ -178,6 +178,8 @@
 // resubmit handles an order for a known request: its origin asks for another engine after one
 // refused the request.
 func (c *Coordinator) resubmit(now time.Duration, j *bbprogress.Job, o bbjob.Order) {
+	setRegions(j, o.Regions, o.CatalogVersion)
+	c.updateRegions(j)
 	if j.Granted == "" {
 		return
 	}
--- a/core/bbcoordinator/stages.go
+++ b/core/bbcoordinator/stages.go
@@ -95,7 +95,7 @@
 		Limit:       j.Limit,
 		Zone:        j.PreferredStageZone(stage),
 		MoveBytes:   j.MoveBytes(stage, len(pieces)),
-		Allowed:     j.Order.Allowed(c.env.Region),
+		Allowed:     c.allowed(j),
 	})
 	return true
 }
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -49,8 +49,10 @@
 	Region string `json:"region"`
 	// BodyBytes is the size of the request's body, which goes from the origin to the engine.
 	BodyBytes int `json:"bodyBytes"`
-	// Regions are those in which the request may be served; empty allows all.
-	Regions []string `json:"regions"`
+	// Regions are those in which the request may be served; empty allows all. CatalogVersion is the version of the
+	// configuration that says so; 0 in orders of builds that don't state it.
+	Regions        []string `json:"regions"`
+	CatalogVersion uint64   `json:"catalogVersion,omitempty"`
 	// Resumable requests may need their inputs again after their answer has begun, when the
 	// stream continues on another engine.
 	Resumable bool `json:"resumable"`
