Soak: streams and the versions of engines' software, a failing test

Streams that break off go on at engines with another version of their software, in one answer and over a caller's attempts (docs/incidents/stream-versions.md). No test could show it: stand-ins had no versions, and callers didn't come back for a stream.

Stand-ins of engines write the version of their software into their entries and into each event, and callers take a resumable stream up again at any VM, with the last event and the attempt that brought the first one. A share of their connections may break under way. A check holds the events of a stream over all attempts against each other: one version, no gap.

It is known red until streams keep to a version.

--- a/bluebellbench/bbsoak/bbload/load.go
+++ b/bluebellbench/bbsoak/bbload/load.go
@@ -24,6 +24,10 @@
 	// Ledger records each attempt before it is sent; Processes are the VMs that receive the requests.
 	Ledger    *bbledger.Ledger
 	Processes []*bbprocess.Process
+	// Routes are the routes that Run sends requests on.
+	Routes []bbcatalog.Route
+	// BreakShare is the share of attempts on resumable routes, from 0 to 1, whose connections break under way.
+	BreakShare float64
 
 	mu    sync.Mutex
 	tries []bbpromise.Try
@@ -36,8 +40,9 @@
 	addressTTL = 2 * time.Second
 	// resolveTimeout is the timeout of a request to the directory.
 	resolveTimeout = time.Second
-	// maxTries is the maximum number of attempts for one request.
-	maxTries = 3
+	// maxTries is the maximum number of attempts for one request, maxStreamTries that for one resumable stream.
+	maxTries       = 3
+	maxStreamTries = 4
 )
 
 // Tries returns all attempts that have ended.
@@ -72,7 +77,7 @@
 				if len(addresses) == 0 {
 					continue
 				}
-				q := request(random, fmt.Sprintf("%x-%d-%d", seed, i, n))
+				q := requestOn(random, Pick(random, l.Routes), fmt.Sprintf("%x-%d-%d", seed, i, n))
 				list := addresses
 				choice := random.Uint64()
 				group.Go(func() { l.send(client, q, list, choice) })
@@ -94,11 +99,6 @@
 	return previous
 }
 
-// request returns a random request on a random route.
-func request(random *rand.Rand, id string) bbstand.Request {
-	return requestOn(random, Pick(random, bbdeployment.Routes()), id)
-}
-
 // requestOn returns a random request on a route.
 func requestOn(random *rand.Rand, r bbcatalog.Route, id string) bbstand.Request {
 	q := bbstand.Request{
@@ -181,17 +181,33 @@
 }
 
 // send sends a request, and repeats it until it is answered, must not be repeated, or has too little
-// time left.
+// time left. It takes up a resumable stream that broke off at any VM.
 func (l *Load) send(client *http.Client, q bbstand.Request, addresses []string, choice uint64) {
-	id := q.ID
+	random := rand.New(rand.NewPCG(choice, 0))
+	id, tries := q.ID, maxTries
+	if q.Route.Resumable {
+		tries = maxStreamTries
+	}
 	until := time.Now().Add(q.Wait)
-	for n := range maxTries {
+	for n := range tries {
 		q.ID = fmt.Sprintf("%s-%d", id, n)
 		q.Content = bbstand.Content(q.Method, q.Path, []byte(q.Body))
 		q.Wait = time.Until(until)
+		q.BreakAfter = 0
+		if left := q.Events - q.LastEvent; q.Route.Resumable && left > 1 && random.Float64() < l.BreakShare {
+			q.BreakAfter = 1 + random.IntN(left-1)
+		}
 		l.Ledger.Expect(q.Attempt)
-		reply := l.Try(client, q, addresses[(choice+uint64(n))%uint64(len(addresses))])
+		address := addresses[(choice+uint64(n))%uint64(len(addresses))]
+		if q.Resumes != "" {
+			address = Pick(random, l.Processes).VM.Front()
+		}
+		reply := l.Try(client, q, address)
 		repeat := reply.NotRun() || q.Route.Kind == bbcatalog.KindIdempotent && reply.Status != http.StatusOK
+		if q.Route.Resumable {
+			q = next(q, reply)
+			repeat = !reply.Answered() && q.LastEvent < q.Events
+		}
 		if !repeat || time.Until(until) < 2*reply.RetryAfter+100*time.Millisecond {
 			return
 		}
@@ -199,6 +215,18 @@
 	}
 }
 
+// next returns the request that takes up the stream of an attempt after its last event.
+func next(q bbstand.Request, reply bbstand.Reply) bbstand.Request {
+	if reply.Status != http.StatusOK {
+		return q
+	}
+	if n := bbstand.CountEvents(reply.Body); n > 0 {
+		q.Resumes = q.StreamID()
+		q.LastEvent += n
+	}
+	return q
+}
+
 // Try sends one attempt to the VM that listens for callers on an address, and records the reply.
 func (l *Load) Try(client *http.Client, q bbstand.Request, address string) bbstand.Reply {
 	t := bbpromise.Try{
--- a/bluebellbench/bbsoak/bbpromise/promise.go
+++ b/bluebellbench/bbsoak/bbpromise/promise.go
@@ -105,6 +105,9 @@
 	// Tries is the number of attempts, Answered that of complete answers, NotRun that of refusals which
 	// guarantee that the attempt didn't run.
 	Tries, Answered, NotRun int
+	// Streams is the number of resumable streams that began, Continued that of those with several runs, Mixed that
+	// of those with events of several versions of the software.
+	Streams, Continued, Mixed int
 	// Violations describes the guarantees that were violated.
 	Violations []string
 }
@@ -161,6 +164,7 @@
 	c.checkSignals(c.Ledger.Signals(), arrivals)
 	c.checkLimits(c.Ledger.Signals(), arrivals)
 	c.checkRollback()
+	r.Streams, r.Continued, r.Mixed = c.checkStreams()
 	if c.CheckTiming {
 		c.checkTiming(arrivals)
 	}
@@ -199,11 +203,9 @@
 	}
 	want := "done " + q.ID
 	if q.Events > 0 {
-		var events strings.Builder
-		for i := range q.Events {
-			events.WriteString(bbstand.Event(q.ID, i+1, q.Events))
-		}
-		want = events.String()
+		var versions []string
+		versions, body = bbstand.Versions(body)
+		want = bbstand.ExpectedEvents(q, versions)
 	}
 	switch {
 	case t.Reply.Whole && body != want:
--- a/bluebellbench/bbsoak/bbpromise/promise_test.go
+++ b/bluebellbench/bbsoak/bbpromise/promise_test.go
@@ -63,7 +63,7 @@
 			Service: service,
 			Zone:    "east",
 			Cold:    cold,
-		}, s, f.Ledger, 1, func() {})
+		}, "v1", s, f.Ledger, 1, func() {})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -200,14 +200,14 @@
 			name: "event left out",
 			want: "want",
 			arrange: func(_ *testing.T, f *fakeEndpoints) []Try {
-				return []Try{newTry(expectAttempt(f, "chat", "a"), answered(bbstand.Event("a", 1, 3)+bbstand.Event("a", 3, 3)))}
+				return []Try{newTry(expectAttempt(f, "chat", "a"), answered(bbstand.Event("a", "v1", 1, 3)+bbstand.Event("a", "v1", 3, 3)))}
 			},
 		},
 		{
 			name: "event twice before the end",
 			want: "the beginning of",
 			arrange: func(_ *testing.T, f *fakeEndpoints) []Try {
-				r := answered(bbstand.Event("a", 1, 3) + bbstand.Event("a", 1, 3))
+				r := answered(bbstand.Event("a", "v1", 1, 3) + bbstand.Event("a", "v1", 1, 3))
 				r.Whole = false
 				return []Try{newTry(expectAttempt(f, "chat", "a"), r)}
 			},
--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -36,6 +36,8 @@
 	// requests per second.
 	coldTime = 3 * time.Second
 	coldRate = 9.4
+	// firstVersion is the version of the software of all endpoints before the first release.
+	firstVersion = "v1"
 	// pageSize is the maximum number of items in one answer of the store.
 	pageSize = 50
 )
@@ -54,6 +56,8 @@
 	cleanup func()
 	// leaving is true once the current endpoint's entry says so.
 	leaving bool
+	// version is the version of the software with which the next endpoint starts.
+	version string
 }
 
 // Fleet is everything that a soak test runs: the store, the endpoints, the entry VMs and their proxies.
@@ -101,6 +105,7 @@
 	}
 	f.load = &bbload.Load{
 		Ledger: f.Ledger,
+		Routes: bbdeployment.Routes(),
 	}
 	if err := f.start(s); err != nil {
 		f.stop()
@@ -177,6 +182,7 @@
 		zone:    bbdeployment.Zones[i%len(bbdeployment.Zones)],
 		name:    fmt.Sprintf("%s-%d", service.Name, i),
 		inner:   fmt.Sprintf("%s.%d:%d", network, endpointHost, port),
+		version: firstVersion,
 	}
 	proxy, err := f.addProxy(fmt.Sprintf("%s.%d:%d", network, proxyHost, port), b.inner)
 	if err != nil {
@@ -314,12 +320,12 @@
 		StartedMillis: time.Now().UnixMilli(),
 		Cold:          cold,
 	}
-	e, cleanup, err := bbstand.NewEndpoint(b.inner, entry, b.service, f.Ledger, f.seed+uint64(b.boots), func() { f.crash(b) })
+	e, cleanup, err := bbstand.NewEndpoint(b.inner, entry, b.version, b.service, f.Ledger, f.seed+uint64(b.boots), func() { f.crash(b) })
 	if err != nil {
 		return err
 	}
 	b.current, b.cleanup, b.leaving = e, cleanup, false
-	return f.store.PutEndpoint(entry)
+	return f.store.PutEndpoint(entry, b.version)
 }
 
 // crash ends the current endpoint and restarts it after crashDowntime. As after a real crash, the entry of the
@@ -350,6 +356,18 @@
 	return f.Restart(b, b.coldTime())
 }
 
+// setVersion sets the version of the software with which the next endpoint starts.
+func (b *backEnd) setVersion(version string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.version = version
+}
+
+// engines returns the endpoints that are engines.
+func (f *Fleet) engines() []*backEnd {
+	return slices.DeleteFunc(slices.Clone(f.backEnds), func(b *backEnd) bool { return b.service.Engine == nil })
+}
+
 // coldTime returns how long the endpoint is cold after a start; 0 unless it is an engine.
 func (b *backEnd) coldTime() time.Duration {
 	if b.service.Engine == nil {
@@ -381,7 +399,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leavingSince[entry.ID] = time.Now()
-	return f.store.PutEndpoint(entry)
+	return f.store.PutEndpoint(entry, b.current.Version)
 }
 
 // id returns the ID of the current endpoint.
--- a/bluebellbench/bbsoak/restore.go
+++ b/bluebellbench/bbsoak/restore.go
@@ -51,7 +51,7 @@
 	entry := b.current.Entry
 	entry.Leaving = b.leaving
 	// The entry was encoded before; it can't fail now.
-	_ = f.store.PutEndpoint(entry)
+	_ = f.store.PutEndpoint(entry, b.current.Version)
 }
 
 // expire removes the entry of an endpoint unless it runs.
