--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -2,18 +2,16 @@
 
 import (
 	"fmt"
-	"os"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"net"
-	"net/http"
-
 	"github.com/cockroachdb/errors"
 
 	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
 	"bluebellhall/bluebellbench/bbsoak/bbload"
+	"bluebellhall/bluebellbench/bbsoak/bbloopback"
 	"bluebellhall/bluebellbench/bbsoak/bbprocess"
 	"bluebellhall/bluebellbench/bbsoak/bbpromise"
 	"bluebellhall/bluebellbench/bbsoak/bbproxy"
@@ -92,8 +90,8 @@
 
 // NewFleet starts the fakes and the entry VMs. The clean-up function stops all of them.
 func NewFleet(s Settings) (*Fleet, func(), error) {
-	if s.VMs > maxVMs {
-		return nil, nil, errors.Newf("%d VMs exceed the maximum of %d", s.VMs, maxVMs)
+	if s.VMs > bbloopback.MaxVMs {
+		return nil, nil, errors.Newf("%d VMs exceed the maximum of %d", s.VMs, bbloopback.MaxVMs)
 	}
 	f := &Fleet{
 		Ledger:       bbledger.NewLedger(),
@@ -126,7 +124,7 @@
 
 // start starts the store, the endpoints and the entry VMs.
 func (f *Fleet) start(s Settings) error {
-	network, l, err := reserveNetwork()
+	network, l, err := bbloopback.Reserve()
 	if err != nil {
 		return err
 	}
@@ -175,16 +173,15 @@
 }
 
 // addEndpoint starts an endpoint of a service behind its proxy.
-func (f *Fleet) addEndpoint(network string, service bbcatalog.Service, i int) error {
-	port := endpointPort + len(f.backEnds)
+func (f *Fleet) addEndpoint(network bbloopback.Network, service bbcatalog.Service, i int) error {
 	b := &backEnd{
 		service: service,
 		zone:    bbdeployment.Zones[i%len(bbdeployment.Zones)],
 		name:    fmt.Sprintf("%s-%d", service.Name, i),
-		inner:   fmt.Sprintf("%s.%d:%d", network, endpointHost, port),
+		inner:   network.Endpoint(len(f.backEnds)),
 		version: firstVersion,
 	}
-	proxy, err := f.addProxy(fmt.Sprintf("%s.%d:%d", network, proxyHost, port), b.inner)
+	proxy, err := f.addProxy(network.EndpointProxy(len(f.backEnds)), b.inner)
 	if err != nil {
 		return err
 	}
@@ -203,35 +200,13 @@
 	return len(bbdeployment.Zones)
 }
 
-// The addresses of a soak test: each VM has a loopback address whose last octet is its number plus 1.
-const (
-	// networks is the number of loopback networks to choose from.
-	networks = 50000
-	// firstPort is the first port of each VM. Relative to it are peerPort, the port of the proxy through which
-	// other VMs connect, innerPort, the port on which the VM itself listens for them, and storePort, the port
-	// of the proxy before the store.
-	firstPort = 8620
-	peerPort  = 8
-	innerPort = 9
-	storePort = 10
-	// The last octets of the addresses of the store, of the endpoints and of their proxies; maxVMs is below
-	// them, so that the addresses of VMs don't overlap with them.
-	storeHost    = 250
-	endpointHost = 251
-	proxyHost    = 252
-	maxVMs       = 240
-	endpointPort = 9000
-)
-
 // addVM prepares the process of a VM and starts its proxies.
-func (f *Fleet) addVM(s Settings, network string, i int, store string) error {
-	ip := fmt.Sprintf("%s.%d", network, i+1)
-	inner := fmt.Sprintf("%s:%d", ip, firstPort+innerPort)
-	peer, err := f.addProxy(fmt.Sprintf("%s:%d", ip, firstPort+peerPort), inner)
+func (f *Fleet) addVM(s Settings, network bbloopback.Network, i int, store string) error {
+	peer, err := f.addProxy(network.Peer(i), network.Inner(i))
 	if err != nil {
 		return err
 	}
-	storeProxy, err := f.addProxy(fmt.Sprintf("%s:%d", ip, firstPort+storePort), store)
+	storeProxy, err := f.addProxy(network.Store(i), store)
 	if err != nil {
 		return err
 	}
@@ -239,14 +214,14 @@
 	f.storeProxies = append(f.storeProxies, storeProxy)
 	var seeds []string
 	for k := range min(3, s.VMs) {
-		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", network, k+1, firstPort+peerPort))
+		seeds = append(seeds, network.Peer(k))
 	}
 	f.processes = append(f.processes, &bbprocess.Process{
 		VM: bbstand.VM{
 			Name:  fmt.Sprintf("entry-%d", i),
 			Zone:  bbdeployment.Zones[i%len(bbdeployment.Zones)],
-			IP:    ip,
-			Port:  firstPort,
+			IP:    network.VM(i),
+			Port:  bbloopback.FirstPort,
 			Peer:  peer.Address,
 			Store: storeProxy.Address,
 			Seeds: seeds,
@@ -254,26 +229,13 @@
 			Cores: 0.4,
 			Grace: graceTime,
 		},
-		Listen:  inner,
+		Listen:  network.Inner(i),
 		Program: s.Program,
 		Dir:     s.Dir,
 	})
 	return nil
 }
 
-// reserveNetwork returns the first three octets of a loopback network that no other soak test uses, and the
-// listener of the store, which keeps the network reserved.
-func reserveNetwork() (string, net.Listener, error) {
-	for i := range networks {
-		n := (os.Getpid() + i) % networks
-		network := fmt.Sprintf("127.%d.%d", 1+n/250, 1+n%250)
-		if l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, storeHost, firstPort)); err == nil {
-			return network, l, nil
-		}
-	}
-	return "", nil, errors.New("no free loopback network for the soak test")
-}
-
 // Configure writes the next version of the configuration.
 func (f *Fleet) Configure() error {
 	f.mu.Lock()
