Soak: take the locks of the fleet and of an endpoint in one order

MarkLeaving took the endpoint's lock before the fleet's, the restart of a crashed endpoint the fleet's before the endpoint's: two at once could block each other for good. Found by reading; no run has shown it.

--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -352,14 +352,14 @@
 
 // MarkLeaving marks the current endpoint and its entry in the store as leaving.
 func (f *Fleet) MarkLeaving(b *backEnd) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.current.MarkLeaving()
 	b.leaving = true
 	entry := b.current.Entry
 	entry.Leaving = true
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.leavingSince[entry.ID] = time.Now()
 	return f.store.PutEndpoint(entry, b.current.Version)
 }
