Soak: streams that callers take up must go on

A program could keep the versions of streams apart by refusing every stream that a caller takes up. The checks now compare: of 12 or more attempts that take streams up at undisturbed VMs, while two engines of their version serve, the share that goes on is at least half of the share of new streams that begin. Engines' intervals of serving are recorded, also by zone.

--- a/bluebellbench/bbsoak/bbloopback/network.go
+++ b/bluebellbench/bbsoak/bbloopback/network.go
@@ -18,19 +18,20 @@
 const (
 	// networks is the number of loopback networks to choose from.
 	networks = 50000
-	// FirstPort is the first port of each VM. Relative to it are peerPort, the port of the proxy through which
-	// other VMs connect, innerPort, the port on which the VM itself listens for them, and storePort, the port
-	// of the proxy before the store.
+	// MaxVMs is the maximum number of VMs.
+	MaxVMs = 240
+	// FirstPort is the first port of each VM.
 	FirstPort = 8620
+	// Relative to the first port are peerPort, the port of the proxy through which other VMs connect, innerPort,
+	// the port on which the VM itself listens for them, and storePort, the port of the proxy before the store.
 	peerPort  = 8
 	innerPort = 9
 	storePort = 10
-	// The last octets of the addresses of the store, of the endpoints and of their proxies; MaxVMs is below
-	// them, so that the addresses of VMs don't overlap with them.
+	// The last octets of the addresses of the store, of the endpoints and of their proxies. They exceed MaxVMs, so
+	// that the addresses of VMs don't overlap with them.
 	storeHost    = 250
 	endpointHost = 251
 	proxyHost    = 252
-	MaxVMs       = 240
 	endpointPort = 9000
 )
 
--- a/bluebellbench/bbsoak/bbpromise/stream_test.go
+++ b/bluebellbench/bbsoak/bbpromise/stream_test.go
@@ -1,6 +1,7 @@
 package bbpromise
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -79,3 +80,72 @@
 		})
 	}
 }
+
+// Each case has 20 new streams that began, and some that callers took up at another VM, where they were refused. Those
+// without a wanted text violate nothing.
+func TestStreamsThatDoNotGoOnAreFound(t *testing.T) {
+	const want = "0 of 12 streams that were taken up went on, 20 of 20 new ones began"
+	for name, c := range map[string]struct {
+		want    string
+		takenUp int
+		arrange func(r *Record)
+	}{
+		"refused": {
+			want:    want,
+			takenUp: minTakenUp,
+			arrange: func(*Record) {},
+		},
+		"too few to tell": {
+			takenUp: minTakenUp - 1,
+			arrange: func(*Record) {},
+		},
+		"one engine of the version is left": {
+			takenUp: minTakenUp,
+			arrange: func(r *Record) { r.Engines[1].Until = time.Now().Add(-time.Minute) },
+		},
+		"one engine has another version": {
+			takenUp: minTakenUp,
+			arrange: func(r *Record) { r.Engines[1].Version = "v2" },
+		},
+		"one engine is evacuated": {
+			takenUp: minTakenUp,
+			arrange: func(r *Record) { r.Evacuated["west"] = []Interval{{From: time.Now().Add(-time.Minute)}} },
+		},
+		"the VM was killed": {
+			takenUp: minTakenUp,
+			arrange: func(r *Record) { r.Faults = []Fault{{VM: 1, Began: time.Now().Add(-time.Minute)}} },
+		},
+		"another VM was killed": {
+			want:    want,
+			takenUp: minTakenUp,
+			arrange: func(r *Record) { r.Faults = []Fault{{VM: 2, Began: time.Now().Add(-time.Minute)}} },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeEndpoints(t)
+			for _, zone := range []string{"east", "west"} {
+				f.Engines = append(f.Engines, Serving{
+					Interval: Interval{
+						From: time.Now().Add(-time.Hour),
+					},
+					Version: "v1",
+					Zone:    zone,
+				})
+			}
+			for i := range 20 {
+				id := fmt.Sprintf("%d", i)
+				f.Tries = append(f.Tries, newTry(expectAttempt(f, "chat", id), brokenOff(bbstand.Event(id, "v1", 1, 3))))
+				if i >= c.takenUp {
+					continue
+				}
+				q := expectAttempt(f, "chat", id+"-again")
+				q.Resumes, q.LastEvent = id, 1
+				again := newTry(q, bbstand.Reply{Status: http.StatusServiceUnavailable})
+				again.VM = 1
+				f.Tries = append(f.Tries, again)
+			}
+			c.arrange(&f.Record)
+			wantViolation(t, f.Record, c.want)
+		})
+	}
+}
--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -56,6 +56,8 @@
 	leaving bool
 	// version is the version of the software with which the next endpoint starts.
 	version string
+	// served are the intervals in which endpoints served.
+	served []bbpromise.Serving
 }
 
 // Fleet is everything that a soak test runs: the store, the endpoints, the entry VMs and their proxies.
@@ -287,6 +289,13 @@
 		return err
 	}
 	b.current, b.cleanup, b.leaving = e, cleanup, false
+	b.served = append(b.served, bbpromise.Serving{
+		Interval: bbpromise.Interval{
+			From: time.Now(),
+		},
+		Version: b.version,
+		Zone:    b.zone,
+	})
 	return f.store.PutEndpoint(entry, b.version)
 }
 
@@ -345,11 +354,19 @@
 	if b.cleanup == nil {
 		return false
 	}
+	b.stopServing()
 	b.cleanup()
 	b.cleanup = nil
 	return true
 }
 
+// stopServing ends the interval in which the current endpoint serves; the caller holds the lock.
+func (b *backEnd) stopServing() {
+	if last := &b.served[len(b.served)-1]; last.Until.IsZero() {
+		last.Until = time.Now()
+	}
+}
+
 // MarkLeaving marks the current endpoint and its entry in the store as leaving.
 func (f *Fleet) MarkLeaving(b *backEnd) error {
 	f.mu.Lock()
@@ -358,6 +375,7 @@
 	defer b.mu.Unlock()
 	b.current.MarkLeaving()
 	b.leaving = true
+	b.stopServing()
 	entry := b.current.Entry
 	entry.Leaving = true
 	f.leavingSince[entry.ID] = time.Now()
@@ -376,4 +394,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.current.SetFaults(f)
+	if f.Leaving {
+		b.stopServing()
+	}
 }
--- a/bluebellbench/bbsoak/soak.go
+++ b/bluebellbench/bbsoak/soak.go
@@ -125,6 +125,11 @@
 	for _, fault := range faults {
 		r.Faults = append(r.Faults, fault.Fault)
 	}
+	for _, b := range f.engines() {
+		b.mu.Lock()
+		r.Engines = append(r.Engines, b.served...)
+		b.mu.Unlock()
+	}
 	return r
 }
 
