--- a/bluebellbench/bbsoak/bbload/load.go
+++ b/bluebellbench/bbsoak/bbload/load.go
@@ -247,6 +247,24 @@
 	return t.Reply
 }
 
+// Probe sends a VM a request with the given ID on the route that a configuration version adds.
+func (l *Load) Probe(client *http.Client, vm int, id string, version uint64) {
+	q := bbstand.Request{
+		Attempt: bbledger.Attempt{
+			ID:    id,
+			Route: bbdeployment.Routes()[0],
+		},
+		Method:  http.MethodGet,
+		Host:    bbdeployment.Host,
+		Path:    bbdeployment.ProbePrefix(version) + id,
+		Wait:    time.Second,
+		Version: version,
+	}
+	q.Content = bbstand.Content(q.Method, q.Path, nil)
+	l.Ledger.Expect(q.Attempt)
+	l.Try(client, q, l.Processes[vm].VM.Front())
+}
+
 // Wait waits for a duration or until the context ends.
 func Wait(ctx context.Context, d time.Duration) {
 	select {
--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -141,44 +141,9 @@
 	return fault
 }
 
-// drawFaults draws a kind of misbehaviour of an endpoint.
-func drawFaults(random *rand.Rand) bbstand.Faults {
-	share := 0.1 + 0.4*random.Float64()
-	switch random.IntN(8) {
-	case 0:
-		return bbstand.Faults{Refuse: share}
-	case 1:
-		return bbstand.Faults{Lose: share}
-	case 2:
-		return bbstand.Faults{Break: share, FailResumed: random.IntN(2) == 0}
-	case 3:
-		return bbstand.Faults{Fail: share}
-	case 4:
-		return bbstand.Faults{Refuse: share, RetryAfter: randomDuration(random)}
-	case 5:
-		return bbstand.Faults{Leaving: true}
-	case 6:
-		return bbstand.Faults{Break: share, Unframed: true, FailResumed: random.IntN(2) == 0}
-	}
-	return bbstand.Faults{Slow: 2 + 3*random.Float64()}
-}
-
-// drawImpairment draws an impairment of a proxy and returns it with its name in fault names.
-func drawImpairment(random *rand.Rand) (bbproxy.Impairment, string) {
-	switch random.IntN(4) {
-	case 0:
-		return bbproxy.Impairment{Delay: time.Duration(random.IntN(300)) * time.Millisecond}, "delay"
-	case 1:
-		return bbproxy.Impairment{Reset: true}, "reset"
-	case 2:
-		return bbproxy.Impairment{StallReplies: true}, "stalled replies"
-	}
-	return bbproxy.Impairment{Stall: true}, "stall"
-}
-
 // proxyFault completes a fault that impairs a proxy.
 func proxyFault(fault Fault, p *bbproxy.Proxy, random *rand.Rand) Fault {
-	t, name := drawImpairment(random)
+	t, name := bbproxy.DrawImpairment(random)
 	fault.Name += ": " + name
 	fault.begin = func() error {
 		p.SetImpairment(t)
@@ -264,7 +229,7 @@
 // to back off. An endpoint that announced that it is leaving is replaced afterwards.
 func faultyEndpoint(f *Fleet, random *rand.Rand) Fault {
 	fault, b := endpointFault(f, random, "faulty")
-	faults := drawFaults(random)
+	faults := bbstand.DrawFaults(random)
 	fault.begin = func() error {
 		b.setFaults(faults)
 		return nil
--- a/bluebellbench/bbsoak/soak.go
+++ b/bluebellbench/bbsoak/soak.go
@@ -17,8 +17,6 @@
 	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
 	"bluebellhall/bluebellbench/bbsoak/bbload"
 	"bluebellhall/bluebellbench/bbsoak/bbpromise"
-	"bluebellhall/platform/bbledger"
-	"bluebellhall/platform/bbstand"
 )
 
 // Settings are the settings of a soak test.
@@ -175,7 +173,7 @@
 	for {
 		var names []string
 		for _, p := range f.processes {
-			if !ready(ctx, p.VM) {
+			if !p.VM.Ready(ctx) {
 				names = append(names, p.VM.Name)
 			}
 		}
@@ -186,22 +184,6 @@
 	}
 }
 
-func ready(ctx context.Context, vm bbstand.VM) bool {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Readiness()+"/bluebellhall/readyz", nil)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	// The body isn't needed.
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // probe regularly sends a VM a request on the route that the newest configuration version adds, which shows
 // whether the VM has applied that version.
 func (f *Fleet) probe(ctx context.Context, vm int) {
@@ -215,20 +197,6 @@
 		f.mu.Lock()
 		version := f.version
 		f.mu.Unlock()
-		id := fmt.Sprintf("probe-%d-%d", vm, n)
-		q := bbstand.Request{
-			Attempt: bbledger.Attempt{
-				ID:    id,
-				Route: bbdeployment.Routes()[0],
-			},
-			Method:  http.MethodGet,
-			Host:    bbdeployment.Host,
-			Path:    bbdeployment.ProbePrefix(version) + id,
-			Wait:    time.Second,
-			Version: version,
-		}
-		q.Content = bbstand.Content(q.Method, q.Path, nil)
-		f.Ledger.Expect(q.Attempt)
-		f.load.Try(client, q, f.processes[vm].VM.Front())
+		f.load.Probe(client, vm, fmt.Sprintf("probe-%d-%d", vm, n), version)
 	}
 }
