--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -2,18 +2,16 @@
 
 import (
 	"fmt"
-	"os"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"net"
-	"net/http"
-
 	"github.com/cockroachdb/errors"
 
 	"bluebellhall/bluebellbench/bbsoak/bbdeployment"
 	"bluebellhall/bluebellbench/bbsoak/bbload"
+	"bluebellhall/bluebellbench/bbsoak/bbloopback"
 	"bluebellhall/bluebellbench/bbsoak/bbprocess"
 	"bluebellhall/bluebellbench/bbsoak/bbpromise"
 	"bluebellhall/bluebellbench/bbsoak/bbproxy"
@@ -36,6 +34,8 @@
 	// requests per second.
 	coldTime = 3 * time.Second
 	coldRate = 9.4
+	// firstVersion is the version of the software of all endpoints before the first release.
+	firstVersion = "v1"
 	// pageSize is the maximum number of items in one answer of the store.
 	pageSize = 50
 )
@@ -54,6 +54,10 @@
 	cleanup func()
 	// leaving is true once the current endpoint's entry says so.
 	leaving bool
+	// version is the version of the software with which the next endpoint starts.
+	version string
+	// served are the intervals in which endpoints served.
+	served []bbpromise.Serving
 }
 
 // Fleet is everything that a soak test runs: the store, the endpoints, the entry VMs and their proxies.
@@ -88,8 +92,8 @@
 
 // NewFleet starts the fakes and the entry VMs. The clean-up function stops all of them.
 func NewFleet(s Settings) (*Fleet, func(), error) {
-	if s.VMs > maxVMs {
-		return nil, nil, errors.Newf("%d VMs exceed the maximum of %d", s.VMs, maxVMs)
+	if s.VMs > bbloopback.MaxVMs {
+		return nil, nil, errors.Newf("%d VMs exceed the maximum of %d", s.VMs, bbloopback.MaxVMs)
 	}
 	f := &Fleet{
 		Ledger:       bbledger.NewLedger(),
@@ -101,6 +105,7 @@
 	}
 	f.load = &bbload.Load{
 		Ledger: f.Ledger,
+		Routes: bbdeployment.Routes(),
 	}
 	if err := f.start(s); err != nil {
 		f.stop()
@@ -121,7 +126,7 @@
 
 // start starts the store, the endpoints and the entry VMs.
 func (f *Fleet) start(s Settings) error {
-	network, l, err := reserveNetwork()
+	network, l, err := bbloopback.Reserve()
 	if err != nil {
 		return err
 	}
@@ -170,15 +175,15 @@
 }
 
 // addEndpoint starts an endpoint of a service behind its proxy.
-func (f *Fleet) addEndpoint(network string, service bbcatalog.Service, i int) error {
-	port := endpointPort + len(f.backEnds)
+func (f *Fleet) addEndpoint(network bbloopback.Network, service bbcatalog.Service, i int) error {
 	b := &backEnd{
 		service: service,
 		zone:    bbdeployment.Zones[i%len(bbdeployment.Zones)],
 		name:    fmt.Sprintf("%s-%d", service.Name, i),
-		inner:   fmt.Sprintf("%s.%d:%d", network, endpointHost, port),
+		inner:   network.Endpoint(len(f.backEnds)),
+		version: firstVersion,
 	}
-	proxy, err := f.addProxy(fmt.Sprintf("%s.%d:%d", network, proxyHost, port), b.inner)
+	proxy, err := f.addProxy(network.EndpointProxy(len(f.backEnds)), b.inner)
 	if err != nil {
 		return err
 	}
@@ -197,35 +202,13 @@
 	return len(bbdeployment.Zones)
 }
 
-// The addresses of a soak test: each VM has a loopback address whose last octet is its number plus 1.
-const (
-	// networks is the number of loopback networks to choose from.
-	networks = 50000
-	// firstPort is the first port of each VM. Relative to it are peerPort, the port of the proxy through which
-	// other VMs connect, innerPort, the port on which the VM itself listens for them, and storePort, the port
-	// of the proxy before the store.
-	firstPort = 8620
-	peerPort  = 8
-	innerPort = 9
-	storePort = 10
-	// The last octets of the addresses of the store, of the endpoints and of their proxies; maxVMs is below
-	// them, so that the addresses of VMs don't overlap with them.
-	storeHost    = 250
-	endpointHost = 251
-	proxyHost    = 252
-	maxVMs       = 240
-	endpointPort = 9000
-)
-
 // addVM prepares the process of a VM and starts its proxies.
-func (f *Fleet) addVM(s Settings, network string, i int, store string) error {
-	ip := fmt.Sprintf("%s.%d", network, i+1)
-	inner := fmt.Sprintf("%s:%d", ip, firstPort+innerPort)
-	peer, err := f.addProxy(fmt.Sprintf("%s:%d", ip, firstPort+peerPort), inner)
+func (f *Fleet) addVM(s Settings, network bbloopback.Network, i int, store string) error {
+	peer, err := f.addProxy(network.Peer(i), network.Inner(i))
 	if err != nil {
 		return err
 	}
-	storeProxy, err := f.addProxy(fmt.Sprintf("%s:%d", ip, firstPort+storePort), store)
+	storeProxy, err := f.addProxy(network.Store(i), store)
 	if err != nil {
 		return err
 	}
@@ -233,14 +216,14 @@
 	f.storeProxies = append(f.storeProxies, storeProxy)
 	var seeds []string
 	for k := range min(3, s.VMs) {
-		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", network, k+1, firstPort+peerPort))
+		seeds = append(seeds, network.Peer(k))
 	}
 	f.processes = append(f.processes, &bbprocess.Process{
 		VM: bbstand.VM{
 			Name:  fmt.Sprintf("entry-%d", i),
 			Zone:  bbdeployment.Zones[i%len(bbdeployment.Zones)],
-			IP:    ip,
-			Port:  firstPort,
+			IP:    network.VM(i),
+			Port:  bbloopback.FirstPort,
 			Peer:  peer.Address,
 			Store: storeProxy.Address,
 			Seeds: seeds,
@@ -248,26 +231,13 @@
 			Cores: 0.4,
 			Grace: graceTime,
 		},
-		Listen:  inner,
+		Listen:  network.Inner(i),
 		Program: s.Program,
 		Dir:     s.Dir,
 	})
 	return nil
 }
 
-// reserveNetwork returns the first three octets of a loopback network that no other soak test uses, and the
-// listener of the store, which keeps the network reserved.
-func reserveNetwork() (string, net.Listener, error) {
-	for i := range networks {
-		n := (os.Getpid() + i) % networks
-		network := fmt.Sprintf("127.%d.%d", 1+n/250, 1+n%250)
-		if l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, storeHost, firstPort)); err == nil {
-			return network, l, nil
-		}
-	}
-	return "", nil, errors.New("no free loopback network for the soak test")
-}
-
 // Configure writes the next version of the configuration.
 func (f *Fleet) Configure() error {
 	f.mu.Lock()
@@ -314,12 +284,19 @@
 		StartedMillis: time.Now().UnixMilli(),
 		Cold:          cold,
 	}
-	e, cleanup, err := bbstand.NewEndpoint(b.inner, entry, b.service, f.Ledger, f.seed+uint64(b.boots), func() { f.crash(b) })
+	e, cleanup, err := bbstand.NewEndpoint(b.inner, entry, b.version, b.service, f.Ledger, f.seed+uint64(b.boots), func() { f.crash(b) })
 	if err != nil {
 		return err
 	}
 	b.current, b.cleanup, b.leaving = e, cleanup, false
-	return f.store.PutEndpoint(entry)
+	b.served = append(b.served, bbpromise.Serving{
+		Interval: bbpromise.Interval{
+			From: time.Now(),
+		},
+		Version: b.version,
+		Zone:    b.zone,
+	})
+	return f.store.PutEndpoint(entry, b.version)
 }
 
 // crash ends the current endpoint and restarts it after crashDowntime. As after a real crash, the entry of the
@@ -350,6 +327,18 @@
 	return f.Restart(b, b.coldTime())
 }
 
+// setVersion sets the version of the software with which the next endpoint starts.
+func (b *backEnd) setVersion(version string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.version = version
+}
+
+// engines returns the endpoints that are engines.
+func (f *Fleet) engines() []*backEnd {
+	return slices.DeleteFunc(slices.Clone(f.backEnds), func(b *backEnd) bool { return b.service.Engine == nil })
+}
+
 // coldTime returns how long the endpoint is cold after a start; 0 unless it is an engine.
 func (b *backEnd) coldTime() time.Duration {
 	if b.service.Engine == nil {
@@ -365,23 +354,32 @@
 	if b.cleanup == nil {
 		return false
 	}
+	b.stopServing()
 	b.cleanup()
 	b.cleanup = nil
 	return true
 }
 
+// stopServing ends the interval in which the current endpoint serves; the caller holds the lock.
+func (b *backEnd) stopServing() {
+	if last := &b.served[len(b.served)-1]; last.Until.IsZero() {
+		last.Until = time.Now()
+	}
+}
+
 // MarkLeaving marks the current endpoint and its entry in the store as leaving.
 func (f *Fleet) MarkLeaving(b *backEnd) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.current.MarkLeaving()
 	b.leaving = true
+	b.stopServing()
 	entry := b.current.Entry
 	entry.Leaving = true
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.leavingSince[entry.ID] = time.Now()
-	return f.store.PutEndpoint(entry)
+	return f.store.PutEndpoint(entry, b.current.Version)
 }
 
 // id returns the ID of the current endpoint.
@@ -396,4 +394,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.current.SetFaults(f)
+	if f.Leaving {
+		b.stopServing()
+	}
 }
