Read the version of an endpoint's software

Cause: an endpoint's entry states the version of its software, which the VMs dropped, so that none could tell which engines may go on with a stream.

Knowledge answers VersionOf for usable endpoints and Versions for all listed ones of a service. Builds without versions ignore the field and leave it out.

The model of bbregistry's convergence test gives each process a version, and checks after each step that no VM takes a process for one of another version, also across returns of the store from an older copy.

--- a/bluebelld/bbknowledge/knowledge.go
+++ b/bluebelld/bbknowledge/knowledge.go
@@ -347,6 +347,26 @@
 	return ""
 }
 
+// VersionOf returns the version of the software of a usable endpoint, which is empty if its entry states none; false
+// if the endpoint is unknown or not listed as usable.
+func (k *Knowledge) VersionOf(id string) (version string, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if e := k.table.Usable(id); e != nil {
+		return e.Version, true
+	}
+	return "", false
+}
+
+// Versions returns the distinct versions of the software of all listed endpoints of a service, sorted. Endpoints that
+// are leaving count, since they may have begun streams, and so does an empty version.
+func (k *Knowledge) Versions(service string) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table.Expire(k.now())
+	return k.table.Versions(service)
+}
+
 // StoreAge returns the time since the platform last answered this VM or its source.
 func (k *Knowledge) StoreAge() time.Duration {
 	k.mu.Lock()
--- a/bluebelld/bbknowledge/knowledge_test.go
+++ b/bluebelld/bbknowledge/knowledge_test.go
@@ -257,3 +257,34 @@
 		}
 	}
 }
+
+// Guards against streams that go on at an endpoint whose version isn't known any more, and against versions that are
+// forgotten while their endpoints finish streams.
+func TestVersions(t *testing.T) {
+	k, _ := newTestKnowledge()
+	entry := func(id, version string, leaving bool) bbregistry.Endpoint {
+		return bbregistry.Endpoint{
+			ID:      id,
+			Service: "s",
+			Zone:    "z",
+			Version: version,
+			Leaving: leaving,
+		}
+	}
+	k.ReplaceEndpoints(bbregistry.Snapshot{
+		Endpoints: []bbregistry.Endpoint{entry("a", "v1.1", false), entry("b", "v1", true), entry("c", "", false)},
+	})
+	if diff := cmp.Diff([]string{"", "v1", "v1.1"}, k.Versions("s")); diff != "" {
+		t.Errorf("versions (-want +got):\n%s", diff)
+	}
+	want := func(id, version string, known bool) {
+		t.Helper()
+		if got, ok := k.VersionOf(id); got != version || ok != known {
+			t.Errorf("version of %s is %q, %v; want %q, %v", id, got, ok, version, known)
+		}
+	}
+	want("a", "v1.1", true)
+	want("b", "", false)
+	want("c", "", true)
+	want("nobody", "", false)
+}
--- a/core/bbregistry/converge_test.go
+++ b/core/bbregistry/converge_test.go
@@ -139,6 +139,11 @@
 	return m
 }
 
+// modelVersion returns the version of the software of a process, which never changes.
+func modelVersion(startedMillis int64) string {
+	return []string{"", "v1", "v1.1"}[startedMillis%3]
+}
+
 // start starts a process of an endpoint in place of the former one.
 func (m *model) start(id string) {
 	if former, ok := m.endpoints[id]; ok {
@@ -147,6 +152,7 @@
 	m.started++
 	e := endpoint(id)
 	e.StartedMillis = m.started
+	e.Version = modelVersion(m.started)
 	m.endpoints[id] = e
 	m.store.putEndpoint(id, &e)
 }
@@ -327,6 +333,9 @@
 			if e := vm.table.Usable(id); e != nil && vm.knowsEnded[e.process()] {
 				t.Fatalf("VM %d has read that %+v is leaving or gone, and uses it", i, e.process())
 			}
+			if e, ok := vm.table.Listed(id); ok && e.Version != modelVersion(e.StartedMillis) {
+				t.Fatalf("VM %d has version %q of %+v, want %q", i, e.Version, e.process(), modelVersion(e.StartedMillis))
+			}
 		}
 	}
 }
@@ -348,7 +357,7 @@
 	var usable []string
 	for _, id := range modelEndpoints {
 		if e := t.Usable(id); e != nil {
-			usable = append(usable, fmt.Sprint(e.process()))
+			usable = append(usable, fmt.Sprint(e.process(), e.Version))
 		}
 	}
 	return fmt.Sprint(usable, t.zones.evacuatedZones())
@@ -366,8 +375,8 @@
 	return state(t)
 }
 
-// Guards against VMs that undo what the store has confirmed, or that know different things in the end, in any order
-// of writes, returns from older copies, lists, watches and deltas between VMs.
+// Guards against VMs that undo what the store has confirmed, that know different things in the end, or that take a
+// process for one of another version, in any order of writes, returns from older copies, lists, watches and deltas between VMs.
 func TestVMsConvergeAfterReturnsOfTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel()
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -5,6 +5,7 @@
 package bbregistry
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -27,6 +28,9 @@
 	Zone string `json:"zone"`
 	// StartedMillis is the process's start time as a Unix time in milliseconds; 0 if unknown.
 	StartedMillis int64 `json:"born"`
+	// Version is the version of the endpoint's software; empty if its entry states none. Builds without versions
+	// leave it out.
+	Version string `json:"version,omitempty"`
 	// Leaving endpoints are draining: they finish their requests and get no new ones.
 	Leaving bool `json:"leaving"`
 	// Cold is how much longer the endpoint takes only a low rate of requests, as of the listing.
@@ -327,6 +331,19 @@
 	return e.Endpoint, true
 }
 
+// Versions returns the distinct versions of the software of all listed endpoints of a service, sorted, whether or not
+// the endpoints may get new work. Endpoints without a version have the empty one.
+func (t *Table) Versions(service string) []string {
+	var versions []string
+	for _, e := range t.entries {
+		if e.Service == service && !slices.Contains(versions, e.Version) {
+			versions = append(versions, e.Version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
 // At returns the endpoint registered at an address; if there are several, the one that started last.
 func (t *Table) At(address string) (Endpoint, bool) {
 	var found Endpoint
