Name the version in orders and grants

An order names the version that an engine must have to go on with a stream, empty for any; a grant names that of the granted engine as the coordinator knows it. Order.Check bounds the length. Messages without the fields are read as empty, and former builds ignore them.

--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -27,6 +27,9 @@
 	Route string `json:"route"`
 	// Service is the service whose engines may run the request.
 	Service string `json:"service"`
+	// Version is the version of the software that the engine must have to go on with a stream; empty allows any.
+	// Builds without versions ignore it.
+	Version string `json:"version,omitempty"`
 	// Account is the name of the client account; empty if there is none.
 	Account string `json:"account,omitempty"`
 	// Stages are numbered from 0; each depends only on stages with lower numbers.
@@ -79,6 +82,8 @@
 	MaxPieces = 1000
 	// MaxTokens bounds prompt and answer, each: a hundred times what fits into the memory of an engine.
 	MaxTokens = 1 << 25
+	// MaxVersionBytes bounds the length of a version.
+	MaxVersionBytes = 200
 )
 
 // Check returns an error if an order is malformed, whatever endpoints exist.
@@ -104,6 +109,9 @@
 	if o.Suspicion > bbsuspect.Refused {
 		return errors.Newf("suspicion is %d, more than %d", o.Suspicion, bbsuspect.Refused)
 	}
+	if len(o.Version) > MaxVersionBytes {
+		return errors.Newf("version has %d bytes, more than %d", len(o.Version), MaxVersionBytes)
+	}
 	for _, n := range []int{o.Prompt.Tokens, o.Prompt.Output} {
 		if n < 0 || n > MaxTokens {
 			return errors.Newf("prompt or answer of %d tokens, not 0 to %d", n, MaxTokens)
@@ -214,6 +222,8 @@
 	Endpoint string `json:"endpoint"`
 	// Address is the address at which the coordinator knows the engine.
 	Address string `json:"address"`
+	// Version is the version of the engine's software as the coordinator knows it; empty if unknown.
+	Version string `json:"version,omitempty"`
 	// Inputs are the handles of the results that the engine needs.
 	Inputs []string `json:"inputs"`
 	// Paced is true if the grant was counted against a limit that the engine has named.
