Grant only engines of the version that began a stream

Cause: the coordinator granted any engine, so that a stream went on at random where endpoints of several versions served.

Change: Need.Version restricts the choice and the estimate to engines of that version. A later order of a request brings its version, which then stays. If no engine that the request may use has the version, it is refused at once as noVersion: at its arrival, when its origin asks for another engine, and at the next check while it waits. Busy engines and those in backoff count, so the request waits for them. Estimates use only engines of the version, also the wait for engines that have named a limit; whether the request is late is judged by its stages alone, so that few engines of a version refuse nothing as late which all engines together would not have. The load estimate for other cells and the bias that a route has learned leave versions out.

--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -268,8 +268,13 @@
 	if c.spill(now, j, expected) {
 		return c.flush()
 	}
-	waits := c.mustWait(now, j, expected)
-	retryAfter, reason := c.checkAdmission(j, expected)
+	if c.lacksVersion(j) {
+		c.refuse(o.ID, noVersion, versionRetryAfter, 0)
+		return c.flush()
+	}
+	judged := admissionTime(j, expected)
+	waits := c.mustWait(now, j, judged)
+	retryAfter, reason := c.checkAdmission(j, judged)
 	if waits {
 		retryAfter, reason = c.checkWaiting(now, j)
 	}
@@ -481,6 +486,9 @@
 	if reason := c.quarantineReason(j); reason != "" {
 		return reason, bbsuspect.RetryAfter
 	}
+	if c.lacksVersion(j) {
+		return noVersion, versionRetryAfter
+	}
 	if now+j.RemainingToFirstToken() > j.Limit {
 		return "deadline", minRetryAfter
 	}
@@ -488,7 +496,7 @@
 		return "resting", end - now
 	}
 	if c.waiting[j.Order.ID] != nil {
-		if wait := c.supply.EngineWait(j.Order.Service, func() int { return len(c.waiting) }); now+wait > j.Limit {
+		if wait := c.supply.EngineWait(j.Order.Service, j.Order.Version, func() int { return c.countWaiting(j.Order.Version) }); now+wait > j.Limit {
 			return "limited", wait
 		}
 	}
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -104,12 +104,14 @@
 		Number:   bbevent.EngineGranted,
 		Job:      j.Order.ID,
 		Endpoint: e.ID,
+		Detail:   e.Version,
 		Value:    now - j.Arrived,
 	})
 	c.out.Grants = append(c.out.Grants, bbjob.Grant{
 		ID:       j.Order.ID,
 		Endpoint: e.ID,
 		Address:  e.Address,
+		Version:  e.Version,
 		Inputs:   inputs,
 		Paced:    limited,
 		ValidFor: grantValidity,
@@ -121,9 +123,10 @@
 	_, bytes := j.EngineInputs()
 	delete(bytes, "")
 	return bbplacement.Need{
-		Job:    j.Order.ID,
-		Prompt: j.Order.Prompt,
-		Zone:   j.Order.Zone,
+		Job:     j.Order.ID,
+		Prompt:  j.Order.Prompt,
+		Zone:    j.Order.Zone,
+		Version: j.Order.Version,
 		OtherRegion: func(zone string) bool {
 			return c.env.Region(zone) != j.Order.Region
 		},
@@ -176,8 +179,12 @@
 }
 
 // resubmit handles an order for a known request: its origin asks for another engine after one
-// refused the request.
+// refused the request or broke its stream.
 func (c *Coordinator) resubmit(now time.Duration, j *bbprogress.Job, o bbjob.Order) {
+	if o.Version != "" {
+		// A stream that has begun needs its version from then on.
+		j.Order.Version = o.Version
+	}
 	if j.Granted == "" {
 		return
 	}
@@ -187,6 +194,11 @@
 	j.Order.Avoid = o.Avoid
 	j.Order.Suspicion = o.Suspicion
 	j.Repeated = o.Repeat
+	if c.lacksVersion(j) {
+		c.refuse(o.ID, noVersion, versionRetryAfter, now-j.Arrived)
+		c.drop(j)
+		return
+	}
 	if o.InputsGone && !invalidateExpired(now, j) {
 		// It isn't known which inputs are missing, so all are invalidated.
 		j.InvalidateEngineInputs(func(*bbprogress.Piece) bool { return true })
--- a/core/bbcoordinator/estimate.go
+++ b/core/bbcoordinator/estimate.go
@@ -53,16 +53,28 @@
 	c.latest[o.Service] = need
 	zone, wait := c.table(o.Service).EstimateFirstToken(now, need, c.supply.Engines(o.Service))
 	j.PreferredZone = zone
-	j.Estimated = last + wait + c.supply.EngineWait(o.Service, func() int { return c.ungranted(o.Service) })
+	j.EngineDelay = wait + c.supply.EngineWait(o.Service, o.Version, func() int { return c.ungranted(o.Service, o.Version) })
+	j.Estimated = last + j.EngineDelay
 	return j.Estimated + learned.Bias
 }
 
-// ungranted returns the number of requests in progress that a service has not granted an engine yet.
-func (c *Coordinator) ungranted(service string) int {
+// admissionTime returns the time by which it is judged whether a request can be served in time, given when its first
+// token is expected. A stream that goes on is judged by its stages alone: only the engines of its version can take it,
+// and it waits for them as long as its caller does.
+func admissionTime(j *bbprogress.Job, expected time.Duration) time.Duration {
+	if j.Order.Version == "" {
+		return expected
+	}
+	return expected - j.EngineDelay
+}
+
+// ungranted returns the number of requests in progress that a service has not granted an engine yet; with a version,
+// of those that need an engine of that version.
+func (c *Coordinator) ungranted(service, version string) int {
 	c.examined += uint64(len(c.jobs))
 	n := 0
 	for _, j := range c.jobs {
-		if j.Granted == "" && j.Order.Service == service && !c.room.Has(j.Order.ID) {
+		if j.Granted == "" && j.Order.Service == service && needsVersion(j, version) && !c.room.Has(j.Order.ID) {
 			n++
 		}
 	}
@@ -107,6 +119,7 @@
 		}
 	}
 	for service, need := range c.latest {
+		need.Version = ""
 		need.OtherRegion = func(string) bool { return false }
 		need.Allowed = func(string) bool { return true }
 		need.Inputs = nil
--- a/core/bbcoordinator/simulation_test.go
+++ b/core/bbcoordinator/simulation_test.go
@@ -72,6 +72,8 @@
 	// current gets new requests; leaving is the one before it that still has calls, or nil.
 	current, leaving *Coordinator
 	faults           []string
+	// versions are the versions of the engines; nil if they have none and all are listed.
+	versions *simulatedVersions
 }
 
 // simulatedEvent is a function that runs at a time.
@@ -106,6 +108,9 @@
 		if service != "engine" {
 			return entries
 		}
+		if s.versions != nil {
+			return s.versions.entries(*entries[0])
+		}
 		for _, id := range simulatedEngines[1:] {
 			e := *entries[0]
 			e.ID = id
@@ -159,6 +164,7 @@
 	if s.chance(3) {
 		s.after(s.between(0, arrivalTime), s.leave)
 	}
+	s.scheduleReleases()
 	s.after(0, s.tick)
 	for len(s.events) > 0 && len(s.faults) == 0 {
 		e := s.events[0]
@@ -210,8 +216,10 @@
 // tick runs the timer work of the coordinators.
 func (s *simulation) tick() {
 	s.apply(s.current, s.current.Tick(s.now))
+	s.checkNoneLacksVersion(s.current)
 	if s.leaving != nil {
 		s.apply(s.leaving, s.leaving.Tick(s.now))
+		s.checkNoneLacksVersion(s.leaving)
 	}
 	if s.now < simulationEnd {
 		s.after(10*ms, s.tick)
@@ -229,6 +237,7 @@
 		Pieces:      1 + s.random.IntN(6),
 	}
 	o.Stages = append(o.Stages, third)
+	o.Version = s.drawVersion()
 	q := &simulatedRequest{
 		order: o,
 	}
@@ -301,6 +310,7 @@
 		s.call(c, call)
 	}
 	for _, r := range out.Refusals {
+		s.checkRefusal(r)
 		s.requests[r.ID].ended = true
 	}
 	for _, r := range out.Redirects {
@@ -415,6 +425,7 @@
 	if q.engine != "" {
 		s.fault("%s is granted %s while it uses %s", g.ID, g.Endpoint, q.engine)
 	}
+	s.checkVersion(q.order, g)
 	q.engine = g.Endpoint
 	q.unread = g.Inputs
 	var finals []int
@@ -449,6 +460,7 @@
 	s.after(s.between(networkDelay, 60*ms), func() { s.apply(c, c.Progress(s.now, started)) })
 	s.after(s.between(networkDelay, 300*ms), func() {
 		if s.chance(4) && q.order.Resumable {
+			s.keepVersion(q, g)
 			s.again(c, q, bbhealth.OutcomeBroken, false)
 			return
 		}
--- a/core/bbcoordinator/waiting.go
+++ b/core/bbcoordinator/waiting.go
@@ -161,7 +161,7 @@
 // in the same step, which the estimates don't have yet.
 func (c *Coordinator) fits(now time.Duration, q bbdispatch.Request, punctual bool, started map[string]int) bool {
 	j := c.jobs[q.ID]
-	expected := c.estimate(now, j)
+	expected := admissionTime(j, c.estimate(now, j))
 	var queued time.Duration
 	for service := range q.Demand {
 		if p := c.pools[service]; p != nil && p.PerSecond(now) > 0 {
--- a/core/bbhistory/experience.go
+++ b/core/bbhistory/experience.go
@@ -52,6 +52,10 @@
 	j.Started = true
 	e := x.Of(j.Order.Route)
 	e.Engine += time.Duration(learnRate * float64(now-j.GrantedAt-e.Engine))
+	if j.Order.Version != "" {
+		// The estimate covers the few engines of one version.
+		return
+	}
 	late := now - j.Estimated
 	e.Bias += time.Duration(learnRate * float64(late-e.Bias))
 	most := time.Duration(maxBias * float64(j.Objective))
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -4,6 +4,7 @@
 package bbplacement
 
 import (
+	"slices"
 	"time"
 
 	"bluebellhall/core/bbcatalog"
@@ -50,6 +51,8 @@
 	Job    string
 	Prompt bbjob.Prompt
 	Zone   string
+	// Version is the version of the software that the engine must have; empty allows any.
+	Version string
 	// OtherRegion reports whether a failure domain is in another region than the caller.
 	OtherRegion func(zone string) bool
 	// BodyBytes is the size of the request's body.
@@ -75,6 +78,18 @@
 	ID, Address, Zone string
 	// Cold engines take only a low rate of requests.
 	Cold bool
+	// Version is the version of the engine's software; empty if unknown.
+	Version string
+}
+
+// suits reports whether an engine may get a request at all, whatever its load.
+func (n Need) suits(e Endpoint) bool {
+	return (n.Version == "" || n.Version == e.Version) && n.Allowed(e.Zone)
+}
+
+// SuitsAny reports whether one of the engines may get a request, whatever their load.
+func (n Need) SuitsAny(endpoints []Endpoint) bool {
+	return slices.ContainsFunc(endpoints, n.suits)
 }
 
 // RateLimit bounds the grants to one engine.
@@ -169,7 +184,7 @@
 	recent := t.recentTokens(now, n.Prompt)
 	for i, e := range endpoints {
 		g := t.engine(e.ID)
-		if avoided(n.Avoid, e.ID) || !n.Allowed(e.Zone) || g.health.Paused(now) {
+		if !n.suits(e) || avoided(n.Avoid, e.ID) || g.health.Paused(now) {
 			continue
 		}
 		if n.Available != nil && !n.Available(e.ID) {
@@ -261,7 +276,7 @@
 	recent := t.recentTokens(now, n.Prompt)
 	for _, e := range endpoints {
 		g := t.engine(e.ID)
-		if !n.Allowed(e.Zone) || g.health.Paused(now) {
+		if !n.suits(e) || g.health.Paused(now) {
 			continue
 		}
 		if cost := t.cost(now, g, e, n, recent); !found || cost < wait {
--- a/core/bbplacement/table_test.go
+++ b/core/bbplacement/table_test.go
@@ -202,3 +202,31 @@
 		t.Errorf("%d engines and %d parts are known, want none", len(table.engines), len(table.lastUsed))
 	}
 }
+
+// Guards against streams that go on at another version because its engines are cheaper, and against estimates by
+// engines that can't take them.
+func TestOnlyEnginesOfTheVersion(t *testing.T) {
+	versions := []Endpoint{
+		{ID: "e1", Zone: "east", Version: "v1"},
+		{ID: "e2", Zone: "west", Version: "v2"},
+		{ID: "e3", Zone: "east"},
+	}
+	for version, want := range map[string]Endpoint{"v1": versions[0], "v2": versions[1], "v3": {}} {
+		n := need("a", "shared")
+		n.Version = version
+		table := newTestTable()
+		zone, _ := table.EstimateFirstToken(0, n, versions)
+		got, ok := table.Choose(0, n, versions, free)
+		if got != want || ok != n.SuitsAny(versions) || ok != (want.ID != "") || zone != want.Zone {
+			t.Errorf("choice for version %s is %+v, %v, estimate in %q; want %+v", version, got, ok, zone, want)
+		}
+	}
+	t.Run("all without a version", func(t *testing.T) {
+		table := newTestTable()
+		for _, want := range []string{"e1", "e3", "e2"} {
+			if got, _ := table.Choose(0, need("job at "+want, "own of "+want), versions, free); got.ID != want {
+				t.Errorf("choice is %q, want %q", got.ID, want)
+			}
+		}
+	})
+}
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -75,6 +75,8 @@
 	// Estimated is when the first token was expected at arrival, without the correction by the bias of
 	// the route.
 	Estimated time.Duration
+	// EngineDelay is the part of that time from the end of the stages to the first token.
+	EngineDelay time.Duration
 	// QueueingDelay is the part of that time in which stages would wait for calls, as of the last estimate.
 	QueueingDelay time.Duration
 	// Started is true once the first token has arrived.
--- a/core/bbsupply/supply.go
+++ b/core/bbsupply/supply.go
@@ -150,6 +150,7 @@
 			Address: e.Address,
 			Zone:    e.Zone,
 			Cold:    e.Cold > 0,
+			Version: e.Version,
 		})
 	}
 	if len(s.engineLists) >= maxLists {
@@ -162,12 +163,16 @@
 	return list
 }
 
-// EngineWait returns how long a new request waits for an engine because all engines of a service have named a
-// limit; 0 if some haven't. Waiting returns the number of requests that come before it.
-func (s *Supply) EngineWait(service string, waiting func() int) time.Duration {
+// EngineWait returns how long a new request waits for an engine because all engines of a service that it may use have
+// named a limit; 0 if some haven't. It may use those of the given version, or all if that is empty. Waiting returns
+// the number of requests that come before it.
+func (s *Supply) EngineWait(service, version string, waiting func() int) time.Duration {
 	perSecond := 0.0
 	pace := s.hooks.Pace()
 	for _, e := range s.hooks.Endpoints(service) {
+		if version != "" && e.Version != version {
+			continue
+		}
 		rate, limited := pace.Rate(e.ID)
 		if !limited {
 			return 0
--- a/core/bbsupply/supply_test.go
+++ b/core/bbsupply/supply_test.go
@@ -117,14 +117,20 @@
 	k.entries = []*bbregistry.Entry{cold, entry("b")}
 	a.Cold = true
 	want(a, b)
+	versioned := entry("b")
+	versioned.Version = "v1.1"
+	k.entries = []*bbregistry.Entry{cold, versioned}
+	b.Version = "v1.1"
+	want(a, b)
 }
 
 func TestEngineWait(t *testing.T) {
 	s, k := newTestSupply()
+	version := ""
 	want := func(waiting int, want time.Duration) {
 		t.Helper()
-		if got := s.EngineWait("s", func() int { return waiting }); got != want {
-			t.Errorf("wait behind %d requests is %v, want %v", waiting, got, want)
+		if got := s.EngineWait("s", version, func() int { return waiting }); got != want {
+			t.Errorf("wait behind %d requests for version %q is %v, want %v", waiting, version, got, want)
 		}
 	}
 	k.rates["a"] = 1
@@ -132,4 +138,11 @@
 	k.rates["b"] = 4
 	want(10, 2*time.Second)
 	want(1e6, maxEngineWait)
+	k.entries[0].Version = "v1"
+	version = "v1"
+	want(10, 10*time.Second)
+	delete(k.rates, "a")
+	want(10, 0)
+	version = "v2"
+	want(10, 0)
 }
