Send orders with a version to cells that have it

Cause: in a fleet with a cell for each failure domain an order could go to a cell without engines of its version, which would refuse it while others have some.

Change: Fleet.ServesVersion tells whether a failure domain has endpoints of a service and version. The home of an order, the cell in place of one whose coordinator is lost, and the cell to which a late order is spilled have an engine of its version. A cell that another coordinator names is used only if it may have one; that of a VM which coordinates nothing as far as is known here isn't known. A VM without a cell names a coordinator by the same rule. Orders without a version go where they went.

--- a/bluebelld/bbentry/cell.go
+++ b/bluebelld/bbentry/cell.go
@@ -68,19 +68,31 @@
 	return slices.ContainsFunc(e.Knowledge.Usable(service), func(entry *bbregistry.Entry) bool { return entry.Zone == zone })
 }
 
+// servesVersion reports whether a failure domain has endpoints of a service with a version of the software that may
+// get new work.
+func (e *Entry) servesVersion(service, version, zone string) bool {
+	return slices.ContainsFunc(e.Knowledge.Usable(service), func(entry *bbregistry.Entry) bool {
+		return entry.Zone == zone && entry.Version == version
+	})
+}
+
 // budgetShare returns the share of the fleet's retry budget that this VM's coordinator may use.
 func (e *Entry) budgetShare() float64 {
 	return 1 / float64(e.fleet.Coordinators())
 }
 
 // coordinate handles an order sent to this VM as the coordinator. If the fleet has several cells and this VM
-// coordinates none, the verdict names the coordinator of the order's failure domain, as this VM sees it.
+// coordinates none, the verdict names the coordinator of the order's failure domain, as this VM sees it. For an order that
+// needs a version it names that of a cell with an engine of it.
 func (e *Entry) coordinate(ctx context.Context, o bbjob.Order, pass func(u bbjob.Update) error) error {
 	split, _, _ := e.fleet.Cells()
 	active, other := e.fleet.Coordinates(o.Zone)
 	if !split || active {
 		return e.hub.Order(ctx, o, pass)
 	}
+	if o.Version != "" {
+		other = e.fleet.HomeCoordinator(o)
+	}
 	return pass(bbjob.Update{
 		Verdict: &bbjob.Verdict{
 			Elsewhere: true,
--- a/bluebelld/bbentry/cell_test.go
+++ b/bluebelld/bbentry/cell_test.go
@@ -61,6 +61,7 @@
 	}
 	e.fleet = bbmembership.NewFleet(self, nil, testRegions, func() time.Duration { return c.now }, conns)
 	e.fleet.Serves = e.serves
+	e.fleet.ServesVersion = e.servesVersion
 	for i := range others {
 		zone := fmt.Sprint("z", i%len(testRegions))
 		m := bbgossip.Member{
@@ -141,6 +142,34 @@
 	}
 }
 
+// Guards against an order that is named a cell without engines of its version by a VM that coordinates none.
+func TestOrderWithAVersionAtAVMWithoutACell(t *testing.T) {
+	e := newLargeEntry(t, 0.2, 200)
+	e.Knowledge.ApplyEndpointUpdates([]bbregistry.Update{{
+		Endpoint: bbregistry.Endpoint{
+			ID:      "z1-s0",
+			Service: "s",
+			Zone:    "z1",
+			Version: "v1",
+		},
+		Number: 1,
+	}}, bbrevision.Revision{Number: 1})
+	cell := ""
+	err := e.coordinate(context.Background(), bbjob.Order{
+		ID:      "a",
+		Service: "s",
+		Version: "v1",
+		Zone:    "z2",
+		Region:  "south",
+	}, func(u bbjob.Update) error {
+		cell = u.Verdict.Cell
+		return nil
+	})
+	if cell != "z1-001" || err != nil {
+		t.Errorf("cell of %q, error %v; want that of z1-001", cell, err)
+	}
+}
+
 func TestRetryBudgetShare(t *testing.T) {
 	if got := newLargeEntry(t, 2, 30).budgetShare(); got != 1 {
 		t.Errorf("share of the only coordinator is %v, want all", got)
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -124,6 +124,7 @@
 	e.Knowledge.OnEvacuation(e.evacuationChanged)
 	e.fleet = bbmembership.NewFleet(s.Self, s.Seeds, s.Regions, e.now, conns)
 	e.fleet.Serves = e.serves
+	e.fleet.ServesVersion = e.servesVersion
 	e.fleet.Log = e.peerChanged
 	e.fleet.LogLeader = e.coordinatorChanged
 	suspects := bbquarantine.Hooks{
--- a/bluebelld/bbmembership/cells.go
+++ b/bluebelld/bbmembership/cells.go
@@ -22,6 +22,12 @@
 	return f.cells.CoordinatesAny(f.table.Self().Name), other
 }
 
+// HomeCoordinator returns the VM that coordinates the cell that should process an order.
+func (f *Fleet) HomeCoordinator(o bbjob.Order) bbgossip.Member {
+	m, _ := f.coordinator(o, "")
+	return m
+}
+
 // Cells reports whether the fleet has several cells and which failure domains this VM coordinates.
 // Version changes whenever these failure domains change.
 func (f *Fleet) Cells() (split bool, mine func(zone string) bool, version time.Duration) {
@@ -109,14 +115,16 @@
 }
 
 // Spill returns the coordinator of another cell that should get an order instead of this VM's cell;
-// see [bbcell.CellEstimates.Spill].
+// see [bbcell.CellEstimates.Spill]. An order that needs a version goes only to cells with an engine of it.
 func (f *Fleet) Spill(o bbjob.Order, own time.Duration, allowed func(zone string) bool) (name string, expected time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.split.ByZone {
 		return "", 0
 	}
-	others := slices.DeleteFunc(f.cells.VMs(), func(m bbgossip.Member) bool { return m.Name == f.table.Self().Name })
+	others := slices.DeleteFunc(f.cells.VMs(), func(m bbgossip.Member) bool {
+		return m.Name == f.table.Self().Name || !f.mayHaveVersion(o, m.Name)
+	})
 	return f.cellEstimates.Spill(f.Now(), o, own, others, allowed)
 }
 
--- a/bluebelld/bbmembership/fleet.go
+++ b/bluebelld/bbmembership/fleet.go
@@ -48,6 +48,8 @@
 	// Serves reports whether a failure domain has endpoints of a service that may get work. It is
 	// called with the lock held.
 	Serves func(service, zone string) bool
+	// ServesVersion is Serves for endpoints with a version of the software. It is called with the lock held.
+	ServesVersion func(service, version, zone string) bool
 	// Log is called when a VM becomes reachable (up is true) or unreachable.
 	Log func(name string, up bool, why string)
 	// LogLeader is called when the coordinator changes, with the number of reachable VMs.
@@ -115,6 +117,7 @@
 		PlaceOrder:    conns.Order,
 		Pick:          rand.IntN,
 		Serves:        func(string, string) bool { return true },
+		ServesVersion: func(string, string, string) bool { return true },
 		Log:           func(string, bool, string) {},
 		LogLeader:     func(string, int) {},
 		table:         bbgossip.NewTable(self),
--- a/bluebelld/bbmembership/order.go
+++ b/bluebelld/bbmembership/order.go
@@ -112,7 +112,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refresh()
-	if m, ok := f.table.Member(name); ok && f.reached[name] && m.Ready && !m.Leaving {
+	if m, ok := f.table.Member(name); ok && f.reached[name] && m.Ready && !m.Leaving && f.mayHaveVersion(o, name) {
 		return m, f.changed
 	}
 	home := f.table.Self().Zone
@@ -132,7 +132,31 @@
 			return false
 		}
 	}
-	return f.Serves(o.Service, zone)
+	return f.Serves(o.Service, zone) && f.hasVersion(o, zone)
+}
+
+// hasVersion reports whether a failure domain has an engine of the version that an order needs, if it needs one.
+func (f *Fleet) hasVersion(o bbjob.Order, zone string) bool {
+	return o.Version == "" || f.ServesVersion(o.Service, o.Version, zone)
+}
+
+// mayHaveVersion reports whether the cell of a coordinator may have an engine of the version that an order needs. That
+// of a VM which coordinates nothing as far as this VM knows isn't known.
+func (f *Fleet) mayHaveVersion(o bbjob.Order, coordinator string) bool {
+	if o.Version == "" {
+		return true
+	}
+	known := false
+	for zone, m := range f.cells.Zones {
+		if m.Name != coordinator {
+			continue
+		}
+		known = true
+		if f.allows(o, zone) && f.hasVersion(o, zone) {
+			return true
+		}
+	}
+	return !known
 }
 
 // allows reports whether an order may be served in a failure domain.
@@ -146,7 +170,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	others := slices.DeleteFunc(f.cells.VMs(), func(m bbgossip.Member) bool {
-		return m.Name == lost.Name || !f.allows(o, m.Zone)
+		return m.Name == lost.Name || !f.allows(o, m.Zone) || !f.mayHaveVersion(o, m.Name)
 	})
 	others = bbcell.PreferNear(others, func(m bbgossip.Member) bool { return m.Region == lost.Region })
 	if len(others) == 0 {
