--- a/bluebellctl/bblines/cause.go
+++ b/bluebellctl/bblines/cause.go
@@ -31,6 +31,7 @@
 	{Word: "suspectPart", Text: "several engines failed while running requests with a part of the prompt in common, so that this part is quarantined", Next: "timeline --kind partJudged, and the parts of runBroke before it"},
 	{Word: "resting", Text: "all endpoints of a service had asked this VM to back off", Next: "timeline --kind endpointRests"},
 	{Word: "held", Text: "the endpoints that were chosen are leaving or have asked this VM to back off", Next: "timeline --kind endpointLeaves, endpointRests"},
+	{Word: "noVersion", Text: "it goes on with a stream, and no engine of the version of the software that began the stream was left", Next: "timeline --kind endpointChanged: the versions"},
 	{Word: "noRetries", Text: "an engine refused the request or failed to answer it, and the retry budget was used up", Next: "metric coordinator.orderRefused, and what failed before"},
 	{Word: "tries", Text: "several engines refused the request", Next: "timeline --endpoint of each"},
 	{Word: "noCoordinator", Text: "no coordinator answered in time", Next: "timeline --kind coordinatorChanged and peerLost"},
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -368,7 +368,11 @@
 }
 
 func (e *Entry) endpointChanged(endpoint bbregistry.Endpoint, c bbregistry.Change) {
-	e.log.Event(bbevent.EndpointChanged).Str("endpoint", endpoint.ID).Str("detail", string(c)).Str("zone", endpoint.Zone).Str("service", endpoint.Service).Send()
+	line := e.log.Event(bbevent.EndpointChanged).Str("endpoint", endpoint.ID).Str("detail", string(c)).Str("zone", endpoint.Zone).Str("service", endpoint.Service)
+	if endpoint.Version != "" {
+		line.Str("version", endpoint.Version)
+	}
+	line.Send()
 }
 
 func (e *Entry) evacuationChanged(zone string, evacuated bool, source string) {
--- a/core/bbregistry/table.go
+++ b/core/bbregistry/table.go
@@ -145,6 +145,8 @@
 		t.notify(e.Endpoint, ChangeCold)
 	case e.Cold == 0 && former.Cold > 0:
 		t.notify(e.Endpoint, ChangeWarm)
+	case e.Version != former.Version:
+		t.notify(e.Endpoint, ChangeListed)
 	}
 }
 
--- a/core/bbregistry/version_test.go
+++ b/core/bbregistry/version_test.go
@@ -41,6 +41,19 @@
 	wantVersions(t, follower, "", "v1.1")
 }
 
+// Guards against timelines in which the version of a grant is unexplained.
+func TestVersionIsNotified(t *testing.T) {
+	table := testTable()
+	var got []string
+	table.OnChange = func(e Endpoint, c Change) { got = append(got, e.ID+" "+string(c)+" "+e.Version) }
+	for range 2 {
+		table.Put(0, versioned("a", "v1.1"))
+	}
+	if diff := cmp.Diff([]string{"a listed v1.1"}, got); diff != "" {
+		t.Errorf("notified changes (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against versions of which streams may have begun that are left out: an endpoint that is leaving, or missing
 // from the list for a moment, still runs.
 func TestVersionsOfEndpointsThatGetNoWork(t *testing.T) {
