Refuse a repeated order at once if its version is gone

Cause: an order that brought its version while the request still waited for stages was refused only at the next check.

Change: resubmit refuses in both cases.

Result: the new subtest fails without it; go test -race of bbcoordinator and bbscene passes.

--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -186,6 +186,7 @@
 		j.Order.Version = o.Version
 	}
 	if j.Granted == "" {
+		c.refuseLacking(now, j)
 		return
 	}
 	c.table(o.Service).Ended(now, j.Granted, o.ID, bbhealth.OutcomeFull)
@@ -194,9 +195,7 @@
 	j.Order.Avoid = o.Avoid
 	j.Order.Suspicion = o.Suspicion
 	j.Repeated = o.Repeat
-	if c.lacksVersion(j) {
-		c.refuse(o.ID, noVersion, versionRetryAfter, now-j.Arrived)
-		c.drop(j)
+	if c.refuseLacking(now, j) {
 		return
 	}
 	if o.InputsGone && !invalidateExpired(now, j) {
--- a/core/bbcoordinator/versions.go
+++ b/core/bbcoordinator/versions.go
@@ -28,6 +28,16 @@
 	return !need.SuitsAny(c.supply.Engines(j.Order.Service))
 }
 
+// refuseLacking refuses a request in progress that lacks engines of its version. It reports whether it did.
+func (c *Coordinator) refuseLacking(now time.Duration, j *bbprogress.Job) bool {
+	if !c.lacksVersion(j) {
+		return false
+	}
+	c.refuse(j.Order.ID, noVersion, versionRetryAfter, now-j.Arrived)
+	c.drop(j)
+	return true
+}
+
 // needsVersion reports whether a request needs engines of a version. The empty version stands for any request.
 func needsVersion(j *bbprogress.Job, version string) bool {
 	return version == "" || j.Order.Version == version
--- a/core/bbcoordinator/versions_test.go
+++ b/core/bbcoordinator/versions_test.go
@@ -94,6 +94,13 @@
 		delete(engines, "e1")
 		wantRefusals(t, c.Submit(time.Second, versionOrder("a", "v1")), noVersion)
 	})
+	t.Run("when its order is repeated while its stages run", func(t *testing.T) {
+		c, _ := newCoordinator()
+		wantRefusals(t, c.Submit(0, testOrder("a", 1)))
+		o := testOrder("a", 1)
+		o.Version = "v3"
+		wantRefusals(t, c.Submit(10*ms, o), noVersion)
+	})
 	t.Run("while its stages run", func(t *testing.T) {
 		c, engines := newCoordinator()
 		o := testOrder("a", 1)
