--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -132,6 +132,7 @@
 	e.Knowledge.OnEvacuation(e.evacuationChanged)
 	e.fleet = bbmembership.NewFleet(s.Self, s.Seeds, s.Regions, e.now, conns)
 	e.fleet.Serves = e.serves
+	e.fleet.ServesVersion = e.servesVersion
 	e.fleet.Log = e.peerChanged
 	e.fleet.LogLeader = e.coordinatorChanged
 	suspects := bbquarantine.Hooks{
@@ -390,7 +391,11 @@
 }
 
 func (e *Entry) endpointChanged(endpoint bbregistry.Endpoint, c bbregistry.Change) {
-	e.log.Event(bbevent.EndpointChanged).Str("endpoint", endpoint.ID).Str("detail", string(c)).Str("zone", endpoint.Zone).Str("service", endpoint.Service).Send()
+	line := e.log.Event(bbevent.EndpointChanged).Str("endpoint", endpoint.ID).Str("detail", string(c)).Str("zone", endpoint.Zone).Str("service", endpoint.Service)
+	if endpoint.Version != "" {
+		line.Str("version", endpoint.Version)
+	}
+	line.Send()
 }
 
 func (e *Entry) evacuationChanged(zone string, evacuated bool, source string) {
