Add calls between VMs for records of begun streams

StreamsBegun carries copies of records, StreamBegan asks for the one of an attempt. A VM of an earlier build answers with an error.

go test -race ./bluebelld/bbpeer passes.

--- a/bluebelld/bbpeer/conn.go
+++ b/bluebelld/bbpeer/conn.go
@@ -15,6 +15,7 @@
 
 	"bluebellhall/bluebelld/bblink"
 	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbprovenance"
 )
 
 const (
@@ -143,6 +144,22 @@
 	return answer, err
 }
 
+// StreamsBegun sends copies of records of begun streams to a VM.
+func (c *Conns) StreamsBegun(ctx context.Context, address string, records []bbprovenance.Record) error {
+	return c.invoke(ctx, address, streamsBegunMethod, &StreamsBegun{
+		Records: records,
+	}, new(Empty))
+}
+
+// StreamBegan asks a VM for the record of the stream that an attempt began, and returns it and whether there is one.
+func (c *Conns) StreamBegan(ctx context.Context, address string, attempt uint64) (bbprovenance.Record, bool, error) {
+	var answer StreamOrigin
+	err := c.invoke(ctx, address, streamBeganMethod, &StreamBegan{
+		Attempt: attempt,
+	}, &answer)
+	return answer.Record, answer.Found, err
+}
+
 // Reset closes the connection to an address, so that the next call opens a new one: the old one may
 // never deliver anything again.
 func (c *Conns) Reset(address string) {
--- a/bluebelld/bbpeer/service.go
+++ b/bluebelld/bbpeer/service.go
@@ -1,6 +1,6 @@
 // Package bbpeer implements the calls between entry VMs that discover each other: they exchange the
 // membership of the fleet, share what the platform published, notify each other of suspect contents
-// and of leaving endpoints, and send orders to coordinators.
+// and of leaving endpoints, copy records of begun streams, and send orders to coordinators.
 package bbpeer
 
 import (
@@ -18,6 +18,7 @@
 	"bluebellhall/core/bbgossip"
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbmsg"
+	"bluebellhall/core/bbprovenance"
 	"bluebellhall/core/bbregistry"
 	"bluebellhall/core/bbstanding"
 )
@@ -124,6 +125,24 @@
 	Wait time.Duration `json:"wait"`
 }
 
+// StreamsBegun are records of begun streams, of which the receiver keeps copies.
+type StreamsBegun struct {
+	Records []bbprovenance.Record `cbor:"1,keyasint"`
+}
+
+// StreamBegan asks a VM which service and version began a stream.
+type StreamBegan struct {
+	// Attempt is the hash of the ID of the attempt that brought the first event.
+	Attempt uint64 `cbor:"1,keyasint"`
+}
+
+// StreamOrigin is the answer to a StreamBegan.
+type StreamOrigin struct {
+	// Record is set if Found is true.
+	Record bbprovenance.Record `cbor:"1,keyasint"`
+	Found  bool                `cbor:"2,keyasint"`
+}
+
 // Empty is an empty answer.
 type Empty struct{}
 
@@ -143,6 +162,9 @@
 	// Limits records limits of endpoints, and Permit decides on one request to an endpoint with a limit.
 	Limits func(l Limits)
 	Permit func(p Permit) Permitted
+	// StreamsBegun records copies of records of begun streams, and StreamBegan returns the one of an attempt.
+	StreamsBegun func(records []bbprovenance.Record)
+	StreamBegan  func(attempt uint64) (bbprovenance.Record, bool)
 	// HandlerFailed is called when another handler has panicked, with an error that has the stack.
 	// The call ends with an error and the process goes on.
 	HandlerFailed func(method string, err error)
@@ -150,16 +172,18 @@
 
 // The names of the gRPC service and its methods.
 const (
-	serviceName     = "bluebell.Entry"
-	exchangeMethod  = "/bluebell.Entry/Exchange"
-	publishedMethod = "/bluebell.Entry/Published"
-	orderMethod     = "/bluebell.Entry/Order"
-	notesMethod     = "/bluebell.Entry/Notes"
-	suspectsMethod  = "/bluebell.Entry/Suspects"
-	partsMethod     = "/bluebell.Entry/SuspectParts"
-	leavingMethod   = "/bluebell.Entry/Leaving"
-	limitsMethod    = "/bluebell.Entry/Limits"
-	permitMethod    = "/bluebell.Entry/Permit"
+	serviceName        = "bluebell.Entry"
+	exchangeMethod     = "/bluebell.Entry/Exchange"
+	publishedMethod    = "/bluebell.Entry/Published"
+	orderMethod        = "/bluebell.Entry/Order"
+	notesMethod        = "/bluebell.Entry/Notes"
+	suspectsMethod     = "/bluebell.Entry/Suspects"
+	partsMethod        = "/bluebell.Entry/SuspectParts"
+	leavingMethod      = "/bluebell.Entry/Leaving"
+	limitsMethod       = "/bluebell.Entry/Limits"
+	permitMethod       = "/bluebell.Entry/Permit"
+	streamsBegunMethod = "/bluebell.Entry/StreamsBegun"
+	streamBeganMethod  = "/bluebell.Entry/StreamBegan"
 )
 
 // entryService is the interface that gRPC requires the server to implement.
@@ -245,6 +269,17 @@
 			answer := h.Permit(*q)
 			return &answer, nil
 		}),
+		unary("StreamsBegun", func(_ context.Context, h *Handlers, q *StreamsBegun) (*Empty, error) {
+			h.StreamsBegun(q.Records)
+			return new(Empty), nil
+		}),
+		unary("StreamBegan", func(_ context.Context, h *Handlers, q *StreamBegan) (*StreamOrigin, error) {
+			record, found := h.StreamBegan(q.Attempt)
+			return &StreamOrigin{
+				Record: record,
+				Found:  found,
+			}, nil
+		}),
 	},
 	Streams: []grpc.StreamDesc{
 		{
--- a/bluebelld/bbpeer/service_test.go
+++ b/bluebelld/bbpeer/service_test.go
@@ -8,9 +8,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/encoding"
 	"google.golang.org/grpc/status"
 
+	"bluebellhall/bluebelld/bblink"
 	"bluebellhall/core/bbjob"
+	"bluebellhall/core/bbprovenance"
 )
 
 // freeAddress returns an address that nothing listens on.
@@ -57,3 +60,63 @@
 		t.Errorf("error %v of a call after the panics, want none", err)
 	}
 }
+
+// streamRecord is a record with names of usual length.
+var streamRecord = bbprovenance.Record{
+	Attempt: 0xfedcba9876543210,
+	Service: "stock-brief",
+	Version: "v1.2.10",
+}
+
+func TestStreamRecords(t *testing.T) {
+	address := freeAddress(t)
+	received := make(chan []bbprovenance.Record, 1)
+	stop, err := Listen(address, Handlers{
+		StreamsBegun: func(records []bbprovenance.Record) { received <- records },
+		StreamBegan: func(attempt uint64) (bbprovenance.Record, bool) {
+			return streamRecord, attempt == streamRecord.Attempt
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	conns, cleanup := NewConns()
+	defer cleanup()
+	want := []bbprovenance.Record{streamRecord, {Attempt: 1}}
+	if err := conns.StreamsBegun(t.Context(), address, want); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, <-received); diff != "" {
+		t.Errorf("records (-want +got):\n%s", diff)
+	}
+	for _, attempt := range []uint64{streamRecord.Attempt, 1} {
+		r, found, err := conns.StreamBegan(t.Context(), address, attempt)
+		if err != nil || found != (attempt == streamRecord.Attempt) || r != streamRecord {
+			t.Errorf("attempt %d: record %v, found %t, error %v", attempt, r, found, err)
+		}
+	}
+}
+
+// A message about a stream takes little more than its hash and its names, since there are some for each stream.
+func TestSizesOfStreamMessages(t *testing.T) {
+	const maxOverhead = 16
+	names := len(streamRecord.Service) + len(streamRecord.Version)
+	for name, c := range map[string]struct {
+		message any
+		content int
+	}{
+		"copy":     {&StreamsBegun{Records: []bbprovenance.Record{streamRecord}}, 8 + names},
+		"question": {&StreamBegan{Attempt: streamRecord.Attempt}, 8},
+		"answer":   {&StreamOrigin{Record: streamRecord, Found: true}, 8 + names},
+	} {
+		data, err := encoding.GetCodec(bblink.CodecName).Marshal(c.message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: %d bytes", name, len(data))
+		if len(data) > c.content+maxOverhead {
+			t.Errorf("%s takes %d bytes, want at most %d beyond its content of %d", name, len(data), maxOverhead, c.content)
+		}
+	}
+}
