Keep records of begun streams at entry VMs

bbentry carries the records: loops for copies and for the versions that are listed, handlers for the calls of other VMs, and streamBegan, findStream and soleVersion for the gateway, which doesn't use them yet. The versions of a service come from a function; until the registry has them it returns none, so that soleVersion is always unknown. Versions are observed each second and at each change of the list, unless the list is more than 3 s old: what is listed while the store is away may lack another version.

Events 857 to 860, metrics streams.records, .found and .unknown.

--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -98,6 +98,8 @@
 	cell cell
 	// limits keeps requests within the limits that endpoints have named.
 	limits *bblimit.Limits
+	// streams has who began the streams that callers may take up.
+	streams *streams
 }
 
 // finishPeriod is how often a VM that stops checks whether it still coordinates requests.
@@ -138,6 +140,7 @@
 	suspects.Send, suspects.VerdictChanged = conns.SuspectParts, e.partVerdictChanged
 	e.quarantines.Parts = bbquarantine.NewParts(suspects)
 	e.limits = e.newLimits()
+	e.streams = e.newStreams(func(string) []string { return nil })
 	coordinator := bbcoordinator.New(bbcoordinator.Environment{
 		Service:         e.service,
 		Endpoints:       e.coordinated,
@@ -174,6 +177,8 @@
 		Leaving:       e.recordLeaving,
 		Limits:        e.limits.Merge,
 		Permit:        e.limits.Decide,
+		StreamsBegun:  e.streams.records.Merge,
+		StreamBegan:   e.streams.records.Answer,
 		HandlerFailed: e.handlerFailed,
 	})
 	if err != nil {
@@ -213,6 +218,8 @@
 	go e.cellLoop(ctx)
 	go e.notes.Run(ctx)
 	go e.quarantines.Run(ctx)
+	go e.streams.records.Run(ctx)
+	go e.versionsLoop(ctx)
 	return e, func() {
 		cancel()
 		stopHub()
@@ -367,6 +374,7 @@
 }
 
 func (e *Entry) endpointChanged(endpoint bbregistry.Endpoint, c bbregistry.Change) {
+	e.streams.noteListChange()
 	e.log.Event(bbevent.EndpointChanged).Str("endpoint", endpoint.ID).Str("detail", string(c)).Str("zone", endpoint.Zone).Str("service", endpoint.Service).Send()
 }
 
--- a/bluebelld/bbentry/gauges.go
+++ b/bluebelld/bbentry/gauges.go
@@ -35,6 +35,7 @@
 	e.meter.Gauge("knowledge.storeAgeMs", func() float64 { return float64(e.Knowledge.StoreAge().Milliseconds()) })
 	e.meter.Gauge("requests.open", func() float64 { return float64(e.Gateway.Open()) })
 	e.meter.Gauge("requests.exchanges", func() float64 { return float64(e.Gateway.Exchanges()) })
+	e.meter.Gauge("streams.records", func() float64 { return float64(e.streams.records.Len()) })
 	suspects := func(watched, refused string, counts func() (watched, refused int)) {
 		e.meter.Gauge("suspects."+watched, func() float64 {
 			n, _ := counts()
--- /dev/null
+++ b/bluebelld/bbentry/streams.go
@@ -0,0 +1,130 @@
+package bbentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bluebellhall/bluebelld/bbresumption"
+	"bluebellhall/core/bbevent"
+	"bluebellhall/core/bbhash"
+	"bluebellhall/core/bbprovenance"
+)
+
+const (
+	// versionsPeriod is the interval between observations of the versions that are listed.
+	versionsPeriod = time.Second
+	// maxListAge is the age beyond which the list of endpoints says nothing of the versions that are in use now.
+	maxListAge = 3 * time.Second
+)
+
+// streams is what a VM knows of who began streams that callers may take up.
+type streams struct {
+	records *bbresumption.Resumptions
+	// listedVersions returns the versions of the listed endpoints of a service.
+	listedVersions func(service string) []string
+	// listChanged has an element when the list of endpoints has changed since versions were last observed.
+	listChanged chan struct{}
+
+	mu       sync.Mutex
+	versions *bbprovenance.Versions
+}
+
+// newStreams returns the records of begun streams of this VM.
+func (e *Entry) newStreams(listedVersions func(service string) []string) *streams {
+	return &streams{
+		records: bbresumption.New(bbresumption.Hooks{
+			Now:        e.now,
+			Holders:    e.fleet.Holders,
+			Send:       e.conns.StreamsBegun,
+			Ask:        e.conns.StreamBegan,
+			SendFailed: e.streamCopiesUnsent,
+			AskFailed:  e.streamNotAsked,
+			Rejected:   e.streamRecordsInvalid,
+		}),
+		listedVersions: listedVersions,
+		listChanged:    make(chan struct{}, 1),
+		versions:       bbprovenance.NewVersions(),
+	}
+}
+
+// streamBegan records which version of a service wrote the first event of the stream that an attempt gets.
+func (e *Entry) streamBegan(attempt, service, version string) {
+	e.streams.records.Began(attempt, service, version)
+}
+
+// findStream returns which version of a service began the stream of an attempt. It returns false if that is unknown.
+func (e *Entry) findStream(ctx context.Context, attempt string) (bbprovenance.Record, bool) {
+	record, found := e.streams.records.Find(ctx, attempt)
+	if !found {
+		e.meter.Count("streams", "unknown")
+		e.log.Event(bbevent.StreamUnknown).Str("attempt", formatContent(bbhash.Name(attempt))).Send()
+		return record, false
+	}
+	e.meter.Count("streams", "found")
+	return record, true
+}
+
+// soleVersion returns the version of a service if it has had no endpoints of another one for as long as a stream may
+// last.
+func (e *Entry) soleVersion(service string) (version string, ok bool) {
+	e.streams.mu.Lock()
+	defer e.streams.mu.Unlock()
+	return e.streams.versions.Sole(e.now(), service)
+}
+
+// versionsLoop observes the versions of all services until the context ends.
+func (e *Entry) versionsLoop(ctx context.Context) {
+	ticker := time.NewTicker(versionsPeriod)
+	defer ticker.Stop()
+	for {
+		e.observeVersions()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-e.streams.listChanged:
+		}
+	}
+}
+
+// observeVersions observes the versions of the services of the catalog in force, unless this VM's list of endpoints
+// is old.
+func (e *Entry) observeVersions() {
+	// The time is that before the list is read, so that a VM that is suspended in between doesn't take an old list for
+	// a new one.
+	now := e.now()
+	index := e.Knowledge.Index()
+	if index == nil || e.Knowledge.StoreAge() > maxListAge {
+		return
+	}
+	for _, s := range index.Catalog.Services {
+		versions := e.streams.listedVersions(s.Name)
+		e.streams.mu.Lock()
+		e.streams.versions.Observe(now, s.Name, versions)
+		e.streams.mu.Unlock()
+	}
+}
+
+// noteListChange has the versions observed soon. It doesn't wait.
+func (s *streams) noteListChange() {
+	select {
+	case s.listChanged <- struct{}{}:
+	default:
+	}
+}
+
+// streamCopiesUnsent logs copies of records that could not be sent to a VM.
+func (e *Entry) streamCopiesUnsent(peer string, copies, retried int, err error) {
+	e.log.Event(bbevent.StreamCopiesUnsent).Str("peer", peer).Int("copies", copies).Int("retried", retried).Err(err).Send()
+}
+
+// streamNotAsked logs that a VM could not be asked who began a stream.
+func (e *Entry) streamNotAsked(peer string, attempt uint64, err error) {
+	e.log.Event(bbevent.StreamNotAsked).Str("peer", peer).Str("attempt", formatContent(attempt)).Err(err).Send()
+}
+
+// streamRecordsInvalid logs that records were invalid.
+func (e *Entry) streamRecordsInvalid(records int, err error) {
+	e.log.Event(bbevent.StreamRecordsInvalid).Int("records", records).Err(err).Send()
+}
--- a/bluebelld/bbresumption/copies.go
+++ b/bluebelld/bbresumption/copies.go
@@ -58,7 +58,7 @@
 		Version: version,
 	}
 	if err := record.Check(); err != nil {
-		r.hooks.Rejected(err)
+		r.hooks.Rejected(1, err)
 		return
 	}
 	r.put(record)
--- a/bluebelld/bbresumption/fuzz_test.go
+++ b/bluebelld/bbresumption/fuzz_test.go
@@ -31,7 +31,7 @@
 		}
 		r := New(Hooks{
 			Now:      func() time.Duration { return 0 },
-			Rejected: func(error) {},
+			Rejected: func(int, error) {},
 		})
 		r.Merge(m.Records)
 		r.Merge(m.Records)
--- a/bluebelld/bbresumption/resumption.go
+++ b/bluebelld/bbresumption/resumption.go
@@ -39,8 +39,9 @@
 	SendFailed func(peer string, copies, retried int, err error)
 	// AskFailed is called when a VM, or none if peer is empty, could not be asked, or gave no valid answer.
 	AskFailed func(peer string, attempt uint64, err error)
-	// Rejected is called with the error of an invalid record, which isn't stored.
-	Rejected func(err error)
+	// Rejected is called with the number of records that were not stored because they are invalid, and the error of
+	// the last one.
+	Rejected func(records int, err error)
 }
 
 // Resumptions holds one VM's records of begun streams and exchanges them with other VMs.
@@ -75,13 +76,19 @@
 
 // Merge stores the records that another VM sent, at most maxBatch.
 func (r *Resumptions) Merge(records []bbprovenance.Record) {
+	rejected := 0
+	var lastError error
 	for _, record := range records[:min(len(records), maxBatch)] {
 		if err := record.Check(); err != nil {
-			r.hooks.Rejected(err)
+			rejected++
+			lastError = err
 			continue
 		}
 		r.put(record)
 	}
+	if rejected > 0 {
+		r.hooks.Rejected(rejected, lastError)
+	}
 }
 
 // Answer returns this VM's record of an attempt, for another VM that asks.
--- a/bluebelld/bbresumption/resumption_test.go
+++ b/bluebelld/bbresumption/resumption_test.go
@@ -100,7 +100,7 @@
 		},
 		SendFailed: func(string, int, int, error) {},
 		AskFailed:  func(string, uint64, error) {},
-		Rejected:   func(err error) { f.t.Error(err) },
+		Rejected:   func(_ int, err error) { f.t.Error(err) },
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/bbevent/catalogue.go
+++ b/core/bbevent/catalogue.go
@@ -140,6 +140,10 @@
 	ContentJudged        Number = 854
 	SuspectsUntold       Number = 855
 	PartJudged           Number = 856
+	StreamCopiesUnsent   Number = 857
+	StreamNotAsked       Number = 858
+	StreamUnknown        Number = 859
+	StreamRecordsInvalid Number = 860
 	NoteDropped          Number = 861
 	NotesLost            Number = 862
 	UpdateDropped        Number = 863
@@ -255,6 +259,10 @@
 	{Number: ContentJudged, Title: "contentJudged", Severity: SeverityWarning, Text: "The treatment of content whose runs lost endpoints changed, as far as this VM knows: clear, watched, alone (only where nothing else runs) or refused."},
 	{Number: SuspectsUntold, Title: "suspectsUntold", Severity: SeverityInfo, Text: "Another VM could not be notified of content whose runs lost endpoints; the notification is repeated."},
 	{Number: PartJudged, Title: "partJudged", Severity: SeverityWarning, Text: "Engines were lost under requests that share a part of their prompts: as far as this VM knows, requests with it are refused (unless all of them share another part that may be the cause as well), or no longer."},
+	{Number: StreamCopiesUnsent, Title: "streamCopiesUnsent", Severity: SeverityInfo, Text: "Copies of records of who began streams could not be sent to another VM; of these, those counted as retried are sent to a further one, the others are dropped. Without peer, the queue was full."},
+	{Number: StreamNotAsked, Title: "streamNotAsked", Severity: SeverityInfo, Text: "Another VM could not be asked who began the stream of an attempt, or gave no valid answer in time. Without peer, too many searches were in progress, and none was asked."},
+	{Number: StreamUnknown, Title: "streamUnknown", Severity: SeverityInfo, Text: "A caller takes up a stream of which this VM found no record, or records that contradict each other; attempt is the hash of the ID of the attempt that began it."},
+	{Number: StreamRecordsInvalid, Title: "streamRecordsInvalid", Severity: SeverityWarning, Text: "Records of who began streams, their number in records, are incomplete or have too long a name; they aren't stored. The error is that of the last one."},
 	{Number: NoteDropped, Title: "noteDropped", Severity: SeverityWarning, Text: "The queue of progress notifications is full; the coordinator notices the missing one by the request's time limit."},
 	{Number: NotesLost, Title: "notesLost", Severity: SeverityInfo, Text: "Progress notifications could not be delivered to a coordinator."},
 	{Number: UpdateDropped, Title: "updateDropped", Severity: SeverityWarning, Text: "The origin of a request processes updates too slowly; results have to be recomputed if this coordinator is lost."},
--- a/core/bbprovenance/record_test.go
+++ b/core/bbprovenance/record_test.go
@@ -1,6 +1,7 @@
 package bbprovenance
 
 import (
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -87,3 +88,23 @@
 		})
 	}
 }
+
+// BenchmarkMemory measures the memory of a record whose names are of usual length and were decoded from a message.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		table := NewTable()
+		for i := range uint64(maxRecords) {
+			table.Put(0, Record{
+				Attempt: i,
+				Service: strings.Clone("stock-brief"),
+				Version: strings.Clone("v1.2.10"),
+			})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(table.Len()), "bytes/record")
+	}
+}
