--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -106,6 +106,8 @@
 	cell cell
 	// limits keeps requests within the limits that endpoints have named.
 	limits *bblimit.Limits
+	// streams has who began the streams that callers may take up.
+	streams *streams
 }
 
 // finishPeriod is how often a VM that stops checks whether it still coordinates requests.
@@ -147,6 +149,7 @@
 	suspects.Send, suspects.VerdictChanged = conns.SuspectParts, e.partVerdictChanged
 	e.quarantines.Parts = bbquarantine.NewParts(suspects)
 	e.limits = e.newLimits()
+	e.streams = e.newStreams(e.Knowledge.Versions)
 	coordinator := bbcoordinator.New(bbcoordinator.Environment{
 		Service:         e.service,
 		Endpoints:       e.coordinated,
@@ -184,6 +187,8 @@
 		Leaving:       e.recordLeaving,
 		Limits:        e.limits.Merge,
 		Permit:        e.limits.Decide,
+		StreamsBegun:  e.streams.records.Merge,
+		StreamBegan:   e.streams.records.Answer,
 		HandlerFailed: e.handlerFailed,
 	})
 	if err != nil {
@@ -224,6 +229,8 @@
 	go e.cellLoop(ctx)
 	go e.notes.Run(ctx)
 	go e.quarantines.Run(ctx)
+	go e.streams.records.Run(ctx)
+	go e.versionsLoop(ctx)
 	return e, func() {
 		cancel()
 		stopHub()
@@ -391,6 +398,7 @@
 }
 
 func (e *Entry) endpointChanged(endpoint bbregistry.Endpoint, c bbregistry.Change) {
+	e.streams.noteListChange()
 	line := e.log.Event(bbevent.EndpointChanged).Str("endpoint", endpoint.ID).Str("detail", string(c)).Str("zone", endpoint.Zone).Str("service", endpoint.Service)
 	if endpoint.Version != "" {
 		line.Str("version", endpoint.Version)
