Streams go on only at the service and the software version that began them

Streams that broke off went on at endpoints with another version of their software, in one answer and when callers took them up at any VM (ORDER): no VM read versions nor which attempt a caller takes up.

The VM that passes on the first event of a resumable stream records service and version and has the record copied; it asks the coordinator for engines of that version when the stream breaks off, and sends it nowhere else. A stream that a caller takes up goes to the service and version of its record. Without one it is refused at once as not run, unless the service has had one version for as long as a stream may last, or states none at all. Where this VM's list and the coordinator's differ on an engine's version, the stream isn't sent there.

--- a/bluebelld/bbcodec/codec.go
+++ b/bluebelld/bbcodec/codec.go
@@ -25,6 +25,9 @@
 	Pieces []int
 	// PieceKey identifies the input of the stages that need no results of other stages.
 	PieceKey string
+	// Resumes is the ID of the attempt that brought the first event of the stream that the caller takes up; empty if it
+	// isn't stated.
+	Resumes string
 	// LastEvent is the ID of the last event that a caller got before its stream was interrupted; empty
 	// if it doesn't resume a stream.
 	LastEvent string
--- a/bluebelld/bbentry/entry.go
+++ b/bluebelld/bbentry/entry.go
@@ -208,6 +208,11 @@
 		BackoffUntil:  e.limits.BackoffUntil,
 		Region:        e.region,
 		Zone:          e.Knowledge.ZoneOf,
+		VersionOf:     e.Knowledge.VersionOf,
+		Unversioned:   e.unversioned,
+		SoleVersion:   e.soleVersion,
+		StreamBegan:   e.streamBegan,
+		FindStream:    e.findStream,
 		Order:         e.order,
 		Note:          e.note,
 		Log:           e.requestEnded,
@@ -472,6 +477,12 @@
 	if len(l.Regions) > 0 {
 		line.Strs("regions", l.Regions)
 	}
+	if l.Resumes != "" {
+		line.Str("resumes", l.Resumes)
+	}
+	if l.Software != "" {
+		line.Str("software", l.Software)
+	}
 	if l.Granted != 0 {
 		line.Str("coordinator", l.Coordinator).Dur("granted", l.Granted)
 	}
--- a/bluebelld/bbentry/streams.go
+++ b/bluebelld/bbentry/streams.go
@@ -73,6 +73,12 @@
 	return e.streams.versions.Sole(e.now(), service)
 }
 
+// unversioned reports whether no listed endpoint of a service states a version.
+func (e *Entry) unversioned(service string) bool {
+	versions := e.Knowledge.Versions(service)
+	return len(versions) == 1 && versions[0] == ""
+}
+
 // versionsLoop observes the versions of all services until the context ends.
 func (e *Entry) versionsLoop(ctx context.Context) {
 	ticker := time.NewTicker(versionsPeriod)
--- a/bluebelld/bbgateway/answer.go
+++ b/bluebelld/bbgateway/answer.go
@@ -65,6 +65,7 @@
 	x.log.Cause = cause
 	x.log.Status = status
 	x.log.Took = g.hooks.Now() - x.began
+	x.log.Resumes, x.log.Software = x.Resumes, x.origin.version
 	x.log.Limit = max(0, x.deadline-x.began)
 	firstPart := x.log.First
 	if firstPart == 0 {
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -24,6 +24,7 @@
 	"bluebellhall/core/bbjob"
 	"bluebellhall/core/bbpatience"
 	"bluebellhall/core/bbplain"
+	"bluebellhall/core/bbprovenance"
 	"bluebellhall/core/bbregistry"
 	"bluebellhall/core/bbstanding"
 	"bluebellhall/core/bbsuspect"
@@ -55,6 +56,18 @@
 	Region       func(zone string) string
 	// Zone returns the failure domain of a usable endpoint; empty if it is unknown.
 	Zone func(endpoint string) string
+	// VersionOf returns the version of the software of a usable endpoint, which is empty if its entry states none. It
+	// returns false if the endpoint isn't usable.
+	VersionOf func(endpoint string) (string, bool)
+	// Unversioned reports whether no endpoint of a service states a version.
+	Unversioned func(service string) bool
+	// SoleVersion returns the version of a service if it has had no endpoints of another one for as long as a stream
+	// may last.
+	SoleVersion func(service string) (string, bool)
+	// StreamBegan records which version of a service wrote the first event of the stream that an attempt gets.
+	StreamBegan func(attempt, service, version string)
+	// FindStream returns the record of the stream that began in an attempt. It returns false if there is none.
+	FindStream func(ctx context.Context, attempt string) (bbprovenance.Record, bool)
 	// Order requests an engine from the coordinator. It also returns the name of the VM that answered.
 	Order func(ctx context.Context, o bbjob.Order) (bbjob.Verdict, string, error)
 	// Note reports the progress of a granted request to its coordinator.
@@ -113,6 +126,21 @@
 	if s.Zone == nil {
 		s.Zone = func(string) string { return "" }
 	}
+	if s.VersionOf == nil {
+		s.VersionOf = func(string) (string, bool) { return "", true }
+	}
+	if s.Unversioned == nil {
+		s.Unversioned = func(string) bool { return true }
+	}
+	if s.SoleVersion == nil {
+		s.SoleVersion = func(string) (string, bool) { return "", false }
+	}
+	if s.StreamBegan == nil {
+		s.StreamBegan = func(string, string, string) {}
+	}
+	if s.FindStream == nil {
+		s.FindStream = func(context.Context, string) (bbprovenance.Record, bool) { return bbprovenance.Record{}, false }
+	}
 	if s.SharedMachines == nil {
 		s.SharedMachines = func() bool { return false }
 	}
@@ -158,6 +186,7 @@
 	status int
 	// events are the IDs of the events that have been sent on a route whose streams may be resumed.
 	events bbstream.IDs
+	origin origin
 	// parts are the parts of the prompt that other requests may have too.
 	parts []uint64
 	log   bbrecord.Request
@@ -256,6 +285,9 @@
 		return status, cause
 	}
 	x.service = x.Route.Pick(rand.Float64())
+	if !g.findOrigin(x.r.Context(), x) {
+		return http.StatusServiceUnavailable, causeStreamUnknown
+	}
 	if x.needsCoordinator() {
 		x.parts = x.Prompt.SharedParts(x.service)
 	}
--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -33,6 +33,7 @@
 		order.Limit = x.firstEventDeadline() - now
 		order.Suspicion = g.hooks.Suspicion(x.Content)
 		order.Avoid = g.withBackedOff(x, avoid)
+		order.Version = x.origin.version
 		order.Regions, order.CatalogVersion = g.regionsInForce(x)
 		x.log.Regions = order.Regions
 		verdict, coordinator, err := g.requestEngine(ctx, order)
@@ -172,6 +173,8 @@
 	*exchange
 	grant       bbjob.Grant
 	coordinator string
+	// version is that of the engine's software; empty if it is unknown.
+	version string
 	// answerStarted is true once a part of the answer has arrived.
 	answerStarted bool
 	// firstEvent is when the first event of the answer was complete; 0 if there is none.
@@ -209,7 +212,9 @@
 		return bbhealth.OutcomeHeld, true
 	}
 	process, allowed := g.hooks.MaySend(t.grant.Endpoint)
-	if !allowed || !g.hooks.GrantHolds(t.grant, t.coordinator) || !g.inRegions(t.exchange, g.hooks.Zone(t.grant.Endpoint)) {
+	version, ok := g.versionAt(t.exchange, t.grant.Endpoint, t.grant.Version)
+	t.version = version
+	if !allowed || !ok || !g.hooks.GrantHolds(t.grant, t.coordinator) || !g.inRegions(t.exchange, g.hooks.Zone(t.grant.Endpoint)) {
 		return bbhealth.OutcomeHeld, true
 	}
 	r := run{
@@ -288,7 +293,7 @@
 // retryOrFailStaged reports whether a request without a complete answer may be sent to another engine, and
 // ends the request if not.
 func (g *Gateway) retryOrFailStaged(ctx context.Context, t *attempt, o bbhealth.Outcome, runs int) bool {
-	mayGoOn := ctx.Err() == nil && (!t.sent || t.resumable())
+	mayGoOn := ctx.Err() == nil && (!t.sent || t.resumable()) && g.canContinue(t.exchange)
 	if mayGoOn && o == bbhealth.OutcomeUnreachable {
 		return true
 	}
@@ -344,6 +349,7 @@
 		}
 		if len(complete) > 0 {
 			if !t.sent {
+				g.streamBegins(t.exchange, t.version)
 				g.sendHead(t.exchange, a, -1)
 			}
 			g.write(ctx, t.exchange, complete)
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -83,6 +83,9 @@
 	list := make([]bbplain.Endpoint, 0, len(entries))
 	for _, e := range entries {
 		region := g.hooks.Region(e.Zone)
+		if x.origin.begun && e.Version != x.origin.version {
+			continue
+		}
 		if !bbcatalog.InRegions(x.log.Regions, region) || g.hooks.BackoffUntil(e.ID) > 0 {
 			continue
 		}
@@ -130,6 +133,8 @@
 	ctx     context.Context
 	run     run
 	process bbstanding.Process
+	// version is that of the endpoint's software; empty if it is unknown.
+	version string
 	// held is true if nothing was sent, because the endpoint must not get the request.
 	held   bool
 	answer *bbchannel.Answer
@@ -148,7 +153,12 @@
 		s.held = true
 		return s
 	}
-	s.process = process
+	version, ok := g.versionAt(x, e.ID, "")
+	if !ok {
+		s.held = true
+		return s
+	}
+	s.process, s.version = process, version
 	s.run = run{
 		endpoint: e.ID,
 		address:  e.Address,
@@ -203,6 +213,9 @@
 		g.reportFailedRun(tryCtx, x, r, errNoReceipt)
 		return g.retryOrFailPlain(ctx, x, bbhealth.OutcomeBroken, repeatable)
 	}
+	if answer.Status < http.StatusMultipleChoices {
+		g.streamBegins(x, s.version)
+	}
 	if err := g.deliver(ctx, x, answer); err != nil {
 		r.answerStarted = true
 		g.reportFailedRun(tryCtx, x, r, err)
--- a/bluebelld/bbrecord/record.go
+++ b/bluebelld/bbrecord/record.go
@@ -15,9 +15,11 @@
 	Endpoint, Coordinator string
 	// Zone is the failure domain of that endpoint when it was chosen; empty if it was unknown. Regions are those in
 	// which it could be chosen; empty if that was any.
-	Zone          string
-	Regions       []string
-	Status, Tries int
+	Zone    string
+	Regions []string
+	// Resumes is the attempt of the stream that the caller takes up, Software the version that began the stream.
+	Resumes, Software string
+	Status, Tries     int
 	// LateGrants is the number of grants that were too old to be used.
 	LateGrants int
 	// Limit is the time limit of the request; 0 if it ended before that was known.
