Streams that are taken up without a stated attempt are found by their content

The record of a stream is now also kept under the content of its request; streams of the same content that began at two versions leave it unknown, and are refused.

--- a/bluebelld/bbentry/streams.go
+++ b/bluebelld/bbentry/streams.go
@@ -1,6 +1,7 @@
 package bbentry
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -48,23 +49,32 @@
 	}
 }
 
-// streamBegan records which version of a service wrote the first event of the stream that an attempt gets.
-func (e *Entry) streamBegan(attempt, service, version string) {
+// streamBegan records which version of a service wrote the first event of the stream that an attempt gets, under the
+// attempt and under the content of the request.
+func (e *Entry) streamBegan(attempt string, content uint64, service, version string) {
 	e.streams.records.Began(attempt, service, version)
+	e.streams.records.Began(contentKey(content), service, version)
 }
 
-// findStream returns which version of a service began the stream of an attempt. It returns false if that is unknown.
-func (e *Entry) findStream(ctx context.Context, attempt string) (bbprovenance.Record, bool) {
-	record, found := e.streams.records.Find(ctx, attempt)
+// findStream returns which version of a service began the stream of an attempt or, if that is empty, the streams that a
+// content got. It returns false if that is unknown.
+func (e *Entry) findStream(ctx context.Context, attempt string, content uint64) (bbprovenance.Record, bool) {
+	key := cmp.Or(attempt, contentKey(content))
+	record, found := e.streams.records.Find(ctx, key)
 	if !found {
 		e.meter.Count("streams", "unknown")
-		e.log.Event(bbevent.StreamUnknown).Str("attempt", formatContent(bbhash.Name(attempt))).Send()
+		e.log.Event(bbevent.StreamUnknown).Str("attempt", formatContent(bbhash.Name(key))).Send()
 		return record, false
 	}
 	e.meter.Count("streams", "found")
 	return record, true
 }
 
+// contentKey stands for the attempt in the records of callers that don't state which attempt they take up.
+func contentKey(content uint64) string {
+	return "content " + formatContent(content)
+}
+
 // soleVersion returns the version of a service if it has had no endpoints of another one for as long as a stream may
 // last.
 func (e *Entry) soleVersion(service string) (version string, ok bool) {
--- a/bluebelld/bbentry/streams_test.go
+++ b/bluebelld/bbentry/streams_test.go
@@ -20,12 +20,12 @@
 		}
 		return isKnown
 	})
-	if r, found := b.findStream(t.Context(), "attempt"); found {
+	if r, found := b.findStream(t.Context(), "attempt", 7); found {
 		t.Errorf("found %v before the stream began", r)
 	}
-	a.streamBegan("attempt", "s", "v1")
+	a.streamBegan("attempt", 7, "s", "v1")
 	waitFor(t, "b finds the record", func() bool {
-		r, found := b.findStream(t.Context(), "attempt")
+		r, found := b.findStream(t.Context(), "attempt", 7)
 		if found && (r.Version != "v1" || r.Service != "s") {
 			t.Errorf("b found %v, want version v1 of s", r)
 		}
@@ -35,6 +35,25 @@
 		_, found := b.streams.records.Answer(bbhash.Name("attempt"))
 		return found
 	})
+	t.Run("by its content, if the caller states no attempt", func(t *testing.T) {
+		waitFor(t, "b finds the record", func() bool {
+			r, found := b.findStream(t.Context(), "", 7)
+			return found && r.Version == "v1"
+		})
+		if r, found := b.findStream(t.Context(), "", 8); found {
+			t.Errorf("found %v for another content", r)
+		}
+	})
+	t.Run("not by a content whose streams began at two versions", func(t *testing.T) {
+		a.streamBegan("another attempt", 7, "s", "v2")
+		waitFor(t, "b has both records", func() bool {
+			_, found := b.findStream(t.Context(), "", 7)
+			return !found
+		})
+		if r, found := b.findStream(t.Context(), "attempt", 7); !found || r.Version != "v1" {
+			t.Errorf("found %v, %v for an attempt that is stated, want version v1", r, found)
+		}
+	})
 }
 
 func TestSoleVersion(t *testing.T) {
--- a/bluebelld/bbgateway/gateway.go
+++ b/bluebelld/bbgateway/gateway.go
@@ -64,10 +64,12 @@
 	// SoleVersion returns the version of a service if it has had no endpoints of another one for as long as a stream
 	// may last.
 	SoleVersion func(service string) (string, bool)
-	// StreamBegan records which version of a service wrote the first event of the stream that an attempt gets.
-	StreamBegan func(attempt, service, version string)
-	// FindStream returns the record of the stream that began in an attempt. It returns false if there is none.
-	FindStream func(ctx context.Context, attempt string) (bbprovenance.Record, bool)
+	// StreamBegan records which version of a service wrote the first event of the stream that an attempt gets, and the
+	// content of the request.
+	StreamBegan func(attempt string, content uint64, service, version string)
+	// FindStream returns the record of the stream that began in an attempt or, if the caller doesn't state the attempt,
+	// of the streams that a content got. It returns false if there is none, or if they differ.
+	FindStream func(ctx context.Context, attempt string, content uint64) (bbprovenance.Record, bool)
 	// Order requests an engine from the coordinator. It also returns the name of the VM that answered.
 	Order func(ctx context.Context, o bbjob.Order) (bbjob.Verdict, string, error)
 	// Note reports the progress of a granted request to its coordinator.
@@ -136,10 +138,10 @@
 		s.SoleVersion = func(string) (string, bool) { return "", false }
 	}
 	if s.StreamBegan == nil {
-		s.StreamBegan = func(string, string, string) {}
+		s.StreamBegan = func(string, uint64, string, string) {}
 	}
 	if s.FindStream == nil {
-		s.FindStream = func(context.Context, string) (bbprovenance.Record, bool) { return bbprovenance.Record{}, false }
+		s.FindStream = func(context.Context, string, uint64) (bbprovenance.Record, bool) { return bbprovenance.Record{}, false }
 	}
 	if s.SharedMachines == nil {
 		s.SharedMachines = func() bool { return false }
--- a/bluebelld/bbgateway/versions.go
+++ b/bluebelld/bbgateway/versions.go
@@ -30,11 +30,9 @@
 	sends := func(service string) bool {
 		return slices.ContainsFunc(x.Route.Shares, func(s bbcatalog.Share) bool { return s.Service == service })
 	}
-	if x.Resumes != "" {
-		if record, found := g.hooks.FindStream(ctx, x.Resumes); found {
-			x.service, x.origin.version = record.Service, record.Version
-			return sends(record.Service)
-		}
+	if record, found := g.hooks.FindStream(ctx, x.Resumes, x.Content); found {
+		x.service, x.origin.version = record.Service, record.Version
+		return sends(record.Service)
 	}
 	if len(x.Route.Shares) != 1 {
 		return false
@@ -57,7 +55,7 @@
 		begun:   true,
 	}
 	// The record of a stream that was taken up is copied again, since VMs that had a copy may be gone.
-	g.hooks.StreamBegan(cmp.Or(x.Resumes, x.ID), x.service, version)
+	g.hooks.StreamBegan(cmp.Or(x.Resumes, x.ID), x.Content, x.service, version)
 }
 
 // canContinue reports whether it is known which endpoints can go on with a stream that has begun.
--- a/bluebelld/bbgateway/versions_test.go
+++ b/bluebelld/bbgateway/versions_test.go
@@ -60,10 +60,10 @@
 	h.VersionOf = func(id string) (string, bool) { return versionOf[id], true }
 	h.Unversioned = func(string) bool { return unversioned }
 	h.SoleVersion = func(string) (string, bool) { return v.sole, v.sole != "" }
-	h.StreamBegan = func(attempt, service, version string) {
+	h.StreamBegan = func(attempt string, _ uint64, service, version string) {
 		v.recorded = append(v.recorded, [3]string{attempt, service, version})
 	}
-	h.FindStream = func(_ context.Context, attempt string) (bbprovenance.Record, bool) {
+	h.FindStream = func(_ context.Context, attempt string, _ uint64) (bbprovenance.Record, bool) {
 		v.asked = append(v.asked, attempt)
 		if v.found == nil {
 			return bbprovenance.Record{}, false
