--- a/bluebelld/bbentry/version_test.go
+++ b/bluebelld/bbentry/version_test.go
@@ -19,6 +19,7 @@
 			log: bblog.Logger{
 				Lines: zerolog.New(&lines),
 			},
+			streams: &streams{},
 		}
 		e.endpointChanged(bbregistry.Endpoint{
 			ID:      "a",
