Channel: a reset during the upload isn't the end of an answer

Cause: a socket reports its failure once, to whoever asks first. While a long request is written, that is often the write; the read of the answer then gets an orderly end. A body that ends with its connection took that for its own end, and the error of the write was dropped.

Change: the connection of an exchange keeps the error of a failed write. When a read gets the end of the connection, it ends a write in progress, waits for it, and returns io.EOF only if no write was told of a failure. A write that was merely blocked or unfinished doesn't count, and neither does EPIPE: the peer had ended its direction before the reset. Answers with a length or chunks never get there.

Ruled out: to count every failed write as a broken answer, which would break framed answers such as an early 413; to wait a time for the write, which ends at once with the deadline.

--- a/bluebelld/bbchannel/channel.go
+++ b/bluebelld/bbchannel/channel.go
@@ -48,7 +48,7 @@
 	// FramingChunked bodies end with a last chunk.
 	FramingChunked
 	// FramingConnection bodies end with their connection. A body that broke off in an orderly close can't be
-	// told from a complete one.
+	// told from a complete one; one whose connection failed ends with ErrReset or the error of the read.
 	FramingConnection
 )
 
@@ -114,10 +114,11 @@
 // closes when the context ends.
 func Exchange(ctx context.Context, address string, r *http.Request) (*Answer, func(), error) {
 	d := dialer()
-	conn, err := d.DialContext(ctx, "tcp", address)
+	dialed, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreachable)
 	}
+	conn := NewConn(dialed)
 	stop := context.AfterFunc(ctx, func() {
 		// The connection may be closed already, which is no problem.
 		_ = conn.Close()
@@ -127,7 +128,7 @@
 		_ = conn.Close()
 	}
 	// The endpoint may answer before it has read all of a long body, so the request is written
-	// concurrently. A failed write shows as a missing answer.
+	// concurrently. After a failed write, the end of the connection isn't the end of an answer.
 	go func() { _ = write(conn, r) }()
 	source := &headReader{
 		inner: conn,
