Calls of the ticketed design: a reset during the upload isn't the end of an answer

Cause: net/http's transport writes and reads a connection at the same time and forgets a failed write once the head of the answer has been returned, as the channel did. A call of a plain service whose answer had no length was reported as done with a part of the body.

Change: the connections of bbbackend are those of bbchannel.NewConn, whose reads know of failed writes.

--- a/bluebelld/bbbackend/client.go
+++ b/bluebelld/bbbackend/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbticket"
 )
@@ -103,7 +104,13 @@
 		Timeout: dialTimeout,
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return bbchannel.NewConn(conn), nil
+		},
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
