Channel: a status outside 100 to 599 is no answer

Cause: the parser of net/http takes any three characters that are a number of at least 0: 000 to 999, +20, -00. Statuses below 200 counted as interim answers, whose bodies aren't skipped, so that an answer in the body of a 000 was forwarded as the endpoint's; the headers of such an answer counted as signals too. Statuses from 600 on were forwarded to callers, and one with the header for it counted as not run. 1000, words and other lengths were refused already.

Change: the channel takes a status outside 100 to 599 for a broken answer.

--- a/bluebelld/bbchannel/channel.go
+++ b/bluebelld/bbchannel/channel.go
@@ -183,8 +183,18 @@
 	return n, err
 }
 
-// maxInterim bounds the interim answers before the final one.
-const maxInterim = 5
+const (
+	// maxInterim bounds the interim answers before the final one.
+	maxInterim = 5
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
+)
+
+// IsFinal reports whether a status is that of a final answer. The parsers of net/http accept any three digits, and
+// two with a sign.
+func IsFinal(status int) bool {
+	return status >= http.StatusOK && status <= maxStatus
+}
 
 // readHead reads the head of the final answer, and the headers of those before it.
 func readHead(b *bufio.Reader, r *http.Request) (*http.Response, []http.Header, error) {
@@ -194,9 +204,12 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		if IsFinal(response.StatusCode) {
 			return response, interim, nil
 		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, nil, errors.Newf("invalid status %d", response.StatusCode)
+		}
 		interim = append(interim, response.Header)
 	}
 	return nil, nil, errors.New("too many interim answers")
