Calls of the ticketed design: an invalid status breaks the call

Cause: as for the channel; net/http's transport returns such statuses as final answers. A call was reported as failed with status 0, 99, 20, 600 or 999, and with the header of a cold endpoint as not run. An order got such a status as its result. Load reports were refused already.

Change: an answer whose status isn't a final one breaks the call; an order has no answer.

--- a/bluebelld/bbbackend/call.go
+++ b/bluebelld/bbbackend/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/core/bbmsg"
 )
 
@@ -38,6 +39,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	watch.reset()
+	if !bbchannel.IsFinal(response.StatusCode) {
+		c.reportFailure(e, true, false)
+		return
+	}
 	if response.StatusCode != http.StatusOK {
 		c.reportErrorStatus(e, response)
 		return
--- a/bluebelld/bbbackend/client.go
+++ b/bluebelld/bbbackend/client.go
@@ -233,6 +233,9 @@
 		return 0
 	}
 	_ = response.Body.Close()
+	if !bbchannel.IsFinal(response.StatusCode) {
+		return 0
+	}
 	return response.StatusCode
 }
 
