Calls of the ticketed design: an error that breaks off breaks the call

Cause: the error of reading the body of an error status was dropped. A client error ends the request with its body, so the part that had arrived looked like the whole.

Change: such a call is broken. A rejection still counts, since the head alone states that the call wasn't accepted.

--- a/bluebelld/bbbackend/call.go
+++ b/bluebelld/bbbackend/call.go
@@ -44,7 +44,7 @@
 		return
 	}
 	if response.StatusCode != http.StatusOK {
-		c.reportErrorStatus(e, response)
+		c.reportErrorStatus(e, response, watch)
 		return
 	}
 	if e.Kind == kindEngine {
@@ -82,8 +82,8 @@
 }
 
 // reportErrorStatus reports an answer with an error status. Only statuses by which the endpoint states that
-// it did not accept the request count as a rejection.
-func (c *Client) reportErrorStatus(e bbmsg.EndpointCall, response *http.Response) {
+// it did not accept the request count as a rejection, which needs no complete body.
+func (c *Client) reportErrorStatus(e bbmsg.EndpointCall, response *http.Response, watch *watchdog) {
 	cold := response.Header.Get(coldHeader) != ""
 	n := bbmsg.CallUpdate{
 		Call:   e.Call,
@@ -95,7 +95,12 @@
 	if cold || unloaded || response.StatusCode == http.StatusTooManyRequests {
 		n.Kind = bbmsg.UpdateRejected
 	}
-	n.Body, _ = io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	var err error
+	n.Body, err = io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil && n.Kind != bbmsg.UpdateRejected {
+		c.reportFailure(e, true, watch.expired())
+		return
+	}
 	c.handlers.CallUpdate(n)
 }
 
--- a/bluebelld/bbbackend/upload_test.go
+++ b/bluebelld/bbbackend/upload_test.go
@@ -60,3 +60,25 @@
 		}
 	}
 }
+
+// Regression: a client error whose body broke off ended the call with that part of it.
+func TestErrorThatBreaksOffIsBroken(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   bbmsg.CallUpdateKind
+	}{
+		"length":               {"HTTP/1.1 413 Large\r\nContent-Length: 99\r\n\r\npartial", bbmsg.UpdateBroken},
+		"chunks":               {"HTTP/1.1 413 Large\r\nTransfer-Encoding: chunked\r\n\r\n7\r\npartial\r\n", bbmsg.UpdateBroken},
+		"connection":           {"HTTP/1.1 413 Large\r\n\r\npartial", bbmsg.UpdateBroken},
+		"server error":         {"HTTP/1.1 500 Failed\r\nContent-Length: 99\r\n\r\npartial", bbmsg.UpdateBroken},
+		"whole":                {"HTTP/1.1 413 Large\r\nContent-Length: 5\r\n\r\nwhole", bbmsg.UpdateFailed},
+		"not run, by its head": {"HTTP/1.1 429 Full\r\nContent-Length: 99\r\n\r\npartial", bbmsg.UpdateRejected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := earlyEndpoint(t, c.answer, 20*time.Millisecond)
+			for range 5 {
+				checkKind(t, run(t, e, time.Now()), c.want)
+			}
+		})
+	}
+}
