--- a/bluebelld/bbbackend/client.go
+++ b/bluebelld/bbbackend/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bluebellhall/bluebelld/bbchannel"
 	"bluebellhall/core/bbmsg"
 	"bluebellhall/core/bbticket"
 )
@@ -103,7 +104,13 @@
 		Timeout: dialTimeout,
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return bbchannel.NewConn(conn), nil
+		},
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -226,6 +233,9 @@
 		return 0
 	}
 	_ = response.Body.Close()
+	if !bbchannel.IsFinal(response.StatusCode) {
+		return 0
+	}
 	return response.StatusCode
 }
 
--- a/bluebelld/bbchannel/channel.go
+++ b/bluebelld/bbchannel/channel.go
@@ -48,7 +48,7 @@
 	// FramingChunked bodies end with a last chunk.
 	FramingChunked
 	// FramingConnection bodies end with their connection. A body that broke off in an orderly close can't be
-	// told from a complete one.
+	// told from a complete one; one whose connection failed ends with ErrReset or the error of the read.
 	FramingConnection
 )
 
@@ -114,10 +114,11 @@
 // closes when the context ends.
 func Exchange(ctx context.Context, address string, r *http.Request) (*Answer, func(), error) {
 	d := dialer()
-	conn, err := d.DialContext(ctx, "tcp", address)
+	dialed, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreachable)
 	}
+	conn := NewConn(dialed)
 	stop := context.AfterFunc(ctx, func() {
 		// The connection may be closed already, which is no problem.
 		_ = conn.Close()
@@ -127,7 +128,7 @@
 		_ = conn.Close()
 	}
 	// The endpoint may answer before it has read all of a long body, so the request is written
-	// concurrently. A failed write shows as a missing answer.
+	// concurrently. After a failed write, the end of the connection isn't the end of an answer.
 	go func() { _ = write(conn, r) }()
 	source := &headReader{
 		inner: conn,
@@ -182,8 +183,18 @@
 	return n, err
 }
 
-// maxInterim bounds the interim answers before the final one.
-const maxInterim = 5
+const (
+	// maxInterim bounds the interim answers before the final one.
+	maxInterim = 5
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
+)
+
+// IsFinal reports whether a status is that of a final answer. The parsers of net/http accept any three digits, and
+// two with a sign.
+func IsFinal(status int) bool {
+	return status >= http.StatusOK && status <= maxStatus
+}
 
 // readHead reads the head of the final answer, and the headers of those before it.
 func readHead(b *bufio.Reader, r *http.Request) (*http.Response, []http.Header, error) {
@@ -193,9 +204,12 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		if IsFinal(response.StatusCode) {
 			return response, interim, nil
 		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, nil, errors.Newf("invalid status %d", response.StatusCode)
+		}
 		interim = append(interim, response.Header)
 	}
 	return nil, nil, errors.New("too many interim answers")
