Coordinator: a stream whose only engines of its version have failed it is refused at once

A stream that broke off at the only engine of its version waited until its deadline for that engine, which its order avoids. Such engines no longer count as having the version. What notes add to the list since the order doesn't count, since the origin may still want that engine.

TestOrderThatAvoidsTheOnlyEngineOfItsVersion failed before.

--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -194,7 +194,7 @@
 	c.table(o.Service).Ended(now, j.Granted, o.ID, bbhealth.OutcomeFull)
 	j.Granted = ""
 	j.OrderedAt = now
-	j.Order.Avoid = o.Avoid
+	j.Order.Avoid, j.Excluded = o.Avoid, o.Avoid
 	j.Order.Suspicion = o.Suspicion
 	j.Repeated = o.Repeat
 	if c.refuseLacking(now, j) {
--- a/core/bbcoordinator/versions.go
+++ b/core/bbcoordinator/versions.go
@@ -16,7 +16,7 @@
 )
 
 // lacksVersion reports whether a request needs an engine of a version that no engine has which it may use. Engines
-// that are busy or in backoff count: the request waits for them.
+// that are busy count: the request waits for them. Those at which it has failed don't: it is never sent there again.
 func (c *Coordinator) lacksVersion(j *bbprogress.Job) bool {
 	if j.Order.Version == "" {
 		return false
@@ -24,6 +24,7 @@
 	need := bbplacement.Need{
 		Version: j.Order.Version,
 		Allowed: c.allowed(j),
+		Avoid:   j.Excluded,
 	}
 	return !need.SuitsAny(c.supply.Engines(j.Order.Service))
 }
--- a/core/bbcoordinator/versions_test.go
+++ b/core/bbcoordinator/versions_test.go
@@ -66,6 +66,21 @@
 	}
 }
 
+// Guards against a stream that waits until its deadline because the only engine of its version is the one at which it
+// broke off.
+func TestOrderThatAvoidsTheOnlyEngineOfItsVersion(t *testing.T) {
+	c := newTestCoordinator()
+	engines := map[string]string{"e1": "v1", "e2": "v2"}
+	setEngines(c, engines)
+	o := versionOrder("a", "v1")
+	wantGrants(t, c.Submit(0, o), "e1 v1")
+	o.Avoid = []string{"e1"}
+	wantRefusals(t, c.Submit(10*time.Millisecond, o), noVersion)
+	if c.Len() != 0 {
+		t.Errorf("%d requests are left, want none", c.Len())
+	}
+}
+
 // Guards against streams that keep their callers waiting for an engine that doesn't come.
 func TestOrderWhoseVersionNoEngineHas(t *testing.T) {
 	newCoordinator := func() (*Coordinator, map[string]string) {
--- a/core/bbplacement/table.go
+++ b/core/bbplacement/table.go
@@ -89,7 +89,7 @@
 
 // SuitsAny reports whether one of the engines may get a request, whatever their load.
 func (n Need) SuitsAny(endpoints []Endpoint) bool {
-	return slices.ContainsFunc(endpoints, n.suits)
+	return slices.ContainsFunc(endpoints, func(e Endpoint) bool { return n.suits(e) && !avoided(n.Avoid, e.ID) })
 }
 
 // RateLimit bounds the grants to one engine.
--- a/core/bbprogress/job.go
+++ b/core/bbprogress/job.go
@@ -66,6 +66,8 @@
 	// Objective is the time to the latency objective when the request arrived.
 	Objective time.Duration
 	Stages    []Stage
+	// Excluded are the endpoints that the latest order avoids, without those that notes have added since.
+	Excluded []string
 	// Granted is the ID of the granted engine; empty if none.
 	Granted string
 	// GrantedAt is the time of the grant.
@@ -98,6 +100,7 @@
 func NewJob(now time.Duration, o bbjob.Order) *Job {
 	j := &Job{
 		Order:             o,
+		Excluded:          o.Avoid,
 		Content:           o.Content(),
 		Parts:             o.Prompt.SharedParts(o.Service),
 		Arrived:           now,
