Soak: draw releases of the engines' software; callers take broken streams up

A step of a release replaces three engines by ones with one of three versions. A tenth of the attempts on resumable routes lose their connection under way. The aim "releases" draws mostly these and what breaks streams off.

--- a/bluebellbench/bbsoak/bbload/load.go
+++ b/bluebellbench/bbsoak/bbload/load.go
@@ -28,6 +28,8 @@
 	Routes []bbcatalog.Route
 	// BreakShare is the share of attempts on resumable routes, from 0 to 1, whose connections break under way.
 	BreakShare float64
+	// GivesUp is true if callers don't take up streams that broke off.
+	GivesUp bool
 
 	mu    sync.Mutex
 	tries []bbpromise.Try
@@ -204,7 +206,7 @@
 		}
 		reply := l.Try(client, q, address)
 		repeat := reply.NotRun() || q.Route.Kind == bbcatalog.KindIdempotent && reply.Status != http.StatusOK
-		if q.Route.Resumable {
+		if q.Route.Resumable && !l.GivesUp {
 			q = next(q, reply)
 			repeat = !reply.Answered() && q.LastEvent < q.Events
 		}
--- a/bluebellbench/bbsoak/endpoint_test.go
+++ b/bluebellbench/bbsoak/endpoint_test.go
@@ -282,6 +282,7 @@
 			for _, b := range f.backEnds {
 				b.setFaults(faults)
 			}
+			f.load.GivesUp = true
 			ctx, cancel := context.WithTimeout(t.Context(), cutTestTime)
 			defer cancel()
 			f.load.Run(ctx, 1, 40)
--- a/bluebellbench/bbsoak/schedule.go
+++ b/bluebellbench/bbsoak/schedule.go
@@ -64,8 +64,9 @@
 // Aims are the kinds of faults that a soak test may be aimed at, by name. Kinds that are listed twice are drawn twice
 // as often.
 var Aims = map[string][]FaultKind{
-	"":        faultKinds,
-	"returns": {restoreStore, restoreStore, restoreStore, evacuate, evacuate, configure, leaveEndpoint, leaveEndpoint, coldEngine},
+	"":         faultKinds,
+	"releases": {release, release, release, release, killVM, killVM, stopVM, stopVM, crashEndpoint, crashEndpoint, cutEndpoint, cutPeers},
+	"returns":  {restoreStore, restoreStore, restoreStore, evacuate, evacuate, configure, leaveEndpoint, leaveEndpoint, coldEngine},
 }
 
 // faultKinds are the kinds of faults of a soak test that isn't aimed.
@@ -73,7 +74,7 @@
 	killVM, killVM, pauseVM, stopVM, stopVM, reloadVM, cutPeers, cutPeers, cutStore, cutStore,
 	storeDown, compactStore, restoreStore, crashEndpoint, crashEndpoint, leaveEndpoint, faultyEndpoint,
 	faultyEndpoint, cutEndpoint, coldEngine, evacuate, configure, configure, sendPoison,
-	sendCrashingPart,
+	sendCrashingPart, release, release,
 }
 
 // vmFault returns a fault of a random VM, whose actions are still to be set, and the VM's process.
@@ -225,6 +226,52 @@
 	return fault
 }
 
+const (
+	// softwareVersions is the number of versions of the engines' software, releaseStep the number of engines that a
+	// step of a release replaces.
+	softwareVersions = 3
+	releaseStep      = 3
+)
+
+// release replaces some engines by ones with a random version of the software, as one step of a release: they leave
+// and start again.
+func release(f *Fleet, random *rand.Rand) Fault {
+	version := fmt.Sprint("v", 1+random.IntN(softwareVersions))
+	engines := f.engines()
+	random.Shuffle(len(engines), func(i, k int) { engines[i], engines[k] = engines[k], engines[i] })
+	engines = engines[:min(releaseStep, len(engines))]
+	// left are the IDs of the endpoints that leave.
+	left := make([]string, len(engines))
+	fault := Fault{
+		Fault: fleetFault(fmt.Sprintf("release of %s to %d engines", version, len(engines))),
+		For:   bbpromise.DrainTime + bbpromise.LingerTime,
+		begin: func() error {
+			for i, b := range engines {
+				left[i] = b.id()
+				if err := f.MarkLeaving(b); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		end: func() error {
+			for i, b := range engines {
+				// Another fault may have replaced it meanwhile.
+				if b.id() != left[i] {
+					continue
+				}
+				b.setVersion(version)
+				if err := f.replace(b); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	fault.Planned = true
+	return fault
+}
+
 // faultyEndpoint makes an endpoint misbehave, or announce in its answers that it is leaving or that VMs have
 // to back off. An endpoint that announced that it is leaving is replaced afterwards.
 func faultyEndpoint(f *Fleet, random *rand.Rand) Fault {
--- a/bluebellbench/bbsoak/soak.go
+++ b/bluebellbench/bbsoak/soak.go
@@ -46,6 +46,8 @@
 	recoveryTime = 12 * time.Second
 	// postRecoveryTime is how long requests are sent after recoveryTime, to check that they are served again.
 	postRecoveryTime = 4 * time.Second
+	// breakShare is the share of attempts on resumable routes whose connections break under way.
+	breakShare = 0.1
 	// probeGap is the time between two probes of a VM for its configuration version, or for its readiness.
 	probeGap = 300 * time.Millisecond
 )
@@ -73,6 +75,7 @@
 	}
 	faults := schedule(f, random(s.Seed), kinds, s.Duration, s.Gap)
 	l := f.load
+	l.BreakShare = breakShare
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	var group sync.WaitGroup
