Soak: an engine that resumes streams again serves again

An engine that had answered errors to resumed streams counted as not serving until its end, so that the check of taken-up streams was looser than meant.

--- a/bluebellbench/bbsoak/fleet.go
+++ b/bluebellbench/bbsoak/fleet.go
@@ -289,13 +289,7 @@
 		return err
 	}
 	b.current, b.cleanup, b.leaving = e, cleanup, false
-	b.served = append(b.served, bbpromise.Serving{
-		Interval: bbpromise.Interval{
-			From: time.Now(),
-		},
-		Version: b.version,
-		Zone:    b.zone,
-	})
+	b.startServing()
 	return f.store.PutEndpoint(entry, b.version)
 }
 
@@ -360,6 +354,17 @@
 	return true
 }
 
+// startServing begins an interval in which the current endpoint serves; the caller holds the lock.
+func (b *backEnd) startServing() {
+	b.served = append(b.served, bbpromise.Serving{
+		Interval: bbpromise.Interval{
+			From: time.Now(),
+		},
+		Version: b.current.Version,
+		Zone:    b.zone,
+	})
+}
+
 // stopServing ends the interval in which the current endpoint serves; the caller holds the lock.
 func (b *backEnd) stopServing() {
 	if last := &b.served[len(b.served)-1]; last.Until.IsZero() {
@@ -397,5 +402,7 @@
 	if f.Leaving || f.FailResumed {
 		// It doesn't serve streams that are taken up.
 		b.stopServing()
+	} else if b.cleanup != nil && !b.leaving && !b.served[len(b.served)-1].Until.IsZero() {
+		b.startServing()
 	}
 }
