A slow VM that passes a configuration on delays nobody else

The VM that passes configurations on in a failure domain may have a slow link. The others there stayed with it: after a second they asked the nearest VM that had the configuration, which was that one again, and a copy kept to its source to the last part. A copy now stays with one VM for a second at most, keeping what it has, and after the first second the source is any VM that has it. Parts of a configuration that nobody has any more are dropped.

--- a/bluebelld/bbcatalogcopy/copy.go
+++ b/bluebelld/bbcatalogcopy/copy.go
@@ -111,6 +111,15 @@
 	return len(r.data)
 }
 
+// DropLater drops what has arrived of a configuration that is later than a version: no VM is known any more that has it.
+func (r *Receiver) DropLater(version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.first.Version > version {
+		r.first, r.data = Part{}, nil
+	}
+}
+
 // Add adds a part. It returns the configuration once that is complete, and nil before. A part of an earlier version than
 // that in progress is ignored; one of another configuration begins it anew, and so does the caller, at the offset that the
 // receiver then lacks. An error means that the parts are no configuration; the next part begins anew.
--- a/bluebelld/bbcatalogcopy/copy_test.go
+++ b/bluebelld/bbcatalogcopy/copy_test.go
@@ -78,6 +78,16 @@
 		r.Add(part(t, first, r.Offset()))
 		wantCopy(t, r, second, size(second)-1)
 	})
+	t.Run("an earlier configuration, once no VM has the later one", func(t *testing.T) {
+		r := new(Receiver)
+		r.Add(part(t, second, 0))
+		r.DropLater(2)
+		if r.Offset() == 0 {
+			t.Error("the configuration in progress was dropped, though VMs have it")
+		}
+		r.DropLater(1)
+		wantCopy(t, r, first, size(first))
+	})
 	t.Run("another encoding of the same version", func(t *testing.T) {
 		r := new(Receiver)
 		other := part(t, first, 0)
--- a/bluebelld/bbentry/follow.go
+++ b/bluebelld/bbentry/follow.go
@@ -109,6 +109,7 @@
 		peer, behind := e.newestCatalogPeer()
 		e.lag.observe(e.now(), peer.CatalogVersion, e.logCatalogBehind)
 		if behind {
+			e.catalogParts.DropLater(peer.CatalogVersion)
 			e.copyCatalog(ctx, e.catalogSource(peer))
 		}
 		switch {
@@ -150,8 +151,11 @@
 	}
 }
 
-// of returns the time since there has been a newer version.
+// of returns the time since there has been a newer version; 0 if there is none.
 func (l *catalogLag) of(now time.Duration) time.Duration {
+	if l.newer == 0 {
+		return 0
+	}
 	return now - l.since
 }
 
@@ -226,14 +230,17 @@
 	}
 	go func() {
 		defer e.copying.Store(false)
+		ctx, cancel := context.WithTimeout(ctx, relayPatience)
+		defer cancel()
 		e.follow(ctx, source, bbpeer.PublishedRequest{
 			Catalog: true,
 		})
 	}()
 }
 
-// relayPatience is how long a VM waits for the VM that passes a configuration on in its failure domain before it fetches
-// the configuration from any that has it.
+// relayPatience is how long a VM fetches a configuration from the VM that passes it on in its failure domain, or from
+// another near one, before it goes on with any that has it, and then the longest time that it stays with one of these. What
+// has been fetched by then is kept.
 const relayPatience = time.Second
 
 // catalogSource returns the VM from which to fetch a newer configuration that newest has: in a large fleet the one that
@@ -246,7 +253,8 @@
 	return relay
 }
 
-// newestCatalogPeer returns a VM that has a newer configuration in force, a near one if there are several.
+// newestCatalogPeer returns a VM that has a newer configuration in force; if there are several, a near one until
+// relayPatience has passed, then any.
 func (e *Entry) newestCatalogPeer() (bbgossip.Member, bool) {
 	_, version, _ := e.Knowledge.Ready()
 	var peers []bbgossip.Member
@@ -263,8 +271,10 @@
 			}
 		})
 	})
-	peers = bbcell.PreferNear(peers, func(m bbgossip.Member) bool { return m.Region == self.Region })
-	peers = bbcell.PreferNear(peers, func(m bbgossip.Member) bool { return m.Zone == self.Zone })
+	if e.lag.of(e.now()) <= relayPatience {
+		peers = bbcell.PreferNear(peers, func(m bbgossip.Member) bool { return m.Region == self.Region })
+		peers = bbcell.PreferNear(peers, func(m bbgossip.Member) bool { return m.Zone == self.Zone })
+	}
 	if len(peers) == 0 {
 		return bbgossip.Member{}, false
 	}
