Gateway: a grant by a later configuration is used

While a VM has an earlier configuration than the coordinator, the coordinator grants engines in the regions of the later one, and the VM held these grants back by the earlier one: five orders and a 503. The grant now says which version allows it, and one that is later than the VM's own is used.

--- a/bluebelld/bbgateway/pipeline.go
+++ b/bluebelld/bbgateway/pipeline.go
@@ -214,7 +214,7 @@
 	process, allowed := g.hooks.MaySend(t.grant.Endpoint)
 	version, ok := g.versionAt(t.exchange, t.grant.Endpoint, t.grant.Version)
 	t.version = version
-	if !allowed || !ok || !g.hooks.GrantHolds(t.grant, t.coordinator) || !g.inRegions(t.exchange, g.hooks.Zone(t.grant.Endpoint)) {
+	if !allowed || !ok || !g.hooks.GrantHolds(t.grant, t.coordinator) || !g.inGrantedRegions(t) {
 		return bbhealth.OutcomeHeld, true
 	}
 	r := run{
@@ -278,6 +278,15 @@
 	return bbhealth.OutcomeGood, false
 }
 
+// inGrantedRegions reports whether the configuration in force allows the request in the region of the granted engine. A
+// later configuration, by which the coordinator has granted it, has the last word.
+func (g *Gateway) inGrantedRegions(t *attempt) bool {
+	if _, version := g.regionsInForce(t.exchange); t.grant.CatalogVersion > version {
+		return true
+	}
+	return g.inRegions(t.exchange, g.hooks.Zone(t.grant.Endpoint))
+}
+
 // grantHolds reports whether a grant is recent enough to be used. Each late grant of a request doubles the age up to which
 // the next one may be used: an order that is sent again after a freeze is answered soon, so that the next grant is late
 // only if all messages take long. These are late by the same time and don't come at once.
--- a/core/bbcoordinator/engines.go
+++ b/core/bbcoordinator/engines.go
@@ -115,6 +115,8 @@
 		Inputs:   inputs,
 		Paced:    limited,
 		ValidFor: grantValidity,
+
+		CatalogVersion: j.Order.CatalogVersion,
 	})
 }
 
--- a/core/bbjob/job.go
+++ b/core/bbjob/job.go
@@ -220,6 +220,9 @@
 	Version string `json:"version,omitempty"`
 	// Inputs are the handles of the results that the engine needs.
 	Inputs []string `json:"inputs"`
+	// CatalogVersion is the version of the configuration that allows the engine's region; 0 in grants of builds that don't
+	// state it.
+	CatalogVersion uint64 `json:"catalogVersion,omitempty"`
 	// Paced is true if the grant was counted against a limit that the engine has named.
 	Paced bool `json:"paced,omitempty"`
 	// ValidFor is how long after it was made the grant may be used; 0 if the coordinator states no end.
