Gateway: the regions of a request are looked up by the names of its route and account

The gateway looked them up in a later configuration by host, path and key, the coordinator by name. Where a later configuration had a longer prefix, both had the same version and disagreed, so that each grant was held back and the request refused (503, no request at any endpoint). Both go by name now. A plain endpoint's region is also checked before a permit is taken.

--- a/bluebelld/bbadmission/admission.go
+++ b/bluebelld/bbadmission/admission.go
@@ -30,8 +30,6 @@
 	// Index is the configuration in force on arrival; nil if there was none.
 	Index *bbcatalog.Index
 	Route *bbcatalog.Route
-	// Host and Path select the route: the host has no port, the path no query.
-	Host, Path string
 	// Account is the client account; nil if the route needs none.
 	Account *bbcatalog.Account
 	Body    []byte
@@ -59,8 +57,7 @@
 	if !strings.HasPrefix(path, "/") {
 		return a, http.StatusBadRequest, "target"
 	}
-	a.Host, a.Path = hostName(r.Host), path
-	a.Route = index.Route(a.Host, a.Path)
+	a.Route = index.Route(hostName(r.Host), path)
 	if a.Route == nil {
 		return a, http.StatusNotFound, "noRoute"
 	}
@@ -90,18 +87,19 @@
 }
 
 // Regions returns the regions in which the request may be served by a configuration that may be later than that of its
-// arrival; empty means all. What the later one no longer has counts as it was on arrival.
+// arrival; empty means all. Route and account stay those of its arrival, as they are in the later configuration; if that
+// doesn't have both, as they were.
 func (a *Admitted) Regions(index *bbcatalog.Index) []string {
-	route, account := a.Route, a.Account
 	if index != a.Index && index != nil {
-		if r := index.Route(a.Host, a.Path); r != nil {
-			route = r
+		account := ""
+		if a.Account != nil {
+			account = a.Account.Name
 		}
-		if later := index.Account(a.Key); account != nil && later != nil {
-			account = later
+		if regions, ok := index.RegionsOf(a.Route.Name, account); ok {
+			return regions
 		}
 	}
-	return bbcatalog.Regions(route, account)
+	return bbcatalog.Regions(a.Route, a.Account)
 }
 
 func (a *Admitted) hashContent(r *http.Request) uint64 {
--- a/bluebelld/bbgateway/plain.go
+++ b/bluebelld/bbgateway/plain.go
@@ -149,7 +149,7 @@
 		ctx: ctx,
 	}
 	process, allowed := g.hooks.MaySend(e.ID)
-	if !allowed || !g.hooks.Permit(ctx, e.ID) || !g.inRegions(x, e.Zone) {
+	if !allowed || !g.inRegions(x, e.Zone) || !g.hooks.Permit(ctx, e.ID) || !g.inRegions(x, e.Zone) {
 		s.held = true
 		return s
 	}
--- a/bluebelld/bbgateway/regions_test.go
+++ b/bluebelld/bbgateway/regions_test.go
@@ -156,6 +156,25 @@
 			t.Errorf("regions in the last order (-want +got):\n%s", diff)
 		}
 	})
+	t.Run("a later route with a longer prefix says nothing of a request that has arrived", func(t *testing.T) {
+		f, url := newFixture(t, endpoints(event)...)
+		m := newMoving(t, f, url, "z0")
+		m.changeOnOrder()
+		later := inRegion(m.gateway.hooks.Index(), "r0").Catalog
+		later.Version++
+		longer := later.Routes[0]
+		longer.Name, longer.Prefix, longer.Regions = "longer", "/stream/more/", []string{"r1"}
+		later.Routes = append(later.Routes, longer)
+		before, after := m.gateway.hooks.Index(), bbcatalog.NewIndex(later)
+		m.gateway.hooks.Index = func() *bbcatalog.Index {
+			if m.changed.Load() {
+				return after
+			}
+			return before
+		}
+		wantAnswer(t, url+"/stream/more/", http.StatusOK, "id: 1\ndata: a\n\n")
+		wantRequests(t, f, 1)
+	})
 	t.Run("stream that goes on", func(t *testing.T) {
 		f, url := newFixture(t, endpoints(stream("id: 1\ndata: a\n\nid: 2\nda"), stream("id: 2\ndata: b\n\n"), stream("id: 2\ndata: b\n\n"))...)
 		m := newMoving(t, f, url, "z0", "z0", "z1")
