Random play: coordinators use endpoints in the regions in force

TestRandomEventsKeepRegions extends the simulation of the coordinator by a fleet of four VMs, each with a view of its own of endpoints and configurations: versions move routes and an account between regions and come into force on each VM up to 2 s later; endpoints lapse, or end and come back at their address with another ID in another failure domain; coordinators leave or are lost and orders go to one on another VM; grants arrive up to 500 ms late, and origins order again when their configuration doesn't allow the engine. Each piece and each grant is held against the configuration in force on the coordinator's VM, or the later one that the order states.

--- a/core/bbcoordinator/simulation_test.go
+++ b/core/bbcoordinator/simulation_test.go
@@ -72,6 +72,8 @@
 	// current gets new requests; leaving is the one before it that still has calls, or nil.
 	current, leaving *Coordinator
 	faults           []string
+	// fleet has VMs whose views of endpoints and configurations change; nil if both stay.
+	fleet *simulatedFleet
 }
 
 // simulatedEvent is a function that runs at a time.
@@ -119,6 +121,9 @@
 		}
 		return 0
 	}
+	if s.fleet != nil {
+		s.fleet.place(c)
+	}
 	return c
 }
 
@@ -159,6 +164,9 @@
 	if s.chance(3) {
 		s.after(s.between(0, arrivalTime), s.leave)
 	}
+	if s.fleet != nil {
+		s.fleet.schedule()
+	}
 	s.after(0, s.tick)
 	for len(s.events) > 0 && len(s.faults) == 0 {
 		e := s.events[0]
@@ -200,7 +208,11 @@
 	if n := s.current.Len(); n > 0 {
 		s.fault("%d requests are left", n)
 	}
-	for _, id := range simulatedEngines {
+	engines := simulatedEngines
+	if s.fleet != nil {
+		engines = s.fleet.endpoints()
+	}
+	for _, id := range engines {
 		if n := s.current.table("engine").Running(id); n > 0 {
 			s.fault("%d requests count as running at %s", n, id)
 		}
@@ -233,6 +245,9 @@
 		order: o,
 	}
 	s.requests[o.ID] = q
+	if s.fleet != nil {
+		s.fleet.arrive(q)
+	}
 	s.submit(q)
 	if s.chance(20) {
 		s.after(s.between(0, time.Second), func() { s.disconnect(q) })
@@ -242,7 +257,15 @@
 // submit sends the order of a request to the current coordinator.
 func (s *simulation) submit(q *simulatedRequest) {
 	q.coordinator = s.current
-	s.apply(s.current, s.current.Submit(s.now, q.order))
+	s.order(q)
+}
+
+// order sends the order of a request to its coordinator.
+func (s *simulation) order(q *simulatedRequest) {
+	if s.fleet != nil {
+		s.fleet.updateOrder(q)
+	}
+	s.apply(q.coordinator, q.coordinator.Submit(s.now, q.order))
 }
 
 // disconnect ends a request at its coordinator while calls may still work on it, because the caller has left or the
@@ -265,7 +288,11 @@
 
 // rest makes a worker of the later stages or the engine ask for a backoff.
 func (s *simulation) rest() {
-	endpoint := []string{"s1", "s2", "s3", "e1", "e2", "e3"}[s.random.IntN(6)]
+	endpoints := []string{"s1", "s2", "s3", "e1", "e2", "e3"}
+	if s.fleet != nil {
+		endpoints = s.fleet.endpoints()
+	}
+	endpoint := endpoints[s.random.IntN(len(endpoints))]
 	s.backoff[endpoint] = s.now + s.between(200*ms, 700*ms)
 }
 
@@ -278,6 +305,9 @@
 
 // apply carries out the decisions of a coordinator and checks them.
 func (s *simulation) apply(c *Coordinator, out bbdecision.Output) {
+	if s.fleet != nil && s.fleet.lost[c] {
+		return
+	}
 	for _, e := range out.Events {
 		if e.Number == bbevent.SendWithheld {
 			s.fault("%+v, which would have been sent", e)
@@ -360,6 +390,13 @@
 		}
 		o := s.requests[piece.Job].order
 		s.checkInputs(what, o, o.Stages[piece.Stage].After, handles)
+		if s.fleet != nil {
+			s.fleet.checkDecision(what, c, s.requests[piece.Job], call.Endpoint)
+		}
+	}
+	zone := "east"
+	if s.fleet != nil {
+		zone = s.fleet.zones[call.Endpoint]
 	}
 	begins := max(s.now+networkDelay, s.busy[call.Endpoint])
 	took := 200*ms + time.Duration(len(call.Pieces))*10*ms
@@ -379,7 +416,7 @@
 	s.after(begins-s.now, func() {
 		results := s.work(call, inputs, outcome)
 		s.after(took+networkDelay, func() {
-			s.apply(c, c.CallDone(s.now, call.ID, "east", outcome, results))
+			s.apply(c, c.CallDone(s.now, call.ID, zone, outcome, results))
 		})
 	})
 }
@@ -424,6 +461,15 @@
 		}
 	}
 	s.checkInputs("the grant of "+g.ID, q.order, finals, g.Inputs)
+	if s.fleet != nil {
+		s.fleet.grant(c, q, g)
+		return
+	}
+	s.send(c, q, g)
+}
+
+// send schedules what becomes of a request that its origin sends to an engine.
+func (s *simulation) send(c *Coordinator, q *simulatedRequest, g bbjob.Grant) {
 	s.after(3*networkDelay, func() {
 		q.unread = nil
 		missing := s.chance(20)
@@ -485,7 +531,7 @@
 		if q.coordinator != s.current && s.current.jobs[q.order.ID] == nil {
 			q.order.Results = q.results
 		}
-		s.apply(q.coordinator, q.coordinator.Submit(s.now, q.order))
+		s.order(q)
 	})
 }
 
