Failing test: a removed route returns to its regions of arrival

A request in progress keeps the regions of its arrival once a configuration no longer has its route, also if a configuration in force in between had moved the route: bbadmission.Admitted.Regions knows the configuration of arrival and the one in force, none in between. Endpoints are then chosen, orders made and requests sent by a version older than one that this VM has had in force; an order states such regions with the latest version, so that the coordinator takes them over too.

What a configuration without the route says of its regions is open; a mend has to keep the last regions of removed routes beside the configuration.

--- a/bluebelld/bbgateway/regions_simulation_test.go
+++ b/bluebelld/bbgateway/regions_simulation_test.go
@@ -86,6 +86,27 @@
 	gateway *Gateway
 	index   *bbcatalog.Index
 	entries []*bbregistry.Entry
+	// routes has each route as of the latest configuration so far that has it.
+	routes map[string]*bbcatalog.Route
+}
+
+// take puts a configuration in force.
+func (v *simulatedVM) take(x *bbcatalog.Index) {
+	v.index = x
+	for i := range x.Catalog.Routes {
+		r := &x.Catalog.Routes[i]
+		v.routes[r.Name] = r
+	}
+}
+
+// regions returns the regions in which requests of a route may be served. A route that is gone keeps those that it had
+// last.
+func (v *simulatedVM) regions(route string) []string {
+	var account *bbcatalog.Account
+	if accountOf(route) != "" {
+		account = v.index.Account("k")
+	}
+	return bbcatalog.Regions(v.routes[route], account)
 }
 
 // simulation drives gateways through a random order of events on the clock of a synctest bubble, and checks each order
@@ -93,6 +114,8 @@
 type simulation struct {
 	address string
 	began   time.Time
+	// removes is true if configurations may lack routes.
+	removes bool
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -107,9 +130,10 @@
 }
 
 // newSimulation returns a simulation whose endpoints answer at an address.
-func newSimulation(seed uint64, address string) *simulation {
+func newSimulation(seed uint64, address string, removes bool) *simulation {
 	s := &simulation{
 		address: address,
+		removes: removes,
 		began:   time.Now(),
 		random:  rand.New(rand.NewPCG(seed, 0)),
 		zones:   make(map[string]string),
@@ -122,9 +146,10 @@
 	s.versions = append(s.versions, s.newCatalog())
 	for i := range simulatedVMs {
 		v := &simulatedVM{
-			index:   s.versions[0],
 			entries: slices.Clone(s.entries),
+			routes:  make(map[string]*bbcatalog.Route),
 		}
+		v.take(s.versions[0])
 		v.gateway = s.newGateway(fmt.Sprint("vm", i), v)
 		s.vms = append(s.vms, v)
 	}
@@ -241,6 +266,9 @@
 		Limits:   bbcatalog.Limits{BodyBytes: 100, HeaderBytes: 1000},
 	}
 	for _, r := range simulatedRoutes {
+		if s.removes && len(s.versions) > 0 && s.random.IntN(4) == 0 {
+			continue
+		}
 		r.Host = "host"
 		r.Prefix = "/" + r.Name + "/"
 		r.Timeout = 5 * time.Second
@@ -346,7 +374,7 @@
 	s.mu.Unlock()
 	s.toEachVM(func(v *simulatedVM) {
 		if x.Catalog.Version > v.index.Catalog.Version {
-			v.index = x
+			v.take(x)
 		}
 	})
 }
@@ -394,7 +422,7 @@
 func (s *simulation) checkRegion(v *simulatedVM, what, route, endpoint string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	regions, _ := v.index.RegionsOf(route, accountOf(route))
+	regions := v.regions(route)
 	if region := regionOf(s.zones[endpoint]); !bbcatalog.InRegions(regions, region) {
 		s.faults = append(s.faults, fmt.Sprintf("%v: %s %s %s in region %s; version %d of the configuration allows %v",
 			time.Since(s.began), endpoint, what, route, region, v.index.Catalog.Version, regions))
@@ -420,8 +448,7 @@
 func (s *simulation) order(ctx context.Context, v *simulatedVM, o bbjob.Order) (bbjob.Verdict, string, error) {
 	s.mu.Lock()
 	s.orders++
-	want, _ := v.index.RegionsOf(o.Route, o.Account)
-	if diff := cmp.Diff(want, o.Regions); diff != "" || o.CatalogVersion != v.index.Catalog.Version {
+	if diff := cmp.Diff(v.regions(o.Route), o.Regions); diff != "" || o.CatalogVersion != v.index.Catalog.Version {
 		s.faults = append(s.faults, fmt.Sprintf("%v: order of %s with version %d, want %d; regions (-want +got):\n%s",
 			time.Since(s.began), o.Route, o.CatalogVersion, v.index.Catalog.Version, diff))
 	}
@@ -434,7 +461,10 @@
 	if s.random.IntN(4) > 0 {
 		version = max(version, o.CatalogVersion)
 	}
-	regions, _ := s.versions[version-1].RegionsOf(o.Route, o.Account)
+	regions, ok := s.versions[version-1].RegionsOf(o.Route, o.Account)
+	if !ok {
+		regions = o.Regions
+	}
 	engines := slices.DeleteFunc(slices.Clone(s.entries), func(e *bbregistry.Entry) bool {
 		return e.Service != "engine" || slices.Contains(o.Avoid, e.ID) || !bbcatalog.InRegions(regions, regionOf(e.Zone))
 	})
@@ -460,16 +490,16 @@
 	return verdict, "vm0", nil
 }
 
-// TestRandomEventsKeepRegions guards against requests that are sent to engines and plain endpoints outside the regions of
-// their route or account, and against orders with such regions, after any order of configurations, changes of endpoints,
-// waits, failures and hedges.
-func TestRandomEventsKeepRegions(t *testing.T) {
+// wantRegionsKept runs the simulation of each seed and checks that none has a fault. Removes is true if configurations may
+// lack routes.
+func wantRegionsKept(t *testing.T, removes bool) {
+	t.Helper()
 	address := serveSimulated(t)
 	broken := 0
 	for seed := range *regionSeeds {
 		var s *simulation
 		synctest.Test(t, func(*testing.T) {
-			s = newSimulation(seed, address)
+			s = newSimulation(seed, address, removes)
 			s.run()
 		})
 		hedges := 0
@@ -490,3 +520,16 @@
 		t.Errorf("%d of %d seeds have a fault", broken, *regionSeeds)
 	}
 }
+
+// TestRandomEventsKeepRegions guards against requests that are sent to engines and plain endpoints outside the regions of
+// their route or account, and against orders with such regions, after any order of configurations, changes of endpoints,
+// waits, failures and hedges.
+func TestRandomEventsKeepRegions(t *testing.T) {
+	wantRegionsKept(t, false)
+}
+
+// TestRandomEventsKeepRegionsOfRemovedRoutes guards against requests in progress whose route moves to other regions and is
+// then removed: they must not return to the regions of their arrival.
+func TestRandomEventsKeepRegionsOfRemovedRoutes(t *testing.T) {
+	wantRegionsKept(t, true)
+}
