Removed routes and accounts keep their last regions

A request in progress went back to the regions of its arrival when its route or account was removed after a version in between had moved it. The index of a configuration now keeps the regions of what earlier ones in force had.

The model of a VM in it builds its index after the former one, as bbknowledge does.

--- a/bluebelld/bbadmission/admission.go
+++ b/bluebelld/bbadmission/admission.go
@@ -87,8 +87,8 @@
 }
 
 // Regions returns the regions in which the request may be served by a configuration that may be later than that of its
-// arrival; empty means all. Route and account stay those of its arrival, as they are in the later configuration; if that
-// doesn't have both, as they were.
+// arrival; empty means all. Route and account stay those of its arrival, with the regions that they have in the later
+// configuration, or had last.
 func (a *Admitted) Regions(index *bbcatalog.Index) []string {
 	if index != a.Index && index != nil {
 		account := ""
--- a/bluebelld/bbgateway/regions_simulation_test.go
+++ b/bluebelld/bbgateway/regions_simulation_test.go
@@ -92,7 +92,7 @@
 
 // take puts a configuration in force.
 func (v *simulatedVM) take(x *bbcatalog.Index) {
-	v.index = x
+	v.index = bbcatalog.NewIndexAfter(x.Catalog, v.index)
 	for i := range x.Catalog.Routes {
 		r := &x.Catalog.Routes[i]
 		v.routes[r.Name] = r
--- a/bluebelld/bbknowledge/knowledge.go
+++ b/bluebelld/bbknowledge/knowledge.go
@@ -115,7 +115,7 @@
 	k.mu.Lock()
 	newer := k.index == nil || c.Version > k.index.Catalog.Version
 	if newer {
-		k.index = bbcatalog.NewIndex(c)
+		k.index = bbcatalog.NewIndexAfter(c, k.index)
 		k.updateReady()
 	}
 	k.mu.Unlock()
--- a/core/bbcatalog/index.go
+++ b/core/bbcatalog/index.go
@@ -15,11 +15,15 @@
 	byHost   map[string][]*Route
 	services map[string]*Service
 	byKey    map[string]*Account
-	// routes and accounts have both by name.
+	// routes and accounts have both by name, also those that only earlier catalogs in force had, with nothing but their
+	// regions: requests in progress keep these.
 	routes   map[string]*Route
 	accounts map[string]*Account
 }
 
+// maxRemoved bounds the removed routes, and the removed accounts, whose regions are kept.
+const maxRemoved = 10000
+
 // NewIndex returns the index of a catalog, which must not change afterwards.
 func NewIndex(c Catalog) *Index {
 	x := &Index{
@@ -52,6 +56,31 @@
 	return x
 }
 
+// NewIndexAfter returns the index of a catalog that comes into force after another one; nil if it is the first.
+func NewIndexAfter(c Catalog, former *Index) *Index {
+	x := NewIndex(c)
+	if former == nil {
+		return x
+	}
+	for name, r := range former.routes {
+		if x.routes[name] == nil && len(x.routes) < len(c.Routes)+maxRemoved {
+			x.routes[name] = &Route{
+				Name:    name,
+				Regions: slices.Clone(r.Regions),
+			}
+		}
+	}
+	for name, a := range former.accounts {
+		if x.accounts[name] == nil && len(x.accounts) < len(c.Accounts)+maxRemoved {
+			x.accounts[name] = &Account{
+				Name:    name,
+				Regions: slices.Clone(a.Regions),
+			}
+		}
+	}
+	return x
+}
+
 // Route returns the route of the host with the longest prefix that matches the path, or nil.
 func (x *Index) Route(host, path string) *Route {
 	for _, r := range x.byHost[host] {
@@ -116,7 +145,8 @@
 }
 
 // RegionsOf returns the regions in which requests of the named route and account may be served; empty means all. The name
-// of the account is empty if there is none. It returns false if the configuration doesn't have both.
+// of the account is empty if there is none. Those that have been removed keep the regions that they had last. It returns
+// false if the configurations in force so far didn't have both.
 func (x *Index) RegionsOf(route, account string) ([]string, bool) {
 	r, a := x.routes[route], x.accounts[account]
 	if r == nil || a == nil && account != "" {
--- a/core/bbcoordinator/coordinator.go
+++ b/core/bbcoordinator/coordinator.go
@@ -36,7 +36,7 @@
 	// Region returns the region of a failure domain.
 	Region func(zone string) string
 	// Regions returns the regions in which requests of a route and an account may be served by the configuration in force,
-	// and its version. It returns false if the configuration doesn't have both; nil never has.
+	// and its version. It returns false if the VM doesn't know both; nil knows none.
 	Regions func(route, account string) (regions []string, version uint64, ok bool)
 	// Heard reports whether a VM gives signs of life or is unknown; nil if all do.
 	Heard func(vm string) bool
