--- a/bluebellbench/bbsoak/version_test.go
+++ b/bluebellbench/bbsoak/version_test.go
@@ -93,8 +93,8 @@
 	}
 }
 
-// Guards against a fault in which callers could not take streams up, because so many had broken off that parts of their
-// prompts were taken to crash engines.
+// Guards against a fault in which callers could not take streams up, because so many answers had broken off that the
+// content of their requests was taken to crash endpoints.
 func TestStreamsThatBreakOftenAreTakenUp(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs for ten seconds")
