--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -20,8 +20,6 @@
 type vm struct {
 	name, zone, region, ip string
 	fleet                  *fleet
-	// inner is the address on which the process listens behind the proxy of its links; empty without proxies.
-	inner string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -144,11 +142,7 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	var args []string
-	if v.inner != "" {
-		args = []string{"--peer-listen", v.inner}
-	}
-	cmd := exec.Command("target/bluebellhall", args...)
+	cmd := exec.Command("target/bluebellhall")
 	cmd.Dir = repo()
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "BLUEBELLHALL_NODE_FILE=" + path}
 	cmd.Stdout, cmd.Stderr = log, log
--- a/review/stand-3/takeup.go
+++ b/review/stand-3/takeup.go
@@ -26,14 +26,6 @@
 	f.startAll()
 	d := newDirectory(f)
 	time.Sleep(4 * time.Second)
-	lastIDs := regexp.MustCompile(`id: (\d+)\ndata: software=\S+ worker=\S+ n=\d+ of=\d+\n\n`)
-	lastID := func(body string) int {
-		n := 0
-		for _, m := range lastIDs.FindAllStringSubmatch(body, -1) {
-			n, _ = strconv.Atoi(m[1])
-		}
-		return n
-	}
 	var mu sync.Mutex
 	var takenUp, wentOn, whole, fresh, began int
 	var wg sync.WaitGroup
@@ -55,7 +47,7 @@
 		}
 		record("sent %s stream to %s", a.id, address)
 		o := a.send(address)
-		got := lastID(o.body)
+		got := lastEvent(o.body)
 		record("answered %s status=%d whole=%t events=%d", a.id, o.status, o.whole, got)
 		if o.status != 200 || o.whole || got == 0 {
 			return
@@ -78,8 +70,8 @@
 			inTouch := f.at(address).inTouch()
 			record("sent %s takes up %s after event %d at %s in touch=%t", b.id, first, got, address, inTouch)
 			o = b.send(address)
-			record("answered %s status=%d whole=%t events up to %d", b.id, o.status, o.whole, lastID(o.body))
-			on = o.status == 200 && (lastID(o.body) > got || o.whole)
+			record("answered %s status=%d whole=%t events up to %d", b.id, o.status, o.whole, lastEvent(o.body))
+			on = o.status == 200 && (lastEvent(o.body) > got || o.whole)
 			if inTouch {
 				counted = true
 			}
@@ -147,3 +139,14 @@
 	on, new := float64(wentOn)/float64(takenUp), float64(began)/float64(fresh)
 	verdict(on < new/2, "of %d streams that clients took up again at machines in touch %d went on (%.2f), %d to their end; of %d new streams %d began (%.2f); under half of that share breaks LOST", takenUp, wentOn, on, whole, fresh, began, new)
 }
+
+var wholeEvents = regexp.MustCompile(`id: (\d+)\ndata: software=\S+ worker=\S+ n=\d+ of=\d+\n\n`)
+
+// lastEvent returns the number of the last whole event of a stream.
+func lastEvent(body string) int {
+	n := 0
+	for _, m := range wholeEvents.FindAllStringSubmatch(body, -1) {
+		n, _ = strconv.Atoi(m[1])
+	}
+	return n
+}
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -1,17 +1,14 @@
 package main
 
 import (
-	"bufio"
 	"cmp"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -24,8 +21,6 @@
 	// work is how long a plain request runs; engine is true for workers that write streams.
 	work   time.Duration
 	engine bool
-	// anyTarget is true for a worker that runs whatever follows the method, as one does that has a single handler.
-	anyTarget bool
 	// pause is the time between the events of a stream; 0 for eventPause.
 	pause time.Duration
 	// onArrival is called with each request that reaches the worker and names it; a worker that answers 421 doesn't
@@ -43,20 +38,8 @@
 	waiting int
 	slot    chan struct{}
 	beats   int
-	runs    atomic.Int64
 }
 
-// run is one thing that a worker has begun to work on.
-type run struct {
-	worker, id, method, target string
-	at                         time.Time
-}
-
-var (
-	runsMu sync.Mutex
-	runs   []run
-)
-
 // boot starts the worker under a version of its software; its first entry in the store is written after firstBeat.
 func (w *worker) boot(version string, coldFor, firstBeat time.Duration) {
 	l, err := net.Listen("tcp", w.address)
@@ -73,9 +56,6 @@
 	w.up, w.stop, w.running, w.waiting = true, make(chan struct{}), 0, 0
 	w.slot = make(chan struct{}, w.slots)
 	w.server = &http.Server{Handler: http.HandlerFunc(w.serve)}
-	if w.anyTarget {
-		l = &targetListener{Listener: l}
-	}
 	go func(s *http.Server) { _ = s.Serve(l) }(w.server)
 	record("worker %s up version=%s cold=%v", w.id, version, coldFor)
 	go w.beat(w.stop, firstBeat)
@@ -190,14 +170,7 @@
 		w.running--
 		w.mu.Unlock()
 	}()
-	target := r.RequestURI
-	if t, err := url.QueryUnescape(r.Header.Get(targetHeader)); err == nil && t != "" {
-		target = t
-	}
-	runsMu.Lock()
-	runs = append(runs, run{worker: w.id, id: id, method: r.Method, target: target, at: time.Now()})
-	runsMu.Unlock()
-	w.runs.Add(1)
+	record("run %s at %s", id, w.id)
 	rw.Header().Set("X-Response-Signature", "sig."+id+"."+w.id)
 	if w.engine {
 		w.stream(rw, r, id, version, stop)
@@ -245,39 +218,3 @@
 		}
 	}
 }
-
-// targetHeader has the target of a request as it was on the wire; targetListener adds it.
-const targetHeader = "X-Wire-Target"
-
-// targetListener replaces the target of each request by a slash, since the parser of net/http refuses some, and puts
-// what was there into a header. The system opens a channel for each request.
-type targetListener struct{ net.Listener }
-
-func (l *targetListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &targetConn{Conn: c}, nil
-}
-
-type targetConn struct {
-	net.Conn
-	rest io.Reader
-}
-
-func (c *targetConn) Read(p []byte) (int, error) {
-	if c.rest == nil {
-		b := bufio.NewReader(c.Conn)
-		line, err := b.ReadString('\n')
-		if err != nil {
-			return 0, err
-		}
-		parts := strings.SplitN(strings.TrimSpace(line), " ", 3)
-		if len(parts) == 3 {
-			line = parts[0] + " / " + parts[2] + "\r\n" + targetHeader + ": " + url.QueryEscape(parts[1]) + "\r\n"
-		}
-		c.rest = io.MultiReader(strings.NewReader(line), b)
-	}
-	return c.rest.Read(p)
-}
