--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -1,4 +1,4 @@
-// Command stand3 has the stand-ins and the drivers of the cases 11 to 15 of the review: a store, workers and clients
+// Command stand3 has the stand-ins and the drivers of the cases 11 to 14 of the review: a store, workers and clients
 // that follow the protocol page, and processes of the project that it starts with the command of the deploy file.
 //
 // It writes record.txt into the folder of the case and exits with 1 if the rule was broken, 0 if it held, and 2 if the
@@ -91,11 +91,10 @@
 
 func main() {
 	cases := map[string]func(){
-		"11": caseLeaders,
-		"12": caseVersions,
-		"13": caseTakeUp,
+		"11": caseVersions,
+		"12": caseTakeUp,
+		"13": caseSuspect,
 		"14": caseCold,
-		"15": casePath,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: stand3 CASE FOLDER")
