--- a/review/stand-3/versions.go
+++ b/review/stand-3/versions.go
@@ -10,10 +10,11 @@
 
 // caseVersions: a worker goes down and up by turns and comes back with another version of its software under its id.
 func caseVersions() {
-	f := newFleet([]string{"ub-east", "tsetserleg", "khovd-central"}, threeZones())
-	f.store.put("op/config", streamConfiguration(3, 9.4))
+	f := newFleet(sevenVMs(), threeZones())
+	f.store.put("op/config", streamConfiguration(3, 2.5))
 	var engines []*worker
-	for i, z := range zoneNames {
+	for i := range 9 {
+		z := zoneNames[i%3]
 		w := &worker{
 			id: fmt.Sprintf("i-%08x", 0x7f3a9100+i), service: "bluebell-llm", zone: z, address: fmt.Sprintf("%s.%d:8080", f.net, 100+i),
 			slots: 96, queue: 200, engine: true, store: f.store,
@@ -30,12 +31,13 @@
 	go func() {
 		time.Sleep(6 * time.Second)
 		if trouble() {
-			// The worker goes down and up by turns. It comes back under its id, with the next version of its software.
+			// The worker goes down and up by turns under its id: with the next version of its software, which is rolled back
+			// and tried again.
 			e := engines[0]
-			for range 4 {
+			for _, version := range []string{"v2", "v1", "v2", "v1"} {
 				e.crash()
 				time.Sleep(downTime)
-				e.boot("v2", 0, firstBeat)
+				e.boot(version, 0, firstBeat)
 				time.Sleep(upTime)
 			}
 		} else {
@@ -78,9 +80,9 @@
 }
 
 const (
-	// downTime and upTime make the period of 1.4 s with which the worker goes down and up.
+	// downTime and upTime make the period of 1.7 s with which the worker goes down and up.
 	downTime = 300 * time.Millisecond
-	upTime   = 1100 * time.Millisecond
-	// firstBeat is when after its start the worker writes its entry, within a heartbeat of 1.2 s.
-	firstBeat = time.Second
+	upTime   = 1400 * time.Millisecond
+	// firstBeat is when after its start the worker writes its entry: one heartbeat.
+	firstBeat = heartbeat
 )
